--- /dev/null
+++ b/cmd/wallport/fleet.go
@@ -0,0 +1,145 @@
+// Admin commands beside the sheet's: bookings, zones, cuts, members, servers;
+// and explain.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"wallport/gen/operator"
+)
+
+type bookingCmd struct {
+	Add    bookingAdd    `command:"add" description:"book a slice of a pool for a window of time"`
+	Remove bookingRemove `command:"remove" description:"remove a booking"`
+}
+
+type bookingAdd struct {
+	editing
+	ID    string `long:"id" required:"yes" description:"the booking's id"`
+	Index string `long:"index" required:"yes" description:"the index whose pool it is of"`
+	Kind  string `long:"kind" required:"yes" description:"search, read, correct or part"`
+	Slice int    `long:"slice" required:"yes" description:"percentage of the pool's capacity"`
+	From  string `long:"from" required:"yes" description:"start, as 2026-01-02T08:00:00Z"`
+	To    string `long:"to" required:"yes" description:"end, likewise"`
+}
+
+func (c *bookingAdd) Execute([]string) error {
+	from, err := time.Parse(time.RFC3339, c.From)
+	if err != nil {
+		return coded{exitUsage, "--from: " + err.Error()}
+	}
+	to, err := time.Parse(time.RFC3339, c.To)
+	if err != nil {
+		return coded{exitUsage, "--to: " + err.Error()}
+	}
+	row := map[string]any{"id": c.ID, "index": c.Index, "kind": c.Kind, "slice": c.Slice, "starts_us": fmt.Sprint(from.UnixMicro()), "ends_us": fmt.Sprint(to.UnixMicro())}
+	return c.send([]*operator.RowEdit{{Op: "set", Table: "bookings", Row: row}})
+}
+
+type bookingRemove struct {
+	editing
+	ID string `long:"id" required:"yes" description:"the booking's id"`
+}
+
+func (c *bookingRemove) Execute([]string) error {
+	return c.send([]*operator.RowEdit{{Op: "remove", Table: "bookings", Row: map[string]any{"id": c.ID}}})
+}
+
+type zoneCmd struct {
+	Empty  zoneEmpty  `command:"empty" description:"give a zone's back ends no more work"`
+	Refill zoneRefill `command:"refill" description:"give them work again"`
+}
+
+type zoneArg struct {
+	Zone string `positional-arg-name:"ZONE"`
+}
+
+type zoneEmpty struct {
+	editing
+	Args zoneArg `positional-args:"yes" required:"yes"`
+}
+
+type zoneRefill struct {
+	editing
+	Args zoneArg `positional-args:"yes" required:"yes"`
+}
+
+func (e editing) zone(zone, action string) error {
+	return taken(e.client().Zone(context.Background(), &operator.ZonePayload{Token: e.token(), EditID: opt(e.EditID), By: opt(e.By), Zone: zone, Action: action}))
+}
+
+func (c *zoneEmpty) Execute([]string) error  { return c.zone(c.Args.Zone, "empty") }
+func (c *zoneRefill) Execute([]string) error { return c.zone(c.Args.Zone, "refill") }
+
+type cutCmd struct {
+	editing
+	Args struct {
+		Index  string `positional-arg-name:"INDEX"`
+		Cut    string `positional-arg-name:"CUT"`
+		Shards int    `positional-arg-name:"SHARDS"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *cutCmd) Execute([]string) error {
+	return taken(c.client().Cut(context.Background(), &operator.CutPayload{
+		Token: c.token(), EditID: opt(c.EditID), By: opt(c.By), Index: c.Args.Index, Cut: c.Args.Cut, Shards: c.Args.Shards,
+	}))
+}
+
+type membersCmd struct{ remote }
+
+func (c *membersCmd) Execute([]string) error {
+	list, err := c.client().Members(context.Background(), &operator.MembersPayload{Token: c.token()})
+	if err != nil {
+		return told(err)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "NAME\tROLE\tZONE\tLIVE\tDRAINING\tSICK\tIN FORCE\tMESH")
+	for _, m := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%s\t%s\t%s\n", m.Name, m.Role, m.Zone, m.Live, is(m.Draining), word(m.Sick), m.InForce, m.Addr)
+	}
+	return w.Flush()
+}
+
+func is(b *bool) bool { return b != nil && *b }
+
+func word(s *string) string {
+	if s == nil || *s == "" {
+		return "-"
+	}
+	return *s
+}
+
+type serversCmd struct{ remote }
+
+func (c *serversCmd) Execute([]string) error {
+	list, err := c.client().Servers(context.Background(), &operator.ServersPayload{Token: c.token()})
+	if err != nil {
+		return told(err)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "ID\tINDEX\tCUT\tSHARD\tZONE\tVERDICT\tWARM\tADDRESS")
+	for _, s := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d%%\t%s\n", s.ID, s.Index, s.Cut, s.Shard, s.Zone, s.Verdict, s.Warm, s.Addr)
+	}
+	return w.Flush()
+}
+
+type explainCmd struct {
+	remote
+	Args struct {
+		ID string `positional-arg-name:"ID" description:"the inquiry's id, as an answer or a failure shows it"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *explainCmd) Execute([]string) error {
+	v, err := c.client().Explain(context.Background(), &operator.ExplainPayload{Token: c.token(), ID: c.Args.ID})
+	if err != nil {
+		return told(err)
+	}
+	return show(v)
+}
--- /dev/null
+++ b/cmd/wallport/roles.go
@@ -0,0 +1,94 @@
+// The two daemons and the check of their env files.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	// The plug-ins register themselves.
+	_ "wallport/claims"
+	_ "wallport/conditions"
+	_ "wallport/cutmove"
+	"wallport/env"
+	_ "wallport/operate"
+	_ "wallport/part"
+	_ "wallport/platform"
+	"wallport/process"
+	_ "wallport/pulls"
+	"wallport/serve"
+	_ "wallport/table"
+	_ "wallport/usage"
+)
+
+type nodeCmd struct{ env.Env }
+type coreCmd struct{ env.Env }
+
+func (c *nodeCmd) Execute([]string) error { return daemon(c.Env, "node") }
+func (c *coreCmd) Execute([]string) error { return daemon(c.Env, "core") }
+
+type checkEnv struct {
+	Role string `long:"role" choice:"node" choice:"core" default:"node" description:"the role it is for"`
+	Args struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *checkEnv) Execute([]string) error {
+	e := env.Env{File: c.Args.File, LogLevel: "info", PollsPer: 20}
+	if found := env.Load(&e, c.Role); len(found) > 0 {
+		return coded{exitInvalid, found.Error()}
+	}
+	fmt.Println("no findings")
+	return nil
+}
+
+func logger(level, name string) *zap.Logger {
+	conf := zap.NewProductionEncoderConfig()
+	conf.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	conf.MessageKey = "event"
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		l = zapcore.InfoLevel
+	}
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(conf), zapcore.Lock(os.Stderr), l)).With(zap.String("who", name))
+}
+
+func daemon(e env.Env, role string) error {
+	if found := env.Load(&e, role); len(found) > 0 {
+		return coded{exitInvalid, found.Error()}
+	}
+	log := logger(e.LogLevel, e.Name)
+	defer log.Sync()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	p, err := process.Start(process.Config{Env: e, Role: role, Log: log})
+	if err != nil {
+		return coded{exitFailed, err.Error()}
+	}
+	s, err := serve.Open(p)
+	if err != nil {
+		p.Stop()
+		return coded{exitFailed, err.Error()}
+	}
+	log.Info("started", zap.String("release", stamp), zap.String("role", role), zap.String("zone", e.Zone), zap.String("mesh", e.Mesh),
+		zap.String("caller", e.Caller), zap.String("operator", e.Operator), zap.Bool("authorisation", e.Token != ""), zap.Bool("fleet_secret", e.Fleet != ""))
+	if role == "node" && e.Token == "" {
+		log.Warn("authorisation_off", zap.String("why", "no operator token is set; anyone who reaches the operator API may change the fleet"))
+	}
+	select {
+	case <-signals:
+		s.Stop()
+		p.Stop()
+		log.Info("stopped")
+		return nil
+	case err := <-s.Failed():
+		p.Stop()
+		return coded{exitFailed, err.Error()}
+	}
+}
--- /dev/null
+++ b/conditions/conditions.go
@@ -0,0 +1,207 @@
+// Package conditions watches the servers. Each server is probed by a few nodes
+// chosen by rendezvous, and by any node that has it ejected; what a node sees
+// of a server, on the request path or by probes, becomes its opinion, signed
+// and told over the mesh when it changes and not too often.
+package conditions
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/table"
+	"wallport/wire"
+)
+
+// Figures of the probes.
+const (
+	Observers   = 3
+	ProbeEvery  = 500_000
+	ProbeWithin = 400_000
+	TickEvery   = 100_000
+	TellEvery   = 700_000
+	LostAfter   = 2
+	SlowTimes   = 4
+	SlowFrom    = 50_000
+
+	ForgiveAfter = 8_000_000
+)
+
+// Report is a server's answer to a probe.
+type Report struct {
+	ID          string `json:"id"`
+	Incarnation int64  `json:"incarnation"`
+	UpUs        int64  `json:"up_us"`
+	Usage       int64  `json:"usage"`
+	Cut         string `json:"cut"`
+}
+
+type watch struct {
+	probed  int64
+	under   bool
+	missed  int
+	probing bool
+	up      int64
+	seenInc int64
+	told    wire.Opinion
+	toldAt  int64
+	tells   bool
+}
+
+// Conditions is the plug-in of a node.
+type Conditions struct {
+	mesh  *mesh.Mesh
+	table *table.Table
+	seen  map[string]*watch
+}
+
+func init() {
+	kernel.Register(kernel.Registration{Rank: 70, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
+		return &Conditions{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), seen: map[string]*watch{}}
+	}})
+}
+
+// Name is the plug-in's name.
+func (c *Conditions) Name() string { return "conditions" }
+
+// Kinds are the frames that it takes: none.
+func (c *Conditions) Kinds() []uint8 { return nil }
+
+// Step takes one input.
+func (c *Conditions) Step(t *kernel.Turn, in kernel.Input) {
+	switch v := in.(type) {
+	case kernel.Start:
+		t.After(t.Rand.Int64N(TickEvery), "conditions", "watch")
+	case kernel.Tick:
+		t.After(TickEvery, "conditions", "watch")
+		c.round(t)
+	case kernel.Fetched:
+		c.fetched(t, v)
+	case kernel.Thawed:
+		for _, w := range c.seen {
+			w.missed = 0
+		}
+	}
+}
+
+// observes tells whether this node is among those that probe a server.
+func (c *Conditions) observes(id string, nodes []table.Node) bool {
+	rank := func(name string) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(name + "\x00" + id))
+		return mix(h.Sum64())
+	}
+	mine, above := uint64(0), 0
+	for _, n := range nodes {
+		if n.Origin == c.mesh.Self() {
+			mine = rank(n.Name)
+		}
+	}
+	for _, n := range nodes {
+		if n.Live && n.Origin != c.mesh.Self() && rank(n.Name) > mine {
+			above++
+		}
+	}
+	return above < Observers
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+func (c *Conditions) round(t *kernel.Turn) {
+	cp := c.table.Now()
+	if cp == nil {
+		return
+	}
+	medians := shardMedians(cp)
+	for _, s := range cp.Servers {
+		w := c.seen[s.ID]
+		if w == nil {
+			w = &watch{probed: t.Now - t.Rand.Int64N(ProbeEvery)}
+			c.seen[s.ID] = w
+		}
+		w.probing = c.observes(s.ID, cp.Roster)
+		if (w.probing || s.Gauge.Ejected.Load() > 0) && !w.under && t.Now-w.probed >= ProbeEvery {
+			w.probed, w.under = t.Now, true
+			t.Counts.Add("condition_probes", 1)
+			t.Fetch("conditions", s.ID, "http://"+s.Addr+"/condition", ProbeWithin)
+		}
+		c.opine(t, s, w, medians)
+	}
+}
+
+func (c *Conditions) fetched(t *kernel.Turn, v kernel.Fetched) {
+	w := c.seen[v.Key]
+	if w == nil {
+		return
+	}
+	w.under = false
+	g := c.table.Gauges.Of(v.Key)
+	var r Report
+	if v.Err != "" || v.Status != 200 || json.Unmarshal(v.Body, &r) != nil || r.ID != v.Key {
+		w.missed++
+		return
+	}
+	w.missed, w.up, w.seenInc = 0, r.UpUs, r.Incarnation
+	if g.Bad.Load() == 0 || r.Incarnation != g.Incarnation.Load() {
+		g.Fails.Store(0)
+		g.Ejected.Store(0)
+		g.Bad.Store(0)
+	}
+	g.Incarnation.Store(r.Incarnation)
+	g.Usage.Store(r.Usage)
+}
+
+// opine settles what this node thinks of a server and tells it when that changed.
+func (c *Conditions) opine(t *kernel.Turn, s *table.Server, w *watch, medians map[string]int64) {
+	o := wire.Opinion{State: "ok", Incarnation: w.seenInc, Up: w.up}
+	if inc := s.Gauge.Incarnation.Load(); inc > o.Incarnation {
+		o.Incarnation, o.Up = inc, 0
+	}
+	if s.Gauge.Bad.Load() > 0 && t.Now > s.Gauge.Ejected.Load()+ForgiveAfter {
+		// A server that sent garbage gets a trial now and then.
+		s.Gauge.Bad.Store(0)
+		s.Gauge.Ejected.Store(0)
+	}
+	lat := s.Gauge.Latency.Load()
+	switch {
+	case s.Gauge.Bad.Load() >= 2:
+		o.State = "garbage"
+	case w.missed >= LostAfter || s.Gauge.Fails.Load() >= table.EjectAfter:
+		o.State = "lost"
+	case lat > SlowFrom && lat > SlowTimes*medians[shardKey(s)]:
+		o.State = "slow"
+	}
+	same := o.State == w.told.State && o.Incarnation == w.told.Incarnation
+	telling := w.probing && o.Incarnation != 0 || o.State != "ok"
+	if telling == w.tells && (same || !telling) || t.Now-w.toldAt < TellEvery {
+		return
+	}
+	w.told, w.toldAt, w.tells = o, t.Now, telling
+	t.Counts.Add("opinions_told", 1)
+	c.mesh.Announce(t, "opinion", s.ID, wire.Encode(&o), !telling)
+}
+
+func shardKey(s *table.Server) string { return fmt.Sprintf("%s\x00%s\x00%d", s.Index, s.Cut, s.Shard) }
+
+func shardMedians(cp *table.Checkpoint) map[string]int64 {
+	all := map[string][]int64{}
+	for _, s := range cp.Servers {
+		if l := s.Gauge.Latency.Load(); l > 0 {
+			all[shardKey(s)] = append(all[shardKey(s)], l)
+		}
+	}
+	out := map[string]int64{}
+	for k, v := range all {
+		slices.Sort(v)
+		out[k] = v[len(v)/2]
+	}
+	return out
+}
--- /dev/null
+++ b/cutmove/cutmove.go
@@ -0,0 +1,118 @@
+// Package cutmove flips an index to its next cut once every new shard has
+// enough warm servers. Any node may ask for the flip and they take turns; the
+// flip is an edit that names the move it ends and is judged by the owner of
+// the index's part, so that a second one, or a late one, changes nothing.
+package cutmove
+
+import (
+	"wallport/kernel"
+	"wallport/members"
+	"wallport/mesh"
+	"wallport/pulls"
+	"wallport/state"
+	"wallport/table"
+	"wallport/wire"
+)
+
+// Figures of a move.
+const (
+	Every   = 500_000
+	WarmAt  = 500
+	EnoughN = 2
+)
+
+// CutMove is the plug-in of a node.
+type CutMove struct {
+	mesh    *mesh.Mesh
+	members *members.Members
+	pulls   *pulls.Pulls
+	table   *table.Table
+	rank    int
+}
+
+func init() {
+	kernel.Register(kernel.Registration{Rank: 90, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
+		return &CutMove{
+			mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k),
+			pulls: kernel.Find[*pulls.Pulls](k), table: kernel.Find[*table.Table](k),
+		}
+	}})
+}
+
+// Name is the plug-in's name.
+func (c *CutMove) Name() string { return "cutmove" }
+
+// Kinds are the frames that it takes: none.
+func (c *CutMove) Kinds() []uint8 { return nil }
+
+// Step takes one input.
+func (c *CutMove) Step(t *kernel.Turn, in kernel.Input) {
+	switch in.(type) {
+	case kernel.Start:
+		t.After(Every, "cutmove", "look")
+	case kernel.Tick:
+		t.After(Every, "cutmove", "look")
+		c.look(t)
+	}
+}
+
+// look asks for the flip of every move that is ready. The first live node by
+// name does it, and the others after it in turn where nothing came of it; the
+// edit is judged by the part's owner, so that two who try flip once.
+func (c *CutMove) look(t *kernel.Turn) {
+	cp := c.table.Now()
+	if cp == nil || cp.Sheet == nil || cp.Drains {
+		return
+	}
+	live := c.members.Live(t.Now, "node")
+	if len(live) == 0 {
+		return
+	}
+	c.rank++
+	if live[(c.rank/4)%len(live)].Origin != c.mesh.Self() && live[0].Origin != c.mesh.Self() {
+		return
+	}
+	for _, name := range sortedIndexes(cp) {
+		x := cp.Indexes[name]
+		if x.Cut.Next == "" || !Ready(x, t.Now) {
+			continue
+		}
+		part := state.PartOf(name)
+		addr := c.pulls.Owner(part)
+		if addr == "" {
+			continue
+		}
+		t.Counts.Add("cut_flips_asked", 1)
+		t.Note(0, "cut_flip", "index", name, "from", x.Cut.Name, "to", x.Cut.Next)
+		t.SendTo(addr, wire.KindEdit, 0, &wire.Edit{Part: part, Op: "flip", Name: name, Body: wire.Encode(&x.Cut)})
+	}
+}
+
+// Ready tells whether every shard of the next cut has enough good, warm
+// servers: two, or as many as the live cut's thinnest shard has.
+func Ready(x *table.Index, now int64) bool {
+	need := EnoughN
+	for _, s := range x.Shards {
+		need = min(need, max(1, len(s)))
+	}
+	for _, s := range x.NextShards {
+		n := 0
+		for _, v := range s {
+			if v.Verdict == table.OK && v.Incarnation != 0 && v.Warm(now, x.Service.RampUs) >= WarmAt {
+				n++
+			}
+		}
+		if n < need {
+			return false
+		}
+	}
+	return len(x.NextShards) > 0
+}
+
+func sortedIndexes(cp *table.Checkpoint) []string {
+	var out []string
+	for _, s := range cp.Sheet.Services {
+		out = append(out, s.Index)
+	}
+	return out
+}
--- /dev/null
+++ b/diskfile/diskfile.go
@@ -0,0 +1,52 @@
+// Package diskfile wraps what goes on disk: a magic with the format's stamp, a
+// digest, the content. A torn or foreign file is told from a good one, and a
+// format from the future is refused by name instead of being misread.
+package diskfile
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+)
+
+// Format is the stamp of the disk format.
+const Format = 1
+
+var magic = []byte("wallport")
+
+// ErrTorn is returned for a file that is not whole.
+var ErrTorn = errors.New("file is torn or foreign")
+
+// ErrFuture is returned for a file that a newer program wrote.
+type ErrFuture struct{ Format byte }
+
+func (e ErrFuture) Error() string {
+	return fmt.Sprintf("file has disk format %d, this program knows up to %d: run the newer program on this folder", e.Format, Format)
+}
+
+// Pack wraps content.
+func Pack(content []byte) []byte {
+	sum := sha256.Sum256(content)
+	out := make([]byte, 0, len(magic)+1+len(sum)+len(content))
+	out = append(out, magic...)
+	out = append(out, Format)
+	out = append(out, sum[:]...)
+	return append(out, content...)
+}
+
+// Unpack checks and returns the content.
+func Unpack(b []byte) ([]byte, error) {
+	head := len(magic) + 1
+	if len(b) < head+sha256.Size || !bytes.Equal(b[:len(magic)], magic) {
+		return nil, ErrTorn
+	}
+	if b[len(magic)] > Format {
+		return nil, ErrFuture{b[len(magic)]}
+	}
+	content := b[head+sha256.Size:]
+	if sum := sha256.Sum256(content); !bytes.Equal(sum[:], b[head:head+sha256.Size]) {
+		return nil, ErrTorn
+	}
+	return content, nil
+}
--- /dev/null
+++ b/env/env.go
@@ -0,0 +1,159 @@
+// Package env is a process's own place: addresses, zone, seeds, data folder.
+// It comes from flags and an optional file of key=value lines, is checked as a
+// whole before any port is opened, and every finding names its place.
+package env
+
+import (
+	"bufio"
+	"fmt"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+)
+
+// Env is the place of one process. Flags win over the file.
+type Env struct {
+	File     string   `long:"env-file" description:"file of key=value lines, the keys being these flags' names"`
+	Name     string   `long:"name" description:"name in logs and tables; made from the mesh address when absent"`
+	Zone     string   `long:"zone" description:"zone of this machine"`
+	Mesh     string   `long:"mesh" description:"IP:port of the mesh"`
+	Caller   string   `long:"caller" description:"IP:port of the caller API (node only)"`
+	Operator string   `long:"operator" description:"IP:port of the operator API, conditions and metrics"`
+	Seeds    []string `long:"seed" description:"mesh IP:port of another process; three at most"`
+	Data     string   `long:"data" description:"data folder (core only)"`
+	Platform string   `long:"platform" description:"URL of the platform's list of backends (node only)"`
+	Token    string   `long:"operator-token" description:"token that operators must send; empty turns authorisation off"`
+	Fleet    string   `long:"fleet-secret" description:"secret that all processes of one fleet share"`
+	PollsPer int64    `long:"polls-per-10s" description:"calls to the platform list allowed to the whole fleet in 10 s" default:"20"`
+	LogLevel string   `long:"log-level" description:"debug, info, warn or error" default:"info"`
+}
+
+// Finding is one fault with its place.
+type Finding struct{ Place, Text string }
+
+// Findings are all the faults of a reading.
+type Findings []Finding
+
+// Error lists every finding, a line each.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, v := range f {
+		lines[i] = v.Place + ": " + v.Text
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load fills what the flags left open from the file and checks the whole.
+func Load(e *Env, role string) Findings {
+	var out Findings
+	if e.File != "" {
+		out = append(out, e.read()...)
+	}
+	out = append(out, e.check(role)...)
+	if e.Name == "" {
+		e.Name = role + "-" + e.Mesh
+	}
+	return out
+}
+
+func (e *Env) fields() map[string]*string {
+	return map[string]*string{
+		"name": &e.Name, "zone": &e.Zone, "mesh": &e.Mesh, "caller": &e.Caller, "operator": &e.Operator,
+		"data": &e.Data, "platform": &e.Platform, "operator-token": &e.Token, "fleet-secret": &e.Fleet,
+	}
+}
+
+func (e *Env) read() Findings {
+	f, err := os.Open(e.File)
+	if err != nil {
+		return Findings{{e.File, err.Error()}}
+	}
+	defer f.Close()
+	var out Findings
+	seen := map[string]int{}
+	fromFile := len(e.Seeds) == 0
+	fields := e.fields()
+	sc := bufio.NewScanner(f)
+	for n := 1; sc.Scan(); n++ {
+		line := strings.TrimSpace(sc.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		place := fmt.Sprintf("%s:%d", e.File, n)
+		k, v, ok := strings.Cut(line, "=")
+		k, v = strings.TrimSpace(k), strings.TrimSpace(v)
+		if !ok {
+			out = append(out, Finding{place, "not a key=value line"})
+			continue
+		}
+		if k == "seed" {
+			if fromFile {
+				e.Seeds = append(e.Seeds, v)
+			}
+			continue
+		}
+		p, known := fields[k]
+		if !known {
+			out = append(out, Finding{place, "unknown key " + k})
+			continue
+		}
+		if was := seen[k]; was > 0 {
+			out = append(out, Finding{place, fmt.Sprintf("%s was given on line %d already", k, was)})
+			continue
+		}
+		seen[k] = n
+		if *p == "" {
+			*p = v
+		}
+	}
+	if err := sc.Err(); err != nil {
+		out = append(out, Finding{e.File, err.Error()})
+	}
+	return out
+}
+
+func (e *Env) check(role string) Findings {
+	var out Findings
+	need := map[string]string{"mesh": e.Mesh, "operator": e.Operator}
+	if role == "node" {
+		need["caller"] = e.Caller
+	}
+	for k, v := range need {
+		if v == "" {
+			out = append(out, Finding{k, "is needed"})
+		} else if _, err := netip.ParseAddrPort(v); err != nil {
+			out = append(out, Finding{k, "not an IP:port: " + v})
+		}
+	}
+	if e.Zone == "" {
+		out = append(out, Finding{"zone", "is needed"})
+	}
+	if len(e.Seeds) > 3 {
+		out = append(out, Finding{"seed", "more than three"})
+	}
+	for _, s := range e.Seeds {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			out = append(out, Finding{"seed", "not an IP:port: " + s})
+		}
+	}
+	if role == "core" && e.Data == "" {
+		out = append(out, Finding{"data", "a core needs a data folder"})
+	}
+	if role == "core" && e.Caller != "" {
+		out = append(out, Finding{"caller", "a core has no caller API"})
+	}
+	if e.Platform != "" && !strings.HasPrefix(e.Platform, "http://") {
+		out = append(out, Finding{"platform", "not an http:// URL: " + e.Platform})
+	}
+	if e.PollsPer < 1 {
+		out = append(out, Finding{"polls-per-10s", "must be at least 1"})
+	}
+	switch e.LogLevel {
+	case "debug", "info", "warn", "error":
+	default:
+		out = append(out, Finding{"log-level", "not one of debug, info, warn, error: " + e.LogLevel})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Place < out[j].Place })
+	return out
+}
--- /dev/null
+++ b/inquiry/asks.go
@@ -0,0 +1,80 @@
+// Asking servers, and what each ask's end teaches their gauges.
+package inquiry
+
+// ask picks a server for a shard and sends to it; a shard without one is missing.
+func (c *Chart) ask(now int64, shard int, again bool) {
+	w := &c.ways[shard]
+	ch, ok := pick(c.cp, c.x, c.x.Shards[shard], w.tried, now, &c.rnd)
+	if !ok {
+		w.missing = w.open == 0
+		if w.why == "" {
+			w.why = "no server may be asked"
+		}
+		return
+	}
+	if again {
+		if !c.desk.extra(c.cp, c.in.Index, now) {
+			w.missing = w.open == 0
+			w.why = "budget of repeated tries is used up; " + w.why
+			return
+		}
+		c.to(now, StReAsked, w.why)
+	} else {
+		c.to(now, StPicked, "")
+		c.desk.budgetOf(c.in.Index).first(now)
+	}
+	n := len(c.tries)
+	c.tries = append(c.tries, try{shard: shard, server: ch.Server, at: now, open: true})
+	c.trace.pick(now, n, shard, ch, again)
+	w.tried = append(w.tried, ch.Server.ID)
+	w.open++
+	w.tries++
+	left := c.end - now
+	w.hedgeAt = now + min(max(c.x.Service.HedgeUs, 3*ch.Server.Gauge.Latency.Load()), max(left/2, 1))
+	ch.Server.Gauge.Outstanding.Add(1)
+	ch.Server.Gauge.Asked.Add(1)
+	c.state = StAsked
+	c.act(Ask{N: n, ID: c.ID() + "." + itoa(n), Server: ch.Server, Shard: shard, Cut: c.cut, Within: left, Inquiry: &c.in})
+}
+
+func itoa(n int) string { return string(rune('a'+n%26)) + string(rune('a'+n/26%26)) }
+
+// close takes note of an ask's end on its server's gauge.
+func (c *Chart) close(now int64, n int, r Reply) {
+	t := &c.tries[n]
+	if !t.open {
+		return
+	}
+	t.open = false
+	c.ways[t.shard].open--
+	g := t.server.Gauge
+	g.Outstanding.Add(-1)
+	if r.Incarnation > g.Incarnation.Load() {
+		g.Incarnation.Store(r.Incarnation)
+	}
+	switch r.Class {
+	case ReplyOK, ReplyAbsent:
+		g.Took(now - t.at)
+		g.Usage.Store(r.Usage)
+	case ReplyGarbage:
+		g.Garbled(now)
+		c.desk.Counts.Add("answers_garbage", 1)
+	case ReplyFailed, ReplyNotWritten:
+		g.Failed(now)
+	}
+}
+
+// late notes an answer that came after the outcome; it still teaches the gauge.
+func (c *Chart) late(now int64, v Replied) {
+	if v.N < len(c.tries) {
+		c.close(now, v.N, v.Reply)
+	}
+}
+
+// slowed lets an ask that was given up weigh on its server's latency.
+func (c *Chart) slowed(now int64, t *try) {
+	g := t.server.Gauge
+	if took := now - t.at; took > g.Latency.Load() {
+		g.Latency.Store(g.Latency.Load() + (took-g.Latency.Load())/8)
+	}
+}
--- /dev/null
+++ b/inquiry/pick.go
@@ -0,0 +1,118 @@
+// The pick of a server for a shard: the cheaper of two drawn at random, one of
+// them from the own zone where that is possible, among the best tier that has
+// any. If every server looks bad, the least bad tier is used. A cold server is
+// drawn only as often as its ramp allows, which holds fleet-wide without any
+// counting, unless the whole tier is cold.
+package inquiry
+
+import (
+	"slices"
+
+	"wallport/table"
+)
+
+// Choice tells of a pick, for explain.
+type Choice struct {
+	Server *table.Server
+	Drawn  []string
+	Tier   string
+	Cold   bool
+}
+
+var tierNames = []string{"usable", "slow", "doubtful", "lost", "garbage"}
+
+// tier sorts a server by how good it looks; below zero it is never picked.
+func tier(s *table.Server, now int64) int {
+	switch {
+	case s.Verdict == table.Leaving || s.Verdict == table.Emptied:
+		return -1
+	case s.Verdict == table.Garbage:
+		return 4
+	case s.Verdict == table.Lost:
+		return 3
+	case s.Verdict == table.Doubt || s.Gauge.Ejected.Load() > now:
+		return 2
+	case s.Verdict == table.Slow:
+		return 1
+	}
+	return 0
+}
+
+func pick(cp *table.Checkpoint, x *table.Index, servers []*table.Server, tried []string, now int64, r *rnd) (Choice, bool) {
+	var best []*table.Server
+	at := len(tierNames)
+	for _, s := range servers {
+		if slices.Contains(tried, s.ID) {
+			continue
+		}
+		n := tier(s, now)
+		if n < 0 || n > at {
+			continue
+		}
+		if n < at {
+			at, best = n, best[:0]
+		}
+		best = append(best, s)
+	}
+	if len(best) == 0 {
+		return Choice{}, false
+	}
+	ramp := x.Service.RampUs
+	warm := best
+	if len(best) > 1 {
+		warm = ramped(best, now, ramp, r)
+	}
+	c := Choice{Tier: tierNames[at]}
+	a := draw(near(warm, cp.Zone), r)
+	b := draw(warm, r)
+	c.Drawn = []string{a.ID, b.ID}
+	c.Server = a
+	if cost(b, cp.Zone, now, ramp) < cost(a, cp.Zone, now, ramp) {
+		c.Server = b
+	}
+	c.Cold = c.Server.Warm(now, ramp) < 1000
+	return c, true
+}
+
+// ramped leaves each cold server in with the chance that its warmth gives it.
+// Where all are cold, warmth only counts against the warmest.
+func ramped(all []*table.Server, now, ramp int64, r *rnd) []*table.Server {
+	most := int64(1)
+	for _, s := range all {
+		most = max(most, s.Warm(now, ramp))
+	}
+	out := make([]*table.Server, 0, len(all))
+	for _, s := range all {
+		w := s.Warm(now, ramp)
+		if w >= most || int64(r.n(int(most))) < w {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func near(all []*table.Server, zone string) []*table.Server {
+	var out []*table.Server
+	for _, s := range all {
+		if s.Zone == zone {
+			out = append(out, s)
+		}
+	}
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
+func draw(all []*table.Server, r *rnd) *table.Server { return all[r.n(len(all))] }
+
+// cost is the expected wait: what is outstanding here and reported there,
+// times what an answer takes; another zone costs a quarter more.
+func cost(s *table.Server, zone string, now, ramp int64) int64 {
+	lat := s.Gauge.Latency.Load() + 500
+	c := (s.Gauge.Outstanding.Load()*4 + s.Gauge.Usage.Load() + 4) * lat
+	if s.Zone != zone {
+		c += c / 4
+	}
+	return c * 1000 / max(1, s.Warm(now, ramp))
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,147 @@
+// Package kernel holds the deterministic heart of every wallport process.
+// A process is one Kernel: plug-ins that register themselves, fed one Input
+// at a time, each returning what to send, write, fetch, time and answer.
+// Drivers own the clock, the network and the disk; there is a real one and a
+// simulated one, and the plug-ins cannot tell which of them they run under.
+package kernel
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"wallport/env"
+	"wallport/wire"
+)
+
+// Plugin is one concern of a process. Step must not block, sleep or read clocks.
+type Plugin interface {
+	Name() string
+	Kinds() []uint8
+	Step(t *Turn, in Input)
+}
+
+// Registration says where a plug-in belongs and how it is made. Plug-ins of
+// lower rank are made first, so later ones may find them.
+type Registration struct {
+	Rank  int
+	Roles []string
+	Make  func(k *Kernel) Plugin
+}
+
+var registered []Registration
+
+// Register is called from the init function of each plug-in's package.
+func Register(r Registration) {
+	registered = append(registered, r)
+}
+
+// Boot is all that a process is given at its start.
+type Boot struct {
+	Env   env.Env
+	Role  string
+	Seed  uint64
+	Key   Key
+	Files map[string][]byte
+}
+
+// Kernel owns the plug-ins of one process and routes inputs to them.
+type Kernel struct {
+	Boot    Boot
+	Rand    *rand.Rand
+	plugins []Plugin
+	byName  map[string]Plugin
+	byKind  map[uint8]Plugin
+	Counts  *Counts
+}
+
+// New makes a kernel with every registered plug-in of the boot's role.
+func New(b Boot) *Kernel {
+	k := &Kernel{
+		Boot: b, Rand: rand.New(rand.NewPCG(b.Seed, 0x77616c6c)), Counts: NewCounts(),
+		byName: map[string]Plugin{}, byKind: map[uint8]Plugin{},
+	}
+	regs := append([]Registration(nil), registered...)
+	sort.SliceStable(regs, func(i, j int) bool { return regs[i].Rank < regs[j].Rank })
+	for _, r := range regs {
+		if !contains(r.Roles, b.Role) {
+			continue
+		}
+		p := r.Make(k)
+		k.plugins = append(k.plugins, p)
+		k.byName[p.Name()] = p
+		for _, kind := range p.Kinds() {
+			k.byKind[kind] = p
+		}
+	}
+	return k
+}
+
+// Find returns the process's plug-in of type T, or the zero T without one.
+func Find[T Plugin](k *Kernel) T {
+	var zero T
+	for _, p := range k.plugins {
+		if v, ok := p.(T); ok {
+			return v
+		}
+	}
+	return zero
+}
+
+// Step feeds one input and returns everything that the plug-ins asked for.
+func (k *Kernel) Step(now, wall int64, in Input) Out {
+	t := &Turn{Now: now, Wall: wall, Rand: k.Rand, Counts: k.Counts}
+	k.route(t, in)
+	for len(t.events) > 0 {
+		ev := t.events[0]
+		t.events = t.events[1:]
+		for _, p := range k.plugins {
+			p.Step(t, ev)
+		}
+	}
+	return t.Out
+}
+
+func (k *Kernel) route(t *Turn, in Input) {
+	switch v := in.(type) {
+	case Received:
+		f, err := wire.Open(v.Data)
+		if err != nil {
+			k.Counts.Add("frames_malformed", 1)
+			t.Drop(v.Chan)
+			return
+		}
+		p, ok := k.byKind[f.Kind]
+		if !ok {
+			k.Counts.Add("frames_unknown_kind", 1)
+			return
+		}
+		p.Step(t, Message{Chan: v.Chan, Kind: f.Kind, ID: f.ID, Body: f.Body})
+	case Tick:
+		k.to(t, v.Plugin, in)
+	case Written:
+		k.to(t, v.Plugin, in)
+	case Fetched:
+		k.to(t, v.Plugin, in)
+	case Call:
+		k.to(t, v.Plugin, in)
+	default:
+		for _, p := range k.plugins {
+			p.Step(t, in)
+		}
+	}
+}
+
+func (k *Kernel) to(t *Turn, name string, in Input) {
+	if p, ok := k.byName[name]; ok {
+		p.Step(t, in)
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, v := range list {
+		if v == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lab/backend/backend.go
@@ -0,0 +1,217 @@
+// Package backend is a stand-in index server: it answers inquiries and
+// condition probes, counts what it ran, goes cold when it restarts, and can be
+// told to misbehave in each of the ways that the front must survive.
+package backend
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wallport/conditions"
+	"wallport/inquiry"
+	"wallport/lab/records"
+	"wallport/serve"
+)
+
+// Config is a server's place and manner.
+type Config struct {
+	ID     string `long:"id" required:"yes" description:"server id"`
+	Addr   string `long:"addr" required:"yes" description:"IP:port"`
+	Index  string `long:"index" required:"yes" description:"index"`
+	Cut    string `long:"cut" required:"yes" description:"cut"`
+	Shard  int    `long:"shard" description:"shard"`
+	Shards int    `long:"shards" required:"yes" description:"shards of the cut"`
+	Took   int64  `long:"took-us" default:"2000" description:"microseconds an answer takes when warm"`
+	Ramp   int64  `long:"ramp-us" default:"3000000" description:"microseconds until warm; cold answers take up to five times as long"`
+}
+
+// Fault is a way to misbehave.
+type Fault struct {
+	Mode string `json:"mode"`
+	Us   int64  `json:"us"`
+}
+
+// Report is what a server ran, for the checkers.
+type Report struct {
+	ID       string         `json:"id"`
+	Asked    int64          `json:"asked"`
+	Searches int64          `json:"searches"`
+	Last     int64          `json:"last_us"`
+	Ran      map[string]int `json:"ran"`
+}
+
+// Server is one stand-in.
+type Server struct {
+	c        Config
+	began    time.Time
+	busy     atomic.Int64
+	asked    atomic.Int64
+	searches atomic.Int64
+	last     atomic.Int64
+	fault    atomic.Pointer[Fault]
+	mu       sync.Mutex
+	ran      map[string]int
+}
+
+// New makes a server.
+func New(c Config) *Server {
+	s := &Server{c: c, began: time.Now(), ran: map[string]int{}}
+	s.fault.Store(&Fault{})
+	return s
+}
+
+// Run serves until the listener fails.
+func (s *Server) Run() error {
+	l, err := net.Listen("tcp", s.c.Addr)
+	if err != nil {
+		return err
+	}
+	return http.Serve(l, s.Handler())
+}
+
+// Handler is the server's HTTP side.
+func (s *Server) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /condition", s.condition)
+	m.HandleFunc("POST /v1/{kind}", s.serve)
+	m.HandleFunc("GET /lab/report", s.report)
+	m.HandleFunc("POST /lab/fault", func(w http.ResponseWriter, r *http.Request) {
+		f := new(Fault)
+		if json.NewDecoder(r.Body).Decode(f) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		s.fault.Store(f)
+	})
+	return m
+}
+
+func (s *Server) condition(w http.ResponseWriter, r *http.Request) {
+	if s.fault.Load().Mode == "hang" {
+		<-r.Context().Done()
+		return
+	}
+	json.NewEncoder(w).Encode(conditions.Report{
+		ID: s.c.ID, Incarnation: s.began.UnixMicro(), UpUs: time.Since(s.began).Microseconds(), Usage: s.busy.Load(), Cut: s.c.Cut,
+	})
+}
+
+func (s *Server) report(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	json.NewEncoder(w).Encode(Report{ID: s.c.ID, Asked: s.asked.Load(), Searches: s.searches.Load(), Last: s.last.Load(), Ran: s.ran})
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	var m serve.Message
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil || json.Unmarshal(body, &m) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.asked.Add(1)
+	s.last.Store(time.Now().UnixMicro())
+	s.busy.Add(1)
+	defer s.busy.Add(-1)
+	f := s.fault.Load()
+	if f.Mode == "refuse" {
+		s.answer(w, 503, s.sealed(&m, nil))
+		return
+	}
+	if m.Kind == inquiry.Search {
+		s.searches.Add(1)
+	} else if m.Kind != inquiry.Read {
+		key := m.Key
+		if key == "" {
+			key = m.Inquiry
+		}
+		s.mu.Lock()
+		s.ran[key]++
+		s.mu.Unlock()
+	}
+	if f.Mode == "hang" {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(s.takes(f))
+	switch {
+	case f.Mode == "close":
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			c.Close()
+		}
+		return
+	case m.Kind == inquiry.Search:
+		s.spoil(w, f, &m, records.Top(m.Index, m.Query, m.Limit, m.Shard, s.c.Shards))
+		return
+	}
+	rec, ok := records.Of(m.Record)
+	if !ok || inquiry.ShardOf(m.Record, s.c.Shards) != s.c.Shard {
+		s.answer(w, 404, s.sealed(&m, nil))
+		return
+	}
+	s.spoil(w, f, &m, []inquiry.Record{rec})
+}
+
+// takes is longer while cold, and as long as the fault says when slow.
+func (s *Server) takes(f *Fault) time.Duration {
+	us := s.c.Took
+	if f.Mode == "slow" {
+		us = f.Us
+	}
+	if up := time.Since(s.began).Microseconds(); up < s.c.Ramp {
+		us += 4 * us * (s.c.Ramp - up) / s.c.Ramp
+	}
+	return time.Duration(us) * time.Microsecond
+}
+
+func (s *Server) sealed(m *serve.Message, recs []inquiry.Record) inquiry.Sealed {
+	return inquiry.Sealed{Inquiry: m.Inquiry, Cut: s.c.Cut, Shard: s.c.Shard, Incarnation: s.began.UnixMicro(), Usage: s.busy.Load(), Records: recs}
+}
+
+func (s *Server) answer(w http.ResponseWriter, status int, sealed inquiry.Sealed) {
+	b, _ := json.Marshal(sealed)
+	w.Header().Set("Content-Digest", inquiry.Digest(b))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	w.WriteHeader(status)
+	w.Write(b)
+}
+
+// spoil answers, or spoils the answer in the way the fault says.
+func (s *Server) spoil(w http.ResponseWriter, f *Fault, m *serve.Message, recs []inquiry.Record) {
+	out := s.sealed(m, recs)
+	switch f.Mode {
+	case "foreign":
+		out.Inquiry = "somebody-else-1.aa"
+	case "othercut":
+		out.Cut = "another"
+	case "othershard":
+		out.Shard++
+	case "unsorted":
+		for i, j := 0, len(recs)-1; i < j; i, j = i+1, j-1 {
+			recs[i], recs[j] = recs[j], recs[i]
+		}
+	case "garbage":
+		w.Write([]byte("\x00\xff{{{"))
+		return
+	case "truncate":
+		b, _ := json.Marshal(out)
+		w.Header().Set("Content-Digest", inquiry.Digest(b))
+		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+		w.Write(b[:len(b)/2])
+		return
+	case "short":
+		// A whole HTTP message, but not the whole sealed answer.
+		b, _ := json.Marshal(out)
+		w.Header().Set("Content-Digest", inquiry.Digest(b))
+		w.Write(b[:len(b)-2])
+		return
+	}
+	s.answer(w, 200, out)
+}
--- /dev/null
+++ b/lab/caller/caller.go
@@ -0,0 +1,224 @@
+// Package caller is the stand-in of many callers: wide searches, single reads,
+// corrections and part fetches at a steady rate, some repeated under the same
+// key through another node. Every answer is checked exactly.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"wallport/inquiry"
+	"wallport/lab/platform"
+	"wallport/lab/records"
+)
+
+// Config is the callers' manner.
+type Config struct {
+	Platform string  `long:"platform" required:"yes" description:"URL of the platform that hands out nodes"`
+	Index    string  `long:"index" required:"yes" description:"index to ask"`
+	Rate     float64 `long:"rate" default:"530" description:"inquiries a second"`
+	Seconds  float64 `long:"seconds" default:"10" description:"how long"`
+	Least    int64   `long:"deadline-least-us" default:"250000" description:"shortest deadline"`
+	Most     int64   `long:"deadline-most-us" default:"1500000" description:"longest deadline"`
+	Repeat   float64 `long:"repeat" default:"0.05" description:"share of keyed inquiries sent again through another node"`
+	Seed     uint64  `long:"seed" default:"1" description:"seed"`
+	Cuts     string  `long:"cuts" default:"" description:"cut=shards pairs that may answer, comma separated; empty trusts any"`
+}
+
+// Summary is what came of it.
+type Summary struct {
+	Sent     int              `json:"sent"`
+	Outcomes map[string]int   `json:"outcomes"`
+	Wrong    []string         `json:"wrong"`
+	WrongN   int              `json:"wrong_n"`
+	Partial  int              `json:"partial"`
+	Repeats  int              `json:"repeats"`
+	Late     int              `json:"late"`
+	Cut      int              `json:"cut_connections"`
+	Us       map[string]int64 `json:"latency_us"`
+	Seconds  map[string]int   `json:"ok_by_second"`
+	Refused  []string         `json:"refused_keys"`
+}
+
+// Caller is the stand-in.
+type Caller struct {
+	c      Config
+	client *http.Client
+	rnd    *rand.Rand
+	mu     sync.Mutex
+	nodes  []platform.Node
+	sum    Summary
+	lat    []int64
+	refuse map[string]bool
+	began  time.Time
+	shards map[string]int
+}
+
+// New makes callers.
+func New(c Config) *Caller {
+	k := &Caller{
+		c: c, rnd: rand.New(rand.NewPCG(c.Seed, 7)), refuse: map[string]bool{}, shards: map[string]int{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 5 * time.Second}},
+		sum:    Summary{Outcomes: map[string]int{}, Us: map[string]int64{}, Seconds: map[string]int{}, Wrong: []string{}, Refused: []string{}},
+	}
+	for _, kv := range bytes.Split([]byte(c.Cuts), []byte(",")) {
+		if name, n, ok := bytes.Cut(kv, []byte("=")); ok {
+			shards := 0
+			fmt.Sscan(string(n), &shards)
+			k.shards[string(name)] = shards
+		}
+	}
+	return k
+}
+
+// Run sends for as long as configured and tells what came of it.
+func (k *Caller) Run(ctx context.Context) Summary {
+	k.began = time.Now()
+	k.learn()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(k.c.Seconds*float64(time.Second)))
+	defer cancel()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(250 * time.Millisecond)
+			k.learn()
+		}
+	}()
+	var wg sync.WaitGroup
+	gap := time.Duration(float64(time.Second) / k.c.Rate)
+	next := time.Now()
+	for n := 0; ctx.Err() == nil; n++ {
+		time.Sleep(time.Until(next))
+		next = next.Add(gap)
+		o := k.plan(n)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			k.send(o)
+		}()
+	}
+	wg.Wait()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	slices.Sort(k.lat)
+	for name, q := range map[string]float64{"p50": 0.5, "p90": 0.9, "p99": 0.99, "p999": 0.999} {
+		if len(k.lat) > 0 {
+			k.sum.Us[name] = k.lat[int(q*float64(len(k.lat)-1))]
+		}
+	}
+	for key := range k.refuse {
+		k.sum.Refused = append(k.sum.Refused, key)
+	}
+	return k.sum
+}
+
+func (k *Caller) learn() {
+	resp, err := k.client.Get(k.c.Platform + "/nodes")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var nodes []platform.Node
+	if json.NewDecoder(resp.Body).Decode(&nodes) != nil {
+		return
+	}
+	nodes = slices.DeleteFunc(nodes, func(n platform.Node) bool { return !n.Ready })
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(nodes) > 0 {
+		k.nodes = nodes
+	}
+}
+
+type order struct {
+	kind, key, record, query string
+	limit                    int
+	deadline                 int64
+	repeat                   bool
+	nodes                    [2]platform.Node
+}
+
+func (k *Caller) plan(n int) order {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	o := order{kind: inquiry.Search, limit: 10 + k.rnd.IntN(20), query: fmt.Sprintf("q%d", k.rnd.IntN(1000)), record: records.ID(k.rnd.IntN(records.Size))}
+	o.deadline = k.c.Least + k.rnd.Int64N(k.c.Most-k.c.Least+1)
+	switch r := k.rnd.Float64(); {
+	case r < 2.0/3:
+	case r < 2.0/3+1.0/6:
+		o.kind = inquiry.Read
+	case r < 2.0/3+1.0/4:
+		o.kind = inquiry.Correct
+	default:
+		o.kind = inquiry.Part
+	}
+	if o.kind == inquiry.Correct || o.kind == inquiry.Part {
+		o.key = fmt.Sprintf("key-%d-%d", k.c.Seed, n)
+		o.repeat = k.rnd.Float64() < k.c.Repeat
+	}
+	if len(k.nodes) > 0 {
+		o.nodes = [2]platform.Node{k.nodes[k.rnd.IntN(len(k.nodes))], k.nodes[k.rnd.IntN(len(k.nodes))]}
+	}
+	return o
+}
+
+func (k *Caller) send(o order) {
+	k.once(o, o.nodes[0])
+	if o.repeat {
+		k.mu.Lock()
+		k.sum.Repeats++
+		k.mu.Unlock()
+		k.once(o, o.nodes[1])
+	}
+}
+
+func (k *Caller) once(o order, n platform.Node) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(o.deadline)*time.Microsecond+2*time.Second)
+	defer cancel()
+	base := "http://" + n.Caller + "/v1/indexes/" + k.c.Index
+	var req *http.Request
+	post := func(path string, v map[string]any) {
+		v["deadline_us"] = o.deadline
+		b, _ := json.Marshal(v)
+		req, _ = http.NewRequestWithContext(ctx, http.MethodPost, base+path, struct{ io.Reader }{bytes.NewReader(b)})
+		req.ContentLength = int64(len(b))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	switch o.kind {
+	case inquiry.Search:
+		post("/search", map[string]any{"query": o.query, "limit": o.limit})
+	case inquiry.Read:
+		req, _ = http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s/records/%s?deadline_us=%d", base, o.record, o.deadline), nil)
+	case inquiry.Correct:
+		post("/records/"+o.record+"/corrections", map[string]any{"body": "correction " + o.key})
+	default:
+		post("/records/"+o.record+"/parts/3", map[string]any{})
+	}
+	if o.key != "" {
+		req.Header["Idempotency-Key"] = []string{o.key}
+	}
+	resp, err := k.client.Do(req)
+	var body []byte
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	took := time.Since(began)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sum.Sent++
+	if err != nil {
+		k.sum.Cut++
+		k.sum.Outcomes["connection"]++
+		return
+	}
+	k.judge(o, n, resp, body, took)
+}
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,290 @@
+// The processes of a fleet: starting, finding, signalling and ending them,
+// each by its own id.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"wallport/lab/platform"
+	"wallport/wire"
+)
+
+// Options say what to start and where.
+type Options struct {
+	Shape Shape
+	Dir   string
+	Bin   string
+	Log   io.Writer
+}
+
+// Proc is one process of the fleet.
+type Proc struct {
+	Name string
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+	Data string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	o        Options
+	mu       sync.Mutex
+	procs    map[string]*Proc
+	Nodes    []platform.Node
+	Opers    map[string]string
+	Platform string
+	servers  []wire.Server
+	seeds    []string
+	client   *http.Client
+	Laggards int
+}
+
+// New makes an empty fleet.
+func New(o Options) *Fleet {
+	return &Fleet{o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, client: &http.Client{Timeout: 12 * time.Second}}
+}
+
+// ports takes free loopback addresses, all held until all are known.
+func ports(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Start runs a process and waits for its end beside.
+func (f *Fleet) Start(p *Proc) error {
+	logf, err := os.OpenFile(filepath.Join(f.o.Dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer logf.Close()
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd.Stdout, p.cmd.Stderr = logf, logf
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.done = done
+	cmd := p.cmd
+	go func() { cmd.Wait(); close(done) }()
+	f.mu.Lock()
+	f.procs[p.Name] = p
+	f.mu.Unlock()
+	return nil
+}
+
+// Up starts everything and returns once every node is ready for callers.
+func (f *Fleet) Up(ctx context.Context) error {
+	s := f.o.Shape
+	addrs, err := ports(1 + 2*s.Cores + 3*s.Nodes + s.PerShard*s.Shards)
+	if err != nil {
+		return err
+	}
+	next := func() string { a := addrs[0]; addrs = addrs[1:]; return a }
+	plat := next()
+	f.Platform = "http://" + plat
+	if err := f.Start(&Proc{Name: "platform", args: []string{filepath.Join(f.o.Bin, "lab"), "platform", "--addr", plat}}); err != nil {
+		return err
+	}
+	coreMesh := make([]string, s.Cores)
+	for i := range coreMesh {
+		coreMesh[i] = next()
+	}
+	f.seeds = coreMesh[:min(3, s.Cores)]
+	for i, mesh := range coreMesh {
+		name := fmt.Sprintf("core-%d", i)
+		if err := f.daemon("core", name, s.Zone(i), mesh, next(), "--data", filepath.Join(f.o.Dir, name)); err != nil {
+			return err
+		}
+	}
+	for i := range s.Nodes {
+		n := platform.Node{Name: fmt.Sprintf("node-%d", i), Zone: s.Zone(i), Caller: next()}
+		mesh, oper := next(), next()
+		f.Nodes = append(f.Nodes, n)
+		f.Opers[n.Name] = oper
+		if err := f.daemon("node", n.Name, n.Zone, mesh, oper, "--caller", n.Caller, "--platform", f.Platform+"/list"); err != nil {
+			return err
+		}
+	}
+	if err := f.Backends("c1", s.Shards, s.PerShard*s.Shards, addrs); err != nil {
+		return err
+	}
+	if err := f.tellPlatform(ctx); err != nil {
+		return err
+	}
+	return f.configure(ctx)
+}
+
+func (f *Fleet) daemon(role, name, zone, mesh, oper string, more ...string) error {
+	args := []string{filepath.Join(f.o.Bin, "wallport"), role, "--name", name, "--zone", zone, "--mesh", mesh, "--operator", oper}
+	for _, s := range f.seeds {
+		args = append(args, "--seed", s)
+	}
+	p := &Proc{Name: name, args: append(args, more...)}
+	if role == "core" {
+		p.Data = filepath.Join(f.o.Dir, name)
+	}
+	return f.Start(p)
+}
+
+// Backends starts n servers of a cut.
+func (f *Fleet) Backends(cut string, shards, n int, addrs []string) error {
+	s := f.o.Shape
+	if len(addrs) < n {
+		var err error
+		if addrs, err = ports(n); err != nil {
+			return err
+		}
+	}
+	for i := range n {
+		v := s.Server(i, cut, shards, addrs[i])
+		f.mu.Lock()
+		f.servers = append(f.servers, v)
+		f.mu.Unlock()
+		err := f.Start(&Proc{Name: v.ID, args: []string{
+			filepath.Join(f.o.Bin, "lab"), "backend", "--id", v.ID, "--addr", v.Addr, "--index", v.Index, "--cut", v.Cut,
+			"--shard", fmt.Sprint(v.Shard), "--shards", fmt.Sprint(shards),
+		}})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// poll tries until it works or the context ends; it waits on events, not on the clock's word.
+func poll(ctx context.Context, what string, try func() error) error {
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w (last: %v)", what, ctx.Err(), err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (f *Fleet) tellPlatform(ctx context.Context) error {
+	return poll(ctx, "platform", func() error {
+		f.mu.Lock()
+		servers := append([]wire.Server(nil), f.servers...)
+		f.mu.Unlock()
+		if err := f.post(f.Platform+"/lab/servers", wire.Listing{Servers: servers}); err != nil {
+			return err
+		}
+		return f.post(f.Platform+"/lab/nodes", f.Nodes)
+	})
+}
+
+// configure puts the first sheet and cut and waits for every node's condition.
+func (f *Fleet) configure(ctx context.Context) error {
+	s := f.o.Shape
+	oper := f.Opers["node-0"]
+	err := poll(ctx, "first sheet", func() error {
+		return f.call(http.MethodPut, "http://"+oper+"/v1/sheet", s.Sheet(), map[string]string{"If-Match": "0.0", "Edit-Id": "first-sheet"})
+	})
+	if err != nil {
+		return err
+	}
+	err = poll(ctx, "first cut", func() error {
+		return f.post("http://"+oper+"/v1/indexes/"+s.Index+"/cut", map[string]any{"cut": "c1", "shards": s.Shards})
+	})
+	if err != nil {
+		return err
+	}
+	for _, n := range f.Nodes {
+		err := poll(ctx, n.Name, func() error {
+			return f.call(http.MethodPost, "http://"+n.Caller+"/v1/indexes/"+s.Index+"/search", json.RawMessage(`{"query":"warm-up"}`), nil)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) post(url string, v any) error { return f.call(http.MethodPost, url, v, nil) }
+
+func (f *Fleet) call(method, url string, v any, head map[string]string) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(method, url, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	for k, v := range head {
+		req.Header.Set(k, v)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: %d %s", method, url, resp.StatusCode, body)
+	}
+	return nil
+}
+
+// Signal sends a signal to one process by its id.
+func (f *Fleet) Signal(name string, sig syscall.Signal) error {
+	f.mu.Lock()
+	p := f.procs[name]
+	f.mu.Unlock()
+	if p == nil {
+		return fmt.Errorf("no process %s", name)
+	}
+	return p.cmd.Process.Signal(sig)
+}
+
+// Restart starts an ended process again as it was.
+func (f *Fleet) Restart(name string) error {
+	f.mu.Lock()
+	p := f.procs[name]
+	f.mu.Unlock()
+	if p == nil {
+		return fmt.Errorf("no process %s", name)
+	}
+	<-p.done
+	return f.Start(p)
+}
+
+// Down ends every process.
+func (f *Fleet) Down() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.procs {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.cmd.Process.Kill()
+	}
+	for _, p := range f.procs {
+		<-p.done
+	}
+}
--- /dev/null
+++ b/lab/fleet/run.go
@@ -0,0 +1,98 @@
+// One run: bring the fleet up, send, play a scenario, gather, judge.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"wallport/lab/caller"
+	"wallport/lab/script"
+)
+
+// RunOptions say what to run.
+type RunOptions struct {
+	Options
+	Rate     float64
+	Seconds  float64
+	Repeat   float64
+	Seed     uint64
+	Script   *script.Script
+	Stay     bool
+	UpWithin time.Duration
+}
+
+// Result is what a run came to.
+type Result struct {
+	Shape      string           `json:"shape"`
+	UpMs       int64            `json:"up_ms"`
+	Callers    caller.Summary   `json:"callers"`
+	Counts     map[string]int64 `json:"counts"`
+	Violations []string         `json:"violations"`
+}
+
+// Run does it all; the fleet is ended at the end whatever came of it.
+func Run(ctx context.Context, o RunOptions) (*Result, error) {
+	f := New(o.Options)
+	defer f.Down()
+	began := time.Now()
+	up, cancel := context.WithTimeout(ctx, o.UpWithin)
+	defer cancel()
+	if err := f.Up(up); err != nil {
+		return nil, err
+	}
+	r := &Result{Shape: o.Shape.Name, UpMs: time.Since(began).Milliseconds(), Counts: map[string]int64{}, Violations: []string{}}
+	if o.Stay {
+		f.announce()
+	}
+	if o.Rate > 0 {
+		played := make(chan error, 1)
+		go func() { played <- f.Play(ctx, o.Script) }()
+		r.Callers = caller.New(caller.Config{
+			Platform: f.Platform, Index: o.Shape.Index, Rate: o.Rate, Seconds: o.Seconds, Repeat: o.Repeat, Seed: o.Seed,
+			Least: o.Shape.Least, Most: o.Shape.Most,
+		}).Run(ctx)
+		if err := <-played; err != nil {
+			return nil, err
+		}
+	}
+	f.judge(r)
+	if o.Stay {
+		<-ctx.Done()
+	}
+	return r, nil
+}
+
+func (f *Fleet) announce() {
+	fmt.Fprintf(f.o.Log, "platform=%s logs=%s\n", f.Platform, f.o.Dir)
+	for _, n := range f.Nodes {
+		fmt.Fprintf(f.o.Log, "node=%s zone=%s caller=%s operator=%s\n", n.Name, n.Zone, n.Caller, f.Opers[n.Name])
+	}
+}
+
+// judge checks at-most-once and the answers, and gathers counts.
+func (f *Fleet) judge(r *Result) {
+	ran, reports := f.Ran()
+	for key, n := range ran {
+		if n > 1 {
+			r.Violations = append(r.Violations, fmt.Sprintf("%s ran %d times", key, n))
+		}
+	}
+	for _, key := range r.Callers.Refused {
+		if ran[key] > 0 {
+			r.Violations = append(r.Violations, fmt.Sprintf("%s ran although it was refused", key))
+		}
+	}
+	r.Violations = append(r.Violations, r.Callers.Wrong...)
+	var asked int64
+	for _, v := range reports {
+		asked += v.Asked
+	}
+	r.Counts["server_asks"] = asked
+	for _, name := range []string{
+		"extra_tries", "extra_tries_denied", "answers_garbage", "over_ceiling", "claims_short", "claims_unsure", "claims_minority",
+		"mesh_entries_in", "mesh_heartbeats_in", "condition_probes", "platform_polls", "opinions_told", "thaws",
+	} {
+		r.Counts[name] = f.Metric(name)
+	}
+}
--- /dev/null
+++ b/lab/fleet/shape.go
@@ -0,0 +1,64 @@
+// Package fleet starts a whole fleet of real processes with the shape of one
+// of the deployments, brings failures about, and counts what came of it. It is
+// a test tool: the product itself starts no process.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"wallport/wire"
+)
+
+// Shape is the size of a deployment.
+type Shape struct {
+	Name     string
+	Index    string
+	Zones    int
+	Nodes    int
+	Cores    int
+	PerShard int
+	Shards   int
+	Least    int64
+	Most     int64
+}
+
+// Shapes are the deployments, and a small one for quick tests.
+var Shapes = map[string]Shape{
+	"trust":    {"trust", "scores", 4, 11, 4, 12, 4, 250_000, 1_500_000},
+	"registry": {"registry", "tenancies", 3, 10, 3, 17, 4, 500_000, 5_000_000},
+	"small":    {"small", "scores", 3, 3, 3, 2, 2, 500_000, 1_500_000},
+}
+
+// Zone is the zone of the i-th machine.
+func (s Shape) Zone(i int) string { return fmt.Sprintf("z%d", i%s.Zones+1) }
+
+// Server names and places the i-th server of a cut.
+func (s Shape) Server(i int, cut string, shards int, addr string) wire.Server {
+	return wire.Server{
+		ID: fmt.Sprintf("%s-%d-%d", cut, i%shards, i/shards), Addr: addr, Zone: s.Zone(i / shards), Index: s.Index,
+		Cut: cut, Shard: i % shards, State: "ready",
+	}
+}
+
+// Sheet is a sheet that fits the shape.
+func (s Shape) Sheet() json.RawMessage {
+	kinds := []map[string]any{}
+	for _, k := range []struct {
+		kind  string
+		share int
+	}{{"search", 60}, {"read", 20}, {"correct", 10}, {"part", 10}} {
+		kinds = append(kinds, map[string]any{"index": s.Index, "kind": k.kind, "share": k.share})
+	}
+	b, err := json.Marshal(map[string]any{
+		"services": []map[string]any{{
+			"index": s.Index, "capacity": 2000, "required_share": 75, "deadline_us": s.Most / 2, "max_deadline_us": s.Most,
+			"hedge_us": 40000, "ramp_us": 3000000,
+		}},
+		"rows": kinds,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/lab/records/records.go
@@ -0,0 +1,61 @@
+// Package records is the made-up content of the stand-in indexes. Scores are a
+// function of query and record, so that any answer can be checked exactly.
+package records
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"wallport/inquiry"
+)
+
+// Size is the number of records of an index.
+const Size = 240
+
+// ID names a record.
+func ID(n int) string { return fmt.Sprintf("rec-%04d", n) }
+
+// Score of a record for a query.
+func Score(index, query, id string) int64 {
+	h := fnv.New64a()
+	h.Write([]byte(index + "\x00" + query + "\x00" + id))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return int64(x % 1000)
+}
+
+// Top is a shard's sorted answer to a query.
+func Top(index, query string, limit, shard, shards int) []inquiry.Record {
+	out := make([]inquiry.Record, 0, Size/max(1, shards)+1)
+	for n := range Size {
+		id := ID(n)
+		if inquiry.ShardOf(id, shards) == shard {
+			out = append(out, inquiry.Record{ID: id, Score: Score(index, query, id)})
+		}
+	}
+	slices.SortFunc(out, inquiry.Before)
+	return out[:min(limit, len(out))]
+}
+
+// Merged is the whole answer to a query from the given shards.
+func Merged(index, query string, limit int, from []int, shards int) []inquiry.Record {
+	var out []inquiry.Record
+	for _, s := range from {
+		out = append(out, Top(index, query, limit, s, shards)...)
+	}
+	slices.SortFunc(out, inquiry.Before)
+	return out[:min(limit, len(out))]
+}
+
+// Of is the record of an id, as it stands.
+func Of(id string) (inquiry.Record, bool) {
+	for n := range Size {
+		if ID(n) == id {
+			return inquiry.Record{ID: id, Score: int64(n), Body: "body of " + id}, true
+		}
+	}
+	return inquiry.Record{}, false
+}
--- /dev/null
+++ b/lab/script/script.go
@@ -0,0 +1,120 @@
+// Package script reads scenario files: small texts of one step a line, shared
+// by the fleet runner on real processes and the simulator. A line is
+// "set NAME VALUE", "at TIME VERB ARGS..." or "expect NAME OP VALUE"; what
+// follows # is a comment.
+package script
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Step is something that happens at a moment.
+type Step struct {
+	Line int
+	At   int64
+	Verb string
+	Args []string
+}
+
+// Expect is a bound on a count at the end of a run.
+type Expect struct {
+	Line int
+	Name string
+	Op   string
+	Want int64
+}
+
+// Script is a read scenario.
+type Script struct {
+	Name    string
+	Set     map[string]string
+	Steps   []Step
+	Expects []Expect
+}
+
+// Load reads a file; every fault is reported with its line.
+func Load(path string) (*Script, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, string(b))
+}
+
+// Parse reads a text.
+func Parse(name, text string) (*Script, error) {
+	s := &Script{Name: name, Set: map[string]string{}}
+	var faults []string
+	for i, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		f := strings.Fields(line)
+		if len(f) == 0 {
+			continue
+		}
+		if err := s.line(i+1, f); err != nil {
+			faults = append(faults, fmt.Sprintf("%s:%d: %v", name, i+1, err))
+		}
+	}
+	if len(faults) > 0 {
+		return nil, fmt.Errorf("%s", strings.Join(faults, "\n"))
+	}
+	return s, nil
+}
+
+func (s *Script) line(n int, f []string) error {
+	switch {
+	case f[0] == "set" && len(f) == 3:
+		s.Set[f[1]] = f[2]
+	case f[0] == "at" && len(f) >= 3:
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			return err
+		}
+		s.Steps = append(s.Steps, Step{Line: n, At: d.Microseconds(), Verb: f[2], Args: f[3:]})
+	case f[0] == "expect" && len(f) == 4:
+		v, err := strconv.ParseInt(f[3], 10, 64)
+		if err != nil {
+			return err
+		}
+		if f[2] != "==" && f[2] != "<=" && f[2] != ">=" {
+			return fmt.Errorf("%q is not one of ==, <=, >=", f[2])
+		}
+		s.Expects = append(s.Expects, Expect{Line: n, Name: f[1], Op: f[2], Want: v})
+	default:
+		return fmt.Errorf("neither set NAME VALUE, at TIME VERB ARGS nor expect NAME OP VALUE")
+	}
+	return nil
+}
+
+// Int is a number that was set, or another.
+func (s *Script) Int(name string, other int64) int64 {
+	if v, ok := s.Set[name]; ok {
+		if n, err := strconv.ParseInt(v, 10, 64); err == nil {
+			return n
+		}
+	}
+	return other
+}
+
+// Text is a word that was set, or another.
+func (s *Script) Text(name, other string) string {
+	if v, ok := s.Set[name]; ok {
+		return v
+	}
+	return other
+}
+
+// Met tells whether a count is as expected.
+func (e Expect) Met(got int64) bool {
+	switch e.Op {
+	case "==":
+		return got == e.Want
+	case "<=":
+		return got <= e.Want
+	}
+	return got >= e.Want
+}
--- /dev/null
+++ b/members/members.go
@@ -0,0 +1,148 @@
+// Package members keeps the table of the fleet's processes as the mesh tells
+// it, and tells the mesh about this one. Liveness is the mesh's judgement of
+// each origin's beat; a restarted process is a new member.
+package members
+
+import (
+	"slices"
+
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// Row is one member as seen from here.
+type Row struct {
+	wire.Member
+	Origin string
+	Live   bool
+}
+
+// Members is the plug-in.
+type Members struct {
+	k       *kernel.Kernel
+	mesh    *mesh.Mesh
+	self    wire.Member
+	told    int64
+	dirty   bool
+	rows    map[string]*wire.Member
+	peak    int
+	peakAt  int64
+	started int64
+}
+
+// PeakFor is how long a larger fleet's size still divides what is shared out.
+const PeakFor = 600_000_000
+
+const tellEvery = 200_000
+
+func init() {
+	kernel.Register(kernel.Registration{Rank: 20, Roles: []string{"node", "core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
+		e := k.Boot.Env
+		return &Members{k: k, mesh: kernel.Find[*mesh.Mesh](k), rows: map[string]*wire.Member{}, self: wire.Member{
+			Name: e.Name, Role: k.Boot.Role, Zone: e.Zone, Addr: e.Mesh, Caller: e.Caller, Operator: e.Operator,
+		}}
+	}})
+}
+
+// Name is the plug-in's name.
+func (m *Members) Name() string { return "members" }
+
+// Kinds are the frames that it takes: none.
+func (m *Members) Kinds() []uint8 { return nil }
+
+// Step takes one input.
+func (m *Members) Step(t *kernel.Turn, in kernel.Input) {
+	switch v := in.(type) {
+	case kernel.Start:
+		m.self.Started = t.Wall
+		m.started = t.Now
+		m.dirty = true
+		m.tell(t)
+		t.After(tellEvery, "members", "tell")
+	case kernel.Tick:
+		m.tell(t)
+		t.After(tellEvery, "members", "tell")
+	case kernel.Stopping:
+		m.Update(func(s *wire.Member) { s.Draining = true })
+		m.tell(t)
+	case mesh.Stored:
+		if v.Entry.Type == "member" {
+			row := new(wire.Member)
+			if wire.Decode(v.Entry.Body, row) == nil {
+				m.rows[v.Origin] = row
+			}
+		}
+	case mesh.Forgotten:
+		delete(m.rows, v.Origin)
+	case mesh.Pulse:
+		n := len(m.Live(t.Now, "node"))
+		if n >= m.peak || t.Now-m.peakAt > PeakFor {
+			m.peak, m.peakAt = n, t.Now
+		}
+	}
+}
+
+// Update changes what this process tells of itself; it is told soon after.
+func (m *Members) Update(f func(s *wire.Member)) {
+	f(&m.self)
+	m.dirty = true
+}
+
+// SelfRow is what this process tells of itself.
+func (m *Members) SelfRow() wire.Member { return m.self }
+
+func (m *Members) tell(t *kernel.Turn) {
+	if !m.dirty {
+		return
+	}
+	m.dirty = false
+	m.mesh.Announce(t, "member", m.mesh.Self(), wire.Encode(&m.self), false)
+}
+
+// All lists the members, by name.
+func (m *Members) All(now int64) []Row {
+	out := make([]Row, 0, len(m.rows))
+	for fp, r := range m.rows {
+		out = append(out, Row{Member: *r, Origin: fp, Live: m.mesh.Live(fp, now)})
+	}
+	slices.SortFunc(out, func(a, b Row) int {
+		if a.Name != b.Name {
+			if a.Name < b.Name {
+				return -1
+			}
+			return 1
+		}
+		if a.Origin < b.Origin {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Live lists the live members of a role.
+func (m *Members) Live(now int64, role string) []Row {
+	var out []Row
+	for _, r := range m.All(now) {
+		if r.Live && r.Role == role {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Seat finds the live core that has a seat's disk.
+func (m *Members) Seat(id string, now int64) (Row, bool) {
+	for _, r := range m.All(now) {
+		if r.Seat == id && r.Live {
+			return r, true
+		}
+	}
+	return Row{}, false
+}
+
+// Divisor is by how many nodes a fleet-wide allowance is divided here: the
+// greatest number seen in the last while, so that neither a shrinking fleet
+// nor an isolated node multiplies what all may do together.
+func (m *Members) Divisor() int { return max(1, m.peak) }
--- /dev/null
+++ b/mesh/heartbeat.go
@@ -0,0 +1,110 @@
+// Heartbeats keep channels alive and carry peer addresses; they also carry a
+// mark per origin and a stamp per part, from which each side sees what the
+// other lacks and sends it. An origin's beat travels in the marks, so that
+// liveness costs no flood.
+package mesh
+
+import (
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+func (m *Mesh) beat(t *kernel.Turn) {
+	t.After(HeartbeatEvery, "mesh", "beat")
+	self := m.store.origins[m.self]
+	self.beat++
+	self.beatAt = t.Now
+	for _, id := range sortedKeys(m.peers) {
+		if p := m.peers[id]; t.Now-p.lastSeen > SilentAfter {
+			t.Counts.Add("mesh_peers_silent", 1)
+			m.lose(t, p)
+			t.Drop(id)
+		}
+	}
+	for _, fp := range sortedKeys(m.store.origins) {
+		if fp != m.self && t.Now-m.store.origins[fp].beatAt > ForgetAfter {
+			m.store.bury(fp)
+			t.Emit(Forgotten{Origin: fp})
+		}
+	}
+	hb := m.marks()
+	for _, id := range sortedKeys(m.peers) {
+		t.SendSlot(id, wire.KindHeartbeat, hb, "heartbeat")
+	}
+	m.dialMore(t)
+	t.Counts.Set("mesh_peers", int64(len(m.peers)))
+	t.Counts.Set("mesh_origins", int64(len(m.store.origins)))
+	t.Emit(Pulse{})
+}
+
+func (m *Mesh) marks() *wire.Heartbeat {
+	hb := &wire.Heartbeat{Addrs: m.knownAddrs()}
+	for _, fp := range sortedKeys(m.store.origins) {
+		o := m.store.origins[fp]
+		if o.beat == 0 {
+			continue
+		}
+		hb.Marks = append(hb.Marks, wire.Mark{Origin: fp, Max: o.max, Sum: o.sum, Beat: o.beat})
+	}
+	for _, part := range sortedKeys(m.store.parts) {
+		hb.Parts = append(hb.Parts, m.store.parts[part].Stamp)
+	}
+	return hb
+}
+
+func (m *Mesh) heartbeat(t *kernel.Turn, p *peer, hb *wire.Heartbeat) {
+	for _, a := range hb.Addrs {
+		m.know(a)
+	}
+	theirs := make(map[string]wire.Mark, len(hb.Marks))
+	for _, mk := range hb.Marks {
+		theirs[mk.Origin] = mk
+		m.takeBeat(t, mk)
+	}
+	for _, fp := range sortedKeys(m.store.origins) {
+		m.catchUp(t, p, m.store.origins[fp], theirs[fp])
+	}
+	stamps := map[int]wire.Stamp{}
+	for _, s := range hb.Parts {
+		stamps[s.Part] = s
+	}
+	for _, part := range sortedKeys(m.store.parts) {
+		e := m.store.parts[part]
+		if s, ok := stamps[part]; !ok || Newer(e.Stamp, s) {
+			t.Counts.Add("mesh_caught_up", 1)
+			m.send(t, p.chanID, e)
+		}
+	}
+}
+
+func (m *Mesh) takeBeat(t *kernel.Turn, mk wire.Mark) {
+	if mk.Origin == m.self || mk.Beat == 0 {
+		return
+	}
+	if last, dead := m.store.buried[mk.Origin]; dead && mk.Beat <= last {
+		return
+	}
+	o := m.store.origin(mk.Origin, t.Now)
+	if mk.Beat > o.beat {
+		o.beat, o.beatAt = mk.Beat, t.Now
+		delete(m.store.buried, mk.Origin)
+	}
+}
+
+// catchUp sends what the other side lacks of an origin: what is past its
+// counter, or, where the counters agree and the sums do not, everything.
+func (m *Mesh) catchUp(t *kernel.Turn, p *peer, o *origin, theirs wire.Mark) {
+	if o.sum == theirs.Sum || len(o.entries) == 0 || o.max < theirs.Max {
+		return
+	}
+	from := theirs.Max
+	if o.max == theirs.Max {
+		from = 0
+	}
+	for _, key := range sortedKeys(o.entries) {
+		if e := o.entries[key]; e.Count > from {
+			t.Counts.Add("mesh_caught_up", 1)
+			m.send(t, p.chanID, e)
+		}
+	}
+}
--- /dev/null
+++ b/mesh/peers.go
@@ -0,0 +1,147 @@
+// Peers: whom to dial, when, and which channel to give up. Seeds are dialled
+// with a growing backoff and again every half minute; other addresses are
+// learned from heartbeats. Above the cap the peer seen longest ago is evicted.
+package mesh
+
+import (
+	"slices"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+type dial struct {
+	wait  int64
+	next  int64
+	under bool
+	tries int
+}
+
+func (m *Mesh) know(addr string) {
+	if addr == "" || addr == m.addr || m.dials[addr] != nil || len(m.dials) >= AddrMost {
+		return
+	}
+	m.dials[addr] = &dial{wait: BackoffFirst}
+}
+
+func (m *Mesh) knownAddrs() []string {
+	addrs := []string{m.addr}
+	for _, id := range sortedKeys(m.peers) {
+		addrs = append(addrs, m.peers[id].addr)
+	}
+	return addrs
+}
+
+func (m *Mesh) connected(addr string) bool {
+	for _, p := range m.peers {
+		if p.addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+// dialMore opens channels up to the target, and to every seed now and then.
+func (m *Mesh) dialMore(t *kernel.Turn) {
+	seeds := m.k.Boot.Env.Seeds
+	if t.Now-m.lastSeed >= SeedEvery || len(m.peers) == 0 {
+		m.lastSeed = t.Now
+		for _, s := range seeds {
+			m.tryDial(t, s)
+		}
+	}
+	open := len(m.peers)
+	for _, d := range m.dials {
+		if d.under {
+			open++
+		}
+	}
+	addrs := sortedKeys(m.dials)
+	t.Rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	for _, a := range addrs {
+		if open >= PeerTarget {
+			return
+		}
+		if m.tryDial(t, a) {
+			open++
+		}
+	}
+}
+
+func (m *Mesh) tryDial(t *kernel.Turn, addr string) bool {
+	d := m.dials[addr]
+	if d == nil || d.under || t.Now < d.next || m.connected(addr) {
+		return false
+	}
+	d.under = true
+	d.next = t.Now + d.wait + t.Rand.Int64N(d.wait/4+1)
+	d.wait = min(2*d.wait, BackoffMost)
+	t.Dial(addr)
+	return true
+}
+
+func (m *Mesh) up(t *kernel.Turn, v kernel.ChannelUp) {
+	if v.Dialed {
+		if d := m.dials[v.Addr]; d != nil {
+			d.under, d.wait, d.tries = false, BackoffFirst, 0
+		}
+	}
+	if v.Peer == m.self {
+		delete(m.dials, v.Addr)
+		t.Drop(v.Chan)
+		return
+	}
+	m.know(v.Addr)
+	for _, id := range sortedKeys(m.peers) {
+		old := m.peers[id]
+		if old.key != v.Peer {
+			continue
+		}
+		// Of two channels between one pair, the one that the lesser key dialled stays.
+		if v.Dialed == (m.self < v.Peer) {
+			delete(m.peers, id)
+			t.Drop(id)
+			break
+		}
+		t.Drop(v.Chan)
+		return
+	}
+	m.peers[v.Chan] = &peer{chanID: v.Chan, addr: v.Addr, key: v.Peer, dialed: v.Dialed, lastSeen: t.Now}
+	t.Note(0, "mesh_peer_up", "peer", v.Peer, "addr", v.Addr, "peers", len(m.peers))
+	m.evict(t, v.Chan)
+	t.SendSlot(v.Chan, wire.KindHeartbeat, m.marks(), "heartbeat")
+}
+
+func (m *Mesh) evict(t *kernel.Turn, newest uint64) {
+	for len(m.peers) > PeerCap {
+		ids := sortedKeys(m.peers)
+		oldest := slices.MinFunc(ids, func(a, b uint64) int {
+			return int(m.peers[a].lastSeen - m.peers[b].lastSeen)
+		})
+		if oldest == newest {
+			return
+		}
+		t.Counts.Add("mesh_peers_evicted", 1)
+		m.lose(t, m.peers[oldest])
+		t.Drop(oldest)
+	}
+}
+
+func (m *Mesh) down(t *kernel.Turn, v kernel.ChannelDown) {
+	if p := m.peers[v.Chan]; p != nil {
+		m.lose(t, p)
+		return
+	}
+	if d := m.dials[v.Addr]; d != nil && d.under && v.Chan == 0 {
+		d.under = false
+		d.tries++
+		if d.tries > 20 && !slices.Contains(m.k.Boot.Env.Seeds, v.Addr) {
+			delete(m.dials, v.Addr)
+		}
+	}
+}
+
+func (m *Mesh) lose(t *kernel.Turn, p *peer) {
+	delete(m.peers, p.chanID)
+	t.Note(0, "mesh_peer_down", "peer", p.key, "addr", p.addr, "peers", len(m.peers))
+}
--- /dev/null
+++ b/part/duties.go
@@ -0,0 +1,73 @@
+// Duties that one node does at a time: an owner grants them for a short while
+// and renews; a holder that gives one up names its successor. A new owner
+// grants nothing until every grant of its predecessor has run out.
+package part
+
+import (
+	"slices"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// HoldFor is how long a grant lasts.
+const HoldFor = 800_000
+
+type grant struct {
+	holder string
+	until  int64
+	turn   uint64
+}
+
+func (g *Group) hold(t *kernel.Turn, ch, id uint64, h wire.Hold) {
+	if g.role != owner || !g.ready || g.yielding {
+		t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty})
+		return
+	}
+	gr := g.holds[h.Duty]
+	if gr == nil {
+		gr = &grant{until: t.Now + HoldFor}
+		g.holds[h.Duty] = gr
+	}
+	if h.Drop {
+		if gr.holder == h.From {
+			g.turns++
+			*gr = grant{until: t.Now, turn: g.term<<24 | g.turns}
+			if h.Next != "" {
+				gr.holder, gr.until = h.Next, t.Now+HoldFor
+			}
+		}
+		return
+	}
+	if t.Now >= gr.until && gr.holder != h.From {
+		g.turns++
+		gr.holder, gr.turn = h.From, g.term<<24|g.turns
+	}
+	if gr.holder == h.From {
+		gr.until = t.Now + HoldFor
+	}
+	t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty, Holder: gr.holder, For: gr.until - t.Now, Turn: gr.turn})
+}
+
+func (g *Group) holders(t *kernel.Turn) map[string]string {
+	out := map[string]string{}
+	for d, gr := range g.holds {
+		if gr.holder != "" && t.Now < gr.until {
+			out[d] = gr.holder
+		}
+	}
+	return out
+}
+
+// wall is the wall clock corrected by the median of what the other seats show,
+// so that one clock that jumps moves no booking.
+func (g *Group) wall(t *kernel.Turn) int64 {
+	offs := []int64{0}
+	for _, s := range g.served.Seats {
+		if off, ok := g.walls[s.ID]; ok && t.Now-g.heard[s.ID] < StepDown {
+			offs = append(offs, off)
+		}
+	}
+	slices.Sort(offs)
+	return t.Wall + offs[len(offs)/2]
+}
--- /dev/null
+++ b/part/owner.go
@@ -0,0 +1,239 @@
+// The owner's side of a part: win, re-commit what was found, batch edits into
+// one version at a time, beat, step down when a majority no longer answers.
+package part
+
+import (
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+func (g *Group) win(t *kernel.Turn, best wire.Version) {
+	g.role, g.owner, g.ownerAddr = owner, g.self(), g.s.k.Boot.Env.Mesh
+	g.ready, g.yielding = false, false
+	g.roundAcks, g.walls = map[string]uint64{}, map[string]int64{}
+	g.quorumAt, g.beatAt = t.Now, 0
+	g.holds = map[string]*grant{}
+	for _, s := range binds(best) {
+		g.heard[s.ID] = t.Now
+	}
+	t.Note(0, "part_owner", "part", g.part, "term", g.term, "adopts_term", best.Stamp.Term, "adopts_seq", best.Stamp.Seq)
+	t.Counts.Add("part_owned", 1)
+	v := best
+	v.Stamp = wire.Stamp{Part: g.part, Term: g.term, Seq: best.Stamp.Seq + 1}
+	g.propose(t, v)
+	g.ownerTick(t)
+}
+
+// retire ends ownership or candidature. What was in flight has an unknown outcome.
+func (g *Group) retire(t *kernel.Turn, why string) {
+	if g.role == owner {
+		t.Note(1, "part_retired", "part", g.part, "term", g.term, "why", why)
+		for _, w := range g.inFlight {
+			t.Send(w.ch, wire.KindEditReply, w.id, &wire.EditReply{Code: "unknown"})
+		}
+		for _, w := range append(g.backlog, g.reads...) {
+			t.Send(w.ch, wire.KindEditReply, w.id, &wire.EditReply{Code: "not_owner"})
+		}
+		g.owner, g.ownerAddr = "", ""
+	}
+	g.inFlight, g.backlog, g.reads, g.flight = nil, nil, nil, nil
+	g.role = follower
+	g.ready = false
+	g.defer_(t)
+}
+
+func (g *Group) propose(t *kernel.Turn, v wire.Version) {
+	g.flight, g.sentAt = &v, t.Now
+	g.acks = map[string]bool{}
+	g.resend(t)
+}
+
+func (g *Group) resend(t *kernel.Turn) {
+	g.sentAt = t.Now
+	a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Version: *g.flight}
+	for _, s := range binds(*g.flight) {
+		if g.acks[s.ID] {
+			continue
+		}
+		if s.ID == g.self() {
+			g.accept(t, 0, 0, a)
+			continue
+		}
+		g.s.sendSeat(t, s, wire.KindAccept, &a)
+	}
+}
+
+func (g *Group) acceptReply(t *kernel.Turn, r wire.AcceptReply) {
+	if g.role != owner {
+		return
+	}
+	if !r.OK {
+		if r.Term > g.term {
+			g.promised = max(g.promised, r.Term)
+			g.retire(t, "fenced by a newer term")
+		}
+		return
+	}
+	g.heard[r.From] = t.Now
+	if g.flight == nil || r.Stamp != g.flight.Stamp {
+		return
+	}
+	g.acks[r.From] = true
+	if !quorum(*g.flight, func(id string) bool { return g.acks[id] }) {
+		return
+	}
+	v := *g.flight
+	g.flight = nil
+	done := g.inFlight
+	g.inFlight = nil
+	g.ready = true
+	g.commit(t, v)
+	for _, w := range done {
+		w.reply.Stamp = v.Stamp
+		t.Send(w.ch, wire.KindEditReply, w.id, &w.reply)
+	}
+	g.beatNow(t)
+	g.next(t)
+}
+
+// commit takes note that a version is committed.
+func (g *Group) commit(t *kernel.Turn, v wire.Version) {
+	if !mesh.Newer(v.Stamp, g.served.Stamp) {
+		return
+	}
+	g.served = v
+	t.Emit(Committed{Version: v})
+}
+
+// next batches the backlog into one version, each edit judged in turn.
+func (g *Group) next(t *kernel.Turn) {
+	if g.role != owner || !g.ready || g.flight != nil || g.yielding {
+		return
+	}
+	body := g.served.Body
+	stamp := wire.Stamp{Part: g.part, Term: g.term, Seq: g.served.Stamp.Seq + 1}
+	seats, seatsChanged := g.mend(t)
+	batch := g.backlog
+	g.backlog = nil
+	changed := seatsChanged
+	for _, w := range batch {
+		after, reply, took := g.s.judge(g.part)(body, g.served.Stamp, stamp, &w.edit, g.wall(t))
+		w.reply = reply
+		if !took {
+			if reply.Stamp == (wire.Stamp{}) {
+				w.reply.Stamp = g.served.Stamp
+			}
+			t.Send(w.ch, wire.KindEditReply, w.id, &w.reply)
+			continue
+		}
+		body, changed = after, true
+		g.inFlight = append(g.inFlight, w)
+	}
+	if after, due := g.s.clockwork(g.part)(body, stamp, g.wall(t), g.holders(t)); due {
+		body, changed = after, true
+	}
+	if !changed {
+		return
+	}
+	t.Counts.Add("part_versions", 1)
+	g.propose(t, wire.Version{Stamp: stamp, Seats: seats, Prev: g.served.Seats, Body: body})
+}
+
+func (g *Group) ownerTick(t *kernel.Turn) {
+	ok := func(id string) bool { return id == g.self() || t.Now-g.heard[id] < StepDown }
+	if quorum(g.served2(), ok) {
+		g.quorumAt = t.Now
+	}
+	switch {
+	case t.Now-g.quorumAt > StepDown:
+		g.retire(t, "no majority answers")
+		return
+	case g.s.sick != "" && g.successor(t) != "":
+		g.yield(t)
+		return
+	case t.Now-g.beatAt >= BeatEvery:
+		g.beatNow(t)
+	}
+	if g.flight != nil && t.Now-g.sentAt > 2*BeatEvery {
+		g.resend(t)
+	}
+	g.next(t)
+}
+
+// served2 is the version whose seats an owner must hear from.
+func (g *Group) served2() wire.Version {
+	if g.flight != nil {
+		return *g.flight
+	}
+	return g.served
+}
+
+func (g *Group) beatNow(t *kernel.Turn) {
+	g.beatAt = t.Now
+	g.round++
+	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Round: g.round, Committed: g.served.Stamp}
+	for _, s := range binds(g.served2()) {
+		if s.ID != g.self() {
+			g.s.sendSeat(t, s, wire.KindBeat, &b)
+		}
+	}
+}
+
+func (g *Group) beatReply(t *kernel.Turn, ch uint64, r wire.BeatReply) {
+	if g.role != owner {
+		return
+	}
+	if !r.OK {
+		if r.Term > g.term {
+			g.promised = max(g.promised, r.Term)
+			g.retire(t, "fenced by a newer term")
+		}
+		return
+	}
+	g.heard[r.From] = t.Now
+	g.walls[r.From] = r.Wall - t.Wall
+	g.roundAcks[r.From] = max(g.roundAcks[r.From], r.Round)
+	if g.ready && mesh.Newer(g.served.Stamp, r.Held) && (g.flight == nil || r.Held != g.flight.Stamp) {
+		t.Counts.Add("part_handed_over", 1)
+		t.Send(ch, wire.KindAccept, 0, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Version: g.served})
+	}
+	g.serveReads(t)
+}
+
+// serveReads answers reads that a majority confirmed this owner for, after they came.
+func (g *Group) serveReads(t *kernel.Turn) {
+	var left []waiting
+	for _, w := range g.reads {
+		if !quorum(g.served, func(id string) bool { return id == g.self() || g.roundAcks[id] >= w.round }) {
+			left = append(left, w)
+			continue
+		}
+		t.Send(w.ch, wire.KindEditReply, w.id, &wire.EditReply{Code: "ok", Stamp: g.served.Stamp, Body: g.served.Body})
+	}
+	g.reads = left
+}
+
+// edit takes an operator's or another plug-in's change, or a confirmed read.
+func (g *Group) edit(t *kernel.Turn, ch, id uint64, e wire.Edit) {
+	if g.role != owner || g.yielding {
+		t.Send(ch, wire.KindEditReply, id, &wire.EditReply{Code: "not_owner", Addr: g.ownerAddr})
+		return
+	}
+	if len(g.backlog)+len(g.reads) >= BacklogMost {
+		t.Send(ch, wire.KindEditReply, id, &wire.EditReply{Code: "shed"})
+		return
+	}
+	if e.Op == "read" {
+		if g.ready {
+			g.reads = append(g.reads, waiting{ch: ch, id: id, edit: e, round: g.round + 1})
+			g.beatNow(t)
+			g.serveReads(t)
+			return
+		}
+		t.Send(ch, wire.KindEditReply, id, &wire.EditReply{Code: "not_owner"})
+		return
+	}
+	g.backlog = append(g.backlog, waiting{ch: ch, id: id, edit: e})
+	g.next(t)
+}
--- /dev/null
+++ b/part/route.go
@@ -0,0 +1,178 @@
+// Routing of a core's inputs to its groups, and the answers to pulls.
+package part
+
+import (
+	"github.com/tinylib/msgp/msgp"
+
+	"wallport/kernel"
+	"wallport/members"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// Step takes one input.
+func (s *Seats) Step(t *kernel.Turn, in kernel.Input) {
+	switch v := in.(type) {
+	case kernel.Start:
+		s.start(t)
+	case kernel.Tick:
+		s.tick(t)
+	case kernel.Written:
+		s.written(t, v)
+	case kernel.Thawed:
+		for _, g := range s.groups {
+			g.thawed(t)
+		}
+	case kernel.Stopping:
+		s.stops = true
+		for _, g := range s.groups {
+			g.yield(t)
+		}
+	case kernel.Message:
+		s.message(t, v)
+	case Committed:
+		s.mesh.AnnouncePart(t, v.Version)
+		if v.Version.Stamp.Part == 0 {
+			s.members.Update(func(m *wire.Member) { m.InForce = []wire.Stamp{v.Version.Stamp} })
+		}
+	}
+}
+
+func (s *Seats) tick(t *kernel.Turn) {
+	t.After(TickEvery, "seats", "tick")
+	s.checkDisk(t)
+	if !s.formed {
+		s.form(t)
+		return
+	}
+	if s.stops {
+		return
+	}
+	owned := int64(0)
+	for _, g := range s.groups {
+		g.tick(t)
+		if g.role == owner {
+			owned++
+		}
+	}
+	t.Counts.Set("part_owned_now", owned)
+}
+
+// thawed: an owner that did not run for a while cannot know that it still is one.
+func (g *Group) thawed(t *kernel.Turn) {
+	if g.role != follower {
+		g.retire(t, "did not run for a while")
+	}
+	g.defer_(t)
+}
+
+func decode[T any, P interface {
+	*T
+	msgp.Unmarshaler
+}](t *kernel.Turn, v kernel.Message, f func(m T)) {
+	var m T
+	if wire.Decode(v.Body, P(&m)) != nil {
+		t.Counts.Add("frames_malformed", 1)
+		t.Drop(v.Chan)
+		return
+	}
+	f(m)
+}
+
+func (s *Seats) message(t *kernel.Turn, v kernel.Message) {
+	g := func(part int, f func(g *Group)) {
+		if part >= 0 && part < len(s.groups) && !s.damaged {
+			f(s.groups[part])
+		}
+	}
+	switch v.Kind {
+	case wire.KindVote:
+		decode(t, v, func(m wire.Vote) { g(m.Part, func(g *Group) { g.vote(t, v.Chan, v.ID, m) }) })
+	case wire.KindVoteReply:
+		decode(t, v, func(m wire.VoteReply) { g(m.Part, func(g *Group) { g.voteReply(t, m) }) })
+	case wire.KindAccept:
+		decode(t, v, func(m wire.Accept) { g(m.Part, func(g *Group) { s.enter(t); g.accept(t, v.Chan, v.ID, m) }) })
+	case wire.KindAcceptReply:
+		decode(t, v, func(m wire.AcceptReply) { g(m.Part, func(g *Group) { g.acceptReply(t, m) }) })
+	case wire.KindBeat:
+		decode(t, v, func(m wire.Beat) { g(m.Part, func(g *Group) { g.beat(t, v.Chan, v.ID, m) }) })
+	case wire.KindBeatReply:
+		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.beatReply(t, v.Chan, m) }) })
+	case wire.KindForm:
+		decode(t, v, func(m wire.Form) { s.formAsked(t, v.Chan, m) })
+	case wire.KindFormReply:
+		decode(t, v, func(m wire.FormReply) { s.formReply(t, m) })
+	case wire.KindPull:
+		decode(t, v, func(m wire.Pull) { s.pull(t, v.Chan, v.ID, m) })
+	case wire.KindEdit:
+		decode(t, v, func(m wire.Edit) { g(m.Part, func(g *Group) { g.edit(t, v.Chan, v.ID, m) }) })
+	case wire.KindHold:
+		decode(t, v, func(m wire.Hold) { g(m.Part, func(g *Group) { g.hold(t, v.Chan, v.ID, m) }) })
+	}
+}
+
+// pull answers with every committed version newer than what the asker has.
+func (s *Seats) pull(t *kernel.Turn, ch, id uint64, p wire.Pull) {
+	var r wire.PullReply
+	have := map[int]wire.Stamp{}
+	for _, st := range p.Have {
+		have[st.Part] = st
+	}
+	for _, g := range s.groups {
+		if st, ok := have[g.part]; g.served.Stamp.Term > 0 && (!ok || mesh.Newer(g.served.Stamp, st)) {
+			r.Versions = append(r.Versions, wire.Version{Stamp: g.served.Stamp, Body: g.served.Body})
+		}
+		if g.owner != "" && (g.role == owner || t.Now-g.ownerSeen < StepDown) {
+			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.promised, Seat: g.owner, Addr: g.s.addrOf(g.owner, t.Now)})
+		}
+	}
+	t.Send(ch, wire.KindPullReply, id, &r)
+}
+
+func (s *Seats) sendSeat(t *kernel.Turn, seat wire.Seat, kind uint8, m msgp.Marshaler) {
+	addr := seat.Addr
+	if a := s.addrOf(seat.ID, t.Now); a != "" {
+		addr = a
+	}
+	t.Counts.Add("part_messages", 1)
+	t.SendTo(addr, kind, 0, m)
+}
+
+// mend plans at most one change of seats: a core that is long unheard, or one
+// of a zone that is there twice, makes room for a live spare.
+func (g *Group) mend(t *kernel.Turn) ([]wire.Seat, bool) {
+	seats := append([]wire.Seat(nil), g.served.Seats...)
+	for i, s := range seats {
+		if s.ID == g.self() || t.Now-g.heard[s.ID] < ReplaceAt {
+			continue
+		}
+		if spare, ok := g.spare(t, seats, i); ok {
+			t.Note(1, "part_seat_replaced", "part", g.part, "gone", s.ID, "new", spare.Seat, "zone", spare.Zone)
+			t.Counts.Add("part_seats_replaced", 1)
+			seats[i] = wire.Seat{ID: spare.Seat, Zone: spare.Zone, Addr: spare.Addr}
+			g.heard[spare.Seat] = t.Now
+			return seats, true
+		}
+	}
+	return seats, false
+}
+
+func (g *Group) spare(t *kernel.Turn, seats []wire.Seat, leaves int) (members.Row, bool) {
+	var best members.Row
+	score := -1
+	for _, r := range g.s.members.Live(t.Now, "core") {
+		if r.Seat == "" || r.Sick != "" || r.Draining || has(seats, r.Seat) {
+			continue
+		}
+		n := 1
+		for i, s := range seats {
+			if i != leaves && s.Zone == r.Zone {
+				n = 0
+			}
+		}
+		if n > score {
+			best, score = r, n
+		}
+	}
+	return best, score >= 0
+}
--- /dev/null
+++ b/part/seats.go
@@ -0,0 +1,212 @@
+// Seats is the plug-in of a core process: its disk, its identity and its side
+// of every part's group. The seat's id is made on an empty disk and is lost
+// with it; a disk that cannot be trusted takes no part at all.
+package part
+
+import (
+	"fmt"
+	"strings"
+
+	"wallport/diskfile"
+	"wallport/kernel"
+	"wallport/members"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// Seats is the plug-in.
+type Seats struct {
+	k       *kernel.Kernel
+	mesh    *mesh.Mesh
+	members *members.Members
+	seat    string
+	groups  []*Group
+	damaged bool
+	future  string
+	sick    string
+	stops   bool
+
+	formation  wire.Form
+	formed     bool
+	consents   map[string]bool
+	started    int64
+	nextWrite  uint64
+	writes     map[string]func(t *kernel.Turn, err string)
+	writeSince map[string]int64
+	probing    bool
+}
+
+func init() {
+	kernel.Register(kernel.Registration{Rank: 30, Roles: []string{"core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
+		s := &Seats{
+			k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k),
+			writes: map[string]func(*kernel.Turn, string){}, writeSince: map[string]int64{}, consents: map[string]bool{},
+		}
+		for p := range Parts {
+			s.groups = append(s.groups, newGroup(s, p))
+		}
+		return s
+	}})
+}
+
+// Name is the plug-in's name.
+func (s *Seats) Name() string { return "seats" }
+
+// Kinds are the frames that it takes.
+func (s *Seats) Kinds() []uint8 {
+	return []uint8{
+		wire.KindVote, wire.KindVoteReply, wire.KindAccept, wire.KindAcceptReply, wire.KindBeat, wire.KindBeatReply,
+		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold,
+	}
+}
+
+func promiseFile(part int) string { return fmt.Sprintf("part-%d.promise", part) }
+
+func versionFile(s wire.Stamp) string {
+	return fmt.Sprintf("part-%d.version-%012d-%012d", s.Part, s.Term, s.Seq)
+}
+
+// Load reads the disk as it was at the start of the process.
+func (s *Seats) load(t *kernel.Turn) {
+	for name, raw := range s.k.Boot.Files {
+		b, err := diskfile.Unpack(raw)
+		if f, ok := err.(diskfile.ErrFuture); ok {
+			s.damaged, s.future = true, f.Error()
+			continue
+		}
+		isVersion := strings.Contains(name, ".version-")
+		if err != nil {
+			t.Counts.Add("disk_torn", 1)
+			t.Note(1, "disk_torn", "file", name)
+			// A version that was not whole was never acknowledged; any other file is needed whole.
+			s.damaged = s.damaged || !isVersion
+			continue
+		}
+		switch {
+		case name == "seat":
+			s.seat = string(b)
+		case name == "formation":
+			s.damaged = wire.Decode(b, &s.formation) != nil || s.damaged
+			s.formed = s.formation.Go
+		case isVersion:
+			var v wire.Version
+			if wire.Decode(b, &v) != nil || v.Stamp.Part < 0 || v.Stamp.Part >= Parts {
+				s.damaged = true
+				continue
+			}
+			g := s.groups[v.Stamp.Part]
+			g.files = append(g.files, v.Stamp)
+			if mesh.Newer(v.Stamp, g.held.Stamp) {
+				g.held = v
+			}
+		case strings.HasSuffix(name, ".promise"):
+			var part int
+			var v wire.Vote
+			if _, err := fmt.Sscanf(name, "part-%d.promise", &part); err != nil || part < 0 || part >= Parts || wire.Decode(b, &v) != nil {
+				s.damaged = true
+				continue
+			}
+			s.groups[part].promised, s.groups[part].votedFor = v.Term, v.From
+		}
+	}
+	for _, g := range s.groups {
+		if g.held.Stamp.Term > g.promised {
+			g.promised, g.votedFor = g.held.Stamp.Term, ""
+		}
+		s.formed = s.formed || g.held.Stamp.Term > 0
+	}
+	if s.formation.Go {
+		s.found()
+	}
+	if s.seat == "" && len(s.k.Boot.Files) > 0 {
+		s.damaged = true
+	}
+}
+
+func (s *Seats) start(t *kernel.Turn) {
+	s.started = t.Now
+	s.load(t)
+	if s.damaged {
+		s.setSick(t, "damaged")
+		t.Note(2, "disk_damaged", "do", "stop this core, empty its data folder, start it again: it comes back as a new seat", "why", s.future)
+		return
+	}
+	if s.seat == "" {
+		s.seat = fmt.Sprintf("%016x", t.Rand.Uint64())
+		s.save(t, "seat", []byte(s.seat), func(t *kernel.Turn, err string) {
+			if err == "" {
+				s.tell()
+			}
+		})
+	} else {
+		s.tell()
+	}
+	t.After(TickEvery, "seats", "tick")
+}
+
+func (s *Seats) tell() {
+	s.members.Update(func(m *wire.Member) { m.Seat, m.Formed, m.Sick = s.seat, s.formed, s.sick })
+}
+
+func (s *Seats) setSick(t *kernel.Turn, why string) {
+	if s.sick == why {
+		return
+	}
+	t.Note(1, "disk_condition", "was", s.sick, "is", why)
+	s.sick = why
+	s.tell()
+}
+
+// save writes a file and calls back when it is synced or has failed.
+func (s *Seats) save(t *kernel.Turn, file string, content []byte, done func(t *kernel.Turn, err string)) {
+	s.nextWrite++
+	key := fmt.Sprintf("w%d", s.nextWrite)
+	s.writes[key], s.writeSince[key] = done, t.Now
+	t.Counts.Add("disk_writes", 1)
+	t.Write("seats", key, file, diskfile.Pack(content))
+}
+
+func (s *Seats) remove(t *kernel.Turn, file string) { t.Write("seats", "", file, nil) }
+
+func (s *Seats) written(t *kernel.Turn, v kernel.Written) {
+	done := s.writes[v.Key]
+	slow := t.Now-s.writeSince[v.Key] > SickAfter
+	delete(s.writes, v.Key)
+	delete(s.writeSince, v.Key)
+	switch {
+	case v.Err != "":
+		t.Counts.Add("disk_errors", 1)
+		s.setSick(t, v.Err)
+	case slow:
+		s.setSick(t, "slow")
+	default:
+		s.setSick(t, "")
+	}
+	if done != nil {
+		done(t, v.Err)
+	}
+}
+
+// checkDisk notices a stalled disk, and tries a sick one again.
+func (s *Seats) checkDisk(t *kernel.Turn) {
+	for _, at := range s.writeSince {
+		if t.Now-at > SickAfter {
+			s.setSick(t, "stalled")
+		}
+	}
+	if s.sick != "" && !s.probing && len(s.writes) == 0 {
+		s.probing = true
+		s.save(t, "probe", []byte("probe"), func(*kernel.Turn, string) { s.probing = false })
+	}
+}
+
+// addrOf is where a seat's disk is now, as the mesh tells it.
+func (s *Seats) addrOf(id string, now int64) string {
+	if id == s.seat {
+		return s.k.Boot.Env.Mesh
+	}
+	if r, ok := s.members.Seat(id, now); ok {
+		return r.Addr
+	}
+	return ""
+}
--- /dev/null
+++ b/process/loop.go
@@ -0,0 +1,275 @@
+// Package process is the real driver: it runs one kernel on this machine's
+// clock, network and disk, and carries out what each step asks for. One
+// goroutine steps the kernel; others read channels, write files and fetch.
+package process
+
+import (
+	"container/heap"
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wallport/env"
+	"wallport/kernel"
+)
+
+// FreezeGap is how long the loop must not have run to count as thawed.
+const FreezeGap = 1_000_000
+
+// inboxMost bounds the inputs that wait for the loop.
+const inboxMost = 8192
+
+// Process is a running kernel.
+type Process struct {
+	Kernel *kernel.Kernel
+	Log    *zap.Logger
+
+	began    time.Time
+	inbox    chan kernel.Input
+	timers   timerHeap
+	channels *channels
+	disk     *disk
+	calls    sync.Map
+	nextCall atomic.Uint64
+	lastRun  atomic.Int64
+	thaws    atomic.Int64
+	fetcher  *http.Client
+	fetching chan struct{}
+	stop     chan struct{}
+	stopped  sync.WaitGroup
+}
+
+// Config is what a process is started with.
+type Config struct {
+	Env  env.Env
+	Role string
+	Log  *zap.Logger
+}
+
+// Start makes the kernel, opens its ports and runs its loop.
+func Start(c Config) (*Process, error) {
+	var seed [40]byte
+	if _, err := crand.Read(seed[:]); err != nil {
+		return nil, err
+	}
+	d, files, err := openDisk(c.Env.Data)
+	if err != nil {
+		return nil, err
+	}
+	key := kernel.KeyFrom(seed[:32])
+	k := kernel.New(kernel.Boot{Env: c.Env, Role: c.Role, Seed: binary.BigEndian.Uint64(seed[32:]), Key: key, Files: files})
+	p := &Process{
+		Kernel: k, Log: c.Log, began: time.Now(), inbox: make(chan kernel.Input, inboxMost), disk: d,
+		fetcher: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+		// Fetches are small and few; more than this at once means that something hangs.
+		fetching: make(chan struct{}, 128), stop: make(chan struct{}),
+	}
+	if p.channels, err = openChannels(p, key); err != nil {
+		return nil, err
+	}
+	p.lastRun.Store(p.Now())
+	p.stopped.Add(1)
+	go p.run()
+	return p, nil
+}
+
+// Now is the process's monotonic clock.
+func (p *Process) Now() int64 { return time.Since(p.began).Microseconds() }
+
+// Frozen tells whether the loop has not run for so long that its tables are old.
+func (p *Process) Frozen() bool { return p.Now()-p.lastRun.Load() > FreezeGap }
+
+// Thaws counts the freezes noticed so far.
+func (p *Process) Thaws() int64 { return p.thaws.Load() }
+
+// Post feeds an input.
+func (p *Process) Post(in kernel.Input) {
+	select {
+	case p.inbox <- in:
+	case <-p.stop:
+	}
+}
+
+// Call asks a plug-in and waits for its answer.
+func (p *Process) Call(ctx context.Context, plugin string, ask any) (any, error) {
+	id := p.nextCall.Add(1)
+	ch := make(chan any, 1)
+	p.calls.Store(id, ch)
+	defer p.calls.Delete(id)
+	p.Post(kernel.Call{Plugin: plugin, ID: id, Ask: ask})
+	select {
+	case v := <-ch:
+		return v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-p.stop:
+		return nil, fmt.Errorf("process is stopping")
+	}
+}
+
+// Do runs a function inside the loop, between two steps, and waits for it.
+func (p *Process) Do(f func(now int64)) {
+	done := make(chan struct{})
+	p.Post(do{f: func(now int64) { f(now); close(done) }})
+	select {
+	case <-done:
+	case <-p.stop:
+	}
+}
+
+type do struct{ f func(now int64) }
+
+func (p *Process) run() {
+	defer p.stopped.Done()
+	p.step(kernel.Start{})
+	wait := time.NewTimer(0)
+	for {
+		d := time.Hour
+		if len(p.timers) > 0 {
+			d = time.Duration(p.timers[0].At-p.Now()) * time.Microsecond
+		}
+		wait.Reset(max(d, 0))
+		select {
+		case in := <-p.inbox:
+			p.wake()
+			if f, ok := in.(do); ok {
+				f.f(p.Now())
+				continue
+			}
+			p.step(in)
+		case <-wait.C:
+			p.wake()
+			for len(p.timers) > 0 && p.timers[0].At <= p.Now() {
+				t := heap.Pop(&p.timers).(kernel.Timer)
+				p.step(kernel.Tick{Plugin: t.Plugin, Key: t.Key})
+			}
+		case <-p.stop:
+			return
+		}
+	}
+}
+
+// wake notices that the process did not run for a while, before anything else is done.
+func (p *Process) wake() {
+	now := p.Now()
+	if gap := now - p.lastRun.Load(); gap > FreezeGap {
+		p.thaws.Add(1)
+		p.Kernel.Counts.Add("thaws", 1)
+		p.Log.Warn("thawed", zap.Int64("gap_us", gap))
+		p.lastRun.Store(now)
+		p.step(kernel.Thawed{Gap: gap})
+	}
+	p.lastRun.Store(now)
+}
+
+func (p *Process) step(in kernel.Input) {
+	out := p.Kernel.Step(p.Now(), time.Now().UnixMicro(), in)
+	for _, n := range out.Notes {
+		p.note(n)
+	}
+	for _, t := range out.Timers {
+		heap.Push(&p.timers, t)
+	}
+	for _, w := range out.Writes {
+		p.disk.queue(p, w)
+	}
+	for _, a := range out.Dials {
+		p.channels.dialMesh(a)
+	}
+	for _, s := range out.Sends {
+		p.channels.send(s)
+	}
+	for _, ch := range out.Drops {
+		p.channels.drop(ch)
+	}
+	for _, f := range out.Fetches {
+		p.fetch(f)
+	}
+	for _, a := range out.Answers {
+		if ch, ok := p.calls.Load(a.ID); ok {
+			select {
+			case ch.(chan any) <- a.Value:
+			default:
+			}
+		}
+	}
+}
+
+func (p *Process) note(n kernel.Note) {
+	fields := make([]zap.Field, 0, len(n.KV)/2)
+	for i := 0; i+1 < len(n.KV); i += 2 {
+		fields = append(fields, zap.Any(fmt.Sprint(n.KV[i]), n.KV[i+1]))
+	}
+	switch n.Level {
+	case 0:
+		p.Log.Info(n.Event, fields...)
+	case 1:
+		p.Log.Warn(n.Event, fields...)
+	default:
+		p.Log.Error(n.Event, fields...)
+	}
+}
+
+func (p *Process) fetch(f kernel.Fetch) {
+	res := kernel.Fetched{Plugin: f.Plugin, Key: f.Key}
+	select {
+	case p.fetching <- struct{}{}:
+	default:
+		res.Err = "too many fetches under way"
+		go p.Post(res)
+		return
+	}
+	go func() {
+		defer func() { <-p.fetching }()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(f.Timeout)*time.Microsecond)
+		defer cancel()
+		res.Status, res.Body, res.Err = p.get(ctx, f.URL)
+		p.Post(res)
+	}()
+}
+
+func (p *Process) get(ctx context.Context, url string) (int, []byte, string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	resp, err := p.fetcher.Do(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return resp.StatusCode, body, ""
+}
+
+// Stop ends the loop and closes every channel.
+func (p *Process) Stop() {
+	close(p.stop)
+	p.stopped.Wait()
+	p.channels.close()
+	p.disk.close()
+}
+
+type timerHeap []kernel.Timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].At < h[j].At }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(kernel.Timer)) }
+func (h *timerHeap) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/pulls/pulls.go
@@ -0,0 +1,90 @@
+// Package pulls asks the cores about twice a second for newer versions of the
+// parts, besides what the mesh floods, so that a sheet is in force in time
+// when either way is cut. It also learns who owns which part.
+package pulls
+
+import (
+	"wallport/kernel"
+	"wallport/members"
+	"wallport/mesh"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// Every is the time between two pulls.
+const Every = 450_000
+
+// Pulls is the plug-in of a node.
+type Pulls struct {
+	mesh    *mesh.Mesh
+	members *members.Members
+	owners  [state.Parts]wire.Owner
+	turn    int
+}
+
+func init() {
+	kernel.Register(kernel.Registration{Rank: 40, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
+		return &Pulls{mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k)}
+	}})
+}
+
+// Name is the plug-in's name.
+func (p *Pulls) Name() string { return "pulls" }
+
+// Kinds are the frames that it takes.
+func (p *Pulls) Kinds() []uint8 { return []uint8{wire.KindPullReply} }
+
+// Owner is the address of the core that owns a part, as last heard.
+func (p *Pulls) Owner(part int) string { return p.owners[part].Addr }
+
+// Step takes one input.
+func (p *Pulls) Step(t *kernel.Turn, in kernel.Input) {
+	switch v := in.(type) {
+	case kernel.Start:
+		t.After(t.Rand.Int64N(Every), "pulls", "pull")
+	case kernel.Tick:
+		t.After(Every, "pulls", "pull")
+		p.pull(t)
+	case kernel.Thawed:
+		p.pull(t)
+	case kernel.Message:
+		var r wire.PullReply
+		if wire.Decode(v.Body, &r) != nil {
+			t.Counts.Add("frames_malformed", 1)
+			return
+		}
+		for _, ver := range r.Versions {
+			p.mesh.HoldPart(t, ver)
+		}
+		for _, o := range r.Owners {
+			if o.Part >= 0 && o.Part < state.Parts && o.Term >= p.owners[o.Part].Term && o.Addr != "" {
+				p.owners[o.Part] = o
+			}
+		}
+	case mesh.Stored:
+		if v.Entry.Type == "part" {
+			stamps := p.stamps()
+			p.members.Update(func(s *wire.Member) { s.InForce = stamps })
+		}
+	}
+}
+
+func (p *Pulls) stamps() []wire.Stamp {
+	var out []wire.Stamp
+	for part := range state.Parts {
+		if v, ok := p.mesh.Part(part); ok {
+			out = append(out, v.Stamp)
+		}
+	}
+	return out
+}
+
+func (p *Pulls) pull(t *kernel.Turn) {
+	req := wire.Pull{Have: p.stamps()}
+	cores := p.members.Live(t.Now, "core")
+	if len(cores) == 0 {
+		return
+	}
+	p.turn++
+	t.SendTo(cores[p.turn%len(cores)].Addr, wire.KindPull, 0, &req)
+}
--- /dev/null
+++ b/serve/ask.go
@@ -0,0 +1,110 @@
+// One message to one server over HTTP. The transport must not repeat it by
+// itself: the body cannot be rewound and no header marks it as repeatable. It
+// is known whether a connection was ever had, so that "not one byte was
+// written" is only said when that is certain.
+package serve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"wallport/inquiry"
+)
+
+// answerMost bounds an answer's body.
+const answerMost = 4 << 20
+
+// Message is what a server is sent.
+type Message struct {
+	Inquiry string `json:"inquiry"`
+	Kind    string `json:"kind"`
+	Index   string `json:"index"`
+	Cut     string `json:"cut"`
+	Shard   int    `json:"shard"`
+	Query   string `json:"query,omitempty"`
+	Limit   int    `json:"limit,omitempty"`
+	Record  string `json:"record,omitempty"`
+	Part    int    `json:"part,omitempty"`
+	Body    string `json:"body,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Within  int64  `json:"within_us"`
+}
+
+// Of makes the message of an ask.
+func Of(a *inquiry.Ask) Message {
+	in := a.Inquiry
+	return Message{
+		Inquiry: a.ID, Kind: in.Kind, Index: in.Index, Cut: a.Cut, Shard: a.Shard, Query: in.Query, Limit: in.Limit,
+		Record: in.Record, Part: in.Part, Body: in.Body, Key: in.Key, Within: a.Within,
+	}
+}
+
+type asker struct{ client *http.Client }
+
+func newAsker() *asker {
+	d := &net.Dialer{Timeout: 300 * time.Millisecond, KeepAlive: 15 * time.Second}
+	return &asker{client: &http.Client{
+		Transport: &http.Transport{
+			DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second,
+			DisableCompression: true, MaxResponseHeaderBytes: 16 << 10,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// unrewindable hides a body's type, so that no GetBody is made for it.
+type unrewindable struct{ io.Reader }
+
+func (unrewindable) Close() error { return nil }
+
+func (k *asker) ask(ctx context.Context, a *inquiry.Ask) inquiry.Reply {
+	m := Of(a)
+	body, err := json.Marshal(&m)
+	if err != nil {
+		return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: err.Error()}
+	}
+	var had atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { had.Store(true) }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Server.Addr+"/v1/"+m.Kind, unrewindable{bytes.NewReader(body)})
+	if err != nil {
+		return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: err.Error()}
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := k.client.Do(req)
+	if err != nil {
+		if !had.Load() {
+			return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: reason(err)}
+		}
+		return inquiry.Reply{Class: inquiry.ReplyFailed, Why: reason(err)}
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
+	if err != nil || len(got) > answerMost {
+		return inquiry.Reply{Class: inquiry.ReplyFailed, Why: "answer cut short or too large"}
+	}
+	return inquiry.Check(a, inquiry.Raw{
+		Status: resp.StatusCode, Length: resp.ContentLength, Digest: resp.Header.Get("Content-Digest"), Body: got,
+	})
+}
+
+func reason(err error) string {
+	var n net.Error
+	if e, ok := err.(interface{ Unwrap() error }); ok {
+		err = e.Unwrap()
+	}
+	if e, ok := err.(net.Error); ok {
+		n = e
+	}
+	if n != nil && n.Timeout() {
+		return "timed out"
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/serve/caller.go
@@ -0,0 +1,78 @@
+// The caller API over goa: payloads to inquiries, outcomes to answers.
+package serve
+
+import (
+	"context"
+
+	"wallport/gen/caller"
+	"wallport/inquiry"
+)
+
+type callerAPI struct{ f *Front }
+
+func deref[T any](p *T) T {
+	var zero T
+	if p == nil {
+		return zero
+	}
+	return *p
+}
+
+func (a callerAPI) Search(ctx context.Context, p *caller.SearchPayload) (*caller.Merged, error) {
+	o := a.f.Run(ctx, inquiry.Inquiry{Kind: inquiry.Search, Index: p.Index, Query: p.Query, Limit: p.Limit, Deadline: deref(p.DeadlineUs), Key: deref(p.Key)})
+	if o.Code != inquiry.OK {
+		return nil, failure(o)
+	}
+	out := &caller.Merged{Inquiry: o.ID, Cut: o.Cut, Shards: o.Shards, Missing: o.Missing, Records: make([]*caller.Record, 0, len(o.Records))}
+	for _, r := range o.Records {
+		out.Records = append(out.Records, record(r))
+	}
+	return out, nil
+}
+
+func (a callerAPI) Read(ctx context.Context, p *caller.ReadPayload) (*caller.Single, error) {
+	return a.single(ctx, inquiry.Inquiry{Kind: inquiry.Read, Index: p.Index, Record: p.ID, Deadline: deref(p.DeadlineUs), Key: deref(p.Key)})
+}
+
+func (a callerAPI) Correct(ctx context.Context, p *caller.CorrectPayload) (*caller.Single, error) {
+	return a.single(ctx, inquiry.Inquiry{Kind: inquiry.Correct, Index: p.Index, Record: p.ID, Body: p.Body, Deadline: deref(p.DeadlineUs), Key: deref(p.Key)})
+}
+
+func (a callerAPI) Part(ctx context.Context, p *caller.PartPayload) (*caller.Single, error) {
+	return a.single(ctx, inquiry.Inquiry{Kind: inquiry.Part, Index: p.Index, Record: p.ID, Part: p.Part, Deadline: deref(p.DeadlineUs), Key: deref(p.Key)})
+}
+
+func (a callerAPI) single(ctx context.Context, in inquiry.Inquiry) (*caller.Single, error) {
+	in.Sum = inquiry.SumOf(&in)
+	o := a.f.Run(ctx, in)
+	if o.Code != inquiry.OK {
+		return nil, failure(o)
+	}
+	out := &caller.Single{Inquiry: o.ID, Cut: o.Cut, Shard: o.Shard}
+	if len(o.Records) > 0 {
+		out.Record = record(o.Records[0])
+	}
+	if o.Repeat {
+		out.Repeat = &o.Repeat
+	}
+	return out, nil
+}
+
+func record(r inquiry.Record) *caller.Record {
+	out := &caller.Record{ID: r.ID, Score: r.Score}
+	if r.Body != "" {
+		out.Body = &r.Body
+	}
+	return out
+}
+
+func failure(o inquiry.Outcome) *caller.Failure {
+	f := &caller.Failure{Name: o.Code, Message: o.Why, Ran: o.Ran, Inquiry: &o.ID}
+	if f.Ran == "" {
+		f.Ran = "no"
+	}
+	if o.Retry > 0 {
+		f.RetryAfter = &o.Retry
+	}
+	return f
+}
--- /dev/null
+++ b/serve/http.go
@@ -0,0 +1,216 @@
+// The HTTP servers: limits on bodies, headers and time, the condition and
+// metrics pages, error shapes, and the planned stop that finishes every
+// inquiry that was read.
+package serve
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+
+	"wallport/gen/caller"
+	callersrv "wallport/gen/http/caller/server"
+	operatorsrv "wallport/gen/http/operator/server"
+	"wallport/gen/operator"
+	"wallport/kernel"
+	"wallport/process"
+	"wallport/sheet"
+)
+
+// Limits on what is read.
+const (
+	bodyMost     = 128 << 10
+	sheetMost    = 768 << 10
+	headersMost  = 16 << 10
+	readWithin   = 5 * time.Second
+	idleFor      = 60 * time.Second
+	drainGrace   = 1 * time.Second
+	drainAtMost  = 65 * time.Second
+	callsAtOnce  = 4096
+	retryOnShed  = "1"
+	jsonContent  = "application/json"
+	contentTypeH = "Content-Type"
+)
+
+// plain is the shape of a fault found before goa's own handlers.
+type plain struct {
+	status  int
+	Name    string `json:"name"`
+	Message string `json:"message"`
+	Ran     string `json:"ran"`
+}
+
+// StatusCode is the fault's status.
+func (p plain) StatusCode() int { return p.status }
+
+// malformed gives goa's own faults the same shape as all others.
+func malformed(_ context.Context, err error) goahttp.Statuser {
+	var e *goa.ServiceError
+	if errors.As(err, &e) && !e.Fault {
+		return plain{400, "malformed", e.Message, "no"}
+	}
+	return plain{500, "internal", "internal fault", "unknown"}
+}
+
+func refuse(w http.ResponseWriter, status int, name, message string) {
+	w.Header().Set(contentTypeH, jsonContent)
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryOnShed)
+	}
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"name":%q,"message":%q,"ran":"no"}`+"\n", name, message)
+}
+
+// bounded reads the whole body, within its limit, before anything is decided.
+func bounded(most int64, open *atomic.Int64, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if open.Add(1) > callsAtOnce {
+			open.Add(-1)
+			refuse(w, http.StatusServiceUnavailable, "shed", "too many inquiries at once on this node")
+			return
+		}
+		defer open.Add(-1)
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+		var big *http.MaxBytesError
+		switch {
+		case errors.As(err, &big):
+			refuse(w, http.StatusRequestEntityTooLarge, "oversize", fmt.Sprintf("the body is larger than %d bytes", most))
+			return
+		case err != nil:
+			refuse(w, http.StatusBadRequest, "malformed", "the body could not be read whole")
+			return
+		}
+		if len(body) > 0 && r.Header.Get(contentTypeH) == "" {
+			r.Header.Set(contentTypeH, jsonContent)
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Server is the HTTP side of one process.
+type Server struct {
+	p      *process.Process
+	front  *Front
+	caller *http.Server
+	oper   *http.Server
+	open   atomic.Int64
+	errs   chan error
+	drains atomic.Bool
+}
+
+// Open listens on the process's HTTP addresses. A core has no caller API.
+func Open(p *process.Process) (*Server, error) {
+	s := &Server{p: p, errs: make(chan error, 2)}
+	onErr := func(_ context.Context, _ http.ResponseWriter, err error) {
+		p.Log.Debug("answer_not_written", zap.Error(err))
+	}
+	mux := goahttp.NewMuxer()
+	if p.Kernel.Boot.Role == "node" {
+		s.front = NewFront(p)
+		h := operatorsrv.New(operator.NewEndpoints(operatorAPI{s.front}), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, malformed)
+		operatorsrv.Mount(mux, h)
+	}
+	mux.Handle(http.MethodGet, "/condition", s.condition)
+	mux.Handle(http.MethodGet, "/metrics", s.metrics)
+	var err error
+	if s.oper, err = s.listen(p.Kernel.Boot.Env.Operator, bounded(sheetMost, new(atomic.Int64), mux)); err != nil {
+		return nil, err
+	}
+	if s.front == nil {
+		return s, nil
+	}
+	cmux := goahttp.NewMuxer()
+	h := callersrv.New(caller.NewEndpoints(callerAPI{s.front}), cmux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, malformed)
+	callersrv.Mount(cmux, h)
+	cmux.Handle(http.MethodGet, "/condition", s.condition)
+	if s.caller, err = s.listen(p.Kernel.Boot.Env.Caller, bounded(bodyMost, &s.open, cmux)); err != nil {
+		s.oper.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Server) listen(addr string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{
+		Handler: h, ReadHeaderTimeout: readWithin, ReadTimeout: 2 * readWithin, IdleTimeout: idleFor, MaxHeaderBytes: headersMost,
+		ErrorLog: zap.NewStdLog(s.p.Log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
+	}
+	go func() {
+		if err := srv.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			s.errs <- err
+		}
+	}()
+	return srv, nil
+}
+
+// condition tells whether this process should be given work.
+func (s *Server) condition(w http.ResponseWriter, _ *http.Request) {
+	ready, why, stamp := true, "", ""
+	if s.front != nil {
+		cp := s.front.table.Now()
+		stamp = sheet.StampText(cp.Stamp)
+		switch {
+		case s.drains.Load():
+			ready, why = false, "draining"
+		case !cp.Ready():
+			ready, why = false, "no table yet"
+		case cp.Emptied:
+			ready, why = false, "zone is emptied"
+		}
+	}
+	w.Header().Set(contentTypeH, jsonContent)
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	fmt.Fprintf(w, `{"name":%q,"role":%q,"ready":%t,"why":%q,"in_force":%q}`+"\n", s.p.Kernel.Boot.Env.Name, s.p.Kernel.Boot.Role, ready, why, stamp)
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(contentTypeH, "text/plain; version=0.0.4")
+	s.p.Kernel.Counts.Each(func(name string, n int64) {
+		name, labels, ok := strings.Cut(name, "{")
+		if ok {
+			labels = "{" + strings.ReplaceAll(labels, "\\x00", "/")
+		}
+		fmt.Fprintf(w, "wallport_%s%s %d\n", name, labels, n)
+	})
+	fmt.Fprintf(w, "wallport_open_inquiries %d\n", s.open.Load())
+}
+
+// Failed tells of a server that ended by itself.
+func (s *Server) Failed() <-chan error { return s.errs }
+
+// Stop is the planned stop: say so, let others notice, finish what was read.
+func (s *Server) Stop() {
+	s.drains.Store(true)
+	s.p.Post(kernel.Stopping{})
+	s.p.Log.Info("draining", zap.Int64("open", s.open.Load()))
+	if s.caller != nil {
+		s.caller.SetKeepAlivesEnabled(false)
+		time.Sleep(drainGrace)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainAtMost)
+	defer cancel()
+	if s.caller != nil {
+		if err := s.caller.Shutdown(ctx); err != nil {
+			s.p.Log.Error("drain_cut", zap.Error(err), zap.Int64("open", s.open.Load()))
+		}
+	}
+	s.oper.Shutdown(ctx)
+}
--- /dev/null
+++ b/serve/operator.go
@@ -0,0 +1,203 @@
+// The operator API over goa. Every change goes to the owner of its part; the
+// answer says the stamp, who has it in force, and who lags.
+package serve
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wallport/gen/operator"
+	"wallport/inquiry"
+	"wallport/kernel"
+	"wallport/members"
+	"wallport/operate"
+	"wallport/sheet"
+	"wallport/state"
+	"wallport/table"
+	"wallport/wire"
+)
+
+type operatorAPI struct{ f *Front }
+
+func fail(code, message string) *operator.Failure {
+	return &operator.Failure{Name: code, Message: message, Ran: "no"}
+}
+
+// allowed compares the operator's token in constant time.
+func (a operatorAPI) allowed(token *string) error {
+	want := a.f.p.Kernel.Boot.Env.Token
+	got := strings.TrimPrefix(deref(token), "Bearer ")
+	if want != "" && subtle.ConstantTimeCompare([]byte(want), []byte(got)) != 1 {
+		a.f.p.Kernel.Counts.Add("operator_forbidden", 1)
+		return fail("forbidden", "the operator token is missing or wrong")
+	}
+	return nil
+}
+
+type changing struct {
+	token, editID, basedOn, by *string
+}
+
+// change carries an edit and tells what became of it, with a line for the audit.
+func (a operatorAPI) change(ctx context.Context, c changing, e wire.Edit) (*operator.Taken, error) {
+	if err := a.allowed(c.token); err != nil {
+		return nil, err
+	}
+	e.EditID, e.By = deref(c.editID), deref(c.by)
+	if e.Strict {
+		stamp, ok := sheet.ParseStamp(e.Part, deref(c.basedOn))
+		if !ok && deref(c.basedOn) != "0.0" {
+			return nil, findings("malformed", []wire.Finding{{Place: "If-Match", Text: "needs the stamp that the edit is based on, as GET /v1/sheet shows it"}})
+		}
+		e.Base = stamp
+		if stamp.Term == 0 {
+			e.Base = wire.Stamp{}
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	v, err := a.f.p.Call(ctx, "operate", operate.Request{Edit: e, Wait: true})
+	if err != nil {
+		return nil, &operator.Failure{Name: "outcome_unknown", Message: err.Error(), Ran: "unknown"}
+	}
+	res := v.(operate.Result)
+	stamp := sheet.StampText(res.Reply.Stamp)
+	a.f.p.Log.Info("audit", zap.String("op", e.Op), zap.String("name", e.Name), zap.String("by", e.By), zap.String("edit_id", e.EditID),
+		zap.String("result", res.Reply.Code), zap.String("stamp", stamp), zap.Int("findings", len(res.Reply.Findings)))
+	switch res.Reply.Code {
+	case "ok":
+		return &operator.Taken{Stamp: stamp, InForce: res.InForce, Laggards: append([]string{}, res.Laggards...)}, nil
+	case "invalid":
+		return nil, findings("malformed", res.Reply.Findings)
+	case "conflict":
+		return nil, findings("conflict", res.Reply.Findings)
+	case "lost_race":
+		f := fail("lost_race", "another edit came first; read the sheet again and base the edit on it")
+		f.Stamp = &stamp
+		return nil, f
+	case "shed":
+		retry := 1
+		return nil, &operator.Failure{Name: "shed", Message: "no owner of this part can be reached; nothing was changed", Ran: "no", RetryAfter: &retry}
+	}
+	return nil, &operator.Failure{Name: "outcome_unknown", Message: "the owner did not say what became of the edit; send it again with the same Edit-Id", Ran: "unknown"}
+}
+
+func findings(code string, list []wire.Finding) *operator.Failure {
+	f := fail(code, "nothing was changed")
+	for _, v := range list {
+		f.Findings = append(f.Findings, &operator.Finding{Place: v.Place, Text: v.Text})
+	}
+	return f
+}
+
+func raw(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+func (a operatorAPI) Sheet(_ context.Context, p *operator.SheetPayload) (*operator.SheetNow, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	cp := a.f.table.Now()
+	if cp.Stamp.Term == 0 {
+		return nil, fail("shed", "this node has no configuration yet")
+	}
+	return &operator.SheetNow{Stamp: sheet.StampText(cp.Config.SheetAt), Sheet: sheet.JSON(cp.Sheet)}, nil
+}
+
+func (a operatorAPI) PutSheet(ctx context.Context, p *operator.PutSheetPayload) (*operator.Taken, error) {
+	return a.change(ctx, changing{p.Token, p.EditID, p.BasedOn, p.By}, wire.Edit{Op: "put", Strict: true, Body: raw(p.Sheet)})
+}
+
+func (a operatorAPI) CheckSheet(_ context.Context, p *operator.CheckSheetPayload) ([]*operator.Finding, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	s, found := sheet.Read(raw(p.Sheet))
+	if len(found) == 0 {
+		found = sheet.Check(s)
+	}
+	return append([]*operator.Finding{}, findings("", found).Findings...), nil
+}
+
+func (a operatorAPI) EditSheet(ctx context.Context, p *operator.EditSheetPayload) (*operator.Taken, error) {
+	edits := make([]sheet.RowEdit, 0, len(p.Edits))
+	for _, e := range p.Edits {
+		edits = append(edits, sheet.RowEdit{Op: e.Op, Table: e.Table, Row: raw(e.Row)})
+	}
+	return a.change(ctx, changing{p.Token, p.EditID, p.BasedOn, p.By}, wire.Edit{Op: "rows", Strict: true, Body: raw(edits)})
+}
+
+func (a operatorAPI) Zone(ctx context.Context, p *operator.ZonePayload) (*operator.Taken, error) {
+	return a.change(ctx, changing{p.Token, p.EditID, p.BasedOn, p.By}, wire.Edit{Op: p.Action, Name: p.Zone})
+}
+
+func (a operatorAPI) Cut(ctx context.Context, p *operator.CutPayload) (*operator.Taken, error) {
+	body := wire.Encode(&wire.LiveCut{Next: p.Cut, NextShards: p.Shards})
+	return a.change(ctx, changing{p.Token, p.EditID, p.BasedOn, p.By}, wire.Edit{Part: state.PartOf(p.Index), Op: "cut", Name: p.Index, Body: body})
+}
+
+func (a operatorAPI) Members(_ context.Context, p *operator.MembersPayload) ([]*operator.Status, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	out := []*operator.Status{}
+	a.f.p.Do(func(now int64) {
+		for _, r := range kernel.Find[*members.Members](a.f.p.Kernel).All(now) {
+			out = append(out, status(r))
+		}
+	})
+	return out, nil
+}
+
+func status(r members.Row) *operator.Status {
+	s := &operator.Status{Name: r.Name, Role: r.Role, Zone: r.Zone, Addr: r.Addr, Live: r.Live, Draining: &r.Draining, Sick: &r.Sick, InForce: "none"}
+	if r.Role == "core" {
+		s.Formed = &r.Formed
+	}
+	for _, st := range r.InForce {
+		if st.Part == state.Config {
+			s.InForce = sheet.StampText(st)
+		}
+	}
+	return s
+}
+
+func (a operatorAPI) Servers(_ context.Context, p *operator.ServersPayload) ([]*operator.ServerStatus, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	cp := a.f.table.Now()
+	out := []*operator.ServerStatus{}
+	for _, s := range cp.Servers {
+		ramp := int64(0)
+		if x := cp.Indexes[s.Index]; x != nil {
+			ramp = x.Service.RampUs
+		}
+		out = append(out, &operator.ServerStatus{
+			ID: s.ID, Addr: s.Addr, Zone: s.Zone, Index: s.Index, Cut: s.Cut, Shard: s.Shard,
+			Verdict: table.VerdictNames[s.Verdict], Warm: int(s.Warm(a.f.p.Now(), ramp) / 10),
+		})
+	}
+	return out, nil
+}
+
+func (a operatorAPI) Explain(_ context.Context, p *operator.ExplainPayload) (any, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	t, ok := a.f.desk.Traces.Get(p.ID)
+	if !ok {
+		return nil, fail("unknown", "no such inquiry here, or it is no longer kept")
+	}
+	return inquiry.Explain(t, func(c *table.Checkpoint) string { return sheet.StampText(c.Stamp) }), nil
+}
--- /dev/null
+++ b/serve/run.go
@@ -0,0 +1,134 @@
+// Package serve is a node's HTTP side: the caller and operator APIs, the
+// condition and metrics pages, and the driver that carries inquiries' charts
+// out over real HTTP.
+package serve
+
+import (
+	"context"
+	"time"
+
+	"wallport/claims"
+	"wallport/inquiry"
+	"wallport/kernel"
+	"wallport/process"
+	"wallport/table"
+	"wallport/usage"
+)
+
+// Front is the request path of one node.
+type Front struct {
+	p     *process.Process
+	desk  *inquiry.Desk
+	table *table.Table
+	asker *asker
+}
+
+// NewFront makes the request path over a running process.
+func NewFront(p *process.Process) *Front {
+	b := kernel.Find[*table.Table](p.Kernel)
+	f := &Front{p: p, table: b, asker: newAsker()}
+	f.desk = inquiry.NewDesk(inquiry.Config{
+		Table: b, Usage: kernel.Find[*usage.Usage](p.Kernel), Counts: p.Kernel.Counts,
+		Name: p.Kernel.Boot.Env.Name, Seed: p.Kernel.Boot.Seed, Now: p.Now(),
+	})
+	return f
+}
+
+// thawWait bounds how long an inquiry read right after a freeze waits for a fresh table.
+const thawWait = 500 * time.Millisecond
+
+// Run takes one inquiry through its chart.
+func (f *Front) Run(ctx context.Context, in inquiry.Inquiry) inquiry.Outcome {
+	f.refresh()
+	c := inquiry.NewChart(f.desk, in, f.p.Now())
+	r := &run{f: f, ctx: ctx, chart: c, events: make(chan inquiry.Event, 8), over: make(chan struct{}), cancels: map[int]context.CancelFunc{}}
+	defer close(r.over)
+	return r.loop()
+}
+
+// refresh waits, after a freeze, until the kernel has noticed it and judged anew.
+func (f *Front) refresh() {
+	if !f.p.Frozen() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), thawWait)
+	defer cancel()
+	for f.p.Frozen() && ctx.Err() == nil {
+		f.p.Do(func(int64) {})
+	}
+}
+
+type run struct {
+	f       *Front
+	ctx     context.Context
+	chart   *inquiry.Chart
+	events  chan inquiry.Event
+	over    chan struct{}
+	cancels map[int]context.CancelFunc
+}
+
+func (r *run) post(ev inquiry.Event) {
+	select {
+	case r.events <- ev:
+	case <-r.over:
+	}
+}
+
+func (r *run) loop() inquiry.Outcome {
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	acts := r.chart.Step(r.f.p.Now(), inquiry.Begin{})
+	for {
+		for _, a := range acts {
+			switch v := a.(type) {
+			case inquiry.Ask:
+				r.ask(v)
+			case inquiry.Cancel:
+				if cancel := r.cancels[v.N]; cancel != nil {
+					cancel()
+				}
+			case inquiry.Wake:
+				wake.Reset(time.Duration(v.At-r.f.p.Now()) * time.Microsecond)
+			case inquiry.Claim:
+				go r.claim(v)
+			case inquiry.Settle:
+				r.f.p.Post(kernel.Call{Plugin: "claims", Ask: claims.Tell{Key: v.Key, Code: v.Code, Outcome: v.Outcome}})
+			case inquiry.Finish:
+				return v.Outcome
+			}
+		}
+		select {
+		case ev := <-r.events:
+			acts = r.chart.Step(r.f.p.Now(), ev)
+		case <-wake.C:
+			acts = r.chart.Step(r.f.p.Now(), inquiry.Due{})
+		}
+	}
+}
+
+func (r *run) claim(c inquiry.Claim) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	v, err := r.f.p.Call(ctx, "claims", claims.Ask{Key: c.Key, Sum: c.Sum})
+	verdict, ok := v.(inquiry.Verdict)
+	if err != nil || !ok {
+		verdict = inquiry.Verdict{Code: "short"}
+	}
+	r.post(inquiry.Claimed{Verdict: verdict})
+}
+
+// ask sends in a goroutine of its own; an inquiry that must not run twice is
+// not cancelled by its caller going away, so that its outcome gets known.
+func (r *run) ask(a inquiry.Ask) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(a.Within)*time.Microsecond)
+	r.cancels[a.N] = cancel
+	thaws := r.f.p.Thaws()
+	go func() {
+		defer cancel()
+		if r.f.p.Frozen() || r.f.p.Thaws() != thaws {
+			r.post(inquiry.Replied{N: a.N, Reply: inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: "the node was frozen before it wrote"}})
+			return
+		}
+		r.post(inquiry.Replied{N: a.N, Reply: r.f.asker.ask(ctx, &a)})
+	}()
+}
--- /dev/null
+++ b/state/index.go
@@ -0,0 +1,101 @@
+// The parts of the indexes: each index's live cut, the cut it moves to, and
+// who has which duty.
+package state
+
+import (
+	"maps"
+
+	"wallport/wire"
+)
+
+// ReadIndex decodes an index part's body; nil is the empty one.
+func ReadIndex(body []byte) (wire.IndexBody, error) {
+	var b wire.IndexBody
+	var err error
+	if len(body) > 0 {
+		err = wire.Decode(body, &b)
+	}
+	if b.Cuts == nil {
+		b.Cuts = map[string]wire.LiveCut{}
+	}
+	if b.Holders == nil {
+		b.Holders = map[string]wire.Holder{}
+	}
+	return b, err
+}
+
+func judgeIndex(body []byte, cur, next wire.Stamp, e *wire.Edit, wall int64) ([]byte, wire.EditReply, bool) {
+	b, err := ReadIndex(body)
+	if err != nil {
+		return nil, invalid("body", "the part's body cannot be read: "+err.Error()), false
+	}
+	if r, ok := repeated(b.Recent, e); ok {
+		return nil, r, false
+	}
+	var r wire.EditReply
+	switch e.Op {
+	case "cut":
+		r = startCut(&b, e)
+	case "flip":
+		r = flipCut(&b, e)
+	default:
+		r = invalid("op", "no such operation: "+e.Op)
+	}
+	if r.Code != "ok" {
+		return nil, r, false
+	}
+	b.Recent = remember(b.Recent, e, next)
+	return wire.Encode(&b), r, true
+}
+
+// startCut begins a move; the first cut of an index is in force at once.
+func startCut(b *wire.IndexBody, e *wire.Edit) wire.EditReply {
+	var want wire.LiveCut
+	if wire.Decode(e.Body, &want) != nil || want.Next == "" || want.NextShards < 1 {
+		return invalid("cut", "needs a name and at least one shard")
+	}
+	live, ok := b.Cuts[e.Name]
+	switch {
+	case !ok:
+		live = wire.LiveCut{Name: want.Next, Shards: want.NextShards}
+	case live.Name == want.Next && live.Shards == want.NextShards:
+		live.Next, live.NextShards = "", 0
+	case live.Name == want.Next:
+		return invalid("shards", "the live cut of that name has another number of shards")
+	default:
+		live.Next, live.NextShards = want.Next, want.NextShards
+	}
+	b.Cuts[e.Name] = live
+	return wire.EditReply{Code: "ok"}
+}
+
+// flipCut makes the next cut the live one, if it is still the same move.
+func flipCut(b *wire.IndexBody, e *wire.Edit) wire.EditReply {
+	var want wire.LiveCut
+	live := b.Cuts[e.Name]
+	if wire.Decode(e.Body, &want) != nil || live.Next == "" || want != live {
+		return wire.EditReply{Code: "lost_race"}
+	}
+	b.Cuts[e.Name] = wire.LiveCut{Name: live.Next, Shards: live.NextShards}
+	return wire.EditReply{Code: "ok"}
+}
+
+// indexClock writes down who has the duties once that changed.
+func indexClock(body []byte, _ wire.Stamp, _ int64, holders map[string]string) ([]byte, bool) {
+	b, err := ReadIndex(body)
+	if err != nil {
+		return nil, false
+	}
+	due := false
+	b.Holders = maps.Clone(b.Holders)
+	for duty, node := range holders {
+		if h := b.Holders[duty]; h.Node != node {
+			b.Holders[duty] = wire.Holder{Node: node, Turn: h.Turn + 1}
+			due = true
+		}
+	}
+	if !due {
+		return nil, false
+	}
+	return wire.Encode(&b), true
+}
--- /dev/null
+++ b/table/checkpoint.go
@@ -0,0 +1,148 @@
+// Package table builds the immutable checkpoint that the request path reads
+// through one atomic pointer: who serves which shard of which cut, in what
+// condition, within which limits, and which nodes are there to ask.
+package table
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"wallport/sheetpb"
+	"wallport/wire"
+)
+
+// Verdicts on a server, from best to worst. Leaving and emptied are never picked.
+const (
+	OK uint8 = iota
+	Slow
+	Doubt
+	Lost
+	Garbage
+	Leaving
+	Emptied
+)
+
+// VerdictNames are the verdicts in words.
+var VerdictNames = []string{"ok", "slow", "doubt", "lost", "garbage", "leaving", "emptied"}
+
+// Server is one backend as a checkpoint shows it.
+type Server struct {
+	wire.Server
+	Verdict uint8
+	// Born is when, on this process's monotonic clock, the incarnation began.
+	Born  int64
+	Gauge *Gauge
+}
+
+// Warm is how warm a server is, in thousandths, after a ramp of so many microseconds.
+func (s *Server) Warm(now, ramp int64) int64 {
+	if ramp <= 0 || s.Incarnation == 0 {
+		return 1000
+	}
+	return max(RampStart, min(1000, (now-s.Born)*1000/ramp))
+}
+
+// RampStart is the share, in thousandths, that a server just started is given.
+const RampStart = 100
+
+// Limit is what one kind of inquiry may do, in inquiries a second, fleet-wide
+// and here.
+type Limit struct {
+	Share   float64
+	Ceiling float64
+	Booked  float64
+}
+
+// Index is one index as a checkpoint shows it.
+type Index struct {
+	Name       string
+	Cut        wire.LiveCut
+	Shards     [][]*Server
+	NextShards [][]*Server
+	Service    *sheetpb.Service
+	Limits     map[string]Limit
+	Capacity   float64
+}
+
+// Node is a peer that may be home to claims.
+type Node struct {
+	Name, Zone, Addr, Origin string
+	Live                     bool
+}
+
+// Checkpoint is the table at a moment. It is never changed once published.
+type Checkpoint struct {
+	At      int64
+	Stamp   wire.Stamp
+	Config  wire.ConfigBody
+	Sheet   *sheetpb.Sheet
+	Indexes map[string]*Index
+	Roster  []Node
+	Divisor int
+	Zone    string
+	Emptied bool
+	Drains  bool
+	// Peers counts the live nodes, this one included.
+	Peers   int
+	Servers []*Server
+}
+
+// Ready tells whether inquiries can be served from this checkpoint.
+func (c *Checkpoint) Ready() bool { return c != nil && c.Stamp.Term > 0 && len(c.Indexes) > 0 }
+
+// Gauge is what this node itself sees of one server; it outlives checkpoints.
+type Gauge struct {
+	Outstanding atomic.Int64
+	Latency     atomic.Int64
+	Usage       atomic.Int64
+	Fails       atomic.Int64
+	Bad         atomic.Int64
+	// Ejected is until when the request path avoids the server on its own account.
+	Ejected     atomic.Int64
+	Incarnation atomic.Int64
+	Asked       atomic.Int64
+}
+
+// Took notes a good answer and how long it took.
+func (g *Gauge) Took(us int64) {
+	g.Fails.Store(0)
+	g.Bad.Store(0)
+	g.Ejected.Store(0)
+	old := g.Latency.Load()
+	if old == 0 {
+		g.Latency.Store(us)
+		return
+	}
+	g.Latency.Store(old + (us-old)/8)
+}
+
+// Failed notes a failure; the third in a row ejects for a growing while.
+func (g *Gauge) Failed(now int64) {
+	if n := g.Fails.Add(1); n >= EjectAfter {
+		g.Ejected.Store(now + min(n, 10)*EjectFor)
+	}
+}
+
+// Garbled notes an answer that was not what it should be.
+func (g *Gauge) Garbled(now int64) {
+	g.Bad.Add(1)
+	g.Ejected.Store(now + 4*EjectFor)
+}
+
+// Figures of ejection.
+const (
+	EjectAfter = 3
+	EjectFor   = 500_000
+)
+
+// Gauges holds a gauge per server id.
+type Gauges struct{ m sync.Map }
+
+// Of returns the gauge of a server, made at first use.
+func (g *Gauges) Of(id string) *Gauge {
+	if v, ok := g.m.Load(id); ok {
+		return v.(*Gauge)
+	}
+	v, _ := g.m.LoadOrStore(id, new(Gauge))
+	return v.(*Gauge)
+}
--- /dev/null
+++ b/table/verdict.go
@@ -0,0 +1,141 @@
+// The merged verdict on each server: a function of the fresh opinions of live
+// observers, of the platform's word that it leaves, and of the sheet's emptied
+// zones. One observer alone condemns a server for itself, never for the fleet.
+package table
+
+import (
+	"slices"
+
+	"wallport/kernel"
+	"wallport/sheetpb"
+	"wallport/state"
+	"wallport/wire"
+)
+
+type votes struct {
+	all, lost, garbage, slow int
+	own                      string
+	incarnation              int64
+	up                       int64
+}
+
+func (b *Table) votes(now int64) map[string]*votes {
+	out := map[string]*votes{}
+	b.mesh.Each("opinion", func(e *wire.Entry, origin string) {
+		var o wire.Opinion
+		if !b.mesh.Live(origin, now) || wire.Decode(e.Body, &o) != nil {
+			return
+		}
+		v := out[e.ID]
+		if v == nil {
+			v = &votes{}
+			out[e.ID] = v
+		}
+		if o.Incarnation > v.incarnation {
+			// Opinions of an earlier incarnation say nothing of this one.
+			*v = votes{incarnation: o.Incarnation, up: o.Up}
+		} else if o.Incarnation < v.incarnation && o.Incarnation != 0 {
+			return
+		}
+		v.all++
+		switch o.State {
+		case "lost":
+			v.lost++
+		case "garbage":
+			v.garbage++
+		case "slow":
+			v.slow++
+		}
+		if origin == b.mesh.Self() {
+			v.own = o.State
+		}
+	})
+	return out
+}
+
+func (b *Table) judge(t *kernel.Turn, c *Checkpoint) []*Server {
+	votes := b.votes(t.Now)
+	out := make([]*Server, 0, len(b.listing.Servers))
+	for _, row := range b.listing.Servers {
+		s := &Server{Server: row, Gauge: b.Gauges.Of(row.ID)}
+		if v := votes[row.ID]; v != nil {
+			s.Incarnation = max(s.Incarnation, v.incarnation)
+			s.Verdict = v.verdict()
+			b.bear(t, s, v.up)
+		} else {
+			b.bear(t, s, 0)
+		}
+		if left, ok := b.left[row.ID]; ok && (row.State == "leaving" || row.Incarnation <= left) {
+			s.Verdict = Leaving
+		} else if slices.Contains(c.Config.Emptied, row.Zone) {
+			s.Verdict = Emptied
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// bear fixes when an incarnation began, on this process's clock.
+func (b *Table) bear(t *kernel.Turn, s *Server, up int64) {
+	was, ok := b.births[s.ID]
+	if !ok || was.incarnation < s.Incarnation {
+		was = birth{s.Incarnation, t.Now - up}
+		b.births[s.ID] = was
+	}
+	s.Born = was.born
+}
+
+func (v *votes) verdict() uint8 {
+	most := func(n int) bool { return n >= 2 && 2*n >= v.all }
+	switch {
+	case most(v.garbage):
+		return Garbage
+	case most(v.lost + v.garbage):
+		return Lost
+	case v.own == "lost" || v.own == "garbage":
+		return Doubt
+	case most(v.slow):
+		return Slow
+	}
+	return OK
+}
+
+func (b *Table) index(c *Checkpoint, s *sheetpb.Service) *Index {
+	x := &Index{Name: s.Index, Service: s, Limits: map[string]Limit{}, Capacity: float64(s.Capacity)}
+	if v, ok := b.mesh.Part(state.PartOf(s.Index)); ok {
+		if body, err := state.ReadIndex(v.Body); err == nil {
+			x.Cut = body.Cuts[s.Index]
+		}
+	}
+	x.Shards = shards(c.Servers, s.Index, x.Cut.Name, x.Cut.Shards)
+	x.NextShards = shards(c.Servers, s.Index, x.Cut.Next, x.Cut.NextShards)
+	booked := 0.0
+	for _, k := range c.Sheet.Bookings {
+		if k.Index != s.Index || !slices.Contains(c.Config.Running, k.Id) {
+			continue
+		}
+		l := x.Limits[k.Kind]
+		l.Booked += x.Capacity * float64(k.Slice) / 100
+		x.Limits[k.Kind] = l
+		booked += x.Capacity * float64(k.Slice) / 100
+	}
+	for _, r := range c.Sheet.Rows {
+		if r.Index == s.Index {
+			l := x.Limits[r.Kind]
+			l.Share = (x.Capacity - booked) * float64(r.Share) / 100
+			l.Ceiling = float64(r.Ceiling)
+			x.Limits[r.Kind] = l
+		}
+	}
+	return x
+}
+
+func shards(all []*Server, index, cut string, n int) [][]*Server {
+	out := make([][]*Server, n)
+	for _, s := range all {
+		if s.Index == index && s.Cut == cut && s.Shard >= 0 && s.Shard < n {
+			out[s.Shard] = append(out[s.Shard], s)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/tools/gen_proto/main.go
@@ -0,0 +1,55 @@
+// Command gen_proto compiles proto files with a pure Go compiler and hands the
+// descriptors to protoc-gen-go, so that no protoc binary is needed.
+package main
+
+import (
+	"bytes"
+	"context"
+	"log"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/bufbuild/protocompile"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/pluginpb"
+)
+
+func main() {
+	c := protocompile.Compiler{
+		Resolver:       &protocompile.SourceResolver{ImportPaths: []string{"proto"}},
+		SourceInfoMode: protocompile.SourceInfoStandard,
+	}
+	files, err := c.Compile(context.Background(), "sheet.proto")
+	must(err)
+	req := &pluginpb.CodeGeneratorRequest{
+		FileToGenerate: []string{"sheet.proto"},
+		Parameter:      proto.String("module=wallport"),
+		ProtoFile:      []*descriptorpb.FileDescriptorProto{protodesc.ToFileDescriptorProto(files[0])},
+	}
+	in, err := proto.Marshal(req)
+	must(err)
+	cmd := exec.Command("go", "tool", "protoc-gen-go")
+	cmd.Stdin, cmd.Stderr = bytes.NewReader(in), os.Stderr
+	out, err := cmd.Output()
+	must(err)
+	var resp pluginpb.CodeGeneratorResponse
+	must(proto.Unmarshal(out, &resp))
+	if resp.Error != nil {
+		log.Fatal(*resp.Error)
+	}
+	for _, f := range resp.File {
+		name := strings.TrimPrefix(f.GetName(), "./")
+		must(os.MkdirAll(filepath.Dir(name), 0o755))
+		must(os.WriteFile(name, []byte(f.GetContent()), 0o644))
+	}
+}
+
+func must(err error) {
+	if err != nil {
+		log.Fatal(err)
+	}
+}
--- /dev/null
+++ b/wire/bodies.go
@@ -0,0 +1,95 @@
+// The bodies that mesh entries and part versions carry.
+package wire
+
+// Member is what a process tells about itself.
+type Member struct {
+	Name     string  `msg:"n"`
+	Role     string  `msg:"r"`
+	Zone     string  `msg:"z"`
+	Addr     string  `msg:"a"`
+	Caller   string  `msg:"c"`
+	Operator string  `msg:"o"`
+	Seat     string  `msg:"s"`
+	Formed   bool    `msg:"f"`
+	Sick     string  `msg:"k"`
+	Draining bool    `msg:"d"`
+	InForce  []Stamp `msg:"i"`
+	Started  int64   `msg:"st"`
+}
+
+// Server is one backend as the platform lists it.
+type Server struct {
+	ID          string `msg:"i" json:"id"`
+	Addr        string `msg:"a" json:"addr"`
+	Zone        string `msg:"z" json:"zone"`
+	Index       string `msg:"x" json:"index"`
+	Cut         string `msg:"c" json:"cut"`
+	Shard       int    `msg:"s" json:"shard"`
+	State       string `msg:"st" json:"state"`
+	Incarnation int64  `msg:"n" json:"incarnation"`
+}
+
+// Listing is one reading of the platform's list.
+type Listing struct {
+	Servers []Server `msg:"s" json:"servers"`
+	Turn    uint64   `msg:"t" json:"-"`
+}
+
+// Opinion is one observer's view of one server.
+type Opinion struct {
+	State       string `msg:"s"`
+	Incarnation int64  `msg:"n"`
+	Up          int64  `msg:"w"`
+	Usage       int64  `msg:"u"`
+	Cut         string `msg:"c"`
+}
+
+// UsageReport is a node's own rate per index and kind, in inquiries per 10 s.
+type UsageReport struct {
+	Rates map[string]int64 `msg:"r"`
+}
+
+// ConfigBody is the body of the configuration part.
+type ConfigBody struct {
+	Sheet   []byte   `msg:"s"`
+	Emptied []string `msg:"e"`
+	Running []string `msg:"b"`
+	Recent  []Done   `msg:"r"`
+	History []Past   `msg:"h"`
+	SheetAt Stamp    `msg:"sa"`
+}
+
+// Done remembers the answer to an edit id, for retries.
+type Done struct {
+	EditID string `msg:"e"`
+	Sum    uint64 `msg:"s"`
+	Stamp  Stamp  `msg:"t"`
+}
+
+// Past is an earlier sheet.
+type Past struct {
+	Stamp Stamp  `msg:"t"`
+	By    string `msg:"b"`
+	Sheet []byte `msg:"s"`
+}
+
+// IndexBody is the body of a part that holds indexes.
+type IndexBody struct {
+	Cuts    map[string]LiveCut `msg:"c"`
+	Holders map[string]Holder  `msg:"h"`
+	Recent  []Done             `msg:"r"`
+}
+
+// LiveCut is the set of shards that an index is served from, and the one being moved to.
+type LiveCut struct {
+	Name       string `msg:"n"`
+	Shards     int    `msg:"s"`
+	Next       string `msg:"x"`
+	NextShards int    `msg:"y"`
+}
+
+// Holder is the node that has a duty.
+type Holder struct {
+	Node string `msg:"n"`
+	Turn uint64 `msg:"t"`
+}
--- /dev/null
+++ b/wire/messages.go
@@ -0,0 +1,250 @@
+// The messages between processes: the mesh's, the part groups', the nodes'
+// calls to them and the claims of inquiry keys between nodes.
+package wire
+
+// Kinds of frames.
+const (
+	KindHello uint8 = iota + 1
+	KindHeartbeat
+	KindGossip
+	KindVote
+	KindVoteReply
+	KindAccept
+	KindAcceptReply
+	KindBeat
+	KindBeatReply
+	KindForm
+	KindFormReply
+	KindPull
+	KindPullReply
+	KindEdit
+	KindEditReply
+	KindHold
+	KindHoldReply
+	KindClaim
+	KindClaimReply
+	KindSettle
+	KindTrace
+	KindTraceReply
+)
+
+// Hello opens a mesh channel.
+type Hello struct {
+	Addr  string `msg:"a"`
+	Fleet string `msg:"f"`
+	Proof []byte `msg:"p"`
+}
+
+// Mark sums up what a process holds of one origin's entries.
+type Mark struct {
+	Origin string `msg:"o"`
+	Max    uint64 `msg:"m"`
+	Sum    uint64 `msg:"s"`
+	Beat   uint64 `msg:"b"`
+}
+
+// Heartbeat keeps a channel alive, exchanges addresses and lets each side see what the other lacks.
+type Heartbeat struct {
+	Addrs []string `msg:"a"`
+	Marks []Mark   `msg:"m"`
+	Parts []Stamp  `msg:"p"`
+}
+
+// Stamp orders the versions of one part: by term, then by sequence.
+type Stamp struct {
+	Part int    `msg:"p"`
+	Term uint64 `msg:"t"`
+	Seq  uint64 `msg:"s"`
+}
+
+// Entry is one signed announcement.
+type Entry struct {
+	Type   string `msg:"ty"`
+	ID     string `msg:"id"`
+	Origin []byte `msg:"o"`
+	Count  uint64 `msg:"c"`
+	At     int64  `msg:"at"`
+	Stamp  Stamp  `msg:"st"`
+	Gone   bool   `msg:"g"`
+	Body   []byte `msg:"b"`
+	Sig    []byte `msg:"sg"`
+	Hops   uint8  `msg:"h"`
+}
+
+// Version is one value of a part's register, with the seats it binds.
+type Version struct {
+	Stamp Stamp  `msg:"st"`
+	Seats []Seat `msg:"se"`
+	Prev  []Seat `msg:"pr"`
+	Body  []byte `msg:"b"`
+}
+
+// Seat is one place in a part's group.
+type Seat struct {
+	ID   string `msg:"i"`
+	Zone string `msg:"z"`
+	Addr string `msg:"a"`
+}
+
+// Vote asks for a term. Pre asks only whether it would be given.
+type Vote struct {
+	Part int    `msg:"p"`
+	Term uint64 `msg:"t"`
+	From string `msg:"f"`
+	Pre  bool   `msg:"e"`
+	// Named is set when the outgoing owner named this successor.
+	Named bool `msg:"n"`
+}
+
+// VoteReply grants or denies a term and shows the newest version held.
+type VoteReply struct {
+	Part    int     `msg:"p"`
+	Term    uint64  `msg:"t"`
+	From    string  `msg:"f"`
+	Pre     bool    `msg:"e"`
+	Granted bool    `msg:"g"`
+	Held    Version `msg:"h"`
+}
+
+// Accept asks a seat to hold a version.
+type Accept struct {
+	Part    int     `msg:"p"`
+	Term    uint64  `msg:"t"`
+	From    string  `msg:"f"`
+	Version Version `msg:"v"`
+}
+
+// AcceptReply says that a version is synced, or which term stands against it.
+type AcceptReply struct {
+	Part  int    `msg:"p"`
+	Term  uint64 `msg:"t"`
+	From  string `msg:"f"`
+	Stamp Stamp  `msg:"st"`
+	OK    bool   `msg:"ok"`
+	Err   string `msg:"e"`
+}
+
+// Beat is an owner's sign of life with the newest committed stamp.
+type Beat struct {
+	Part      int    `msg:"p"`
+	Term      uint64 `msg:"t"`
+	From      string `msg:"f"`
+	Round     uint64 `msg:"r"`
+	Committed Stamp  `msg:"c"`
+	// Yield names the successor in a planned handover.
+	Yield string `msg:"y"`
+}
+
+// BeatReply confirms the owner's term at a seat.
+type BeatReply struct {
+	Part  int    `msg:"p"`
+	Term  uint64 `msg:"t"`
+	From  string `msg:"f"`
+	Round uint64 `msg:"r"`
+	Held  Stamp  `msg:"h"`
+	OK    bool   `msg:"ok"`
+	Wall  int64  `msg:"w"`
+	Sick  bool   `msg:"s"`
+}
+
+// Form asks an empty seat's consent to a formation, or tells that all gave it.
+type Form struct {
+	Formation string `msg:"f"`
+	Seats     []Seat `msg:"s"`
+	Go        bool   `msg:"g"`
+}
+
+// FormReply gives consent or names the formation that already has it.
+type FormReply struct {
+	Formation string `msg:"f"`
+	From      string `msg:"r"`
+	OK        bool   `msg:"ok"`
+}
+
+// Pull asks a core for newer committed versions.
+type Pull struct {
+	Have []Stamp `msg:"h"`
+}
+
+// PullReply carries them, and who owns which part.
+type PullReply struct {
+	Versions []Version `msg:"v"`
+	Owners   []Owner   `msg:"o"`
+}
+
+// Owner tells which seat owns a part.
+type Owner struct {
+	Part int    `msg:"p"`
+	Term uint64 `msg:"t"`
+	Seat string `msg:"s"`
+	Addr string `msg:"a"`
+}
+
+// Edit is one operator change for a part's owner.
+type Edit struct {
+	Part   int    `msg:"p"`
+	EditID string `msg:"e"`
+	Op     string `msg:"o"`
+	Name   string `msg:"n"`
+	Base   Stamp  `msg:"b"`
+	Strict bool   `msg:"s"`
+	Body   []byte `msg:"d"`
+	By     string `msg:"by"`
+}
+
+// EditReply tells what became of an edit.
+type EditReply struct {
+	Code     string    `msg:"c"`
+	Stamp    Stamp     `msg:"s"`
+	Findings []Finding `msg:"f"`
+	Addr     string    `msg:"a"`
+	Body     []byte    `msg:"b"`
+}
+
+// Finding is one fault found in what an operator sent, with its place.
+type Finding struct {
+	Place string `msg:"p" json:"place"`
+	Text  string `msg:"t" json:"text"`
+}
+
+// Hold asks for, or renews, a duty.
+type Hold struct {
+	Part int    `msg:"p"`
+	Duty string `msg:"d"`
+	From string `msg:"f"`
+	// Next names the successor when the holder gives the duty up.
+	Next string `msg:"n"`
+	Drop bool   `msg:"x"`
+}
+
+// HoldReply says who has the duty, and for how long.
+type HoldReply struct {
+	Duty   string `msg:"d"`
+	Holder string `msg:"h"`
+	For    int64  `msg:"f"`
+	Turn   uint64 `msg:"t"`
+}
+
+// Claim asks a home node to let an inquiry key in.
+type Claim struct {
+	Key  string `msg:"k"`
+	From string `msg:"f"`
+	Sum  uint64 `msg:"s"`
+}
+
+// ClaimReply lets in, or gives what the first holder of the key came to.
+type ClaimReply struct {
+	Key    string `msg:"k"`
+	From   string `msg:"f"`
+	Code   string `msg:"c"`
+	Status int    `msg:"st"`
+	Body   []byte `msg:"b"`
+}
+
+// Settle records the outcome of a claimed key.
+type Settle struct {
+	Key    string `msg:"k"`
+	Code   string `msg:"c"`
+	Status int    `msg:"st"`
+	Body   []byte `msg:"b"`
+}
