--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -27,6 +27,7 @@
 	Caller   callerCmd   `command:"caller" description:"stand-in callers, whose answers are checked exactly"`
 	Platform platformCmd `command:"platform" description:"a stand-in platform"`
 	Fleet    fleetCmd    `command:"fleet" description:"a whole fleet of real processes, under load and failures"`
+	Sim      simCmd      `command:"sim" description:"the same state machines on simulated time, from scenario files and seeds"`
 }
 
 type backendCmd struct{ backend.Config }
--- a/inquiry/events.go
+++ b/inquiry/events.go
@@ -79,6 +79,8 @@
 	Cut     string
 	Within  int64
 	Inquiry *Inquiry
+	// Again marks a repeated try, which the budget paid for.
+	Again bool
 }
 
 // Act is one of the types below, or an Ask.
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -121,7 +121,7 @@
 	defer s.busy.Add(-1)
 	f := s.fault.Load()
 	if f.Mode == "refuse" {
-		s.answer(w, 503, s.sealed(&m, nil))
+		s.send(w, 503, &m)
 		return
 	}
 	if m.Kind == inquiry.Search {
@@ -152,7 +152,7 @@
 	}
 	rec, ok := records.Of(m.Record)
 	if !ok || inquiry.ShardOf(m.Record, s.c.Shards) != s.c.Shard {
-		s.answer(w, 404, s.sealed(&m, nil))
+		s.send(w, 404, &m)
 		return
 	}
 	s.spoil(w, f, &m, []inquiry.Record{rec})
@@ -174,44 +174,28 @@
 	return inquiry.Sealed{Inquiry: m.Inquiry, Cut: s.c.Cut, Shard: s.c.Shard, Incarnation: s.began.UnixMicro(), Usage: s.busy.Load(), Records: recs}
 }
 
-func (s *Server) answer(w http.ResponseWriter, status int, sealed inquiry.Sealed) {
-	b, _ := json.Marshal(sealed)
-	w.Header().Set("Content-Digest", inquiry.Digest(b))
+func (s *Server) send(w http.ResponseWriter, status int, m *serve.Message) {
+	raw, _ := Spoil("", status, s.sealed(m, nil))
+	w.Header().Set("Content-Digest", raw.Digest)
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-	w.WriteHeader(status)
-	w.Write(b)
+	w.WriteHeader(raw.Status)
+	w.Write(raw.Body)
 }
 
 // spoil answers, or spoils the answer in the way the fault says.
 func (s *Server) spoil(w http.ResponseWriter, f *Fault, m *serve.Message, recs []inquiry.Record) {
-	out := s.sealed(m, recs)
-	switch f.Mode {
-	case "foreign":
-		out.Inquiry = "somebody-else-1.aa"
-	case "othercut":
-		out.Cut = "another"
-	case "othershard":
-		out.Shard++
-	case "unsorted":
-		for i, j := 0, len(recs)-1; i < j; i, j = i+1, j-1 {
-			recs[i], recs[j] = recs[j], recs[i]
-		}
-	case "garbage":
-		w.Write([]byte("\x00\xff{{{"))
-		return
-	case "truncate":
-		b, _ := json.Marshal(out)
-		w.Header().Set("Content-Digest", inquiry.Digest(b))
-		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
-		w.Write(b[:len(b)/2])
-		return
-	case "short":
-		// A whole HTTP message, but not the whole sealed answer.
-		b, _ := json.Marshal(out)
-		w.Header().Set("Content-Digest", inquiry.Digest(b))
-		w.Write(b[:len(b)-2])
-		return
+	raw, closed := Spoil(f.Mode, 200, s.sealed(m, recs))
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if raw.Digest != "" {
+		h.Set("Content-Digest", raw.Digest)
+	}
+	if raw.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(raw.Length, 10))
+	}
+	w.WriteHeader(raw.Status)
+	w.Write(raw.Body)
+	if closed {
+		panic(http.ErrAbortHandler)
 	}
-	s.answer(w, 200, out)
 }
--- /dev/null
+++ b/lab/backend/spoil.go
@@ -0,0 +1,53 @@
+// The ways in which a stand-in's answer can be wrong, for real servers and
+// simulated ones alike.
+package backend
+
+import (
+	"encoding/json"
+	"slices"
+
+	"wallport/inquiry"
+)
+
+// Spoil makes the raw answer of a sealed one, spoiled as the mode says; closed
+// tells that the connection ends before the announced length.
+func Spoil(mode string, status int, s inquiry.Sealed) (raw inquiry.Raw, closed bool) {
+	switch mode {
+	case "foreign":
+		s.Inquiry = "somebody-else-1.aa"
+	case "othercut":
+		s.Cut = "another"
+	case "othershard":
+		s.Shard++
+	case "unsorted":
+		s.Records = slices.Clone(s.Records)
+		slices.Reverse(s.Records)
+	case "otherrecord":
+		s.Records = slices.Clone(s.Records)
+		for i := range s.Records {
+			s.Records[i].ID += "x"
+		}
+	}
+	b, err := json.Marshal(s)
+	if err != nil {
+		return inquiry.Raw{Status: 500}, false
+	}
+	raw = inquiry.Raw{Status: status, Length: int64(len(b)), Digest: inquiry.Digest(b), Body: b}
+	switch mode {
+	case "garbage":
+		raw.Body = []byte("\x00\xff{{{")
+		raw.Length = int64(len(raw.Body))
+	case "truncate":
+		raw.Body = b[:len(b)/2]
+		closed = true
+	case "short":
+		raw.Body = b[:len(b)-2]
+		raw.Length = int64(len(raw.Body))
+	case "flipped":
+		raw.Body = slices.Clone(b)
+		raw.Body[len(b)/2] ^= 1
+	case "undigested":
+		raw.Digest = ""
+	}
+	return raw, closed
+}
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -45,7 +45,7 @@
 	Cut      int              `json:"cut_connections"`
 	Us       map[string]int64 `json:"latency_us"`
 	Seconds  map[string]int   `json:"ok_by_second"`
-	Refused  []string         `json:"refused_keys"`
+	Refused  []string         `json:"-"`
 }
 
 // Caller is the stand-in.
--- /dev/null
+++ b/lab/check/load.go
@@ -0,0 +1,148 @@
+// The judges of answers, budgets, ramps and recovery.
+package check
+
+import (
+	"slices"
+
+	"wallport/inquiry"
+	"wallport/lab/records"
+)
+
+// Search judges a merged answer exactly.
+func (j *Judge) Search(index, query string, limit, required int, o *inquiry.Outcome, shards map[string]int, at int64) {
+	j.tested(BadMerge)
+	n, ok := shards[o.Cut]
+	if !ok {
+		j.Fail(BadMerge, at, "%s names cut %q, which never was", o.ID, o.Cut)
+		return
+	}
+	got := slices.Clone(o.Shards)
+	slices.Sort(got)
+	if len(slices.Compact(got)) != len(o.Shards) || len(o.Shards)+len(o.Missing) != n {
+		j.Fail(BadMerge, at, "%s names shards %v and lacks %v of %d", o.ID, o.Shards, o.Missing, n)
+	}
+	if len(o.Shards)*100 < required*n {
+		j.Fail(BadMerge, at, "%s has %d of %d shards, %d%% are required", o.ID, len(o.Shards), n, required)
+	}
+	if !slices.IsSortedFunc(o.Records, inquiry.Before) {
+		j.Fail(BadMerge, at, "%s is out of order", o.ID)
+	}
+	j.tested(NotWhole)
+	if want := records.Merged(index, query, limit, o.Shards, n); !slices.Equal(want, o.Records) {
+		j.Fail(NotWhole, at, "%s differs from the exact answer of its shards", o.ID)
+	}
+}
+
+// Single judges the answer to a single inquiry exactly.
+func (j *Judge) Single(record string, o *inquiry.Outcome, at int64) {
+	j.tested(NotWhole)
+	want, ok := records.Of(record)
+	if !ok || len(o.Records) != 1 || o.Records[0] != want {
+		j.Fail(NotWhole, at, "%s of %s got %v", o.ID, record, o.Records)
+	}
+}
+
+// Budgets checks every ten seconds of every pool.
+func (j *Judge) Budgets() {
+	for pool, extras := range j.extras {
+		for sec := range extras {
+			for start := sec - 9; start <= sec; start++ {
+				var e, f int64
+				for s := start; s < start+10; s++ {
+					e += extras[s]
+					f += j.firsts[pool][s]
+				}
+				j.tested(Budget)
+				if e > f/5+60 {
+					j.Fail(Budget, start*1_000_000, "%s: %d extra tries beside %d first ones in 10 s", pool, e, f)
+				}
+			}
+		}
+	}
+}
+
+type coldCount struct {
+	began int64
+	ramp  int64
+	slots map[int64]int64
+	peers map[int64]int64
+}
+
+// ColdSlot is the width in which a cold server's work is counted.
+const ColdSlot = 500_000
+
+// Cold notes work to a shard: whether it went to a server that is cold since
+// began, whose ramp takes so long, and how many good servers share the work.
+func (j *Judge) Cold(server string, began, ramp int64, at int64, mine bool, peers int) {
+	k := j.cold[server]
+	if k == nil || k.began != began {
+		k = &coldCount{began: began, ramp: ramp, slots: map[int64]int64{}, peers: map[int64]int64{}}
+		j.cold[server] = k
+	}
+	slot := (at - began) / ColdSlot
+	if at-began > ramp || peers == 0 {
+		return
+	}
+	k.peers[slot] += 1000 / int64(peers)
+	if mine {
+		k.slots[slot]++
+	}
+}
+
+// Ramps checks each cold server's work against the share its ramp allows at
+// the slot's end, twice over and a dozen besides.
+func (j *Judge) Ramps() {
+	for server, k := range j.cold {
+		for slot, fair := range k.peers {
+			j.tested(ColdRush)
+			warm := min(1000, max(100, (slot+1)*ColdSlot*1000/max(1, k.ramp)))
+			allowed := fair*warm/1_000_000*2 + 12
+			if got := k.slots[slot]; got > allowed {
+				j.Fail(ColdRush, k.began+slot*ColdSlot, "%s got %d in slot %d, its ramp allows about %d", server, got, slot, allowed)
+			}
+		}
+	}
+}
+
+// Served notes a good answer.
+func (j *Judge) Served(at int64) { j.okSecond[at/1_000_000]++ }
+
+// Recovers checks that service is back above a quarter in time after a total
+// loss: the seconds before lost give what is normal, those after back what is.
+func (j *Judge) Recovers(lost, back int64) {
+	j.tested(SlowBack)
+	var normal, now int64
+	from := lost/1_000_000 - 5
+	for s := from; s < from+4; s++ {
+		normal += j.okSecond[s]
+	}
+	from = (back + RecoverIn) / 1_000_000
+	for s := from; s < from+4; s++ {
+		now += j.okSecond[s]
+	}
+	if normal == 0 || now*4 < normal {
+		j.Fail(SlowBack, back+RecoverIn, "%d answers in 4 s after the time to recover, %d before the loss", now, normal)
+	}
+}
+
+// Proper judges that an inquiry inside the limits is not refused by us; why
+// tells what excuses a refusal, which is counted instead.
+func (j *Judge) Proper(o *inquiry.Outcome, at int64, why string) {
+	j.tested(ProperShed)
+	if o.Code != inquiry.Shed && o.Code != inquiry.OverCeiling {
+		return
+	}
+	if why != "" {
+		j.Count("refused_for."+why, 1)
+		return
+	}
+	j.Fail(ProperShed, at, "%s got %s: %s", o.ID, o.Code, o.Why)
+}
+
+// Cut judges an inquiry that was read and never answered.
+func (j *Judge) Cut(node string, at int64, planned bool) {
+	j.tested(CutRead)
+	if planned {
+		j.Fail(CutRead, at, "%s cut an inquiry in its planned stop", node)
+	}
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -3,9 +3,7 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -187,72 +185,6 @@
 	}
 }
 
-func (f *Fleet) tellPlatform(ctx context.Context) error {
-	return poll(ctx, "platform", func() error {
-		f.mu.Lock()
-		servers := append([]wire.Server(nil), f.servers...)
-		f.mu.Unlock()
-		if err := f.post(f.Platform+"/lab/servers", wire.Listing{Servers: servers}); err != nil {
-			return err
-		}
-		return f.post(f.Platform+"/lab/nodes", f.Nodes)
-	})
-}
-
-// configure puts the first sheet and cut and waits for every node's condition.
-func (f *Fleet) configure(ctx context.Context) error {
-	s := f.o.Shape
-	oper := f.Opers["node-0"]
-	err := poll(ctx, "first sheet", func() error {
-		return f.call(http.MethodPut, "http://"+oper+"/v1/sheet", s.Sheet(), map[string]string{"If-Match": "0.0", "Edit-Id": "first-sheet"})
-	})
-	if err != nil {
-		return err
-	}
-	err = poll(ctx, "first cut", func() error {
-		return f.post("http://"+oper+"/v1/indexes/"+s.Index+"/cut", map[string]any{"cut": "c1", "shards": s.Shards})
-	})
-	if err != nil {
-		return err
-	}
-	for _, n := range f.Nodes {
-		err := poll(ctx, n.Name, func() error {
-			return f.call(http.MethodPost, "http://"+n.Caller+"/v1/indexes/"+s.Index+"/search", json.RawMessage(`{"query":"warm-up"}`), nil)
-		})
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (f *Fleet) post(url string, v any) error { return f.call(http.MethodPost, url, v, nil) }
-
-func (f *Fleet) call(method, url string, v any, head map[string]string) error {
-	b, err := json.Marshal(v)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequest(method, url, bytes.NewReader(b))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Content-Type", "application/json")
-	for k, v := range head {
-		req.Header.Set(k, v)
-	}
-	resp, err := f.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, 4096))
-	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("%s %s: %d %s", method, url, resp.StatusCode, body)
-	}
-	return nil
-}
-
 // Signal sends a signal to one process by its id.
 func (f *Fleet) Signal(name string, sig syscall.Signal) error {
 	f.mu.Lock()
--- /dev/null
+++ b/lab/sim/callers.go
@@ -0,0 +1,173 @@
+// Simulated callers: searches, reads, corrections and part fetches at a steady
+// rate; some repeat, under the same key, through another node.
+package sim
+
+import (
+	"fmt"
+
+	"wallport/inquiry"
+	"wallport/lab/records"
+)
+
+type callers struct {
+	w      *World
+	rate   int64
+	n      int64
+	ready  []*proc
+	repeat int64
+	open   int
+	begun  bool
+	until  int64
+}
+
+func (c *callers) init(w *World) {
+	c.w, c.rate, c.repeat = w, w.Script.Int("rate", 100), w.Script.Int("repeat_percent", 10)
+	c.until = w.Script.Int("seconds", 30)*1_000_000 - 2*w.Shape.Most
+}
+
+func (c *callers) begin() {
+	c.w.at(c.w.Script.Int("callers_from_us", 10_000_000), func() { c.next() })
+	c.handOut()
+}
+
+// handOut learns three times a second which nodes are ready.
+func (c *callers) handOut() {
+	c.w.after(300_000, c.handOut)
+	if r := c.w.plat.ready(); len(r) > 0 {
+		c.ready = r
+	}
+}
+
+func (c *callers) next() {
+	if c.w.now >= c.until || c.rate <= 0 {
+		return
+	}
+	gap := 1_000_000 / c.rate
+	c.w.after(gap/2+c.w.rnd.Int64N(gap+1), c.next)
+	if len(c.ready) == 0 {
+		c.w.Judge.Count("callers_without_node", 1)
+		return
+	}
+	c.n++
+	rnd := c.w.rnd
+	s := c.w.Shape
+	in := inquiry.Inquiry{
+		Index: s.Index, Kind: inquiry.Search, Query: fmt.Sprintf("q%d", rnd.IntN(200)), Limit: 5 + rnd.IntN(20),
+		Record: records.ID(rnd.IntN(records.Size)), Deadline: s.Least + rnd.Int64N(s.Most-s.Least+1),
+	}
+	switch r := rnd.IntN(12); {
+	case r < 8:
+	case r < 10:
+		in.Kind = inquiry.Read
+	case r < 11:
+		in.Kind = inquiry.Correct
+	default:
+		in.Kind = inquiry.Part
+	}
+	if in.Once() {
+		in.Key = fmt.Sprintf("key-%d", c.n)
+		in.Body = "correction"
+		in.Sum = inquiry.SumOf(&in)
+	}
+	tries := 1
+	if in.Once() && rnd.Int64N(100) < c.repeat {
+		tries += 1 + rnd.IntN(3)
+	}
+	c.send(in, tries, rnd.Int64N(2) == 0)
+}
+
+// send asks a node; a caller that repeats does so under the same key: eagerly,
+// not waiting for the answer, or after a failure.
+func (c *callers) send(in inquiry.Inquiry, tries int, eager bool) {
+	w := c.w
+	p := c.ready[w.rnd.IntN(len(c.ready))]
+	sent := w.now
+	c.open++
+	again := func(d int64) {
+		if tries > 1 {
+			w.after(d, func() { c.send(in, tries-1, eager) })
+		}
+	}
+	if eager {
+		again(w.rnd.Int64N(300_000))
+	}
+	life := p.life
+	w.after(w.net.latency(), func() {
+		if !p.up || p.life != life || p.drains && !p.frozen && w.rnd.IntN(2) == 0 {
+			c.open--
+			w.Judge.Count("callers_refused_connection", 1)
+			if !eager {
+				again(100_000)
+			}
+			return
+		}
+		planned := p.drains
+		p.front.read(in, func(o *inquiry.Outcome) {
+			c.open--
+			c.judge(p, &in, o, sent, planned || p.drains)
+			if !eager && (o == nil || o.Code != inquiry.OK) {
+				again(int64(200_000))
+			}
+		})
+	})
+}
+
+func (c *callers) judge(p *proc, in *inquiry.Inquiry, o *inquiry.Outcome, sent int64, planned bool) {
+	w := c.w
+	if o == nil {
+		w.Judge.Count("outcome.cut", 1)
+		w.Judge.Cut(p.name, w.now, planned && !w.killed[p.name])
+		return
+	}
+	w.note(o.ID + " " + in.Kind + " " + o.Code + " " + o.Why)
+	w.Judge.Count("outcome."+o.Code, 1)
+	w.Judge.Count("outcome."+in.Kind+"."+o.Code, 1)
+	if took := w.now - sent; took > in.Deadline+100_000 {
+		w.Judge.Count("late", 1)
+	}
+	if o.Ran == "no" && in.Key != "" && (o.Code == inquiry.Shed || o.Code == inquiry.OverCeiling || o.Code == inquiry.GivenUp) && c.lone(in) {
+		w.Judge.Refused(in.Key, w.now)
+	}
+	if (o.Code == inquiry.Shed || o.Code == inquiry.OverCeiling || o.Code == inquiry.GivenUp) && o.Retry == 0 {
+		w.Judge.Fail("no_retry_after", w.now, "%s %s has no Retry-After", o.ID, o.Code)
+	}
+	w.Judge.Proper(o, w.now, c.mayRefuse(p, in, o))
+	if o.Code != inquiry.OK {
+		return
+	}
+	w.Judge.Served(w.now)
+	if o.Repeat {
+		w.Judge.Count("repeats_answered", 1)
+		return
+	}
+	if in.Kind != inquiry.Search {
+		w.Judge.Single(in.Record, o, w.now)
+		return
+	}
+	if len(o.Missing) > 0 {
+		w.Judge.Count("partial", 1)
+	}
+	w.Judge.Search(in.Index, in.Query, in.Limit, 75, o, w.cuts, w.now)
+}
+
+// lone tells that no other try of the same key can be under way or have run:
+// only then does a refusal bind the key.
+func (c *callers) lone(in *inquiry.Inquiry) bool { return c.repeat == 0 || in.Kind == inquiry.Search }
+
+// mayRefuse tells whether the world gave a reason to refuse: the scenario says
+// so, no server of a needed shard is there, or the key's homes cannot vouch.
+func (c *callers) mayRefuse(p *proc, in *inquiry.Inquiry, o *inquiry.Outcome) string {
+	w := c.w
+	if w.Script.Text("may_refuse", "") != "" {
+		return "scenario"
+	}
+	if in.Once() && in.Key != "" && (o.Why == "too few of the key's home nodes could vouch for it" || o.Why == "the key's home nodes did not answer") {
+		return "claims"
+	}
+	return ""
+}
+
+func (c *callers) finish() {
+	c.w.Judge.Count("callers_sent", c.n)
+	c.w.Judge.Count("callers_open", int64(c.open))
+}
--- /dev/null
+++ b/lab/sim/front.go
@@ -0,0 +1,129 @@
+// The request path of a simulated node: the product's own chart, its acts
+// carried out on the simulated network.
+package sim
+
+import (
+	"slices"
+
+	"wallport/claims"
+	"wallport/inquiry"
+)
+
+type run struct {
+	chart *inquiry.Chart
+	in    *inquiry.Inquiry
+	done  func(o *inquiry.Outcome)
+	wake  uint64
+}
+
+type front struct {
+	p    *proc
+	runs map[*run]bool
+	list []*run
+}
+
+func newFront(p *proc) *front { return &front{p: p, runs: map[*run]bool{}} }
+
+// read takes an inquiry that has been read whole; done gets its outcome, or nil if it was cut.
+func (f *front) read(in inquiry.Inquiry, done func(o *inquiry.Outcome)) {
+	f.p.feed(func() {
+		r := &run{chart: inquiry.NewChart(f.p.desk, in, f.p.now()), in: &in, done: done}
+		f.runs[r] = true
+		f.list = append(f.list, r)
+		f.step(r, inquiry.Begin{})
+	})
+}
+
+// lose is the end of the process: every inquiry read and not answered is cut.
+func (f *front) lose() {
+	list := f.list
+	f.list = nil
+	for _, r := range list {
+		if f.runs[r] {
+			delete(f.runs, r)
+			r.done(nil)
+		}
+	}
+}
+
+func (f *front) step(r *run, ev inquiry.Event) {
+	if !f.runs[r] {
+		return
+	}
+	for _, a := range r.chart.Step(f.p.now(), ev) {
+		f.act(r, a)
+	}
+}
+
+func (f *front) act(r *run, a inquiry.Act) {
+	p := f.p
+	switch v := a.(type) {
+	case inquiry.Ask:
+		f.seen(&v)
+		life := p.life
+		p.w.asked(p, &v, func(rep inquiry.Reply) {
+			if p.life == life {
+				p.feed(func() { f.step(r, inquiry.Replied{N: v.N, Reply: rep}) })
+			}
+		})
+	case inquiry.Wake:
+		r.wake++
+		mine := r.wake
+		p.later(v.At-p.now(), func() {
+			if r.wake == mine {
+				f.step(r, inquiry.Due{})
+			}
+		})
+	case inquiry.Claim:
+		p.call("claims", claims.Ask{Key: v.Key, Sum: v.Sum}, func(ans any) {
+			f.step(r, inquiry.Claimed{Verdict: ans.(inquiry.Verdict)})
+		})
+	case inquiry.Settle:
+		p.call("claims", claims.Tell{Key: v.Key, Code: v.Code, Outcome: v.Outcome}, nil)
+	case inquiry.Finish:
+		delete(f.runs, r)
+		f.list = slices.DeleteFunc(f.list, func(o *run) bool { return o == r })
+		o := v.Outcome
+		r.done(&o)
+	}
+}
+
+// seen tells the judge of work that leaves this node.
+func (f *front) seen(a *inquiry.Ask) {
+	w := f.p.w
+	if f.p.isolated {
+		// What a node that is cut off from every other does is judged by scenarios of their own.
+		w.Judge.Count("asks_of_isolated", 1)
+	} else {
+		w.Judge.Asked(a.Inquiry.Index, a.Server.ID, a.Server.Zone, w.now, a.Again)
+	}
+	w.Judge.Count("asks", 1)
+	if a.Again {
+		w.Judge.Count("extra_tries", 1)
+	}
+	w.cold(a)
+}
+
+// cold judges ramps where a shard has warm servers beside a cold one.
+func (w *World) cold(a *inquiry.Ask) {
+	good, warm := 0, 0
+	var cold []*server
+	for _, id := range w.serverN {
+		s := w.servers[id]
+		if !s.up || s.row.Cut != a.Cut || s.row.Shard != a.Shard || s.mode != "" || s.row.State == "leaving" {
+			continue
+		}
+		good++
+		if w.now-s.born >= rampUs {
+			warm++
+		} else {
+			cold = append(cold, s)
+		}
+	}
+	if warm == 0 {
+		return
+	}
+	for _, s := range cold {
+		w.Judge.Cold(s.row.ID, s.born, rampUs, w.now, s.row.ID == a.Server.ID, good)
+	}
+}
--- /dev/null
+++ b/lab/sim/operators.go
@@ -0,0 +1,184 @@
+// Simulated operators: whole sheets and row edits, single, racing, in storms,
+// refused ones and retries; zones and cuts. Each sheet carries a mark of its
+// own in the pool's capacity, by which it is known again wherever it is seen.
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"wallport/lab/check"
+	"wallport/operate"
+	"wallport/state"
+	"wallport/wire"
+)
+
+const markBase = 1_000_000
+
+type operators struct {
+	w    *World
+	mark int64
+	base wire.Stamp
+}
+
+func (o *operators) init(w *World) { o.w, o.mark = w, markBase }
+
+// via picks a node for an operator's call; nil if none is up.
+func (o *operators) via() *proc {
+	var up []*proc
+	for _, name := range o.w.names {
+		if p := o.w.procs[name]; p.role == "node" && p.runs() && !p.drains {
+			up = append(up, p)
+		}
+	}
+	if len(up) == 0 {
+		return nil
+	}
+	return up[o.w.rnd.IntN(len(up))]
+}
+
+// sheet is the shape's sheet under a new mark.
+func (o *operators) sheet(mark int64) []byte {
+	var s map[string]any
+	if json.Unmarshal(o.w.Shape.Sheet(), &s) != nil {
+		return nil
+	}
+	s["services"].([]any)[0].(map[string]any)["capacity"] = mark
+	b, _ := json.Marshal(s)
+	return b
+}
+
+// first puts the first sheet and cut, as soon as someone takes them.
+func (o *operators) first() {
+	o.w.after(100_000, func() {
+		p := o.via()
+		if p == nil || p.table.Now() == nil || p.table.Now().Stamp.Term == 0 {
+			o.first()
+			return
+		}
+		o.put(p, wire.Stamp{}, "first", 0, func(code string) {
+			if code != "ok" {
+				o.first()
+				return
+			}
+			o.cut("c1", o.w.Shape.Shards)
+		})
+	})
+}
+
+// put sends a whole sheet based on a stamp; spoiled ones must be refused.
+func (o *operators) put(p *proc, base wire.Stamp, kind string, mark int64, done func(code string)) {
+	w := o.w
+	if p == nil {
+		return
+	}
+	if mark == 0 {
+		o.mark++
+		mark = o.mark
+	}
+	e := wire.Edit{Op: "put", Strict: true, Base: base, Body: o.sheet(mark), EditID: fmt.Sprintf("edit-%d", mark)}
+	switch kind {
+	case "invalid":
+		e.Body = []byte(fmt.Sprintf(`{"services":[{"index":"%s","capacity":%d}],"rows":[{"index":"x","share":-1}]}`, w.Shape.Index, mark))
+	case "rows":
+		e.Op = "rows"
+		var s struct{ Services []json.RawMessage }
+		if json.Unmarshal(e.Body, &s) != nil {
+			return
+		}
+		e.Body, _ = json.Marshal([]map[string]any{{"op": "set", "table": "services", "row": s.Services[0]}})
+	}
+	t := check.Try{Mark: mark, Base: base, Began: w.now, Ended: 1 << 62, Code: "open", EditID: e.EditID}
+	w.Judge.Tried(t)
+	p.feed(func() {
+		p.call("operate", operate.Request{Edit: e}, func(v any) {
+			r := v.(operate.Result).Reply
+			t.Ended, t.Code, t.Stamp = w.now, r.Code, r.Stamp
+			w.note(fmt.Sprintf("edit %d %s %v", mark, r.Code, r.Stamp))
+			w.Judge.Retried(t)
+			w.Judge.Count("edits."+r.Code, 1)
+			if done != nil {
+				done(r.Code)
+			}
+		})
+	})
+}
+
+// now is the newest sheet stamp that any node shows, as an operator would read it.
+func (o *operators) now() wire.Stamp {
+	p := o.via()
+	if p == nil || p.table.Now() == nil {
+		return wire.Stamp{}
+	}
+	return p.table.Now().Config.SheetAt
+}
+
+// race sends n edits based on one stamp through different nodes at about one time.
+func (o *operators) race(n int, kind string) {
+	base := o.now()
+	for range n {
+		o.w.after(o.w.rnd.Int64N(60_000), func() { o.put(o.via(), base, kind, 0, nil) })
+	}
+}
+
+// storm sends edits one after another, each based on what is in force then.
+func (o *operators) storm(n int, every int64) {
+	for i := range n {
+		o.w.after(int64(i)*every, func() {
+			kind := []string{"put", "rows", "put", "invalid"}[i%4]
+			o.put(o.via(), o.now(), kind, 0, nil)
+		})
+	}
+}
+
+// retried sends one edit twice under one id, as an operator whose answer was lost.
+func (o *operators) retried() {
+	base := o.now()
+	o.mark++
+	mark := o.mark
+	o.put(o.via(), base, "put", mark, nil)
+	o.w.after(200_000, func() { o.put(o.via(), base, "put", mark, nil) })
+}
+
+func (o *operators) zone(action, zone string) {
+	w := o.w
+	p := o.via()
+	if p == nil {
+		return
+	}
+	if action == "empty" {
+		w.Judge.Empties(zone, w.now)
+	} else {
+		w.Judge.Empties(zone, -1)
+	}
+	p.feed(func() {
+		p.call("operate", operate.Request{Edit: wire.Edit{Op: action, Name: zone}}, func(v any) {
+			code := v.(operate.Result).Reply.Code
+			w.note("zone " + action + " " + zone + " " + code)
+			w.Judge.Count("zones."+code, 1)
+			if code != "ok" {
+				o.zone(action, zone)
+			}
+		})
+	})
+}
+
+func (o *operators) cut(name string, shards int) {
+	w := o.w
+	w.cuts[name] = shards
+	p := o.via()
+	if p == nil {
+		w.after(200_000, func() { o.cut(name, shards) })
+		return
+	}
+	e := wire.Edit{Part: state.PartOf(w.Shape.Index), Op: "cut", Name: w.Shape.Index, Body: wire.Encode(&wire.LiveCut{Next: name, NextShards: shards})}
+	p.feed(func() {
+		p.call("operate", operate.Request{Edit: e}, func(v any) {
+			code := v.(operate.Result).Reply.Code
+			w.note("cut " + name + " " + code)
+			if code != "ok" {
+				w.after(300_000, func() { o.cut(name, shards) })
+			}
+		})
+	})
+}
--- /dev/null
+++ b/lab/sim/platform.go
@@ -0,0 +1,87 @@
+// The simulated platform: a lagging list that allows few calls, and the
+// handing out of ready nodes to callers, a little late too.
+package sim
+
+import (
+	"encoding/json"
+
+	"wallport/wire"
+)
+
+type shownList struct {
+	at   int64
+	list wire.Listing
+}
+
+type platform struct {
+	w       *World
+	lists   []shownList
+	calls   []int64
+	lag     int64
+	allowed int64
+	mode    string
+}
+
+func (p *platform) init(w *World) {
+	p.w, p.lag, p.allowed = w, w.Script.Int("lag_us", 300_000), w.Script.Int("allowed_per_10s", 20)
+}
+
+// publish makes the platform know the servers as they are now; it shows them after its lag.
+func (p *platform) publish() {
+	l := wire.Listing{}
+	for _, id := range p.w.serverN {
+		s := p.w.servers[id]
+		row := s.row
+		// Clones keep the listing as it was.
+		l.Servers = append(l.Servers, row)
+		if row.State == "leaving" {
+			p.w.Judge.Leaves(id, p.w.now+p.lag)
+		}
+	}
+	p.lists = append(p.lists, shownList{p.w.now, l})
+}
+
+func (p *platform) list() (int, []byte) {
+	now := p.w.now
+	for len(p.calls) > 0 && now-p.calls[0] > 10_000_000 {
+		p.calls = p.calls[1:]
+	}
+	p.w.Judge.Count("platform_calls", 1)
+	if int64(len(p.calls)) >= p.allowed {
+		p.w.Judge.Count("platform_shed", 1)
+		return 429, nil
+	}
+	p.calls = append(p.calls, now)
+	switch p.mode {
+	case "fail":
+		return 500, nil
+	case "empty":
+		return 200, []byte(`{"servers":[]}`)
+	}
+	var out wire.Listing
+	for _, l := range p.lists {
+		if now-l.at >= p.lag || l.at == 0 {
+			out = l.list
+		}
+	}
+	b, err := json.Marshal(out)
+	if err != nil {
+		return 500, nil
+	}
+	return 200, b
+}
+
+// ready lists the nodes that the platform would hand to callers.
+func (p *platform) ready() []*proc {
+	var out []*proc
+	for _, name := range p.w.names {
+		q := p.w.procs[name]
+		if q.role != "node" || !q.runs() || q.drains {
+			continue
+		}
+		if cp := q.table.Now(); cp.Ready() && !cp.Emptied {
+			out = append(out, q)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lab/sim/play.go
@@ -0,0 +1,34 @@
+// Playing a scenario under a seed, and what is expected of it.
+package sim
+
+import (
+	"fmt"
+
+	"wallport/lab/script"
+)
+
+// Result is what one run came to.
+type Result struct {
+	Scenario string
+	Seed     uint64
+	Digest   uint64
+	Lines    []string
+	Faults   []string
+}
+
+// Play runs a scenario under a seed and judges it.
+func Play(s *script.Script, seed uint64, trace func(at int64, text string)) Result {
+	w := New(s, seed)
+	w.Trace = trace
+	w.Run()
+	r := Result{Scenario: s.Name, Seed: seed, Digest: w.Digest(), Lines: w.Judge.Lines()}
+	for _, v := range w.Judge.Violations {
+		r.Faults = append(r.Faults, fmt.Sprintf("%s at %.3f s: %s", v.Point, float64(v.At)/1e6, v.Text))
+	}
+	for _, e := range s.Expects {
+		if got := w.Judge.Value(e.Name); !e.Met(got) {
+			r.Faults = append(r.Faults, fmt.Sprintf("%s:%d: expected %s %s %d, saw %d", s.Name, e.Line, e.Name, e.Op, e.Want, got))
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/lab/sim/proc.go
@@ -0,0 +1,230 @@
+// A simulated process: one kernel with its own clocks, disk and channels, and,
+// on a node, the request path.
+package sim
+
+import (
+	"fmt"
+
+	_ "wallport/claims"
+	_ "wallport/conditions"
+	_ "wallport/cutmove"
+	"wallport/env"
+	"wallport/inquiry"
+	"wallport/kernel"
+	_ "wallport/operate"
+	"wallport/part"
+	_ "wallport/platform"
+	_ "wallport/pulls"
+	"wallport/table"
+	"wallport/usage"
+)
+
+func coreAddr(i int) string { return fmt.Sprintf("10.0.1.%d:4001", i+1) }
+func nodeAddr(i int) string { return fmt.Sprintf("10.0.2.%d:4001", i+1) }
+
+const epoch = int64(1_700_000_000_000_000)
+
+type proc struct {
+	w         *World
+	name      string
+	role      string
+	env       env.Env
+	life      int
+	up        bool
+	frozen    bool
+	frozeAt   int64
+	isolated  bool
+	reachedAt int64
+	upAt      int64
+	skew      int64
+	kernel    *kernel.Kernel
+	table     *table.Table
+	seats     *part.Seats
+	desk      *inquiry.Desk
+	disk      *disk
+	waiting   []func()
+	front     *front
+	calls     map[uint64]func(any)
+	nextCall  uint64
+	drains    bool
+}
+
+func (w *World) add(role string, i int, addr string) *proc {
+	name := fmt.Sprintf("%s-%d", role, i)
+	e := env.Env{
+		Name: name, Zone: w.Shape.Zone(i), Mesh: addr, Operator: addr + "0", Seeds: w.seeds, Fleet: "sim",
+		PollsPer: w.plat.allowed, LogLevel: "info",
+	}
+	p := &proc{w: w, name: name, role: role, env: e}
+	if role == "node" {
+		p.env.Caller, p.env.Platform = addr+"1", "http://platform/list"
+	} else {
+		p.env.Data = "disk"
+		p.disk = newDisk(p)
+	}
+	w.procs[name] = p
+	w.names = append(w.names, name)
+	w.byAddr[addr] = p
+	return p
+}
+
+// runs tells that the process is up and not frozen.
+func (p *proc) runs() bool { return p.up && !p.frozen }
+
+func (p *proc) now() int64 { return p.w.now - p.upAt }
+
+func (p *proc) start() {
+	if p.up {
+		return
+	}
+	w := p.w
+	p.life++
+	p.up, p.frozen, p.upAt, p.reachedAt, p.drains = true, false, w.now, w.now, false
+	p.calls = map[uint64]func(any){}
+	p.waiting = nil
+	var seed [32]byte
+	for i := range seed {
+		seed[i] = byte(w.rnd.Uint32())
+	}
+	b := kernel.Boot{Env: p.env, Role: p.role, Seed: w.rnd.Uint64(), Key: kernel.KeyFrom(seed[:]), Files: map[string][]byte{}}
+	if p.disk != nil {
+		b.Files = p.disk.load()
+	}
+	p.kernel = kernel.New(b)
+	w.Judge.Restarted(p.name)
+	w.note(p.name + " starts")
+	if p.role == "node" {
+		p.table = kernel.Find[*table.Table](p.kernel)
+		p.desk = inquiry.NewDesk(inquiry.Config{
+			Table: p.table, Usage: kernel.Find[*usage.Usage](p.kernel), Counts: p.kernel.Counts, Name: p.name, Seed: b.Seed, Now: 0,
+		})
+		p.front = newFront(p)
+	} else {
+		p.seats = kernel.Find[*part.Seats](p.kernel)
+	}
+	p.step(kernel.Start{})
+}
+
+// kill ends the process at once; what its kernel knew is gone.
+func (p *proc) kill() {
+	if !p.up {
+		return
+	}
+	p.w.note(p.name + " dies")
+	p.up, p.frozen = false, false
+	p.life++
+	p.w.net.lose(p)
+	if p.front != nil {
+		p.front.lose()
+	}
+}
+
+func (p *proc) freeze() {
+	if p.runs() {
+		p.frozen, p.frozeAt = true, p.w.now
+		p.w.note(p.name + " freezes")
+	}
+}
+
+func (p *proc) thaw() {
+	if !p.up || !p.frozen {
+		return
+	}
+	p.frozen = false
+	gap := p.w.now - p.frozeAt
+	p.reachedAt = p.w.now
+	p.w.note(p.name + " thaws")
+	if gap > 1_000_000 {
+		p.step(kernel.Thawed{Gap: gap})
+	}
+	waiting := p.waiting
+	p.waiting = nil
+	for _, f := range waiting {
+		f()
+	}
+}
+
+// feed runs f in this life of the process, later if it is frozen.
+func (p *proc) feed(f func()) {
+	life := p.life
+	g := func() {
+		if p.up && p.life == life {
+			f()
+		}
+	}
+	if p.up && p.frozen {
+		p.waiting = append(p.waiting, g)
+		return
+	}
+	g()
+}
+
+// later feeds f after a while.
+func (p *proc) later(d int64, f func()) {
+	life := p.life
+	p.w.after(d, func() {
+		if p.life == life {
+			p.feed(f)
+		}
+	})
+}
+
+func (p *proc) step(in kernel.Input) {
+	out := p.kernel.Step(p.now(), epoch+p.w.now+p.skew, in)
+	for _, n := range out.Notes {
+		p.w.note(p.name + " " + n.Event + " " + fmt.Sprint(n.KV...))
+	}
+	for _, t := range out.Timers {
+		p.later(t.At-p.now(), func() { p.step(kernel.Tick{Plugin: t.Plugin, Key: t.Key}) })
+	}
+	for _, wr := range out.Writes {
+		p.disk.queue(wr)
+	}
+	for _, a := range out.Dials {
+		p.w.net.dial(p, a, true, nil)
+	}
+	for _, s := range out.Sends {
+		p.w.net.send(p, s)
+	}
+	for _, ch := range out.Drops {
+		p.w.net.drop(p, ch)
+	}
+	for _, f := range out.Fetches {
+		p.w.fetch(p, f)
+	}
+	for _, a := range out.Answers {
+		if f := p.calls[a.ID]; f != nil {
+			delete(p.calls, a.ID)
+			f(a.Value)
+		}
+	}
+}
+
+// call asks a plug-in.
+func (p *proc) call(plugin string, ask any, f func(any)) {
+	p.nextCall++
+	id := p.nextCall
+	if f != nil {
+		p.calls[id] = f
+	}
+	p.step(kernel.Call{Plugin: plugin, ID: id, Ask: ask})
+}
+
+// stop is the planned stop: nothing new, what was read is finished, then the end.
+func (p *proc) stop() {
+	if !p.runs() {
+		return
+	}
+	p.drains = true
+	p.w.note(p.name + " drains")
+	p.step(kernel.Stopping{})
+	p.later(1_000_000, p.tryEnd)
+}
+
+func (p *proc) tryEnd() {
+	if p.front != nil && len(p.front.runs) > 0 {
+		p.later(20_000, p.tryEnd)
+		return
+	}
+	p.kill()
+}
--- /dev/null
+++ b/lab/sim/server.go
@@ -0,0 +1,185 @@
+// Simulated back ends, and the fetches of conditions and of the platform's list.
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"wallport/conditions"
+	"wallport/inquiry"
+	"wallport/kernel"
+	"wallport/lab/backend"
+	"wallport/lab/records"
+	"wallport/wire"
+)
+
+type server struct {
+	w      *World
+	row    wire.Server
+	shards int
+	up     bool
+	born   int64
+	life   int
+	inc    int64
+	mode   string
+	us     int64
+	busy   int64
+	takes  int64
+}
+
+// rampUs is how long the sheet of the stand-ins lets a cold server ramp.
+const rampUs = 3_000_000
+
+func (w *World) addServer(row wire.Server, shards int) *server {
+	row.Addr = fmt.Sprintf("10.1.%d.%d:80", len(w.servers)/200, len(w.servers)%200)
+	s := &server{w: w, row: row, shards: shards, takes: w.Script.Int("server_us", 2000)}
+	// Those that are there from the start are warm; later ones are cold.
+	s.boot()
+	if w.now == 0 {
+		s.born = -10 * rampUs
+	}
+	w.servers[row.ID] = s
+	w.serverN = append(w.serverN, row.ID)
+	w.srvAddr[row.Addr] = s
+	return s
+}
+
+func (s *server) boot() {
+	s.up, s.born, s.busy = true, s.w.now, 0
+	s.life++
+	s.inc = epoch + s.w.now + int64(s.life)
+	s.w.note(s.row.ID + " boots")
+}
+
+func (s *server) kill() { s.up = false; s.life++; s.w.note(s.row.ID + " dies") }
+
+func (w *World) fetch(p *proc, f kernel.Fetch) {
+	done := false
+	answer := func(d int64, r kernel.Fetched) {
+		r.Plugin, r.Key = f.Plugin, f.Key
+		p.later(d, func() {
+			if !done {
+				done = true
+				p.step(r)
+			}
+		})
+	}
+	answer(f.Timeout, kernel.Fetched{Err: "timed out"})
+	host, _, _ := strings.Cut(strings.TrimPrefix(f.URL, "http://"), "/")
+	rtt := 2 * w.net.latency()
+	if host == "platform" {
+		if w.net.cut(p.name, "platform") {
+			return
+		}
+		status, body := w.plat.list()
+		answer(rtt, kernel.Fetched{Status: status, Body: body})
+		return
+	}
+	s := w.srvAddr[host]
+	switch {
+	case s == nil || w.net.cut(p.name, s.row.ID) || s.mode == "hang" || s.mode == "pause":
+		return
+	case !s.up && s.mode == "vanish":
+		return
+	case !s.up:
+		answer(rtt, kernel.Fetched{Err: "connection refused"})
+		return
+	}
+	b, _ := json.Marshal(conditions.Report{ID: s.row.ID, Incarnation: s.inc, UpUs: w.now - s.born, Usage: s.busy, Cut: s.row.Cut})
+	answer(rtt, kernel.Fetched{Status: 200, Body: b})
+}
+
+// asked is the way of one ask to a server and back; done gets what the node sees.
+func (w *World) asked(p *proc, a *inquiry.Ask, done func(inquiry.Reply)) {
+	s := w.srvAddr[a.Server.Addr]
+	there := w.net.latency()
+	if s == nil || !s.up && s.mode != "vanish" {
+		w.after(2*there, func() { done(inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: "connection refused"}) })
+		return
+	}
+	if !s.up || w.net.cut(p.name, s.row.ID) {
+		w.after(300_000, func() { done(inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: "timed out"}) })
+		return
+	}
+	life := s.life
+	w.after(there, func() {
+		broken := func() {
+			w.after(there, func() { done(inquiry.Reply{Class: inquiry.ReplyFailed, Why: "reset"}) })
+		}
+		if !s.up || s.life != life {
+			broken()
+			return
+		}
+		s.busy++
+		took := s.serviceTime()
+		if s.mode != "refuse" {
+			w.ran(a)
+		}
+		w.after(took, func() {
+			if s.life != life {
+				broken()
+				return
+			}
+			s.busy--
+			if s.mode == "hang" {
+				return
+			}
+			raw := s.answer(a)
+			back := there
+			if w.net.cut(s.row.ID, p.name) {
+				return
+			}
+			w.after(back, func() { done(raw) })
+		})
+	})
+}
+
+func (s *server) serviceTime() int64 {
+	us := s.takes + s.w.rnd.Int64N(s.takes)
+	if s.mode == "slow" || s.mode == "pause" {
+		us = s.us + s.w.rnd.Int64N(s.us/4+1)
+	}
+	if up := s.w.now - s.born; up < rampUs {
+		us += 4 * us * (rampUs - up) / rampUs
+	}
+	// Work beyond what a server does at once waits.
+	return us * (1 + s.busy/16)
+}
+
+// answer makes the body that the real stand-in would send, and checks it as a node does.
+func (s *server) answer(a *inquiry.Ask) inquiry.Reply {
+	in := a.Inquiry
+	sealed := inquiry.Sealed{Inquiry: a.ID, Cut: s.row.Cut, Shard: s.row.Shard, Incarnation: s.inc, Usage: s.busy}
+	status := 200
+	switch {
+	case s.mode == "refuse":
+		status = 503
+	case in.Kind == inquiry.Search:
+		sealed.Records = records.Top(in.Index, in.Query, in.Limit, a.Shard, s.shards)
+	default:
+		r, ok := records.Of(in.Record)
+		if !ok || inquiry.ShardOf(in.Record, s.shards) != s.row.Shard {
+			status = 404
+			break
+		}
+		sealed.Records = []inquiry.Record{r}
+	}
+	raw, closed := backend.Spoil(s.mode, status, sealed)
+	if closed {
+		return inquiry.Reply{Class: inquiry.ReplyFailed, Why: "cut short"}
+	}
+	return inquiry.Check(a, raw)
+}
+
+// ran counts an execution that must happen at most once.
+func (w *World) ran(a *inquiry.Ask) {
+	if !a.Inquiry.Once() {
+		return
+	}
+	key := a.Inquiry.Key
+	if key == "" {
+		key = a.ID
+	}
+	w.Judge.Ran(key, w.now)
+}
--- /dev/null
+++ b/lab/sim/sim_test.go
@@ -0,0 +1,42 @@
+// Every scenario under a few fixed seeds, and the proof that a run replays.
+// Longer sweeps are a command of their own: lab sim --seeds.
+package sim
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/lab/script"
+)
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("../../scenarios/*.txt")
+	must.NoError(t, err)
+	must.Positive(t, len(files))
+	for _, f := range files {
+		s, err := script.Load(f)
+		must.NoError(t, err)
+		for seed := uint64(1); seed <= uint64(s.Int("ci_seeds", 2)); seed++ {
+			t.Run(fmt.Sprintf("%s/seed=%d", filepath.Base(f), seed), func(t *testing.T) {
+				t.Parallel()
+				r := Play(s, seed, nil)
+				for _, v := range r.Faults {
+					t.Error(v)
+				}
+			})
+		}
+	}
+}
+
+func TestReplay(t *testing.T) {
+	t.Parallel()
+	s, err := script.Load("../../scenarios/plain.txt")
+	must.NoError(t, err)
+	a, b, c := Play(s, 11, nil), Play(s, 11, nil), Play(s, 12, nil)
+	must.Eq(t, a.Digest, b.Digest)
+	must.Eq(t, a.Lines, b.Lines)
+	must.NotEq(t, a.Digest, c.Digest)
+}
--- a/process/channels.go
+++ b/process/channels.go
@@ -159,24 +159,6 @@
 	return ch, nil
 }
 
-func (c *channels) dial(addr string, mesh bool) (*channel, error) {
-	d := net.Dialer{Timeout: dialWithin}
-	conn, err := d.Dial("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return c.greet(tls.Client(conn, c.conf), addr, mesh)
-}
-
-func (c *channels) dialMesh(addr string) {
-	go func() {
-		if _, err := c.dial(addr, true); err != nil {
-			c.p.Log.Debug("mesh_dial_failed", zap.String("addr", addr), zap.Error(err))
-			c.p.Post(kernel.ChannelDown{Addr: addr, Mesh: true})
-		}
-	}()
-}
-
 func (c *channels) send(s kernel.Send) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/process/dial.go
@@ -0,0 +1,29 @@
+// Dialling other processes.
+package process
+
+import (
+	"crypto/tls"
+	"net"
+
+	"go.uber.org/zap"
+
+	"wallport/kernel"
+)
+
+func (c *channels) dial(addr string, mesh bool) (*channel, error) {
+	d := net.Dialer{Timeout: dialWithin}
+	conn, err := d.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return c.greet(tls.Client(conn, c.conf), addr, mesh)
+}
+
+func (c *channels) dialMesh(addr string) {
+	go func() {
+		if _, err := c.dial(addr, true); err != nil {
+			c.p.Log.Debug("mesh_dial_failed", zap.String("addr", addr), zap.Error(err))
+			c.p.Post(kernel.ChannelDown{Addr: addr, Mesh: true})
+		}
+	}()
+}
--- a/serve/http.go
+++ b/serve/http.go
@@ -17,7 +17,6 @@
 
 	"go.uber.org/zap"
 	goahttp "goa.design/goa/v3/http"
-	goa "goa.design/goa/v3/pkg"
 
 	"wallport/gen/caller"
 	callersrv "wallport/gen/http/caller/server"
@@ -43,26 +42,6 @@
 	contentTypeH = "Content-Type"
 )
 
-// plain is the shape of a fault found before goa's own handlers.
-type plain struct {
-	status  int
-	Name    string `json:"name"`
-	Message string `json:"message"`
-	Ran     string `json:"ran"`
-}
-
-// StatusCode is the fault's status.
-func (p plain) StatusCode() int { return p.status }
-
-// malformed gives goa's own faults the same shape as all others.
-func malformed(_ context.Context, err error) goahttp.Statuser {
-	var e *goa.ServiceError
-	if errors.As(err, &e) && !e.Fault {
-		return plain{400, "malformed", e.Message, "no"}
-	}
-	return plain{500, "internal", "internal fault", "unknown"}
-}
-
 func refuse(w http.ResponseWriter, status int, name, message string) {
 	w.Header().Set(contentTypeH, jsonContent)
 	if status == http.StatusServiceUnavailable {
@@ -119,7 +98,7 @@
 	mux := goahttp.NewMuxer()
 	if p.Kernel.Boot.Role == "node" {
 		s.front = NewFront(p)
-		h := operatorsrv.New(operator.NewEndpoints(operatorAPI{s.front}), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, malformed)
+		h := operatorsrv.New(operator.NewEndpoints(operatorAPI{s.front}), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, shaped)
 		operatorsrv.Mount(mux, h)
 	}
 	mux.Handle(http.MethodGet, "/condition", s.condition)
@@ -132,7 +111,7 @@
 		return s, nil
 	}
 	cmux := goahttp.NewMuxer()
-	h := callersrv.New(caller.NewEndpoints(callerAPI{s.front}), cmux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, malformed)
+	h := callersrv.New(caller.NewEndpoints(callerAPI{s.front}), cmux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, shaped)
 	callersrv.Mount(cmux, h)
 	cmux.Handle(http.MethodGet, "/condition", s.condition)
 	if s.caller, err = s.listen(p.Kernel.Boot.Env.Caller, bounded(bodyMost, &s.open, cmux)); err != nil {
