--- a/claims/claims.go
+++ b/claims/claims.go
@@ -37,6 +37,7 @@
 type Tell struct {
 	Key     string
 	Code    string
+	Token   string
 	Outcome inquiry.Outcome
 }
 
@@ -154,7 +155,7 @@
 	w := &asking{id: id, ask: a, homes: homes, need: need, replies: map[string]string{}}
 	n := c.next
 	c.asks[n] = w
-	m := wire.Claim{Key: a.Key, From: c.mesh.Self(), Sum: a.Sum}
+	m := wire.Claim{Key: a.Key, From: c.token(n), Sum: a.Sum}
 	for _, h := range homes {
 		if h.Origin == c.mesh.Self() {
 			c.replied(t, n, c.claim(t, m))
@@ -194,7 +195,7 @@
 	all := len(w.replies) == len(w.homes)
 	switch {
 	case in >= w.need && (all || due):
-		c.end(t, n, inquiry.Verdict{Code: "in"})
+		c.end(t, n, inquiry.Verdict{Code: "in", Token: c.token(n)})
 	case all || due:
 		t.Counts.Add("claims_short", 1)
 		c.end(t, n, inquiry.Verdict{Code: "short"})
@@ -204,12 +205,16 @@
 	}
 }
 
+// token names one claim, not its node: two claims of one key through one node
+// must not release each other.
+func (c *Claims) token(n uint64) string { return fmt.Sprintf("%s#%d", c.mesh.Self(), n) }
+
 func (c *Claims) end(t *kernel.Turn, n uint64, v inquiry.Verdict) {
 	w := c.asks[n]
 	delete(c.asks, n)
 	t.Answer(w.id, v)
 	if v.Code != "in" {
-		c.spread(t, w.homes, wire.Settle{Key: w.ask.Key, Code: "released", Body: []byte(c.mesh.Self())})
+		c.spread(t, w.homes, wire.Settle{Key: w.ask.Key, Code: "released", Body: []byte(c.token(n))})
 	}
 }
 
@@ -217,7 +222,7 @@
 func (c *Claims) tell(t *kernel.Turn, a Tell) {
 	m := wire.Settle{Key: a.Key, Code: a.Code}
 	if a.Code == "released" {
-		m.Body = []byte(c.mesh.Self())
+		m.Body = []byte(a.Token)
 	} else if b, err := json.Marshal(a.Outcome); err == nil {
 		m.Body = b
 	}
--- a/inquiry/answer.go
+++ b/inquiry/answer.go
@@ -74,8 +74,11 @@
 	if a.Inquiry.Kind != Search && (len(s.Records) != 1 || s.Records[0].ID != a.Inquiry.Record) {
 		return garbage("another record")
 	}
-	for i := 1; i < len(s.Records); i++ {
-		if s.Records[i].ID == s.Records[i-1].ID {
+	for i, rec := range s.Records {
+		if ShardOf(rec.ID, a.Shards) != a.Shard {
+			return garbage("a record of another shard")
+		}
+		if i > 0 && rec.ID == s.Records[i-1].ID {
 			return garbage("a record twice")
 		}
 	}
--- a/inquiry/asks.go
+++ b/inquiry/asks.go
@@ -34,7 +34,7 @@
 	ch.Server.Gauge.Outstanding.Add(1)
 	ch.Server.Gauge.Asked.Add(1)
 	c.state = StAsked
-	c.act(Ask{N: n, ID: c.ID() + "." + itoa(n), Server: ch.Server, Shard: shard, Cut: c.cut, Within: left, Inquiry: &c.in, Again: again})
+	c.act(Ask{N: n, ID: c.ID() + "." + itoa(n), Server: ch.Server, Shard: shard, Shards: len(c.x.Shards), Cut: c.cut, Within: left, Inquiry: &c.in, Again: again})
 }
 
 func itoa(n int) string { return string(rune('a'+n%26)) + string(rune('a'+n/26%26)) }
--- a/inquiry/budget.go
+++ b/inquiry/budget.go
@@ -55,7 +55,8 @@
 func (b *Budget) first(now int64) { b.slot(now).firsts.Add(1) }
 
 // take asks for one repeated try. Extras are summed over eleven seconds and
-// first tries over ten, so that no ten seconds can exceed the allowance.
+// first tries over nine, for a second's slot may lie on either side of any
+// window: so no ten seconds can exceed the allowance.
 func (b *Budget) take(now int64, flat int64) bool {
 	cur := b.slot(now)
 	sec := now / 1_000_000
@@ -63,7 +64,7 @@
 	for i := range b.ring {
 		s := &b.ring[i]
 		age := sec - s.second.Load()
-		if age >= 0 && age < 10 {
+		if age >= 0 && age < 9 {
 			firsts += s.firsts.Load()
 		}
 		if age >= 0 && age <= 10 {
--- a/inquiry/chart.go
+++ b/inquiry/chart.go
@@ -56,6 +56,7 @@
 	acts  []Act
 	trace *Trace
 	keyed bool
+	token string
 }
 
 // NewChart makes the chart of a checked inquiry.
@@ -142,6 +143,10 @@
 		c.refuse(now, GivenUp, "the deadline passed before a server was asked", 1)
 		return
 	}
+	if len(c.x.Shards) == 0 {
+		c.refuse(now, Shed, "the index has no cut yet", 1)
+		return
+	}
 	c.to(now, StLetIn, "")
 	c.pin = c.desk.pin(c.in.Index, c.cut)
 	c.pin.Add(1)
@@ -185,7 +190,7 @@
 		if o.Ran == "no" && o.Code != OK {
 			code = "released"
 		}
-		c.act(Settle{Key: c.in.Key, Code: code, Outcome: o})
+		c.act(Settle{Key: c.in.Key, Code: code, Token: c.token, Outcome: o})
 	}
 	c.desk.Counts.Add("outcome_"+o.Code, 1)
 	c.desk.Traces.put(c.trace, now, o)
--- a/inquiry/events.go
+++ b/inquiry/events.go
@@ -39,7 +39,9 @@
 
 // Verdict on a claim: in, running, done, conflict or short (too few homes know).
 type Verdict struct {
-	Code   string
+	Code string
+	// Token names this one claim, for its release.
+	Token  string
 	Status int
 	Body   []byte
 }
@@ -76,6 +78,7 @@
 	ID      string
 	Server  *table.Server
 	Shard   int
+	Shards  int
 	Cut     string
 	Within  int64
 	Inquiry *Inquiry
@@ -98,6 +101,7 @@
 	Settle struct {
 		Key     string
 		Code    string
+		Token   string
 		Outcome Outcome
 	}
 	// Wake asks for a Due at a moment.
--- a/inquiry/keyed.go
+++ b/inquiry/keyed.go
@@ -13,7 +13,7 @@
 	c.trace.add(now, StLetIn, "claim "+v.Code)
 	switch v.Code {
 	case "in":
-		c.keyed = true
+		c.keyed, c.token = true, v.Token
 		c.letIn(now)
 	case "done":
 		var o Outcome
--- a/lab/backend/spoil.go
+++ b/lab/backend/spoil.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 
 	"wallport/inquiry"
@@ -23,9 +24,15 @@
 		s.Records = slices.Clone(s.Records)
 		slices.Reverse(s.Records)
 	case "otherrecord":
+		// Sealed well, but of another shard or not what was asked for.
 		s.Records = slices.Clone(s.Records)
 		for i := range s.Records {
-			s.Records[i].ID += "x"
+			for n := 0; ; n++ {
+				s.Records[i].ID = fmt.Sprintf("alien-%d-%d", i, n)
+				if inquiry.ShardOf(s.Records[i].ID, 4) != s.Shard {
+					break
+				}
+			}
 		}
 	}
 	b, err := json.Marshal(s)
--- a/lab/sim/callers.go
+++ b/lab/sim/callers.go
@@ -93,7 +93,7 @@
 	}
 	life := p.life
 	w.after(w.net.latency(), func() {
-		if !p.up || p.life != life || p.drains && !p.frozen && w.rnd.IntN(2) == 0 {
+		if !p.up || p.life != life || !p.table.Now().Ready() || p.drains && !p.frozen && w.rnd.IntN(2) == 0 {
 			c.open--
 			w.Judge.Count("callers_refused_connection", 1)
 			if !eager {
@@ -119,7 +119,7 @@
 		w.Judge.Cut(p.name, w.now, planned && !w.killed[p.name])
 		return
 	}
-	w.note(o.ID + " " + in.Kind + " " + o.Code + " " + o.Why)
+	w.note(p.name + " " + o.ID + " " + in.Kind + " " + in.Key + " " + o.Code + " " + o.Why)
 	w.Judge.Count("outcome."+o.Code, 1)
 	w.Judge.Count("outcome."+in.Kind+"."+o.Code, 1)
 	if took := w.now - sent; took > in.Deadline+100_000 {
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -79,7 +79,7 @@
 			f.step(r, inquiry.Claimed{Verdict: ans.(inquiry.Verdict)})
 		})
 	case inquiry.Settle:
-		p.call("claims", claims.Tell{Key: v.Key, Code: v.Code, Outcome: v.Outcome}, nil)
+		p.call("claims", claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Outcome: v.Outcome}, nil)
 	case inquiry.Finish:
 		delete(f.runs, r)
 		f.list = slices.DeleteFunc(f.list, func(o *run) bool { return o == r })
--- a/serve/http.go
+++ b/serve/http.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,7 @@
 	headersMost  = 16 << 10
 	readWithin   = 5 * time.Second
 	idleFor      = 60 * time.Second
+	readyEvery   = 20 * time.Millisecond
 	drainGrace   = 1 * time.Second
 	drainAtMost  = 65 * time.Second
 	callsAtOnce  = 4096
@@ -87,11 +89,13 @@
 	open   atomic.Int64
 	errs   chan error
 	drains atomic.Bool
+	over   chan struct{}
+	mu     sync.Mutex
 }
 
 // Open listens on the process's HTTP addresses. A core has no caller API.
 func Open(p *process.Process) (*Server, error) {
-	s := &Server{p: p, errs: make(chan error, 2)}
+	s := &Server{p: p, errs: make(chan error, 2), over: make(chan struct{})}
 	onErr := func(_ context.Context, _ http.ResponseWriter, err error) {
 		p.Log.Debug("answer_not_written", zap.Error(err))
 	}
@@ -114,13 +118,32 @@
 	h := callersrv.New(caller.NewEndpoints(callerAPI{s.front}), cmux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, shaped)
 	callersrv.Mount(cmux, h)
 	cmux.Handle(http.MethodGet, "/condition", s.condition)
-	if s.caller, err = s.listen(p.Kernel.Boot.Env.Caller, bounded(bodyMost, &s.open, cmux)); err != nil {
-		s.oper.Close()
-		return nil, err
-	}
+	// Until the first table is there nobody listens: a caller that comes too
+	// early finds no one, goes to another node, and is not refused by this one.
+	go s.openCaller(bounded(bodyMost, &s.open, cmux))
 	return s, nil
 }
 
+// openCaller opens the caller API once inquiries can be served.
+func (s *Server) openCaller(h http.Handler) {
+	for !s.front.table.Now().Ready() {
+		select {
+		case <-s.over:
+			return
+		case <-time.After(readyEvery):
+		}
+	}
+	srv, err := s.listen(s.p.Kernel.Boot.Env.Caller, h)
+	if err != nil {
+		s.errs <- err
+		return
+	}
+	s.p.Log.Info("caller_api_open", zap.String("caller", s.p.Kernel.Boot.Env.Caller))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.caller = srv
+}
+
 func (s *Server) listen(addr string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -178,6 +201,9 @@
 // Stop is the planned stop: say so, let others notice, finish what was read.
 func (s *Server) Stop() {
 	s.drains.Store(true)
+	close(s.over)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.p.Post(kernel.Stopping{})
 	s.p.Log.Info("draining", zap.Int64("open", s.open.Load()))
 	if s.caller != nil {
--- a/serve/run.go
+++ b/serve/run.go
@@ -92,7 +92,7 @@
 			case inquiry.Claim:
 				go r.claim(v)
 			case inquiry.Settle:
-				r.f.p.Post(kernel.Call{Plugin: "claims", Ask: claims.Tell{Key: v.Key, Code: v.Code, Outcome: v.Outcome}})
+				r.f.p.Post(kernel.Call{Plugin: "claims", Ask: claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Outcome: v.Outcome}})
 			case inquiry.Finish:
 				return v.Outcome
 			}
--- a/table/checkpoint.go
+++ b/table/checkpoint.go
@@ -85,10 +85,12 @@
 	// Peers counts the live nodes, this one included.
 	Peers   int
 	Servers []*Server
+	// Whole tells that configuration, cuts and the platform's list are all there.
+	Whole bool
 }
 
 // Ready tells whether inquiries can be served from this checkpoint.
-func (c *Checkpoint) Ready() bool { return c != nil && c.Stamp.Term > 0 && len(c.Indexes) > 0 }
+func (c *Checkpoint) Ready() bool { return c != nil && c.Whole }
 
 // Gauge is what this node itself sees of one server; it outlives checkpoints.
 type Gauge struct {
--- a/table/table.go
+++ b/table/table.go
@@ -71,8 +71,11 @@
 		t.After(BuildWithin, "table", "build")
 	case kernel.Thawed, kernel.Stopping:
 		b.build(t)
-	case mesh.Pulse, mesh.Forgotten:
+	case mesh.Pulse:
 		b.dirty = true
+	case mesh.Forgotten:
+		b.dirty = true
+		b.inherit(t, v.Origin)
 	case mesh.Stored:
 		switch v.Entry.Type {
 		case "part":
@@ -148,9 +151,36 @@
 			c.Indexes[s.Index] = b.index(c, s)
 		}
 	}
+	c.Whole = b.whole(c)
 	b.now.Store(c)
 }
 
+// whole tells whether the table may be served from. Once it may, it stays so:
+// what is lost later is judged server by server.
+func (b *Table) whole(c *Checkpoint) bool {
+	if was := b.now.Load(); was != nil && was.Whole {
+		return true
+	}
+	if c.Sheet == nil || len(c.Indexes) == 0 || len(b.listing.Servers) == 0 {
+		return false
+	}
+	for name := range c.Indexes {
+		if _, ok := b.mesh.Part(state.PartOf(name)); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// inherit tells the list again that a forgotten node had told, so that nodes
+// which start later still find it. The first live node by name does so.
+func (b *Table) inherit(t *kernel.Turn, gone string) {
+	live := b.members.Live(t.Now, "node")
+	if gone == b.from && len(live) > 0 && live[0].Origin == b.mesh.Self() {
+		b.mesh.Announce(t, "listing", "platform-list", wire.Encode(&b.listing), false)
+	}
+}
+
 // homes lists the nodes that claims may live at, dead ones for a while too.
 func (b *Table) homes(t *kernel.Turn) []Node {
 	byName := map[string]Node{}
