--- a/diskfile/diskfile.go
+++ b/diskfile/diskfile.go
@@ -41,6 +41,9 @@
 	if len(b) < head+sha256.Size || !bytes.Equal(b[:len(magic)], magic) {
 		return nil, ErrTorn
 	}
+	if b[len(magic)] == 0 {
+		return nil, ErrTorn
+	}
 	if b[len(magic)] > Format {
 		return nil, ErrFuture{b[len(magic)]}
 	}
--- /dev/null
+++ b/env/env_test.go
@@ -0,0 +1,43 @@
+// Findings of an env file: all together, each with its place.
+package env
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func load(t *testing.T, role, text string, e Env) (Env, Findings) {
+	t.Helper()
+	e.File = filepath.Join(t.TempDir(), "env")
+	must.NoError(t, os.WriteFile(e.File, []byte(text), 0o600))
+	if e.LogLevel == "" {
+		e.LogLevel, e.PollsPer = "info", 20
+	}
+	found := Load(&e, role)
+	return e, found
+}
+
+const good = "mesh=10.0.0.1:4001\noperator=10.0.0.1:9001\ncaller=10.0.0.1:8080\nzone=z1\nseed=10.0.0.2:4001\n# a comment\nseed=10.0.0.3:4001\n"
+
+func TestGoodFileAndFlagsWin(t *testing.T) {
+	e, found := load(t, "node", good, Env{Zone: "z9"})
+	must.SliceEmpty(t, found)
+	must.Eq(t, "z9", e.Zone)
+	must.Eq(t, []string{"10.0.0.2:4001", "10.0.0.3:4001"}, e.Seeds)
+	must.Eq(t, "node-10.0.0.1:4001", e.Name)
+}
+
+func TestAllFindingsTogether(t *testing.T) {
+	_, found := load(t, "core", "mesh=nowhere\nzone=z1\nzone=z2\ncolour=red\nnonsense\nseed=a\nseed=b\nseed=c\nseed=d\nplatform=ftp://x\ncaller=1.2.3.4:5\n", Env{})
+	var got []string
+	for _, f := range found {
+		got = append(got, filepath.Base(f.Place))
+	}
+	must.Eq(t, "env:3 env:4 env:5 caller data mesh operator platform seed seed seed seed seed", strings.Join(got, " "))
+	_, found = load(t, "node", "", Env{File: "gone", LogLevel: "loud"})
+	must.Positive(t, len(found))
+}
--- /dev/null
+++ b/inquiry/chart_test.go
@@ -0,0 +1,218 @@
+// The chart's promises where scenarios would need luck to reach them.
+package inquiry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/sheetpb"
+	"wallport/table"
+	"wallport/usage"
+	"wallport/wire"
+)
+
+func checkpoint(perShard, shards int) *table.Checkpoint {
+	svc := &sheetpb.Service{Index: "a", Capacity: 10000, RequiredShare: 75, DeadlineUs: 500_000, MaxDeadlineUs: 1_000_000, HedgeUs: 40_000, RampUs: 1_000_000}
+	x := &table.Index{Name: "a", Cut: wire.LiveCut{Name: "c1", Shards: shards}, Service: svc, Limits: map[string]table.Limit{}, Capacity: 10000}
+	for sh := range shards {
+		var list []*table.Server
+		for i := range perShard {
+			list = append(list, &table.Server{Server: wire.Server{ID: fmt.Sprintf("s%d-%d", sh, i), Zone: fmt.Sprintf("z%d", i%2), Incarnation: 1}, Born: -10_000_000, Gauge: &table.Gauge{}})
+		}
+		x.Shards = append(x.Shards, list)
+	}
+	return &table.Checkpoint{Whole: true, Zone: "z0", Divisor: 1, Peers: 1, Stamp: wire.Stamp{Term: 1, Seq: 1}, Indexes: map[string]*table.Index{"a": x}}
+}
+
+func desk(cp *table.Checkpoint) *Desk {
+	k := kernel.New(kernel.Boot{Env: env.Env{}, Role: "none", Key: kernel.KeyFrom(make([]byte, 32))})
+	return &Desk{Table: func() *table.Checkpoint { return cp }, Usage: &usage.Usage{}, Counts: k.Counts, Traces: newTraces(), Name: "n", Seed: 1, Began: -100_000_000}
+}
+
+func asks(acts []Act) (out []Ask) {
+	for _, a := range acts {
+		if v, ok := a.(Ask); ok {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func outcome(acts []Act) *Outcome {
+	for _, a := range acts {
+		if v, ok := a.(Finish); ok {
+			return &v.Outcome
+		}
+	}
+	return nil
+}
+
+func TestWrittenCorrectionIsNeverSentAgain(t *testing.T) {
+	for _, class := range []string{ReplyFailed, ReplyGarbage} {
+		c := NewChart(desk(checkpoint(3, 2)), Inquiry{Kind: Correct, Index: "a", Record: "r"}, 0)
+		a := asks(c.Step(0, Begin{}))
+		must.Len(t, 1, a)
+		acts := c.Step(1000, Replied{N: a[0].N, Reply: Reply{Class: class, Why: "reset"}})
+		must.SliceEmpty(t, asks(acts))
+		o := outcome(acts)
+		must.NotNil(t, o)
+		must.Eq(t, OutcomeUnknown, o.Code)
+		must.Eq(t, "unknown", o.Ran)
+	}
+}
+
+func TestUnwrittenCorrectionGoesElsewhere(t *testing.T) {
+	d := desk(checkpoint(3, 2))
+	c := NewChart(d, Inquiry{Kind: Correct, Index: "a", Record: "r"}, 0)
+	first := asks(c.Step(0, Begin{}))
+	second := asks(c.Step(1000, Replied{N: 0, Reply: Reply{Class: ReplyNotWritten}}))
+	must.Len(t, 1, second)
+	must.NotEq(t, first[0].Server.ID, second[0].Server.ID)
+	must.True(t, second[0].Again)
+	must.Eq(t, 1, d.Counts.Of("extra_tries").Load())
+}
+
+func TestCorrectionIsNotHedgedAndEndsUnknownAtItsDeadline(t *testing.T) {
+	c := NewChart(desk(checkpoint(3, 2)), Inquiry{Kind: Part, Index: "a", Record: "r", Deadline: 400_000}, 0)
+	c.Step(0, Begin{})
+	acts := c.Step(200_000, Due{})
+	must.SliceEmpty(t, asks(acts))
+	must.Nil(t, outcome(acts))
+	o := outcome(c.Step(399_999, Due{}))
+	must.NotNil(t, o)
+	must.Eq(t, OutcomeUnknown, o.Code)
+}
+
+func TestSearchIsGivenUpAtOnceWhenItCannotReachItsShare(t *testing.T) {
+	c := NewChart(desk(checkpoint(1, 4)), Inquiry{Kind: Search, Index: "a", Limit: 5}, 0)
+	c.Step(0, Begin{})
+	must.Nil(t, outcome(c.Step(1000, Replied{N: 0, Reply: Reply{Class: ReplyFailed}})), must.Sprint("three of four are still enough"))
+	o := outcome(c.Step(2000, Replied{N: 1, Reply: Reply{Class: ReplyFailed}}))
+	must.NotNil(t, o, must.Sprint("two of four never are: no waiting for the deadline"))
+	must.Eq(t, GivenUp, o.Code)
+	must.Positive(t, o.Retry)
+}
+
+func TestPartialSearchNamesItsMissingShards(t *testing.T) {
+	cp := checkpoint(1, 4)
+	c := NewChart(desk(cp), Inquiry{Kind: Search, Index: "a", Limit: 3}, 0)
+	a := asks(c.Step(0, Begin{}))
+	var acts []Act
+	for i, v := range a {
+		r := Reply{Class: ReplyOK, Records: []Record{{ID: fmt.Sprint("x", v.Shard), Score: int64(10 + v.Shard)}}}
+		if i == 1 {
+			r = Reply{Class: ReplyFailed}
+		}
+		acts = c.Step(1000, Replied{N: v.N, Reply: r})
+	}
+	o := outcome(acts)
+	must.NotNil(t, o)
+	must.Eq(t, []int{a[1].Shard}, o.Missing)
+	must.Eq(t, []string{"x3", "x2", "x0"}, []string{o.Records[0].ID, o.Records[1].ID, o.Records[2].ID})
+}
+
+func TestLeavingAndEmptiedAreNeverPickedEvenInPanic(t *testing.T) {
+	cp := checkpoint(3, 1)
+	list := cp.Indexes["a"].Shards[0]
+	list[0].Verdict, list[1].Verdict, list[2].Verdict = table.Leaving, table.Emptied, table.Lost
+	r := rnd(1)
+	for range 50 {
+		c, ok := pick(cp, cp.Indexes["a"], list, nil, 0, &r)
+		must.True(t, ok)
+		must.Eq(t, list[2].ID, c.Server.ID, must.Sprint("the least bad"))
+	}
+	_, ok := pick(cp, cp.Indexes["a"], list, []string{list[2].ID}, 0, &r)
+	must.False(t, ok)
+}
+
+func TestColdServerIsDrawnAsItsRampAllows(t *testing.T) {
+	cp := checkpoint(10, 1)
+	list := cp.Indexes["a"].Shards[0]
+	list[0].Born = 0
+	r := rnd(7)
+	for _, at := range []int64{0, 250_000, 500_000} {
+		n := 0
+		for range 20000 {
+			if c, _ := pick(cp, cp.Indexes["a"], list, nil, at, &r); c.Server == list[0] {
+				n++
+			}
+		}
+		fair := 20000 * max(100, at*1000/1_000_000) / 1000 / 10
+		must.Less(t, int(fair)*3/2, n, must.Sprintf("at %d", at))
+	}
+}
+
+func TestWhollyColdShardIsServedAtOnce(t *testing.T) {
+	cp := checkpoint(4, 1)
+	for _, s := range cp.Indexes["a"].Shards[0] {
+		s.Born = 0
+	}
+	r := rnd(7)
+	seen := map[string]int{}
+	for range 4000 {
+		c, ok := pick(cp, cp.Indexes["a"], cp.Indexes["a"].Shards[0], nil, 0, &r)
+		must.True(t, ok)
+		seen[c.Server.ID]++
+	}
+	for id, n := range seen {
+		must.Greater(t, 500, n, must.Sprint(id))
+	}
+}
+
+func TestBudgetNeverExceedsAnyTenSeconds(t *testing.T) {
+	for offset := int64(0); offset < 1_000_000; offset += 170_000 {
+		b := &Budget{}
+		extras, firsts := map[int64]int64{}, map[int64]int64{}
+		for now := offset; now < 60_000_000; now += 10_000 {
+			b.first(now)
+			firsts[now/1_000_000]++
+			for range 2 {
+				if b.take(now, 6) {
+					extras[now/1_000_000]++
+				}
+			}
+		}
+		for s := int64(0); s < 50; s++ {
+			var e, f int64
+			for i := s; i < s+10; i++ {
+				e += extras[i]
+				f += firsts[i]
+			}
+			must.LessEq(t, f/5+6, e)
+			if s > 20 {
+				must.Greater(t, f/8, e, must.Sprint("and the allowance can be used"))
+			}
+		}
+	}
+}
+
+func TestExplainTellsEveryCandidate(t *testing.T) {
+	cp := checkpoint(3, 2)
+	cp.Indexes["a"].Shards[0][1].Verdict = table.Lost
+	d := desk(cp)
+	c := NewChart(d, Inquiry{Kind: Search, Index: "a", Limit: 3}, 0)
+	for _, v := range asks(c.Step(0, Begin{})) {
+		c.Step(1000, Replied{N: v.N, Reply: Reply{Class: ReplyOK}})
+	}
+	tr, ok := d.Traces.Get(c.ID())
+	must.True(t, ok)
+	e := Explain(tr, func(*table.Checkpoint) string { return "1.1" })
+	must.Len(t, 6, e.Candidates)
+	picked := 0
+	for _, k := range e.Candidates {
+		must.NotEq(t, "", k.Why)
+		if k.Why == "picked" {
+			picked++
+		}
+		if k.Server == "s0-1" {
+			must.Eq(t, "condition is lost", k.Why)
+		}
+	}
+	must.Eq(t, 2, picked)
+	_, ok = d.Traces.Get("n-ffff")
+	must.False(t, ok)
+}
--- a/lab/sim/network.go
+++ b/lab/sim/network.go
@@ -4,6 +4,7 @@
 
 import (
 	"wallport/kernel"
+	"wallport/wire"
 )
 
 type side struct {
@@ -134,7 +135,7 @@
 }
 
 func (n *network) arrive(l *link, i int, data []byte, since int64) {
-	if l.dead {
+	if l.dead || n.muted(l, data) {
 		return
 	}
 	from, to := l.sides[i], l.sides[1-i]
@@ -160,6 +161,13 @@
 	})
 }
 
+// muted drops the frames of a whole way by which sheets travel, from a moment on.
+func (n *network) muted(l *link, data []byte) bool {
+	off := func(name string) bool { at := n.w.Script.Int(name, 0); return at > 0 && n.w.now >= at }
+	f, err := wire.Open(data)
+	return err == nil && (l.mesh && off("mesh_off_us") || f.Kind == wire.KindPullReply && off("pulls_off_us"))
+}
+
 func (n *network) breakLink(l *link) {
 	if l.dead {
 		return
--- a/lab/sim/operators.go
+++ b/lab/sim/operators.go
@@ -1,6 +1,6 @@
 // Simulated operators: whole sheets and row edits, single, racing, in storms,
 // refused ones and retries; zones and cuts. Each sheet carries a mark of its
-// own in the pool's capacity, by which it is known again wherever it is seen.
+// own in the longest deadline, by which it is known again wherever it is seen.
 package sim
 
 import (
@@ -13,7 +13,7 @@
 	"wallport/wire"
 )
 
-const markBase = 1_000_000
+const markBase = 10_000_000
 
 type operators struct {
 	w    *World
@@ -43,7 +43,9 @@
 	if json.Unmarshal(o.w.Shape.Sheet(), &s) != nil {
 		return nil
 	}
-	s["services"].([]any)[0].(map[string]any)["capacity"] = mark
+	row := s["services"].([]any)[0].(map[string]any)
+	row["max_deadline_us"] = mark
+	row["capacity"] = o.w.Script.Int("capacity", 2000)
 	b, _ := json.Marshal(s)
 	return b
 }
@@ -79,7 +81,7 @@
 	e := wire.Edit{Op: "put", Strict: true, Base: base, Body: o.sheet(mark), EditID: fmt.Sprintf("edit-%d", mark)}
 	switch kind {
 	case "invalid":
-		e.Body = []byte(fmt.Sprintf(`{"services":[{"index":"%s","capacity":%d}],"rows":[{"index":"x","share":-1}]}`, w.Shape.Index, mark))
+		e.Body = []byte(fmt.Sprintf(`{"services":[{"index":"%s","max_deadline_us":%d}],"rows":[{"index":"x","share":-1}]}`, w.Shape.Index, mark))
 	case "rows":
 		e.Op = "rows"
 		var s struct{ Services []json.RawMessage }
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -166,7 +166,7 @@
 		since := w.reachableSince(p)
 		mark := int64(0)
 		if cp.Sheet != nil && len(cp.Sheet.Services) > 0 {
-			mark = cp.Sheet.Services[0].Capacity
+			mark = cp.Sheet.Services[0].MaxDeadlineUs
 		}
 		w.Judge.InForce(name, cp.Config.SheetAt, mark, w.now, since)
 	}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,215 @@
+// What the mesh does with bad input: dropped, counted, never the end of the process.
+package mesh
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+func key(b byte) kernel.Key {
+	seed := make([]byte, 32)
+	seed[0] = b
+	return kernel.KeyFrom(seed)
+}
+
+// rig is one mesh with one peer channel, number 7.
+type rig struct {
+	k   *kernel.Kernel
+	m   *Mesh
+	now int64
+}
+
+func newRig(t testing.TB) *rig {
+	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1"}, Role: "node", Seed: 1, Key: key(1)})
+	r := &rig{k: k, m: kernel.Find[*Mesh](k), now: 1_000_000}
+	r.feed(kernel.Start{})
+	r.feed(kernel.ChannelUp{Chan: 7, Addr: "10.0.0.2:1", Peer: kernel.Fingerprint(key(2).Public), Mesh: true})
+	return r
+}
+
+func (r *rig) feed(in kernel.Input) kernel.Out { return r.k.Step(r.now, r.now, in) }
+
+func (r *rig) gossip(e *wire.Entry) kernel.Out {
+	return r.feed(kernel.Received{Chan: 7, Data: wire.Seal(wire.KindGossip, 0, e)})
+}
+
+func entry(k kernel.Key, typ, id string, count uint64) *wire.Entry {
+	e := &wire.Entry{Type: typ, ID: id, Origin: k.Public, Count: count, At: int64(count), Body: []byte("x")}
+	sign(e, k)
+	return e
+}
+
+func (r *rig) count(name string) int64 { return r.k.Counts.Of(name).Load() }
+
+func (r *rig) holds(typ string) (n int) {
+	r.m.Each(typ, func(*wire.Entry, string) { n++ })
+	return n
+}
+
+func TestGoodEntryIsStoredAndForwarded(t *testing.T) {
+	r := newRig(t)
+	r.feed(kernel.ChannelUp{Chan: 8, Addr: "10.0.0.3:1", Peer: kernel.Fingerprint(key(3).Public), Mesh: true})
+	out := r.gossip(entry(key(2), "opinion", "s1", 1))
+	must.Eq(t, 1, r.holds("opinion"))
+	must.Len(t, 1, out.Sends)
+	must.Eq(t, uint64(8), out.Sends[0].Chan, must.Sprint("forwarded to all but the sender"))
+}
+
+func TestBadEntriesAreDroppedAndCounted(t *testing.T) {
+	cases := map[string]struct {
+		spoil func(r *rig) *wire.Entry
+		count string
+	}{
+		"bad signature": {func(*rig) *wire.Entry {
+			e := entry(key(2), "opinion", "s1", 1)
+			e.Body = []byte("y")
+			return e
+		}, "mesh_dropped_signature"},
+		"no origin": {func(*rig) *wire.Entry { return &wire.Entry{Type: "opinion", ID: "s1"} }, "mesh_dropped_signature"},
+		"a member under another's id": {func(*rig) *wire.Entry {
+			return entry(key(2), "member", kernel.Fingerprint(key(3).Public), 1)
+		}, "mesh_dropped_origin"},
+		"in this process's own name": {func(*rig) *wire.Entry { return entry(key(1), "opinion", "s1", 9) }, "mesh_dropped_origin"},
+		"hop bound": {func(*rig) *wire.Entry {
+			e := entry(key(2), "opinion", "s1", 1)
+			e.Hops = MaxHops
+			return e
+		}, "mesh_dropped_hops"},
+		"replay": {func(r *rig) *wire.Entry {
+			e := entry(key(2), "opinion", "s1", 5)
+			r.gossip(e)
+			return e
+		}, "mesh_dropped_seen"},
+		"an older one of the same id": {func(r *rig) *wire.Entry {
+			r.gossip(entry(key(2), "opinion", "s1", 5))
+			return entry(key(2), "opinion", "s1", 4)
+		}, "mesh_dropped_old"},
+		"an older stamp of a part, from any origin": {func(r *rig) *wire.Entry {
+			for _, seq := range []uint64{5, 4} {
+				e := &wire.Entry{Type: "part", Origin: key(byte(seq)).Public, Stamp: wire.Stamp{Term: 2, Seq: seq}}
+				sign(e, key(byte(seq)))
+				if seq == 4 {
+					return e
+				}
+				r.gossip(e)
+			}
+			return nil
+		}, "mesh_dropped_old"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			e := c.spoil(r)
+			before := r.holds("opinion")
+			out := r.gossip(e)
+			must.Eq(t, 1, r.count(c.count))
+			must.Eq(t, before, r.holds("opinion"))
+			must.SliceEmpty(t, out.Sends, must.Sprint("not forwarded"))
+		})
+	}
+}
+
+func TestMalformedFramesEndTheChannelOnly(t *testing.T) {
+	good := wire.Seal(wire.KindGossip, 0, entry(key(2), "opinion", "s1", 1))
+	for name, data := range map[string][]byte{
+		"empty": {}, "future format": append([]byte{wire.Format + 1}, good[1:]...),
+		"truncated": good[:len(good)-40], "garbage": append(good[:10:10], 0xff, 0x00, 0xc1), "oversize": make([]byte, wire.MaxFrame+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			out := r.feed(kernel.Received{Chan: 7, Data: data})
+			must.Eq(t, []uint64{7}, out.Drops)
+			must.Eq(t, 1, r.count("frames_malformed")+r.count("mesh_dropped_malformed"))
+			must.Eq(t, 0, r.holds("opinion"))
+		})
+	}
+}
+
+func TestFloodOfOneOriginIsLimitedAndCaughtUpLater(t *testing.T) {
+	r := newRig(t)
+	for n := uint64(1); n <= OriginBurst+50; n++ {
+		r.gossip(entry(key(2), "opinion", string(rune('a'+n)), n))
+	}
+	must.Eq(t, OriginBurst, r.holds("opinion"))
+	must.Eq(t, 50, r.count("mesh_dropped_rate"))
+	r.now += 10_000_000
+	for n := uint64(OriginBurst + 1); n <= OriginBurst+50; n++ {
+		r.gossip(entry(key(2), "opinion", string(rune('a'+n)), n))
+	}
+	must.Eq(t, OriginBurst+50, r.holds("opinion"), must.Sprint("what was dropped is taken when it is sent again"))
+}
+
+func TestCatchUpSendsWhatIsMissing(t *testing.T) {
+	r := newRig(t)
+	for n := uint64(1); n <= 3; n++ {
+		r.gossip(entry(key(3), "opinion", string(rune('a'+n)), n))
+	}
+	fp := kernel.Fingerprint(key(3).Public)
+	mark := func(max, sum uint64) int {
+		out := r.feed(kernel.Received{Chan: 7, Data: wire.Seal(wire.KindHeartbeat, 0, &wire.Heartbeat{Marks: []wire.Mark{{Origin: fp, Max: max, Sum: sum, Beat: 1}}})})
+		return len(out.Sends)
+	}
+	o := r.m.store.origins[fp]
+	must.Eq(t, 0, mark(3, o.sum), must.Sprint("same sum, nothing to send"))
+	must.Eq(t, 1, mark(2, o.sum+1), must.Sprint("what is past the counter"))
+	must.Eq(t, 3, mark(3, o.sum+1), must.Sprint("a hole below the counter: all"))
+	must.Eq(t, 0, mark(9, 0), must.Sprint("the other side is ahead"))
+}
+
+func TestBuriedOriginDoesNotComeBackFromAStaleHolder(t *testing.T) {
+	r := newRig(t)
+	fp := kernel.Fingerprint(key(3).Public)
+	beat := func(n uint64) {
+		r.feed(kernel.Received{Chan: 7, Data: wire.Seal(wire.KindHeartbeat, 0, &wire.Heartbeat{Marks: []wire.Mark{{Origin: fp, Beat: n}}})})
+	}
+	beat(5)
+	r.gossip(entry(key(3), "opinion", "s1", 1))
+	must.True(t, r.m.Live(fp, r.now))
+	r.now += ForgetAfter + 1
+	r.m.peers[7].lastSeen = r.now
+	r.feed(kernel.Tick{Plugin: "mesh", Key: "beat"})
+	must.Eq(t, 0, r.holds("opinion"))
+	beat(5)
+	r.gossip(entry(key(3), "opinion", "s1", 2))
+	must.Eq(t, 0, r.holds("opinion"))
+	must.False(t, r.m.Live(fp, r.now))
+	beat(6)
+	r.gossip(entry(key(3), "opinion", "s1", 3))
+	must.Eq(t, 1, r.holds("opinion"), must.Sprint("a fresh beat is a live origin"))
+}
+
+func TestPeerCapEvictsTheOldestSeen(t *testing.T) {
+	r := newRig(t)
+	for i := range PeerCap {
+		r.now += 1000
+		r.feed(kernel.ChannelUp{Chan: uint64(100 + i), Addr: "x", Peer: kernel.Fingerprint(key(byte(10 + i)).Public), Mesh: true})
+	}
+	must.Eq(t, PeerCap, r.m.Peers())
+	must.Eq(t, 1, r.count("mesh_peers_evicted"))
+	must.MapNotContainsKey(t, r.m.peers, uint64(7))
+}
+
+func TestSelfAndDuplicateChannels(t *testing.T) {
+	r := newRig(t)
+	out := r.feed(kernel.ChannelUp{Chan: 9, Addr: "self", Peer: r.m.self, Dialed: true, Mesh: true})
+	must.Eq(t, []uint64{9}, out.Drops)
+	out = r.feed(kernel.ChannelUp{Chan: 10, Addr: "10.0.0.2:1", Peer: kernel.Fingerprint(key(2).Public), Dialed: true, Mesh: true})
+	must.Len(t, 1, out.Drops, must.Sprint("of two channels of a pair one goes"))
+	must.Eq(t, 1, r.m.Peers())
+}
+
+func FuzzReceived(f *testing.F) {
+	f.Add(wire.Seal(wire.KindGossip, 0, entry(key(2), "opinion", "s1", 1)))
+	f.Add(wire.Seal(wire.KindHeartbeat, 0, &wire.Heartbeat{Addrs: []string{"a"}, Marks: []wire.Mark{{Origin: "o", Max: 1, Beat: 2}}}))
+	f.Add([]byte{1, 3, 0, 0, 0, 0, 0, 0, 0, 0, 0xdf, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := newRig(t)
+		r.feed(kernel.Received{Chan: 7, Data: data})
+		must.LessEq(t, 1, r.holds("opinion"))
+	})
+}
--- /dev/null
+++ b/part/quorum_test.go
@@ -0,0 +1,30 @@
+// Quorums across a change of seats.
+package part
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/wire"
+)
+
+func seats(ids ...string) (out []wire.Seat) {
+	for _, id := range ids {
+		out = append(out, wire.Seat{ID: id})
+	}
+	return out
+}
+
+func TestChangeOfSeatsNeedsBothMajorities(t *testing.T) {
+	v := wire.Version{Seats: seats("a", "b", "d"), Prev: seats("a", "b", "c")}
+	of := func(ids ...string) func(string) bool {
+		return func(id string) bool { return has(seats(ids...), id) }
+	}
+	must.True(t, quorum(v, of("a", "b")))
+	must.True(t, quorum(v, of("a", "c", "d")))
+	must.False(t, quorum(v, of("b", "d")), must.Sprint("a majority of the new seats alone"))
+	must.False(t, quorum(v, of("a", "c")), must.Sprint("a majority of the old seats alone"))
+	must.False(t, quorum(wire.Version{}, of("a")), must.Sprint("no seats, no quorum"))
+	must.Len(t, 4, binds(v))
+}
--- a/pulls/pulls.go
+++ b/pulls/pulls.go
@@ -4,6 +4,8 @@
 package pulls
 
 import (
+	"slices"
+
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
@@ -20,11 +22,19 @@
 	members *members.Members
 	owners  [state.Parts]wire.Owner
 	turn    int
+	known   []string
+	liveAt  map[string]int64
 }
 
+// Bounds of the addresses of cores kept beyond the mesh's own memory.
+const (
+	knownMost = 16
+	keepFor   = 20_000_000
+)
+
 func init() {
 	kernel.Register(kernel.Registration{Rank: 40, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Pulls{mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k)}
+		return &Pulls{mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), liveAt: map[string]int64{}}
 	}})
 }
 
@@ -81,10 +91,30 @@
 
 func (p *Pulls) pull(t *kernel.Turn) {
 	req := wire.Pull{Have: p.stamps()}
-	cores := p.members.Live(t.Now, "core")
+	cores := p.cores(t.Now)
 	if len(cores) == 0 {
 		return
 	}
 	p.turn++
-	t.SendTo(cores[p.turn%len(cores)].Addr, wire.KindPull, 0, &req)
+	t.SendTo(cores[p.turn%len(cores)], wire.KindPull, 0, &req)
+}
+
+// cores are those that were live of late. Where the mesh itself is cut they
+// fade from it one by one, so the last known ones are kept while none is live.
+func (p *Pulls) cores(now int64) []string {
+	live := p.members.Live(now, "core")
+	for _, r := range live {
+		if _, ok := p.liveAt[r.Addr]; !ok {
+			p.known = append(p.known, r.Addr)
+		}
+		p.liveAt[r.Addr] = now
+	}
+	p.known = slices.DeleteFunc(p.known, func(a string) bool {
+		old := len(live) > 0 && now-p.liveAt[a] > keepFor || len(p.known) > knownMost
+		if old {
+			delete(p.liveAt, a)
+		}
+		return old
+	})
+	return p.known
 }
--- /dev/null
+++ b/serve/ask_test.go
@@ -0,0 +1,72 @@
+// The transport's promise: a correction that was written once is not written
+// again by net/http itself, and "not written" is only said when it is certain.
+package serve
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/inquiry"
+	"wallport/table"
+	"wallport/wire"
+)
+
+func correction(addr string) *inquiry.Ask {
+	return &inquiry.Ask{
+		ID: "n-1.aa", Server: &table.Server{Server: wire.Server{Addr: addr}}, Shards: 1, Cut: "c1", Within: 1_000_000,
+		Inquiry: &inquiry.Inquiry{Kind: inquiry.Correct, Index: "a", Record: "r", Key: "k", Body: "b"},
+	}
+}
+
+// TestNoTransparentRetry makes the case in which net/http retries by itself: a
+// kept connection that the server closes after it has read the next message.
+func TestNoTransparentRetry(t *testing.T) {
+	var ran atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.ReadAll(r.Body)
+		if ran.Add(1) == 1 {
+			w.Write([]byte("{}"))
+			return
+		}
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			c.Close()
+		}
+	}))
+	defer srv.Close()
+	a := newAsker()
+	addr := srv.Listener.Addr().String()
+	must.Eq(t, inquiry.ReplyGarbage, a.ask(context.Background(), correction(addr)).Class)
+	must.Eq(t, inquiry.ReplyFailed, a.ask(context.Background(), correction(addr)).Class)
+	must.Eq(t, 2, ran.Load(), must.Sprint("the second was written exactly once"))
+}
+
+func TestNotWrittenOnlyWithoutAConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	addr := l.Addr().String()
+	must.NoError(t, l.Close())
+	must.Eq(t, inquiry.ReplyNotWritten, newAsker().ask(context.Background(), correction(addr)).Class)
+}
+
+func TestCancelledAfterWritingIsNotCalledUnwritten(t *testing.T) {
+	got := make(chan struct{})
+	hold := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		io.ReadAll(r.Body)
+		close(got)
+		<-hold
+	}))
+	defer srv.Close()
+	defer close(hold)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-got; cancel() }()
+	must.Eq(t, inquiry.ReplyFailed, newAsker().ask(ctx, correction(srv.Listener.Addr().String())).Class)
+}
--- /dev/null
+++ b/sheet/sheet_test.go
@@ -0,0 +1,114 @@
+// Findings: every fault with its place, all of them together.
+package sheet
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/sheetpb"
+	"wallport/wire"
+)
+
+const good = `{
+ "services":[{"index":"a","capacity":100,"required_share":75,"deadline_us":"500000","max_deadline_us":1000000,"hedge_us":40000,"ramp_us":1000000}],
+ "rows":[{"index":"a","kind":"search","share":70},{"index":"a","kind":"read","share":30,"ceiling":50}],
+ "bookings":[{"id":"b1","index":"a","kind":"search","slice":60,"starts_us":100,"ends_us":200}]}`
+
+func places(f []wire.Finding) string {
+	var out []string
+	for _, v := range f {
+		out = append(out, v.Place)
+	}
+	return strings.Join(out, " ")
+}
+
+func TestGoodSheetHasNoFindings(t *testing.T) {
+	s, found := Read([]byte(good))
+	must.SliceEmpty(t, found)
+	must.SliceEmpty(t, Check(s))
+	again, found := Read(JSON(s))
+	must.SliceEmpty(t, found)
+	must.Eq(t, s.String(), again.String())
+}
+
+func TestReadFindsAllFaultsAtOnce(t *testing.T) {
+	cases := map[string]string{
+		`[]`:                                   "sheet",
+		`{"services":1}`:                       "services",
+		`{"servces":[]}`:                       "servces",
+		`{"rows":[{"share":"x"},{"k":1}]}`:     "rows[0].share rows[1].k",
+		`{"rows":[{"index":"a","index":"b"}]}`: "rows[0].index",
+		`{"rows":[3],"bookings":[{"id":{}}]}`:  "rows[0] bookings[0].id",
+		`{"rows":[]} x`:                        "sheet",
+		`{"rows":[`:                            "sheet",
+		``:                                     "sheet",
+	}
+	for text, want := range cases {
+		_, found := Read([]byte(text))
+		must.Eq(t, want, places(found), must.Sprint(text))
+	}
+}
+
+func TestCheckFindsAllFaultsAtOnce(t *testing.T) {
+	cases := []struct{ from, to, want string }{
+		{`"share":70`, `"share":60`, "services[0].index"},
+		{`"ceiling":50`, `"ceiling":-1`, "rows[1].ceiling"},
+		{`"kind":"read"`, `"kind":"search"`, "rows[1] services[0].index"},
+		{`"kind":"read"`, `"kind":"write"`, "rows[1].kind"},
+		{`"ends_us":200`, `"ends_us":100`, "bookings[0].ends_us"},
+		{`"slice":60`, `"slice":0`, "bookings[0].slice"},
+		{`"required_share":75`, `"required_share":101`, "services[0].required_share"},
+		{`"max_deadline_us":1000000`, `"max_deadline_us":1000`, "services[0].max_deadline_us"},
+		{`"capacity":100`, `"capacity":-5`, "services[0].capacity"},
+		{`"hedge_us":40000`, `"hedge_us":0`, "services[0].hedge_us"},
+		{`"ramp_us":1000000`, `"ramp_us":-1`, "services[0].ramp_us"},
+		{`{"index":"a","kind":"search","share":70}`, `{"index":"z","kind":"search","share":70}`, "rows[0].index services[0].index"},
+		{`"bookings":[`, `"bookings":[{"id":"b1","index":"a","kind":"read","slice":50,"starts_us":150,"ends_us":300},`, "bookings[1].id bookings[0].slice"},
+		{`"bookings":[`, `"bookings":[{"id":"b0","index":"a","kind":"read","slice":40,"starts_us":150,"ends_us":300},`, ""},
+		{`"bookings":[`, `"bookings":[{"id":"b0","index":"a","kind":"read","slice":90,"starts_us":200,"ends_us":300},`, ""},
+	}
+	for _, c := range cases {
+		must.StrContains(t, good, c.from)
+		s, found := Read([]byte(strings.Replace(good, c.from, c.to, 1)))
+		must.SliceEmpty(t, found)
+		must.Eq(t, c.want, places(Check(s)), must.Sprint(c.to))
+	}
+}
+
+func TestApplyIsAllOrNothing(t *testing.T) {
+	s, _ := Read([]byte(good))
+	before := s.String()
+	out, found := Apply(s, []byte(`[{"op":"set","table":"rows","row":{"index":"a","kind":"read","share":20}},
+		{"op":"set","table":"rows","row":{"index":"a","kind":"part","share":10}},
+		{"op":"remove","table":"bookings","row":{"id":"b1"}}]`))
+	must.SliceEmpty(t, found)
+	must.SliceEmpty(t, Check(out))
+	must.Eq(t, 3, len(out.Rows))
+	must.Eq(t, 0, len(out.Bookings))
+	must.Eq(t, before, s.String(), must.Sprint("the sheet it was based on is as it was"))
+	_, found = Apply(s, []byte(`[{"op":"set","table":"rows","row":{"index":"a","kind":"read","share":20}},
+		{"op":"remove","table":"bookings","row":{"id":"nope"}},{"op":"paint","table":"rows","row":{}},{"op":"set","table":"rows","row":{"q":1}}]`))
+	must.Eq(t, "edits[1].row edits[2] edits[3].row.q", places(found))
+	_, found = Apply(new(sheetpb.Sheet), []byte(`{}`))
+	must.Eq(t, "edits", places(found))
+}
+
+func TestStampText(t *testing.T) {
+	s, ok := ParseStamp(0, `"3.14"`)
+	must.True(t, ok)
+	must.Eq(t, wire.Stamp{Term: 3, Seq: 14}, s)
+	must.Eq(t, "3.14", StampText(s))
+	_, ok = ParseStamp(0, "x")
+	must.False(t, ok)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if s, found := Read(b); len(found) == 0 {
+			Check(s)
+		}
+	})
+}
--- /dev/null
+++ b/tools/mutate/main.go
@@ -0,0 +1,105 @@
+// Command mutate proves that the checkers can fail: it takes one guard at a
+// time out of a copy of the tree and runs the scenario that must notice. The
+// list is a text file; each entry names the guard, the file, the code, what it
+// becomes, the scenario, and the point that must be violated.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+type mutant struct{ guard, file, old, new, scenario, point string }
+
+func main() {
+	list := "tools/mutate/mutants.txt"
+	seeds := "6"
+	b, err := os.ReadFile(list)
+	if err != nil {
+		fail(err)
+	}
+	var all []mutant
+	for i, block := range strings.Split(strings.TrimSpace(string(b)), "\n\n") {
+		m := mutant{}
+		for _, line := range strings.Split(block, "\n") {
+			k, v, _ := strings.Cut(line, ": ")
+			switch k {
+			case "guard":
+				m.guard = v
+			case "file":
+				m.file = v
+			case "old":
+				m.old = v
+			case "new":
+				m.new = v
+			case "scenario":
+				m.scenario = v
+			case "point":
+				m.point = v
+			default:
+				fail(fmt.Errorf("%s: entry %d: no such line: %s", list, i+1, line))
+			}
+		}
+		all = append(all, m)
+	}
+	survived := 0
+	for _, m := range all {
+		if len(os.Args) > 1 && !strings.Contains(m.guard, os.Args[1]) {
+			continue
+		}
+		saw, err := try(m, seeds)
+		switch {
+		case err != nil:
+			survived++
+			fmt.Printf("BROKEN   %-55s %v\n", m.guard, err)
+		case saw:
+			fmt.Printf("caught   %-55s %s by %s\n", m.guard, m.point, m.scenario)
+		default:
+			survived++
+			fmt.Printf("SURVIVED %-55s %s by %s\n", m.guard, m.point, m.scenario)
+		}
+	}
+	if survived > 0 {
+		os.Exit(1)
+	}
+}
+
+// try builds the mutant in a copy of the tree and looks for the violation.
+func try(m mutant, seeds string) (bool, error) {
+	dir, err := os.MkdirTemp("", "wallport-mutant-")
+	if err != nil {
+		return false, err
+	}
+	defer os.RemoveAll(dir)
+	if out, err := exec.Command("cp", "-r", ".", dir).CombinedOutput(); err != nil {
+		return false, fmt.Errorf("%v: %s", err, out)
+	}
+	path := filepath.Join(dir, m.file)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return false, err
+	}
+	if n := strings.Count(string(b), m.old); n != 1 {
+		return false, fmt.Errorf("%s has the code %d times", m.file, n)
+	}
+	if err := os.WriteFile(path, []byte(strings.Replace(string(b), m.old, m.new, 1)), 0o600); err != nil {
+		return false, err
+	}
+	build := exec.Command("go", "build", "-o", filepath.Join(dir, "lab-mutant"), "./cmd/lab")
+	build.Dir = dir
+	if out, err := build.CombinedOutput(); err != nil {
+		return false, fmt.Errorf("does not build: %s", out)
+	}
+	run := exec.Command("./lab-mutant", "sim", "--seeds", seeds, "scenarios/"+m.scenario)
+	run.Dir = dir
+	out, _ := run.CombinedOutput()
+	return strings.Contains(string(out), "   "+m.point), nil
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
