--- a/cmd/wallport/admin.go
+++ b/cmd/wallport/admin.go
@@ -25,7 +25,7 @@
 
 func (r remote) client() *operator.Client {
 	c := client.NewClient("http", r.Addr, &http.Client{Timeout: 15 * time.Second}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
-	return operator.NewClient(c.Sheet(), c.PutSheet(), c.CheckSheet(), c.EditSheet(), c.Zone(), c.Cut(), c.Members(), c.Servers(), c.Explain())
+	return operator.NewClient(c.Sheet(), c.PutSheet(), c.CheckSheet(), c.History(), c.ReturnSheet(), c.EditSheet(), c.Zone(), c.Cut(), c.Members(), c.Servers(), c.Explain())
 }
 
 func (r remote) token() *string {
@@ -107,6 +107,9 @@
 	Check sheetCheck `command:"check" description:"check a sheet file without changing anything"`
 	Put   sheetPut   `command:"put" description:"put a whole sheet"`
 	Edit  sheetEdit  `command:"edit" description:"set or remove single rows"`
+	Diff  sheetDiff  `command:"diff" description:"what a sheet file would change"`
+	Past  sheetPast  `command:"history" description:"list the sheets that were in force"`
+	Back  sheetBack  `command:"return" description:"put an earlier sheet in force again, under a new stamp"`
 }
 
 type editing struct {
--- a/design/operator.go
+++ b/design/operator.go
@@ -18,6 +18,14 @@
 	Required("stamp", "sheet")
 })
 
+// PastSheet is an earlier sheet.
+var PastSheet = Type("PastSheet", func() {
+	Attribute("stamp", String)
+	Attribute("by", String)
+	Attribute("sheet", Any)
+	Required("stamp", "by", "sheet")
+})
+
 // Status is a node's or core's own view.
 var Status = Type("Status", func() {
 	Attribute("name", String)
@@ -104,6 +112,26 @@
 			Body("sheet")
 		})
 	})
+	Method("history", func() {
+		Payload(func() { Attribute("token", String) })
+		Result(ArrayOf(PastSheet))
+		HTTP(func() {
+			GET("/v1/sheet/history")
+			Header("token:Authorization")
+		})
+	})
+	Method("return_sheet", func() {
+		Payload(func() {
+			change()
+			Attribute("stamp", String, "Stamp of the earlier sheet")
+			Required("stamp")
+		})
+		Result(Taken)
+		HTTP(func() {
+			POST("/v1/sheet/return/{stamp}")
+			changeHeaders()
+		})
+	})
 	Method("edit_sheet", func() {
 		Payload(func() {
 			change()
--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -25,7 +25,7 @@
 	{
 		err = json.Unmarshal([]byte(callerSearchBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 27675576,\n      \"limit\": 520,\n      \"query\": \"5y7\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 35641901,\n      \"limit\": 433,\n      \"query\": \"7jc\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Query) > 4096 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.query", body.Query, utf8.RuneCountInString(body.Query), 4096, false))
@@ -161,7 +161,7 @@
 	{
 		err = json.Unmarshal([]byte(callerCorrectBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"08l\",\n      \"deadline_us\": 31252502\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"qjy\",\n      \"deadline_us\": 28118926\n   }'")
 		}
 		if body.DeadlineUs != nil {
 			if *body.DeadlineUs < 1000 {
@@ -231,7 +231,7 @@
 	{
 		err = json.Unmarshal([]byte(callerPartBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 21805593\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 20421757\n   }'")
 		}
 		if body.DeadlineUs != nil {
 			if *body.DeadlineUs < 1000 {
--- a/gen/http/cli/wallport/cli.go
+++ b/gen/http/cli/wallport/cli.go
@@ -25,14 +25,14 @@
 func UsageCommands() []string {
 	return []string{
 		"caller (search|read|correct|part)",
-		"operator (sheet|put-sheet|check-sheet|edit-sheet|zone|cut|members|servers|explain)",
+		"operator (sheet|put-sheet|check-sheet|history|return-sheet|edit-sheet|zone|cut|members|servers|explain)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller search --body '{\n      \"deadline_us\": 27675576,\n      \"limit\": 520,\n      \"query\": \"5y7\"\n   }' --index \"zp0\" --key \"wmh\"" + "\n" +
-		os.Args[0] + " " + "operator sheet --token \"Placeat similique amet aliquam et quia.\"" + "\n" +
+	return os.Args[0] + " " + "caller search --body '{\n      \"deadline_us\": 35641901,\n      \"limit\": 433,\n      \"query\": \"7jc\"\n   }' --index \"2ve\" --key \"eae\"" + "\n" +
+		os.Args[0] + " " + "operator sheet --token \"Voluptatum aut aliquid.\"" + "\n" +
 		""
 }
 
@@ -88,6 +88,16 @@
 		operatorCheckSheetBodyFlag  = operatorCheckSheetFlags.String("body", "REQUIRED", "")
 		operatorCheckSheetTokenFlag = operatorCheckSheetFlags.String("token", "", "")
 
+		operatorHistoryFlags     = flag.NewFlagSet("history", flag.ExitOnError)
+		operatorHistoryTokenFlag = operatorHistoryFlags.String("token", "", "")
+
+		operatorReturnSheetFlags       = flag.NewFlagSet("return-sheet", flag.ExitOnError)
+		operatorReturnSheetStampFlag   = operatorReturnSheetFlags.String("stamp", "REQUIRED", "Stamp of the earlier sheet")
+		operatorReturnSheetTokenFlag   = operatorReturnSheetFlags.String("token", "", "")
+		operatorReturnSheetEditIDFlag  = operatorReturnSheetFlags.String("edit-id", "", "")
+		operatorReturnSheetBasedOnFlag = operatorReturnSheetFlags.String("based-on", "", "")
+		operatorReturnSheetByFlag      = operatorReturnSheetFlags.String("by", "", "")
+
 		operatorEditSheetFlags       = flag.NewFlagSet("edit-sheet", flag.ExitOnError)
 		operatorEditSheetBodyFlag    = operatorEditSheetFlags.String("body", "REQUIRED", "")
 		operatorEditSheetTokenFlag   = operatorEditSheetFlags.String("token", "", "")
@@ -131,6 +141,8 @@
 	operatorSheetFlags.Usage = operatorSheetUsage
 	operatorPutSheetFlags.Usage = operatorPutSheetUsage
 	operatorCheckSheetFlags.Usage = operatorCheckSheetUsage
+	operatorHistoryFlags.Usage = operatorHistoryUsage
+	operatorReturnSheetFlags.Usage = operatorReturnSheetUsage
 	operatorEditSheetFlags.Usage = operatorEditSheetUsage
 	operatorZoneFlags.Usage = operatorZoneUsage
 	operatorCutFlags.Usage = operatorCutUsage
@@ -199,6 +211,12 @@
 			case "check-sheet":
 				epf = operatorCheckSheetFlags
 
+			case "history":
+				epf = operatorHistoryFlags
+
+			case "return-sheet":
+				epf = operatorReturnSheetFlags
+
 			case "edit-sheet":
 				epf = operatorEditSheetFlags
 
@@ -267,6 +285,12 @@
 			case "check-sheet":
 				endpoint = c.CheckSheet()
 				data, err = operatorc.BuildCheckSheetPayload(*operatorCheckSheetBodyFlag, *operatorCheckSheetTokenFlag)
+			case "history":
+				endpoint = c.History()
+				data, err = operatorc.BuildHistoryPayload(*operatorHistoryTokenFlag)
+			case "return-sheet":
+				endpoint = c.ReturnSheet()
+				data, err = operatorc.BuildReturnSheetPayload(*operatorReturnSheetStampFlag, *operatorReturnSheetTokenFlag, *operatorReturnSheetEditIDFlag, *operatorReturnSheetBasedOnFlag, *operatorReturnSheetByFlag)
 			case "edit-sheet":
 				endpoint = c.EditSheet()
 				data, err = operatorc.BuildEditSheetPayload(*operatorEditSheetBodyFlag, *operatorEditSheetTokenFlag, *operatorEditSheetEditIDFlag, *operatorEditSheetBasedOnFlag, *operatorEditSheetByFlag)
@@ -327,7 +351,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller search --body '{\n      \"deadline_us\": 27675576,\n      \"limit\": 520,\n      \"query\": \"5y7\"\n   }' --index \"zp0\" --key \"wmh\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller search --body '{\n      \"deadline_us\": 35641901,\n      \"limit\": 433,\n      \"query\": \"7jc\"\n   }' --index \"2ve\" --key \"eae\"")
 }
 
 func callerReadUsage() {
@@ -351,7 +375,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller read --index \"u8b\" --id \"4tb\" --deadline-us 2419192 --key \"rsw\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller read --index \"daj\" --id \"2rg\" --deadline-us 38026030 --key \"9ze\"")
 }
 
 func callerCorrectUsage() {
@@ -375,7 +399,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"08l\",\n      \"deadline_us\": 31252502\n   }' --index \"n5z\" --id \"zfh\" --key \"7er\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"qjy\",\n      \"deadline_us\": 28118926\n   }' --index \"8om\" --id \"v31\" --key \"l7e\"")
 }
 
 func callerPartUsage() {
@@ -401,7 +425,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller part --body '{\n      \"deadline_us\": 21805593\n   }' --index \"nib\" --id \"27g\" --part 5873040836108453086 --key \"k9m\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller part --body '{\n      \"deadline_us\": 20421757\n   }' --index \"3dg\" --id \"gyg\" --part 6471097844894554858 --key \"8yc\"")
 }
 
 // operatorUsage displays the usage of the operator command and its subcommands.
@@ -412,6 +436,8 @@
 	fmt.Fprintln(os.Stderr, `    sheet: Sheet implements sheet.`)
 	fmt.Fprintln(os.Stderr, `    put-sheet: PutSheet implements put_sheet.`)
 	fmt.Fprintln(os.Stderr, `    check-sheet: CheckSheet implements check_sheet.`)
+	fmt.Fprintln(os.Stderr, `    history: History implements history.`)
+	fmt.Fprintln(os.Stderr, `    return-sheet: ReturnSheet implements return_sheet.`)
 	fmt.Fprintln(os.Stderr, `    edit-sheet: EditSheet implements edit_sheet.`)
 	fmt.Fprintln(os.Stderr, `    zone: Zone implements zone.`)
 	fmt.Fprintln(os.Stderr, `    cut: Cut implements cut.`)
@@ -437,7 +463,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator sheet --token \"Placeat similique amet aliquam et quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator sheet --token \"Voluptatum aut aliquid.\"")
 }
 
 func operatorPutSheetUsage() {
@@ -463,7 +489,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put-sheet --body \"Laudantium non.\" --token \"Quibusdam quas.\" --edit-id \"h4x\" --based-on \"Sunt rerum et molestias ut aspernatur perspiciatis.\" --by \"0p4\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put-sheet --body \"Illo temporibus eos ut possimus vel.\" --token \"Laborum et ipsa autem.\" --edit-id \"kcx\" --based-on \"Nesciunt maxime ut pariatur saepe vero distinctio.\" --by \"wgj\"")
 }
 
 func operatorCheckSheetUsage() {
@@ -483,7 +509,51 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator check-sheet --body \"Mollitia et.\" --token \"Quia eligendi sit officia doloribus veniam ut.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator check-sheet --body \"Dolorum aut repellat sint et ut.\" --token \"Ipsa quam iure iure tenetur iure debitis.\"")
+}
+
+func operatorHistoryUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator history", os.Args[0])
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `History implements history.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --token \"Et et nesciunt illo voluptas.\"")
+}
+
+func operatorReturnSheetUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator return-sheet", os.Args[0])
+	fmt.Fprint(os.Stderr, " -stamp STRING")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprint(os.Stderr, " -edit-id STRING")
+	fmt.Fprint(os.Stderr, " -based-on STRING")
+	fmt.Fprint(os.Stderr, " -by STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `ReturnSheet implements return_sheet.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -stamp STRING: Stamp of the earlier sheet`)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+	fmt.Fprintln(os.Stderr, `    -edit-id STRING: `)
+	fmt.Fprintln(os.Stderr, `    -based-on STRING: `)
+	fmt.Fprintln(os.Stderr, `    -by STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator return-sheet --stamp \"Voluptates quos cumque nesciunt occaecati natus atque.\" --token \"Id eligendi laborum est ea ab aliquid.\" --edit-id \"4d8\" --based-on \"Aspernatur eveniet.\" --by \"t6t\"")
 }
 
 func operatorEditSheetUsage() {
@@ -509,7 +579,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator edit-sheet --body '{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Cum ad pariatur explicabo.\",\n            \"table\": \"rows\"\n         },\n         {\n            \"op\": \"remove\",\n            \"row\": \"Cum ad pariatur explicabo.\",\n            \"table\": \"rows\"\n         }\n      ]\n   }' --token \"Beatae ut et et.\" --edit-id \"9uk\" --based-on \"Quis sit laborum odio magnam in.\" --by \"i57\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator edit-sheet --body '{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         },\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         }\n      ]\n   }' --token \"Odio et.\" --edit-id \"6zi\" --based-on \"Molestias aut ducimus qui quibusdam aliquid quae.\" --by \"j2c\"")
 }
 
 func operatorZoneUsage() {
@@ -537,7 +607,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator zone --zone \"Occaecati natus.\" --action \"refill\" --token \"Id eligendi laborum est ea ab aliquid.\" --edit-id \"4d8\" --based-on \"Aspernatur eveniet.\" --by \"t6t\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator zone --zone \"Eos laudantium corporis recusandae dolore et.\" --action \"refill\" --token \"Id earum numquam qui repellendus et.\" --edit-id \"km9\" --based-on \"In nobis totam.\" --by \"qqj\"")
 }
 
 func operatorCutUsage() {
@@ -565,7 +635,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator cut --body '{\n      \"cut\": \"b9\",\n      \"shards\": 21\n   }' --index \"Ut quis ullam magnam molestias aut.\" --token \"Qui quibusdam aliquid quae soluta.\" --edit-id \"2c7\" --based-on \"Eaque dolorum optio vitae.\" --by \"mmp\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator cut --body '{\n      \"cut\": \"4\",\n      \"shards\": 94\n   }' --index \"Et quis quo distinctio ea sed.\" --token \"Est ducimus nisi.\" --edit-id \"upo\" --based-on \"Aut qui exercitationem et.\" --by \"zrv\"")
 }
 
 func operatorMembersUsage() {
@@ -583,7 +653,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator members --token \"Dolore et a.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator members --token \"Et velit delectus accusamus explicabo repellendus.\"")
 }
 
 func operatorServersUsage() {
@@ -601,7 +671,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Quaerat molestiae nisi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Est nihil qui excepturi dolores.\"")
 }
 
 func operatorExplainUsage() {
@@ -621,5 +691,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Voluptas repellat aut aut dolorum.\" --token \"Adipisci voluptatum et autem commodi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Placeat molestiae dolor quibusdam iste sit.\" --token \"Quae consequatur.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -39,7 +39,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorPutSheetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Laudantium non.\"")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Illo temporibus eos ut possimus vel.\"")
 		}
 	}
 	var token *string
@@ -98,7 +98,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorCheckSheetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Mollitia et.\"")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Dolorum aut repellat sint et ut.\"")
 		}
 	}
 	var token *string
@@ -116,6 +116,75 @@
 	return res, nil
 }
 
+// BuildHistoryPayload builds the payload for the operator history endpoint
+// from CLI flags.
+func BuildHistoryPayload(operatorHistoryToken string) (*operator.HistoryPayload, error) {
+	var token *string
+	{
+		if operatorHistoryToken != "" {
+			token = &operatorHistoryToken
+		}
+	}
+	v := &operator.HistoryPayload{}
+	v.Token = token
+
+	return v, nil
+}
+
+// BuildReturnSheetPayload builds the payload for the operator return_sheet
+// endpoint from CLI flags.
+func BuildReturnSheetPayload(operatorReturnSheetStamp string, operatorReturnSheetToken string, operatorReturnSheetEditID string, operatorReturnSheetBasedOn string, operatorReturnSheetBy string) (*operator.ReturnSheetPayload, error) {
+	var err error
+	var stamp string
+	{
+		stamp = operatorReturnSheetStamp
+	}
+	var token *string
+	{
+		if operatorReturnSheetToken != "" {
+			token = &operatorReturnSheetToken
+		}
+	}
+	var editID *string
+	{
+		if operatorReturnSheetEditID != "" {
+			editID = &operatorReturnSheetEditID
+			if utf8.RuneCountInString(*editID) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("edit_id", *editID, utf8.RuneCountInString(*editID), 128, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	var basedOn *string
+	{
+		if operatorReturnSheetBasedOn != "" {
+			basedOn = &operatorReturnSheetBasedOn
+		}
+	}
+	var by *string
+	{
+		if operatorReturnSheetBy != "" {
+			by = &operatorReturnSheetBy
+			if utf8.RuneCountInString(*by) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("by", *by, utf8.RuneCountInString(*by), 128, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	v := &operator.ReturnSheetPayload{}
+	v.Stamp = stamp
+	v.Token = token
+	v.EditID = editID
+	v.BasedOn = basedOn
+	v.By = by
+
+	return v, nil
+}
+
 // BuildEditSheetPayload builds the payload for the operator edit_sheet
 // endpoint from CLI flags.
 func BuildEditSheetPayload(operatorEditSheetBody string, operatorEditSheetToken string, operatorEditSheetEditID string, operatorEditSheetBasedOn string, operatorEditSheetBy string) (*operator.EditSheetPayload, error) {
@@ -124,7 +193,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorEditSheetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Cum ad pariatur explicabo.\",\n            \"table\": \"rows\"\n         },\n         {\n            \"op\": \"remove\",\n            \"row\": \"Cum ad pariatur explicabo.\",\n            \"table\": \"rows\"\n         }\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         },\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         }\n      ]\n   }'")
 		}
 		if body.Edits == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("edits", "body"))
@@ -273,7 +342,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorCutBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"cut\": \"b9\",\n      \"shards\": 21\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"cut\": \"4\",\n      \"shards\": 94\n   }'")
 		}
 		if utf8.RuneCountInString(body.Cut) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.cut", body.Cut, utf8.RuneCountInString(body.Cut), 1, true))
--- a/gen/http/operator/client/client.go
+++ b/gen/http/operator/client/client.go
@@ -28,6 +28,14 @@
 	// endpoint.
 	CheckSheetDoer goahttp.Doer
 
+	// History Doer is the HTTP client used to make requests to the history
+	// endpoint.
+	HistoryDoer goahttp.Doer
+
+	// ReturnSheet Doer is the HTTP client used to make requests to the
+	// return_sheet endpoint.
+	ReturnSheetDoer goahttp.Doer
+
 	// EditSheet Doer is the HTTP client used to make requests to the edit_sheet
 	// endpoint.
 	EditSheetDoer goahttp.Doer
@@ -73,6 +81,8 @@
 		SheetDoer:           doer,
 		PutSheetDoer:        doer,
 		CheckSheetDoer:      doer,
+		HistoryDoer:         doer,
+		ReturnSheetDoer:     doer,
 		EditSheetDoer:       doer,
 		ZoneDoer:            doer,
 		CutDoer:             doer,
@@ -159,6 +169,54 @@
 	}
 }
 
+// History returns an endpoint that makes HTTP requests to the operator service
+// history server.
+func (c *Client) History() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeHistoryRequest(c.encoder)
+		decodeResponse = DecodeHistoryResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildHistoryRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.HistoryDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operator", "history", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// ReturnSheet returns an endpoint that makes HTTP requests to the operator
+// service return_sheet server.
+func (c *Client) ReturnSheet() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeReturnSheetRequest(c.encoder)
+		decodeResponse = DecodeReturnSheetResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildReturnSheetRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ReturnSheetDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operator", "return_sheet", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // EditSheet returns an endpoint that makes HTTP requests to the operator
 // service edit_sheet server.
 func (c *Client) EditSheet() goa.Endpoint {
--- a/gen/http/operator/client/encode_decode.go
+++ b/gen/http/operator/client/encode_decode.go
@@ -940,6 +940,630 @@
 	}
 }
 
+// BuildHistoryRequest instantiates a HTTP request object with method and path
+// set to call the "operator" service "history" endpoint
+func (c *Client) BuildHistoryRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: HistoryOperatorPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operator", "history", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeHistoryRequest returns an encoder for requests sent to the operator
+// history server.
+func EncodeHistoryRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operator.HistoryPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operator", "history", "*operator.HistoryPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeHistoryResponse returns a decoder for responses returned by the
+// operator history endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeHistoryResponse may return the following errors:
+//   - "malformed" (type *operator.Failure): http.StatusBadRequest
+//   - "unknown" (type *operator.Failure): http.StatusNotFound
+//   - "oversize" (type *operator.Failure): http.StatusRequestEntityTooLarge
+//   - "over_ceiling" (type *operator.Failure): http.StatusTooManyRequests
+//   - "shed" (type *operator.Failure): http.StatusServiceUnavailable
+//   - "given_up" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "outcome_unknown" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "conflict" (type *operator.Failure): http.StatusConflict
+//   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
+//   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - error: internal error
+func DecodeHistoryResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body []*PastSheetResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidatePastSheetResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			res := NewHistoryPastSheetOK(body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body HistoryMalformedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryMalformedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryMalformed(&body)
+		case http.StatusNotFound:
+			var (
+				body HistoryUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryUnknown(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body HistoryOversizeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryOversizeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryOversize(&body)
+		case http.StatusTooManyRequests:
+			var (
+				body HistoryOverCeilingResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryOverCeilingResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryOverCeiling(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body HistoryShedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryShedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryShed(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "given_up":
+				var (
+					body HistoryGivenUpResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "history", err)
+				}
+				err = ValidateHistoryGivenUpResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "history", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "history", err)
+				}
+				return nil, NewHistoryGivenUp(&body, retryAfter)
+			case "outcome_unknown":
+				var (
+					body HistoryOutcomeUnknownResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "history", err)
+				}
+				err = ValidateHistoryOutcomeUnknownResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "history", err)
+				}
+				return nil, NewHistoryOutcomeUnknown(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operator", "history", resp.StatusCode, string(body))
+			}
+		case http.StatusConflict:
+			var (
+				body HistoryConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryConflict(&body, retryAfter)
+		case http.StatusPreconditionFailed:
+			var (
+				body HistoryLostRaceResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryLostRaceResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryLostRace(&body)
+		case http.StatusUnauthorized:
+			var (
+				body HistoryForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryForbidden(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operator", "history", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildReturnSheetRequest instantiates a HTTP request object with method and
+// path set to call the "operator" service "return_sheet" endpoint
+func (c *Client) BuildReturnSheetRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		stamp string
+	)
+	{
+		p, ok := v.(*operator.ReturnSheetPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("operator", "return_sheet", "*operator.ReturnSheetPayload", v)
+		}
+		stamp = p.Stamp
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ReturnSheetOperatorPath(stamp)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operator", "return_sheet", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeReturnSheetRequest returns an encoder for requests sent to the
+// operator return_sheet server.
+func EncodeReturnSheetRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operator.ReturnSheetPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operator", "return_sheet", "*operator.ReturnSheetPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		if p.EditID != nil {
+			head := *p.EditID
+			req.Header.Set("Edit-Id", head)
+		}
+		if p.BasedOn != nil {
+			head := *p.BasedOn
+			req.Header.Set("If-Match", head)
+		}
+		if p.By != nil {
+			head := *p.By
+			req.Header.Set("Edit-By", head)
+		}
+		return nil
+	}
+}
+
+// DecodeReturnSheetResponse returns a decoder for responses returned by the
+// operator return_sheet endpoint. restoreBody controls whether the response
+// body should be restored after having been read.
+// DecodeReturnSheetResponse may return the following errors:
+//   - "malformed" (type *operator.Failure): http.StatusBadRequest
+//   - "unknown" (type *operator.Failure): http.StatusNotFound
+//   - "oversize" (type *operator.Failure): http.StatusRequestEntityTooLarge
+//   - "over_ceiling" (type *operator.Failure): http.StatusTooManyRequests
+//   - "shed" (type *operator.Failure): http.StatusServiceUnavailable
+//   - "given_up" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "outcome_unknown" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "conflict" (type *operator.Failure): http.StatusConflict
+//   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
+//   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - error: internal error
+func DecodeReturnSheetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body ReturnSheetResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			res := NewReturnSheetTakenOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ReturnSheetMalformedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetMalformedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetMalformed(&body)
+		case http.StatusNotFound:
+			var (
+				body ReturnSheetUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetUnknown(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body ReturnSheetOversizeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetOversizeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetOversize(&body)
+		case http.StatusTooManyRequests:
+			var (
+				body ReturnSheetOverCeilingResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetOverCeilingResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetOverCeiling(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body ReturnSheetShedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetShedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetShed(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "given_up":
+				var (
+					body ReturnSheetGivenUpResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+				}
+				err = ValidateReturnSheetGivenUpResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+				}
+				return nil, NewReturnSheetGivenUp(&body, retryAfter)
+			case "outcome_unknown":
+				var (
+					body ReturnSheetOutcomeUnknownResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+				}
+				err = ValidateReturnSheetOutcomeUnknownResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+				}
+				return nil, NewReturnSheetOutcomeUnknown(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operator", "return_sheet", resp.StatusCode, string(body))
+			}
+		case http.StatusConflict:
+			var (
+				body ReturnSheetConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetConflict(&body, retryAfter)
+		case http.StatusPreconditionFailed:
+			var (
+				body ReturnSheetLostRaceResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetLostRaceResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetLostRace(&body)
+		case http.StatusUnauthorized:
+			var (
+				body ReturnSheetForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetForbidden(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operator", "return_sheet", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildEditSheetRequest instantiates a HTTP request object with method and
 // path set to call the "operator" service "edit_sheet" endpoint
 func (c *Client) BuildEditSheetRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -2836,6 +3460,18 @@
 	return res
 }
 
+// unmarshalPastSheetResponseToOperatorPastSheet builds a value of type
+// *operator.PastSheet from a value of type *PastSheetResponse.
+func unmarshalPastSheetResponseToOperatorPastSheet(v *PastSheetResponse) *operator.PastSheet {
+	res := &operator.PastSheet{
+		Stamp: *v.Stamp,
+		By:    *v.By,
+		Sheet: v.Sheet,
+	}
+
+	return res
+}
+
 // marshalOperatorRowEditToRowEditRequestBody builds a value of type
 // *RowEditRequestBody from a value of type *operator.RowEdit.
 func marshalOperatorRowEditToRowEditRequestBody(v *operator.RowEdit) *RowEditRequestBody {
--- a/gen/http/operator/client/paths.go
+++ b/gen/http/operator/client/paths.go
@@ -26,6 +26,16 @@
 	return "/v1/sheet/check"
 }
 
+// HistoryOperatorPath returns the URL path to the operator service history HTTP endpoint.
+func HistoryOperatorPath() string {
+	return "/v1/sheet/history"
+}
+
+// ReturnSheetOperatorPath returns the URL path to the operator service return_sheet HTTP endpoint.
+func ReturnSheetOperatorPath(stamp string) string {
+	return fmt.Sprintf("/v1/sheet/return/%v", stamp)
+}
+
 // EditSheetOperatorPath returns the URL path to the operator service edit_sheet HTTP endpoint.
 func EditSheetOperatorPath() string {
 	return "/v1/sheet"
--- a/gen/http/operator/client/types.go
+++ b/gen/http/operator/client/types.go
@@ -44,6 +44,17 @@
 	Laggards []string `form:"laggards,omitempty" json:"laggards,omitempty" xml:"laggards,omitempty"`
 }
 
+// ReturnSheetResponseBody is the type of the "operator" service "return_sheet"
+// endpoint HTTP response body.
+type ReturnSheetResponseBody struct {
+	// Stamp of the change
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+	// Nodes that have it in force
+	InForce *int `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
+	// Live nodes that do not yet
+	Laggards []string `form:"laggards,omitempty" json:"laggards,omitempty" xml:"laggards,omitempty"`
+}
+
 // EditSheetResponseBody is the type of the "operator" service "edit_sheet"
 // endpoint HTTP response body.
 type EditSheetResponseBody struct {
@@ -623,9 +634,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetMalformedResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "malformed" error.
-type EditSheetMalformedResponseBody struct {
+// HistoryMalformedResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "malformed" error.
+type HistoryMalformedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -642,9 +653,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetUnknownResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "unknown" error.
-type EditSheetUnknownResponseBody struct {
+// HistoryUnknownResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "unknown" error.
+type HistoryUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -661,9 +672,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetOversizeResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "oversize" error.
-type EditSheetOversizeResponseBody struct {
+// HistoryOversizeResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "oversize" error.
+type HistoryOversizeResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -680,9 +691,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetOverCeilingResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "over_ceiling" error.
-type EditSheetOverCeilingResponseBody struct {
+// HistoryOverCeilingResponseBody is the type of the "operator" service
+// "history" endpoint HTTP response body for the "over_ceiling" error.
+type HistoryOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -697,9 +708,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetShedResponseBody is the type of the "operator" service "edit_sheet"
+// HistoryShedResponseBody is the type of the "operator" service "history"
 // endpoint HTTP response body for the "shed" error.
-type EditSheetShedResponseBody struct {
+type HistoryShedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -714,9 +725,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetGivenUpResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "given_up" error.
-type EditSheetGivenUpResponseBody struct {
+// HistoryGivenUpResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "given_up" error.
+type HistoryGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -731,9 +742,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetOutcomeUnknownResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "outcome_unknown" error.
-type EditSheetOutcomeUnknownResponseBody struct {
+// HistoryOutcomeUnknownResponseBody is the type of the "operator" service
+// "history" endpoint HTTP response body for the "outcome_unknown" error.
+type HistoryOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -750,9 +761,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetConflictResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "conflict" error.
-type EditSheetConflictResponseBody struct {
+// HistoryConflictResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "conflict" error.
+type HistoryConflictResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -767,9 +778,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetLostRaceResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "lost_race" error.
-type EditSheetLostRaceResponseBody struct {
+// HistoryLostRaceResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "lost_race" error.
+type HistoryLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -786,9 +797,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetForbiddenResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "forbidden" error.
-type EditSheetForbiddenResponseBody struct {
+// HistoryForbiddenResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "forbidden" error.
+type HistoryForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -805,9 +816,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneMalformedResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "malformed" error.
-type ZoneMalformedResponseBody struct {
+// ReturnSheetMalformedResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "malformed" error.
+type ReturnSheetMalformedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -824,9 +835,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneUnknownResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "unknown" error.
-type ZoneUnknownResponseBody struct {
+// ReturnSheetUnknownResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "unknown" error.
+type ReturnSheetUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -843,9 +854,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneOversizeResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "oversize" error.
-type ZoneOversizeResponseBody struct {
+// ReturnSheetOversizeResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "oversize" error.
+type ReturnSheetOversizeResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -862,9 +873,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneOverCeilingResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "over_ceiling" error.
-type ZoneOverCeilingResponseBody struct {
+// ReturnSheetOverCeilingResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "over_ceiling" error.
+type ReturnSheetOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -879,9 +890,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneShedResponseBody is the type of the "operator" service "zone" endpoint
-// HTTP response body for the "shed" error.
-type ZoneShedResponseBody struct {
+// ReturnSheetShedResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "shed" error.
+type ReturnSheetShedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -896,9 +907,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneGivenUpResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "given_up" error.
-type ZoneGivenUpResponseBody struct {
+// ReturnSheetGivenUpResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "given_up" error.
+type ReturnSheetGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -913,9 +924,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneOutcomeUnknownResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "outcome_unknown" error.
-type ZoneOutcomeUnknownResponseBody struct {
+// ReturnSheetOutcomeUnknownResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "outcome_unknown" error.
+type ReturnSheetOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -932,9 +943,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneConflictResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "conflict" error.
-type ZoneConflictResponseBody struct {
+// ReturnSheetConflictResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "conflict" error.
+type ReturnSheetConflictResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -949,9 +960,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneLostRaceResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "lost_race" error.
-type ZoneLostRaceResponseBody struct {
+// ReturnSheetLostRaceResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "lost_race" error.
+type ReturnSheetLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -968,9 +979,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneForbiddenResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "forbidden" error.
-type ZoneForbiddenResponseBody struct {
+// ReturnSheetForbiddenResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "forbidden" error.
+type ReturnSheetForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -987,9 +998,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutMalformedResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "malformed" error.
-type CutMalformedResponseBody struct {
+// EditSheetMalformedResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "malformed" error.
+type EditSheetMalformedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1006,9 +1017,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutUnknownResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "unknown" error.
-type CutUnknownResponseBody struct {
+// EditSheetUnknownResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "unknown" error.
+type EditSheetUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1025,9 +1036,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutOversizeResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "oversize" error.
-type CutOversizeResponseBody struct {
+// EditSheetOversizeResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "oversize" error.
+type EditSheetOversizeResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1044,9 +1055,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutOverCeilingResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "over_ceiling" error.
-type CutOverCeilingResponseBody struct {
+// EditSheetOverCeilingResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "over_ceiling" error.
+type EditSheetOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1061,9 +1072,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutShedResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "shed" error.
-type CutShedResponseBody struct {
+// EditSheetShedResponseBody is the type of the "operator" service "edit_sheet"
+// endpoint HTTP response body for the "shed" error.
+type EditSheetShedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1078,9 +1089,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutGivenUpResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "given_up" error.
-type CutGivenUpResponseBody struct {
+// EditSheetGivenUpResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "given_up" error.
+type EditSheetGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1095,9 +1106,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutOutcomeUnknownResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "outcome_unknown" error.
-type CutOutcomeUnknownResponseBody struct {
+// EditSheetOutcomeUnknownResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "outcome_unknown" error.
+type EditSheetOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1114,9 +1125,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutConflictResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "conflict" error.
-type CutConflictResponseBody struct {
+// EditSheetConflictResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "conflict" error.
+type EditSheetConflictResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1131,9 +1142,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutLostRaceResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "lost_race" error.
-type CutLostRaceResponseBody struct {
+// EditSheetLostRaceResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "lost_race" error.
+type EditSheetLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1150,9 +1161,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutForbiddenResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "forbidden" error.
-type CutForbiddenResponseBody struct {
+// EditSheetForbiddenResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "forbidden" error.
+type EditSheetForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1169,9 +1180,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersMalformedResponseBody is the type of the "operator" service "members"
+// ZoneMalformedResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "malformed" error.
-type MembersMalformedResponseBody struct {
+type ZoneMalformedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1188,9 +1199,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersUnknownResponseBody is the type of the "operator" service "members"
+// ZoneUnknownResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "unknown" error.
-type MembersUnknownResponseBody struct {
+type ZoneUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1207,9 +1218,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersOversizeResponseBody is the type of the "operator" service "members"
+// ZoneOversizeResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "oversize" error.
-type MembersOversizeResponseBody struct {
+type ZoneOversizeResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1226,9 +1237,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersOverCeilingResponseBody is the type of the "operator" service
-// "members" endpoint HTTP response body for the "over_ceiling" error.
-type MembersOverCeilingResponseBody struct {
+// ZoneOverCeilingResponseBody is the type of the "operator" service "zone"
+// endpoint HTTP response body for the "over_ceiling" error.
+type ZoneOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1243,9 +1254,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersShedResponseBody is the type of the "operator" service "members"
-// endpoint HTTP response body for the "shed" error.
-type MembersShedResponseBody struct {
+// ZoneShedResponseBody is the type of the "operator" service "zone" endpoint
+// HTTP response body for the "shed" error.
+type ZoneShedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1260,9 +1271,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersGivenUpResponseBody is the type of the "operator" service "members"
+// ZoneGivenUpResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "given_up" error.
-type MembersGivenUpResponseBody struct {
+type ZoneGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1277,9 +1288,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersOutcomeUnknownResponseBody is the type of the "operator" service
-// "members" endpoint HTTP response body for the "outcome_unknown" error.
-type MembersOutcomeUnknownResponseBody struct {
+// ZoneOutcomeUnknownResponseBody is the type of the "operator" service "zone"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type ZoneOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1296,9 +1307,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersConflictResponseBody is the type of the "operator" service "members"
+// ZoneConflictResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "conflict" error.
-type MembersConflictResponseBody struct {
+type ZoneConflictResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1313,9 +1324,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersLostRaceResponseBody is the type of the "operator" service "members"
+// ZoneLostRaceResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "lost_race" error.
-type MembersLostRaceResponseBody struct {
+type ZoneLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1332,9 +1343,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersForbiddenResponseBody is the type of the "operator" service "members"
+// ZoneForbiddenResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "forbidden" error.
-type MembersForbiddenResponseBody struct {
+type ZoneForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1351,9 +1362,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersMalformedResponseBody is the type of the "operator" service "servers"
+// CutMalformedResponseBody is the type of the "operator" service "cut"
 // endpoint HTTP response body for the "malformed" error.
-type ServersMalformedResponseBody struct {
+type CutMalformedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1370,9 +1381,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersUnknownResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "unknown" error.
-type ServersUnknownResponseBody struct {
+// CutUnknownResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "unknown" error.
+type CutUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1389,9 +1400,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersOversizeResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "oversize" error.
-type ServersOversizeResponseBody struct {
+// CutOversizeResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "oversize" error.
+type CutOversizeResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1408,9 +1419,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersOverCeilingResponseBody is the type of the "operator" service
-// "servers" endpoint HTTP response body for the "over_ceiling" error.
-type ServersOverCeilingResponseBody struct {
+// CutOverCeilingResponseBody is the type of the "operator" service "cut"
+// endpoint HTTP response body for the "over_ceiling" error.
+type CutOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1425,9 +1436,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersShedResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "shed" error.
-type ServersShedResponseBody struct {
+// CutShedResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "shed" error.
+type CutShedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1442,9 +1453,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersGivenUpResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "given_up" error.
-type ServersGivenUpResponseBody struct {
+// CutGivenUpResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "given_up" error.
+type CutGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1459,9 +1470,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersOutcomeUnknownResponseBody is the type of the "operator" service
-// "servers" endpoint HTTP response body for the "outcome_unknown" error.
-type ServersOutcomeUnknownResponseBody struct {
+// CutOutcomeUnknownResponseBody is the type of the "operator" service "cut"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type CutOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1478,9 +1489,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersConflictResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "conflict" error.
-type ServersConflictResponseBody struct {
+// CutConflictResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "conflict" error.
+type CutConflictResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1495,9 +1506,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersLostRaceResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "lost_race" error.
-type ServersLostRaceResponseBody struct {
+// CutLostRaceResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "lost_race" error.
+type CutLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1514,9 +1525,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersForbiddenResponseBody is the type of the "operator" service "servers"
+// CutForbiddenResponseBody is the type of the "operator" service "cut"
 // endpoint HTTP response body for the "forbidden" error.
-type ServersForbiddenResponseBody struct {
+type CutForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1533,9 +1544,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainMalformedResponseBody is the type of the "operator" service "explain"
+// MembersMalformedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "malformed" error.
-type ExplainMalformedResponseBody struct {
+type MembersMalformedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1552,9 +1563,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainUnknownResponseBody is the type of the "operator" service "explain"
+// MembersUnknownResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "unknown" error.
-type ExplainUnknownResponseBody struct {
+type MembersUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1571,9 +1582,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainOversizeResponseBody is the type of the "operator" service "explain"
+// MembersOversizeResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "oversize" error.
-type ExplainOversizeResponseBody struct {
+type MembersOversizeResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1590,9 +1601,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainOverCeilingResponseBody is the type of the "operator" service
-// "explain" endpoint HTTP response body for the "over_ceiling" error.
-type ExplainOverCeilingResponseBody struct {
+// MembersOverCeilingResponseBody is the type of the "operator" service
+// "members" endpoint HTTP response body for the "over_ceiling" error.
+type MembersOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1607,9 +1618,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainShedResponseBody is the type of the "operator" service "explain"
+// MembersShedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "shed" error.
-type ExplainShedResponseBody struct {
+type MembersShedResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1624,9 +1635,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainGivenUpResponseBody is the type of the "operator" service "explain"
+// MembersGivenUpResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "given_up" error.
-type ExplainGivenUpResponseBody struct {
+type MembersGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1641,9 +1652,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainOutcomeUnknownResponseBody is the type of the "operator" service
-// "explain" endpoint HTTP response body for the "outcome_unknown" error.
-type ExplainOutcomeUnknownResponseBody struct {
+// MembersOutcomeUnknownResponseBody is the type of the "operator" service
+// "members" endpoint HTTP response body for the "outcome_unknown" error.
+type MembersOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1660,9 +1671,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainConflictResponseBody is the type of the "operator" service "explain"
+// MembersConflictResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "conflict" error.
-type ExplainConflictResponseBody struct {
+type MembersConflictResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1677,9 +1688,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainLostRaceResponseBody is the type of the "operator" service "explain"
+// MembersLostRaceResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "lost_race" error.
-type ExplainLostRaceResponseBody struct {
+type MembersLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1696,9 +1707,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainForbiddenResponseBody is the type of the "operator" service "explain"
+// MembersForbiddenResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "forbidden" error.
-type ExplainForbiddenResponseBody struct {
+type MembersForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
 	// What happened, in words
@@ -1715,108 +1726,1200 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// FindingResponseBody is used to define fields on response body types.
-type FindingResponseBody struct {
-	// Row and field
-	Place *string `form:"place,omitempty" json:"place,omitempty" xml:"place,omitempty"`
-	// What is wrong there
-	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+// ServersMalformedResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "malformed" error.
+type ServersMalformedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// FindingResponse is used to define fields on response body types.
-type FindingResponse struct {
-	// Row and field
-	Place *string `form:"place,omitempty" json:"place,omitempty" xml:"place,omitempty"`
-	// What is wrong there
-	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+// ServersUnknownResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "unknown" error.
+type ServersUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// RowEditRequestBody is used to define fields on request body types.
-type RowEditRequestBody struct {
-	Op    string `form:"op" json:"op" xml:"op"`
-	Table string `form:"table" json:"table" xml:"table"`
-	// The row; for a removal its key fields are enough
-	Row any `form:"row" json:"row" xml:"row"`
+// ServersOversizeResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "oversize" error.
+type ServersOversizeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// StatusResponse is used to define fields on response body types.
-type StatusResponse struct {
-	Name     *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
-	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
-	Zone     *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Addr     *string `form:"addr,omitempty" json:"addr,omitempty" xml:"addr,omitempty"`
-	Live     *bool   `form:"live,omitempty" json:"live,omitempty" xml:"live,omitempty"`
-	Draining *bool   `form:"draining,omitempty" json:"draining,omitempty" xml:"draining,omitempty"`
-	Formed   *bool   `form:"formed,omitempty" json:"formed,omitempty" xml:"formed,omitempty"`
-	Sick     *string `form:"sick,omitempty" json:"sick,omitempty" xml:"sick,omitempty"`
-	// Stamp of the configuration in force there
-	InForce *string `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
+// ServersOverCeilingResponseBody is the type of the "operator" service
+// "servers" endpoint HTTP response body for the "over_ceiling" error.
+type ServersOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServerStatusResponse is used to define fields on response body types.
-type ServerStatusResponse struct {
-	ID      *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	Addr    *string `form:"addr,omitempty" json:"addr,omitempty" xml:"addr,omitempty"`
-	Zone    *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
-	Index   *string `form:"index,omitempty" json:"index,omitempty" xml:"index,omitempty"`
-	Cut     *string `form:"cut,omitempty" json:"cut,omitempty" xml:"cut,omitempty"`
-	Shard   *int    `form:"shard,omitempty" json:"shard,omitempty" xml:"shard,omitempty"`
-	Verdict *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
-	// Hundredths of full warmth
-	Warm *int `form:"warm,omitempty" json:"warm,omitempty" xml:"warm,omitempty"`
+// ServersShedResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "shed" error.
+type ServersShedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewEditSheetRequestBody builds the HTTP request body from the payload of the
-// "edit_sheet" endpoint of the "operator" service.
-func NewEditSheetRequestBody(p *operator.EditSheetPayload) *EditSheetRequestBody {
-	body := &EditSheetRequestBody{}
-	if p.Edits != nil {
-		body.Edits = make([]*RowEditRequestBody, len(p.Edits))
-		for i, val := range p.Edits {
-			if val == nil {
-				body.Edits[i] = nil
-				continue
-			}
-			body.Edits[i] = marshalOperatorRowEditToRowEditRequestBody(val)
-		}
-	} else {
-		body.Edits = []*RowEditRequestBody{}
-	}
-	return body
+// ServersGivenUpResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "given_up" error.
+type ServersGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewCutRequestBody builds the HTTP request body from the payload of the "cut"
-// endpoint of the "operator" service.
-func NewCutRequestBody(p *operator.CutPayload) *CutRequestBody {
-	body := &CutRequestBody{
-		Cut:    p.Cut,
-		Shards: p.Shards,
-	}
-	return body
+// ServersOutcomeUnknownResponseBody is the type of the "operator" service
+// "servers" endpoint HTTP response body for the "outcome_unknown" error.
+type ServersOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewSheetNowOK builds a "operator" service "sheet" endpoint result from a
-// HTTP "OK" response.
-func NewSheetNowOK(body *SheetResponseBody) *operator.SheetNow {
-	v := &operator.SheetNow{
-		Stamp: *body.Stamp,
-		Sheet: body.Sheet,
-	}
+// ServersConflictResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "conflict" error.
+type ServersConflictResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
 
-	return v
+// ServersLostRaceResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "lost_race" error.
+type ServersLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewSheetMalformed builds a operator service sheet endpoint malformed error.
-func NewSheetMalformed(body *SheetMalformedResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
-	}
-	if body.Findings != nil {
+// ServersForbiddenResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "forbidden" error.
+type ServersForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainMalformedResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "malformed" error.
+type ExplainMalformedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainUnknownResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "unknown" error.
+type ExplainUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainOversizeResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "oversize" error.
+type ExplainOversizeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainOverCeilingResponseBody is the type of the "operator" service
+// "explain" endpoint HTTP response body for the "over_ceiling" error.
+type ExplainOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainShedResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "shed" error.
+type ExplainShedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainGivenUpResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "given_up" error.
+type ExplainGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainOutcomeUnknownResponseBody is the type of the "operator" service
+// "explain" endpoint HTTP response body for the "outcome_unknown" error.
+type ExplainOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainConflictResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "conflict" error.
+type ExplainConflictResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainLostRaceResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "lost_race" error.
+type ExplainLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainForbiddenResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "forbidden" error.
+type ExplainForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// FindingResponseBody is used to define fields on response body types.
+type FindingResponseBody struct {
+	// Row and field
+	Place *string `form:"place,omitempty" json:"place,omitempty" xml:"place,omitempty"`
+	// What is wrong there
+	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+}
+
+// FindingResponse is used to define fields on response body types.
+type FindingResponse struct {
+	// Row and field
+	Place *string `form:"place,omitempty" json:"place,omitempty" xml:"place,omitempty"`
+	// What is wrong there
+	Text *string `form:"text,omitempty" json:"text,omitempty" xml:"text,omitempty"`
+}
+
+// PastSheetResponse is used to define fields on response body types.
+type PastSheetResponse struct {
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+	By    *string `form:"by,omitempty" json:"by,omitempty" xml:"by,omitempty"`
+	Sheet any     `form:"sheet,omitempty" json:"sheet,omitempty" xml:"sheet,omitempty"`
+}
+
+// RowEditRequestBody is used to define fields on request body types.
+type RowEditRequestBody struct {
+	Op    string `form:"op" json:"op" xml:"op"`
+	Table string `form:"table" json:"table" xml:"table"`
+	// The row; for a removal its key fields are enough
+	Row any `form:"row" json:"row" xml:"row"`
+}
+
+// StatusResponse is used to define fields on response body types.
+type StatusResponse struct {
+	Name     *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	Role     *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
+	Zone     *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Addr     *string `form:"addr,omitempty" json:"addr,omitempty" xml:"addr,omitempty"`
+	Live     *bool   `form:"live,omitempty" json:"live,omitempty" xml:"live,omitempty"`
+	Draining *bool   `form:"draining,omitempty" json:"draining,omitempty" xml:"draining,omitempty"`
+	Formed   *bool   `form:"formed,omitempty" json:"formed,omitempty" xml:"formed,omitempty"`
+	Sick     *string `form:"sick,omitempty" json:"sick,omitempty" xml:"sick,omitempty"`
+	// Stamp of the configuration in force there
+	InForce *string `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
+}
+
+// ServerStatusResponse is used to define fields on response body types.
+type ServerStatusResponse struct {
+	ID      *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Addr    *string `form:"addr,omitempty" json:"addr,omitempty" xml:"addr,omitempty"`
+	Zone    *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	Index   *string `form:"index,omitempty" json:"index,omitempty" xml:"index,omitempty"`
+	Cut     *string `form:"cut,omitempty" json:"cut,omitempty" xml:"cut,omitempty"`
+	Shard   *int    `form:"shard,omitempty" json:"shard,omitempty" xml:"shard,omitempty"`
+	Verdict *string `form:"verdict,omitempty" json:"verdict,omitempty" xml:"verdict,omitempty"`
+	// Hundredths of full warmth
+	Warm *int `form:"warm,omitempty" json:"warm,omitempty" xml:"warm,omitempty"`
+}
+
+// NewEditSheetRequestBody builds the HTTP request body from the payload of the
+// "edit_sheet" endpoint of the "operator" service.
+func NewEditSheetRequestBody(p *operator.EditSheetPayload) *EditSheetRequestBody {
+	body := &EditSheetRequestBody{}
+	if p.Edits != nil {
+		body.Edits = make([]*RowEditRequestBody, len(p.Edits))
+		for i, val := range p.Edits {
+			if val == nil {
+				body.Edits[i] = nil
+				continue
+			}
+			body.Edits[i] = marshalOperatorRowEditToRowEditRequestBody(val)
+		}
+	} else {
+		body.Edits = []*RowEditRequestBody{}
+	}
+	return body
+}
+
+// NewCutRequestBody builds the HTTP request body from the payload of the "cut"
+// endpoint of the "operator" service.
+func NewCutRequestBody(p *operator.CutPayload) *CutRequestBody {
+	body := &CutRequestBody{
+		Cut:    p.Cut,
+		Shards: p.Shards,
+	}
+	return body
+}
+
+// NewSheetNowOK builds a "operator" service "sheet" endpoint result from a
+// HTTP "OK" response.
+func NewSheetNowOK(body *SheetResponseBody) *operator.SheetNow {
+	v := &operator.SheetNow{
+		Stamp: *body.Stamp,
+		Sheet: body.Sheet,
+	}
+
+	return v
+}
+
+// NewSheetMalformed builds a operator service sheet endpoint malformed error.
+func NewSheetMalformed(body *SheetMalformedResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewSheetUnknown builds a operator service sheet endpoint unknown error.
+func NewSheetUnknown(body *SheetUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewSheetOversize builds a operator service sheet endpoint oversize error.
+func NewSheetOversize(body *SheetOversizeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewSheetOverCeiling builds a operator service sheet endpoint over_ceiling
+// error.
+func NewSheetOverCeiling(body *SheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSheetShed builds a operator service sheet endpoint shed error.
+func NewSheetShed(body *SheetShedResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSheetGivenUp builds a operator service sheet endpoint given_up error.
+func NewSheetGivenUp(body *SheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSheetOutcomeUnknown builds a operator service sheet endpoint
+// outcome_unknown error.
+func NewSheetOutcomeUnknown(body *SheetOutcomeUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewSheetConflict builds a operator service sheet endpoint conflict error.
+func NewSheetConflict(body *SheetConflictResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSheetLostRace builds a operator service sheet endpoint lost_race error.
+func NewSheetLostRace(body *SheetLostRaceResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewSheetForbidden builds a operator service sheet endpoint forbidden error.
+func NewSheetForbidden(body *SheetForbiddenResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewPutSheetTakenOK builds a "operator" service "put_sheet" endpoint result
+// from a HTTP "OK" response.
+func NewPutSheetTakenOK(body *PutSheetResponseBody) *operator.Taken {
+	v := &operator.Taken{
+		Stamp:   *body.Stamp,
+		InForce: *body.InForce,
+	}
+	v.Laggards = make([]string, len(body.Laggards))
+	for i, val := range body.Laggards {
+		v.Laggards[i] = val
+	}
+
+	return v
+}
+
+// NewPutSheetMalformed builds a operator service put_sheet endpoint malformed
+// error.
+func NewPutSheetMalformed(body *PutSheetMalformedResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewPutSheetUnknown builds a operator service put_sheet endpoint unknown
+// error.
+func NewPutSheetUnknown(body *PutSheetUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewPutSheetOversize builds a operator service put_sheet endpoint oversize
+// error.
+func NewPutSheetOversize(body *PutSheetOversizeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewPutSheetOverCeiling builds a operator service put_sheet endpoint
+// over_ceiling error.
+func NewPutSheetOverCeiling(body *PutSheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutSheetShed builds a operator service put_sheet endpoint shed error.
+func NewPutSheetShed(body *PutSheetShedResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutSheetGivenUp builds a operator service put_sheet endpoint given_up
+// error.
+func NewPutSheetGivenUp(body *PutSheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutSheetOutcomeUnknown builds a operator service put_sheet endpoint
+// outcome_unknown error.
+func NewPutSheetOutcomeUnknown(body *PutSheetOutcomeUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewPutSheetConflict builds a operator service put_sheet endpoint conflict
+// error.
+func NewPutSheetConflict(body *PutSheetConflictResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewPutSheetLostRace builds a operator service put_sheet endpoint lost_race
+// error.
+func NewPutSheetLostRace(body *PutSheetLostRaceResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewPutSheetForbidden builds a operator service put_sheet endpoint forbidden
+// error.
+func NewPutSheetForbidden(body *PutSheetForbiddenResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewCheckSheetFindingOK builds a "operator" service "check_sheet" endpoint
+// result from a HTTP "OK" response.
+func NewCheckSheetFindingOK(body []*FindingResponse) []*operator.Finding {
+	v := make([]*operator.Finding, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalFindingResponseToOperatorFinding(val)
+	}
+
+	return v
+}
+
+// NewCheckSheetMalformed builds a operator service check_sheet endpoint
+// malformed error.
+func NewCheckSheetMalformed(body *CheckSheetMalformedResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewCheckSheetUnknown builds a operator service check_sheet endpoint unknown
+// error.
+func NewCheckSheetUnknown(body *CheckSheetUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewCheckSheetOversize builds a operator service check_sheet endpoint
+// oversize error.
+func NewCheckSheetOversize(body *CheckSheetOversizeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewCheckSheetOverCeiling builds a operator service check_sheet endpoint
+// over_ceiling error.
+func NewCheckSheetOverCeiling(body *CheckSheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewCheckSheetShed builds a operator service check_sheet endpoint shed error.
+func NewCheckSheetShed(body *CheckSheetShedResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewCheckSheetGivenUp builds a operator service check_sheet endpoint given_up
+// error.
+func NewCheckSheetGivenUp(body *CheckSheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewCheckSheetOutcomeUnknown builds a operator service check_sheet endpoint
+// outcome_unknown error.
+func NewCheckSheetOutcomeUnknown(body *CheckSheetOutcomeUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewCheckSheetConflict builds a operator service check_sheet endpoint
+// conflict error.
+func NewCheckSheetConflict(body *CheckSheetConflictResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewCheckSheetLostRace builds a operator service check_sheet endpoint
+// lost_race error.
+func NewCheckSheetLostRace(body *CheckSheetLostRaceResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
 		v.Findings = make([]*operator.Finding, len(body.Findings))
 		for i, val := range body.Findings {
 			if val == nil {
@@ -1830,8 +2933,9 @@
 	return v
 }
 
-// NewSheetUnknown builds a operator service sheet endpoint unknown error.
-func NewSheetUnknown(body *SheetUnknownResponseBody) *operator.Failure {
+// NewCheckSheetForbidden builds a operator service check_sheet endpoint
+// forbidden error.
+func NewCheckSheetForbidden(body *CheckSheetForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -1854,8 +2958,24 @@
 	return v
 }
 
-// NewSheetOversize builds a operator service sheet endpoint oversize error.
-func NewSheetOversize(body *SheetOversizeResponseBody) *operator.Failure {
+// NewHistoryPastSheetOK builds a "operator" service "history" endpoint result
+// from a HTTP "OK" response.
+func NewHistoryPastSheetOK(body []*PastSheetResponse) []*operator.PastSheet {
+	v := make([]*operator.PastSheet, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalPastSheetResponseToOperatorPastSheet(val)
+	}
+
+	return v
+}
+
+// NewHistoryMalformed builds a operator service history endpoint malformed
+// error.
+func NewHistoryMalformed(body *HistoryMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -1878,9 +2998,57 @@
 	return v
 }
 
-// NewSheetOverCeiling builds a operator service sheet endpoint over_ceiling
-// error.
-func NewSheetOverCeiling(body *SheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+// NewHistoryUnknown builds a operator service history endpoint unknown error.
+func NewHistoryUnknown(body *HistoryUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewHistoryOversize builds a operator service history endpoint oversize error.
+func NewHistoryOversize(body *HistoryOversizeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewHistoryOverCeiling builds a operator service history endpoint
+// over_ceiling error.
+func NewHistoryOverCeiling(body *HistoryOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -1903,8 +3071,8 @@
 	return v
 }
 
-// NewSheetShed builds a operator service sheet endpoint shed error.
-func NewSheetShed(body *SheetShedResponseBody, retryAfter *int) *operator.Failure {
+// NewHistoryShed builds a operator service history endpoint shed error.
+func NewHistoryShed(body *HistoryShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -1927,8 +3095,8 @@
 	return v
 }
 
-// NewSheetGivenUp builds a operator service sheet endpoint given_up error.
-func NewSheetGivenUp(body *SheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewHistoryGivenUp builds a operator service history endpoint given_up error.
+func NewHistoryGivenUp(body *HistoryGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -1951,9 +3119,9 @@
 	return v
 }
 
-// NewSheetOutcomeUnknown builds a operator service sheet endpoint
+// NewHistoryOutcomeUnknown builds a operator service history endpoint
 // outcome_unknown error.
-func NewSheetOutcomeUnknown(body *SheetOutcomeUnknownResponseBody) *operator.Failure {
+func NewHistoryOutcomeUnknown(body *HistoryOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -1976,8 +3144,8 @@
 	return v
 }
 
-// NewSheetConflict builds a operator service sheet endpoint conflict error.
-func NewSheetConflict(body *SheetConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewHistoryConflict builds a operator service history endpoint conflict error.
+func NewHistoryConflict(body *HistoryConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2000,8 +3168,9 @@
 	return v
 }
 
-// NewSheetLostRace builds a operator service sheet endpoint lost_race error.
-func NewSheetLostRace(body *SheetLostRaceResponseBody) *operator.Failure {
+// NewHistoryLostRace builds a operator service history endpoint lost_race
+// error.
+func NewHistoryLostRace(body *HistoryLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2024,8 +3193,9 @@
 	return v
 }
 
-// NewSheetForbidden builds a operator service sheet endpoint forbidden error.
-func NewSheetForbidden(body *SheetForbiddenResponseBody) *operator.Failure {
+// NewHistoryForbidden builds a operator service history endpoint forbidden
+// error.
+func NewHistoryForbidden(body *HistoryForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2048,9 +3218,9 @@
 	return v
 }
 
-// NewPutSheetTakenOK builds a "operator" service "put_sheet" endpoint result
-// from a HTTP "OK" response.
-func NewPutSheetTakenOK(body *PutSheetResponseBody) *operator.Taken {
+// NewReturnSheetTakenOK builds a "operator" service "return_sheet" endpoint
+// result from a HTTP "OK" response.
+func NewReturnSheetTakenOK(body *ReturnSheetResponseBody) *operator.Taken {
 	v := &operator.Taken{
 		Stamp:   *body.Stamp,
 		InForce: *body.InForce,
@@ -2063,9 +3233,9 @@
 	return v
 }
 
-// NewPutSheetMalformed builds a operator service put_sheet endpoint malformed
-// error.
-func NewPutSheetMalformed(body *PutSheetMalformedResponseBody) *operator.Failure {
+// NewReturnSheetMalformed builds a operator service return_sheet endpoint
+// malformed error.
+func NewReturnSheetMalformed(body *ReturnSheetMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2088,9 +3258,9 @@
 	return v
 }
 
-// NewPutSheetUnknown builds a operator service put_sheet endpoint unknown
-// error.
-func NewPutSheetUnknown(body *PutSheetUnknownResponseBody) *operator.Failure {
+// NewReturnSheetUnknown builds a operator service return_sheet endpoint
+// unknown error.
+func NewReturnSheetUnknown(body *ReturnSheetUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2113,9 +3283,9 @@
 	return v
 }
 
-// NewPutSheetOversize builds a operator service put_sheet endpoint oversize
-// error.
-func NewPutSheetOversize(body *PutSheetOversizeResponseBody) *operator.Failure {
+// NewReturnSheetOversize builds a operator service return_sheet endpoint
+// oversize error.
+func NewReturnSheetOversize(body *ReturnSheetOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2138,9 +3308,9 @@
 	return v
 }
 
-// NewPutSheetOverCeiling builds a operator service put_sheet endpoint
+// NewReturnSheetOverCeiling builds a operator service return_sheet endpoint
 // over_ceiling error.
-func NewPutSheetOverCeiling(body *PutSheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+func NewReturnSheetOverCeiling(body *ReturnSheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2163,8 +3333,9 @@
 	return v
 }
 
-// NewPutSheetShed builds a operator service put_sheet endpoint shed error.
-func NewPutSheetShed(body *PutSheetShedResponseBody, retryAfter *int) *operator.Failure {
+// NewReturnSheetShed builds a operator service return_sheet endpoint shed
+// error.
+func NewReturnSheetShed(body *ReturnSheetShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2187,9 +3358,9 @@
 	return v
 }
 
-// NewPutSheetGivenUp builds a operator service put_sheet endpoint given_up
-// error.
-func NewPutSheetGivenUp(body *PutSheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewReturnSheetGivenUp builds a operator service return_sheet endpoint
+// given_up error.
+func NewReturnSheetGivenUp(body *ReturnSheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2212,9 +3383,9 @@
 	return v
 }
 
-// NewPutSheetOutcomeUnknown builds a operator service put_sheet endpoint
+// NewReturnSheetOutcomeUnknown builds a operator service return_sheet endpoint
 // outcome_unknown error.
-func NewPutSheetOutcomeUnknown(body *PutSheetOutcomeUnknownResponseBody) *operator.Failure {
+func NewReturnSheetOutcomeUnknown(body *ReturnSheetOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2237,9 +3408,9 @@
 	return v
 }
 
-// NewPutSheetConflict builds a operator service put_sheet endpoint conflict
-// error.
-func NewPutSheetConflict(body *PutSheetConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewReturnSheetConflict builds a operator service return_sheet endpoint
+// conflict error.
+func NewReturnSheetConflict(body *ReturnSheetConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2262,9 +3433,9 @@
 	return v
 }
 
-// NewPutSheetLostRace builds a operator service put_sheet endpoint lost_race
-// error.
-func NewPutSheetLostRace(body *PutSheetLostRaceResponseBody) *operator.Failure {
+// NewReturnSheetLostRace builds a operator service return_sheet endpoint
+// lost_race error.
+func NewReturnSheetLostRace(body *ReturnSheetLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2287,9 +3458,9 @@
 	return v
 }
 
-// NewPutSheetForbidden builds a operator service put_sheet endpoint forbidden
-// error.
-func NewPutSheetForbidden(body *PutSheetForbiddenResponseBody) *operator.Failure {
+// NewReturnSheetForbidden builds a operator service return_sheet endpoint
+// forbidden error.
+func NewReturnSheetForbidden(body *ReturnSheetForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2312,24 +3483,24 @@
 	return v
 }
 
-// NewCheckSheetFindingOK builds a "operator" service "check_sheet" endpoint
-// result from a HTTP "OK" response.
-func NewCheckSheetFindingOK(body []*FindingResponse) []*operator.Finding {
-	v := make([]*operator.Finding, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalFindingResponseToOperatorFinding(val)
+// NewEditSheetTakenOK builds a "operator" service "edit_sheet" endpoint result
+// from a HTTP "OK" response.
+func NewEditSheetTakenOK(body *EditSheetResponseBody) *operator.Taken {
+	v := &operator.Taken{
+		Stamp:   *body.Stamp,
+		InForce: *body.InForce,
+	}
+	v.Laggards = make([]string, len(body.Laggards))
+	for i, val := range body.Laggards {
+		v.Laggards[i] = val
 	}
 
 	return v
 }
 
-// NewCheckSheetMalformed builds a operator service check_sheet endpoint
+// NewEditSheetMalformed builds a operator service edit_sheet endpoint
 // malformed error.
-func NewCheckSheetMalformed(body *CheckSheetMalformedResponseBody) *operator.Failure {
+func NewEditSheetMalformed(body *EditSheetMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2352,9 +3523,9 @@
 	return v
 }
 
-// NewCheckSheetUnknown builds a operator service check_sheet endpoint unknown
+// NewEditSheetUnknown builds a operator service edit_sheet endpoint unknown
 // error.
-func NewCheckSheetUnknown(body *CheckSheetUnknownResponseBody) *operator.Failure {
+func NewEditSheetUnknown(body *EditSheetUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2377,9 +3548,9 @@
 	return v
 }
 
-// NewCheckSheetOversize builds a operator service check_sheet endpoint
-// oversize error.
-func NewCheckSheetOversize(body *CheckSheetOversizeResponseBody) *operator.Failure {
+// NewEditSheetOversize builds a operator service edit_sheet endpoint oversize
+// error.
+func NewEditSheetOversize(body *EditSheetOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2402,9 +3573,9 @@
 	return v
 }
 
-// NewCheckSheetOverCeiling builds a operator service check_sheet endpoint
+// NewEditSheetOverCeiling builds a operator service edit_sheet endpoint
 // over_ceiling error.
-func NewCheckSheetOverCeiling(body *CheckSheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+func NewEditSheetOverCeiling(body *EditSheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2427,8 +3598,8 @@
 	return v
 }
 
-// NewCheckSheetShed builds a operator service check_sheet endpoint shed error.
-func NewCheckSheetShed(body *CheckSheetShedResponseBody, retryAfter *int) *operator.Failure {
+// NewEditSheetShed builds a operator service edit_sheet endpoint shed error.
+func NewEditSheetShed(body *EditSheetShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2451,9 +3622,9 @@
 	return v
 }
 
-// NewCheckSheetGivenUp builds a operator service check_sheet endpoint given_up
+// NewEditSheetGivenUp builds a operator service edit_sheet endpoint given_up
 // error.
-func NewCheckSheetGivenUp(body *CheckSheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
+func NewEditSheetGivenUp(body *EditSheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2476,9 +3647,9 @@
 	return v
 }
 
-// NewCheckSheetOutcomeUnknown builds a operator service check_sheet endpoint
+// NewEditSheetOutcomeUnknown builds a operator service edit_sheet endpoint
 // outcome_unknown error.
-func NewCheckSheetOutcomeUnknown(body *CheckSheetOutcomeUnknownResponseBody) *operator.Failure {
+func NewEditSheetOutcomeUnknown(body *EditSheetOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2501,9 +3672,9 @@
 	return v
 }
 
-// NewCheckSheetConflict builds a operator service check_sheet endpoint
-// conflict error.
-func NewCheckSheetConflict(body *CheckSheetConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewEditSheetConflict builds a operator service edit_sheet endpoint conflict
+// error.
+func NewEditSheetConflict(body *EditSheetConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2526,9 +3697,9 @@
 	return v
 }
 
-// NewCheckSheetLostRace builds a operator service check_sheet endpoint
-// lost_race error.
-func NewCheckSheetLostRace(body *CheckSheetLostRaceResponseBody) *operator.Failure {
+// NewEditSheetLostRace builds a operator service edit_sheet endpoint lost_race
+// error.
+func NewEditSheetLostRace(body *EditSheetLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2551,9 +3722,9 @@
 	return v
 }
 
-// NewCheckSheetForbidden builds a operator service check_sheet endpoint
+// NewEditSheetForbidden builds a operator service edit_sheet endpoint
 // forbidden error.
-func NewCheckSheetForbidden(body *CheckSheetForbiddenResponseBody) *operator.Failure {
+func NewEditSheetForbidden(body *EditSheetForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2576,9 +3747,9 @@
 	return v
 }
 
-// NewEditSheetTakenOK builds a "operator" service "edit_sheet" endpoint result
-// from a HTTP "OK" response.
-func NewEditSheetTakenOK(body *EditSheetResponseBody) *operator.Taken {
+// NewZoneTakenOK builds a "operator" service "zone" endpoint result from a
+// HTTP "OK" response.
+func NewZoneTakenOK(body *ZoneResponseBody) *operator.Taken {
 	v := &operator.Taken{
 		Stamp:   *body.Stamp,
 		InForce: *body.InForce,
@@ -2591,9 +3762,8 @@
 	return v
 }
 
-// NewEditSheetMalformed builds a operator service edit_sheet endpoint
-// malformed error.
-func NewEditSheetMalformed(body *EditSheetMalformedResponseBody) *operator.Failure {
+// NewZoneMalformed builds a operator service zone endpoint malformed error.
+func NewZoneMalformed(body *ZoneMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2616,9 +3786,8 @@
 	return v
 }
 
-// NewEditSheetUnknown builds a operator service edit_sheet endpoint unknown
-// error.
-func NewEditSheetUnknown(body *EditSheetUnknownResponseBody) *operator.Failure {
+// NewZoneUnknown builds a operator service zone endpoint unknown error.
+func NewZoneUnknown(body *ZoneUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2641,9 +3810,8 @@
 	return v
 }
 
-// NewEditSheetOversize builds a operator service edit_sheet endpoint oversize
-// error.
-func NewEditSheetOversize(body *EditSheetOversizeResponseBody) *operator.Failure {
+// NewZoneOversize builds a operator service zone endpoint oversize error.
+func NewZoneOversize(body *ZoneOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2666,9 +3834,9 @@
 	return v
 }
 
-// NewEditSheetOverCeiling builds a operator service edit_sheet endpoint
-// over_ceiling error.
-func NewEditSheetOverCeiling(body *EditSheetOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+// NewZoneOverCeiling builds a operator service zone endpoint over_ceiling
+// error.
+func NewZoneOverCeiling(body *ZoneOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2691,8 +3859,8 @@
 	return v
 }
 
-// NewEditSheetShed builds a operator service edit_sheet endpoint shed error.
-func NewEditSheetShed(body *EditSheetShedResponseBody, retryAfter *int) *operator.Failure {
+// NewZoneShed builds a operator service zone endpoint shed error.
+func NewZoneShed(body *ZoneShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2715,9 +3883,8 @@
 	return v
 }
 
-// NewEditSheetGivenUp builds a operator service edit_sheet endpoint given_up
-// error.
-func NewEditSheetGivenUp(body *EditSheetGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewZoneGivenUp builds a operator service zone endpoint given_up error.
+func NewZoneGivenUp(body *ZoneGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2740,9 +3907,9 @@
 	return v
 }
 
-// NewEditSheetOutcomeUnknown builds a operator service edit_sheet endpoint
+// NewZoneOutcomeUnknown builds a operator service zone endpoint
 // outcome_unknown error.
-func NewEditSheetOutcomeUnknown(body *EditSheetOutcomeUnknownResponseBody) *operator.Failure {
+func NewZoneOutcomeUnknown(body *ZoneOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2765,9 +3932,8 @@
 	return v
 }
 
-// NewEditSheetConflict builds a operator service edit_sheet endpoint conflict
-// error.
-func NewEditSheetConflict(body *EditSheetConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewZoneConflict builds a operator service zone endpoint conflict error.
+func NewZoneConflict(body *ZoneConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2790,9 +3956,8 @@
 	return v
 }
 
-// NewEditSheetLostRace builds a operator service edit_sheet endpoint lost_race
-// error.
-func NewEditSheetLostRace(body *EditSheetLostRaceResponseBody) *operator.Failure {
+// NewZoneLostRace builds a operator service zone endpoint lost_race error.
+func NewZoneLostRace(body *ZoneLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2815,9 +3980,8 @@
 	return v
 }
 
-// NewEditSheetForbidden builds a operator service edit_sheet endpoint
-// forbidden error.
-func NewEditSheetForbidden(body *EditSheetForbiddenResponseBody) *operator.Failure {
+// NewZoneForbidden builds a operator service zone endpoint forbidden error.
+func NewZoneForbidden(body *ZoneForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2840,9 +4004,9 @@
 	return v
 }
 
-// NewZoneTakenOK builds a "operator" service "zone" endpoint result from a
-// HTTP "OK" response.
-func NewZoneTakenOK(body *ZoneResponseBody) *operator.Taken {
+// NewCutTakenOK builds a "operator" service "cut" endpoint result from a HTTP
+// "OK" response.
+func NewCutTakenOK(body *CutResponseBody) *operator.Taken {
 	v := &operator.Taken{
 		Stamp:   *body.Stamp,
 		InForce: *body.InForce,
@@ -2855,8 +4019,8 @@
 	return v
 }
 
-// NewZoneMalformed builds a operator service zone endpoint malformed error.
-func NewZoneMalformed(body *ZoneMalformedResponseBody) *operator.Failure {
+// NewCutMalformed builds a operator service cut endpoint malformed error.
+func NewCutMalformed(body *CutMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2879,8 +4043,8 @@
 	return v
 }
 
-// NewZoneUnknown builds a operator service zone endpoint unknown error.
-func NewZoneUnknown(body *ZoneUnknownResponseBody) *operator.Failure {
+// NewCutUnknown builds a operator service cut endpoint unknown error.
+func NewCutUnknown(body *CutUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2903,8 +4067,8 @@
 	return v
 }
 
-// NewZoneOversize builds a operator service zone endpoint oversize error.
-func NewZoneOversize(body *ZoneOversizeResponseBody) *operator.Failure {
+// NewCutOversize builds a operator service cut endpoint oversize error.
+func NewCutOversize(body *CutOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -2927,9 +4091,8 @@
 	return v
 }
 
-// NewZoneOverCeiling builds a operator service zone endpoint over_ceiling
-// error.
-func NewZoneOverCeiling(body *ZoneOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+// NewCutOverCeiling builds a operator service cut endpoint over_ceiling error.
+func NewCutOverCeiling(body *CutOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2952,8 +4115,8 @@
 	return v
 }
 
-// NewZoneShed builds a operator service zone endpoint shed error.
-func NewZoneShed(body *ZoneShedResponseBody, retryAfter *int) *operator.Failure {
+// NewCutShed builds a operator service cut endpoint shed error.
+func NewCutShed(body *CutShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -2976,8 +4139,8 @@
 	return v
 }
 
-// NewZoneGivenUp builds a operator service zone endpoint given_up error.
-func NewZoneGivenUp(body *ZoneGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewCutGivenUp builds a operator service cut endpoint given_up error.
+func NewCutGivenUp(body *CutGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3000,9 +4163,9 @@
 	return v
 }
 
-// NewZoneOutcomeUnknown builds a operator service zone endpoint
-// outcome_unknown error.
-func NewZoneOutcomeUnknown(body *ZoneOutcomeUnknownResponseBody) *operator.Failure {
+// NewCutOutcomeUnknown builds a operator service cut endpoint outcome_unknown
+// error.
+func NewCutOutcomeUnknown(body *CutOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3025,8 +4188,8 @@
 	return v
 }
 
-// NewZoneConflict builds a operator service zone endpoint conflict error.
-func NewZoneConflict(body *ZoneConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewCutConflict builds a operator service cut endpoint conflict error.
+func NewCutConflict(body *CutConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3049,8 +4212,8 @@
 	return v
 }
 
-// NewZoneLostRace builds a operator service zone endpoint lost_race error.
-func NewZoneLostRace(body *ZoneLostRaceResponseBody) *operator.Failure {
+// NewCutLostRace builds a operator service cut endpoint lost_race error.
+func NewCutLostRace(body *CutLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3073,8 +4236,8 @@
 	return v
 }
 
-// NewZoneForbidden builds a operator service zone endpoint forbidden error.
-func NewZoneForbidden(body *ZoneForbiddenResponseBody) *operator.Failure {
+// NewCutForbidden builds a operator service cut endpoint forbidden error.
+func NewCutForbidden(body *CutForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3097,23 +4260,24 @@
 	return v
 }
 
-// NewCutTakenOK builds a "operator" service "cut" endpoint result from a HTTP
-// "OK" response.
-func NewCutTakenOK(body *CutResponseBody) *operator.Taken {
-	v := &operator.Taken{
-		Stamp:   *body.Stamp,
-		InForce: *body.InForce,
-	}
-	v.Laggards = make([]string, len(body.Laggards))
-	for i, val := range body.Laggards {
-		v.Laggards[i] = val
+// NewMembersStatusOK builds a "operator" service "members" endpoint result
+// from a HTTP "OK" response.
+func NewMembersStatusOK(body []*StatusResponse) []*operator.Status {
+	v := make([]*operator.Status, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalStatusResponseToOperatorStatus(val)
 	}
 
 	return v
 }
 
-// NewCutMalformed builds a operator service cut endpoint malformed error.
-func NewCutMalformed(body *CutMalformedResponseBody) *operator.Failure {
+// NewMembersMalformed builds a operator service members endpoint malformed
+// error.
+func NewMembersMalformed(body *MembersMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3136,8 +4300,8 @@
 	return v
 }
 
-// NewCutUnknown builds a operator service cut endpoint unknown error.
-func NewCutUnknown(body *CutUnknownResponseBody) *operator.Failure {
+// NewMembersUnknown builds a operator service members endpoint unknown error.
+func NewMembersUnknown(body *MembersUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3160,8 +4324,8 @@
 	return v
 }
 
-// NewCutOversize builds a operator service cut endpoint oversize error.
-func NewCutOversize(body *CutOversizeResponseBody) *operator.Failure {
+// NewMembersOversize builds a operator service members endpoint oversize error.
+func NewMembersOversize(body *MembersOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3184,8 +4348,9 @@
 	return v
 }
 
-// NewCutOverCeiling builds a operator service cut endpoint over_ceiling error.
-func NewCutOverCeiling(body *CutOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+// NewMembersOverCeiling builds a operator service members endpoint
+// over_ceiling error.
+func NewMembersOverCeiling(body *MembersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3208,8 +4373,8 @@
 	return v
 }
 
-// NewCutShed builds a operator service cut endpoint shed error.
-func NewCutShed(body *CutShedResponseBody, retryAfter *int) *operator.Failure {
+// NewMembersShed builds a operator service members endpoint shed error.
+func NewMembersShed(body *MembersShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3232,8 +4397,8 @@
 	return v
 }
 
-// NewCutGivenUp builds a operator service cut endpoint given_up error.
-func NewCutGivenUp(body *CutGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewMembersGivenUp builds a operator service members endpoint given_up error.
+func NewMembersGivenUp(body *MembersGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3256,9 +4421,9 @@
 	return v
 }
 
-// NewCutOutcomeUnknown builds a operator service cut endpoint outcome_unknown
-// error.
-func NewCutOutcomeUnknown(body *CutOutcomeUnknownResponseBody) *operator.Failure {
+// NewMembersOutcomeUnknown builds a operator service members endpoint
+// outcome_unknown error.
+func NewMembersOutcomeUnknown(body *MembersOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3281,8 +4446,8 @@
 	return v
 }
 
-// NewCutConflict builds a operator service cut endpoint conflict error.
-func NewCutConflict(body *CutConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewMembersConflict builds a operator service members endpoint conflict error.
+func NewMembersConflict(body *MembersConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3305,8 +4470,9 @@
 	return v
 }
 
-// NewCutLostRace builds a operator service cut endpoint lost_race error.
-func NewCutLostRace(body *CutLostRaceResponseBody) *operator.Failure {
+// NewMembersLostRace builds a operator service members endpoint lost_race
+// error.
+func NewMembersLostRace(body *MembersLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3329,8 +4495,9 @@
 	return v
 }
 
-// NewCutForbidden builds a operator service cut endpoint forbidden error.
-func NewCutForbidden(body *CutForbiddenResponseBody) *operator.Failure {
+// NewMembersForbidden builds a operator service members endpoint forbidden
+// error.
+func NewMembersForbidden(body *MembersForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3353,24 +4520,24 @@
 	return v
 }
 
-// NewMembersStatusOK builds a "operator" service "members" endpoint result
-// from a HTTP "OK" response.
-func NewMembersStatusOK(body []*StatusResponse) []*operator.Status {
-	v := make([]*operator.Status, len(body))
+// NewServersServerStatusOK builds a "operator" service "servers" endpoint
+// result from a HTTP "OK" response.
+func NewServersServerStatusOK(body []*ServerStatusResponse) []*operator.ServerStatus {
+	v := make([]*operator.ServerStatus, len(body))
 	for i, val := range body {
 		if val == nil {
 			v[i] = nil
 			continue
 		}
-		v[i] = unmarshalStatusResponseToOperatorStatus(val)
+		v[i] = unmarshalServerStatusResponseToOperatorServerStatus(val)
 	}
 
 	return v
 }
 
-// NewMembersMalformed builds a operator service members endpoint malformed
+// NewServersMalformed builds a operator service servers endpoint malformed
 // error.
-func NewMembersMalformed(body *MembersMalformedResponseBody) *operator.Failure {
+func NewServersMalformed(body *ServersMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3393,8 +4560,8 @@
 	return v
 }
 
-// NewMembersUnknown builds a operator service members endpoint unknown error.
-func NewMembersUnknown(body *MembersUnknownResponseBody) *operator.Failure {
+// NewServersUnknown builds a operator service servers endpoint unknown error.
+func NewServersUnknown(body *ServersUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3417,8 +4584,8 @@
 	return v
 }
 
-// NewMembersOversize builds a operator service members endpoint oversize error.
-func NewMembersOversize(body *MembersOversizeResponseBody) *operator.Failure {
+// NewServersOversize builds a operator service servers endpoint oversize error.
+func NewServersOversize(body *ServersOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3441,9 +4608,9 @@
 	return v
 }
 
-// NewMembersOverCeiling builds a operator service members endpoint
+// NewServersOverCeiling builds a operator service servers endpoint
 // over_ceiling error.
-func NewMembersOverCeiling(body *MembersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+func NewServersOverCeiling(body *ServersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3466,8 +4633,8 @@
 	return v
 }
 
-// NewMembersShed builds a operator service members endpoint shed error.
-func NewMembersShed(body *MembersShedResponseBody, retryAfter *int) *operator.Failure {
+// NewServersShed builds a operator service servers endpoint shed error.
+func NewServersShed(body *ServersShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3490,8 +4657,8 @@
 	return v
 }
 
-// NewMembersGivenUp builds a operator service members endpoint given_up error.
-func NewMembersGivenUp(body *MembersGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewServersGivenUp builds a operator service servers endpoint given_up error.
+func NewServersGivenUp(body *ServersGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3514,9 +4681,9 @@
 	return v
 }
 
-// NewMembersOutcomeUnknown builds a operator service members endpoint
+// NewServersOutcomeUnknown builds a operator service servers endpoint
 // outcome_unknown error.
-func NewMembersOutcomeUnknown(body *MembersOutcomeUnknownResponseBody) *operator.Failure {
+func NewServersOutcomeUnknown(body *ServersOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3539,8 +4706,8 @@
 	return v
 }
 
-// NewMembersConflict builds a operator service members endpoint conflict error.
-func NewMembersConflict(body *MembersConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewServersConflict builds a operator service servers endpoint conflict error.
+func NewServersConflict(body *ServersConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3563,9 +4730,9 @@
 	return v
 }
 
-// NewMembersLostRace builds a operator service members endpoint lost_race
+// NewServersLostRace builds a operator service servers endpoint lost_race
 // error.
-func NewMembersLostRace(body *MembersLostRaceResponseBody) *operator.Failure {
+func NewServersLostRace(body *ServersLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3588,9 +4755,9 @@
 	return v
 }
 
-// NewMembersForbidden builds a operator service members endpoint forbidden
+// NewServersForbidden builds a operator service servers endpoint forbidden
 // error.
-func NewMembersForbidden(body *MembersForbiddenResponseBody) *operator.Failure {
+func NewServersForbidden(body *ServersForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3613,24 +4780,57 @@
 	return v
 }
 
-// NewServersServerStatusOK builds a "operator" service "servers" endpoint
-// result from a HTTP "OK" response.
-func NewServersServerStatusOK(body []*ServerStatusResponse) []*operator.ServerStatus {
-	v := make([]*operator.ServerStatus, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
+// NewExplainMalformed builds a operator service explain endpoint malformed
+// error.
+func NewExplainMalformed(body *ExplainMalformedResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
-		v[i] = unmarshalServerStatusResponseToOperatorServerStatus(val)
 	}
 
 	return v
 }
 
-// NewServersMalformed builds a operator service servers endpoint malformed
-// error.
-func NewServersMalformed(body *ServersMalformedResponseBody) *operator.Failure {
+// NewExplainUnknown builds a operator service explain endpoint unknown error.
+func NewExplainUnknown(body *ExplainUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewExplainOversize builds a operator service explain endpoint oversize error.
+func NewExplainOversize(body *ExplainOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3653,15 +4853,63 @@
 	return v
 }
 
-// NewServersUnknown builds a operator service servers endpoint unknown error.
-func NewServersUnknown(body *ServersUnknownResponseBody) *operator.Failure {
+// NewExplainOverCeiling builds a operator service explain endpoint
+// over_ceiling error.
+func NewExplainOverCeiling(body *ExplainOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExplainShed builds a operator service explain endpoint shed error.
+func NewExplainShed(body *ExplainShedResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExplainGivenUp builds a operator service explain endpoint given_up error.
+func NewExplainGivenUp(body *ExplainGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
 	}
 	if body.Findings != nil {
 		v.Findings = make([]*operator.Finding, len(body.Findings))
@@ -3673,12 +4921,14 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
+	v.RetryAfter = retryAfter
 
 	return v
 }
 
-// NewServersOversize builds a operator service servers endpoint oversize error.
-func NewServersOversize(body *ServersOversizeResponseBody) *operator.Failure {
+// NewExplainOutcomeUnknown builds a operator service explain endpoint
+// outcome_unknown error.
+func NewExplainOutcomeUnknown(body *ExplainOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3701,9 +4951,8 @@
 	return v
 }
 
-// NewServersOverCeiling builds a operator service servers endpoint
-// over_ceiling error.
-func NewServersOverCeiling(body *ServersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+// NewExplainConflict builds a operator service explain endpoint conflict error.
+func NewExplainConflict(body *ExplainConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -3726,14 +4975,16 @@
 	return v
 }
 
-// NewServersShed builds a operator service servers endpoint shed error.
-func NewServersShed(body *ServersShedResponseBody, retryAfter *int) *operator.Failure {
+// NewExplainLostRace builds a operator service explain endpoint lost_race
+// error.
+func NewExplainLostRace(body *ExplainLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
-		Name:    *body.Name,
-		Message: *body.Message,
-		Ran:     *body.Ran,
-		Inquiry: body.Inquiry,
-		Stamp:   body.Stamp,
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
 	}
 	if body.Findings != nil {
 		v.Findings = make([]*operator.Finding, len(body.Findings))
@@ -3745,19 +4996,20 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-	v.RetryAfter = retryAfter
 
 	return v
 }
 
-// NewServersGivenUp builds a operator service servers endpoint given_up error.
-func NewServersGivenUp(body *ServersGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewExplainForbidden builds a operator service explain endpoint forbidden
+// error.
+func NewExplainForbidden(body *ExplainForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
-		Name:    *body.Name,
-		Message: *body.Message,
-		Ran:     *body.Ran,
-		Inquiry: body.Inquiry,
-		Stamp:   body.Stamp,
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
 	}
 	if body.Findings != nil {
 		v.Findings = make([]*operator.Finding, len(body.Findings))
