@@ -3769,427 +5021,637 @@
 			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-	v.RetryAfter = retryAfter
 
 	return v
 }
 
-// NewServersOutcomeUnknown builds a operator service servers endpoint
-// outcome_unknown error.
-func NewServersOutcomeUnknown(body *ServersOutcomeUnknownResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidateSheetResponseBody runs the validations defined on SheetResponseBody
+func ValidateSheetResponseBody(body *SheetResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.Sheet == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("sheet", "body"))
+	}
+	return
+}
+
+// ValidatePutSheetResponseBody runs the validations defined on
+// put_sheet_response_body
+func ValidatePutSheetResponseBody(body *PutSheetResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateReturnSheetResponseBody runs the validations defined on
+// return_sheet_response_body
+func ValidateReturnSheetResponseBody(body *ReturnSheetResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateEditSheetResponseBody runs the validations defined on
+// edit_sheet_response_body
+func ValidateEditSheetResponseBody(body *EditSheetResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateZoneResponseBody runs the validations defined on ZoneResponseBody
+func ValidateZoneResponseBody(body *ZoneResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateCutResponseBody runs the validations defined on CutResponseBody
+func ValidateCutResponseBody(body *CutResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateSheetMalformedResponseBody runs the validations defined on
+// sheet_malformed_response_body
+func ValidateSheetMalformedResponseBody(body *SheetMalformedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetUnknownResponseBody runs the validations defined on
+// sheet_unknown_response_body
+func ValidateSheetUnknownResponseBody(body *SheetUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetOversizeResponseBody runs the validations defined on
+// sheet_oversize_response_body
+func ValidateSheetOversizeResponseBody(body *SheetOversizeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetOverCeilingResponseBody runs the validations defined on
+// sheet_over_ceiling_response_body
+func ValidateSheetOverCeilingResponseBody(body *SheetOverCeilingResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewServersConflict builds a operator service servers endpoint conflict error.
-func NewServersConflict(body *ServersConflictResponseBody, retryAfter *int) *operator.Failure {
-	v := &operator.Failure{
-		Name:    *body.Name,
-		Message: *body.Message,
-		Ran:     *body.Ran,
-		Inquiry: body.Inquiry,
-		Stamp:   body.Stamp,
+// ValidateSheetShedResponseBody runs the validations defined on
+// sheet_shed_response_body
+func ValidateSheetShedResponseBody(body *SheetShedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
-		}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewServersLostRace builds a operator service servers endpoint lost_race
-// error.
-func NewServersLostRace(body *ServersLostRaceResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewServersForbidden builds a operator service servers endpoint forbidden
-// error.
-func NewServersForbidden(body *ServersForbiddenResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidateSheetGivenUpResponseBody runs the validations defined on
+// sheet_given_up_response_body
+func ValidateSheetGivenUpResponseBody(body *SheetGivenUpResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewExplainMalformed builds a operator service explain endpoint malformed
-// error.
-func NewExplainMalformed(body *ExplainMalformedResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidateSheetOutcomeUnknownResponseBody runs the validations defined on
+// sheet_outcome_unknown_response_body
+func ValidateSheetOutcomeUnknownResponseBody(body *SheetOutcomeUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewExplainUnknown builds a operator service explain endpoint unknown error.
-func NewExplainUnknown(body *ExplainUnknownResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidateSheetConflictResponseBody runs the validations defined on
+// sheet_conflict_response_body
+func ValidateSheetConflictResponseBody(body *SheetConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewExplainOversize builds a operator service explain endpoint oversize error.
-func NewExplainOversize(body *ExplainOversizeResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidateSheetLostRaceResponseBody runs the validations defined on
+// sheet_lost_race_response_body
+func ValidateSheetLostRaceResponseBody(body *SheetLostRaceResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewExplainOverCeiling builds a operator service explain endpoint
-// over_ceiling error.
-func NewExplainOverCeiling(body *ExplainOverCeilingResponseBody, retryAfter *int) *operator.Failure {
-	v := &operator.Failure{
-		Name:    *body.Name,
-		Message: *body.Message,
-		Ran:     *body.Ran,
-		Inquiry: body.Inquiry,
-		Stamp:   body.Stamp,
+// ValidateSheetForbiddenResponseBody runs the validations defined on
+// sheet_forbidden_response_body
+func ValidateSheetForbiddenResponseBody(body *SheetForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewExplainShed builds a operator service explain endpoint shed error.
-func NewExplainShed(body *ExplainShedResponseBody, retryAfter *int) *operator.Failure {
-	v := &operator.Failure{
-		Name:    *body.Name,
-		Message: *body.Message,
-		Ran:     *body.Ran,
-		Inquiry: body.Inquiry,
-		Stamp:   body.Stamp,
+// ValidatePutSheetMalformedResponseBody runs the validations defined on
+// put_sheet_malformed_response_body
+func ValidatePutSheetMalformedResponseBody(body *PutSheetMalformedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
-			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
-		}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewExplainGivenUp builds a operator service explain endpoint given_up error.
-func NewExplainGivenUp(body *ExplainGivenUpResponseBody, retryAfter *int) *operator.Failure {
-	v := &operator.Failure{
-		Name:    *body.Name,
-		Message: *body.Message,
-		Ran:     *body.Ran,
-		Inquiry: body.Inquiry,
-		Stamp:   body.Stamp,
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewExplainOutcomeUnknown builds a operator service explain endpoint
-// outcome_unknown error.
-func NewExplainOutcomeUnknown(body *ExplainOutcomeUnknownResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidatePutSheetUnknownResponseBody runs the validations defined on
+// put_sheet_unknown_response_body
+func ValidatePutSheetUnknownResponseBody(body *PutSheetUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewExplainConflict builds a operator service explain endpoint conflict error.
-func NewExplainConflict(body *ExplainConflictResponseBody, retryAfter *int) *operator.Failure {
-	v := &operator.Failure{
-		Name:    *body.Name,
-		Message: *body.Message,
-		Ran:     *body.Ran,
-		Inquiry: body.Inquiry,
-		Stamp:   body.Stamp,
+// ValidatePutSheetOversizeResponseBody runs the validations defined on
+// put_sheet_oversize_response_body
+func ValidatePutSheetOversizeResponseBody(body *PutSheetOversizeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewExplainLostRace builds a operator service explain endpoint lost_race
-// error.
-func NewExplainLostRace(body *ExplainLostRaceResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidatePutSheetOverCeilingResponseBody runs the validations defined on
+// put_sheet_over_ceiling_response_body
+func ValidatePutSheetOverCeilingResponseBody(body *PutSheetOverCeilingResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// NewExplainForbidden builds a operator service explain endpoint forbidden
-// error.
-func NewExplainForbidden(body *ExplainForbiddenResponseBody) *operator.Failure {
-	v := &operator.Failure{
-		Name:       *body.Name,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Inquiry:    body.Inquiry,
-		RetryAfter: body.RetryAfter,
-		Stamp:      body.Stamp,
+// ValidatePutSheetShedResponseBody runs the validations defined on
+// put_sheet_shed_response_body
+func ValidatePutSheetShedResponseBody(body *PutSheetShedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.Findings != nil {
-		v.Findings = make([]*operator.Finding, len(body.Findings))
-		for i, val := range body.Findings {
-			if val == nil {
-				v.Findings[i] = nil
-				continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
 			}
-			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
 		}
 	}
-
-	return v
+	return
 }
 
-// ValidateSheetResponseBody runs the validations defined on SheetResponseBody
-func ValidateSheetResponseBody(body *SheetResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidatePutSheetGivenUpResponseBody runs the validations defined on
+// put_sheet_given_up_response_body
+func ValidatePutSheetGivenUpResponseBody(body *PutSheetGivenUpResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
 	}
-	if body.Sheet == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("sheet", "body"))
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidatePutSheetResponseBody runs the validations defined on
-// put_sheet_response_body
-func ValidatePutSheetResponseBody(body *PutSheetResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidatePutSheetOutcomeUnknownResponseBody runs the validations defined on
+// put_sheet_outcome_unknown_response_body
+func ValidatePutSheetOutcomeUnknownResponseBody(body *PutSheetOutcomeUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateEditSheetResponseBody runs the validations defined on
-// edit_sheet_response_body
-func ValidateEditSheetResponseBody(body *EditSheetResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidatePutSheetConflictResponseBody runs the validations defined on
+// put_sheet_conflict_response_body
+func ValidatePutSheetConflictResponseBody(body *PutSheetConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateZoneResponseBody runs the validations defined on ZoneResponseBody
-func ValidateZoneResponseBody(body *ZoneResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidatePutSheetLostRaceResponseBody runs the validations defined on
+// put_sheet_lost_race_response_body
+func ValidatePutSheetLostRaceResponseBody(body *PutSheetLostRaceResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateCutResponseBody runs the validations defined on CutResponseBody
-func ValidateCutResponseBody(body *CutResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidatePutSheetForbiddenResponseBody runs the validations defined on
+// put_sheet_forbidden_response_body
+func ValidatePutSheetForbiddenResponseBody(body *PutSheetForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateSheetMalformedResponseBody runs the validations defined on
-// sheet_malformed_response_body
-func ValidateSheetMalformedResponseBody(body *SheetMalformedResponseBody) (err error) {
+// ValidateCheckSheetMalformedResponseBody runs the validations defined on
+// check_sheet_malformed_response_body
+func ValidateCheckSheetMalformedResponseBody(body *CheckSheetMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4214,9 +5676,9 @@
 	return
 }
 
-// ValidateSheetUnknownResponseBody runs the validations defined on
-// sheet_unknown_response_body
-func ValidateSheetUnknownResponseBody(body *SheetUnknownResponseBody) (err error) {
+// ValidateCheckSheetUnknownResponseBody runs the validations defined on
+// check_sheet_unknown_response_body
+func ValidateCheckSheetUnknownResponseBody(body *CheckSheetUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4241,9 +5703,9 @@
 	return
 }
 
-// ValidateSheetOversizeResponseBody runs the validations defined on
-// sheet_oversize_response_body
-func ValidateSheetOversizeResponseBody(body *SheetOversizeResponseBody) (err error) {
+// ValidateCheckSheetOversizeResponseBody runs the validations defined on
+// check_sheet_oversize_response_body
+func ValidateCheckSheetOversizeResponseBody(body *CheckSheetOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4268,9 +5730,9 @@
 	return
 }
 
-// ValidateSheetOverCeilingResponseBody runs the validations defined on
-// sheet_over_ceiling_response_body
-func ValidateSheetOverCeilingResponseBody(body *SheetOverCeilingResponseBody) (err error) {
+// ValidateCheckSheetOverCeilingResponseBody runs the validations defined on
+// check_sheet_over_ceiling_response_body
+func ValidateCheckSheetOverCeilingResponseBody(body *CheckSheetOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4295,9 +5757,9 @@
 	return
 }
 
-// ValidateSheetShedResponseBody runs the validations defined on
-// sheet_shed_response_body
-func ValidateSheetShedResponseBody(body *SheetShedResponseBody) (err error) {
+// ValidateCheckSheetShedResponseBody runs the validations defined on
+// check_sheet_shed_response_body
+func ValidateCheckSheetShedResponseBody(body *CheckSheetShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4322,9 +5784,9 @@
 	return
 }
 
-// ValidateSheetGivenUpResponseBody runs the validations defined on
-// sheet_given_up_response_body
-func ValidateSheetGivenUpResponseBody(body *SheetGivenUpResponseBody) (err error) {
+// ValidateCheckSheetGivenUpResponseBody runs the validations defined on
+// check_sheet_given_up_response_body
+func ValidateCheckSheetGivenUpResponseBody(body *CheckSheetGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4349,9 +5811,9 @@
 	return
 }
 
-// ValidateSheetOutcomeUnknownResponseBody runs the validations defined on
-// sheet_outcome_unknown_response_body
-func ValidateSheetOutcomeUnknownResponseBody(body *SheetOutcomeUnknownResponseBody) (err error) {
+// ValidateCheckSheetOutcomeUnknownResponseBody runs the validations defined on
+// check_sheet_outcome_unknown_response_body
+func ValidateCheckSheetOutcomeUnknownResponseBody(body *CheckSheetOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4376,9 +5838,9 @@
 	return
 }
 
-// ValidateSheetConflictResponseBody runs the validations defined on
-// sheet_conflict_response_body
-func ValidateSheetConflictResponseBody(body *SheetConflictResponseBody) (err error) {
+// ValidateCheckSheetConflictResponseBody runs the validations defined on
+// check_sheet_conflict_response_body
+func ValidateCheckSheetConflictResponseBody(body *CheckSheetConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4403,9 +5865,9 @@
 	return
 }
 
-// ValidateSheetLostRaceResponseBody runs the validations defined on
-// sheet_lost_race_response_body
-func ValidateSheetLostRaceResponseBody(body *SheetLostRaceResponseBody) (err error) {
+// ValidateCheckSheetLostRaceResponseBody runs the validations defined on
+// check_sheet_lost_race_response_body
+func ValidateCheckSheetLostRaceResponseBody(body *CheckSheetLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4430,9 +5892,9 @@
 	return
 }
 
-// ValidateSheetForbiddenResponseBody runs the validations defined on
-// sheet_forbidden_response_body
-func ValidateSheetForbiddenResponseBody(body *SheetForbiddenResponseBody) (err error) {
+// ValidateCheckSheetForbiddenResponseBody runs the validations defined on
+// check_sheet_forbidden_response_body
+func ValidateCheckSheetForbiddenResponseBody(body *CheckSheetForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4457,9 +5919,9 @@
 	return
 }
 
-// ValidatePutSheetMalformedResponseBody runs the validations defined on
-// put_sheet_malformed_response_body
-func ValidatePutSheetMalformedResponseBody(body *PutSheetMalformedResponseBody) (err error) {
+// ValidateHistoryMalformedResponseBody runs the validations defined on
+// history_malformed_response_body
+func ValidateHistoryMalformedResponseBody(body *HistoryMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4484,9 +5946,9 @@
 	return
 }
 
-// ValidatePutSheetUnknownResponseBody runs the validations defined on
-// put_sheet_unknown_response_body
-func ValidatePutSheetUnknownResponseBody(body *PutSheetUnknownResponseBody) (err error) {
+// ValidateHistoryUnknownResponseBody runs the validations defined on
+// history_unknown_response_body
+func ValidateHistoryUnknownResponseBody(body *HistoryUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4511,9 +5973,9 @@
 	return
 }
 
-// ValidatePutSheetOversizeResponseBody runs the validations defined on
-// put_sheet_oversize_response_body
-func ValidatePutSheetOversizeResponseBody(body *PutSheetOversizeResponseBody) (err error) {
+// ValidateHistoryOversizeResponseBody runs the validations defined on
+// history_oversize_response_body
+func ValidateHistoryOversizeResponseBody(body *HistoryOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4538,9 +6000,9 @@
 	return
 }
 
-// ValidatePutSheetOverCeilingResponseBody runs the validations defined on
-// put_sheet_over_ceiling_response_body
-func ValidatePutSheetOverCeilingResponseBody(body *PutSheetOverCeilingResponseBody) (err error) {
+// ValidateHistoryOverCeilingResponseBody runs the validations defined on
+// history_over_ceiling_response_body
+func ValidateHistoryOverCeilingResponseBody(body *HistoryOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4565,9 +6027,9 @@
 	return
 }
 
-// ValidatePutSheetShedResponseBody runs the validations defined on
-// put_sheet_shed_response_body
-func ValidatePutSheetShedResponseBody(body *PutSheetShedResponseBody) (err error) {
+// ValidateHistoryShedResponseBody runs the validations defined on
+// history_shed_response_body
+func ValidateHistoryShedResponseBody(body *HistoryShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4592,9 +6054,9 @@
 	return
 }
 
-// ValidatePutSheetGivenUpResponseBody runs the validations defined on
-// put_sheet_given_up_response_body
-func ValidatePutSheetGivenUpResponseBody(body *PutSheetGivenUpResponseBody) (err error) {
+// ValidateHistoryGivenUpResponseBody runs the validations defined on
+// history_given_up_response_body
+func ValidateHistoryGivenUpResponseBody(body *HistoryGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4619,9 +6081,9 @@
 	return
 }
 
-// ValidatePutSheetOutcomeUnknownResponseBody runs the validations defined on
-// put_sheet_outcome_unknown_response_body
-func ValidatePutSheetOutcomeUnknownResponseBody(body *PutSheetOutcomeUnknownResponseBody) (err error) {
+// ValidateHistoryOutcomeUnknownResponseBody runs the validations defined on
+// history_outcome_unknown_response_body
+func ValidateHistoryOutcomeUnknownResponseBody(body *HistoryOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4646,9 +6108,9 @@
 	return
 }
 
-// ValidatePutSheetConflictResponseBody runs the validations defined on
-// put_sheet_conflict_response_body
-func ValidatePutSheetConflictResponseBody(body *PutSheetConflictResponseBody) (err error) {
+// ValidateHistoryConflictResponseBody runs the validations defined on
+// history_conflict_response_body
+func ValidateHistoryConflictResponseBody(body *HistoryConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4673,9 +6135,9 @@
 	return
 }
 
-// ValidatePutSheetLostRaceResponseBody runs the validations defined on
-// put_sheet_lost_race_response_body
-func ValidatePutSheetLostRaceResponseBody(body *PutSheetLostRaceResponseBody) (err error) {
+// ValidateHistoryLostRaceResponseBody runs the validations defined on
+// history_lost_race_response_body
+func ValidateHistoryLostRaceResponseBody(body *HistoryLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4700,9 +6162,9 @@
 	return
 }
 
-// ValidatePutSheetForbiddenResponseBody runs the validations defined on
-// put_sheet_forbidden_response_body
-func ValidatePutSheetForbiddenResponseBody(body *PutSheetForbiddenResponseBody) (err error) {
+// ValidateHistoryForbiddenResponseBody runs the validations defined on
+// history_forbidden_response_body
+func ValidateHistoryForbiddenResponseBody(body *HistoryForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4727,9 +6189,9 @@
 	return
 }
 
-// ValidateCheckSheetMalformedResponseBody runs the validations defined on
-// check_sheet_malformed_response_body
-func ValidateCheckSheetMalformedResponseBody(body *CheckSheetMalformedResponseBody) (err error) {
+// ValidateReturnSheetMalformedResponseBody runs the validations defined on
+// return_sheet_malformed_response_body
+func ValidateReturnSheetMalformedResponseBody(body *ReturnSheetMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4754,9 +6216,9 @@
 	return
 }
 
-// ValidateCheckSheetUnknownResponseBody runs the validations defined on
-// check_sheet_unknown_response_body
-func ValidateCheckSheetUnknownResponseBody(body *CheckSheetUnknownResponseBody) (err error) {
+// ValidateReturnSheetUnknownResponseBody runs the validations defined on
+// return_sheet_unknown_response_body
+func ValidateReturnSheetUnknownResponseBody(body *ReturnSheetUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4781,9 +6243,9 @@
 	return
 }
 
-// ValidateCheckSheetOversizeResponseBody runs the validations defined on
-// check_sheet_oversize_response_body
-func ValidateCheckSheetOversizeResponseBody(body *CheckSheetOversizeResponseBody) (err error) {
+// ValidateReturnSheetOversizeResponseBody runs the validations defined on
+// return_sheet_oversize_response_body
+func ValidateReturnSheetOversizeResponseBody(body *ReturnSheetOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4808,9 +6270,9 @@
 	return
 }
 
-// ValidateCheckSheetOverCeilingResponseBody runs the validations defined on
-// check_sheet_over_ceiling_response_body
-func ValidateCheckSheetOverCeilingResponseBody(body *CheckSheetOverCeilingResponseBody) (err error) {
+// ValidateReturnSheetOverCeilingResponseBody runs the validations defined on
+// return_sheet_over_ceiling_response_body
+func ValidateReturnSheetOverCeilingResponseBody(body *ReturnSheetOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4835,9 +6297,9 @@
 	return
 }
 
-// ValidateCheckSheetShedResponseBody runs the validations defined on
-// check_sheet_shed_response_body
-func ValidateCheckSheetShedResponseBody(body *CheckSheetShedResponseBody) (err error) {
+// ValidateReturnSheetShedResponseBody runs the validations defined on
+// return_sheet_shed_response_body
+func ValidateReturnSheetShedResponseBody(body *ReturnSheetShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4862,9 +6324,9 @@
 	return
 }
 
-// ValidateCheckSheetGivenUpResponseBody runs the validations defined on
-// check_sheet_given_up_response_body
-func ValidateCheckSheetGivenUpResponseBody(body *CheckSheetGivenUpResponseBody) (err error) {
+// ValidateReturnSheetGivenUpResponseBody runs the validations defined on
+// return_sheet_given_up_response_body
+func ValidateReturnSheetGivenUpResponseBody(body *ReturnSheetGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4889,9 +6351,9 @@
 	return
 }
 
-// ValidateCheckSheetOutcomeUnknownResponseBody runs the validations defined on
-// check_sheet_outcome_unknown_response_body
-func ValidateCheckSheetOutcomeUnknownResponseBody(body *CheckSheetOutcomeUnknownResponseBody) (err error) {
+// ValidateReturnSheetOutcomeUnknownResponseBody runs the validations defined
+// on return_sheet_outcome_unknown_response_body
+func ValidateReturnSheetOutcomeUnknownResponseBody(body *ReturnSheetOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4916,9 +6378,9 @@
 	return
 }
 
-// ValidateCheckSheetConflictResponseBody runs the validations defined on
-// check_sheet_conflict_response_body
-func ValidateCheckSheetConflictResponseBody(body *CheckSheetConflictResponseBody) (err error) {
+// ValidateReturnSheetConflictResponseBody runs the validations defined on
+// return_sheet_conflict_response_body
+func ValidateReturnSheetConflictResponseBody(body *ReturnSheetConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4943,9 +6405,9 @@
 	return
 }
 
-// ValidateCheckSheetLostRaceResponseBody runs the validations defined on
-// check_sheet_lost_race_response_body
-func ValidateCheckSheetLostRaceResponseBody(body *CheckSheetLostRaceResponseBody) (err error) {
+// ValidateReturnSheetLostRaceResponseBody runs the validations defined on
+// return_sheet_lost_race_response_body
+func ValidateReturnSheetLostRaceResponseBody(body *ReturnSheetLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -4970,9 +6432,9 @@
 	return
 }
 
-// ValidateCheckSheetForbiddenResponseBody runs the validations defined on
-// check_sheet_forbidden_response_body
-func ValidateCheckSheetForbiddenResponseBody(body *CheckSheetForbiddenResponseBody) (err error) {
+// ValidateReturnSheetForbiddenResponseBody runs the validations defined on
+// return_sheet_forbidden_response_body
+func ValidateReturnSheetForbiddenResponseBody(body *ReturnSheetForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6640,6 +8102,20 @@
 	return
 }
 
+// ValidatePastSheetResponse runs the validations defined on PastSheetResponse
+func ValidatePastSheetResponse(body *PastSheetResponse) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.By == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("by", "body"))
+	}
+	if body.Sheet == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("sheet", "body"))
+	}
+	return
+}
+
 // ValidateRowEditRequestBody runs the validations defined on RowEditRequestBody
 func ValidateRowEditRequestBody(body *RowEditRequestBody) (err error) {
 	if body.Row == nil {
--- a/gen/http/operator/server/encode_decode.go
+++ b/gen/http/operator/server/encode_decode.go
@@ -668,6 +668,431 @@
 	}
 }
 
+// EncodeHistoryResponse returns an encoder for responses returned by the
+// operator history endpoint.
+func EncodeHistoryResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.([]*operator.PastSheet)
+		enc := encoder(ctx, w)
+		body := NewHistoryResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeHistoryRequest returns a decoder for requests sent to the operator
+// history endpoint.
+func DecodeHistoryRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operator.HistoryPayload, error) {
+	return func(r *http.Request) (*operator.HistoryPayload, error) {
+		var payload *operator.HistoryPayload
+		var (
+			token *string
+		)
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		payload = NewHistoryPayload(token)
+
+		return payload, nil
+	}
+}
+
+// EncodeHistoryError returns an encoder for errors returned by the history
+// operator endpoint.
+func EncodeHistoryError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "malformed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryMalformedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "oversize":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryOversizeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "over_ceiling":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryOverCeilingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "shed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryShedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "given_up":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryGivenUpResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "lost_race":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryLostRaceResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeReturnSheetResponse returns an encoder for responses returned by the
+// operator return_sheet endpoint.
+func EncodeReturnSheetResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operator.Taken)
+		enc := encoder(ctx, w)
+		body := NewReturnSheetResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeReturnSheetRequest returns a decoder for requests sent to the operator
+// return_sheet endpoint.
+func DecodeReturnSheetRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operator.ReturnSheetPayload, error) {
+	return func(r *http.Request) (*operator.ReturnSheetPayload, error) {
+		var payload *operator.ReturnSheetPayload
+		var (
+			stamp   string
+			token   *string
+			editID  *string
+			basedOn *string
+			by      *string
+			err     error
+
+			params = mux.Vars(r)
+		)
+		stamp = params["stamp"]
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		editIDRaw := r.Header.Get("Edit-Id")
+		if editIDRaw != "" {
+			editID = &editIDRaw
+		}
+		if editID != nil {
+			if utf8.RuneCountInString(*editID) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("edit_id", *editID, utf8.RuneCountInString(*editID), 128, false))
+			}
+		}
+		basedOnRaw := r.Header.Get("If-Match")
+		if basedOnRaw != "" {
+			basedOn = &basedOnRaw
+		}
+		byRaw := r.Header.Get("Edit-By")
+		if byRaw != "" {
+			by = &byRaw
+		}
+		if by != nil {
+			if utf8.RuneCountInString(*by) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("by", *by, utf8.RuneCountInString(*by), 128, false))
+			}
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewReturnSheetPayload(stamp, token, editID, basedOn, by)
+
+		return payload, nil
+	}
+}
+
+// EncodeReturnSheetError returns an encoder for errors returned by the
+// return_sheet operator endpoint.
+func EncodeReturnSheetError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "malformed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetMalformedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "oversize":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetOversizeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "over_ceiling":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetOverCeilingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "shed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetShedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "given_up":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetGivenUpResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "lost_race":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetLostRaceResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeEditSheetResponse returns an encoder for responses returned by the
 // operator edit_sheet endpoint.
 func EncodeEditSheetResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -2011,6 +2436,18 @@
 	return res
 }
 
+// marshalOperatorPastSheetToPastSheetResponse builds a value of type
+// *PastSheetResponse from a value of type *operator.PastSheet.
+func marshalOperatorPastSheetToPastSheetResponse(v *operator.PastSheet) *PastSheetResponse {
+	res := &PastSheetResponse{
+		Stamp: v.Stamp,
+		By:    v.By,
+		Sheet: v.Sheet,
+	}
+
+	return res
+}
+
 // unmarshalRowEditRequestBodyToOperatorRowEdit builds a value of type
 // *operator.RowEdit from a value of type *RowEditRequestBody.
 func unmarshalRowEditRequestBodyToOperatorRowEdit(v *RowEditRequestBody) *operator.RowEdit {
--- a/gen/http/operator/server/server.go
+++ b/gen/http/operator/server/server.go
@@ -18,16 +18,18 @@
 
 // Server lists the operator service endpoint HTTP handlers.
 type Server struct {
-	Mounts     []*MountPoint
-	Sheet      http.Handler
-	PutSheet   http.Handler
-	CheckSheet http.Handler
-	EditSheet  http.Handler
-	Zone       http.Handler
-	Cut        http.Handler
-	Members    http.Handler
-	Servers    http.Handler
-	Explain    http.Handler
+	Mounts      []*MountPoint
+	Sheet       http.Handler
+	PutSheet    http.Handler
+	CheckSheet  http.Handler
+	History     http.Handler
+	ReturnSheet http.Handler
+	EditSheet   http.Handler
+	Zone        http.Handler
+	Cut         http.Handler
+	Members     http.Handler
+	Servers     http.Handler
+	Explain     http.Handler
 }
 
 // MountPoint holds information about the mounted endpoints.
@@ -60,6 +62,8 @@
 			{"Sheet", "GET", "/v1/sheet"},
 			{"PutSheet", "PUT", "/v1/sheet"},
 			{"CheckSheet", "POST", "/v1/sheet/check"},
+			{"History", "GET", "/v1/sheet/history"},
+			{"ReturnSheet", "POST", "/v1/sheet/return/{stamp}"},
 			{"EditSheet", "PATCH", "/v1/sheet"},
 			{"Zone", "POST", "/v1/zones/{zone}/{action}"},
 			{"Cut", "POST", "/v1/indexes/{index}/cut"},
@@ -67,15 +71,17 @@
 			{"Servers", "GET", "/v1/servers"},
 			{"Explain", "GET", "/v1/explain/{id}"},
 		},
-		Sheet:      NewSheetHandler(e.Sheet, mux, decoder, encoder, errhandler, formatter),
-		PutSheet:   NewPutSheetHandler(e.PutSheet, mux, decoder, encoder, errhandler, formatter),
-		CheckSheet: NewCheckSheetHandler(e.CheckSheet, mux, decoder, encoder, errhandler, formatter),
-		EditSheet:  NewEditSheetHandler(e.EditSheet, mux, decoder, encoder, errhandler, formatter),
-		Zone:       NewZoneHandler(e.Zone, mux, decoder, encoder, errhandler, formatter),
-		Cut:        NewCutHandler(e.Cut, mux, decoder, encoder, errhandler, formatter),
-		Members:    NewMembersHandler(e.Members, mux, decoder, encoder, errhandler, formatter),
-		Servers:    NewServersHandler(e.Servers, mux, decoder, encoder, errhandler, formatter),
-		Explain:    NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
+		Sheet:       NewSheetHandler(e.Sheet, mux, decoder, encoder, errhandler, formatter),
+		PutSheet:    NewPutSheetHandler(e.PutSheet, mux, decoder, encoder, errhandler, formatter),
+		CheckSheet:  NewCheckSheetHandler(e.CheckSheet, mux, decoder, encoder, errhandler, formatter),
+		History:     NewHistoryHandler(e.History, mux, decoder, encoder, errhandler, formatter),
+		ReturnSheet: NewReturnSheetHandler(e.ReturnSheet, mux, decoder, encoder, errhandler, formatter),
+		EditSheet:   NewEditSheetHandler(e.EditSheet, mux, decoder, encoder, errhandler, formatter),
+		Zone:        NewZoneHandler(e.Zone, mux, decoder, encoder, errhandler, formatter),
+		Cut:         NewCutHandler(e.Cut, mux, decoder, encoder, errhandler, formatter),
+		Members:     NewMembersHandler(e.Members, mux, decoder, encoder, errhandler, formatter),
+		Servers:     NewServersHandler(e.Servers, mux, decoder, encoder, errhandler, formatter),
+		Explain:     NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -87,6 +93,8 @@
 	s.Sheet = m(s.Sheet)
 	s.PutSheet = m(s.PutSheet)
 	s.CheckSheet = m(s.CheckSheet)
+	s.History = m(s.History)
+	s.ReturnSheet = m(s.ReturnSheet)
 	s.EditSheet = m(s.EditSheet)
 	s.Zone = m(s.Zone)
 	s.Cut = m(s.Cut)
@@ -103,6 +111,8 @@
 	MountSheetHandler(mux, h.Sheet)
 	MountPutSheetHandler(mux, h.PutSheet)
 	MountCheckSheetHandler(mux, h.CheckSheet)
+	MountHistoryHandler(mux, h.History)
+	MountReturnSheetHandler(mux, h.ReturnSheet)
 	MountEditSheetHandler(mux, h.EditSheet)
 	MountZoneHandler(mux, h.Zone)
 	MountCutHandler(mux, h.Cut)
@@ -275,6 +285,112 @@
 	})
 }
 
+// MountHistoryHandler configures the mux to serve the "operator" service
+// "history" endpoint.
+func MountHistoryHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/sheet/history", f)
+}
+
+// NewHistoryHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operator" service "history" endpoint.
+func NewHistoryHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeHistoryRequest(mux, decoder)
+		encodeResponse = EncodeHistoryResponse(encoder)
+		encodeError    = EncodeHistoryError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "history")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operator")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountReturnSheetHandler configures the mux to serve the "operator" service
+// "return_sheet" endpoint.
+func MountReturnSheetHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/sheet/return/{stamp}", f)
+}
+
+// NewReturnSheetHandler creates a HTTP handler which loads the HTTP request
+// and calls the "operator" service "return_sheet" endpoint.
+func NewReturnSheetHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeReturnSheetRequest(mux, decoder)
+		encodeResponse = EncodeReturnSheetResponse(encoder)
+		encodeError    = EncodeReturnSheetError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "return_sheet")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operator")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountEditSheetHandler configures the mux to serve the "operator" service
 // "edit_sheet" endpoint.
 func MountEditSheetHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/operator/server/types.go
+++ b/gen/http/operator/server/types.go
@@ -49,6 +49,21 @@
 // endpoint HTTP response body.
 type CheckSheetResponseBody []*FindingResponse
 
+// HistoryResponseBody is the type of the "operator" service "history" endpoint
+// HTTP response body.
+type HistoryResponseBody []*PastSheetResponse
+
+// ReturnSheetResponseBody is the type of the "operator" service "return_sheet"
+// endpoint HTTP response body.
+type ReturnSheetResponseBody struct {
+	// Stamp of the change
+	Stamp string `form:"stamp" json:"stamp" xml:"stamp"`
+	// Nodes that have it in force
+	InForce int `form:"in_force" json:"in_force" xml:"in_force"`
+	// Live nodes that do not yet
+	Laggards []string `form:"laggards" json:"laggards" xml:"laggards"`
+}
+
 // EditSheetResponseBody is the type of the "operator" service "edit_sheet"
 // endpoint HTTP response body.
 type EditSheetResponseBody struct {
@@ -636,9 +651,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetMalformedResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "malformed" error.
-type EditSheetMalformedResponseBody struct {
+// HistoryMalformedResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "malformed" error.
+type HistoryMalformedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -655,9 +670,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetUnknownResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "unknown" error.
-type EditSheetUnknownResponseBody struct {
+// HistoryUnknownResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "unknown" error.
+type HistoryUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -674,9 +689,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetOversizeResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "oversize" error.
-type EditSheetOversizeResponseBody struct {
+// HistoryOversizeResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "oversize" error.
+type HistoryOversizeResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -693,9 +708,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetOverCeilingResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "over_ceiling" error.
-type EditSheetOverCeilingResponseBody struct {
+// HistoryOverCeilingResponseBody is the type of the "operator" service
+// "history" endpoint HTTP response body for the "over_ceiling" error.
+type HistoryOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -710,9 +725,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetShedResponseBody is the type of the "operator" service "edit_sheet"
+// HistoryShedResponseBody is the type of the "operator" service "history"
 // endpoint HTTP response body for the "shed" error.
-type EditSheetShedResponseBody struct {
+type HistoryShedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -727,9 +742,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetGivenUpResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "given_up" error.
-type EditSheetGivenUpResponseBody struct {
+// HistoryGivenUpResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "given_up" error.
+type HistoryGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -744,9 +759,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetOutcomeUnknownResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "outcome_unknown" error.
-type EditSheetOutcomeUnknownResponseBody struct {
+// HistoryOutcomeUnknownResponseBody is the type of the "operator" service
+// "history" endpoint HTTP response body for the "outcome_unknown" error.
+type HistoryOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -763,9 +778,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetConflictResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "conflict" error.
-type EditSheetConflictResponseBody struct {
+// HistoryConflictResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "conflict" error.
+type HistoryConflictResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -780,9 +795,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetLostRaceResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "lost_race" error.
-type EditSheetLostRaceResponseBody struct {
+// HistoryLostRaceResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "lost_race" error.
+type HistoryLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -799,9 +814,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// EditSheetForbiddenResponseBody is the type of the "operator" service
-// "edit_sheet" endpoint HTTP response body for the "forbidden" error.
-type EditSheetForbiddenResponseBody struct {
+// HistoryForbiddenResponseBody is the type of the "operator" service "history"
+// endpoint HTTP response body for the "forbidden" error.
+type HistoryForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -818,9 +833,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneMalformedResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "malformed" error.
-type ZoneMalformedResponseBody struct {
+// ReturnSheetMalformedResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "malformed" error.
+type ReturnSheetMalformedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -837,9 +852,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneUnknownResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "unknown" error.
-type ZoneUnknownResponseBody struct {
+// ReturnSheetUnknownResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "unknown" error.
+type ReturnSheetUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -856,9 +871,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneOversizeResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "oversize" error.
-type ZoneOversizeResponseBody struct {
+// ReturnSheetOversizeResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "oversize" error.
+type ReturnSheetOversizeResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -875,9 +890,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneOverCeilingResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "over_ceiling" error.
-type ZoneOverCeilingResponseBody struct {
+// ReturnSheetOverCeilingResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "over_ceiling" error.
+type ReturnSheetOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -892,9 +907,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneShedResponseBody is the type of the "operator" service "zone" endpoint
-// HTTP response body for the "shed" error.
-type ZoneShedResponseBody struct {
+// ReturnSheetShedResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "shed" error.
+type ReturnSheetShedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -909,9 +924,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneGivenUpResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "given_up" error.
-type ZoneGivenUpResponseBody struct {
+// ReturnSheetGivenUpResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "given_up" error.
+type ReturnSheetGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -926,9 +941,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneOutcomeUnknownResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "outcome_unknown" error.
-type ZoneOutcomeUnknownResponseBody struct {
+// ReturnSheetOutcomeUnknownResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "outcome_unknown" error.
+type ReturnSheetOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -945,9 +960,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneConflictResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "conflict" error.
-type ZoneConflictResponseBody struct {
+// ReturnSheetConflictResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "conflict" error.
+type ReturnSheetConflictResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -962,9 +977,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneLostRaceResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "lost_race" error.
-type ZoneLostRaceResponseBody struct {
+// ReturnSheetLostRaceResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "lost_race" error.
+type ReturnSheetLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -981,9 +996,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ZoneForbiddenResponseBody is the type of the "operator" service "zone"
-// endpoint HTTP response body for the "forbidden" error.
-type ZoneForbiddenResponseBody struct {
+// ReturnSheetForbiddenResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "forbidden" error.
+type ReturnSheetForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1000,9 +1015,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutMalformedResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "malformed" error.
-type CutMalformedResponseBody struct {
+// EditSheetMalformedResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "malformed" error.
+type EditSheetMalformedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1019,9 +1034,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutUnknownResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "unknown" error.
-type CutUnknownResponseBody struct {
+// EditSheetUnknownResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "unknown" error.
+type EditSheetUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1038,9 +1053,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutOversizeResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "oversize" error.
-type CutOversizeResponseBody struct {
+// EditSheetOversizeResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "oversize" error.
+type EditSheetOversizeResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1057,9 +1072,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutOverCeilingResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "over_ceiling" error.
-type CutOverCeilingResponseBody struct {
+// EditSheetOverCeilingResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "over_ceiling" error.
+type EditSheetOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1074,9 +1089,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutShedResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "shed" error.
-type CutShedResponseBody struct {
+// EditSheetShedResponseBody is the type of the "operator" service "edit_sheet"
+// endpoint HTTP response body for the "shed" error.
+type EditSheetShedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1091,9 +1106,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutGivenUpResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "given_up" error.
-type CutGivenUpResponseBody struct {
+// EditSheetGivenUpResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "given_up" error.
+type EditSheetGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1108,9 +1123,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutOutcomeUnknownResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "outcome_unknown" error.
-type CutOutcomeUnknownResponseBody struct {
+// EditSheetOutcomeUnknownResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "outcome_unknown" error.
+type EditSheetOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1127,9 +1142,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutConflictResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "conflict" error.
-type CutConflictResponseBody struct {
+// EditSheetConflictResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "conflict" error.
+type EditSheetConflictResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1144,9 +1159,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutLostRaceResponseBody is the type of the "operator" service "cut" endpoint
-// HTTP response body for the "lost_race" error.
-type CutLostRaceResponseBody struct {
+// EditSheetLostRaceResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "lost_race" error.
+type EditSheetLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1163,9 +1178,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// CutForbiddenResponseBody is the type of the "operator" service "cut"
-// endpoint HTTP response body for the "forbidden" error.
-type CutForbiddenResponseBody struct {
+// EditSheetForbiddenResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "forbidden" error.
+type EditSheetForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1182,9 +1197,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersMalformedResponseBody is the type of the "operator" service "members"
+// ZoneMalformedResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "malformed" error.
-type MembersMalformedResponseBody struct {
+type ZoneMalformedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1201,9 +1216,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersUnknownResponseBody is the type of the "operator" service "members"
+// ZoneUnknownResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "unknown" error.
-type MembersUnknownResponseBody struct {
+type ZoneUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1220,9 +1235,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersOversizeResponseBody is the type of the "operator" service "members"
+// ZoneOversizeResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "oversize" error.
-type MembersOversizeResponseBody struct {
+type ZoneOversizeResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1239,9 +1254,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersOverCeilingResponseBody is the type of the "operator" service
-// "members" endpoint HTTP response body for the "over_ceiling" error.
-type MembersOverCeilingResponseBody struct {
+// ZoneOverCeilingResponseBody is the type of the "operator" service "zone"
+// endpoint HTTP response body for the "over_ceiling" error.
+type ZoneOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1256,9 +1271,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersShedResponseBody is the type of the "operator" service "members"
-// endpoint HTTP response body for the "shed" error.
-type MembersShedResponseBody struct {
+// ZoneShedResponseBody is the type of the "operator" service "zone" endpoint
+// HTTP response body for the "shed" error.
+type ZoneShedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1273,9 +1288,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersGivenUpResponseBody is the type of the "operator" service "members"
+// ZoneGivenUpResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "given_up" error.
-type MembersGivenUpResponseBody struct {
+type ZoneGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1290,9 +1305,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersOutcomeUnknownResponseBody is the type of the "operator" service
-// "members" endpoint HTTP response body for the "outcome_unknown" error.
-type MembersOutcomeUnknownResponseBody struct {
+// ZoneOutcomeUnknownResponseBody is the type of the "operator" service "zone"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type ZoneOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1309,9 +1324,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersConflictResponseBody is the type of the "operator" service "members"
+// ZoneConflictResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "conflict" error.
-type MembersConflictResponseBody struct {
+type ZoneConflictResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1326,9 +1341,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersLostRaceResponseBody is the type of the "operator" service "members"
+// ZoneLostRaceResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "lost_race" error.
-type MembersLostRaceResponseBody struct {
+type ZoneLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1345,9 +1360,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// MembersForbiddenResponseBody is the type of the "operator" service "members"
+// ZoneForbiddenResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "forbidden" error.
-type MembersForbiddenResponseBody struct {
+type ZoneForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1364,9 +1379,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersMalformedResponseBody is the type of the "operator" service "servers"
+// CutMalformedResponseBody is the type of the "operator" service "cut"
 // endpoint HTTP response body for the "malformed" error.
-type ServersMalformedResponseBody struct {
+type CutMalformedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1383,9 +1398,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersUnknownResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "unknown" error.
-type ServersUnknownResponseBody struct {
+// CutUnknownResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "unknown" error.
+type CutUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1402,9 +1417,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersOversizeResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "oversize" error.
-type ServersOversizeResponseBody struct {
+// CutOversizeResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "oversize" error.
+type CutOversizeResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1421,9 +1436,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersOverCeilingResponseBody is the type of the "operator" service
-// "servers" endpoint HTTP response body for the "over_ceiling" error.
-type ServersOverCeilingResponseBody struct {
+// CutOverCeilingResponseBody is the type of the "operator" service "cut"
+// endpoint HTTP response body for the "over_ceiling" error.
+type CutOverCeilingResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1438,9 +1453,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersShedResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "shed" error.
-type ServersShedResponseBody struct {
+// CutShedResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "shed" error.
+type CutShedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1455,9 +1470,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersGivenUpResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "given_up" error.
-type ServersGivenUpResponseBody struct {
+// CutGivenUpResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "given_up" error.
+type CutGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1472,9 +1487,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersOutcomeUnknownResponseBody is the type of the "operator" service
-// "servers" endpoint HTTP response body for the "outcome_unknown" error.
-type ServersOutcomeUnknownResponseBody struct {
+// CutOutcomeUnknownResponseBody is the type of the "operator" service "cut"
+// endpoint HTTP response body for the "outcome_unknown" error.
+type CutOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1491,9 +1506,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersConflictResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "conflict" error.
-type ServersConflictResponseBody struct {
+// CutConflictResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "conflict" error.
+type CutConflictResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1508,9 +1523,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersLostRaceResponseBody is the type of the "operator" service "servers"
-// endpoint HTTP response body for the "lost_race" error.
-type ServersLostRaceResponseBody struct {
+// CutLostRaceResponseBody is the type of the "operator" service "cut" endpoint
+// HTTP response body for the "lost_race" error.
+type CutLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1527,9 +1542,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServersForbiddenResponseBody is the type of the "operator" service "servers"
+// CutForbiddenResponseBody is the type of the "operator" service "cut"
 // endpoint HTTP response body for the "forbidden" error.
-type ServersForbiddenResponseBody struct {
+type CutForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1546,9 +1561,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainMalformedResponseBody is the type of the "operator" service "explain"
+// MembersMalformedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "malformed" error.
-type ExplainMalformedResponseBody struct {
+type MembersMalformedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1565,9 +1580,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainUnknownResponseBody is the type of the "operator" service "explain"
+// MembersUnknownResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "unknown" error.
-type ExplainUnknownResponseBody struct {
+type MembersUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1584,9 +1599,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainOversizeResponseBody is the type of the "operator" service "explain"
+// MembersOversizeResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "oversize" error.
-type ExplainOversizeResponseBody struct {
+type MembersOversizeResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1603,11 +1618,11 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainOverCeilingResponseBody is the type of the "operator" service
-// "explain" endpoint HTTP response body for the "over_ceiling" error.
-type ExplainOverCeilingResponseBody struct {
-	// Stable code of the fault
-	Name string `form:"name" json:"name" xml:"name"`
+// MembersOverCeilingResponseBody is the type of the "operator" service
+// "members" endpoint HTTP response body for the "over_ceiling" error.
+type MembersOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
 	Message string `form:"message" json:"message" xml:"message"`
 	// Whether the inquiry ran: no, or unknown
@@ -1620,9 +1635,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainShedResponseBody is the type of the "operator" service "explain"
+// MembersShedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "shed" error.
-type ExplainShedResponseBody struct {
+type MembersShedResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1637,9 +1652,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainGivenUpResponseBody is the type of the "operator" service "explain"
+// MembersGivenUpResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "given_up" error.
-type ExplainGivenUpResponseBody struct {
+type MembersGivenUpResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1654,9 +1669,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainOutcomeUnknownResponseBody is the type of the "operator" service
-// "explain" endpoint HTTP response body for the "outcome_unknown" error.
-type ExplainOutcomeUnknownResponseBody struct {
+// MembersOutcomeUnknownResponseBody is the type of the "operator" service
+// "members" endpoint HTTP response body for the "outcome_unknown" error.
+type MembersOutcomeUnknownResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1673,9 +1688,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainConflictResponseBody is the type of the "operator" service "explain"
+// MembersConflictResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "conflict" error.
-type ExplainConflictResponseBody struct {
+type MembersConflictResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1690,9 +1705,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainLostRaceResponseBody is the type of the "operator" service "explain"
+// MembersLostRaceResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "lost_race" error.
-type ExplainLostRaceResponseBody struct {
+type MembersLostRaceResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1709,9 +1724,9 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ExplainForbiddenResponseBody is the type of the "operator" service "explain"
+// MembersForbiddenResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "forbidden" error.
-type ExplainForbiddenResponseBody struct {
+type MembersForbiddenResponseBody struct {
 	// Stable code of the fault
 	Name string `form:"name" json:"name" xml:"name"`
 	// What happened, in words
@@ -1728,185 +1743,1060 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// FindingResponseBody is used to define fields on response body types.
-type FindingResponseBody struct {
-	// Row and field
-	Place string `form:"place" json:"place" xml:"place"`
-	// What is wrong there
-	Text string `form:"text" json:"text" xml:"text"`
-}
-
-// FindingResponse is used to define fields on response body types.
-type FindingResponse struct {
-	// Row and field
-	Place string `form:"place" json:"place" xml:"place"`
-	// What is wrong there
-	Text string `form:"text" json:"text" xml:"text"`
+// ServersMalformedResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "malformed" error.
+type ServersMalformedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// StatusResponse is used to define fields on response body types.
-type StatusResponse struct {
-	Name     string  `form:"name" json:"name" xml:"name"`
-	Role     string  `form:"role" json:"role" xml:"role"`
-	Zone     string  `form:"zone" json:"zone" xml:"zone"`
-	Addr     string  `form:"addr" json:"addr" xml:"addr"`
-	Live     bool    `form:"live" json:"live" xml:"live"`
-	Draining *bool   `form:"draining,omitempty" json:"draining,omitempty" xml:"draining,omitempty"`
-	Formed   *bool   `form:"formed,omitempty" json:"formed,omitempty" xml:"formed,omitempty"`
-	Sick     *string `form:"sick,omitempty" json:"sick,omitempty" xml:"sick,omitempty"`
-	// Stamp of the configuration in force there
-	InForce string `form:"in_force" json:"in_force" xml:"in_force"`
+// ServersUnknownResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "unknown" error.
+type ServersUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// ServerStatusResponse is used to define fields on response body types.
-type ServerStatusResponse struct {
-	ID      string `form:"id" json:"id" xml:"id"`
-	Addr    string `form:"addr" json:"addr" xml:"addr"`
-	Zone    string `form:"zone" json:"zone" xml:"zone"`
-	Index   string `form:"index" json:"index" xml:"index"`
-	Cut     string `form:"cut" json:"cut" xml:"cut"`
-	Shard   int    `form:"shard" json:"shard" xml:"shard"`
-	Verdict string `form:"verdict" json:"verdict" xml:"verdict"`
-	// Hundredths of full warmth
-	Warm int `form:"warm" json:"warm" xml:"warm"`
+// ServersOversizeResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "oversize" error.
+type ServersOversizeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// RowEditRequestBody is used to define fields on request body types.
-type RowEditRequestBody struct {
-	Op    *string `form:"op,omitempty" json:"op,omitempty" xml:"op,omitempty"`
-	Table *string `form:"table,omitempty" json:"table,omitempty" xml:"table,omitempty"`
-	// The row; for a removal its key fields are enough
-	Row any `form:"row,omitempty" json:"row,omitempty" xml:"row,omitempty"`
+// ServersOverCeilingResponseBody is the type of the "operator" service
+// "servers" endpoint HTTP response body for the "over_ceiling" error.
+type ServersOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewSheetResponseBody builds the HTTP response body from the result of the
-// "sheet" endpoint of the "operator" service.
-func NewSheetResponseBody(res *operator.SheetNow) *SheetResponseBody {
-	body := &SheetResponseBody{
-		Stamp: res.Stamp,
-		Sheet: res.Sheet,
-	}
-	return body
+// ServersShedResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "shed" error.
+type ServersShedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewPutSheetResponseBody builds the HTTP response body from the result of the
-// "put_sheet" endpoint of the "operator" service.
-func NewPutSheetResponseBody(res *operator.Taken) *PutSheetResponseBody {
-	body := &PutSheetResponseBody{
-		Stamp:   res.Stamp,
-		InForce: res.InForce,
-	}
-	if res.Laggards != nil {
-		body.Laggards = make([]string, len(res.Laggards))
-		for i, val := range res.Laggards {
-			body.Laggards[i] = val
-		}
-	} else {
-		body.Laggards = []string{}
-	}
-	return body
+// ServersGivenUpResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "given_up" error.
+type ServersGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewCheckSheetResponseBody builds the HTTP response body from the result of
-// the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetResponseBody(res []*operator.Finding) CheckSheetResponseBody {
-	body := make([]*FindingResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
-		}
-		body[i] = marshalOperatorFindingToFindingResponse(val)
-	}
-	return body
+// ServersOutcomeUnknownResponseBody is the type of the "operator" service
+// "servers" endpoint HTTP response body for the "outcome_unknown" error.
+type ServersOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewEditSheetResponseBody builds the HTTP response body from the result of
-// the "edit_sheet" endpoint of the "operator" service.
-func NewEditSheetResponseBody(res *operator.Taken) *EditSheetResponseBody {
-	body := &EditSheetResponseBody{
-		Stamp:   res.Stamp,
-		InForce: res.InForce,
-	}
-	if res.Laggards != nil {
-		body.Laggards = make([]string, len(res.Laggards))
-		for i, val := range res.Laggards {
-			body.Laggards[i] = val
-		}
-	} else {
-		body.Laggards = []string{}
-	}
-	return body
+// ServersConflictResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "conflict" error.
+type ServersConflictResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
-// NewZoneResponseBody builds the HTTP response body from the result of the
-// "zone" endpoint of the "operator" service.
+// ServersLostRaceResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "lost_race" error.
+type ServersLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ServersForbiddenResponseBody is the type of the "operator" service "servers"
+// endpoint HTTP response body for the "forbidden" error.
+type ServersForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainMalformedResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "malformed" error.
+type ExplainMalformedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainUnknownResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "unknown" error.
+type ExplainUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainOversizeResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "oversize" error.
+type ExplainOversizeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainOverCeilingResponseBody is the type of the "operator" service
+// "explain" endpoint HTTP response body for the "over_ceiling" error.
+type ExplainOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainShedResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "shed" error.
+type ExplainShedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainGivenUpResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "given_up" error.
+type ExplainGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainOutcomeUnknownResponseBody is the type of the "operator" service
+// "explain" endpoint HTTP response body for the "outcome_unknown" error.
+type ExplainOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainConflictResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "conflict" error.
+type ExplainConflictResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainLostRaceResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "lost_race" error.
+type ExplainLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ExplainForbiddenResponseBody is the type of the "operator" service "explain"
+// endpoint HTTP response body for the "forbidden" error.
+type ExplainForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// FindingResponseBody is used to define fields on response body types.
+type FindingResponseBody struct {
+	// Row and field
+	Place string `form:"place" json:"place" xml:"place"`
+	// What is wrong there
+	Text string `form:"text" json:"text" xml:"text"`
+}
+
+// FindingResponse is used to define fields on response body types.
+type FindingResponse struct {
+	// Row and field
+	Place string `form:"place" json:"place" xml:"place"`
+	// What is wrong there
+	Text string `form:"text" json:"text" xml:"text"`
+}
+
+// PastSheetResponse is used to define fields on response body types.
+type PastSheetResponse struct {
+	Stamp string `form:"stamp" json:"stamp" xml:"stamp"`
+	By    string `form:"by" json:"by" xml:"by"`
+	Sheet any    `form:"sheet" json:"sheet" xml:"sheet"`
+}
+
+// StatusResponse is used to define fields on response body types.
+type StatusResponse struct {
+	Name     string  `form:"name" json:"name" xml:"name"`
+	Role     string  `form:"role" json:"role" xml:"role"`
+	Zone     string  `form:"zone" json:"zone" xml:"zone"`
+	Addr     string  `form:"addr" json:"addr" xml:"addr"`
+	Live     bool    `form:"live" json:"live" xml:"live"`
+	Draining *bool   `form:"draining,omitempty" json:"draining,omitempty" xml:"draining,omitempty"`
+	Formed   *bool   `form:"formed,omitempty" json:"formed,omitempty" xml:"formed,omitempty"`
+	Sick     *string `form:"sick,omitempty" json:"sick,omitempty" xml:"sick,omitempty"`
+	// Stamp of the configuration in force there
+	InForce string `form:"in_force" json:"in_force" xml:"in_force"`
+}
+
+// ServerStatusResponse is used to define fields on response body types.
+type ServerStatusResponse struct {
+	ID      string `form:"id" json:"id" xml:"id"`
+	Addr    string `form:"addr" json:"addr" xml:"addr"`
+	Zone    string `form:"zone" json:"zone" xml:"zone"`
+	Index   string `form:"index" json:"index" xml:"index"`
+	Cut     string `form:"cut" json:"cut" xml:"cut"`
+	Shard   int    `form:"shard" json:"shard" xml:"shard"`
+	Verdict string `form:"verdict" json:"verdict" xml:"verdict"`
+	// Hundredths of full warmth
+	Warm int `form:"warm" json:"warm" xml:"warm"`
+}
+
+// RowEditRequestBody is used to define fields on request body types.
+type RowEditRequestBody struct {
+	Op    *string `form:"op,omitempty" json:"op,omitempty" xml:"op,omitempty"`
+	Table *string `form:"table,omitempty" json:"table,omitempty" xml:"table,omitempty"`
+	// The row; for a removal its key fields are enough
+	Row any `form:"row,omitempty" json:"row,omitempty" xml:"row,omitempty"`
+}
+
+// NewSheetResponseBody builds the HTTP response body from the result of the
+// "sheet" endpoint of the "operator" service.
+func NewSheetResponseBody(res *operator.SheetNow) *SheetResponseBody {
+	body := &SheetResponseBody{
+		Stamp: res.Stamp,
+		Sheet: res.Sheet,
+	}
+	return body
+}
+
+// NewPutSheetResponseBody builds the HTTP response body from the result of the
+// "put_sheet" endpoint of the "operator" service.
+func NewPutSheetResponseBody(res *operator.Taken) *PutSheetResponseBody {
+	body := &PutSheetResponseBody{
+		Stamp:   res.Stamp,
+		InForce: res.InForce,
+	}
+	if res.Laggards != nil {
+		body.Laggards = make([]string, len(res.Laggards))
+		for i, val := range res.Laggards {
+			body.Laggards[i] = val
+		}
+	} else {
+		body.Laggards = []string{}
+	}
+	return body
+}
+
+// NewCheckSheetResponseBody builds the HTTP response body from the result of
+// the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetResponseBody(res []*operator.Finding) CheckSheetResponseBody {
+	body := make([]*FindingResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalOperatorFindingToFindingResponse(val)
+	}
+	return body
+}
+
+// NewHistoryResponseBody builds the HTTP response body from the result of the
+// "history" endpoint of the "operator" service.
+func NewHistoryResponseBody(res []*operator.PastSheet) HistoryResponseBody {
+	body := make([]*PastSheetResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalOperatorPastSheetToPastSheetResponse(val)
+	}
+	return body
+}
+
+// NewReturnSheetResponseBody builds the HTTP response body from the result of
+// the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetResponseBody(res *operator.Taken) *ReturnSheetResponseBody {
+	body := &ReturnSheetResponseBody{
+		Stamp:   res.Stamp,
+		InForce: res.InForce,
+	}
+	if res.Laggards != nil {
+		body.Laggards = make([]string, len(res.Laggards))
+		for i, val := range res.Laggards {
+			body.Laggards[i] = val
+		}
+	} else {
+		body.Laggards = []string{}
+	}
+	return body
+}
+
+// NewEditSheetResponseBody builds the HTTP response body from the result of
+// the "edit_sheet" endpoint of the "operator" service.
+func NewEditSheetResponseBody(res *operator.Taken) *EditSheetResponseBody {
+	body := &EditSheetResponseBody{
+		Stamp:   res.Stamp,
+		InForce: res.InForce,
+	}
+	if res.Laggards != nil {
+		body.Laggards = make([]string, len(res.Laggards))
+		for i, val := range res.Laggards {
+			body.Laggards[i] = val
+		}
+	} else {
+		body.Laggards = []string{}
+	}
+	return body
+}
+
+// NewZoneResponseBody builds the HTTP response body from the result of the
+// "zone" endpoint of the "operator" service.
 func NewZoneResponseBody(res *operator.Taken) *ZoneResponseBody {
 	body := &ZoneResponseBody{
 		Stamp:   res.Stamp,
-		InForce: res.InForce,
+		InForce: res.InForce,
+	}
+	if res.Laggards != nil {
+		body.Laggards = make([]string, len(res.Laggards))
+		for i, val := range res.Laggards {
+			body.Laggards[i] = val
+		}
+	} else {
+		body.Laggards = []string{}
+	}
+	return body
+}
+
+// NewCutResponseBody builds the HTTP response body from the result of the
+// "cut" endpoint of the "operator" service.
+func NewCutResponseBody(res *operator.Taken) *CutResponseBody {
+	body := &CutResponseBody{
+		Stamp:   res.Stamp,
+		InForce: res.InForce,
+	}
+	if res.Laggards != nil {
+		body.Laggards = make([]string, len(res.Laggards))
+		for i, val := range res.Laggards {
+			body.Laggards[i] = val
+		}
+	} else {
+		body.Laggards = []string{}
+	}
+	return body
+}
+
+// NewMembersResponseBody builds the HTTP response body from the result of the
+// "members" endpoint of the "operator" service.
+func NewMembersResponseBody(res []*operator.Status) MembersResponseBody {
+	body := make([]*StatusResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalOperatorStatusToStatusResponse(val)
+	}
+	return body
+}
+
+// NewServersResponseBody builds the HTTP response body from the result of the
+// "servers" endpoint of the "operator" service.
+func NewServersResponseBody(res []*operator.ServerStatus) ServersResponseBody {
+	body := make([]*ServerStatusResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalOperatorServerStatusToServerStatusResponse(val)
+	}
+	return body
+}
+
+// NewSheetMalformedResponseBody builds the HTTP response body from the result
+// of the "sheet" endpoint of the "operator" service.
+func NewSheetMalformedResponseBody(res *operator.Failure) *SheetMalformedResponseBody {
+	body := &SheetMalformedResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetUnknownResponseBody builds the HTTP response body from the result of
+// the "sheet" endpoint of the "operator" service.
+func NewSheetUnknownResponseBody(res *operator.Failure) *SheetUnknownResponseBody {
+	body := &SheetUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetOversizeResponseBody builds the HTTP response body from the result
+// of the "sheet" endpoint of the "operator" service.
+func NewSheetOversizeResponseBody(res *operator.Failure) *SheetOversizeResponseBody {
+	body := &SheetOversizeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetOverCeilingResponseBody builds the HTTP response body from the
+// result of the "sheet" endpoint of the "operator" service.
+func NewSheetOverCeilingResponseBody(res *operator.Failure) *SheetOverCeilingResponseBody {
+	body := &SheetOverCeilingResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetShedResponseBody builds the HTTP response body from the result of
+// the "sheet" endpoint of the "operator" service.
+func NewSheetShedResponseBody(res *operator.Failure) *SheetShedResponseBody {
+	body := &SheetShedResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetGivenUpResponseBody builds the HTTP response body from the result of
+// the "sheet" endpoint of the "operator" service.
+func NewSheetGivenUpResponseBody(res *operator.Failure) *SheetGivenUpResponseBody {
+	body := &SheetGivenUpResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "sheet" endpoint of the "operator" service.
+func NewSheetOutcomeUnknownResponseBody(res *operator.Failure) *SheetOutcomeUnknownResponseBody {
+	body := &SheetOutcomeUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetConflictResponseBody builds the HTTP response body from the result
+// of the "sheet" endpoint of the "operator" service.
+func NewSheetConflictResponseBody(res *operator.Failure) *SheetConflictResponseBody {
+	body := &SheetConflictResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
 	}
-	if res.Laggards != nil {
-		body.Laggards = make([]string, len(res.Laggards))
-		for i, val := range res.Laggards {
-			body.Laggards[i] = val
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetLostRaceResponseBody builds the HTTP response body from the result
+// of the "sheet" endpoint of the "operator" service.
+func NewSheetLostRaceResponseBody(res *operator.Failure) *SheetLostRaceResponseBody {
+	body := &SheetLostRaceResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewSheetForbiddenResponseBody builds the HTTP response body from the result
+// of the "sheet" endpoint of the "operator" service.
+func NewSheetForbiddenResponseBody(res *operator.Failure) *SheetForbiddenResponseBody {
+	body := &SheetForbiddenResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewPutSheetMalformedResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetMalformedResponseBody(res *operator.Failure) *PutSheetMalformedResponseBody {
+	body := &PutSheetMalformedResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewPutSheetUnknownResponseBody builds the HTTP response body from the result
+// of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetUnknownResponseBody(res *operator.Failure) *PutSheetUnknownResponseBody {
+	body := &PutSheetUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewPutSheetOversizeResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetOversizeResponseBody(res *operator.Failure) *PutSheetOversizeResponseBody {
+	body := &PutSheetOversizeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewPutSheetOverCeilingResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetOverCeilingResponseBody(res *operator.Failure) *PutSheetOverCeilingResponseBody {
+	body := &PutSheetOverCeilingResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewPutSheetShedResponseBody builds the HTTP response body from the result of
+// the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetShedResponseBody(res *operator.Failure) *PutSheetShedResponseBody {
+	body := &PutSheetShedResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewPutSheetGivenUpResponseBody builds the HTTP response body from the result
+// of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetGivenUpResponseBody(res *operator.Failure) *PutSheetGivenUpResponseBody {
+	body := &PutSheetGivenUpResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewPutSheetOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetOutcomeUnknownResponseBody(res *operator.Failure) *PutSheetOutcomeUnknownResponseBody {
+	body := &PutSheetOutcomeUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
 		}
-	} else {
-		body.Laggards = []string{}
 	}
 	return body
 }
 
-// NewCutResponseBody builds the HTTP response body from the result of the
-// "cut" endpoint of the "operator" service.
-func NewCutResponseBody(res *operator.Taken) *CutResponseBody {
-	body := &CutResponseBody{
+// NewPutSheetConflictResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetConflictResponseBody(res *operator.Failure) *PutSheetConflictResponseBody {
+	body := &PutSheetConflictResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
 		Stamp:   res.Stamp,
-		InForce: res.InForce,
 	}
-	if res.Laggards != nil {
-		body.Laggards = make([]string, len(res.Laggards))
-		for i, val := range res.Laggards {
-			body.Laggards[i] = val
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
 		}
-	} else {
-		body.Laggards = []string{}
 	}
 	return body
 }
 
-// NewMembersResponseBody builds the HTTP response body from the result of the
-// "members" endpoint of the "operator" service.
-func NewMembersResponseBody(res []*operator.Status) MembersResponseBody {
-	body := make([]*StatusResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
+// NewPutSheetLostRaceResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetLostRaceResponseBody(res *operator.Failure) *PutSheetLostRaceResponseBody {
+	body := &PutSheetLostRaceResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
 		}
-		body[i] = marshalOperatorStatusToStatusResponse(val)
 	}
 	return body
 }
 
-// NewServersResponseBody builds the HTTP response body from the result of the
-// "servers" endpoint of the "operator" service.
-func NewServersResponseBody(res []*operator.ServerStatus) ServersResponseBody {
-	body := make([]*ServerStatusResponse, len(res))
-	for i, val := range res {
-		if val == nil {
-			body[i] = nil
-			continue
+// NewPutSheetForbiddenResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetForbiddenResponseBody(res *operator.Failure) *PutSheetForbiddenResponseBody {
+	body := &PutSheetForbiddenResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
 		}
-		body[i] = marshalOperatorServerStatusToServerStatusResponse(val)
 	}
 	return body
 }
 
-// NewSheetMalformedResponseBody builds the HTTP response body from the result
-// of the "sheet" endpoint of the "operator" service.
-func NewSheetMalformedResponseBody(res *operator.Failure) *SheetMalformedResponseBody {
-	body := &SheetMalformedResponseBody{
+// NewCheckSheetMalformedResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetMalformedResponseBody(res *operator.Failure) *CheckSheetMalformedResponseBody {
+	body := &CheckSheetMalformedResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -1927,10 +2817,10 @@
 	return body
 }
 
-// NewSheetUnknownResponseBody builds the HTTP response body from the result of
-// the "sheet" endpoint of the "operator" service.
-func NewSheetUnknownResponseBody(res *operator.Failure) *SheetUnknownResponseBody {
-	body := &SheetUnknownResponseBody{
+// NewCheckSheetUnknownResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetUnknownResponseBody(res *operator.Failure) *CheckSheetUnknownResponseBody {
+	body := &CheckSheetUnknownResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -1951,10 +2841,10 @@
 	return body
 }
 
-// NewSheetOversizeResponseBody builds the HTTP response body from the result
-// of the "sheet" endpoint of the "operator" service.
-func NewSheetOversizeResponseBody(res *operator.Failure) *SheetOversizeResponseBody {
-	body := &SheetOversizeResponseBody{
+// NewCheckSheetOversizeResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetOversizeResponseBody(res *operator.Failure) *CheckSheetOversizeResponseBody {
+	body := &CheckSheetOversizeResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -1975,10 +2865,10 @@
 	return body
 }
 
-// NewSheetOverCeilingResponseBody builds the HTTP response body from the
-// result of the "sheet" endpoint of the "operator" service.
-func NewSheetOverCeilingResponseBody(res *operator.Failure) *SheetOverCeilingResponseBody {
-	body := &SheetOverCeilingResponseBody{
+// NewCheckSheetOverCeilingResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetOverCeilingResponseBody(res *operator.Failure) *CheckSheetOverCeilingResponseBody {
+	body := &CheckSheetOverCeilingResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -1998,10 +2888,10 @@
 	return body
 }
 
-// NewSheetShedResponseBody builds the HTTP response body from the result of
-// the "sheet" endpoint of the "operator" service.
-func NewSheetShedResponseBody(res *operator.Failure) *SheetShedResponseBody {
-	body := &SheetShedResponseBody{
+// NewCheckSheetShedResponseBody builds the HTTP response body from the result
+// of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetShedResponseBody(res *operator.Failure) *CheckSheetShedResponseBody {
+	body := &CheckSheetShedResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2021,10 +2911,10 @@
 	return body
 }
 
-// NewSheetGivenUpResponseBody builds the HTTP response body from the result of
-// the "sheet" endpoint of the "operator" service.
-func NewSheetGivenUpResponseBody(res *operator.Failure) *SheetGivenUpResponseBody {
-	body := &SheetGivenUpResponseBody{
+// NewCheckSheetGivenUpResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetGivenUpResponseBody(res *operator.Failure) *CheckSheetGivenUpResponseBody {
+	body := &CheckSheetGivenUpResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2044,10 +2934,10 @@
 	return body
 }
 
-// NewSheetOutcomeUnknownResponseBody builds the HTTP response body from the
-// result of the "sheet" endpoint of the "operator" service.
-func NewSheetOutcomeUnknownResponseBody(res *operator.Failure) *SheetOutcomeUnknownResponseBody {
-	body := &SheetOutcomeUnknownResponseBody{
+// NewCheckSheetOutcomeUnknownResponseBody builds the HTTP response body from
+// the result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetOutcomeUnknownResponseBody(res *operator.Failure) *CheckSheetOutcomeUnknownResponseBody {
+	body := &CheckSheetOutcomeUnknownResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2068,10 +2958,10 @@
 	return body
 }
 
-// NewSheetConflictResponseBody builds the HTTP response body from the result
-// of the "sheet" endpoint of the "operator" service.
-func NewSheetConflictResponseBody(res *operator.Failure) *SheetConflictResponseBody {
-	body := &SheetConflictResponseBody{
+// NewCheckSheetConflictResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetConflictResponseBody(res *operator.Failure) *CheckSheetConflictResponseBody {
+	body := &CheckSheetConflictResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2091,10 +2981,10 @@
 	return body
 }
 
-// NewSheetLostRaceResponseBody builds the HTTP response body from the result
-// of the "sheet" endpoint of the "operator" service.
-func NewSheetLostRaceResponseBody(res *operator.Failure) *SheetLostRaceResponseBody {
-	body := &SheetLostRaceResponseBody{
+// NewCheckSheetLostRaceResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetLostRaceResponseBody(res *operator.Failure) *CheckSheetLostRaceResponseBody {
+	body := &CheckSheetLostRaceResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2115,10 +3005,10 @@
 	return body
 }
 
-// NewSheetForbiddenResponseBody builds the HTTP response body from the result
-// of the "sheet" endpoint of the "operator" service.
-func NewSheetForbiddenResponseBody(res *operator.Failure) *SheetForbiddenResponseBody {
-	body := &SheetForbiddenResponseBody{
+// NewCheckSheetForbiddenResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetForbiddenResponseBody(res *operator.Failure) *CheckSheetForbiddenResponseBody {
+	body := &CheckSheetForbiddenResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2139,10 +3029,10 @@
 	return body
 }
 
-// NewPutSheetMalformedResponseBody builds the HTTP response body from the
-// result of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetMalformedResponseBody(res *operator.Failure) *PutSheetMalformedResponseBody {
-	body := &PutSheetMalformedResponseBody{
+// NewHistoryMalformedResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operator" service.
+func NewHistoryMalformedResponseBody(res *operator.Failure) *HistoryMalformedResponseBody {
+	body := &HistoryMalformedResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2163,10 +3053,10 @@
 	return body
 }
 
-// NewPutSheetUnknownResponseBody builds the HTTP response body from the result
-// of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetUnknownResponseBody(res *operator.Failure) *PutSheetUnknownResponseBody {
-	body := &PutSheetUnknownResponseBody{
+// NewHistoryUnknownResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operator" service.
+func NewHistoryUnknownResponseBody(res *operator.Failure) *HistoryUnknownResponseBody {
+	body := &HistoryUnknownResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2187,10 +3077,10 @@
 	return body
 }
 
-// NewPutSheetOversizeResponseBody builds the HTTP response body from the
-// result of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetOversizeResponseBody(res *operator.Failure) *PutSheetOversizeResponseBody {
-	body := &PutSheetOversizeResponseBody{
+// NewHistoryOversizeResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operator" service.
+func NewHistoryOversizeResponseBody(res *operator.Failure) *HistoryOversizeResponseBody {
+	body := &HistoryOversizeResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2211,10 +3101,10 @@
 	return body
 }
 
-// NewPutSheetOverCeilingResponseBody builds the HTTP response body from the
-// result of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetOverCeilingResponseBody(res *operator.Failure) *PutSheetOverCeilingResponseBody {
-	body := &PutSheetOverCeilingResponseBody{
+// NewHistoryOverCeilingResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operator" service.
+func NewHistoryOverCeilingResponseBody(res *operator.Failure) *HistoryOverCeilingResponseBody {
+	body := &HistoryOverCeilingResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2234,10 +3124,10 @@
 	return body
 }
 
-// NewPutSheetShedResponseBody builds the HTTP response body from the result of
-// the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetShedResponseBody(res *operator.Failure) *PutSheetShedResponseBody {
-	body := &PutSheetShedResponseBody{
+// NewHistoryShedResponseBody builds the HTTP response body from the result of
+// the "history" endpoint of the "operator" service.
+func NewHistoryShedResponseBody(res *operator.Failure) *HistoryShedResponseBody {
+	body := &HistoryShedResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2257,10 +3147,10 @@
 	return body
 }
 
-// NewPutSheetGivenUpResponseBody builds the HTTP response body from the result
-// of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetGivenUpResponseBody(res *operator.Failure) *PutSheetGivenUpResponseBody {
-	body := &PutSheetGivenUpResponseBody{
+// NewHistoryGivenUpResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operator" service.
+func NewHistoryGivenUpResponseBody(res *operator.Failure) *HistoryGivenUpResponseBody {
+	body := &HistoryGivenUpResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2280,10 +3170,10 @@
 	return body
 }
 
-// NewPutSheetOutcomeUnknownResponseBody builds the HTTP response body from the
-// result of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetOutcomeUnknownResponseBody(res *operator.Failure) *PutSheetOutcomeUnknownResponseBody {
-	body := &PutSheetOutcomeUnknownResponseBody{
+// NewHistoryOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operator" service.
+func NewHistoryOutcomeUnknownResponseBody(res *operator.Failure) *HistoryOutcomeUnknownResponseBody {
+	body := &HistoryOutcomeUnknownResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2304,10 +3194,10 @@
 	return body
 }
 
-// NewPutSheetConflictResponseBody builds the HTTP response body from the
-// result of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetConflictResponseBody(res *operator.Failure) *PutSheetConflictResponseBody {
-	body := &PutSheetConflictResponseBody{
+// NewHistoryConflictResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operator" service.
+func NewHistoryConflictResponseBody(res *operator.Failure) *HistoryConflictResponseBody {
+	body := &HistoryConflictResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2327,10 +3217,10 @@
 	return body
 }
 
-// NewPutSheetLostRaceResponseBody builds the HTTP response body from the
-// result of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetLostRaceResponseBody(res *operator.Failure) *PutSheetLostRaceResponseBody {
-	body := &PutSheetLostRaceResponseBody{
+// NewHistoryLostRaceResponseBody builds the HTTP response body from the result
+// of the "history" endpoint of the "operator" service.
+func NewHistoryLostRaceResponseBody(res *operator.Failure) *HistoryLostRaceResponseBody {
+	body := &HistoryLostRaceResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2351,10 +3241,10 @@
 	return body
 }
 
-// NewPutSheetForbiddenResponseBody builds the HTTP response body from the
-// result of the "put_sheet" endpoint of the "operator" service.
-func NewPutSheetForbiddenResponseBody(res *operator.Failure) *PutSheetForbiddenResponseBody {
-	body := &PutSheetForbiddenResponseBody{
+// NewHistoryForbiddenResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operator" service.
+func NewHistoryForbiddenResponseBody(res *operator.Failure) *HistoryForbiddenResponseBody {
+	body := &HistoryForbiddenResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2375,10 +3265,10 @@
 	return body
 }
 
-// NewCheckSheetMalformedResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetMalformedResponseBody(res *operator.Failure) *CheckSheetMalformedResponseBody {
-	body := &CheckSheetMalformedResponseBody{
+// NewReturnSheetMalformedResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetMalformedResponseBody(res *operator.Failure) *ReturnSheetMalformedResponseBody {
+	body := &ReturnSheetMalformedResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2399,10 +3289,10 @@
 	return body
 }
 
-// NewCheckSheetUnknownResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetUnknownResponseBody(res *operator.Failure) *CheckSheetUnknownResponseBody {
-	body := &CheckSheetUnknownResponseBody{
+// NewReturnSheetUnknownResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetUnknownResponseBody(res *operator.Failure) *ReturnSheetUnknownResponseBody {
+	body := &ReturnSheetUnknownResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2423,10 +3313,10 @@
 	return body
 }
 
-// NewCheckSheetOversizeResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetOversizeResponseBody(res *operator.Failure) *CheckSheetOversizeResponseBody {
-	body := &CheckSheetOversizeResponseBody{
+// NewReturnSheetOversizeResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetOversizeResponseBody(res *operator.Failure) *ReturnSheetOversizeResponseBody {
+	body := &ReturnSheetOversizeResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2447,10 +3337,10 @@
 	return body
 }
 
-// NewCheckSheetOverCeilingResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetOverCeilingResponseBody(res *operator.Failure) *CheckSheetOverCeilingResponseBody {
-	body := &CheckSheetOverCeilingResponseBody{
+// NewReturnSheetOverCeilingResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetOverCeilingResponseBody(res *operator.Failure) *ReturnSheetOverCeilingResponseBody {
+	body := &ReturnSheetOverCeilingResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2470,10 +3360,10 @@
 	return body
 }
 
-// NewCheckSheetShedResponseBody builds the HTTP response body from the result
-// of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetShedResponseBody(res *operator.Failure) *CheckSheetShedResponseBody {
-	body := &CheckSheetShedResponseBody{
+// NewReturnSheetShedResponseBody builds the HTTP response body from the result
+// of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetShedResponseBody(res *operator.Failure) *ReturnSheetShedResponseBody {
+	body := &ReturnSheetShedResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2493,10 +3383,10 @@
 	return body
 }
 
-// NewCheckSheetGivenUpResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetGivenUpResponseBody(res *operator.Failure) *CheckSheetGivenUpResponseBody {
-	body := &CheckSheetGivenUpResponseBody{
+// NewReturnSheetGivenUpResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetGivenUpResponseBody(res *operator.Failure) *ReturnSheetGivenUpResponseBody {
+	body := &ReturnSheetGivenUpResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2516,10 +3406,10 @@
 	return body
 }
 
-// NewCheckSheetOutcomeUnknownResponseBody builds the HTTP response body from
-// the result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetOutcomeUnknownResponseBody(res *operator.Failure) *CheckSheetOutcomeUnknownResponseBody {
-	body := &CheckSheetOutcomeUnknownResponseBody{
+// NewReturnSheetOutcomeUnknownResponseBody builds the HTTP response body from
+// the result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetOutcomeUnknownResponseBody(res *operator.Failure) *ReturnSheetOutcomeUnknownResponseBody {
+	body := &ReturnSheetOutcomeUnknownResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2540,10 +3430,10 @@
 	return body
 }
 
-// NewCheckSheetConflictResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetConflictResponseBody(res *operator.Failure) *CheckSheetConflictResponseBody {
-	body := &CheckSheetConflictResponseBody{
+// NewReturnSheetConflictResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetConflictResponseBody(res *operator.Failure) *ReturnSheetConflictResponseBody {
+	body := &ReturnSheetConflictResponseBody{
 		Name:    res.Name,
 		Message: res.Message,
 		Ran:     res.Ran,
@@ -2563,10 +3453,10 @@
 	return body
 }
 
-// NewCheckSheetLostRaceResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetLostRaceResponseBody(res *operator.Failure) *CheckSheetLostRaceResponseBody {
-	body := &CheckSheetLostRaceResponseBody{
+// NewReturnSheetLostRaceResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetLostRaceResponseBody(res *operator.Failure) *ReturnSheetLostRaceResponseBody {
+	body := &ReturnSheetLostRaceResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -2587,10 +3477,10 @@
 	return body
 }
 
-// NewCheckSheetForbiddenResponseBody builds the HTTP response body from the
-// result of the "check_sheet" endpoint of the "operator" service.
-func NewCheckSheetForbiddenResponseBody(res *operator.Failure) *CheckSheetForbiddenResponseBody {
-	body := &CheckSheetForbiddenResponseBody{
+// NewReturnSheetForbiddenResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetForbiddenResponseBody(res *operator.Failure) *ReturnSheetForbiddenResponseBody {
+	body := &ReturnSheetForbiddenResponseBody{
 		Name:       res.Name,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -4060,6 +4950,27 @@
 	return res
 }
 
+// NewHistoryPayload builds a operator service history endpoint payload.
+func NewHistoryPayload(token *string) *operator.HistoryPayload {
+	v := &operator.HistoryPayload{}
+	v.Token = token
+
+	return v
+}
+
+// NewReturnSheetPayload builds a operator service return_sheet endpoint
+// payload.
+func NewReturnSheetPayload(stamp string, token *string, editID *string, basedOn *string, by *string) *operator.ReturnSheetPayload {
+	v := &operator.ReturnSheetPayload{}
+	v.Stamp = stamp
+	v.Token = token
+	v.EditID = editID
+	v.BasedOn = basedOn
+	v.By = by
+
+	return v
+}
+
 // NewEditSheetPayload builds a operator service edit_sheet endpoint payload.
 func NewEditSheetPayload(body *EditSheetRequestBody, token *string, editID *string, basedOn *string, by *string) *operator.EditSheetPayload {
 	v := &operator.EditSheetPayload{}
--- a/gen/operator/client.go
+++ b/gen/operator/client.go
@@ -15,29 +15,33 @@
 
 // Client is the "operator" service client.
 type Client struct {
-	SheetEndpoint      goa.Endpoint
-	PutSheetEndpoint   goa.Endpoint
-	CheckSheetEndpoint goa.Endpoint
-	EditSheetEndpoint  goa.Endpoint
-	ZoneEndpoint       goa.Endpoint
-	CutEndpoint        goa.Endpoint
-	MembersEndpoint    goa.Endpoint
-	ServersEndpoint    goa.Endpoint
-	ExplainEndpoint    goa.Endpoint
+	SheetEndpoint       goa.Endpoint
+	PutSheetEndpoint    goa.Endpoint
+	CheckSheetEndpoint  goa.Endpoint
+	HistoryEndpoint     goa.Endpoint
+	ReturnSheetEndpoint goa.Endpoint
+	EditSheetEndpoint   goa.Endpoint
+	ZoneEndpoint        goa.Endpoint
+	CutEndpoint         goa.Endpoint
+	MembersEndpoint     goa.Endpoint
+	ServersEndpoint     goa.Endpoint
+	ExplainEndpoint     goa.Endpoint
 }
 
 // NewClient initializes a "operator" service client given the endpoints.
-func NewClient(sheet, putSheet, checkSheet, editSheet, zone, cut, members, servers, explain goa.Endpoint) *Client {
+func NewClient(sheet, putSheet, checkSheet, history, returnSheet, editSheet, zone, cut, members, servers, explain goa.Endpoint) *Client {
 	return &Client{
-		SheetEndpoint:      sheet,
-		PutSheetEndpoint:   putSheet,
-		CheckSheetEndpoint: checkSheet,
-		EditSheetEndpoint:  editSheet,
-		ZoneEndpoint:       zone,
-		CutEndpoint:        cut,
-		MembersEndpoint:    members,
-		ServersEndpoint:    servers,
-		ExplainEndpoint:    explain,
+		SheetEndpoint:       sheet,
+		PutSheetEndpoint:    putSheet,
+		CheckSheetEndpoint:  checkSheet,
+		HistoryEndpoint:     history,
+		ReturnSheetEndpoint: returnSheet,
+		EditSheetEndpoint:   editSheet,
+		ZoneEndpoint:        zone,
+		CutEndpoint:         cut,
+		MembersEndpoint:     members,
+		ServersEndpoint:     servers,
+		ExplainEndpoint:     explain,
 	}
 }
 
@@ -107,6 +111,50 @@
 	return ires.([]*Finding), nil
 }
 
+// History calls the "history" endpoint of the "operator" service.
+// History may return the following errors:
+//   - "malformed" (type *Failure): The inquiry is malformed
+//   - "unknown" (type *Failure): No such index, record or id
+//   - "oversize" (type *Failure): The inquiry is too large
+//   - "over_ceiling" (type *Failure): The kind's ceiling is reached
+//   - "shed" (type *Failure): Nothing could take the inquiry; it did not run
+//   - "given_up" (type *Failure): No answer in time; it may be retried
+//   - "outcome_unknown" (type *Failure): Written to a server, and no proof of what became of it
+//   - "conflict" (type *Failure): The inquiry key was used for another inquiry
+//   - "lost_race" (type *Failure): Another edit came first
+//   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - error: internal error
+func (c *Client) History(ctx context.Context, p *HistoryPayload) (res []*PastSheet, err error) {
+	var ires any
+	ires, err = c.HistoryEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.([]*PastSheet), nil
+}
+
+// ReturnSheet calls the "return_sheet" endpoint of the "operator" service.
+// ReturnSheet may return the following errors:
+//   - "malformed" (type *Failure): The inquiry is malformed
+//   - "unknown" (type *Failure): No such index, record or id
+//   - "oversize" (type *Failure): The inquiry is too large
+//   - "over_ceiling" (type *Failure): The kind's ceiling is reached
+//   - "shed" (type *Failure): Nothing could take the inquiry; it did not run
+//   - "given_up" (type *Failure): No answer in time; it may be retried
+//   - "outcome_unknown" (type *Failure): Written to a server, and no proof of what became of it
+//   - "conflict" (type *Failure): The inquiry key was used for another inquiry
+//   - "lost_race" (type *Failure): Another edit came first
+//   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - error: internal error
+func (c *Client) ReturnSheet(ctx context.Context, p *ReturnSheetPayload) (res *Taken, err error) {
+	var ires any
+	ires, err = c.ReturnSheetEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Taken), nil
+}
+
 // EditSheet calls the "edit_sheet" endpoint of the "operator" service.
 // EditSheet may return the following errors:
 //   - "malformed" (type *Failure): The inquiry is malformed
--- a/gen/operator/endpoints.go
+++ b/gen/operator/endpoints.go
@@ -15,29 +15,33 @@
 
 // Endpoints wraps the "operator" service endpoints.
 type Endpoints struct {
-	Sheet      goa.Endpoint
-	PutSheet   goa.Endpoint
-	CheckSheet goa.Endpoint
-	EditSheet  goa.Endpoint
-	Zone       goa.Endpoint
-	Cut        goa.Endpoint
-	Members    goa.Endpoint
-	Servers    goa.Endpoint
-	Explain    goa.Endpoint
+	Sheet       goa.Endpoint
+	PutSheet    goa.Endpoint
+	CheckSheet  goa.Endpoint
+	History     goa.Endpoint
+	ReturnSheet goa.Endpoint
+	EditSheet   goa.Endpoint
+	Zone        goa.Endpoint
+	Cut         goa.Endpoint
+	Members     goa.Endpoint
+	Servers     goa.Endpoint
+	Explain     goa.Endpoint
 }
 
 // NewEndpoints wraps the methods of the "operator" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
-		Sheet:      NewSheetEndpoint(s),
-		PutSheet:   NewPutSheetEndpoint(s),
-		CheckSheet: NewCheckSheetEndpoint(s),
-		EditSheet:  NewEditSheetEndpoint(s),
-		Zone:       NewZoneEndpoint(s),
-		Cut:        NewCutEndpoint(s),
-		Members:    NewMembersEndpoint(s),
-		Servers:    NewServersEndpoint(s),
-		Explain:    NewExplainEndpoint(s),
+		Sheet:       NewSheetEndpoint(s),
+		PutSheet:    NewPutSheetEndpoint(s),
+		CheckSheet:  NewCheckSheetEndpoint(s),
+		History:     NewHistoryEndpoint(s),
+		ReturnSheet: NewReturnSheetEndpoint(s),
+		EditSheet:   NewEditSheetEndpoint(s),
+		Zone:        NewZoneEndpoint(s),
+		Cut:         NewCutEndpoint(s),
+		Members:     NewMembersEndpoint(s),
+		Servers:     NewServersEndpoint(s),
+		Explain:     NewExplainEndpoint(s),
 	}
 }
 
@@ -46,6 +50,8 @@
 	e.Sheet = m(e.Sheet)
 	e.PutSheet = m(e.PutSheet)
 	e.CheckSheet = m(e.CheckSheet)
+	e.History = m(e.History)
+	e.ReturnSheet = m(e.ReturnSheet)
 	e.EditSheet = m(e.EditSheet)
 	e.Zone = m(e.Zone)
 	e.Cut = m(e.Cut)
@@ -81,6 +87,24 @@
 	}
 }
 
+// NewHistoryEndpoint returns an endpoint function that calls the method
+// "history" of service "operator".
+func NewHistoryEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*HistoryPayload)
+		return s.History(ctx, p)
+	}
+}
+
+// NewReturnSheetEndpoint returns an endpoint function that calls the method
+// "return_sheet" of service "operator".
+func NewReturnSheetEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ReturnSheetPayload)
+		return s.ReturnSheet(ctx, p)
+	}
+}
+
 // NewEditSheetEndpoint returns an endpoint function that calls the method
 // "edit_sheet" of service "operator".
 func NewEditSheetEndpoint(s Service) goa.Endpoint {
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -19,6 +19,10 @@
 	PutSheet(context.Context, *PutSheetPayload) (res *Taken, err error)
 	// CheckSheet implements check_sheet.
 	CheckSheet(context.Context, *CheckSheetPayload) (res []*Finding, err error)
+	// History implements history.
+	History(context.Context, *HistoryPayload) (res []*PastSheet, err error)
+	// ReturnSheet implements return_sheet.
+	ReturnSheet(context.Context, *ReturnSheetPayload) (res *Taken, err error)
 	// EditSheet implements edit_sheet.
 	EditSheet(context.Context, *EditSheetPayload) (res *Taken, err error)
 	// Zone implements zone.
@@ -47,7 +51,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [9]string{"sheet", "put_sheet", "check_sheet", "edit_sheet", "zone", "cut", "members", "servers", "explain"}
+var MethodNames = [11]string{"sheet", "put_sheet", "check_sheet", "history", "return_sheet", "edit_sheet", "zone", "cut", "members", "servers", "explain"}
 
 // CheckSheetPayload is the payload type of the operator service check_sheet
 // method.
@@ -115,11 +119,22 @@
 	Text string
 }
 
+// HistoryPayload is the payload type of the operator service history method.
+type HistoryPayload struct {
+	Token *string
+}
+
 // MembersPayload is the payload type of the operator service members method.
 type MembersPayload struct {
 	Token *string
 }
 
+type PastSheet struct {
+	Stamp string
+	By    string
+	Sheet any
+}
+
 // PutSheetPayload is the payload type of the operator service put_sheet method.
 type PutSheetPayload struct {
 	// Operator token
@@ -133,6 +148,21 @@
 	Sheet any
 }
 
+// ReturnSheetPayload is the payload type of the operator service return_sheet
+// method.
+type ReturnSheetPayload struct {
+	// Operator token
+	Token *string
+	// Retry-safe id of this edit
+	EditID *string
+	// Stamp that the edit is based on
+	BasedOn *string
+	// Who
+	By *string
+	// Stamp of the earlier sheet
+	Stamp string
+}
+
 type RowEdit struct {
 	Op    string
 	Table string
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -47,12 +47,12 @@
 	servers  []wire.Server
 	seeds    []string
 	client   *http.Client
-	Laggards int
+	left     map[string]int64
 }
 
 // New makes an empty fleet.
 func New(o Options) *Fleet {
-	return &Fleet{o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, client: &http.Client{Timeout: 12 * time.Second}}
+	return &Fleet{o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, left: map[string]int64{}, client: &http.Client{Timeout: 12 * time.Second}}
 }
 
 // ports takes free loopback addresses, all held until all are known.
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wallport/lab/caller"
+	"wallport/lab/check"
 	"wallport/lab/script"
 )
 
@@ -70,25 +71,35 @@
 	}
 }
 
-// judge checks at-most-once and the answers, and gathers counts.
+// judge feeds what the stand-ins saw to the same judges as the simulator, and
+// gathers counts.
 func (f *Fleet) judge(r *Result) {
+	j := check.New()
 	ran, reports := f.Ran()
 	for key, n := range ran {
-		if n > 1 {
-			r.Violations = append(r.Violations, fmt.Sprintf("%s ran %d times", key, n))
-		}
+		j.RanTimes(key, n)
 	}
 	for _, key := range r.Callers.Refused {
-		if ran[key] > 0 {
-			r.Violations = append(r.Violations, fmt.Sprintf("%s ran although it was refused", key))
+		j.Refused(key, 0)
+	}
+	for id, at := range f.left {
+		j.Leaves(id, at)
+		if v, ok := reports[id]; ok && v.Last > at {
+			j.Asked(f.o.Shape.Index, id, "", v.Last, false)
+		} else {
+			j.Idle(check.LeavingWork)
 		}
 	}
+	for _, v := range j.Violations {
+		r.Violations = append(r.Violations, v.Point+": "+v.Text)
+	}
 	r.Violations = append(r.Violations, r.Callers.Wrong...)
-	var asked int64
+	for k, n := range j.Tested {
+		r.Counts["tested."+k] = n
+	}
 	for _, v := range reports {
-		asked += v.Asked
+		r.Counts["server_asks"] += v.Asked
 	}
-	r.Counts["server_asks"] = asked
 	for _, name := range []string{
 		"extra_tries", "extra_tries_denied", "answers_garbage", "over_ceiling", "claims_short", "claims_unsure", "claims_minority",
 		"mesh_entries_in", "mesh_heartbeats_in", "condition_probes", "platform_polls", "opinions_told", "thaws",
--- a/lab/fleet/shape.go
+++ b/lab/fleet/shape.go
@@ -62,3 +62,6 @@
 	}
 	return b
 }
+
+// Sheet is the sheet that the fleet was started with.
+func (f *Fleet) Sheet() json.RawMessage { return f.o.Shape.Sheet() }
--- a/lab/fleet/verbs.go
+++ b/lab/fleet/verbs.go
@@ -87,6 +87,8 @@
 	return fmt.Errorf("no verb %q on real processes", st.Verb)
 }
 
+const platformLag = 300 * time.Millisecond
+
 func (f *Fleet) mark(ids []string, state string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -94,6 +96,8 @@
 		for _, id := range ids {
 			if f.servers[i].ID == id {
 				f.servers[i].State = state
+				// The platform shows it after its lag.
+				f.left[id] = time.Now().Add(platformLag).UnixMicro()
 			}
 		}
 	}
--- a/process/channels.go
+++ b/process/channels.go
@@ -134,7 +134,7 @@
 	}
 	if !hmac.Equal(theirs.Proof, c.proof(other, self)) {
 		c.p.Kernel.Counts.Add("channels_forbidden", 1)
-		c.p.Log.Warn("channel_forbidden", zap.String("addr", conn.RemoteAddr().String()), zap.String("why", "fleet secret differs"))
+		c.p.notes.Warn("channel_forbidden", zap.String("addr", conn.RemoteAddr().String()), zap.String("why", "fleet secret differs"))
 		return fail(errors.New("fleet secret differs"))
 	}
 	conn.SetDeadline(time.Time{})
--- a/process/loop.go
+++ b/process/loop.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"wallport/env"
 	"wallport/kernel"
@@ -34,6 +35,7 @@
 	began    time.Time
 	inbox    chan kernel.Input
 	timers   timerHeap
+	notes    *zap.Logger
 	channels *channels
 	disk     *disk
 	calls    sync.Map
@@ -71,6 +73,11 @@
 		// Fetches are small and few; more than this at once means that something hangs.
 		fetching: make(chan struct{}, 128), stop: make(chan struct{}),
 	}
+	// What peers can bring about is logged with a limit: twenty lines of an event
+	// a second, then one in a hundred. The counters tell the rest.
+	p.notes = c.Log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, 20, 100)
+	}))
 	if p.channels, err = openChannels(p, key); err != nil {
 		return nil, err
 	}
@@ -209,11 +216,11 @@
 	}
 	switch n.Level {
 	case 0:
-		p.Log.Info(n.Event, fields...)
+		p.notes.Info(n.Event, fields...)
 	case 1:
-		p.Log.Warn(n.Event, fields...)
+		p.notes.Warn(n.Event, fields...)
 	default:
-		p.Log.Error(n.Event, fields...)
+		p.notes.Error(n.Event, fields...)
 	}
 }
 
--- a/serve/operator.go
+++ b/serve/operator.go
@@ -12,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"wallport/gen/operator"
-	"wallport/inquiry"
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/operate"
@@ -129,6 +128,22 @@
 	return append([]*operator.Finding{}, findings("", found).Findings...), nil
 }
 
+func (a operatorAPI) History(_ context.Context, p *operator.HistoryPayload) ([]*operator.PastSheet, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	out := []*operator.PastSheet{}
+	for _, h := range a.f.table.Now().Config.History {
+		s := state.SheetOf(wire.ConfigBody{Sheet: h.Sheet})
+		out = append(out, &operator.PastSheet{Stamp: sheet.StampText(h.Stamp), By: h.By, Sheet: sheet.JSON(s)})
+	}
+	return out, nil
+}
+
+func (a operatorAPI) ReturnSheet(ctx context.Context, p *operator.ReturnSheetPayload) (*operator.Taken, error) {
+	return a.change(ctx, changing{p.Token, p.EditID, p.BasedOn, p.By}, wire.Edit{Op: "return", Strict: true, Name: p.Stamp})
+}
+
 func (a operatorAPI) EditSheet(ctx context.Context, p *operator.EditSheetPayload) (*operator.Taken, error) {
 	edits := make([]sheet.RowEdit, 0, len(p.Edits))
 	for _, e := range p.Edits {
@@ -190,14 +205,3 @@
 	}
 	return out, nil
 }
-
-func (a operatorAPI) Explain(_ context.Context, p *operator.ExplainPayload) (any, error) {
-	if err := a.allowed(p.Token); err != nil {
-		return nil, err
-	}
-	t, ok := a.f.desk.Traces.Get(p.ID)
-	if !ok {
-		return nil, fail("unknown", "no such inquiry here, or it is no longer kept")
-	}
-	return inquiry.Explain(t, func(c *table.Checkpoint) string { return sheet.StampText(c.Stamp) }), nil
-}
