--- a/inquiry/limits.go
+++ b/inquiry/limits.go
@@ -27,7 +27,8 @@
 		if next-now > burst+step && !force {
 			return false
 		}
-		if next-now > 2*burst {
+		if force && next-now > 2*burst {
+			// What is let in above the rate must not shut the gate for long.
 			return true
 		}
 		if g.used.CompareAndSwap(used, next) {
--- a/lab/backend/spoil.go
+++ b/lab/backend/spoil.go
@@ -23,6 +23,17 @@
 	case "unsorted":
 		s.Records = slices.Clone(s.Records)
 		slices.Reverse(s.Records)
+	case "wrongrecord":
+		// Sealed well, of the right shard, but not the record asked for.
+		if len(s.Records) == 1 {
+			s.Records = slices.Clone(s.Records)
+			for n := 0; ; n++ {
+				s.Records[0].ID = fmt.Sprintf("alien-%d", n)
+				if inquiry.ShardOf(s.Records[0].ID, 4) == s.Shard {
+					break
+				}
+			}
+		}
 	case "otherrecord":
 		// Sealed well, but of another shard or not what was asked for.
 		s.Records = slices.Clone(s.Records)
--- a/lab/check/check.go
+++ b/lab/check/check.go
@@ -11,21 +11,22 @@
 
 // Points name what must never happen, in the order of the brief.
 const (
-	Twice       = "ran_twice"
-	RanRefused  = "ran_after_refusal"
-	NotWhole    = "answer_not_whole_or_foreign"
-	BadMerge    = "bad_merge"
-	LeavingWork = "work_to_leaving"
-	SheetLate   = "sheet_late"
-	SheetBack   = "sheet_older"
-	SheetLoser  = "losing_sheet_in_force"
-	BothWon     = "both_edits_accepted"
-	EmptiedWork = "work_to_emptied_zone"
-	Budget      = "extra_tries_over_budget"
-	ColdRush    = "cold_rush"
-	ProperShed  = "proper_inquiry_refused"
-	CutRead     = "read_inquiry_cut"
-	SlowBack    = "slow_recovery"
+	Twice        = "ran_twice"
+	RanRefused   = "ran_after_refusal"
+	NotWhole     = "answer_not_whole_or_foreign"
+	BadMerge     = "bad_merge"
+	LeavingWork  = "work_to_leaving"
+	SheetLate    = "sheet_late"
+	SheetBack    = "sheet_older"
+	SheetLoser   = "losing_sheet_in_force"
+	RetryDiffers = "retry_answered_differently"
+	BothWon      = "both_edits_accepted"
+	EmptiedWork  = "work_to_emptied_zone"
+	Budget       = "extra_tries_over_budget"
+	ColdRush     = "cold_rush"
+	ProperShed   = "proper_inquiry_refused"
+	CutRead      = "read_inquiry_cut"
+	SlowBack     = "slow_recovery"
 )
 
 // Times that the brief allows, in microseconds.
--- a/lab/check/sheets.go
+++ b/lab/check/sheets.go
@@ -15,6 +15,8 @@
 	Code   string
 	Stamp  wire.Stamp
 	EditID string
+	// Invalid edits must never be accepted.
+	Invalid bool
 }
 
 type seen struct {
@@ -52,7 +54,14 @@
 	s := &j.sheets
 	j.Tried(t)
 	was := s.tries[t.Mark]
+	if t.Code == "ok" && t.Invalid {
+		j.Fail(SheetLoser, t.Ended, "edit %d is invalid and was accepted", t.Mark)
+	}
 	if was.Code == "ok" {
+		if t.Code == "lost_race" || t.Code == "invalid" || t.Code == "conflict" {
+			j.Fail(RetryDiffers, t.Ended, "edit %d was answered ok and then %s", t.Mark, t.Code)
+		}
+		j.tested(RetryDiffers)
 		if t.Code == "ok" && t.Stamp != was.Stamp {
 			j.Fail(BothWon, t.Ended, "edit %d was answered %v and then %v", t.Mark, was.Stamp, t.Stamp)
 		}
--- a/lab/sim/callers.go
+++ b/lab/sim/callers.go
@@ -96,8 +96,9 @@
 		if !p.up || p.life != life || !p.table.Now().Ready() || p.drains && !p.frozen && w.rnd.IntN(2) == 0 {
 			c.open--
 			w.Judge.Count("callers_refused_connection", 1)
-			if !eager {
-				again(100_000)
+			if in.Key != "" && w.now < c.until {
+				// No one was there to read it: try until someone is.
+				w.after(200_000, func() { c.send(in, tries, eager) })
 			}
 			return
 		}
@@ -105,8 +106,12 @@
 		p.front.read(in, func(o *inquiry.Outcome) {
 			c.open--
 			c.judge(p, &in, o, sent, planned || p.drains)
-			if !eager && (o == nil || o.Code != inquiry.OK) {
-				again(int64(200_000))
+			switch {
+			case o == nil && in.Key != "":
+				// Cut off without a word: every caller repeats that.
+				w.after(200_000, func() { c.send(in, tries, false) })
+			case !eager && (o == nil || o.Code != inquiry.OK):
+				again(200_000)
 			}
 		})
 	})
--- a/lab/sim/operators.go
+++ b/lab/sim/operators.go
@@ -90,7 +90,7 @@
 		}
 		e.Body, _ = json.Marshal([]map[string]any{{"op": "set", "table": "services", "row": s.Services[0]}})
 	}
-	t := check.Try{Mark: mark, Base: base, Began: w.now, Ended: 1 << 62, Code: "open", EditID: e.EditID}
+	t := check.Try{Mark: mark, Base: base, Began: w.now, Ended: 1 << 62, Code: "open", EditID: e.EditID, Invalid: kind == "invalid"}
 	w.Judge.Tried(t)
 	p.feed(func() {
 		p.call("operate", operate.Request{Edit: e}, func(v any) {
--- /dev/null
+++ b/part/fence_test.go
@@ -0,0 +1,123 @@
+// The fence: a seat that promised a term takes nothing of an older one, and it
+// promises, and takes, only what is synced.
+package part
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/diskfile"
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+type core struct {
+	k   *kernel.Kernel
+	s   *Seats
+	now int64
+}
+
+// newCore is a formed core with seat "me" beside "a" and "b".
+func newCore(t *testing.T, more map[string][]byte) *core {
+	form := wire.Form{Formation: "f", Go: true, Seats: seats("a", "b", "me")}
+	files := map[string][]byte{"seat": diskfile.Pack([]byte("me")), "formation": diskfile.Pack(wire.Encode(&form))}
+	for k, v := range more {
+		files[k] = v
+	}
+	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1"}, Role: "core", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32)), Files: files})
+	c := &core{k: k, s: kernel.Find[*Seats](k), now: 1_000_000}
+	c.feed(kernel.Start{})
+	return c
+}
+
+func (c *core) feed(in kernel.Input) kernel.Out { return c.k.Step(c.now, c.now, in) }
+
+func (c *core) send(kind uint8, m interface{ MarshalMsg([]byte) ([]byte, error) }) kernel.Out {
+	return c.feed(kernel.Received{Chan: 5, Data: wire.Seal(kind, 0, m)})
+}
+
+// sync carries out the writes of an output and gives what followed.
+func (c *core) sync(out kernel.Out) kernel.Out {
+	var all kernel.Out
+	for _, w := range out.Writes {
+		r := c.feed(kernel.Written{Plugin: w.Plugin, Key: w.Key})
+		all.Sends = append(all.Sends, r.Sends...)
+	}
+	return all
+}
+
+func accepted(t *testing.T, out kernel.Out) wire.AcceptReply {
+	t.Helper()
+	var r wire.AcceptReply
+	must.Len(t, 1, out.Sends)
+	f, err := wire.Open(out.Sends[0].Data)
+	must.NoError(t, err)
+	must.Eq(t, wire.KindAcceptReply, f.Kind)
+	must.NoError(t, wire.Decode(f.Body, &r))
+	return r
+}
+
+func version(term, seq uint64) wire.Version {
+	return wire.Version{Stamp: wire.Stamp{Part: 0, Term: term, Seq: seq}, Seats: seats("a", "b", "me"), Body: []byte{0x80}}
+}
+
+func TestPromiseFencesOlderTerms(t *testing.T) {
+	c := newCore(t, nil)
+	out := c.send(wire.KindVote, &wire.Vote{Term: 5, From: "a"})
+	must.SliceEmpty(t, out.Sends, must.Sprint("no vote before it is synced"))
+	must.Len(t, 1, c.sync(out).Sends)
+	out = c.send(wire.KindAccept, &wire.Accept{Term: 4, From: "b", Version: version(4, 9)})
+	must.SliceEmpty(t, out.Writes)
+	r := accepted(t, out)
+	must.False(t, r.OK)
+	must.Eq(t, uint64(5), r.Term)
+	out = c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Version: version(5, 1)})
+	must.SliceEmpty(t, out.Sends, must.Sprint("no yes before it is synced"))
+	must.True(t, accepted(t, c.sync(out)).OK)
+}
+
+func TestPromiseOutlivesARestart(t *testing.T) {
+	promise := diskfile.Pack(wire.Encode(&wire.Vote{Term: 7, From: "a"}))
+	c := newCore(t, map[string][]byte{promiseFile(0): promise})
+	must.False(t, accepted(t, c.send(wire.KindAccept, &wire.Accept{Term: 6, From: "b", Version: version(6, 1)})).OK)
+	out := c.send(wire.KindVote, &wire.Vote{Term: 7, From: "b"})
+	must.SliceEmpty(t, out.Writes, must.Sprint("a term is given once"))
+}
+
+func TestTornVersionIsSkippedAndTheOneBeforeHeld(t *testing.T) {
+	v1, v2 := version(3, 1), version(3, 2)
+	whole := diskfile.Pack(wire.Encode(&v2))
+	c := newCore(t, map[string][]byte{
+		versionFile(v1.Stamp): diskfile.Pack(wire.Encode(&v1)), versionFile(v2.Stamp): whole[:len(whole)-3],
+	})
+	must.Eq(t, v1.Stamp, c.s.groups[0].held.Stamp)
+	must.False(t, c.s.damaged)
+	must.Eq(t, uint64(3), c.s.groups[0].promised)
+}
+
+func TestDamagedDiskTakesNoPart(t *testing.T) {
+	for name, files := range map[string]map[string][]byte{
+		"torn promise": {promiseFile(1): []byte("wallport")},
+		"torn seat":    {"seat": []byte("x")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCore(t, files)
+			must.True(t, c.s.damaged)
+			must.Eq(t, "damaged", c.s.sick)
+			must.SliceEmpty(t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a"}).Writes)
+			must.SliceEmpty(t, c.send(wire.KindAccept, &wire.Accept{Term: 9, From: "a", Version: version(9, 1)}).Writes)
+		})
+	}
+}
+
+func TestFailedWriteIsNotAcknowledged(t *testing.T) {
+	c := newCore(t, nil)
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Version: version(5, 1)})
+	must.Len(t, 1, out.Writes)
+	r := accepted(t, c.feed(kernel.Written{Plugin: "seats", Key: out.Writes[0].Key, Err: "no space left on device"}))
+	must.False(t, r.OK)
+	must.Eq(t, wire.Stamp{}, c.s.groups[0].held.Stamp)
+	must.Eq(t, "no space left on device", c.s.sick)
+}
--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -1,7 +1,8 @@
 // Command mutate proves that the checkers can fail: it takes one guard at a
 // time out of a copy of the tree and runs the scenario that must notice. The
 // list is a text file; each entry names the guard, the file, the code, what it
-// becomes, the scenario, and the point that must be violated.
+// becomes, and the scenario with the point that must be violated, or the test
+// that must fail.
 package main
 
 import (
@@ -12,7 +13,7 @@
 	"strings"
 )
 
-type mutant struct{ guard, file, old, new, scenario, point string }
+type mutant struct{ guard, file, old, new, scenario, point, test string }
 
 func main() {
 	list := "tools/mutate/mutants.txt"
@@ -39,6 +40,8 @@
 				m.scenario = v
 			case "point":
 				m.point = v
+			case "test":
+				m.test, m.scenario, m.point = v, v, "failed"
 			default:
 				fail(fmt.Errorf("%s: entry %d: no such line: %s", list, i+1, line))
 			}
@@ -88,6 +91,15 @@
 	if err := os.WriteFile(path, []byte(strings.Replace(string(b), m.old, m.new, 1)), 0o600); err != nil {
 		return false, err
 	}
+	if m.test != "" {
+		run := exec.Command("go", append([]string{"test", "-count=1"}, strings.Fields(m.test)...)...)
+		run.Dir = dir
+		out, err := run.CombinedOutput()
+		if strings.Contains(string(out), "[build failed]") {
+			return false, fmt.Errorf("does not build: %s", out)
+		}
+		return err != nil, nil
+	}
 	build := exec.Command("go", "build", "-o", filepath.Join(dir, "lab-mutant"), "./cmd/lab")
 	build.Dir = dir
 	if out, err := build.CombinedOutput(); err != nil {
