The first start of a fleet lets inquiry keys in at once

Cause: homes that started less than 8 s ago did not vouch, so a new fleet refused 175 of 1460 corrections in its first seconds. Ruled out: a shorter quarantine (a repeat across a total loss would run twice, total_loss fails). A process that saw the index before its first cut knows that nothing can have run before.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -29,8 +29,9 @@
 
 // Ask is a Call to claim a key.
 type Ask struct {
-	Key string
-	Sum uint64
+	Key   string
+	Index string
+	Sum   uint64
 }
 
 // Tell is a Call to settle a key; it has no answer.
@@ -74,11 +75,13 @@
 	started int64
 	roster  []table.Node
 	old     []oldRoster
+	// first holds, per part, the indexes that had a cut when this process first saw it.
+	first map[int]map[string]bool
 }
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 80, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Claims{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), records: map[string]*record{}, asks: map[uint64]*asking{}}
+		return &Claims{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), records: map[string]*record{}, asks: map[uint64]*asking{}, first: map[int]map[string]bool{}}
 	}})
 }
 
@@ -98,6 +101,11 @@
 		t.After(200_000, "claims", "roster")
 	case kernel.Thawed:
 		c.started = t.Now
+		clear(c.first)
+	case mesh.Stored:
+		if v.Entry.Type == "part" {
+			c.firstSeen(v.Entry)
+		}
 	case kernel.Tick:
 		if v.Key == "roster" {
 			t.After(200_000, "claims", "roster")
@@ -155,7 +163,7 @@
 	w := &asking{id: id, ask: a, homes: homes, need: need, replies: map[string]string{}}
 	n := c.next
 	c.asks[n] = w
-	m := wire.Claim{Key: a.Key, From: c.token(n), Sum: a.Sum}
+	m := wire.Claim{Key: a.Key, Index: a.Index, From: c.token(n), Sum: a.Sum}
 	for _, h := range homes {
 		if h.Origin == c.mesh.Self() {
 			c.replied(t, n, c.claim(t, m))
--- a/claims/home.go
+++ b/claims/home.go
@@ -16,7 +16,7 @@
 	case rec == nil:
 		c.keep(m.Key, &record{sum: m.Sum, from: m.From, at: t.Now})
 		r.Code = "in"
-		if !c.knows(m.Key, t.Now) {
+		if !c.knows(m.Key, m.Index, t.Now) {
 			t.Counts.Add("claims_unsure", 1)
 			r.Code = "unsure"
 		}
--- a/claims/homes.go
+++ b/claims/homes.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"wallport/kernel"
+	"wallport/state"
 	"wallport/table"
 	"wallport/wire"
 )
@@ -52,8 +53,8 @@
 }
 
 // knows tells whether not holding a key means that it was never let in here.
-func (c *Claims) knows(key string, now int64) bool {
-	if now-c.started < Quarantine {
+func (c *Claims) knows(key, index string, now int64) bool {
+	if now-c.started < Quarantine && !c.saw(index) {
 		return false
 	}
 	for _, o := range c.old {
@@ -64,6 +65,30 @@
 	return true
 }
 
+// firstSeen keeps which indexes had a cut when a part was first seen.
+func (c *Claims) firstSeen(e *wire.Entry) {
+	part := e.Stamp.Part
+	if part == state.Config || c.first[part] != nil {
+		return
+	}
+	b, err := state.ReadIndex(e.Body)
+	if err != nil {
+		return
+	}
+	c.first[part] = map[string]bool{}
+	for index := range b.Cuts {
+		c.first[part][index] = true
+	}
+}
+
+// saw tells that this process was there before the index had its first cut:
+// nothing of it can have run before this process began. So the first start of a
+// fleet needs no quarantine, and the start after a total loss has it.
+func (c *Claims) saw(index string) bool {
+	had := c.first[state.PartOf(index)]
+	return had != nil && !had[index]
+}
+
 // follow notices a changed roster and hands records to their new homes.
 func (c *Claims) follow(t *kernel.Turn) {
 	cp := c.table.Now()
--- a/inquiry/chart.go
+++ b/inquiry/chart.go
@@ -131,7 +131,7 @@
 		c.trace.add(now, StLetIn, why)
 	}
 	if c.in.Once() && c.in.Key != "" {
-		c.act(Claim{Key: c.in.Key, Sum: c.in.Sum})
+		c.act(Claim{Key: c.in.Key, Index: c.in.Index, Sum: c.in.Sum})
 		c.act(Wake{At: min(c.end, now+claimWait)})
 		return
 	}
--- a/inquiry/events.go
+++ b/inquiry/events.go
@@ -94,8 +94,9 @@
 	Cancel struct{ N int }
 	// Claim asks the homes of a key.
 	Claim struct {
-		Key string
-		Sum uint64
+		Key   string
+		Index string
+		Sum   uint64
 	}
 	// Settle tells the homes what a claim came to.
 	Settle struct {
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -75,7 +75,7 @@
 			}
 		})
 	case inquiry.Claim:
-		p.call("claims", claims.Ask{Key: v.Key, Sum: v.Sum}, func(ans any) {
+		p.call("claims", claims.Ask{Key: v.Key, Index: v.Index, Sum: v.Sum}, func(ans any) {
 			f.step(r, inquiry.Claimed{Verdict: ans.(inquiry.Verdict)})
 		})
 	case inquiry.Settle:
--- a/serve/run.go
+++ b/serve/run.go
@@ -109,7 +109,7 @@
 func (r *run) claim(c inquiry.Claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	v, err := r.f.p.Call(ctx, "claims", claims.Ask{Key: c.Key, Sum: c.Sum})
+	v, err := r.f.p.Call(ctx, "claims", claims.Ask{Key: c.Key, Index: c.Index, Sum: c.Sum})
 	verdict, ok := v.(inquiry.Verdict)
 	if err != nil || !ok {
 		verdict = inquiry.Verdict{Code: "short"}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -227,9 +227,10 @@
 
 // Claim asks a home node to let an inquiry key in.
 type Claim struct {
-	Key  string `msg:"k"`
-	From string `msg:"f"`
-	Sum  uint64 `msg:"s"`
+	Key   string `msg:"k"`
+	Index string `msg:"x"`
+	From  string `msg:"f"`
+	Sum   uint64 `msg:"s"`
 }
 
 // ClaimReply lets in, or gives what the first holder of the key came to.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -1261,6 +1261,12 @@
 				err = msgp.WrapError(err, "Key")
 				return
 			}
+		case "x":
+			z.Index, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
 		case "f":
 			z.From, err = dc.ReadString()
 			if err != nil {
@@ -1285,10 +1291,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Claim) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+func (z *Claim) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "k"
-	err = en.Append(0x83, 0xa1, 0x6b)
+	err = en.Append(0x84, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -1297,6 +1303,16 @@
 		err = msgp.WrapError(err, "Key")
 		return
 	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Index)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
 	// write "f"
 	err = en.Append(0xa1, 0x66)
 	if err != nil {
@@ -1321,12 +1337,15 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Claim) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "k"
-	o = append(o, 0x83, 0xa1, 0x6b)
+	o = append(o, 0x84, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.Key)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendString(o, z.Index)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.From)
@@ -1360,6 +1379,12 @@
 				err = msgp.WrapError(err, "Key")
 				return
 			}
+		case "x":
+			z.Index, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
 		case "f":
 			z.From, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1385,8 +1410,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Claim) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size
+func (z *Claim) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Index) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size
 	return
 }
 
