--- a/inquiry/asks.go
+++ b/inquiry/asks.go
@@ -1,8 +1,19 @@
 // Asking servers, and what each ask's end teaches their gauges.
 package inquiry
 
+// again says why a shard is asked: for the first time, once more at the cost of
+// the budget, or in place of a try of which nothing was written. The last adds
+// nothing to what the pool gets and costs nothing.
+type again uint8
+
+const (
+	firstTry again = iota
+	extra
+	instead
+)
+
 // ask picks a server for a shard and sends to it; a shard without one is missing.
-func (c *Chart) ask(now int64, shard int, again bool) {
+func (c *Chart) ask(now int64, shard int, why again) {
 	w := &c.ways[shard]
 	ch, ok := pick(c.cp, c.x, c.x.Shards[shard], w.tried, now, &c.rnd)
 	if !ok {
@@ -12,20 +23,23 @@
 		}
 		return
 	}
-	if again {
+	switch why {
+	case instead:
+		c.to(now, StReAsked, w.why)
+	case extra:
 		if !c.desk.extra(c.cp, c.in.Index, now) {
 			w.missing = w.open == 0
 			w.why = "budget of repeated tries is used up; " + w.why
 			return
 		}
 		c.to(now, StReAsked, w.why)
-	} else {
+	default:
 		c.to(now, StPicked, "")
 		c.desk.budgetOf(c.in.Index).first(c.desk.bound(c.cp, now))
 	}
 	n := len(c.tries)
 	c.tries = append(c.tries, try{shard: shard, server: ch.Server, at: now, open: true})
-	c.trace.pick(now, n, shard, ch, again)
+	c.trace.pick(now, n, shard, ch, why != firstTry)
 	w.tried = append(w.tried, ch.Server.ID)
 	w.open++
 	w.tries++
@@ -34,7 +48,7 @@
 	ch.Server.Gauge.Outstanding.Add(1)
 	ch.Server.Gauge.Asked.Add(1)
 	c.state = StAsked
-	c.act(Ask{N: n, ID: c.ID() + "." + itoa(n), Server: ch.Server, Shard: shard, Shards: len(c.x.Shards), Cut: c.cut, Within: left, Inquiry: &c.in, Again: again})
+	c.act(Ask{N: n, ID: c.ID() + "." + itoa(n), Server: ch.Server, Shard: shard, Shards: len(c.x.Shards), Cut: c.cut, Within: left, Inquiry: &c.in, Again: why == extra, Instead: why == instead})
 }
 
 func itoa(n int) string { return string(rune('a'+n%26)) + string(rune('a'+n/26%26)) }
--- a/inquiry/chart.go
+++ b/inquiry/chart.go
@@ -156,7 +156,7 @@
 	}
 	for shard := range c.x.Shards {
 		if c.in.Kind == Search || shard == c.first {
-			c.ask(now, shard, false)
+			c.ask(now, shard, firstTry)
 		}
 	}
 	c.settleWays(now)
--- a/inquiry/events.go
+++ b/inquiry/events.go
@@ -84,6 +84,8 @@
 	Inquiry *Inquiry
 	// Again marks a repeated try, which the budget paid for.
 	Again bool
+	// Instead marks one that takes the place of a try that was never written.
+	Instead bool
 }
 
 // Act is one of the types below, or an Ask.
--- a/inquiry/ways.go
+++ b/inquiry/ways.go
@@ -26,33 +26,32 @@
 	case ReplyAbsent:
 		c.finish(now, StAnswered, Outcome{Code: Unknown, Why: "no such record", Ran: "no", Cut: c.cut, Shard: t.shard})
 		return
-	case ReplyNotWritten, ReplyRefused:
+	case ReplyNotWritten:
 		w.why = v.Reply.Class
-		c.again(now, t.shard)
+		c.again(now, t.shard, instead)
+	case ReplyRefused:
+		w.why = v.Reply.Class
+		c.again(now, t.shard, extra)
 	default:
 		w.why = v.Reply.Class + ": " + v.Reply.Why
 		if c.in.Once() {
 			c.finish(now, StGivenUp, Outcome{Code: OutcomeUnknown, Ran: "unknown", Why: "the server was written to and gave no whole answer: " + v.Reply.Why, Shard: t.shard})
 			return
 		}
-		c.again(now, t.shard)
+		c.again(now, t.shard, extra)
 	}
 	c.settleWays(now)
 	c.wake(now)
 }
 
 // again re-asks a shard elsewhere if tries, time and budget allow.
-func (c *Chart) again(now int64, shard int) {
+func (c *Chart) again(now int64, shard int, why again) {
 	w := &c.ways[shard]
 	if w.tries >= attemptsMost || now >= c.end {
 		w.missing = w.open == 0
 		return
 	}
-	if c.in.Once() && now >= c.end {
-		w.missing = true
-		return
-	}
-	c.ask(now, shard, true)
+	c.ask(now, shard, why)
 }
 
 // abandon cancels what is still out for a shard that has its answer.
@@ -76,7 +75,7 @@
 		if w.open > 0 && !w.done && c.mayHedge(w) && now >= w.hedgeAt && now < c.end {
 			w.why = "no answer yet"
 			before := w.tries
-			c.ask(now, i, true)
+			c.ask(now, i, extra)
 			if w.tries == before {
 				w.hedgeAt = c.end
 			}
--- a/lab/check/check.go
+++ b/lab/check/check.go
@@ -161,7 +161,7 @@
 }
 
 // Asked notes one piece of work sent to a server.
-func (j *Judge) Asked(pool, server, zone string, at int64, again bool) {
+func (j *Judge) Asked(pool, server, zone string, at int64, again, instead bool) {
 	if t, ok := j.left[server]; ok {
 		j.tested(LeavingWork)
 		if at-t > LeavingIn {
@@ -174,6 +174,9 @@
 			j.Fail(EmptiedWork, at, "%s in %s got work %d us after the zone was emptied", server, zone, at-t)
 		}
 	}
+	if instead {
+		return
+	}
 	m := j.firsts
 	if again {
 		m = j.extras
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -85,7 +85,7 @@
 	for id, at := range f.left {
 		j.Leaves(id, at)
 		if v, ok := reports[id]; ok && v.Last > at {
-			j.Asked(f.o.Shape.Index, id, "", v.Last, false)
+			j.Asked(f.o.Shape.Index, id, "", v.Last, false, false)
 		} else {
 			j.Idle(check.LeavingWork)
 		}
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -95,7 +95,7 @@
 		// What a node that is cut off from every other does is judged by scenarios of their own.
 		w.Judge.Count("asks_of_isolated", 1)
 	} else {
-		w.Judge.Asked(a.Inquiry.Index, a.Server.ID, a.Server.Zone, w.now, a.Again)
+		w.Judge.Asked(a.Inquiry.Index, a.Server.ID, a.Server.Zone, w.now, a.Again, a.Instead)
 	}
 	w.Judge.Count("asks", 1)
 	if a.Again {
--- a/lab/sim/network.go
+++ b/lab/sim/network.go
@@ -3,6 +3,8 @@
 package sim
 
 import (
+	"github.com/tinylib/msgp/msgp"
+
 	"wallport/kernel"
 	"wallport/wire"
 )
@@ -128,6 +130,7 @@
 	}
 	at := max(l.last[i], n.w.now+n.latency())
 	l.last[i] = at
+	data = n.newer(from, data)
 	n.w.at(at, func() { n.arrive(l, i, data, n.w.now) })
 	if l.mesh && n.doubles > 0 && n.w.rnd.Int64N(100) < n.doubles {
 		n.w.at(at+n.latency(), func() { n.arrive(l, i, data, n.w.now) })
@@ -161,6 +164,19 @@
 	})
 }
 
+// newer makes a frame of a process of a later release: it has a field more.
+func (n *network) newer(from *proc, data []byte) []byte {
+	every := n.w.Script.Int("newer_every", 0)
+	if every == 0 || from.index%every != 0 || len(data) < 11 || data[10]&0xf0 != 0x80 || data[10] == 0x8f {
+		return data
+	}
+	out := append([]byte(nil), data...)
+	out[10]++
+	n.w.Judge.Count("frames_of_later_release", 1)
+	out = msgp.AppendString(out, "later")
+	return msgp.AppendMapStrStr(out, map[string]string{"of": "a later release"})
+}
+
 // muted drops the frames of a whole way by which sheets travel, from a moment on.
 func (n *network) muted(l *link, data []byte) bool {
 	off := func(name string) bool { at := n.w.Script.Int(name, 0); return at > 0 && n.w.now >= at }
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -29,6 +29,7 @@
 	name      string
 	role      string
 	env       env.Env
+	index     int64
 	life      int
 	up        bool
 	frozen    bool
@@ -55,7 +56,7 @@
 		Name: name, Zone: w.Shape.Zone(i), Mesh: addr, Operator: addr + "0", Seeds: w.seeds, Fleet: "sim",
 		PollsPer: w.plat.allowed, LogLevel: "info",
 	}
-	p := &proc{w: w, name: name, role: role, env: e}
+	p := &proc{w: w, name: name, role: role, env: e, index: int64(len(w.names))}
 	if role == "node" {
 		p.env.Caller, p.env.Platform = addr+"1", "http://platform/list"
 	} else {
--- a/lab/sim/server.go
+++ b/lab/sim/server.go
@@ -113,7 +113,8 @@
 		}
 		s.busy++
 		took := s.serviceTime()
-		if s.mode != "refuse" {
+		refuses := s.mode == "refuse"
+		if !refuses {
 			w.ran(a)
 		}
 		w.after(took, func() {
@@ -125,7 +126,7 @@
 			if s.mode == "hang" {
 				return
 			}
-			raw := s.answer(a)
+			raw := s.answer(a, refuses)
 			back := there
 			if w.net.cut(s.row.ID, p.name) {
 				return
@@ -148,12 +149,12 @@
 }
 
 // answer makes the body that the real stand-in would send, and checks it as a node does.
-func (s *server) answer(a *inquiry.Ask) inquiry.Reply {
+func (s *server) answer(a *inquiry.Ask, refuses bool) inquiry.Reply {
 	in := a.Inquiry
 	sealed := inquiry.Sealed{Inquiry: a.ID, Cut: s.row.Cut, Shard: s.row.Shard, Incarnation: s.inc, Usage: s.busy}
 	status := 200
 	switch {
-	case s.mode == "refuse":
+	case refuses:
 		status = 503
 	case in.Kind == inquiry.Search:
 		sealed.Records = records.Top(in.Index, in.Query, in.Limit, a.Shard, s.shards)
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -10,6 +10,7 @@
 	"wallport/lab/check"
 	"wallport/lab/fleet"
 	"wallport/lab/script"
+	"wallport/state"
 	"wallport/wire"
 )
 
@@ -193,6 +194,16 @@
 		if p.kernel == nil {
 			continue
 		}
+		if p.seats != nil && p.up {
+			n := int64(0)
+			for part := range state.Parts {
+				if p.seats.Owns(part) {
+					n++
+				}
+			}
+			w.Judge.Counts["owned_by_one"] = max(w.Judge.Counts["owned_by_one"], n)
+			w.Judge.Count("owned", n)
+		}
 		p.kernel.Counts.Each(func(name string, n int64) { w.Judge.Count("sum."+name, n) })
 	}
 }
--- a/part/follower.go
+++ b/part/follower.go
@@ -106,30 +106,3 @@
 	}
 	t.Send(ch, wire.KindBeatReply, id, &r)
 }
-
-// successor picks the healthy seat that answered last.
-func (g *Group) successor(t *kernel.Turn) string {
-	best, at := "", int64(0)
-	for _, s := range g.served.Seats {
-		if s.ID != g.self() && g.heard[s.ID] > at && t.Now-g.heard[s.ID] < StepDown {
-			best, at = s.ID, g.heard[s.ID]
-		}
-	}
-	return best
-}
-
-// yield hands the part to a named successor.
-func (g *Group) yield(t *kernel.Turn) {
-	next := g.successor(t)
-	if g.role != owner || next == "" {
-		return
-	}
-	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Committed: g.served.Stamp, Yield: next}
-	for _, s := range binds(g.served) {
-		if s.ID != g.self() {
-			g.s.sendSeat(t, s, wire.KindBeat, &b)
-		}
-	}
-	t.Counts.Add("part_yielded", 1)
-	g.retire(t, "handed to "+next)
-}
--- a/part/group.go
+++ b/part/group.go
@@ -19,6 +19,7 @@
 	StepDown    = 1_000_000
 	SickAfter   = 1_000_000
 	ReplaceAt   = 8_000_000
+	PlaceAfter  = 4_000_000
 	KeptOnDisk  = 3
 	BacklogMost = 256
 )
@@ -76,6 +77,7 @@
 	heard     map[string]int64
 	walls     map[string]int64
 	quorumAt  int64
+	wonAt     int64
 	ready     bool
 	yielding  bool
 	holds     map[string]*grant
@@ -88,41 +90,6 @@
 
 func (g *Group) self() string { return g.s.seat }
 
-func has(seats []wire.Seat, id string) bool {
-	for _, s := range seats {
-		if s.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
-func majority(seats []wire.Seat, ok func(id string) bool) bool {
-	n := 0
-	for _, s := range seats {
-		if ok(s.ID) {
-			n++
-		}
-	}
-	return len(seats) > 0 && n > len(seats)/2
-}
-
-// quorum needs a majority of a version's seats and of the seats before them.
-func quorum(v wire.Version, ok func(id string) bool) bool {
-	return majority(v.Seats, ok) && (len(v.Prev) == 0 || majority(v.Prev, ok))
-}
-
-// binds lists every seat that a version's quorum may need.
-func binds(v wire.Version) []wire.Seat {
-	out := append([]wire.Seat(nil), v.Seats...)
-	for _, p := range v.Prev {
-		if !has(out, p.ID) {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
 func (g *Group) seated() bool { return has(binds(g.held), g.self()) }
 
 func (g *Group) tick(t *kernel.Turn) {
--- a/part/owner.go
+++ b/part/owner.go
@@ -12,7 +12,7 @@
 	g.role, g.owner, g.ownerAddr = owner, g.self(), g.s.k.Boot.Env.Mesh
 	g.ready, g.yielding = false, false
 	g.roundAcks, g.walls = map[string]uint64{}, map[string]int64{}
-	g.quorumAt, g.beatAt = t.Now, 0
+	g.quorumAt, g.beatAt, g.wonAt = t.Now, 0, t.Now
 	g.holds = map[string]*grant{}
 	for _, s := range binds(best) {
 		g.heard[s.ID] = t.Now
@@ -155,6 +155,10 @@
 	case t.Now-g.beatAt >= BeatEvery:
 		g.beatNow(t)
 	}
+	if to := g.better(t); to != "" {
+		g.yieldTo(t, to)
+		return
+	}
 	if g.flight != nil && t.Now-g.sentAt > 2*BeatEvery {
 		g.resend(t)
 	}
@@ -196,7 +200,7 @@
 	g.roundAcks[r.From] = max(g.roundAcks[r.From], r.Round)
 	if g.ready && mesh.Newer(g.served.Stamp, r.Held) && (g.flight == nil || r.Held != g.flight.Stamp) {
 		t.Counts.Add("part_handed_over", 1)
-		t.Send(ch, wire.KindAccept, 0, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Version: g.served})
+		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: r.From, Part: g.part, Term: g.term, From: g.self(), Version: g.served})
 	}
 	g.serveReads(t)
 }
--- /dev/null
+++ b/part/placing.go
@@ -0,0 +1,57 @@
+// Where a part's owner is: handed on purpose to a named successor, in a planned
+// stop, when the own disk is sick, or to spread the parts over the cores.
+package part
+
+import (
+	"cmp"
+	"slices"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// successor picks the healthy seat that answered last.
+func (g *Group) successor(t *kernel.Turn) string {
+	best, at := "", int64(0)
+	for _, s := range g.served.Seats {
+		if s.ID != g.self() && g.heard[s.ID] > at && t.Now-g.heard[s.ID] < StepDown {
+			best, at = s.ID, g.heard[s.ID]
+		}
+	}
+	return best
+}
+
+// better names the seat that should own the part so that the parts are spread,
+// once this owner has served a while, nothing is under way, and that seat is well.
+func (g *Group) better(t *kernel.Turn) string {
+	if !g.ready || g.flight != nil || len(g.backlog)+len(g.reads) > 0 || t.Now-g.wonAt < PlaceAfter {
+		return ""
+	}
+	seats := slices.Clone(g.served.Seats)
+	slices.SortFunc(seats, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
+	want := seats[g.part%len(seats)].ID
+	r, live := g.s.members.Seat(want, t.Now)
+	if want == g.self() || !live || r.Sick != "" || r.Draining || t.Now-g.heard[want] > 2*BeatEvery {
+		return ""
+	}
+	return want
+}
+
+// yield hands the part to the best successor there is.
+func (g *Group) yield(t *kernel.Turn) {
+	if next := g.successor(t); g.role == owner && next != "" {
+		g.yieldTo(t, next)
+	}
+}
+
+// yieldTo hands the part to a named successor.
+func (g *Group) yieldTo(t *kernel.Turn, next string) {
+	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Committed: g.served.Stamp, Yield: next}
+	for _, s := range binds(g.served) {
+		if s.ID != g.self() {
+			g.s.sendSeat(t, s, wire.KindBeat, &b)
+		}
+	}
+	t.Counts.Add("part_yielded", 1)
+	g.retire(t, "handed to "+next)
+}
--- /dev/null
+++ b/part/quorum.go
@@ -0,0 +1,39 @@
+// Majorities of seats, also across a change of seats.
+package part
+
+import "wallport/wire"
+
+func has(seats []wire.Seat, id string) bool {
+	for _, s := range seats {
+		if s.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func majority(seats []wire.Seat, ok func(id string) bool) bool {
+	n := 0
+	for _, s := range seats {
+		if ok(s.ID) {
+			n++
+		}
+	}
+	return len(seats) > 0 && n > len(seats)/2
+}
+
+// quorum needs a majority of a version's seats and of the seats before them.
+func quorum(v wire.Version, ok func(id string) bool) bool {
+	return majority(v.Seats, ok) && (len(v.Prev) == 0 || majority(v.Prev, ok))
+}
+
+// binds lists every seat that a version's quorum may need.
+func binds(v wire.Version) []wire.Seat {
+	out := append([]wire.Seat(nil), v.Seats...)
+	for _, p := range v.Prev {
+		if !has(out, p.ID) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/part/route.go
+++ b/part/route.go
@@ -85,17 +85,26 @@
 			f(s.groups[part])
 		}
 	}
+	// A machine whose disk was lost is another seat at the old one's address:
+	// what is meant for the old one is not for it.
+	to := func(id string, part int, f func(g *Group)) {
+		if id != "" && id != s.seat {
+			t.Counts.Add("part_misdirected", 1)
+			return
+		}
+		g(part, f)
+	}
 	switch v.Kind {
 	case wire.KindVote:
-		decode(t, v, func(m wire.Vote) { g(m.Part, func(g *Group) { g.vote(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Vote) { to(m.To, m.Part, func(g *Group) { g.vote(t, v.Chan, v.ID, m) }) })
 	case wire.KindVoteReply:
 		decode(t, v, func(m wire.VoteReply) { g(m.Part, func(g *Group) { g.voteReply(t, m) }) })
 	case wire.KindAccept:
-		decode(t, v, func(m wire.Accept) { g(m.Part, func(g *Group) { s.enter(t); g.accept(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Accept) { to(m.To, m.Part, func(g *Group) { s.enter(t); g.accept(t, v.Chan, v.ID, m) }) })
 	case wire.KindAcceptReply:
 		decode(t, v, func(m wire.AcceptReply) { g(m.Part, func(g *Group) { g.acceptReply(t, m) }) })
 	case wire.KindBeat:
-		decode(t, v, func(m wire.Beat) { g(m.Part, func(g *Group) { g.beat(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Beat) { to(m.To, m.Part, func(g *Group) { g.beat(t, v.Chan, v.ID, m) }) })
 	case wire.KindBeatReply:
 		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.beatReply(t, v.Chan, m) }) })
 	case wire.KindForm:
@@ -131,6 +140,14 @@
 
 func (s *Seats) sendSeat(t *kernel.Turn, seat wire.Seat, kind uint8, m msgp.Marshaler) {
 	addr := seat.Addr
+	switch v := m.(type) {
+	case *wire.Vote:
+		v.To = seat.ID
+	case *wire.Accept:
+		v.To = seat.ID
+	case *wire.Beat:
+		v.To = seat.ID
+	}
 	if a := s.addrOf(seat.ID, t.Now); a != "" {
 		addr = a
 	}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -93,3 +93,28 @@
 	Node string `msg:"n"`
 	Turn uint64 `msg:"t"`
 }
+
+// Claim asks a home node to let an inquiry key in.
+type Claim struct {
+	Key   string `msg:"k"`
+	Index string `msg:"x"`
+	From  string `msg:"f"`
+	Sum   uint64 `msg:"s"`
+}
+
+// ClaimReply lets in, or gives what the first holder of the key came to.
+type ClaimReply struct {
+	Key    string `msg:"k"`
+	From   string `msg:"f"`
+	Code   string `msg:"c"`
+	Status int    `msg:"st"`
+	Body   []byte `msg:"b"`
+}
+
+// Settle records the outcome of a claimed key.
+type Settle struct {
+	Key    string `msg:"k"`
+	Code   string `msg:"c"`
+	Status int    `msg:"st"`
+	Body   []byte `msg:"b"`
+}
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -6,6 +6,387 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// DecodeMsg implements msgp.Decodable
+func (z *Claim) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "x":
+			z.Index, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "f":
+			z.From, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "s":
+			z.Sum, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Claim) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "k"
+	err = en.Append(0x84, 0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "x"
+	err = en.Append(0xa1, 0x78)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Index)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Sum)
+	if err != nil {
+		err = msgp.WrapError(err, "Sum")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "k"
+	o = append(o, 0x84, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Key)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendString(o, z.Index)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Sum)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Claim) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "x":
+			z.Index, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "s":
+			z.Sum, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Claim) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Index) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ClaimReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "f":
+			z.From, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "c":
+			z.Code, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "st":
+			z.Status, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "b":
+			z.Body, err = dc.ReadBytes(z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ClaimReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "k"
+	err = en.Append(0x85, 0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Code)
+	if err != nil {
+		err = msgp.WrapError(err, "Code")
+		return
+	}
+	// write "st"
+	err = en.Append(0xa2, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Status)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Body)
+	if err != nil {
+		err = msgp.WrapError(err, "Body")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ClaimReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "k"
+	o = append(o, 0x85, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Key)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Code)
+	// string "st"
+	o = append(o, 0xa2, 0x73, 0x74)
+	o = msgp.AppendInt(o, z.Status)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ClaimReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "c":
+			z.Code, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "st":
+			z.Status, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ClaimReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ConfigBody) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -2830,6 +3211,184 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Settle) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "c":
+			z.Code, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "st":
+			z.Status, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "b":
+			z.Body, err = dc.ReadBytes(z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Settle) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "k"
+	err = en.Append(0x84, 0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Code)
+	if err != nil {
+		err = msgp.WrapError(err, "Code")
+		return
+	}
+	// write "st"
+	err = en.Append(0xa2, 0x73, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Status)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Body)
+	if err != nil {
+		err = msgp.WrapError(err, "Body")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Settle) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "k"
+	o = append(o, 0x84, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Key)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Code)
+	// string "st"
+	o = append(o, 0xa2, 0x73, 0x74)
+	o = msgp.AppendInt(o, z.Status)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Settle) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "c":
+			z.Code, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "st":
+			z.Status, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Status")
+				return
+			}
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Settle) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *UsageReport) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -88,6 +88,7 @@
 
 // Vote asks for a term. Pre asks only whether it would be given.
 type Vote struct {
+	To   string `msg:"to"`
 	Part int    `msg:"p"`
 	Term uint64 `msg:"t"`
 	From string `msg:"f"`
@@ -108,6 +109,7 @@
 
 // Accept asks a seat to hold a version.
 type Accept struct {
+	To      string  `msg:"to"`
 	Part    int     `msg:"p"`
 	Term    uint64  `msg:"t"`
 	From    string  `msg:"f"`
@@ -126,6 +128,7 @@
 
 // Beat is an owner's sign of life with the newest committed stamp.
 type Beat struct {
+	To        string `msg:"to"`
 	Part      int    `msg:"p"`
 	Term      uint64 `msg:"t"`
 	From      string `msg:"f"`
@@ -224,28 +227,3 @@
 	For    int64  `msg:"f"`
 	Turn   uint64 `msg:"t"`
 }
-
-// Claim asks a home node to let an inquiry key in.
-type Claim struct {
-	Key   string `msg:"k"`
-	Index string `msg:"x"`
-	From  string `msg:"f"`
-	Sum   uint64 `msg:"s"`
-}
-
-// ClaimReply lets in, or gives what the first holder of the key came to.
-type ClaimReply struct {
-	Key    string `msg:"k"`
-	From   string `msg:"f"`
-	Code   string `msg:"c"`
-	Status int    `msg:"st"`
-	Body   []byte `msg:"b"`
-}
-
-// Settle records the outcome of a claimed key.
-type Settle struct {
-	Key    string `msg:"k"`
-	Code   string `msg:"c"`
-	Status int    `msg:"st"`
-	Body   []byte `msg:"b"`
-}
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -24,6 +24,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
 		case "p":
 			z.Part, err = dc.ReadInt()
 			if err != nil {
@@ -61,9 +67,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Accept) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
+	// write "to"
+	err = en.Append(0x85, 0xa2, 0x74, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.To)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
 	// write "p"
-	err = en.Append(0x84, 0xa1, 0x70)
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
 		return
 	}
@@ -108,9 +124,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Accept) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
+	// string "to"
+	o = append(o, 0x85, 0xa2, 0x74, 0x6f)
+	o = msgp.AppendString(o, z.To)
 	// string "p"
-	o = append(o, 0x84, 0xa1, 0x70)
+	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendInt(o, z.Part)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -146,6 +165,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
 		case "p":
 			z.Part, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -184,7 +209,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Accept) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Version.Msgsize()
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Version.Msgsize()
 	return
 }
 
@@ -539,6 +564,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
 		case "p":
 			z.Part, err = dc.ReadInt()
 			if err != nil {
@@ -623,9 +654,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
+	// write "to"
+	err = en.Append(0x87, 0xa2, 0x74, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.To)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
 	// write "p"
-	err = en.Append(0x86, 0xa1, 0x70)
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
 		return
 	}
@@ -716,9 +757,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
+	// string "to"
+	o = append(o, 0x87, 0xa2, 0x74, 0x6f)
+	o = msgp.AppendString(o, z.To)
 	// string "p"
-	o = append(o, 0x86, 0xa1, 0x70)
+	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendInt(o, z.Part)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -765,6 +809,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
 		case "p":
 			z.Part, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -850,7 +900,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Yield)
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Yield)
 	return
 }
 
@@ -1106,454 +1156,20 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendUint64(o, z.Held.Seq)
-	// string "ok"
-	o = append(o, 0xa2, 0x6f, 0x6b)
-	o = msgp.AppendBool(o, z.OK)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt64(o, z.Wall)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendBool(o, z.Sick)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *BeatReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Round")
-				return
-			}
-		case "h":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Held")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Held")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Held.Part, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Part")
-						return
-					}
-				case "t":
-					z.Held.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Term")
-						return
-					}
-				case "s":
-					z.Held.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held")
-						return
-					}
-				}
-			}
-		case "ok":
-			z.OK, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "w":
-			z.Wall, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Wall")
-				return
-			}
-		case "s":
-			z.Sick, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sick")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *BeatReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Claim) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "x":
-			z.Index, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Index")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "s":
-			z.Sum, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Sum")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Claim) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "k"
-	err = en.Append(0x84, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Index)
-	if err != nil {
-		err = msgp.WrapError(err, "Index")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Sum)
-	if err != nil {
-		err = msgp.WrapError(err, "Sum")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "k"
-	o = append(o, 0x84, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Key)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendString(o, z.Index)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Sum)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Claim) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "x":
-			z.Index, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Index")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "s":
-			z.Sum, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sum")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Claim) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Index) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *ClaimReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "c":
-			z.Code, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Code")
-				return
-			}
-		case "st":
-			z.Status, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Status")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *ClaimReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "k"
-	err = en.Append(0x85, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Code)
-	if err != nil {
-		err = msgp.WrapError(err, "Code")
-		return
-	}
-	// write "st"
-	err = en.Append(0xa2, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Status)
-	if err != nil {
-		err = msgp.WrapError(err, "Status")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ClaimReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "k"
-	o = append(o, 0x85, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Key)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendString(o, z.Code)
-	// string "st"
-	o = append(o, 0xa2, 0x73, 0x74)
-	o = msgp.AppendInt(o, z.Status)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
+	// string "ok"
+	o = append(o, 0xa2, 0x6f, 0x6b)
+	o = msgp.AppendBool(o, z.OK)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.Wall)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendBool(o, z.Sick)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ClaimReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *BeatReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1570,10 +1186,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "t":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Key")
+				err = msgp.WrapError(err, "Term")
 				return
 			}
 		case "f":
@@ -1582,22 +1204,69 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "c":
-			z.Code, bts, err = msgp.ReadStringBytes(bts)
+		case "r":
+			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Code")
+				err = msgp.WrapError(err, "Round")
 				return
 			}
-		case "st":
-			z.Status, bts, err = msgp.ReadIntBytes(bts)
+		case "h":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Status")
+				err = msgp.WrapError(err, "Held")
 				return
 			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Held")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Held.Part, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Part")
+						return
+					}
+				case "t":
+					z.Held.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Term")
+						return
+					}
+				case "s":
+					z.Held.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Seq")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held")
+						return
+					}
+				}
+			}
+		case "ok":
+			z.OK, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "OK")
+				return
+			}
+		case "w":
+			z.Wall, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wall")
+				return
+			}
+		case "s":
+			z.Sick, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sick")
 				return
 			}
 		default:
@@ -1613,8 +1282,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ClaimReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+func (z *BeatReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
@@ -5321,184 +4990,6 @@
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Settle) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "c":
-			z.Code, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Code")
-				return
-			}
-		case "st":
-			z.Status, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Status")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Settle) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "k"
-	err = en.Append(0x84, 0xa1, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Key)
-	if err != nil {
-		err = msgp.WrapError(err, "Key")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Code)
-	if err != nil {
-		err = msgp.WrapError(err, "Code")
-		return
-	}
-	// write "st"
-	err = en.Append(0xa2, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Status)
-	if err != nil {
-		err = msgp.WrapError(err, "Status")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Settle) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "k"
-	o = append(o, 0x84, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Key)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendString(o, z.Code)
-	// string "st"
-	o = append(o, 0xa2, 0x73, 0x74)
-	o = msgp.AppendInt(o, z.Status)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Settle) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "c":
-			z.Code, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Code")
-				return
-			}
-		case "st":
-			z.Status, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Status")
-				return
-			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Settle) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *Stamp) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -6243,6 +5734,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
 		case "p":
 			z.Part, err = dc.ReadInt()
 			if err != nil {
@@ -6286,9 +5783,19 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Vote) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
+	// write "to"
+	err = en.Append(0x86, 0xa2, 0x74, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.To)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
 	// write "p"
-	err = en.Append(0x85, 0xa1, 0x70)
+	err = en.Append(0xa1, 0x70)
 	if err != nil {
 		return
 	}
@@ -6343,9 +5850,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Vote) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
+	// string "to"
+	o = append(o, 0x86, 0xa2, 0x74, 0x6f)
+	o = msgp.AppendString(o, z.To)
 	// string "p"
-	o = append(o, 0x85, 0xa1, 0x70)
+	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendInt(o, z.Part)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
@@ -6380,6 +5890,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
 		case "p":
 			z.Part, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -6424,7 +5940,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Vote) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
