--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -28,6 +28,8 @@
 	Platform platformCmd `command:"platform" description:"a stand-in platform"`
 	Fleet    fleetCmd    `command:"fleet" description:"a whole fleet of real processes, under load and failures"`
 	Sim      simCmd      `command:"sim" description:"the same state machines on simulated time, from scenario files and seeds"`
+	Load     loadCmd     `command:"load" description:"load runs on real processes, against another build if given"`
+	Scale    scaleCmd    `command:"scale" description:"how the control plane grows with the fleet, simulated"`
 }
 
 type backendCmd struct{ backend.Config }
--- /dev/null
+++ b/lab/fleet/load.go
@@ -0,0 +1,109 @@
+// Load runs on real processes: the same fleet shape under several loads and
+// failures, each in a fresh fleet, alternating between two builds when a second
+// one is given, so that both meet the same machine.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"wallport/lab/script"
+)
+
+// Case is one load.
+type Case struct {
+	Name   string
+	Times  float64
+	Repeat float64
+	Script string
+}
+
+// Cases are the loads that are measured.
+var Cases = []Case{
+	{"normal", 1, 0.05, ""},
+	{"1.5x", 1.5, 0.05, ""},
+	{"3x", 3, 0.05, ""},
+	{"one slow server", 1, 0.05, "at 1s fault c1-0-0 slow 200000"},
+	{"a zone lost", 1, 0.05, "at 3s kill zone:z1"},
+	{"retrying callers", 1, 0.9, ""},
+}
+
+// LoadOptions say what to run.
+type LoadOptions struct {
+	Options
+	Against string
+	Rate    float64
+	Seconds float64
+	Rounds  int
+	Only    string
+}
+
+// Loaded is one run's figures.
+type Loaded struct {
+	Good, P50, P99, Extra, Refused, Unknown, Partial, Violations int64
+	Balance                                                      float64
+}
+
+// Load runs every case and writes a line for each build and round.
+func Load(ctx context.Context, o LoadOptions, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "case\tbuild\tgood/s\tp50 us\tp99 us\textra tries\trefused\tunknown\tpartial\tbusiest/mean\tviolations")
+	builds := map[string]string{"this": o.Bin}
+	order := []string{"this"}
+	if o.Against != "" {
+		builds["against"] = o.Against
+		order = []string{"against", "this"}
+	}
+	for _, c := range Cases {
+		if o.Only != "" && o.Only != c.Name {
+			continue
+		}
+		for round := range o.Rounds {
+			for _, b := range order {
+				r, err := o.one(ctx, c, builds[b], uint64(round+1))
+				if err != nil {
+					return fmt.Errorf("%s, %s: %w", c.Name, b, err)
+				}
+				fmt.Fprintf(w, "%s\t%s\t%.1f\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%d\n", c.Name, b, float64(r.Good)/o.Seconds, r.P50, r.P99,
+					r.Extra, r.Refused, r.Unknown, r.Partial, r.Balance, r.Violations)
+				w.Flush()
+			}
+		}
+	}
+	return nil
+}
+
+func (o LoadOptions) one(ctx context.Context, c Case, bin string, seed uint64) (Loaded, error) {
+	s, err := script.Parse(c.Name, c.Script)
+	if err != nil {
+		return Loaded{}, err
+	}
+	dir, err := os.MkdirTemp(o.Dir, "load-")
+	if err != nil {
+		return Loaded{}, err
+	}
+	run := o.Options
+	run.Dir, run.Bin = dir, bin
+	if abs, err := filepath.Abs(bin); err == nil {
+		run.Bin = abs
+	}
+	r, err := Run(ctx, RunOptions{Options: run, Rate: o.Rate * c.Times, Seconds: o.Seconds, Repeat: c.Repeat, Seed: seed, Script: s, UpWithin: time.Minute})
+	if err != nil {
+		return Loaded{}, err
+	}
+	out := Loaded{
+		P50: r.Callers.Us["p50"], P99: r.Callers.Us["p99"], Extra: r.Counts["extra_tries"], Partial: int64(r.Callers.Partial),
+		Violations: int64(len(r.Violations)), Balance: r.Balance,
+	}
+	for _, kind := range []string{"search", "read", "correct", "part"} {
+		out.Good += int64(r.Callers.Outcomes[kind+" ok"])
+		out.Refused += int64(r.Callers.Outcomes[kind+" over_ceiling"] + r.Callers.Outcomes[kind+" shed"])
+		out.Unknown += int64(r.Callers.Outcomes[kind+" outcome_unknown"] + r.Callers.Outcomes[kind+" given_up"])
+	}
+	return out, nil
+}
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -30,6 +30,8 @@
 	Callers    caller.Summary   `json:"callers"`
 	Counts     map[string]int64 `json:"counts"`
 	Violations []string         `json:"violations"`
+	// Balance is the busiest server's asks over the mean of those that were asked.
+	Balance float64 `json:"balance"`
 }
 
 // Run does it all; the fleet is ended at the end whatever came of it.
@@ -97,8 +99,13 @@
 	for k, n := range j.Tested {
 		r.Counts["tested."+k] = n
 	}
+	var most int64
 	for _, v := range reports {
 		r.Counts["server_asks"] += v.Asked
+		most = max(most, v.Asked)
+	}
+	if n := r.Counts["server_asks"]; n > 0 {
+		r.Balance = float64(most) * float64(len(reports)) / float64(n)
 	}
 	for _, name := range []string{
 		"extra_tries", "extra_tries_denied", "answers_garbage", "over_ceiling", "claims_short", "claims_unsure", "claims_minority",
--- a/lab/sim/network.go
+++ b/lab/sim/network.go
@@ -31,6 +31,8 @@
 	blocked map[string]bool
 	delay   int64
 	doubles int64
+	// Counted for measurements: frames and bytes on mesh channels, and those that carry a part's version.
+	frames, bytes, parts int64
 }
 
 func (n *network) init(w *World) {
@@ -131,6 +133,7 @@
 	at := max(l.last[i], n.w.now+n.latency())
 	l.last[i] = at
 	data = n.newer(from, data)
+	n.count(l, data)
 	n.w.at(at, func() { n.arrive(l, i, data, n.w.now) })
 	if l.mesh && n.doubles > 0 && n.w.rnd.Int64N(100) < n.doubles {
 		n.w.at(at+n.latency(), func() { n.arrive(l, i, data, n.w.now) })
@@ -164,6 +167,20 @@
 	})
 }
 
+func (n *network) count(l *link, data []byte) {
+	if !l.mesh {
+		return
+	}
+	n.frames++
+	n.bytes += int64(len(data))
+	if f, err := wire.Open(data); err == nil && f.Kind == wire.KindGossip {
+		var e wire.Entry
+		if wire.Decode(f.Body, &e) == nil && e.Type == "part" && e.Stamp.Part == 0 {
+			n.parts++
+		}
+	}
+}
+
 // newer makes a frame of a process of a later release: it has a field more.
 func (n *network) newer(from *proc, data []byte) []byte {
 	every := n.w.Script.Int("newer_every", 0)
--- /dev/null
+++ b/lab/sim/scale.go
@@ -0,0 +1,112 @@
+// How the control plane grows: the mesh's volume at rest, and what one change
+// of the sheet costs and how long it takes to be in force everywhere, for
+// fleets of different sizes.
+package sim
+
+import (
+	"fmt"
+
+	"wallport/lab/script"
+	"wallport/wire"
+)
+
+// Scaled is the measurement of one fleet size.
+type Scaled struct {
+	Nodes        int
+	RestPerNode  float64
+	BytesPerNode float64
+	ChangeFrames float64
+	MedianUs     int64
+	WorstUs      int64
+	HealUs       int64
+}
+
+// Scale measures a fleet of so many nodes.
+func Scale(nodes int, seed uint64) (Scaled, error) {
+	text := fmt.Sprintf("set shape trust\nset nodes %d\nset seconds 110\nset rate 0\n", nodes)
+	s, err := script.Parse("scale", text)
+	if err != nil {
+		return Scaled{}, err
+	}
+	w := New(s, seed)
+	r := Scaled{Nodes: nodes}
+	procs := float64(nodes + w.Shape.Cores)
+	var frames, bytes int64
+	var took []int64
+	w.at(20_000_000, func() { frames, bytes = w.net.frames, w.net.bytes })
+	w.at(30_000_000, func() {
+		r.RestPerNode = float64(w.net.frames-frames) / procs / 10
+		r.BytesPerNode = float64(w.net.bytes-bytes) / procs / 10
+	})
+	const changes = 10
+	for i := range changes {
+		w.at(30_000_000+int64(i)*2_000_000, func() { w.timed(&took) })
+	}
+	var entries int64
+	w.at(30_000_000, func() { entries = w.net.parts })
+	w.at(30_000_000+changes*2_000_000, func() { r.ChangeFrames = float64(w.net.parts-entries) / changes })
+	// Half of the fleet is cut off for 20 s, changes go on, and the cut heals.
+	half := w.halves()
+	w.at(52_000_000, func() { w.net.block(half, w.names, true, true); w.net.block(half, half, true, false) })
+	w.at(53_000_000, func() { w.oper.put(w.procs["core-0"].peerNode(), w.oper.now(), "put", 0, nil) })
+	w.at(72_000_000, func() {
+		w.net.block(half, w.names, true, false)
+		w.watch(w.now, func(us int64) { r.HealUs = us })
+	})
+	w.Run()
+	if len(took) < changes/2 {
+		return r, fmt.Errorf("only %d of %d changes were in force", len(took), changes)
+	}
+	for i := range took {
+		for j := i; j > 0 && took[j] < took[j-1]; j-- {
+			took[j], took[j-1] = took[j-1], took[j]
+		}
+	}
+	r.MedianUs, r.WorstUs = took[len(took)/2], took[len(took)-1]
+	return r, nil
+}
+
+// halves is every second node.
+func (w *World) halves() []string {
+	var out []string
+	for i := 1; i < w.Shape.Nodes; i += 2 {
+		out = append(out, fmt.Sprintf("node-%d", i))
+	}
+	return out
+}
+
+// peerNode is a node on the side of the cores.
+func (p *proc) peerNode() *proc { return p.w.procs["node-0"] }
+
+// timed sends one change and notes how long until every node has it in force.
+func (w *World) timed(took *[]int64) {
+	began := w.now
+	w.oper.put(w.procs["node-0"], w.oper.now(), "put", 0, func(code string) {
+		if code == "ok" {
+			w.watch(began, func(us int64) { *took = append(*took, us) })
+		}
+	})
+}
+
+// watch waits until all nodes agree on the newest sheet.
+func (w *World) watch(began int64, done func(us int64)) {
+	var newest wire.Stamp
+	all := true
+	for _, name := range w.names {
+		if p := w.procs[name]; p.role == "node" && p.table.Now() != nil {
+			if at := p.table.Now().Config.SheetAt; at.Term > newest.Term || at.Term == newest.Term && at.Seq > newest.Seq {
+				newest = at
+			}
+		}
+	}
+	for _, name := range w.names {
+		if p := w.procs[name]; p.role == "node" {
+			all = all && p.table.Now() != nil && p.table.Now().Config.SheetAt == newest
+		}
+	}
+	if all {
+		done(w.now - began)
+		return
+	}
+	w.after(2_000, func() { w.watch(began, done) })
+}
--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,100 @@
+// The real driver: channels between two processes, the fleet's secret, and the
+// data folder. Ports are given out by the system; waits are on events.
+package process
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/mesh"
+)
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, e env.Env) *Process {
+	t.Helper()
+	p, err := Start(Config{Env: e, Role: "node", Log: zap.NewNop()})
+	must.NoError(t, err)
+	t.Cleanup(p.Stop)
+	return p
+}
+
+// until looks for an event again and again; only a hang reaches its end.
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	for !ok() {
+		must.NoError(t, ctx.Err(), must.Sprint("never happened: "+what))
+		runtime.Gosched()
+	}
+}
+
+func (p *Process) peers() (n int) {
+	p.Do(func(int64) { n = kernel.Find[*mesh.Mesh](p.Kernel).Peers() })
+	return n
+}
+
+func TestTwoProcessesMeet(t *testing.T) {
+	a := start(t, env.Env{Mesh: free(t), Fleet: "s"})
+	b := start(t, env.Env{Mesh: free(t), Fleet: "s", Seeds: []string{a.Kernel.Boot.Env.Mesh}})
+	until(t, "both have one peer", func() bool { return a.peers() == 1 && b.peers() == 1 })
+}
+
+func TestAnotherFleetsSecretIsKeptOut(t *testing.T) {
+	a := start(t, env.Env{Mesh: free(t), Fleet: "s"})
+	b := start(t, env.Env{Mesh: free(t), Fleet: "other", Seeds: []string{a.Kernel.Boot.Env.Mesh}})
+	until(t, "it is refused", func() bool { return a.Kernel.Counts.Of("channels_forbidden").Load() > 1 })
+	must.Eq(t, 0, a.peers())
+	must.Eq(t, 0, b.peers())
+}
+
+func TestStrangersBytesEndOnlyTheirConnection(t *testing.T) {
+	a := start(t, env.Env{Mesh: free(t)})
+	c, err := net.Dial("tcp", a.Kernel.Boot.Env.Mesh)
+	must.NoError(t, err)
+	_, err = c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	must.NoError(t, err)
+	until(t, "it is counted", func() bool { return a.Kernel.Counts.Of("channels_failed").Load() == 1 })
+	c.Close()
+	b := start(t, env.Env{Mesh: free(t), Seeds: []string{a.Kernel.Boot.Env.Mesh}})
+	until(t, "others still get in", func() bool { return b.peers() == 1 })
+}
+
+func TestDataFolder(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	d, files, err := openDisk(dir)
+	must.NoError(t, err)
+	must.MapEmpty(t, files)
+	must.NoError(t, d.write(kernel.Write{File: "a", Data: []byte("1")}))
+	must.NoError(t, d.write(kernel.Write{File: "a", Data: []byte("2")}))
+	must.NoError(t, d.write(kernel.Write{File: "b", Data: []byte("3")}))
+	must.NoError(t, d.write(kernel.Write{File: "b"}))
+	must.NoError(t, os.WriteFile(filepath.Join(dir, "c.aside"), []byte("half"), 0o600))
+	_, _, err = openDisk(dir)
+	must.ErrorContains(t, err, "in use by another process")
+	d.close()
+	d, files, err = openDisk(dir)
+	must.NoError(t, err)
+	must.Eq(t, map[string][]byte{"a": []byte("2")}, files)
+	must.FileNotExists(t, filepath.Join(dir, "c.aside"))
+	d.close()
+	must.NoError(t, os.RemoveAll(dir))
+	must.Error(t, d.write(kernel.Write{File: "a", Data: []byte("4")}), must.Sprint("a lost folder is an error, not a yes"))
+}
