--- a/cmd/wallport/fleet.go
+++ b/cmd/wallport/fleet.go
@@ -90,6 +90,18 @@
 	}))
 }
 
+type rebuildCmd struct {
+	editing
+	Sure bool `long:"the-old-disks-are-gone" required:"yes" description:"say that the lost disks will never come back"`
+	Args struct {
+		Part int `positional-arg-name:"PART"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func (c *rebuildCmd) Execute([]string) error {
+	return taken(c.client().Rebuild(context.Background(), &operator.RebuildPayload{Token: c.token(), By: opt(c.By), Part: c.Args.Part}))
+}
+
 type membersCmd struct{ remote }
 
 func (c *membersCmd) Execute([]string) error {
--- a/design/operator.go
+++ b/design/operator.go
@@ -177,6 +177,23 @@
 			changeHeaders()
 		})
 	})
+	Method("rebuild", func() {
+		Payload(func() {
+			Attribute("token", String)
+			Attribute("by", String, func() { MaxLength(128) })
+			Attribute("part", Int, func() {
+				Minimum(0)
+				Maximum(4)
+			})
+			Required("part")
+		})
+		Result(Taken)
+		HTTP(func() {
+			POST("/v1/parts/{part}/rebuild")
+			Header("token:Authorization")
+			Header("by:Edit-By")
+		})
+	})
 	Method("members", func() {
 		Payload(func() { Attribute("token", String) })
 		Result(ArrayOf(Status))
--- a/gen/http/cli/wallport/cli.go
+++ b/gen/http/cli/wallport/cli.go
@@ -25,13 +25,13 @@
 func UsageCommands() []string {
 	return []string{
 		"caller (search|read|correct|part)",
-		"operator (sheet|put-sheet|check-sheet|history|return-sheet|edit-sheet|zone|cut|members|servers|explain)",
+		"operator (sheet|put-sheet|check-sheet|history|return-sheet|edit-sheet|zone|cut|rebuild|members|servers|explain)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller search --body '{\n      \"deadline_us\": 35641901,\n      \"limit\": 433,\n      \"query\": \"7jc\"\n   }' --index \"2ve\" --key \"eae\"" + "\n" +
+	return os.Args[0] + " " + "caller search --body '{\n      \"deadline_us\": 35979390,\n      \"limit\": 234,\n      \"query\": \"2ve\"\n   }' --index \"e8d\" --key \"yex\"" + "\n" +
 		os.Args[0] + " " + "operator sheet --token \"Voluptatum aut aliquid.\"" + "\n" +
 		""
 }
@@ -121,6 +121,11 @@
 		operatorCutBasedOnFlag = operatorCutFlags.String("based-on", "", "")
 		operatorCutByFlag      = operatorCutFlags.String("by", "", "")
 
+		operatorRebuildFlags     = flag.NewFlagSet("rebuild", flag.ExitOnError)
+		operatorRebuildPartFlag  = operatorRebuildFlags.String("part", "REQUIRED", "")
+		operatorRebuildTokenFlag = operatorRebuildFlags.String("token", "", "")
+		operatorRebuildByFlag    = operatorRebuildFlags.String("by", "", "")
+
 		operatorMembersFlags     = flag.NewFlagSet("members", flag.ExitOnError)
 		operatorMembersTokenFlag = operatorMembersFlags.String("token", "", "")
 
@@ -146,6 +151,7 @@
 	operatorEditSheetFlags.Usage = operatorEditSheetUsage
 	operatorZoneFlags.Usage = operatorZoneUsage
 	operatorCutFlags.Usage = operatorCutUsage
+	operatorRebuildFlags.Usage = operatorRebuildUsage
 	operatorMembersFlags.Usage = operatorMembersUsage
 	operatorServersFlags.Usage = operatorServersUsage
 	operatorExplainFlags.Usage = operatorExplainUsage
@@ -226,6 +232,9 @@
 			case "cut":
 				epf = operatorCutFlags
 
+			case "rebuild":
+				epf = operatorRebuildFlags
+
 			case "members":
 				epf = operatorMembersFlags
 
@@ -300,6 +309,9 @@
 			case "cut":
 				endpoint = c.Cut()
 				data, err = operatorc.BuildCutPayload(*operatorCutBodyFlag, *operatorCutIndexFlag, *operatorCutTokenFlag, *operatorCutEditIDFlag, *operatorCutBasedOnFlag, *operatorCutByFlag)
+			case "rebuild":
+				endpoint = c.Rebuild()
+				data, err = operatorc.BuildRebuildPayload(*operatorRebuildPartFlag, *operatorRebuildTokenFlag, *operatorRebuildByFlag)
 			case "members":
 				endpoint = c.Members()
 				data, err = operatorc.BuildMembersPayload(*operatorMembersTokenFlag)
@@ -351,7 +363,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller search --body '{\n      \"deadline_us\": 35641901,\n      \"limit\": 433,\n      \"query\": \"7jc\"\n   }' --index \"2ve\" --key \"eae\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller search --body '{\n      \"deadline_us\": 35979390,\n      \"limit\": 234,\n      \"query\": \"2ve\"\n   }' --index \"e8d\" --key \"yex\"")
 }
 
 func callerReadUsage() {
@@ -441,6 +453,7 @@
 	fmt.Fprintln(os.Stderr, `    edit-sheet: EditSheet implements edit_sheet.`)
 	fmt.Fprintln(os.Stderr, `    zone: Zone implements zone.`)
 	fmt.Fprintln(os.Stderr, `    cut: Cut implements cut.`)
+	fmt.Fprintln(os.Stderr, `    rebuild: Rebuild implements rebuild.`)
 	fmt.Fprintln(os.Stderr, `    members: Members implements members.`)
 	fmt.Fprintln(os.Stderr, `    servers: Servers implements servers.`)
 	fmt.Fprintln(os.Stderr, `    explain: Explain implements explain.`)
@@ -638,6 +651,28 @@
 	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator cut --body '{\n      \"cut\": \"4\",\n      \"shards\": 94\n   }' --index \"Et quis quo distinctio ea sed.\" --token \"Est ducimus nisi.\" --edit-id \"upo\" --based-on \"Aut qui exercitationem et.\" --by \"zrv\"")
 }
 
+func operatorRebuildUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator rebuild", os.Args[0])
+	fmt.Fprint(os.Stderr, " -part INT")
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprint(os.Stderr, " -by STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `Rebuild implements rebuild.`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -part INT: `)
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+	fmt.Fprintln(os.Stderr, `    -by STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator rebuild --part 2 --token \"Delectus accusamus explicabo.\" --by \"0hn\"")
+}
+
 func operatorMembersUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] operator members", os.Args[0])
@@ -653,7 +688,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator members --token \"Et velit delectus accusamus explicabo repellendus.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator members --token \"Ut vel sed iste reiciendis est.\"")
 }
 
 func operatorServersUsage() {
@@ -671,7 +706,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Est nihil qui excepturi dolores.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Voluptas sed qui.\"")
 }
 
 func operatorExplainUsage() {
@@ -691,5 +726,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Placeat molestiae dolor quibusdam iste sit.\" --token \"Quae consequatur.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Dolor illo officiis magni quo delectus.\" --token \"Odit dolorem ea minus ea nisi.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -10,6 +10,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"unicode/utf8"
 	operator "wallport/gen/operator"
 
@@ -413,6 +414,54 @@
 	return v, nil
 }
 
+// BuildRebuildPayload builds the payload for the operator rebuild endpoint
+// from CLI flags.
+func BuildRebuildPayload(operatorRebuildPart string, operatorRebuildToken string, operatorRebuildBy string) (*operator.RebuildPayload, error) {
+	var err error
+	var part int
+	{
+		var v int64
+		v, err = strconv.ParseInt(operatorRebuildPart, 10, strconv.IntSize)
+		part = int(v)
+		if err != nil {
+			return nil, fmt.Errorf("invalid value for part, must be INT")
+		}
+		if part < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("part", part, 0, true))
+		}
+		if part > 4 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("part", part, 4, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var token *string
+	{
+		if operatorRebuildToken != "" {
+			token = &operatorRebuildToken
+		}
+	}
+	var by *string
+	{
+		if operatorRebuildBy != "" {
+			by = &operatorRebuildBy
+			if utf8.RuneCountInString(*by) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("by", *by, utf8.RuneCountInString(*by), 128, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	v := &operator.RebuildPayload{}
+	v.Part = part
+	v.Token = token
+	v.By = by
+
+	return v, nil
+}
+
 // BuildMembersPayload builds the payload for the operator members endpoint
 // from CLI flags.
 func BuildMembersPayload(operatorMembersToken string) (*operator.MembersPayload, error) {
--- a/gen/http/operator/client/client.go
+++ b/gen/http/operator/client/client.go
@@ -46,6 +46,10 @@
 	// Cut Doer is the HTTP client used to make requests to the cut endpoint.
 	CutDoer goahttp.Doer
 
+	// Rebuild Doer is the HTTP client used to make requests to the rebuild
+	// endpoint.
+	RebuildDoer goahttp.Doer
+
 	// Members Doer is the HTTP client used to make requests to the members
 	// endpoint.
 	MembersDoer goahttp.Doer
@@ -86,6 +90,7 @@
 		EditSheetDoer:       doer,
 		ZoneDoer:            doer,
 		CutDoer:             doer,
+		RebuildDoer:         doer,
 		MembersDoer:         doer,
 		ServersDoer:         doer,
 		ExplainDoer:         doer,
@@ -289,6 +294,30 @@
 	}
 }
 
+// Rebuild returns an endpoint that makes HTTP requests to the operator service
+// rebuild server.
+func (c *Client) Rebuild() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRebuildRequest(c.encoder)
+		decodeResponse = DecodeRebuildResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRebuildRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RebuildDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operator", "rebuild", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Members returns an endpoint that makes HTTP requests to the operator service
 // members server.
 func (c *Client) Members() goa.Endpoint {
--- a/gen/http/operator/client/encode_decode.go
+++ b/gen/http/operator/client/encode_decode.go
@@ -2524,6 +2524,318 @@
 	}
 }
 
+// BuildRebuildRequest instantiates a HTTP request object with method and path
+// set to call the "operator" service "rebuild" endpoint
+func (c *Client) BuildRebuildRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		part int
+	)
+	{
+		p, ok := v.(*operator.RebuildPayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("operator", "rebuild", "*operator.RebuildPayload", v)
+		}
+		part = p.Part
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RebuildOperatorPath(part)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operator", "rebuild", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRebuildRequest returns an encoder for requests sent to the operator
+// rebuild server.
+func EncodeRebuildRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operator.RebuildPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operator", "rebuild", "*operator.RebuildPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		if p.By != nil {
+			head := *p.By
+			req.Header.Set("Edit-By", head)
+		}
+		return nil
+	}
+}
+
+// DecodeRebuildResponse returns a decoder for responses returned by the
+// operator rebuild endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeRebuildResponse may return the following errors:
+//   - "malformed" (type *operator.Failure): http.StatusBadRequest
+//   - "unknown" (type *operator.Failure): http.StatusNotFound
+//   - "oversize" (type *operator.Failure): http.StatusRequestEntityTooLarge
+//   - "over_ceiling" (type *operator.Failure): http.StatusTooManyRequests
+//   - "shed" (type *operator.Failure): http.StatusServiceUnavailable
+//   - "given_up" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "outcome_unknown" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "conflict" (type *operator.Failure): http.StatusConflict
+//   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
+//   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - error: internal error
+func DecodeRebuildResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RebuildResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			res := NewRebuildTakenOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RebuildMalformedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildMalformedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildMalformed(&body)
+		case http.StatusNotFound:
+			var (
+				body RebuildUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildUnknown(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body RebuildOversizeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildOversizeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildOversize(&body)
+		case http.StatusTooManyRequests:
+			var (
+				body RebuildOverCeilingResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildOverCeilingResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildOverCeiling(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body RebuildShedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildShedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildShed(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "given_up":
+				var (
+					body RebuildGivenUpResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+				}
+				err = ValidateRebuildGivenUpResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+				}
+				return nil, NewRebuildGivenUp(&body, retryAfter)
+			case "outcome_unknown":
+				var (
+					body RebuildOutcomeUnknownResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+				}
+				err = ValidateRebuildOutcomeUnknownResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+				}
+				return nil, NewRebuildOutcomeUnknown(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operator", "rebuild", resp.StatusCode, string(body))
+			}
+		case http.StatusConflict:
+			var (
+				body RebuildConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildConflict(&body, retryAfter)
+		case http.StatusPreconditionFailed:
+			var (
+				body RebuildLostRaceResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildLostRaceResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildLostRace(&body)
+		case http.StatusUnauthorized:
+			var (
+				body RebuildForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildForbidden(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operator", "rebuild", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildMembersRequest instantiates a HTTP request object with method and path
 // set to call the "operator" service "members" endpoint
 func (c *Client) BuildMembersRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/operator/client/paths.go
+++ b/gen/http/operator/client/paths.go
@@ -51,6 +51,11 @@
 	return fmt.Sprintf("/v1/indexes/%v/cut", index)
 }
 
+// RebuildOperatorPath returns the URL path to the operator service rebuild HTTP endpoint.
+func RebuildOperatorPath(part int) string {
+	return fmt.Sprintf("/v1/parts/%v/rebuild", part)
+}
+
 // MembersOperatorPath returns the URL path to the operator service members HTTP endpoint.
 func MembersOperatorPath() string {
 	return "/v1/members"
--- a/gen/http/operator/client/types.go
+++ b/gen/http/operator/client/types.go
@@ -88,6 +88,17 @@
 	Laggards []string `form:"laggards,omitempty" json:"laggards,omitempty" xml:"laggards,omitempty"`
 }
 
+// RebuildResponseBody is the type of the "operator" service "rebuild" endpoint
+// HTTP response body.
+type RebuildResponseBody struct {
+	// Stamp of the change
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+	// Nodes that have it in force
+	InForce *int `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
+	// Live nodes that do not yet
+	Laggards []string `form:"laggards,omitempty" json:"laggards,omitempty" xml:"laggards,omitempty"`
+}
+
 // SheetMalformedResponseBody is the type of the "operator" service "sheet"
 // endpoint HTTP response body for the "malformed" error.
 type SheetMalformedResponseBody struct {
@@ -1544,6 +1555,188 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// RebuildMalformedResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "malformed" error.
+type RebuildMalformedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildUnknownResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "unknown" error.
+type RebuildUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildOversizeResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "oversize" error.
+type RebuildOversizeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildOverCeilingResponseBody is the type of the "operator" service
+// "rebuild" endpoint HTTP response body for the "over_ceiling" error.
+type RebuildOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildShedResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "shed" error.
+type RebuildShedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildGivenUpResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "given_up" error.
+type RebuildGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildOutcomeUnknownResponseBody is the type of the "operator" service
+// "rebuild" endpoint HTTP response body for the "outcome_unknown" error.
+type RebuildOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildConflictResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "conflict" error.
+type RebuildConflictResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildLostRaceResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "lost_race" error.
+type RebuildLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildForbiddenResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "forbidden" error.
+type RebuildForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // MembersMalformedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "malformed" error.
 type MembersMalformedResponseBody struct {
@@ -4260,24 +4453,24 @@
 	return v
 }
 
-// NewMembersStatusOK builds a "operator" service "members" endpoint result
-// from a HTTP "OK" response.
-func NewMembersStatusOK(body []*StatusResponse) []*operator.Status {
-	v := make([]*operator.Status, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalStatusResponseToOperatorStatus(val)
+// NewRebuildTakenOK builds a "operator" service "rebuild" endpoint result from
+// a HTTP "OK" response.
+func NewRebuildTakenOK(body *RebuildResponseBody) *operator.Taken {
+	v := &operator.Taken{
+		Stamp:   *body.Stamp,
+		InForce: *body.InForce,
+	}
+	v.Laggards = make([]string, len(body.Laggards))
+	for i, val := range body.Laggards {
+		v.Laggards[i] = val
 	}
 
 	return v
 }
 
-// NewMembersMalformed builds a operator service members endpoint malformed
+// NewRebuildMalformed builds a operator service rebuild endpoint malformed
 // error.
-func NewMembersMalformed(body *MembersMalformedResponseBody) *operator.Failure {
+func NewRebuildMalformed(body *RebuildMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4300,8 +4493,8 @@
 	return v
 }
 
-// NewMembersUnknown builds a operator service members endpoint unknown error.
-func NewMembersUnknown(body *MembersUnknownResponseBody) *operator.Failure {
+// NewRebuildUnknown builds a operator service rebuild endpoint unknown error.
+func NewRebuildUnknown(body *RebuildUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4324,8 +4517,8 @@
 	return v
 }
 
-// NewMembersOversize builds a operator service members endpoint oversize error.
-func NewMembersOversize(body *MembersOversizeResponseBody) *operator.Failure {
+// NewRebuildOversize builds a operator service rebuild endpoint oversize error.
+func NewRebuildOversize(body *RebuildOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4348,9 +4541,9 @@
 	return v
 }
 
-// NewMembersOverCeiling builds a operator service members endpoint
+// NewRebuildOverCeiling builds a operator service rebuild endpoint
 // over_ceiling error.
-func NewMembersOverCeiling(body *MembersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+func NewRebuildOverCeiling(body *RebuildOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4373,8 +4566,8 @@
 	return v
 }
 
-// NewMembersShed builds a operator service members endpoint shed error.
-func NewMembersShed(body *MembersShedResponseBody, retryAfter *int) *operator.Failure {
+// NewRebuildShed builds a operator service rebuild endpoint shed error.
+func NewRebuildShed(body *RebuildShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4397,8 +4590,8 @@
 	return v
 }
 
-// NewMembersGivenUp builds a operator service members endpoint given_up error.
-func NewMembersGivenUp(body *MembersGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewRebuildGivenUp builds a operator service rebuild endpoint given_up error.
+func NewRebuildGivenUp(body *RebuildGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4421,9 +4614,9 @@
 	return v
 }
 
-// NewMembersOutcomeUnknown builds a operator service members endpoint
+// NewRebuildOutcomeUnknown builds a operator service rebuild endpoint
 // outcome_unknown error.
-func NewMembersOutcomeUnknown(body *MembersOutcomeUnknownResponseBody) *operator.Failure {
+func NewRebuildOutcomeUnknown(body *RebuildOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4446,8 +4639,8 @@
 	return v
 }
 
-// NewMembersConflict builds a operator service members endpoint conflict error.
-func NewMembersConflict(body *MembersConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewRebuildConflict builds a operator service rebuild endpoint conflict error.
+func NewRebuildConflict(body *RebuildConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4470,9 +4663,9 @@
 	return v
 }
 
-// NewMembersLostRace builds a operator service members endpoint lost_race
+// NewRebuildLostRace builds a operator service rebuild endpoint lost_race
 // error.
-func NewMembersLostRace(body *MembersLostRaceResponseBody) *operator.Failure {
+func NewRebuildLostRace(body *RebuildLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4495,9 +4688,9 @@
 	return v
 }
 
-// NewMembersForbidden builds a operator service members endpoint forbidden
+// NewRebuildForbidden builds a operator service rebuild endpoint forbidden
 // error.
-func NewMembersForbidden(body *MembersForbiddenResponseBody) *operator.Failure {
+func NewRebuildForbidden(body *RebuildForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4520,24 +4713,24 @@
 	return v
 }
 
-// NewServersServerStatusOK builds a "operator" service "servers" endpoint
-// result from a HTTP "OK" response.
-func NewServersServerStatusOK(body []*ServerStatusResponse) []*operator.ServerStatus {
-	v := make([]*operator.ServerStatus, len(body))
+// NewMembersStatusOK builds a "operator" service "members" endpoint result
+// from a HTTP "OK" response.
+func NewMembersStatusOK(body []*StatusResponse) []*operator.Status {
+	v := make([]*operator.Status, len(body))
 	for i, val := range body {
 		if val == nil {
 			v[i] = nil
 			continue
 		}
-		v[i] = unmarshalServerStatusResponseToOperatorServerStatus(val)
+		v[i] = unmarshalStatusResponseToOperatorStatus(val)
 	}
 
 	return v
 }
 
-// NewServersMalformed builds a operator service servers endpoint malformed
+// NewMembersMalformed builds a operator service members endpoint malformed
 // error.
-func NewServersMalformed(body *ServersMalformedResponseBody) *operator.Failure {
+func NewMembersMalformed(body *MembersMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4560,8 +4753,8 @@
 	return v
 }
 
-// NewServersUnknown builds a operator service servers endpoint unknown error.
-func NewServersUnknown(body *ServersUnknownResponseBody) *operator.Failure {
+// NewMembersUnknown builds a operator service members endpoint unknown error.
+func NewMembersUnknown(body *MembersUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4584,8 +4777,8 @@
 	return v
 }
 
-// NewServersOversize builds a operator service servers endpoint oversize error.
-func NewServersOversize(body *ServersOversizeResponseBody) *operator.Failure {
+// NewMembersOversize builds a operator service members endpoint oversize error.
+func NewMembersOversize(body *MembersOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4608,9 +4801,9 @@
 	return v
 }
 
-// NewServersOverCeiling builds a operator service servers endpoint
+// NewMembersOverCeiling builds a operator service members endpoint
 // over_ceiling error.
-func NewServersOverCeiling(body *ServersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+func NewMembersOverCeiling(body *MembersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4633,8 +4826,8 @@
 	return v
 }
 
-// NewServersShed builds a operator service servers endpoint shed error.
-func NewServersShed(body *ServersShedResponseBody, retryAfter *int) *operator.Failure {
+// NewMembersShed builds a operator service members endpoint shed error.
+func NewMembersShed(body *MembersShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4657,8 +4850,8 @@
 	return v
 }
 
-// NewServersGivenUp builds a operator service servers endpoint given_up error.
-func NewServersGivenUp(body *ServersGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewMembersGivenUp builds a operator service members endpoint given_up error.
+func NewMembersGivenUp(body *MembersGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4681,9 +4874,9 @@
 	return v
 }
 
-// NewServersOutcomeUnknown builds a operator service servers endpoint
+// NewMembersOutcomeUnknown builds a operator service members endpoint
 // outcome_unknown error.
-func NewServersOutcomeUnknown(body *ServersOutcomeUnknownResponseBody) *operator.Failure {
+func NewMembersOutcomeUnknown(body *MembersOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4706,8 +4899,8 @@
 	return v
 }
 
-// NewServersConflict builds a operator service servers endpoint conflict error.
-func NewServersConflict(body *ServersConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewMembersConflict builds a operator service members endpoint conflict error.
+func NewMembersConflict(body *MembersConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -4730,9 +4923,9 @@
 	return v
 }
 
-// NewServersLostRace builds a operator service servers endpoint lost_race
+// NewMembersLostRace builds a operator service members endpoint lost_race
 // error.
-func NewServersLostRace(body *ServersLostRaceResponseBody) *operator.Failure {
+func NewMembersLostRace(body *MembersLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -4755,9 +4948,269 @@
 	return v
 }
 
-// NewServersForbidden builds a operator service servers endpoint forbidden
+// NewMembersForbidden builds a operator service members endpoint forbidden
 // error.
-func NewServersForbidden(body *ServersForbiddenResponseBody) *operator.Failure {
+func NewMembersForbidden(body *MembersForbiddenResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewServersServerStatusOK builds a "operator" service "servers" endpoint
+// result from a HTTP "OK" response.
+func NewServersServerStatusOK(body []*ServerStatusResponse) []*operator.ServerStatus {
+	v := make([]*operator.ServerStatus, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalServerStatusResponseToOperatorServerStatus(val)
+	}
+
+	return v
+}
+
+// NewServersMalformed builds a operator service servers endpoint malformed
+// error.
+func NewServersMalformed(body *ServersMalformedResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewServersUnknown builds a operator service servers endpoint unknown error.
+func NewServersUnknown(body *ServersUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewServersOversize builds a operator service servers endpoint oversize error.
+func NewServersOversize(body *ServersOversizeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewServersOverCeiling builds a operator service servers endpoint
+// over_ceiling error.
+func NewServersOverCeiling(body *ServersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewServersShed builds a operator service servers endpoint shed error.
+func NewServersShed(body *ServersShedResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewServersGivenUp builds a operator service servers endpoint given_up error.
+func NewServersGivenUp(body *ServersGivenUpResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewServersOutcomeUnknown builds a operator service servers endpoint
+// outcome_unknown error.
+func NewServersOutcomeUnknown(body *ServersOutcomeUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewServersConflict builds a operator service servers endpoint conflict error.
+func NewServersConflict(body *ServersConflictResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewServersLostRace builds a operator service servers endpoint lost_race
+// error.
+func NewServersLostRace(body *ServersLostRaceResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewServersForbidden builds a operator service servers endpoint forbidden
+// error.
+func NewServersForbidden(body *ServersForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5109,6 +5562,21 @@
 	return
 }
 
+// ValidateRebuildResponseBody runs the validations defined on
+// RebuildResponseBody
+func ValidateRebuildResponseBody(body *RebuildResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
 // ValidateSheetMalformedResponseBody runs the validations defined on
 // sheet_malformed_response_body
 func ValidateSheetMalformedResponseBody(body *SheetMalformedResponseBody) (err error) {
@@ -7269,6 +7737,276 @@
 	return
 }
 
+// ValidateRebuildMalformedResponseBody runs the validations defined on
+// rebuild_malformed_response_body
+func ValidateRebuildMalformedResponseBody(body *RebuildMalformedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildUnknownResponseBody runs the validations defined on
+// rebuild_unknown_response_body
+func ValidateRebuildUnknownResponseBody(body *RebuildUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildOversizeResponseBody runs the validations defined on
+// rebuild_oversize_response_body
+func ValidateRebuildOversizeResponseBody(body *RebuildOversizeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildOverCeilingResponseBody runs the validations defined on
+// rebuild_over_ceiling_response_body
+func ValidateRebuildOverCeilingResponseBody(body *RebuildOverCeilingResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildShedResponseBody runs the validations defined on
+// rebuild_shed_response_body
+func ValidateRebuildShedResponseBody(body *RebuildShedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildGivenUpResponseBody runs the validations defined on
+// rebuild_given_up_response_body
+func ValidateRebuildGivenUpResponseBody(body *RebuildGivenUpResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildOutcomeUnknownResponseBody runs the validations defined on
+// rebuild_outcome_unknown_response_body
+func ValidateRebuildOutcomeUnknownResponseBody(body *RebuildOutcomeUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildConflictResponseBody runs the validations defined on
+// rebuild_conflict_response_body
+func ValidateRebuildConflictResponseBody(body *RebuildConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildLostRaceResponseBody runs the validations defined on
+// rebuild_lost_race_response_body
+func ValidateRebuildLostRaceResponseBody(body *RebuildLostRaceResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateRebuildForbiddenResponseBody runs the validations defined on
+// rebuild_forbidden_response_body
+func ValidateRebuildForbiddenResponseBody(body *RebuildForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateMembersMalformedResponseBody runs the validations defined on
 // members_malformed_response_body
 func ValidateMembersMalformedResponseBody(body *MembersMalformedResponseBody) (err error) {
--- a/gen/http/operator/server/encode_decode.go
+++ b/gen/http/operator/server/encode_decode.go
@@ -1819,6 +1819,233 @@
 	}
 }
 
+// EncodeRebuildResponse returns an encoder for responses returned by the
+// operator rebuild endpoint.
+func EncodeRebuildResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operator.Taken)
+		enc := encoder(ctx, w)
+		body := NewRebuildResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRebuildRequest returns a decoder for requests sent to the operator
+// rebuild endpoint.
+func DecodeRebuildRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operator.RebuildPayload, error) {
+	return func(r *http.Request) (*operator.RebuildPayload, error) {
+		var payload *operator.RebuildPayload
+		var (
+			part  int
+			token *string
+			by    *string
+			err   error
+
+			params = mux.Vars(r)
+		)
+		{
+			partRaw := params["part"]
+			v, err2 := strconv.ParseInt(partRaw, 10, strconv.IntSize)
+			if err2 != nil {
+				err = goa.MergeErrors(err, goa.InvalidFieldTypeError("part", partRaw, "integer"))
+			}
+			part = int(v)
+		}
+		if part < 0 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("part", part, 0, true))
+		}
+		if part > 4 {
+			err = goa.MergeErrors(err, goa.InvalidRangeError("part", part, 4, false))
+		}
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		byRaw := r.Header.Get("Edit-By")
+		if byRaw != "" {
+			by = &byRaw
+		}
+		if by != nil {
+			if utf8.RuneCountInString(*by) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("by", *by, utf8.RuneCountInString(*by), 128, false))
+			}
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewRebuildPayload(part, token, by)
+
+		return payload, nil
+	}
+}
+
+// EncodeRebuildError returns an encoder for errors returned by the rebuild
+// operator endpoint.
+func EncodeRebuildError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "malformed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildMalformedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "oversize":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildOversizeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "over_ceiling":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildOverCeilingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "shed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildShedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "given_up":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildGivenUpResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "lost_race":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildLostRaceResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeMembersResponse returns an encoder for responses returned by the
 // operator members endpoint.
 func EncodeMembersResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
--- a/gen/http/operator/server/server.go
+++ b/gen/http/operator/server/server.go
@@ -27,6 +27,7 @@
 	EditSheet   http.Handler
 	Zone        http.Handler
 	Cut         http.Handler
+	Rebuild     http.Handler
 	Members     http.Handler
 	Servers     http.Handler
 	Explain     http.Handler
@@ -67,6 +68,7 @@
 			{"EditSheet", "PATCH", "/v1/sheet"},
 			{"Zone", "POST", "/v1/zones/{zone}/{action}"},
 			{"Cut", "POST", "/v1/indexes/{index}/cut"},
+			{"Rebuild", "POST", "/v1/parts/{part}/rebuild"},
 			{"Members", "GET", "/v1/members"},
 			{"Servers", "GET", "/v1/servers"},
 			{"Explain", "GET", "/v1/explain/{id}"},
@@ -79,6 +81,7 @@
 		EditSheet:   NewEditSheetHandler(e.EditSheet, mux, decoder, encoder, errhandler, formatter),
 		Zone:        NewZoneHandler(e.Zone, mux, decoder, encoder, errhandler, formatter),
 		Cut:         NewCutHandler(e.Cut, mux, decoder, encoder, errhandler, formatter),
+		Rebuild:     NewRebuildHandler(e.Rebuild, mux, decoder, encoder, errhandler, formatter),
 		Members:     NewMembersHandler(e.Members, mux, decoder, encoder, errhandler, formatter),
 		Servers:     NewServersHandler(e.Servers, mux, decoder, encoder, errhandler, formatter),
 		Explain:     NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
@@ -98,6 +101,7 @@
 	s.EditSheet = m(s.EditSheet)
 	s.Zone = m(s.Zone)
 	s.Cut = m(s.Cut)
+	s.Rebuild = m(s.Rebuild)
 	s.Members = m(s.Members)
 	s.Servers = m(s.Servers)
 	s.Explain = m(s.Explain)
@@ -116,6 +120,7 @@
 	MountEditSheetHandler(mux, h.EditSheet)
 	MountZoneHandler(mux, h.Zone)
 	MountCutHandler(mux, h.Cut)
+	MountRebuildHandler(mux, h.Rebuild)
 	MountMembersHandler(mux, h.Members)
 	MountServersHandler(mux, h.Servers)
 	MountExplainHandler(mux, h.Explain)
@@ -550,6 +555,59 @@
 	})
 }
 
+// MountRebuildHandler configures the mux to serve the "operator" service
+// "rebuild" endpoint.
+func MountRebuildHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/parts/{part}/rebuild", f)
+}
+
+// NewRebuildHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operator" service "rebuild" endpoint.
+func NewRebuildHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeRebuildRequest(mux, decoder)
+		encodeResponse = EncodeRebuildResponse(encoder)
+		encodeError    = EncodeRebuildError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "rebuild")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operator")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountMembersHandler configures the mux to serve the "operator" service
 // "members" endpoint.
 func MountMembersHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/operator/server/types.go
+++ b/gen/http/operator/server/types.go
@@ -97,6 +97,17 @@
 	Laggards []string `form:"laggards" json:"laggards" xml:"laggards"`
 }
 
+// RebuildResponseBody is the type of the "operator" service "rebuild" endpoint
+// HTTP response body.
+type RebuildResponseBody struct {
+	// Stamp of the change
+	Stamp string `form:"stamp" json:"stamp" xml:"stamp"`
+	// Nodes that have it in force
+	InForce int `form:"in_force" json:"in_force" xml:"in_force"`
+	// Live nodes that do not yet
+	Laggards []string `form:"laggards" json:"laggards" xml:"laggards"`
+}
+
 // MembersResponseBody is the type of the "operator" service "members" endpoint
 // HTTP response body.
 type MembersResponseBody []*StatusResponse
@@ -1561,6 +1572,188 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// RebuildMalformedResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "malformed" error.
+type RebuildMalformedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildUnknownResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "unknown" error.
+type RebuildUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildOversizeResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "oversize" error.
+type RebuildOversizeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildOverCeilingResponseBody is the type of the "operator" service
+// "rebuild" endpoint HTTP response body for the "over_ceiling" error.
+type RebuildOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildShedResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "shed" error.
+type RebuildShedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildGivenUpResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "given_up" error.
+type RebuildGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildOutcomeUnknownResponseBody is the type of the "operator" service
+// "rebuild" endpoint HTTP response body for the "outcome_unknown" error.
+type RebuildOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildConflictResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "conflict" error.
+type RebuildConflictResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildLostRaceResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "lost_race" error.
+type RebuildLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// RebuildForbiddenResponseBody is the type of the "operator" service "rebuild"
+// endpoint HTTP response body for the "forbidden" error.
+type RebuildForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // MembersMalformedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "malformed" error.
 type MembersMalformedResponseBody struct {
@@ -2293,6 +2486,24 @@
 	return body
 }
 
+// NewRebuildResponseBody builds the HTTP response body from the result of the
+// "rebuild" endpoint of the "operator" service.
+func NewRebuildResponseBody(res *operator.Taken) *RebuildResponseBody {
+	body := &RebuildResponseBody{
+		Stamp:   res.Stamp,
+		InForce: res.InForce,
+	}
+	if res.Laggards != nil {
+		body.Laggards = make([]string, len(res.Laggards))
+		for i, val := range res.Laggards {
+			body.Laggards[i] = val
+		}
+	} else {
+		body.Laggards = []string{}
+	}
+	return body
+}
+
 // NewMembersResponseBody builds the HTTP response body from the result of the
 // "members" endpoint of the "operator" service.
 func NewMembersResponseBody(res []*operator.Status) MembersResponseBody {
@@ -4209,6 +4420,242 @@
 	return body
 }
 
+// NewRebuildMalformedResponseBody builds the HTTP response body from the
+// result of the "rebuild" endpoint of the "operator" service.
+func NewRebuildMalformedResponseBody(res *operator.Failure) *RebuildMalformedResponseBody {
+	body := &RebuildMalformedResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildUnknownResponseBody builds the HTTP response body from the result
+// of the "rebuild" endpoint of the "operator" service.
+func NewRebuildUnknownResponseBody(res *operator.Failure) *RebuildUnknownResponseBody {
+	body := &RebuildUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildOversizeResponseBody builds the HTTP response body from the result
+// of the "rebuild" endpoint of the "operator" service.
+func NewRebuildOversizeResponseBody(res *operator.Failure) *RebuildOversizeResponseBody {
+	body := &RebuildOversizeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildOverCeilingResponseBody builds the HTTP response body from the
+// result of the "rebuild" endpoint of the "operator" service.
+func NewRebuildOverCeilingResponseBody(res *operator.Failure) *RebuildOverCeilingResponseBody {
+	body := &RebuildOverCeilingResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildShedResponseBody builds the HTTP response body from the result of
+// the "rebuild" endpoint of the "operator" service.
+func NewRebuildShedResponseBody(res *operator.Failure) *RebuildShedResponseBody {
+	body := &RebuildShedResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildGivenUpResponseBody builds the HTTP response body from the result
+// of the "rebuild" endpoint of the "operator" service.
+func NewRebuildGivenUpResponseBody(res *operator.Failure) *RebuildGivenUpResponseBody {
+	body := &RebuildGivenUpResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "rebuild" endpoint of the "operator" service.
+func NewRebuildOutcomeUnknownResponseBody(res *operator.Failure) *RebuildOutcomeUnknownResponseBody {
+	body := &RebuildOutcomeUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildConflictResponseBody builds the HTTP response body from the result
+// of the "rebuild" endpoint of the "operator" service.
+func NewRebuildConflictResponseBody(res *operator.Failure) *RebuildConflictResponseBody {
+	body := &RebuildConflictResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildLostRaceResponseBody builds the HTTP response body from the result
+// of the "rebuild" endpoint of the "operator" service.
+func NewRebuildLostRaceResponseBody(res *operator.Failure) *RebuildLostRaceResponseBody {
+	body := &RebuildLostRaceResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewRebuildForbiddenResponseBody builds the HTTP response body from the
+// result of the "rebuild" endpoint of the "operator" service.
+func NewRebuildForbiddenResponseBody(res *operator.Failure) *RebuildForbiddenResponseBody {
+	body := &RebuildForbiddenResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewMembersMalformedResponseBody builds the HTTP response body from the
 // result of the "members" endpoint of the "operator" service.
 func NewMembersMalformedResponseBody(res *operator.Failure) *MembersMalformedResponseBody {
@@ -5018,6 +5465,16 @@
 	return v
 }
 
+// NewRebuildPayload builds a operator service rebuild endpoint payload.
+func NewRebuildPayload(part int, token *string, by *string) *operator.RebuildPayload {
+	v := &operator.RebuildPayload{}
+	v.Part = part
+	v.Token = token
+	v.By = by
+
+	return v
+}
+
 // NewMembersPayload builds a operator service members endpoint payload.
 func NewMembersPayload(token *string) *operator.MembersPayload {
 	v := &operator.MembersPayload{}
--- a/gen/operator/client.go
+++ b/gen/operator/client.go
@@ -23,13 +23,14 @@
 	EditSheetEndpoint   goa.Endpoint
 	ZoneEndpoint        goa.Endpoint
 	CutEndpoint         goa.Endpoint
+	RebuildEndpoint     goa.Endpoint
 	MembersEndpoint     goa.Endpoint
 	ServersEndpoint     goa.Endpoint
 	ExplainEndpoint     goa.Endpoint
 }
 
 // NewClient initializes a "operator" service client given the endpoints.
-func NewClient(sheet, putSheet, checkSheet, history, returnSheet, editSheet, zone, cut, members, servers, explain goa.Endpoint) *Client {
+func NewClient(sheet, putSheet, checkSheet, history, returnSheet, editSheet, zone, cut, rebuild, members, servers, explain goa.Endpoint) *Client {
 	return &Client{
 		SheetEndpoint:       sheet,
 		PutSheetEndpoint:    putSheet,
@@ -39,6 +40,7 @@
 		EditSheetEndpoint:   editSheet,
 		ZoneEndpoint:        zone,
 		CutEndpoint:         cut,
+		RebuildEndpoint:     rebuild,
 		MembersEndpoint:     members,
 		ServersEndpoint:     servers,
 		ExplainEndpoint:     explain,
@@ -221,6 +223,28 @@
 	return ires.(*Taken), nil
 }
 
+// Rebuild calls the "rebuild" endpoint of the "operator" service.
+// Rebuild may return the following errors:
+//   - "malformed" (type *Failure): The inquiry is malformed
+//   - "unknown" (type *Failure): No such index, record or id
+//   - "oversize" (type *Failure): The inquiry is too large
+//   - "over_ceiling" (type *Failure): The kind's ceiling is reached
+//   - "shed" (type *Failure): Nothing could take the inquiry; it did not run
+//   - "given_up" (type *Failure): No answer in time; it may be retried
+//   - "outcome_unknown" (type *Failure): Written to a server, and no proof of what became of it
+//   - "conflict" (type *Failure): The inquiry key was used for another inquiry
+//   - "lost_race" (type *Failure): Another edit came first
+//   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - error: internal error
+func (c *Client) Rebuild(ctx context.Context, p *RebuildPayload) (res *Taken, err error) {
+	var ires any
+	ires, err = c.RebuildEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*Taken), nil
+}
+
 // Members calls the "members" endpoint of the "operator" service.
 // Members may return the following errors:
 //   - "malformed" (type *Failure): The inquiry is malformed
--- a/gen/operator/endpoints.go
+++ b/gen/operator/endpoints.go
@@ -23,6 +23,7 @@
 	EditSheet   goa.Endpoint
 	Zone        goa.Endpoint
 	Cut         goa.Endpoint
+	Rebuild     goa.Endpoint
 	Members     goa.Endpoint
 	Servers     goa.Endpoint
 	Explain     goa.Endpoint
@@ -39,6 +40,7 @@
 		EditSheet:   NewEditSheetEndpoint(s),
 		Zone:        NewZoneEndpoint(s),
 		Cut:         NewCutEndpoint(s),
+		Rebuild:     NewRebuildEndpoint(s),
 		Members:     NewMembersEndpoint(s),
 		Servers:     NewServersEndpoint(s),
 		Explain:     NewExplainEndpoint(s),
@@ -55,6 +57,7 @@
 	e.EditSheet = m(e.EditSheet)
 	e.Zone = m(e.Zone)
 	e.Cut = m(e.Cut)
+	e.Rebuild = m(e.Rebuild)
 	e.Members = m(e.Members)
 	e.Servers = m(e.Servers)
 	e.Explain = m(e.Explain)
@@ -132,6 +135,15 @@
 	}
 }
 
+// NewRebuildEndpoint returns an endpoint function that calls the method
+// "rebuild" of service "operator".
+func NewRebuildEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RebuildPayload)
+		return s.Rebuild(ctx, p)
+	}
+}
+
 // NewMembersEndpoint returns an endpoint function that calls the method
 // "members" of service "operator".
 func NewMembersEndpoint(s Service) goa.Endpoint {
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -29,6 +29,8 @@
 	Zone(context.Context, *ZonePayload) (res *Taken, err error)
 	// Cut implements cut.
 	Cut(context.Context, *CutPayload) (res *Taken, err error)
+	// Rebuild implements rebuild.
+	Rebuild(context.Context, *RebuildPayload) (res *Taken, err error)
 	// Members implements members.
 	Members(context.Context, *MembersPayload) (res []*Status, err error)
 	// Servers implements servers.
@@ -51,7 +53,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [11]string{"sheet", "put_sheet", "check_sheet", "history", "return_sheet", "edit_sheet", "zone", "cut", "members", "servers", "explain"}
+var MethodNames = [12]string{"sheet", "put_sheet", "check_sheet", "history", "return_sheet", "edit_sheet", "zone", "cut", "rebuild", "members", "servers", "explain"}
 
 // CheckSheetPayload is the payload type of the operator service check_sheet
 // method.
@@ -148,6 +150,13 @@
 	Sheet any
 }
 
+// RebuildPayload is the payload type of the operator service rebuild method.
+type RebuildPayload struct {
+	Token *string
+	By    *string
+	Part  int
+}
+
 // ReturnSheetPayload is the payload type of the operator service return_sheet
 // method.
 type ReturnSheetPayload struct {
--- a/lab/fleet/configure.go
+++ b/lab/fleet/configure.go
@@ -63,6 +63,7 @@
 		return err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+f.o.Token)
 	for k, v := range head {
 		req.Header.Set(k, v)
 	}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -25,6 +25,9 @@
 	Dir   string
 	Bin   string
 	Log   io.Writer
+	// Token and Secret are the operator token of the nodes and the fleet's secret.
+	Token  string
+	Secret string
 }
 
 // Proc is one process of the fleet.
@@ -138,6 +141,12 @@
 	for _, s := range f.seeds {
 		args = append(args, "--seed", s)
 	}
+	if f.o.Secret != "" {
+		args = append(args, "--fleet-secret", f.o.Secret)
+	}
+	if role == "node" && f.o.Token != "" {
+		args = append(args, "--operator-token", f.o.Token)
+	}
 	p := &Proc{Name: name, args: append(args, more...)}
 	if role == "core" {
 		p.Data = filepath.Join(f.o.Dir, name)
--- a/lab/sim/bookings.go
+++ b/lab/sim/bookings.go
@@ -10,6 +10,7 @@
 	"wallport/lab/check"
 	"wallport/operate"
 	"wallport/sheet"
+	"wallport/state"
 	"wallport/wire"
 )
 
@@ -51,3 +52,24 @@
 		w.Judge.Booked(p.name, id, slices.Contains(running, id), b.from, b.to, w.now)
 	}
 }
+
+// rebuild is an operator's word to make a part's group anew; -1 means all.
+func (o *operators) rebuild(part int) {
+	if part < 0 {
+		for p := range state.Parts {
+			o.rebuild(p)
+		}
+		return
+	}
+	p := o.via()
+	if p == nil {
+		return
+	}
+	p.feed(func() {
+		p.call("operate", operate.Rebuild{Part: part}, func(v any) {
+			r := v.(operate.Result).Reply
+			o.w.note(fmt.Sprint("rebuild ", part, " ", r.Code, " ", r.Findings))
+			o.w.Judge.Count("rebuilds."+r.Code, 1)
+		})
+	})
+}
--- a/lab/sim/verbs.go
+++ b/lab/sim/verbs.go
@@ -74,6 +74,8 @@
 		w.oper.storm(int(num(arg(0))), num(arg(1)))
 	case "retry-edit":
 		w.oper.retried()
+	case "rebuild":
+		w.oper.rebuild(int(num(arg(0))))
 	case "book":
 		w.oper.book(arg(0), arg(1), num(arg(2)), num(arg(3)), num(arg(4)))
 	case "seeds":
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -47,13 +47,15 @@
 	pulls   *pulls.Pulls
 	members *members.Members
 	calls   map[uint64]*call
+
+	rebuilds map[uint64]*rebuilding
 }
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 50, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Operate{
 			mesh: kernel.Find[*mesh.Mesh](k), pulls: kernel.Find[*pulls.Pulls](k),
-			members: kernel.Find[*members.Members](k), calls: map[uint64]*call{},
+			members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
 		}
 	}})
 }
@@ -62,12 +64,16 @@
 func (o *Operate) Name() string { return "operate" }
 
 // Kinds are the frames that it takes.
-func (o *Operate) Kinds() []uint8 { return []uint8{wire.KindEditReply} }
+func (o *Operate) Kinds() []uint8 { return []uint8{wire.KindEditReply, wire.KindRebuildReply} }
 
 // Step takes one input.
 func (o *Operate) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Call:
+		if rb, ok := v.Ask.(Rebuild); ok {
+			o.rebuild(t, v.ID, rb.Part)
+			return
+		}
 		req, ok := v.Ask.(Request)
 		if !ok {
 			t.Answer(v.ID, Result{Reply: wire.EditReply{Code: "invalid"}})
@@ -80,10 +86,22 @@
 		o.try(t, v.ID)
 	case kernel.Tick:
 		var id uint64
-		if _, err := fmt.Sscan(v.Key, &id); err == nil {
-			o.try(t, id)
+		if _, err := fmt.Sscan(v.Key, &id); err != nil {
+			return
 		}
+		if r := o.rebuilds[id]; r != nil {
+			o.rebuildStep(t, id, r)
+			return
+		}
+		o.try(t, id)
 	case kernel.Message:
+		if v.Kind == wire.KindRebuildReply {
+			var m wire.RebuildReply
+			if wire.Decode(v.Body, &m) == nil {
+				o.rebuildReplied(t, v.ID, m)
+			}
+			return
+		}
 		o.replied(t, v)
 	}
 }
--- /dev/null
+++ b/operate/rebuild.go
@@ -0,0 +1,111 @@
+// The node's side of rebuilding a part's group: ask every live core, take the
+// newest version that any of them or this node has, and have three cores hold it.
+package operate
+
+import (
+	"fmt"
+
+	"wallport/kernel"
+	"wallport/members"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// Rebuild is an operator's word to make a part's group anew.
+type Rebuild struct{ Part int }
+
+// AskedFor is how long the cores have for each of the two steps.
+const AskedFor = 1_500_000
+
+type rebuilding struct {
+	part    int
+	doing   bool
+	version wire.Version
+	chosen  []wire.Seat
+	yes     map[string]bool
+	refused []string
+	top     uint64
+}
+
+func (o *Operate) rebuild(t *kernel.Turn, id uint64, part int) {
+	r := &rebuilding{part: part, yes: map[string]bool{}}
+	if v, ok := o.mesh.Part(part); ok {
+		r.version = v
+	}
+	o.rebuilds[id] = r
+	for _, c := range o.cores(t.Now) {
+		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: part})
+	}
+	t.After(AskedFor, "operate", fmt.Sprint(id))
+}
+
+func (o *Operate) cores(now int64) []members.Row {
+	var out []members.Row
+	for _, c := range o.members.Live(now, "core") {
+		if c.Seat != "" && c.Sick == "" && !c.Draining {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (o *Operate) rebuildReplied(t *kernel.Turn, id uint64, m wire.RebuildReply) {
+	r := o.rebuilds[id]
+	if r == nil || m.Part != r.part {
+		return
+	}
+	r.top = max(r.top, m.Held.Stamp.Term)
+	if !m.OK {
+		r.refused = append(r.refused, m.From+": "+m.Why)
+		return
+	}
+	r.yes[m.From] = true
+	if !r.doing && mesh.Newer(m.Held.Stamp, r.version.Stamp) {
+		r.version = m.Held
+	}
+}
+
+// rebuildStep ends one of the two steps.
+func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
+	end := func(code, text string) {
+		delete(o.rebuilds, id)
+		reply := wire.EditReply{Code: code, Stamp: r.version.Stamp}
+		if text != "" {
+			reply.Findings = []wire.Finding{{Place: fmt.Sprintf("part %d", r.part), Text: text}}
+		}
+		t.Answer(id, Result{Reply: reply})
+	}
+	if r.doing {
+		if 2*len(r.yes) > len(r.chosen) {
+			end("ok", "")
+		} else {
+			end("unknown", fmt.Sprint("too few cores hold it: ", r.refused))
+		}
+		return
+	}
+	if len(r.refused) > 0 {
+		end("invalid", fmt.Sprint(r.refused))
+		return
+	}
+	zones := map[string]bool{}
+	for pass := range 2 {
+		for _, c := range o.cores(t.Now) {
+			if len(r.chosen) < 3 && r.yes[c.Seat] && (pass == 1) == zones[c.Zone] {
+				zones[c.Zone] = true
+				r.chosen = append(r.chosen, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
+			}
+		}
+	}
+	if len(r.chosen) < 3 {
+		end("invalid", "needs three live cores with sound disks")
+		return
+	}
+	// A term past anything that the lost seats can have promised among few of them.
+	r.version.Stamp = wire.Stamp{Part: r.part, Term: max(r.top, r.version.Stamp.Term) + 1000, Seq: r.version.Stamp.Seq + 1}
+	r.version.Seats, r.version.Prev = r.chosen, nil
+	r.doing, r.yes = true, map[string]bool{}
+	for _, c := range r.chosen {
+		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Version: r.version})
+	}
+	t.After(AskedFor, "operate", fmt.Sprint(id))
+}
--- a/part/forming.go
+++ b/part/forming.go
@@ -24,6 +24,14 @@
 	if s.seat == "" || t.Now-s.started < FormAfter || s.sick != "" {
 		return
 	}
+	// A node that still has a version in force knows of a formed fleet as well:
+	// its group is rebuilt by an operator's word or not at all.
+	for part := range Parts {
+		if v, ok := s.mesh.Part(part); ok && v.Stamp.Term > 0 {
+			s.enter(t)
+			return
+		}
+	}
 	cores := s.members.Live(t.Now, "core")
 	for _, c := range cores {
 		if c.Formed {
--- /dev/null
+++ b/part/rebuild.go
@@ -0,0 +1,48 @@
+// Making a part's group anew, on an operator's explicit word, when a majority of
+// its disks is gone for good. A core that hears an owner refuses; so does one
+// that holds something newer than it is offered.
+package part
+
+import (
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// OwnerlessFor is how long no owner must have been heard of.
+const OwnerlessFor = 5_000_000
+
+func (g *Group) rebuild(t *kernel.Turn, ch, id uint64, m wire.Rebuild) {
+	reply := func(t *kernel.Turn, why string) {
+		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Part: g.part, From: g.self(), OK: why == "", Why: why, Held: g.held})
+	}
+	switch {
+	case g.s.sick != "":
+		reply(t, "the disk is "+g.s.sick)
+		return
+	case g.role == owner || g.ownerSeen > 0 && t.Now-g.ownerSeen < OwnerlessFor:
+		reply(t, "the part has an owner")
+		return
+	case !m.Do:
+		reply(t, "")
+		return
+	case !mesh.Newer(m.Version.Stamp, g.held.Stamp) || m.Version.Stamp.Term <= g.promised:
+		reply(t, "it holds or has promised something newer")
+		return
+	}
+	v := m.Version
+	g.promised = v.Stamp.Term
+	t.Note(1, "part_rebuilt", "part", g.part, "term", v.Stamp.Term, "seq", v.Stamp.Seq)
+	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
+		if err != "" {
+			reply(t, err)
+			return
+		}
+		if mesh.Newer(v.Stamp, g.held.Stamp) {
+			g.held = v
+		}
+		g.files = append(g.files, v.Stamp)
+		g.s.enter(t)
+		reply(t, "")
+	})
+}
--- a/part/route.go
+++ b/part/route.go
@@ -115,6 +115,8 @@
 		decode(t, v, func(m wire.Pull) { s.pull(t, v.Chan, v.ID, m) })
 	case wire.KindEdit:
 		decode(t, v, func(m wire.Edit) { g(m.Part, func(g *Group) { g.edit(t, v.Chan, v.ID, m) }) })
+	case wire.KindRebuild:
+		decode(t, v, func(m wire.Rebuild) { g(m.Part, func(g *Group) { g.rebuild(t, v.Chan, v.ID, m) }) })
 	case wire.KindHold:
 		decode(t, v, func(m wire.Hold) { g(m.Part, func(g *Group) { g.hold(t, v.Chan, v.ID, m) }) })
 	}
--- a/part/seats.go
+++ b/part/seats.go
@@ -56,7 +56,7 @@
 func (s *Seats) Kinds() []uint8 {
 	return []uint8{
 		wire.KindVote, wire.KindVoteReply, wire.KindAccept, wire.KindAcceptReply, wire.KindBeat, wire.KindBeatReply,
-		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold,
+		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold, wire.KindRebuild,
 	}
 }
 
--- /dev/null
+++ b/serve/carry.go
@@ -0,0 +1,52 @@
+// Carrying an operator's word to the kernel, and telling what became of it.
+package serve
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"wallport/gen/operator"
+	"wallport/operate"
+	"wallport/sheet"
+	"wallport/wire"
+)
+
+// Rebuild makes a part's group anew on the operator's word.
+func (a operatorAPI) Rebuild(ctx context.Context, p *operator.RebuildPayload) (*operator.Taken, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	return a.carry(ctx, wire.Edit{Op: "rebuild", Part: p.Part, By: deref(p.By)}, operate.Rebuild{Part: p.Part})
+}
+
+// carry asks the kernel and leaves a line for the audit.
+func (a operatorAPI) carry(ctx context.Context, e wire.Edit, ask any) (*operator.Taken, error) {
+	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	v, err := a.f.p.Call(ctx, "operate", ask)
+	if err != nil {
+		return nil, &operator.Failure{Name: "outcome_unknown", Message: err.Error(), Ran: "unknown"}
+	}
+	res := v.(operate.Result)
+	stamp := sheet.StampText(res.Reply.Stamp)
+	a.f.p.Log.Info("audit", zap.String("op", e.Op), zap.Int("part", e.Part), zap.String("name", e.Name), zap.String("by", e.By), zap.String("edit_id", e.EditID),
+		zap.String("result", res.Reply.Code), zap.String("stamp", stamp), zap.Int("findings", len(res.Reply.Findings)))
+	switch res.Reply.Code {
+	case "ok":
+		return &operator.Taken{Stamp: stamp, InForce: res.InForce, Laggards: append([]string{}, res.Laggards...)}, nil
+	case "invalid":
+		return nil, findings("malformed", res.Reply.Findings)
+	case "conflict":
+		return nil, findings("conflict", res.Reply.Findings)
+	case "lost_race":
+		f := fail("lost_race", "another edit came first; read the sheet again and base the edit on it")
+		f.Stamp = &stamp
+		return nil, f
+	case "shed":
+		retry := 1
+		return nil, &operator.Failure{Name: "shed", Message: "no owner of this part can be reached; nothing was changed", Ran: "no", RetryAfter: &retry}
+	}
+	return nil, &operator.Failure{Name: "outcome_unknown", Message: "the owner did not say what became of the edit; send it again with the same Edit-Id", Ran: "unknown"}
+}
--- a/serve/operator.go
+++ b/serve/operator.go
@@ -7,9 +7,6 @@
 	"crypto/subtle"
 	"encoding/json"
 	"strings"
-	"time"
-
-	"go.uber.org/zap"
 
 	"wallport/gen/operator"
 	"wallport/kernel"
@@ -58,32 +55,7 @@
 			e.Base = wire.Stamp{}
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
-	defer cancel()
-	v, err := a.f.p.Call(ctx, "operate", operate.Request{Edit: e, Wait: true})
-	if err != nil {
-		return nil, &operator.Failure{Name: "outcome_unknown", Message: err.Error(), Ran: "unknown"}
-	}
-	res := v.(operate.Result)
-	stamp := sheet.StampText(res.Reply.Stamp)
-	a.f.p.Log.Info("audit", zap.String("op", e.Op), zap.String("name", e.Name), zap.String("by", e.By), zap.String("edit_id", e.EditID),
-		zap.String("result", res.Reply.Code), zap.String("stamp", stamp), zap.Int("findings", len(res.Reply.Findings)))
-	switch res.Reply.Code {
-	case "ok":
-		return &operator.Taken{Stamp: stamp, InForce: res.InForce, Laggards: append([]string{}, res.Laggards...)}, nil
-	case "invalid":
-		return nil, findings("malformed", res.Reply.Findings)
-	case "conflict":
-		return nil, findings("conflict", res.Reply.Findings)
-	case "lost_race":
-		f := fail("lost_race", "another edit came first; read the sheet again and base the edit on it")
-		f.Stamp = &stamp
-		return nil, f
-	case "shed":
-		retry := 1
-		return nil, &operator.Failure{Name: "shed", Message: "no owner of this part can be reached; nothing was changed", Ran: "no", RetryAfter: &retry}
-	}
-	return nil, &operator.Failure{Name: "outcome_unknown", Message: "the owner did not say what became of the edit; send it again with the same Edit-Id", Ran: "unknown"}
+	return a.carry(ctx, e, operate.Request{Edit: e, Wait: true})
 }
 
 func findings(code string, list []wire.Finding) *operator.Failure {
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -118,3 +118,20 @@
 	Status int    `msg:"st"`
 	Body   []byte `msg:"b"`
 }
+
+// Rebuild asks a core, on an operator's word, to hold a version as the first of
+// a group made anew; without Do it only asks whether it would.
+type Rebuild struct {
+	Part    int     `msg:"p"`
+	Do      bool    `msg:"d"`
+	Version Version `msg:"v"`
+}
+
+// RebuildReply says whether it does, and what it holds.
+type RebuildReply struct {
+	Part int     `msg:"p"`
+	From string  `msg:"f"`
+	OK   bool    `msg:"ok"`
+	Why  string  `msg:"w"`
+	Held Version `msg:"h"`
+}
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -2933,6 +2933,370 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Rebuild) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			z.Part, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "d":
+			z.Do, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Do")
+				return
+			}
+		case "v":
+			err = z.Version.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Rebuild) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "p"
+	err = en.Append(0x83, 0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	// write "d"
+	err = en.Append(0xa1, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Do)
+	if err != nil {
+		err = msgp.WrapError(err, "Do")
+		return
+	}
+	// write "v"
+	err = en.Append(0xa1, 0x76)
+	if err != nil {
+		return
+	}
+	err = z.Version.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Rebuild) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "p"
+	o = append(o, 0x83, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Do)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o, err = z.Version.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Rebuild) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "d":
+			z.Do, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Do")
+				return
+			}
+		case "v":
+			bts, err = z.Version.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Rebuild) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + z.Version.Msgsize()
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *RebuildReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			z.Part, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "f":
+			z.From, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "ok":
+			z.OK, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "OK")
+				return
+			}
+		case "w":
+			z.Why, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Why")
+				return
+			}
+		case "h":
+			err = z.Held.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *RebuildReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "p"
+	err = en.Append(0x85, 0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// write "ok"
+	err = en.Append(0xa2, 0x6f, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.OK)
+	if err != nil {
+		err = msgp.WrapError(err, "OK")
+		return
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Why)
+	if err != nil {
+		err = msgp.WrapError(err, "Why")
+		return
+	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = z.Held.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RebuildReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "p"
+	o = append(o, 0x85, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	// string "ok"
+	o = append(o, 0xa2, 0x6f, 0x6b)
+	o = msgp.AppendBool(o, z.OK)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Why)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o, err = z.Held.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Held")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RebuildReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "ok":
+			z.OK, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OK")
+				return
+			}
+		case "w":
+			z.Why, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Why")
+				return
+			}
+		case "h":
+			bts, err = z.Held.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RebuildReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Why) + 2 + z.Held.Msgsize()
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Server) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -24,8 +24,8 @@
 	KindClaim
 	KindClaimReply
 	KindSettle
-	KindTrace
-	KindTraceReply
+	KindRebuild
+	KindRebuildReply
 )
 
 // Hello opens a mesh channel.
