--- a/smoke/api_test.go
+++ b/smoke/api_test.go
@@ -76,6 +76,7 @@
 	t.Run("caller", func(t *testing.T) { r.t = t; r.callerFaults() })
 	t.Run("operator", func(t *testing.T) { r.t = t; r.operatorFaults() })
 	t.Run("admin", func(t *testing.T) { r.t = t; r.commands() })
+	t.Run("ceiling", func(t *testing.T) { r.t = t; r.ceiling() })
 	t.Run("explain", func(t *testing.T) { r.t = t; r.explain() })
 }
 
@@ -160,6 +161,14 @@
 	expect(0, "in_force=3", "admin", "sheet", "put", "--edit-id", "once", file)
 	expect(0, "capacity=1000->2500", "admin", "sheet", "history")
 	expect(3, "not in the history", "admin", "sheet", "return", "9.9")
+	_, history := r.admin("admin", "sheet", "history")
+	first := strings.Fields(strings.TrimPrefix(history, "stamp="))[0]
+	expect(0, "in_force=3", "admin", "sheet", "return", first)
+	write(good)
+	expect(0, "no difference", "admin", "sheet", "diff", file)
+	expect(3, "the part has an owner", "admin", "rebuild", "0", "--the-old-disks-are-gone")
+	expect(2, "the-old-disks-are-gone", "admin", "rebuild", "0")
+	expect(3, "", "admin", "rebuild", "9", "--the-old-disks-are-gone")
 	write(`[{"op":"set","table":"rows","row":{"index":"scores","kind":"read","share":90}}]`)
 	expect(3, "add up to 170", "admin", "sheet", "edit", file)
 	write(`{`)
@@ -183,6 +192,34 @@
 	expect(0, "wallport ", "--version")
 }
 
+// ceiling lowers a kind's ceiling and sees it hold, with 429 and Retry-After.
+func (r rig) ceiling() {
+	file := filepath.Join(r.dir, "rows.json")
+	rows := func(ceiling string) {
+		text := `[{"op":"set","table":"rows","row":{"index":"scores","kind":"read","share":20,"ceiling":` + ceiling + `}}]`
+		must.NoError(r.t, os.WriteFile(file, []byte(text), 0o600))
+		code, out := r.admin("admin", "sheet", "edit", file)
+		must.Eq(r.t, 0, code, must.Sprint(out))
+	}
+	rows("1")
+	limited := 0
+	for range 60 {
+		status, head, got := r.call("GET", r.f.Nodes[0].Caller+"/v1/indexes/scores/records/rec-0001", "")
+		if status == 200 {
+			continue
+		}
+		limited++
+		must.Eq(r.t, 429, status)
+		must.Eq(r.t, "over_ceiling", got["name"].(string))
+		must.Eq(r.t, "no", got["ran"].(string))
+		must.Eq(r.t, "1", head.Get("Retry-After"))
+	}
+	must.Positive(r.t, limited)
+	rows("0")
+	status, _, _ := r.call("GET", r.f.Nodes[0].Caller+"/v1/indexes/scores/records/rec-0001", "")
+	must.Eq(r.t, 200, status)
+}
+
 func (r rig) explain() {
 	_, _, got := r.call("POST", r.f.Nodes[2].Caller+"/v1/indexes/scores/search", `{"query":"q","limit":3}`)
 	id := got["inquiry"].(string)
