--- a/cmd/wallport/main.go
+++ b/cmd/wallport/main.go
@@ -31,7 +31,7 @@
 func (c coded) Error() string { return c.text }
 
 type options struct {
-	Version  func()     `long:"version" description:"show the release and exit"`
+	Release  func()     `long:"version" description:"show the release and exit"`
 	Node     nodeCmd    `command:"node" description:"run a node: mesh, caller API, operator API; needs no disk"`
 	Core     coreCmd    `command:"core" description:"run a core: seats of the control state, on a machine with a disk"`
 	Admin    adminCmd   `command:"admin" description:"operate a running fleet through any of its nodes"`
@@ -41,7 +41,7 @@
 
 func main() {
 	var o options
-	o.Version = func() {
+	o.Release = func() {
 		fmt.Println("wallport " + stamp)
 		os.Exit(0)
 	}
--- a/inquiry/answer.go
+++ b/inquiry/answer.go
@@ -62,7 +62,7 @@
 		r.Class = ReplyAbsent
 		return r
 	case 503:
-		r.Class = ReplyRefused
+		r.Class = ReplyShed
 		return r
 	default:
 		r.Class, r.Why = ReplyFailed, "status"
--- a/inquiry/chart.go
+++ b/inquiry/chart.go
@@ -113,13 +113,13 @@
 	}
 	c.desk.Counts.Add("inquiries", 1)
 	if !c.cp.Ready() {
-		c.refuse(now, Shed, "this node has no table yet", 1)
+		c.shed(now, Shed, "this node has no table yet", 1)
 		return
 	}
 	c.trace.cp = c.cp
 	x, ok := c.cp.Indexes[c.in.Index]
 	if !ok {
-		c.refuse(now, Unknown, "no such index", 0)
+		c.shed(now, Unknown, "no such index", 0)
 		return
 	}
 	c.x, c.cut = x, x.Cut.Name
@@ -132,7 +132,7 @@
 	c.to(now, StClassified, c.in.Kind)
 	if ok, why := c.desk.letIn(c.cp, x, c.in.Kind, now); !ok {
 		c.desk.Counts.Add("over_ceiling", 1)
-		c.refuse(now, OverCeiling, "the "+why+" of "+c.in.Kind+" is used up", 1)
+		c.shed(now, OverCeiling, "the "+why+" of "+c.in.Kind+" is used up", 1)
 		return
 	} else {
 		c.trace.add(now, StLetIn, why)
@@ -147,11 +147,11 @@
 
 func (c *Chart) letIn(now int64) {
 	if now >= c.end {
-		c.refuse(now, GivenUp, "the deadline passed before a server was asked", 1)
+		c.shed(now, GivenUp, "the deadline passed before a server was asked", 1)
 		return
 	}
 	if len(c.x.Shards) == 0 {
-		c.refuse(now, Shed, "the index has no cut yet", 1)
+		c.shed(now, Shed, "the index has no cut yet", 1)
 		return
 	}
 	c.to(now, StLetIn, "")
@@ -170,7 +170,7 @@
 	c.wake(now)
 }
 
-func (c *Chart) refuse(now int64, code, why string, retry int) {
+func (c *Chart) shed(now int64, code, why string, retry int) {
 	c.finish(now, StShed, Outcome{Code: code, Why: why, Ran: "no", Retry: retry})
 }
 
--- a/inquiry/chart_test.go
+++ b/inquiry/chart_test.go
@@ -74,7 +74,7 @@
 	must.NotEq(t, first[0].Server.ID, second[0].Server.ID)
 	must.True(t, second[0].Instead, must.Sprint("it adds nothing to the pool's traffic"))
 	must.Eq(t, 0, d.Counts.Of("extra_tries").Load())
-	third := asks(c.Step(2000, Replied{N: 1, Reply: Reply{Class: ReplyRefused}}))
+	third := asks(c.Step(2000, Replied{N: 1, Reply: Reply{Class: ReplyShed}}))
 	must.Len(t, 1, third, must.Sprint("a server's own refusal did not run it"))
 	must.True(t, third[0].Again)
 	must.Eq(t, 1, d.Counts.Of("extra_tries").Load())
--- a/inquiry/events.go
+++ b/inquiry/events.go
@@ -50,7 +50,7 @@
 const (
 	ReplyOK         = "ok"
 	ReplyNotWritten = "not_written"
-	ReplyRefused    = "refused"
+	ReplyShed       = "shed"
 	ReplyFailed     = "failed"
 	ReplyGarbage    = "garbage"
 	ReplyAbsent     = "absent"
--- a/inquiry/keyed.go
+++ b/inquiry/keyed.go
@@ -27,6 +27,6 @@
 	case "conflict":
 		c.finish(now, StShed, Outcome{Code: Conflict, Why: "the key was used for another inquiry", Ran: "no"})
 	default:
-		c.refuse(now, Shed, "too few of the key's home nodes could vouch for it", 1)
+		c.shed(now, Shed, "too few of the key's home nodes could vouch for it", 1)
 	}
 }
--- a/inquiry/ways.go
+++ b/inquiry/ways.go
@@ -29,7 +29,7 @@
 	case ReplyNotWritten:
 		w.why = v.Reply.Class
 		c.again(now, t.shard, instead)
-	case ReplyRefused:
+	case ReplyShed:
 		w.why = v.Reply.Class
 		c.again(now, t.shard, extra)
 	default:
@@ -72,7 +72,7 @@
 		return
 	}
 	if c.state == StClassified {
-		c.refuse(now, Shed, "the key's home nodes did not answer", 1)
+		c.shed(now, Shed, "the key's home nodes did not answer", 1)
 		return
 	}
 	c.renew()
@@ -106,10 +106,10 @@
 		c.to(now, StGathered, "")
 		c.finish(now, StAnswered, Outcome{Code: OK, Cut: c.cut, Shard: c.first, Records: w.records})
 	case w.missing && w.tries == 0:
-		c.refuse(now, Shed, w.why, 1)
+		c.shed(now, Shed, w.why, 1)
 	case w.missing && c.in.Once():
 		// Nothing was written in any of the tries, or it would have ended above.
-		c.refuse(now, Shed, "no server could be reached: "+w.why, 1)
+		c.shed(now, Shed, "no server could be reached: "+w.why, 1)
 	case w.missing:
 		c.finish(now, StGivenUp, Outcome{Code: GivenUp, Ran: "unknown", Why: w.why, Retry: 1})
 	case now >= c.end && c.in.Once():
@@ -141,7 +141,7 @@
 		c.merge(now)
 	case (done+left)*100 < need || len(c.ways) == 0:
 		if asked == 0 || len(c.ways) == 0 {
-			c.refuse(now, Shed, "too few shards have a server: "+why, 1)
+			c.shed(now, Shed, "too few shards have a server: "+why, 1)
 			return
 		}
 		c.finish(now, StGivenUp, Outcome{Code: GivenUp, Ran: "unknown", Why: "too many shards failed: " + why, Retry: 1})
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"wallport/env"
@@ -63,7 +64,7 @@
 	regs := append([]Registration(nil), registered...)
 	sort.SliceStable(regs, func(i, j int) bool { return regs[i].Rank < regs[j].Rank })
 	for _, r := range regs {
-		if !contains(r.Roles, b.Role) {
+		if !slices.Contains(r.Roles, b.Role) {
 			continue
 		}
 		p := r.Make(k)
@@ -136,12 +137,3 @@
 		p.Step(t, in)
 	}
 }
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
--- a/lab/sim/bookings.go
+++ b/lab/sim/bookings.go
@@ -30,7 +30,7 @@
 	}
 	e := wire.Edit{Op: "rows", Strict: true, Base: o.now(), Body: body}
 	p.feed(func() {
-		p.call("operate", operate.Request{Edit: e}, func(v any) {
+		p.call("operate", operate.Carry{Edit: e}, func(v any) {
 			code := v.(operate.Result).Reply.Code
 			w.note("booking " + id + " " + code)
 			w.Judge.Count("bookings."+code, 1)
--- a/lab/sim/disk.go
+++ b/lab/sim/disk.go
@@ -29,7 +29,7 @@
 	return out
 }
 
-func (d *disk) queue(w kernel.Write) {
+func (d *disk) enlist(w kernel.Write) {
 	d.jobs = append(d.jobs, w)
 	d.next()
 }
--- a/lab/sim/operators.go
+++ b/lab/sim/operators.go
@@ -93,7 +93,7 @@
 	t := check.Try{Mark: mark, Base: base, Began: w.now, Ended: 1 << 62, Code: "open", EditID: e.EditID, Invalid: kind == "invalid"}
 	w.Judge.Tried(t)
 	p.feed(func() {
-		p.call("operate", operate.Request{Edit: e}, func(v any) {
+		p.call("operate", operate.Carry{Edit: e}, func(v any) {
 			r := v.(operate.Result).Reply
 			t.Ended, t.Code, t.Stamp = w.now, r.Code, r.Stamp
 			w.note(fmt.Sprintf("edit %d %s %v", mark, r.Code, r.Stamp))
@@ -154,7 +154,7 @@
 		w.Judge.Empties(zone, -1)
 	}
 	p.feed(func() {
-		p.call("operate", operate.Request{Edit: wire.Edit{Op: action, Name: zone}}, func(v any) {
+		p.call("operate", operate.Carry{Edit: wire.Edit{Op: action, Name: zone}}, func(v any) {
 			code := v.(operate.Result).Reply.Code
 			w.note("zone " + action + " " + zone + " " + code)
 			w.Judge.Count("zones."+code, 1)
@@ -175,7 +175,7 @@
 	}
 	e := wire.Edit{Part: state.PartOf(w.Shape.Index), Op: "cut", Name: w.Shape.Index, Body: wire.Encode(&wire.LiveCut{Next: name, NextShards: shards})}
 	p.feed(func() {
-		p.call("operate", operate.Request{Edit: e}, func(v any) {
+		p.call("operate", operate.Carry{Edit: e}, func(v any) {
 			code := v.(operate.Result).Reply.Code
 			w.note("cut " + name + " " + code)
 			if code != "ok" {
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -179,7 +179,7 @@
 		p.later(t.At-p.now(), func() { p.step(kernel.Tick{Plugin: t.Plugin, Key: t.Key}) })
 	}
 	for _, wr := range out.Writes {
-		p.disk.queue(wr)
+		p.disk.enlist(wr)
 	}
 	for _, a := range out.Dials {
 		p.w.net.dial(p, a, true, nil)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -171,16 +171,16 @@
 }
 
 // AnnouncePart floods a committed version of a part; any process may do so.
-func (m *Mesh) AnnouncePart(t *kernel.Turn, v wire.Version) {
+func (m *Mesh) AnnouncePart(t *kernel.Turn, v wire.Stamped) {
 	if e := m.takePart(t, v); e != nil {
 		m.flood(t, e, 0)
 	}
 }
 
 // HoldPart takes a version that came another way; heartbeats hand it on.
-func (m *Mesh) HoldPart(t *kernel.Turn, v wire.Version) { m.takePart(t, v) }
+func (m *Mesh) HoldPart(t *kernel.Turn, v wire.Stamped) { m.takePart(t, v) }
 
-func (m *Mesh) takePart(t *kernel.Turn, v wire.Version) *wire.Entry {
+func (m *Mesh) takePart(t *kernel.Turn, v wire.Stamped) *wire.Entry {
 	held, ok := m.store.parts[v.Stamp.Part]
 	if ok && !Newer(v.Stamp, held.Stamp) {
 		return nil
@@ -207,12 +207,12 @@
 func (m *Mesh) Peers() int { return len(m.peers) }
 
 // Part gives the newest version of a part that the mesh has brought.
-func (m *Mesh) Part(part int) (wire.Version, bool) {
+func (m *Mesh) Part(part int) (wire.Stamped, bool) {
 	e, ok := m.store.parts[part]
 	if !ok {
-		return wire.Version{}, false
+		return wire.Stamped{}, false
 	}
-	return wire.Version{Stamp: e.Stamp, Body: e.Body}, true
+	return wire.Stamped{Stamp: e.Stamp, Body: e.Body}, true
 }
 
 // Each visits the held entries of a type.
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -20,8 +20,8 @@
 	ForceWait = 2_500_000
 )
 
-// Request is an edit to carry; Wait asks to wait until it is in force.
-type Request struct {
+// Carry is an edit to carry; Wait asks to wait until it is in force.
+type Carry struct {
 	Edit wire.Edit
 	Wait bool
 }
@@ -34,7 +34,7 @@
 }
 
 type call struct {
-	req   Request
+	req   Carry
 	began int64
 	sent  bool
 	reply *wire.EditReply
@@ -74,7 +74,7 @@
 			o.rebuild(t, v.ID, rb.Part)
 			return
 		}
-		req, ok := v.Ask.(Request)
+		req, ok := v.Ask.(Carry)
 		if !ok {
 			t.Answer(v.ID, Result{Reply: wire.EditReply{Code: "invalid"}})
 			return
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -20,8 +20,8 @@
 type rebuilding struct {
 	part    int
 	doing   bool
-	version wire.Version
-	chosen  []wire.Seat
+	version wire.Stamped
+	picked  []wire.Seat
 	yes     map[string]bool
 	refused []string
 	top     uint64
@@ -76,7 +76,7 @@
 		t.Answer(id, Result{Reply: reply})
 	}
 	if r.doing {
-		if 2*len(r.yes) > len(r.chosen) {
+		if 2*len(r.yes) > len(r.picked) {
 			end("ok", "")
 		} else {
 			end("unknown", fmt.Sprint("too few cores hold it: ", r.refused))
@@ -90,22 +90,22 @@
 	zones := map[string]bool{}
 	for pass := range 2 {
 		for _, c := range o.cores(t.Now) {
-			if len(r.chosen) < 3 && r.yes[c.Seat] && (pass == 1) == zones[c.Zone] {
+			if len(r.picked) < 3 && r.yes[c.Seat] && (pass == 1) == zones[c.Zone] {
 				zones[c.Zone] = true
-				r.chosen = append(r.chosen, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
+				r.picked = append(r.picked, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
 			}
 		}
 	}
-	if len(r.chosen) < 3 {
+	if len(r.picked) < 3 {
 		end("invalid", "needs three live cores with sound disks")
 		return
 	}
 	// A term past anything that the lost seats can have promised among few of them.
 	r.version.Stamp = wire.Stamp{Part: r.part, Term: max(r.top, r.version.Stamp.Term) + 1000, Seq: r.version.Stamp.Seq + 1}
-	r.version.Seats, r.version.Prev = r.chosen, nil
+	r.version.Seats, r.version.Prev = r.picked, nil
 	r.doing, r.yes = true, map[string]bool{}
-	for _, c := range r.chosen {
-		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Version: r.version})
+	for _, c := range r.picked {
+		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Stamped: r.version})
 	}
 	t.After(AskedFor, "operate", fmt.Sprint(id))
 }
--- a/part/fence_test.go
+++ b/part/fence_test.go
@@ -59,8 +59,8 @@
 	return r
 }
 
-func version(term, seq uint64) wire.Version {
-	return wire.Version{Stamp: wire.Stamp{Part: 0, Term: term, Seq: seq}, Seats: seats("a", "b", "me"), Body: []byte{0x80}}
+func version(term, seq uint64) wire.Stamped {
+	return wire.Stamped{Stamp: wire.Stamp{Part: 0, Term: term, Seq: seq}, Seats: seats("a", "b", "me"), Body: []byte{0x80}}
 }
 
 func TestPromiseFencesOlderTerms(t *testing.T) {
@@ -68,12 +68,12 @@
 	out := c.send(wire.KindVote, &wire.Vote{Term: 5, From: "a"})
 	must.SliceEmpty(t, out.Sends, must.Sprint("no vote before it is synced"))
 	must.Len(t, 1, c.sync(out).Sends)
-	out = c.send(wire.KindAccept, &wire.Accept{Term: 4, From: "b", Version: version(4, 9)})
+	out = c.send(wire.KindAccept, &wire.Accept{Term: 4, From: "b", Stamped: version(4, 9)})
 	must.SliceEmpty(t, out.Writes)
 	r := accepted(t, out)
 	must.False(t, r.OK)
 	must.Eq(t, uint64(5), r.Term)
-	out = c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Version: version(5, 1)})
+	out = c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)})
 	must.SliceEmpty(t, out.Sends, must.Sprint("no yes before it is synced"))
 	must.True(t, accepted(t, c.sync(out)).OK)
 }
@@ -81,7 +81,7 @@
 func TestPromiseOutlivesARestart(t *testing.T) {
 	promise := diskfile.Pack(wire.Encode(&wire.Vote{Term: 7, From: "a"}))
 	c := newCore(t, map[string][]byte{promiseFile(0): promise})
-	must.False(t, accepted(t, c.send(wire.KindAccept, &wire.Accept{Term: 6, From: "b", Version: version(6, 1)})).OK)
+	must.False(t, accepted(t, c.send(wire.KindAccept, &wire.Accept{Term: 6, From: "b", Stamped: version(6, 1)})).OK)
 	out := c.send(wire.KindVote, &wire.Vote{Term: 7, From: "b"})
 	must.SliceEmpty(t, out.Writes, must.Sprint("a term is given once"))
 }
@@ -90,7 +90,7 @@
 	v1, v2 := version(3, 1), version(3, 2)
 	whole := diskfile.Pack(wire.Encode(&v2))
 	c := newCore(t, map[string][]byte{
-		versionFile(v1.Stamp): diskfile.Pack(wire.Encode(&v1)), versionFile(v2.Stamp): whole[:len(whole)-3],
+		stampFile(v1.Stamp): diskfile.Pack(wire.Encode(&v1)), stampFile(v2.Stamp): whole[:len(whole)-3],
 	})
 	must.Eq(t, v1.Stamp, c.s.groups[0].held.Stamp)
 	must.False(t, c.s.damaged)
@@ -107,14 +107,14 @@
 			must.True(t, c.s.damaged)
 			must.Eq(t, "damaged", c.s.sick)
 			must.SliceEmpty(t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a"}).Writes)
-			must.SliceEmpty(t, c.send(wire.KindAccept, &wire.Accept{Term: 9, From: "a", Version: version(9, 1)}).Writes)
+			must.SliceEmpty(t, c.send(wire.KindAccept, &wire.Accept{Term: 9, From: "a", Stamped: version(9, 1)}).Writes)
 		})
 	}
 }
 
 func TestFailedWriteIsNotAcknowledged(t *testing.T) {
 	c := newCore(t, nil)
-	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Version: version(5, 1)})
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)})
 	must.Len(t, 1, out.Writes)
 	r := accepted(t, c.feed(kernel.Written{Plugin: "seats", Key: out.Writes[0].Key, Err: "no space left on device"}))
 	must.False(t, r.OK)
--- a/part/follower.go
+++ b/part/follower.go
@@ -23,7 +23,7 @@
 	if g.s.damaged {
 		return
 	}
-	if a.Term < g.promised || a.Version.Stamp.Term > a.Term {
+	if a.Term < g.promised || a.Stamped.Stamp.Term > a.Term {
 		reply(t, wire.AcceptReply{Term: g.promised})
 		return
 	}
@@ -31,7 +31,7 @@
 		g.follow(t, a.From, a.Term)
 	}
 	g.promised = a.Term
-	v := a.Version
+	v := a.Stamped
 	if v.Stamp == g.held.Stamp {
 		reply(t, wire.AcceptReply{OK: true, Term: a.Term, Stamp: v.Stamp})
 		return
@@ -40,7 +40,7 @@
 		return
 	}
 	g.pending = v.Stamp
-	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
+	g.s.save(t, stampFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
 		if err != "" {
 			if g.pending == v.Stamp {
 				g.pending = g.held.Stamp
@@ -67,7 +67,7 @@
 	for len(g.files) > KeptOnDisk {
 		last := g.files[len(g.files)-1]
 		g.files = g.files[:len(g.files)-1]
-		g.s.remove(t, versionFile(last))
+		g.s.remove(t, stampFile(last))
 	}
 }
 
--- a/part/group.go
+++ b/part/group.go
@@ -34,7 +34,7 @@
 )
 
 // Committed is emitted in a seat's process when it knows a version to be committed.
-type Committed struct{ Version wire.Version }
+type Committed struct{ Stamped wire.Stamped }
 
 type waiting struct {
 	ch    uint64
@@ -51,11 +51,11 @@
 
 	promised uint64
 	votedFor string
-	held     wire.Version
+	held     wire.Stamped
 	pending  wire.Stamp
 	files    []wire.Stamp
 
-	served wire.Version
+	served wire.Stamped
 
 	role      role
 	owner     string
@@ -66,7 +66,7 @@
 	term      uint64
 	replies   map[string]wire.VoteReply
 	acks      map[string]bool
-	flight    *wire.Version
+	flight    *wire.Stamped
 	sentAt    int64
 	backlog   []waiting
 	inFlight  []waiting
--- a/part/owner.go
+++ b/part/owner.go
@@ -8,7 +8,7 @@
 	"wallport/wire"
 )
 
-func (g *Group) win(t *kernel.Turn, best wire.Version) {
+func (g *Group) win(t *kernel.Turn, best wire.Stamped) {
 	g.role, g.owner, g.ownerAddr = owner, g.self(), g.s.k.Boot.Env.Mesh
 	g.ready, g.yielding = false, false
 	g.roundAcks, g.walls = map[string]uint64{}, map[string]int64{}
@@ -43,7 +43,7 @@
 	g.defer_(t)
 }
 
-func (g *Group) propose(t *kernel.Turn, v wire.Version) {
+func (g *Group) propose(t *kernel.Turn, v wire.Stamped) {
 	g.flight, g.sentAt = &v, t.Now
 	g.acks = map[string]bool{}
 	g.resend(t)
@@ -51,7 +51,7 @@
 
 func (g *Group) resend(t *kernel.Turn) {
 	g.sentAt = t.Now
-	a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Version: *g.flight}
+	a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.flight}
 	for _, s := range binds(*g.flight) {
 		if g.acks[s.ID] {
 			continue
@@ -98,12 +98,12 @@
 }
 
 // commit takes note that a version is committed.
-func (g *Group) commit(t *kernel.Turn, v wire.Version) {
+func (g *Group) commit(t *kernel.Turn, v wire.Stamped) {
 	if !mesh.Newer(v.Stamp, g.served.Stamp) {
 		return
 	}
 	g.served = v
-	t.Emit(Committed{Version: v})
+	t.Emit(Committed{Stamped: v})
 }
 
 // next batches the backlog into one version, each edit judged in turn.
@@ -141,7 +141,7 @@
 		return
 	}
 	t.Counts.Add("part_versions", 1)
-	g.propose(t, wire.Version{Stamp: stamp, Seats: seats, Prev: g.served.Seats, Body: body})
+	g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.served.Seats, Body: body})
 }
 
 func (g *Group) ownerTick(t *kernel.Turn) {
@@ -170,7 +170,7 @@
 }
 
 // served2 is the version whose seats an owner must hear from.
-func (g *Group) served2() wire.Version {
+func (g *Group) served2() wire.Stamped {
 	if g.flight != nil {
 		return *g.flight
 	}
@@ -204,7 +204,7 @@
 	g.roundAcks[r.From] = max(g.roundAcks[r.From], r.Round)
 	if g.ready && mesh.Newer(g.served.Stamp, r.Held) && (g.flight == nil || r.Held != g.flight.Stamp) {
 		t.Counts.Add("part_handed_over", 1)
-		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: r.From, Part: g.part, Term: g.term, From: g.self(), Version: g.served})
+		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: r.From, Part: g.part, Term: g.term, From: g.self(), Stamped: g.served})
 	}
 	g.serveReads(t)
 }
--- a/part/quorum.go
+++ b/part/quorum.go
@@ -23,12 +23,12 @@
 }
 
 // quorum needs a majority of a version's seats and of the seats before them.
-func quorum(v wire.Version, ok func(id string) bool) bool {
+func quorum(v wire.Stamped, ok func(id string) bool) bool {
 	return majority(v.Seats, ok) && (len(v.Prev) == 0 || majority(v.Prev, ok))
 }
 
 // binds lists every seat that a version's quorum may need.
-func binds(v wire.Version) []wire.Seat {
+func binds(v wire.Stamped) []wire.Seat {
 	out := append([]wire.Seat(nil), v.Seats...)
 	for _, p := range v.Prev {
 		if !has(out, p.ID) {
--- a/part/quorum_test.go
+++ b/part/quorum_test.go
@@ -17,7 +17,7 @@
 }
 
 func TestChangeOfSeatsNeedsBothMajorities(t *testing.T) {
-	v := wire.Version{Seats: seats("a", "b", "d"), Prev: seats("a", "b", "c")}
+	v := wire.Stamped{Seats: seats("a", "b", "d"), Prev: seats("a", "b", "c")}
 	of := func(ids ...string) func(string) bool {
 		return func(id string) bool { return has(seats(ids...), id) }
 	}
@@ -25,6 +25,6 @@
 	must.True(t, quorum(v, of("a", "c", "d")))
 	must.False(t, quorum(v, of("b", "d")), must.Sprint("a majority of the new seats alone"))
 	must.False(t, quorum(v, of("a", "c")), must.Sprint("a majority of the old seats alone"))
-	must.False(t, quorum(wire.Version{}, of("a")), must.Sprint("no seats, no quorum"))
+	must.False(t, quorum(wire.Stamped{}, of("a")), must.Sprint("no seats, no quorum"))
 	must.Len(t, 4, binds(v))
 }
--- a/part/rebuild.go
+++ b/part/rebuild.go
@@ -26,14 +26,14 @@
 	case !m.Do:
 		reply(t, "")
 		return
-	case !mesh.Newer(m.Version.Stamp, g.held.Stamp) || m.Version.Stamp.Term <= g.promised:
+	case !mesh.Newer(m.Stamped.Stamp, g.held.Stamp) || m.Stamped.Stamp.Term <= g.promised:
 		reply(t, "it holds or has promised something newer")
 		return
 	}
-	v := m.Version
+	v := m.Stamped
 	g.promised = v.Stamp.Term
 	t.Note(1, "part_rebuilt", "part", g.part, "term", v.Stamp.Term, "seq", v.Stamp.Seq)
-	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
+	g.s.save(t, stampFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
 		if err != "" {
 			reply(t, err)
 			return
--- a/part/route.go
+++ b/part/route.go
@@ -31,9 +31,9 @@
 	case kernel.Message:
 		s.message(t, v)
 	case Committed:
-		s.mesh.AnnouncePart(t, v.Version)
-		if v.Version.Stamp.Part == 0 {
-			s.members.Update(func(m *wire.Member) { m.InForce = []wire.Stamp{v.Version.Stamp} })
+		s.mesh.AnnouncePart(t, v.Stamped)
+		if v.Stamped.Stamp.Part == 0 {
+			s.members.Update(func(m *wire.Member) { m.InForce = []wire.Stamp{v.Stamped.Stamp} })
 		}
 	}
 }
@@ -131,7 +131,7 @@
 	}
 	for _, g := range s.groups {
 		if st, ok := have[g.part]; g.served.Stamp.Term > 0 && (!ok || mesh.Newer(g.served.Stamp, st)) {
-			r.Versions = append(r.Versions, wire.Version{Stamp: g.served.Stamp, Body: g.served.Body})
+			r.Stamped = append(r.Stamped, wire.Stamped{Stamp: g.served.Stamp, Body: g.served.Body})
 		}
 		if g.owner != "" && (g.role == owner || t.Now-g.ownerSeen < StepDown) {
 			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.promised, Seat: g.owner, Addr: g.s.addrOf(g.owner, t.Now)})
--- a/part/seats.go
+++ b/part/seats.go
@@ -62,8 +62,8 @@
 
 func promiseFile(part int) string { return fmt.Sprintf("part-%d.promise", part) }
 
-func versionFile(s wire.Stamp) string {
-	return fmt.Sprintf("part-%d.version-%012d-%012d", s.Part, s.Term, s.Seq)
+func stampFile(s wire.Stamp) string {
+	return fmt.Sprintf("part-%d.stamp-%012d-%012d", s.Part, s.Term, s.Seq)
 }
 
 // Load reads the disk as it was at the start of the process.
@@ -74,12 +74,12 @@
 			s.damaged, s.future = true, f.Error()
 			continue
 		}
-		isVersion := strings.Contains(name, ".version-")
+		isStamped := strings.Contains(name, ".stamp-")
 		if err != nil {
 			t.Counts.Add("disk_torn", 1)
 			t.Note(1, "disk_torn", "file", name)
 			// A version that was not whole was never acknowledged; any other file is needed whole.
-			s.damaged = s.damaged || !isVersion
+			s.damaged = s.damaged || !isStamped
 			continue
 		}
 		switch {
@@ -88,8 +88,8 @@
 		case name == "formation":
 			s.damaged = wire.Decode(b, &s.formation) != nil || s.damaged
 			s.formed = s.formation.Go
-		case isVersion:
-			var v wire.Version
+		case isStamped:
+			var v wire.Stamped
 			if wire.Decode(b, &v) != nil || v.Stamp.Part < 0 || v.Stamp.Part >= Parts {
 				s.damaged = true
 				continue
--- a/process/channel.go
+++ b/process/channel.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// queue puts a frame into the backlog, in its slot's place where one waits.
-func (ch *channel) queue(s kernel.Send) {
+// enlist puts a frame into the backlog, in its slot's place where one waits.
+func (ch *channel) enlist(s kernel.Send) {
 	ch.mu.Lock()
 	if i, ok := ch.slots[s.Slot]; ok && s.Slot != "" && i >= ch.base {
 		ch.frames[i-ch.base] = s
@@ -76,7 +76,7 @@
 	wait.frames = nil
 	wait.mu.Unlock()
 	for _, s := range frames {
-		ch.queue(s)
+		ch.enlist(s)
 	}
 }
 
--- a/process/channels.go
+++ b/process/channels.go
@@ -164,7 +164,7 @@
 	defer c.mu.Unlock()
 	if s.Addr == "" {
 		if ch := c.open[s.Chan]; ch != nil {
-			ch.queue(s)
+			ch.enlist(s)
 		}
 		return
 	}
@@ -179,7 +179,7 @@
 		c.direct[s.Addr] = ch
 		go c.openDirect(ch)
 	}
-	ch.queue(s)
+	ch.enlist(s)
 }
 
 // openDirect dials for frames that wait already and moves them to the channel.
--- a/process/disk.go
+++ b/process/disk.go
@@ -60,7 +60,7 @@
 	return d, files, nil
 }
 
-func (d *disk) queue(p *Process, w kernel.Write) {
+func (d *disk) enlist(p *Process, w kernel.Write) {
 	d.once.Do(func() {
 		d.done.Add(1)
 		go d.work(p)
--- a/process/loop.go
+++ b/process/loop.go
@@ -185,7 +185,7 @@
 		heap.Push(&p.timers, t)
 	}
 	for _, w := range out.Writes {
-		p.disk.queue(p, w)
+		p.disk.enlist(p, w)
 	}
 	for _, a := range out.Dials {
 		p.channels.dialMesh(a)
--- a/pulls/pulls.go
+++ b/pulls/pulls.go
@@ -66,7 +66,7 @@
 			t.Counts.Add("frames_malformed", 1)
 			return
 		}
-		for _, ver := range r.Versions {
+		for _, ver := range r.Stamped {
 			p.mesh.HoldPart(t, ver)
 		}
 		t.Emit(Pulled{})
--- a/serve/http.go
+++ b/serve/http.go
@@ -44,7 +44,7 @@
 	contentTypeH = "Content-Type"
 )
 
-func refuse(w http.ResponseWriter, status int, name, message string) {
+func shed(w http.ResponseWriter, status int, name, message string) {
 	w.Header().Set(contentTypeH, jsonContent)
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", retryOnShed)
@@ -58,7 +58,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if open.Add(1) > callsAtOnce {
 			open.Add(-1)
-			refuse(w, http.StatusServiceUnavailable, "shed", "too many inquiries at once on this node")
+			shed(w, http.StatusServiceUnavailable, "shed", "too many inquiries at once on this node")
 			return
 		}
 		defer open.Add(-1)
@@ -66,10 +66,10 @@
 		var big *http.MaxBytesError
 		switch {
 		case errors.As(err, &big):
-			refuse(w, http.StatusRequestEntityTooLarge, "oversize", fmt.Sprintf("the body is larger than %d bytes", most))
+			shed(w, http.StatusRequestEntityTooLarge, "oversize", fmt.Sprintf("the body is larger than %d bytes", most))
 			return
 		case err != nil:
-			refuse(w, http.StatusBadRequest, "malformed", "the body could not be read whole")
+			shed(w, http.StatusBadRequest, "malformed", "the body could not be read whole")
 			return
 		}
 		if len(body) > 0 && r.Header.Get(contentTypeH) == "" {
--- a/serve/operator.go
+++ b/serve/operator.go
@@ -55,7 +55,7 @@
 			e.Base = wire.Stamp{}
 		}
 	}
-	return a.carry(ctx, e, operate.Request{Edit: e, Wait: true})
+	return a.carry(ctx, e, operate.Carry{Edit: e, Wait: true})
 }
 
 func findings(code string, list []wire.Finding) *operator.Failure {
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -124,7 +124,7 @@
 type Rebuild struct {
 	Part    int     `msg:"p"`
 	Do      bool    `msg:"d"`
-	Version Version `msg:"v"`
+	Stamped Stamped `msg:"v"`
 }
 
 // RebuildReply says whether it does, and what it holds.
@@ -133,5 +133,5 @@
 	From string  `msg:"f"`
 	OK   bool    `msg:"ok"`
 	Why  string  `msg:"w"`
-	Held Version `msg:"h"`
+	Held Stamped `msg:"h"`
 }
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -2964,9 +2964,9 @@
 				return
 			}
 		case "v":
-			err = z.Version.DecodeMsg(dc)
+			err = z.Stamped.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Stamped")
 				return
 			}
 		default:
@@ -3008,9 +3008,9 @@
 	if err != nil {
 		return
 	}
-	err = z.Version.EncodeMsg(en)
+	err = z.Stamped.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Stamped")
 		return
 	}
 	return
@@ -3028,9 +3028,9 @@
 	o = msgp.AppendBool(o, z.Do)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
-	o, err = z.Version.MarshalMsg(o)
+	o, err = z.Stamped.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Stamped")
 		return
 	}
 	return
@@ -3067,9 +3067,9 @@
 				return
 			}
 		case "v":
-			bts, err = z.Version.UnmarshalMsg(bts)
+			bts, err = z.Stamped.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Stamped")
 				return
 			}
 		default:
@@ -3086,7 +3086,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Rebuild) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + z.Version.Msgsize()
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + z.Stamped.Msgsize()
 	return
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -73,8 +73,8 @@
 	Hops   uint8  `msg:"h"`
 }
 
-// Version is one value of a part's register, with the seats it binds.
-type Version struct {
+// Stamped is one value of a part's register, with the seats it binds.
+type Stamped struct {
 	Stamp Stamp  `msg:"st"`
 	Seats []Seat `msg:"se"`
 	Prev  []Seat `msg:"pr"`
@@ -106,7 +106,7 @@
 	From    string  `msg:"f"`
 	Pre     bool    `msg:"e"`
 	Granted bool    `msg:"g"`
-	Held    Version `msg:"h"`
+	Held    Stamped `msg:"h"`
 }
 
 // Accept asks a seat to hold a version.
@@ -115,7 +115,7 @@
 	Part    int     `msg:"p"`
 	Term    uint64  `msg:"t"`
 	From    string  `msg:"f"`
-	Version Version `msg:"v"`
+	Stamped Stamped `msg:"v"`
 }
 
 // AcceptReply says that a version is synced, or which term stands against it.
@@ -173,8 +173,8 @@
 
 // PullReply carries them, and who owns which part.
 type PullReply struct {
-	Versions []Version `msg:"v"`
-	Owners   []Owner   `msg:"o"`
+	Stamped []Stamped `msg:"v"`
+	Owners  []Owner   `msg:"o"`
 }
 
 // Owner tells which seat owns a part.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -49,9 +49,9 @@
 				return
 			}
 		case "v":
-			err = z.Version.DecodeMsg(dc)
+			err = z.Stamped.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Stamped")
 				return
 			}
 		default:
@@ -113,9 +113,9 @@
 	if err != nil {
 		return
 	}
-	err = z.Version.EncodeMsg(en)
+	err = z.Stamped.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Stamped")
 		return
 	}
 	return
@@ -139,9 +139,9 @@
 	o = msgp.AppendString(o, z.From)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
-	o, err = z.Version.MarshalMsg(o)
+	o, err = z.Stamped.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Version")
+		err = msgp.WrapError(err, "Stamped")
 		return
 	}
 	return
@@ -190,9 +190,9 @@
 				return
 			}
 		case "v":
-			bts, err = z.Version.UnmarshalMsg(bts)
+			bts, err = z.Stamped.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Stamped")
 				return
 			}
 		default:
@@ -209,7 +209,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Accept) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Version.Msgsize()
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Stamped.Msgsize()
 	return
 }
 
@@ -4669,18 +4669,18 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Versions")
+				err = msgp.WrapError(err, "Stamped")
 				return
 			}
-			if cap(z.Versions) >= int(zb0002) {
-				z.Versions = (z.Versions)[:zb0002]
+			if cap(z.Stamped) >= int(zb0002) {
+				z.Stamped = (z.Stamped)[:zb0002]
 			} else {
-				z.Versions = make([]Version, zb0002)
+				z.Stamped = make([]Stamped, zb0002)
 			}
-			for za0001 := range z.Versions {
-				err = z.Versions[za0001].DecodeMsg(dc)
+			for za0001 := range z.Stamped {
+				err = z.Stamped[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Versions", za0001)
+					err = msgp.WrapError(err, "Stamped", za0001)
 					return
 				}
 			}
@@ -4722,15 +4722,15 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Versions)))
+	err = en.WriteArrayHeader(uint32(len(z.Stamped)))
 	if err != nil {
-		err = msgp.WrapError(err, "Versions")
+		err = msgp.WrapError(err, "Stamped")
 		return
 	}
-	for za0001 := range z.Versions {
-		err = z.Versions[za0001].EncodeMsg(en)
+	for za0001 := range z.Stamped {
+		err = z.Stamped[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001)
+			err = msgp.WrapError(err, "Stamped", za0001)
 			return
 		}
 	}
@@ -4760,11 +4760,11 @@
 	// map header, size 2
 	// string "v"
 	o = append(o, 0x82, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0001 := range z.Versions {
-		o, err = z.Versions[za0001].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Stamped)))
+	for za0001 := range z.Stamped {
+		o, err = z.Stamped[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Versions", za0001)
+			err = msgp.WrapError(err, "Stamped", za0001)
 			return
 		}
 	}
@@ -4803,18 +4803,18 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Versions")
+				err = msgp.WrapError(err, "Stamped")
 				return
 			}
-			if cap(z.Versions) >= int(zb0002) {
-				z.Versions = (z.Versions)[:zb0002]
+			if cap(z.Stamped) >= int(zb0002) {
+				z.Stamped = (z.Stamped)[:zb0002]
 			} else {
-				z.Versions = make([]Version, zb0002)
+				z.Stamped = make([]Stamped, zb0002)
 			}
-			for za0001 := range z.Versions {
-				bts, err = z.Versions[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Stamped {
+				bts, err = z.Stamped[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Versions", za0001)
+					err = msgp.WrapError(err, "Stamped", za0001)
 					return
 				}
 			}
@@ -4852,8 +4852,8 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PullReply) Msgsize() (s int) {
 	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Versions {
-		s += z.Versions[za0001].Msgsize()
+	for za0001 := range z.Stamped {
+		s += z.Stamped[za0001].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Owners {
@@ -5169,7 +5169,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Version) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Stamped) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5353,7 +5353,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Version) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Stamped) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 4
 	// write "st"
 	err = en.Append(0x84, 0xa2, 0x73, 0x74)
@@ -5491,7 +5491,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Version) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Stamped) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 4
 	// string "st"
@@ -5543,7 +5543,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Version) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Stamped) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5728,7 +5728,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Version) Msgsize() (s int) {
+func (z *Stamped) Msgsize() (s int) {
 	s = 1 + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
 	for za0001 := range z.Seats {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].ID) + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].Zone) + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].Addr)
