--- a/lab/sim/server.go
+++ b/lab/sim/server.go
@@ -142,7 +142,7 @@
 		us = s.us + s.w.rnd.Int64N(s.us/4+1)
 	}
 	if up := s.w.now - s.born; up < rampUs {
-		us += 4 * us * (rampUs - up) / rampUs
+		us += s.w.Script.Int("cold_times", 4) * us * (rampUs - up) / rampUs
 	}
 	// Work beyond what a server does at once waits.
 	return us * (1 + s.busy/16)
