--- a/claims/claims.go
+++ b/claims/claims.go
@@ -1,6 +1,5 @@
-// Package claims keeps inquiry keys in the memory of three home nodes each, so
-// that a correction or part fetch that a caller repeats through another node
-// is not run again. Two homes must let a key in; a home that has just started,
+// Package claims keeps inquiry keys in the memory of three home nodes each, so that a
+// correction or part fetch that a caller repeats through another node runs once. Two homes must let a key in; a home that has just started,
 // or has just become home of a key, says that it does not know. Records are
 // handed to the nodes that become home of them.
 package claims
--- a/part/fence_test.go
+++ b/part/fence_test.go
@@ -121,3 +121,14 @@
 	must.Eq(t, wire.Stamp{}, c.s.groups[0].held.Stamp)
 	must.Eq(t, "no space left on device", c.s.sick)
 }
+
+// A machine whose disk was lost is another seat at the old one's address.
+func TestWhatIsMeantForAnotherSeatIsNotTaken(t *testing.T) {
+	c := newCore(t, nil)
+	out := c.send(wire.KindAccept, &wire.Accept{To: "lost", Term: 5, From: "a", Stamped: version(5, 1)})
+	must.SliceEmpty(t, out.Writes)
+	must.SliceEmpty(t, c.send(wire.KindBeat, &wire.Beat{To: "lost", Term: 5, From: "a"}).Sends)
+	must.SliceEmpty(t, c.send(wire.KindVote, &wire.Vote{To: "lost", Term: 5, From: "a"}).Writes)
+	must.Eq(t, 3, c.k.Counts.Of("part_misdirected").Load())
+	must.Len(t, 1, c.send(wire.KindAccept, &wire.Accept{To: "me", Term: 5, From: "a", Stamped: version(5, 1)}).Writes)
+}
