--- a/claims/homes.go
+++ b/claims/homes.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 
 	"wallport/kernel"
@@ -111,7 +112,7 @@
 	before := c.roster
 	c.old = append(slices.DeleteFunc(c.old, func(o oldRoster) bool { return t.Now >= o.until }), oldRoster{t.Now + UnsureFor, before})
 	c.roster = cp.Roster
-	for _, key := range sortedKeys(c.records) {
+	for _, key := range slices.Sorted(maps.Keys(c.records)) {
 		rec := c.records[key]
 		was := Homes(key, before)
 		for _, h := range Homes(key, cp.Roster) {
@@ -138,12 +139,3 @@
 		c.order = c.order[1:]
 	}
 }
-
-func sortedKeys(m map[string]*record) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/lab/sim/disk.go
+++ b/lab/sim/disk.go
@@ -3,8 +3,6 @@
 package sim
 
 import (
-	"sort"
-
 	"wallport/kernel"
 )
 
@@ -99,12 +97,3 @@
 }
 
 func (d *disk) lose() { d.files = map[string][]byte{} }
-
-func sortedIDs(m map[uint64]*link) []uint64 {
-	out := make([]uint64, 0, len(m))
-	for k := range m {
-		out = append(out, k)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
--- a/lab/sim/network.go
+++ b/lab/sim/network.go
@@ -3,6 +3,9 @@
 package sim
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/tinylib/msgp/msgp"
 
 	"wallport/kernel"
@@ -167,20 +170,6 @@
 	})
 }
 
-func (n *network) count(l *link, data []byte) {
-	if !l.mesh {
-		return
-	}
-	n.frames++
-	n.bytes += int64(len(data))
-	if f, err := wire.Open(data); err == nil && f.Kind == wire.KindGossip {
-		var e wire.Entry
-		if wire.Decode(f.Body, &e) == nil && e.Type == "part" && e.Stamp.Part == 0 {
-			n.parts++
-		}
-	}
-}
-
 // newer makes a frame of a process of a later release: it has a field more.
 func (n *network) newer(from *proc, data []byte) []byte {
 	every := n.w.Script.Int("newer_every", 0)
@@ -226,7 +215,7 @@
 
 // lose breaks every channel of a process that died.
 func (n *network) lose(p *proc) {
-	for _, id := range sortedIDs(n.links) {
+	for _, id := range slices.Sorted(maps.Keys(n.links)) {
 		l := n.links[id]
 		if l != nil && (l.sides[0].p == p || l.sides[1].p == p) {
 			n.breakLink(l)
--- a/lab/sim/scale.go
+++ b/lab/sim/scale.go
@@ -110,3 +110,17 @@
 	}
 	w.after(2_000, func() { w.watch(began, done) })
 }
+
+func (n *network) count(l *link, data []byte) {
+	if !l.mesh {
+		return
+	}
+	n.frames++
+	n.bytes += int64(len(data))
+	if f, err := wire.Open(data); err == nil && f.Kind == wire.KindGossip {
+		var e wire.Entry
+		if wire.Decode(f.Body, &e) == nil && e.Type == "part" && e.Stamp.Part == 0 {
+			n.parts++
+		}
+	}
+}
--- a/mesh/store.go
+++ b/mesh/store.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 
 	"wallport/wire"
@@ -132,11 +133,4 @@
 	}
 }
 
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
