Row edits of different rows both succeed; of the same row the loser hears what changed

Now an edit of rows alone still holds if none of its rows changed since its base (looked up in the history); otherwise it is lost_race with the changed rows as findings. Ruled out: a stamp per row (more state for the same answer).

--- a/state/config.go
+++ b/state/config.go
@@ -60,7 +60,9 @@
 
 func editSheet(c *wire.ConfigBody, next wire.Stamp, e *wire.Edit) wire.EditReply {
 	if e.Base != c.SheetAt {
-		return wire.EditReply{Code: "lost_race", Stamp: c.SheetAt}
+		if r, lost := lostRace(c, e); lost {
+			return r
+		}
 	}
 	var s *sheetpb.Sheet
 	var found []wire.Finding
@@ -94,6 +96,18 @@
 	return wire.EditReply{Code: "ok"}
 }
 
+// lostRace judges an edit that is not based on the sheet in force: one of rows
+// alone still holds if none of its rows has changed since its base.
+func lostRace(c *wire.ConfigBody, e *wire.Edit) (wire.EditReply, bool) {
+	lost := wire.EditReply{Code: "lost_race", Stamp: c.SheetAt}
+	i := slices.IndexFunc(c.History, func(p wire.Past) bool { return p.Stamp == e.Base })
+	if e.Op != "rows" || i < 0 {
+		return lost, true
+	}
+	lost.Findings = sheet.Clash(SheetOf(wire.ConfigBody{Sheet: c.History[i].Sheet}), SheetOf(*c), e.Body)
+	return lost, len(lost.Findings) > 0
+}
+
 func editZone(c *wire.ConfigBody, e *wire.Edit) wire.EditReply {
 	if e.Name == "" {
 		return invalid("zone", "is needed")
