Too many known cores drop the oldest, not all; a planned leave shrinks the fleet

Cause: with more than 16 cores pulls.cores dropped every known address at once. A node that drains and is forgotten lowers the peak by which allowances are divided; before, a fleet made smaller on purpose to half refused every keyed inquiry for ten minutes.

--- a/members/members.go
+++ b/members/members.go
@@ -74,6 +74,10 @@
 			}
 		}
 	case mesh.Forgotten:
+		if r := m.rows[v.Origin]; r != nil && r.Role == "node" && r.Draining && m.peak > 1 {
+			// It left as planned: the fleet is meant to be smaller, unless it comes back.
+			m.peak--
+		}
 		delete(m.rows, v.Origin)
 	case mesh.Pulse:
 		n := len(m.Live(t.Now, "node"))
--- a/pulls/pulls.go
+++ b/pulls/pulls.go
@@ -4,6 +4,7 @@
 package pulls
 
 import (
+	"cmp"
 	"slices"
 
 	"wallport/kernel"
@@ -24,6 +25,7 @@
 	mesh    *mesh.Mesh
 	members *members.Members
 	owners  [state.Parts]wire.Owner
+	ownerAt [state.Parts]int64
 	turn    int
 	known   []string
 	liveAt  map[string]int64
@@ -50,6 +52,14 @@
 // Owner is the address of the core that owns a part, as last heard.
 func (p *Pulls) Owner(part int) string { return p.owners[part].Addr }
 
+// ownerFor is how long after a core's word the owner counts as heard.
+const ownerFor = 2_000_000
+
+// HearsOwner tells whether a core that this node reaches follows an owner of the part.
+func (p *Pulls) HearsOwner(part int, now int64) bool {
+	return p.ownerAt[part] > 0 && now-p.ownerAt[part] < ownerFor
+}
+
 // Step takes one input.
 func (p *Pulls) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
@@ -72,7 +82,7 @@
 		t.Emit(Pulled{})
 		for _, o := range r.Owners {
 			if o.Part >= 0 && o.Part < state.Parts && o.Term >= p.owners[o.Part].Term && o.Addr != "" {
-				p.owners[o.Part] = o
+				p.owners[o.Part], p.ownerAt[o.Part] = o, t.Now
 			}
 		}
 	case mesh.Stored:
@@ -114,11 +124,21 @@
 		p.liveAt[r.Addr] = now
 	}
 	p.known = slices.DeleteFunc(p.known, func(a string) bool {
-		old := len(live) > 0 && now-p.liveAt[a] > keepFor || len(p.known) > knownMost
+		old := len(live) > 0 && now-p.liveAt[a] > keepFor
 		if old {
 			delete(p.liveAt, a)
 		}
 		return old
 	})
+	p.bound()
 	return p.known
 }
+
+// bound forgets the cores that were live longest ago beyond so many.
+func (p *Pulls) bound() {
+	for len(p.known) > knownMost {
+		oldest := slices.MinFunc(p.known, func(a, b string) int { return cmp.Compare(p.liveAt[a], p.liveAt[b]) })
+		p.known = slices.DeleteFunc(p.known, func(a string) bool { return a == oldest })
+		delete(p.liveAt, oldest)
+	}
+}
