--- a/lab/sim/verbs.go
+++ b/lab/sim/verbs.go
@@ -23,7 +23,7 @@
 	}
 	w.note("step " + st.Verb + " " + strings.Join(st.Args, " "))
 	w.Judge.Count("steps", 1)
-	defer w.reach()
+	defer func() { w.reach(); w.lookForBare() }()
 	switch st.Verb {
 	case "kill", "restart", "freeze", "thaw", "term", "lose-disk", "power":
 		for _, n := range st.Args {
@@ -45,8 +45,10 @@
 			w.procs[name].skew += num(arg(1)) * 1_000_000
 		}
 	case "isolate", "heal":
-		for _, name := range w.match(arg(0)) {
-			w.isolate(name, st.Verb == "isolate")
+		for _, n := range st.Args {
+			for _, name := range w.match(n) {
+				w.isolate(name, st.Verb == "isolate")
+			}
 		}
 	case "cut-off", "one-way", "join":
 		w.net.block(w.match(arg(0)), w.match(arg(1)), st.Verb != "one-way", st.Verb != "join")
--- a/table/table.go
+++ b/table/table.go
@@ -37,7 +37,9 @@
 	liveAt  map[string]int64
 	roster  []Node
 	absent  map[string]int64
-	stale   stale
+	// cuts are those that this node serves from.
+	cuts  map[string]wire.LiveCut
+	stale stale
 }
 
 // stale is what a process still has to hear after it was thawed.
@@ -55,7 +57,7 @@
 	kernel.Register(kernel.Registration{Rank: 60, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Table{
 			k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), usage: kernel.Find[*usage.Usage](k),
-			Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{},
+			Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{}, cuts: map[string]wire.LiveCut{},
 		}
 	}})
 }
--- a/table/verdict.go
+++ b/table/verdict.go
@@ -107,6 +107,7 @@
 			x.Cut = body.Cuts[s.Index]
 		}
 	}
+	x.Cut = b.servable(c.Servers, s.Index, x.Cut)
 	x.Shards = shards(c.Servers, s.Index, x.Cut.Name, x.Cut.Shards)
 	x.NextShards = shards(c.Servers, s.Index, x.Cut.Next, x.Cut.NextShards)
 	booked := 0.0
@@ -130,6 +131,27 @@
 	return x
 }
 
+// servable is the live cut, or the one before it for as long as this node knows of no
+// server for some shard of the live one: the cut may come before the platform's list.
+func (b *Table) servable(all []*Server, index string, live wire.LiveCut) wire.LiveCut {
+	was := b.cuts[index]
+	if was.Name == live.Name || was.Name == "" || whole(all, index, live) || !whole(all, index, was) {
+		b.cuts[index] = live
+		return live
+	}
+	return wire.LiveCut{Name: was.Name, Shards: was.Shards, Next: live.Name, NextShards: live.Shards}
+}
+
+// whole tells that each shard of a cut has a server that may be asked.
+func whole(all []*Server, index string, cut wire.LiveCut) bool {
+	for _, s := range shards(all, index, cut.Name, cut.Shards) {
+		if !slices.ContainsFunc(s, func(v *Server) bool { return v.Verdict < Leaving }) {
+			return false
+		}
+	}
+	return cut.Shards > 0
+}
+
 func shards(all []*Server, index, cut string, n int) [][]*Server {
 	out := make([][]*Server, n)
 	for _, s := range all {
