--- a/claims/asking.go
+++ b/claims/asking.go
@@ -18,6 +18,7 @@
 	homes   []table.Node
 	until   int64
 	replies map[string]string
+	tried   bool
 	// decideAt is set once a majority let the key in and only slower homes are waited for.
 	decideAt int64
 }
@@ -67,6 +68,7 @@
 			w.replies[h.Name] = r.Code
 		}
 	}
+	w.tried = w.tried || r.Tried
 	switch r.Code {
 	case "done", "running", "conflict":
 		c.end(t, n, inquiry.Verdict{Code: r.Code, Body: r.Body})
@@ -104,13 +106,19 @@
 	default:
 		return
 	}
-	c.end(t, n, inquiry.Verdict{Code: "in", Token: c.token(n)})
+	c.end(t, n, inquiry.Verdict{Code: "in", Token: c.token(n), Repeat: w.tried})
 }
 
 // again is a claim's timer: it decides, asks again, or gives up.
 func (c *Claims) again(t *kernel.Turn, n uint64) {
 	w := c.asks[n]
-	if w == nil {
+	switch {
+	case w == nil:
+		return
+	case w.ask.Again:
+		// The home is silent: what cannot be told from a first try is one.
+		delete(c.asks, n)
+		t.Answer(w.id, inquiry.Verdict{Code: "in"})
 		return
 	}
 	if c.decide(t, n, w); c.asks[n] == nil || w.decideAt > t.Now {
@@ -156,10 +164,16 @@
 // tell settles a key that this node was let in with.
 func (c *Claims) tell(t *kernel.Turn, a Tell) {
 	m := wire.Settle{Key: a.Key, Code: a.Code}
-	if a.Code == "released" {
-		m.Body = []byte(a.Token)
-	} else if b, err := json.Marshal(a.Outcome); err == nil {
-		m.Body = b
+	switch {
+	case a.Code == "unseen":
+		c.unseen(t, a.Key)
+		return
+	case a.Code == "released":
+		m.Body, m.Tried = []byte(a.Token), a.Tried
+	default:
+		if b, err := json.Marshal(a.Outcome); err == nil {
+			m.Body = b
+		}
 	}
 	c.spread(t, Homes(a.Key, c.table.Now().Roster), m)
 }
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -43,6 +43,8 @@
 	Sum    uint64
 	First  bool
 	Within int64
+	// Again marks a search or read, which may run again but at the budget's cost.
+	Again bool
 }
 
 // Tell is a Call to settle a key; it has no answer.
@@ -50,6 +52,7 @@
 	Key     string
 	Code    string
 	Token   string
+	Tried   bool
 	Outcome inquiry.Outcome
 }
 
@@ -73,13 +76,14 @@
 	roster  []table.Node
 	epochs  []*epoch
 	longest int64
+	seen    seenKeys
 	// first holds, per part, the indexes that had a cut when this process first saw it.
 	first map[int]map[string]bool
 }
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 80, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Claims{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), pulls: kernel.Find[*pulls.Pulls](k), records: map[string]*record{}, asks: map[uint64]*asking{}, first: map[int]map[string]bool{}}
+		return &Claims{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), pulls: kernel.Find[*pulls.Pulls](k), records: map[string]*record{}, asks: map[uint64]*asking{}, seen: seenKeys{at: map[string]int64{}}, first: map[int]map[string]bool{}}
 	}})
 }
 
@@ -88,7 +92,7 @@
 
 // Kinds are the frames that it takes.
 func (c *Claims) Kinds() []uint8 {
-	return []uint8{wire.KindClaim, wire.KindClaimReply, wire.KindSettle, wire.KindHandOver, wire.KindHanded}
+	return []uint8{wire.KindClaim, wire.KindClaimReply, wire.KindSettle, wire.KindHandOver, wire.KindHanded, wire.KindSeen, wire.KindSeenReply}
 }
 
 // Step takes one input.
@@ -117,6 +121,10 @@
 	case kernel.Call:
 		switch a := v.Ask.(type) {
 		case Ask:
+			if a.Again {
+				c.askSeen(t, v.ID, a)
+				return
+			}
 			c.ask(t, v.ID, a)
 		case Tell:
 			c.tell(t, a)
@@ -144,6 +152,21 @@
 		if wire.Decode(v.Body, &m) == nil {
 			c.settle(t, m)
 		}
+	case wire.KindSeen:
+		var m wire.Seen
+		if wire.Decode(v.Body, &m) != nil {
+			return
+		}
+		if m.Forget {
+			c.seen.forget(m.Key)
+			return
+		}
+		t.Send(v.Chan, wire.KindSeenReply, v.ID, &wire.SeenReply{Key: m.Key, Before: c.seen.add(m.Key, t.Now)})
+	case wire.KindSeenReply:
+		var m wire.SeenReply
+		if wire.Decode(v.Body, &m) == nil {
+			c.seenReply(t, v.ID, m)
+		}
 	case wire.KindHandOver:
 		var m wire.HandOver
 		if wire.Decode(v.Body, &m) == nil {
--- a/claims/home.go
+++ b/claims/home.go
@@ -15,7 +15,7 @@
 		if rec == nil {
 			c.keep(m.Key, &record{sum: m.Sum, from: m.From, at: t.Now})
 		}
-		r.Code = "in"
+		r.Code, r.Tried = "in", c.seen.has(m.Key, t.Now)
 		if !c.knows(m.Key, m.Index, t.Now) {
 			t.Counts.Add("claims_unsure", 1)
 			r.Code = "unsure"
@@ -41,6 +41,9 @@
 	case "released":
 		if rec != nil && !rec.done && rec.from == string(m.Body) {
 			delete(c.records, m.Key)
+			if m.Tried {
+				c.seen.add(m.Key, t.Now)
+			}
 		}
 	case "done":
 		if rec == nil {
--- /dev/null
+++ b/claims/seen.go
@@ -0,0 +1,101 @@
+// Repeats of searches and reads: they may run again, but what they add to a pool's
+// traffic is paid from its budget of extra tries, through whichever node they come.
+// One home of the key tells whether it was sent before. It is asked for a moment
+// only: where it does not answer, the inquiry counts as a first try.
+package claims
+
+import (
+	"fmt"
+
+	"wallport/inquiry"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// Figures of repeats.
+const (
+	SeenWait = 20_000
+	SeenFor  = 60_000_000
+	SeenMost = 65536
+)
+
+// seenKeys remembers keys that were sent, oldest first.
+type seenKeys struct {
+	at    map[string]int64
+	order []string
+}
+
+// add tells whether a key was there, and keeps it.
+func (s *seenKeys) add(key string, now int64) bool {
+	at, ok := s.at[key]
+	before := ok && now-at < SeenFor
+	if !ok {
+		s.order = append(s.order, key)
+	}
+	s.at[key] = now
+	for len(s.order) > SeenMost || len(s.order) > 0 && now-s.at[s.order[0]] >= SeenFor {
+		delete(s.at, s.order[0])
+		s.order = s.order[1:]
+	}
+	return before
+}
+
+func (s *seenKeys) has(key string, now int64) bool {
+	at, ok := s.at[key]
+	return ok && now-at < SeenFor
+}
+
+// forget lets the next try of a key count as the first.
+func (s *seenKeys) forget(key string) {
+	if _, ok := s.at[key]; ok {
+		s.at[key] = -SeenFor
+	}
+}
+
+// seenHome is the address of the live home that is asked, empty for this process
+// itself; ok is false where none is live.
+func (c *Claims) seenHome(key string) (addr string, ok bool) {
+	for _, h := range Homes(key, c.table.Now().Roster) {
+		if h.Origin == c.mesh.Self() {
+			return "", true
+		}
+		if h.Live {
+			return h.Addr, true
+		}
+	}
+	return "", false
+}
+
+// askSeen asks whether a search or read was sent before.
+func (c *Claims) askSeen(t *kernel.Turn, id uint64, a Ask) {
+	addr, ok := c.seenHome(a.Key)
+	if !ok || addr == "" {
+		t.Answer(id, inquiry.Verdict{Code: "in", Repeat: ok && c.seen.add(a.Key, t.Now)})
+		return
+	}
+	c.next++
+	c.asks[c.next] = &asking{id: id, ask: a}
+	t.SendTo(addr, wire.KindSeen, c.next, &wire.Seen{Key: a.Key})
+	t.After(SeenWait, "claims", fmt.Sprint(c.next))
+}
+
+func (c *Claims) seenReply(t *kernel.Turn, n uint64, m wire.SeenReply) {
+	w := c.asks[n]
+	if w == nil || !w.ask.Again || w.ask.Key != m.Key {
+		return
+	}
+	delete(c.asks, n)
+	if m.Before {
+		t.Counts.Add("repeats_seen", 1)
+	}
+	t.Answer(w.id, inquiry.Verdict{Code: "in", Repeat: m.Before})
+}
+
+// unseen takes a key back that came to nothing.
+func (c *Claims) unseen(t *kernel.Turn, key string) {
+	if addr, ok := c.seenHome(key); ok && addr != "" {
+		t.SendTo(addr, wire.KindSeen, 0, &wire.Seen{Key: key, Forget: true})
+		return
+	}
+	c.seen.forget(key)
+}
--- a/design/caller.go
+++ b/design/caller.go
@@ -38,10 +38,22 @@
 		Minimum(1000)
 		Maximum(60000000)
 	})
-	Attribute("key", String, "Inquiry key", func() { MaxLength(128) })
+	key()
 	Required("index", "id")
 }
 
+// key is how a repeat is known. An inquiry that is sent again, for whatever reason,
+// carries the key of the first time: a correction or part fetch then runs once, and
+// what a search or read adds is paid from the pool's budget of repeated tries.
+func key() {
+	Attribute("key", String, "Inquiry key: the same for every sending of one inquiry", func() { MaxLength(128) })
+}
+
+// firstTry lets a key in where so much was lost that nobody can know of earlier tries.
+func firstTry() {
+	Attribute("first_try", Boolean, "The caller's word that it never sent this key before")
+}
+
 var _ = Service("caller", func() {
 	Description("Searches, reads, corrections and part fetches")
 	faults()
@@ -58,7 +70,7 @@
 				Minimum(1000)
 				Maximum(60000000)
 			})
-			Attribute("key", String, "Inquiry key", func() { MaxLength(128) })
+			key()
 			Required("index", "query")
 		})
 		Result(Merged)
@@ -81,6 +93,7 @@
 	Method("correct", func() {
 		Payload(func() {
 			single()
+			firstTry()
 			Attribute("body", String, func() { MaxLength(65536) })
 			Required("body")
 		})
@@ -88,12 +101,14 @@
 		HTTP(func() {
 			POST("/v1/indexes/{index}/records/{id}/corrections")
 			Header("key:Idempotency-Key")
+			Header("first_try:First-Try")
 			Response(StatusOK)
 		})
 	})
 	Method("part", func() {
 		Payload(func() {
 			single()
+			firstTry()
 			Attribute("part", Int, func() { Minimum(0) })
 			Required("part")
 		})
@@ -101,6 +116,7 @@
 		HTTP(func() {
 			POST("/v1/indexes/{index}/records/{id}/parts/{part}")
 			Header("key:Idempotency-Key")
+			Header("first_try:First-Try")
 			Response(StatusOK)
 		})
 	})
--- a/gen/caller/service.go
+++ b/gen/caller/service.go
@@ -45,9 +45,11 @@
 	ID    string
 	// Microseconds the caller will wait
 	DeadlineUs *int64
-	// Inquiry key
-	Key  *string
-	Body string
+	// Inquiry key: the same for every sending of one inquiry
+	Key *string
+	// The caller's word that it never sent this key before
+	FirstTry *bool
+	Body     string
 }
 
 type Failure struct {
@@ -94,9 +96,11 @@
 	ID    string
 	// Microseconds the caller will wait
 	DeadlineUs *int64
-	// Inquiry key
-	Key  *string
-	Part int
+	// Inquiry key: the same for every sending of one inquiry
+	Key *string
+	// The caller's word that it never sent this key before
+	FirstTry *bool
+	Part     int
 }
 
 // ReadPayload is the payload type of the caller service read method.
@@ -105,7 +109,7 @@
 	ID    string
 	// Microseconds the caller will wait
 	DeadlineUs *int64
-	// Inquiry key
+	// Inquiry key: the same for every sending of one inquiry
 	Key *string
 }
 
@@ -122,7 +126,7 @@
 	Limit int
 	// Microseconds the caller will wait
 	DeadlineUs *int64
-	// Inquiry key
+	// Inquiry key: the same for every sending of one inquiry
 	Key *string
 }
 
--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -155,7 +155,7 @@
 
 // BuildCorrectPayload builds the payload for the caller correct endpoint from
 // CLI flags.
-func BuildCorrectPayload(callerCorrectBody string, callerCorrectIndex string, callerCorrectID string, callerCorrectKey string) (*caller.CorrectPayload, error) {
+func BuildCorrectPayload(callerCorrectBody string, callerCorrectIndex string, callerCorrectID string, callerCorrectKey string, callerCorrectFirstTry string) (*caller.CorrectPayload, error) {
 	var err error
 	var body CorrectRequestBody
 	{
@@ -212,6 +212,17 @@
 			}
 		}
 	}
+	var firstTry *bool
+	{
+		if callerCorrectFirstTry != "" {
+			var val bool
+			val, err = strconv.ParseBool(callerCorrectFirstTry)
+			firstTry = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for firstTry, must be BOOL")
+			}
+		}
+	}
 	v := &caller.CorrectPayload{
 		DeadlineUs: body.DeadlineUs,
 		Body:       body.Body,
@@ -219,19 +230,20 @@
 	v.Index = index
 	v.ID = id
 	v.Key = key
+	v.FirstTry = firstTry
 
 	return v, nil
 }
 
 // BuildPartPayload builds the payload for the caller part endpoint from CLI
 // flags.
-func BuildPartPayload(callerPartBody string, callerPartIndex string, callerPartID string, callerPartPart string, callerPartKey string) (*caller.PartPayload, error) {
+func BuildPartPayload(callerPartBody string, callerPartIndex string, callerPartID string, callerPartPart string, callerPartKey string, callerPartFirstTry string) (*caller.PartPayload, error) {
 	var err error
 	var body PartRequestBody
 	{
 		err = json.Unmarshal([]byte(callerPartBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 20421757\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 4224585\n   }'")
 		}
 		if body.DeadlineUs != nil {
 			if *body.DeadlineUs < 1000 {
@@ -294,6 +306,17 @@
 			}
 		}
 	}
+	var firstTry *bool
+	{
+		if callerPartFirstTry != "" {
+			var val bool
+			val, err = strconv.ParseBool(callerPartFirstTry)
+			firstTry = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for firstTry, must be BOOL")
+			}
+		}
+	}
 	v := &caller.PartPayload{
 		DeadlineUs: body.DeadlineUs,
 	}
@@ -301,6 +324,7 @@
 	v.ID = id
 	v.Part = part
 	v.Key = key
+	v.FirstTry = firstTry
 
 	return v, nil
 }
--- a/gen/http/caller/client/encode_decode.go
+++ b/gen/http/caller/client/encode_decode.go
@@ -687,6 +687,11 @@
 			head := *p.Key
 			req.Header.Set("Idempotency-Key", head)
 		}
+		if p.FirstTry != nil {
+			head := *p.FirstTry
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("First-Try", headStr)
+		}
 		body := NewCorrectRequestBody(p)
 		if err := encoder(req).Encode(&body); err != nil {
 			return goahttp.ErrEncodingError("caller", "correct", err)
@@ -1003,6 +1008,11 @@
 			head := *p.Key
 			req.Header.Set("Idempotency-Key", head)
 		}
+		if p.FirstTry != nil {
+			head := *p.FirstTry
+			headStr := strconv.FormatBool(head)
+			req.Header.Set("First-Try", headStr)
+		}
 		body := NewPartRequestBody(p)
 		if err := encoder(req).Encode(&body); err != nil {
 			return goahttp.ErrEncodingError("caller", "part", err)
--- a/gen/http/caller/server/encode_decode.go
+++ b/gen/http/caller/server/encode_decode.go
@@ -527,9 +527,10 @@
 		}
 
 		var (
-			index string
-			id    string
-			key   *string
+			index    string
+			id       string
+			key      *string
+			firstTry *bool
 
 			params = mux.Vars(r)
 		)
@@ -550,10 +551,20 @@
 				err = goa.MergeErrors(err, goa.InvalidLengthError("key", *key, utf8.RuneCountInString(*key), 128, false))
 			}
 		}
+		{
+			firstTryRaw := r.Header.Get("First-Try")
+			if firstTryRaw != "" {
+				v, err2 := strconv.ParseBool(firstTryRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("first_try", firstTryRaw, "boolean"))
+				}
+				firstTry = &v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewCorrectPayload(&body, index, id, key)
+		payload = NewCorrectPayload(&body, index, id, key, firstTry)
 
 		return payload, nil
 	}
@@ -763,10 +774,11 @@
 		}
 
 		var (
-			index string
-			id    string
-			part  int
-			key   *string
+			index    string
+			id       string
+			part     int
+			key      *string
+			firstTry *bool
 
 			params = mux.Vars(r)
 		)
@@ -798,10 +810,20 @@
 				err = goa.MergeErrors(err, goa.InvalidLengthError("key", *key, utf8.RuneCountInString(*key), 128, false))
 			}
 		}
+		{
+			firstTryRaw := r.Header.Get("First-Try")
+			if firstTryRaw != "" {
+				v, err2 := strconv.ParseBool(firstTryRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("first_try", firstTryRaw, "boolean"))
+				}
+				firstTry = &v
+			}
+		}
 		if err != nil {
 			return payload, err
 		}
-		payload = NewPartPayload(&body, index, id, part, key)
+		payload = NewPartPayload(&body, index, id, part, key, firstTry)
 
 		return payload, nil
 	}
--- a/gen/http/caller/server/types.go
+++ b/gen/http/caller/server/types.go
@@ -1886,7 +1886,7 @@
 }
 
 // NewCorrectPayload builds a caller service correct endpoint payload.
-func NewCorrectPayload(body *CorrectRequestBody, index string, id string, key *string) *caller.CorrectPayload {
+func NewCorrectPayload(body *CorrectRequestBody, index string, id string, key *string, firstTry *bool) *caller.CorrectPayload {
 	v := &caller.CorrectPayload{
 		DeadlineUs: body.DeadlineUs,
 		Body:       *body.Body,
@@ -1894,12 +1894,13 @@
 	v.Index = index
 	v.ID = id
 	v.Key = key
+	v.FirstTry = firstTry
 
 	return v
 }
 
 // NewPartPayload builds a caller service part endpoint payload.
-func NewPartPayload(body *PartRequestBody, index string, id string, part int, key *string) *caller.PartPayload {
+func NewPartPayload(body *PartRequestBody, index string, id string, part int, key *string, firstTry *bool) *caller.PartPayload {
 	v := &caller.PartPayload{
 		DeadlineUs: body.DeadlineUs,
 	}
@@ -1907,6 +1908,7 @@
 	v.ID = id
 	v.Part = part
 	v.Key = key
+	v.FirstTry = firstTry
 
 	return v
 }
--- a/gen/http/cli/wallport/cli.go
+++ b/gen/http/cli/wallport/cli.go
@@ -59,18 +59,20 @@
 		callerReadDeadlineUsFlag = callerReadFlags.String("deadline-us", "", "")
 		callerReadKeyFlag        = callerReadFlags.String("key", "", "")
 
-		callerCorrectFlags     = flag.NewFlagSet("correct", flag.ExitOnError)
-		callerCorrectBodyFlag  = callerCorrectFlags.String("body", "REQUIRED", "")
-		callerCorrectIndexFlag = callerCorrectFlags.String("index", "REQUIRED", "")
-		callerCorrectIDFlag    = callerCorrectFlags.String("id", "REQUIRED", "")
-		callerCorrectKeyFlag   = callerCorrectFlags.String("key", "", "")
-
-		callerPartFlags     = flag.NewFlagSet("part", flag.ExitOnError)
-		callerPartBodyFlag  = callerPartFlags.String("body", "REQUIRED", "")
-		callerPartIndexFlag = callerPartFlags.String("index", "REQUIRED", "")
-		callerPartIDFlag    = callerPartFlags.String("id", "REQUIRED", "")
-		callerPartPartFlag  = callerPartFlags.String("part", "REQUIRED", "")
-		callerPartKeyFlag   = callerPartFlags.String("key", "", "")
+		callerCorrectFlags        = flag.NewFlagSet("correct", flag.ExitOnError)
+		callerCorrectBodyFlag     = callerCorrectFlags.String("body", "REQUIRED", "")
+		callerCorrectIndexFlag    = callerCorrectFlags.String("index", "REQUIRED", "")
+		callerCorrectIDFlag       = callerCorrectFlags.String("id", "REQUIRED", "")
+		callerCorrectKeyFlag      = callerCorrectFlags.String("key", "", "")
+		callerCorrectFirstTryFlag = callerCorrectFlags.String("first-try", "", "")
+
+		callerPartFlags        = flag.NewFlagSet("part", flag.ExitOnError)
+		callerPartBodyFlag     = callerPartFlags.String("body", "REQUIRED", "")
+		callerPartIndexFlag    = callerPartFlags.String("index", "REQUIRED", "")
+		callerPartIDFlag       = callerPartFlags.String("id", "REQUIRED", "")
+		callerPartPartFlag     = callerPartFlags.String("part", "REQUIRED", "")
+		callerPartKeyFlag      = callerPartFlags.String("key", "", "")
+		callerPartFirstTryFlag = callerPartFlags.String("first-try", "", "")
 
 		operatorFlags = flag.NewFlagSet("operator", flag.ContinueOnError)
 
@@ -277,10 +279,10 @@
 				data, err = callerc.BuildReadPayload(*callerReadIndexFlag, *callerReadIDFlag, *callerReadDeadlineUsFlag, *callerReadKeyFlag)
 			case "correct":
 				endpoint = c.Correct()
-				data, err = callerc.BuildCorrectPayload(*callerCorrectBodyFlag, *callerCorrectIndexFlag, *callerCorrectIDFlag, *callerCorrectKeyFlag)
+				data, err = callerc.BuildCorrectPayload(*callerCorrectBodyFlag, *callerCorrectIndexFlag, *callerCorrectIDFlag, *callerCorrectKeyFlag, *callerCorrectFirstTryFlag)
 			case "part":
 				endpoint = c.Part()
-				data, err = callerc.BuildPartPayload(*callerPartBodyFlag, *callerPartIndexFlag, *callerPartIDFlag, *callerPartPartFlag, *callerPartKeyFlag)
+				data, err = callerc.BuildPartPayload(*callerPartBodyFlag, *callerPartIndexFlag, *callerPartIDFlag, *callerPartPartFlag, *callerPartKeyFlag, *callerPartFirstTryFlag)
 			}
 		case "operator":
 			c := operatorc.NewClient(scheme, host, doer, enc, dec, restore)
@@ -397,6 +399,7 @@
 	fmt.Fprint(os.Stderr, " -index STRING")
 	fmt.Fprint(os.Stderr, " -id STRING")
 	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprint(os.Stderr, " -first-try BOOL")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -408,10 +411,11 @@
 	fmt.Fprintln(os.Stderr, `    -index STRING: `)
 	fmt.Fprintln(os.Stderr, `    -id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+	fmt.Fprintln(os.Stderr, `    -first-try BOOL: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"qjy\",\n      \"deadline_us\": 28118926\n   }' --index \"8om\" --id \"v31\" --key \"l7e\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"qjy\",\n      \"deadline_us\": 28118926\n   }' --index \"8om\" --id \"v31\" --key \"l7e\" --first-try true")
 }
 
 func callerPartUsage() {
@@ -422,6 +426,7 @@
 	fmt.Fprint(os.Stderr, " -id STRING")
 	fmt.Fprint(os.Stderr, " -part INT")
 	fmt.Fprint(os.Stderr, " -key STRING")
+	fmt.Fprint(os.Stderr, " -first-try BOOL")
 	fmt.Fprintln(os.Stderr)
 
 	// Description
@@ -434,10 +439,11 @@
 	fmt.Fprintln(os.Stderr, `    -id STRING: `)
 	fmt.Fprintln(os.Stderr, `    -part INT: `)
 	fmt.Fprintln(os.Stderr, `    -key STRING: `)
+	fmt.Fprintln(os.Stderr, `    -first-try BOOL: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller part --body '{\n      \"deadline_us\": 20421757\n   }' --index \"3dg\" --id \"gyg\" --part 6471097844894554858 --key \"8yc\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller part --body '{\n      \"deadline_us\": 4224585\n   }' --index \"1e0\" --id \"uxf\" --part 4002678516211888251 --key \"g7g\" --first-try true")
 }
 
 // operatorUsage displays the usage of the operator command and its subcommands.
--- a/inquiry/asks.go
+++ b/inquiry/asks.go
@@ -3,13 +3,15 @@
 
 // again says why a shard is asked: for the first time, once more at the cost of
 // the budget, or in place of a try of which nothing was written. The last adds
-// nothing to what the pool gets and costs nothing.
+// nothing to what the pool gets and costs nothing; paid is a caller's repeat, which
+// the budget has paid for already.
 type again uint8
 
 const (
 	firstTry again = iota
 	extra
 	instead
+	paid
 )
 
 // renew takes the newest checkpoint for what is asked from now on, if it still
@@ -42,6 +44,8 @@
 			return
 		}
 		c.to(now, StReAsked, w.why)
+	case paid:
+		c.to(now, StPicked, "a repeat of the caller's")
 	default:
 		c.to(now, StPicked, "")
 		c.desk.budgetOf(c.in.Index).first(c.desk.bound(c.cp, now))
@@ -57,7 +61,7 @@
 	ch.Server.Gauge.Outstanding.Add(1)
 	ch.Server.Gauge.Asked.Add(1)
 	c.state = StAsked
-	c.act(Ask{N: n, ID: c.ID() + "." + itoa(n), Server: ch.Server, Shard: shard, Shards: len(c.x.Shards), Cut: c.cut, Within: left, Inquiry: &c.in, Again: why == extra, Instead: why == instead})
+	c.act(Ask{N: n, ID: c.ID() + "." + itoa(n), Server: ch.Server, Shard: shard, Shards: len(c.x.Shards), Cut: c.cut, Within: left, Inquiry: &c.in, Again: why == extra || why == paid, Instead: why == instead})
 }
 
 func itoa(n int) string { return string(rune('a'+n%26)) + string(rune('a'+n/26%26)) }
--- a/inquiry/budget.go
+++ b/inquiry/budget.go
@@ -52,8 +52,8 @@
 // first earns from a first try.
 func (b *Budget) first(most int64) { b.add(earnedEach, most) }
 
-// take asks for one repeated try.
-func (b *Budget) take(now, nodes, most int64) bool {
+// take asks for so many repeated tries, all or none.
+func (b *Budget) take(now, nodes, most, n int64) bool {
 	for {
 		at := b.filled.Load()
 		gain := (now - at) * flatEach / nodes / 1_000_000
@@ -67,10 +67,12 @@
 	}
 	for {
 		was := b.saved.Load()
-		if was < oneTry {
+		have := min(was, most)
+		// What is dearer than can be saved takes all that can be, and the rest is owed.
+		if have < min(n*oneTry, most) {
 			return false
 		}
-		if b.saved.CompareAndSwap(was, min(was, most)-oneTry) {
+		if b.saved.CompareAndSwap(was, have-n*oneTry) {
 			return true
 		}
 	}
@@ -86,10 +88,15 @@
 
 // extra asks the pool's budget for one repeated try of this node.
 func (d *Desk) extra(cp *table.Checkpoint, index string, now int64) bool {
-	if d.budgetOf(index).take(now, int64(cp.Divisor), d.bound(cp, now)) {
-		d.Counts.Add("extra_tries", 1)
+	return d.extras(cp, index, now, 1)
+}
+
+// extras asks for the tries of a whole repeated inquiry.
+func (d *Desk) extras(cp *table.Checkpoint, index string, now, n int64) bool {
+	if d.budgetOf(index).take(now, int64(cp.Divisor), d.bound(cp, now), n) {
+		d.Counts.Add("extra_tries", n)
 		return true
 	}
-	d.Counts.Add("extra_tries_denied", 1)
+	d.Counts.Add("extra_tries_denied", n)
 	return false
 }
--- a/inquiry/chart.go
+++ b/inquiry/chart.go
@@ -58,7 +58,9 @@
 	acts  []Act
 	trace *Trace
 	keyed bool
-	token string
+	// repeat marks a repeat of the caller's: its tries are paid from the budget.
+	repeat bool
+	token  string
 }
 
 // NewChart makes the chart of a checked inquiry.
@@ -139,38 +141,13 @@
 	} else {
 		c.trace.add(now, StLetIn, why)
 	}
-	if c.in.Once() && c.in.Key != "" {
+	if c.in.Key != "" {
 		c.claim(now)
 		return
 	}
 	c.letIn(now)
 }
 
-func (c *Chart) letIn(now int64) {
-	if now >= c.end {
-		c.shed(now, GivenUp, "the deadline passed before a server was asked", 1)
-		return
-	}
-	if len(c.x.Shards) == 0 {
-		c.shed(now, Shed, "the index has no cut yet", 1)
-		return
-	}
-	c.to(now, StLetIn, "")
-	c.pin = c.desk.pin(c.in.Index, c.cut)
-	c.pin.Add(1)
-	c.ways = make([]shardWay, len(c.x.Shards))
-	if c.in.Kind != Search {
-		c.first = ShardOf(c.in.Record, len(c.x.Shards))
-	}
-	for shard := range c.x.Shards {
-		if c.in.Kind == Search || shard == c.first {
-			c.ask(now, shard, firstTry)
-		}
-	}
-	c.settleWays(now)
-	c.wake(now)
-}
-
 func (c *Chart) shed(now int64, code, why string, retry int) {
 	c.finish(now, StShed, Outcome{Code: code, Why: why, Ran: "no", Retry: retry})
 }
@@ -193,13 +170,7 @@
 	if c.pin != nil {
 		c.pin.Add(-1)
 	}
-	if c.keyed {
-		code := "done"
-		if o.Ran == "no" && o.Code != OK {
-			code = "released"
-		}
-		c.act(Settle{Key: c.in.Key, Code: code, Token: c.token, Outcome: o})
-	}
+	c.settleKey(&o)
 	c.desk.Counts.Add("outcome_"+o.Code, 1)
 	c.desk.Traces.put(c.trace, now, o)
 	c.act(Finish{Outcome: o})
--- a/inquiry/events.go
+++ b/inquiry/events.go
@@ -45,6 +45,8 @@
 	Token string
 	Why   string
 	Body  []byte
+	// Repeat tells that an earlier try under the key reached a server.
+	Repeat bool
 }
 
 // Reply classes.
@@ -102,12 +104,15 @@
 		Sum    uint64
 		First  bool
 		Within int64
+		// Again asks only whether a search or read was sent before.
+		Again bool
 	}
 	// Settle tells the homes what a claim came to.
 	Settle struct {
 		Key     string
 		Code    string
 		Token   string
+		Tried   bool
 		Outcome Outcome
 	}
 	// Wake asks for a Due at a moment.
--- a/inquiry/keyed.go
+++ b/inquiry/keyed.go
@@ -12,6 +12,11 @@
 
 // claim asks for the key's homes to let it in.
 func (c *Chart) claim(now int64) {
+	if !c.in.Once() {
+		c.act(Claim{Key: c.in.Key, Again: true})
+		c.act(Wake{At: min(c.end, now+claimSlack)})
+		return
+	}
 	within := min((c.end-now)/2, claimMost)
 	c.act(Claim{Key: c.in.Key, Index: c.in.Index, Sum: c.in.Sum, First: c.in.First, Within: within})
 	c.act(Wake{At: min(c.end, now+within+claimSlack)})
@@ -23,6 +28,26 @@
 	return Settle{Key: key, Code: "released", Token: v.Token}, v.Code == "in"
 }
 
+// settleKey tells the homes what came of the key that this inquiry was let in with.
+func (c *Chart) settleKey(o *Outcome) {
+	if !c.keyed {
+		return
+	}
+	s := Settle{Key: c.in.Key, Code: "done", Token: c.token, Tried: len(c.tries) > 0, Outcome: *o}
+	switch {
+	case !c.in.Once() && (s.Tried || c.repeat):
+		return
+	case !c.in.Once():
+		s.Code = "unseen"
+	case o.Ran == "no" && o.Code != OK:
+		s.Code = "released"
+	}
+	c.act(s)
+}
+
+// RepeatOver begins the reason of a refusal because a repeat found the budget used up.
+const RepeatOver = "a repeat, and the pool's budget of repeated tries is used up"
+
 // ClaimsShort begins the reason of a refusal because too few homes of a key answer.
 const ClaimsShort = "too few home nodes of the key: "
 
@@ -33,7 +58,7 @@
 	c.trace.add(now, StLetIn, "claim "+v.Code)
 	switch v.Code {
 	case "in":
-		c.keyed, c.token = true, v.Token
+		c.keyed, c.token, c.repeat = true, v.Token, v.Repeat
 		c.letIn(now)
 	case "done":
 		var o Outcome
--- a/lab/sim/callers.go
+++ b/lab/sim/callers.go
@@ -4,9 +4,12 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"wallport/inquiry"
+	"wallport/lab/check"
 	"wallport/lab/records"
 )
 
@@ -16,13 +19,22 @@
 	n      int64
 	ready  []*proc
 	repeat int64
-	open   int
-	begun  bool
-	until  int64
+	// again is the share of searches and reads that are sent again, under a key.
+	again int64
+	// reached holds keys, and keys with a shard, of which a server was asked.
+	reached map[string]bool
+	// sends counts how often a key was read by some node; refused are those told to be repeats.
+	sends   map[string]int
+	refused map[string]bool
+	open    int
+	begun   bool
+	until   int64
 }
 
 func (c *callers) init(w *World) {
 	c.w, c.rate, c.repeat = w, w.Script.Int("rate", 100), w.Script.Int("repeat_percent", 10)
+	c.again, c.reached = w.Script.Int("repeat_searches", 0), map[string]bool{}
+	c.sends, c.refused = map[string]int{}, map[string]bool{}
 	c.until = w.Script.Int("seconds", 30)*1_000_000 - w.Shape.Most - 1_000_000
 }
 
@@ -75,6 +87,10 @@
 	if in.Once() && rnd.Int64N(100) < c.repeat {
 		tries += 1 + rnd.IntN(3)
 	}
+	if !in.Once() && c.again > 0 && rnd.Int64N(100) < c.again {
+		in.Key = fmt.Sprintf("key-%d", c.n)
+		tries += 1 + rnd.IntN(3)
+	}
 	c.send(in, tries, rnd.Int64N(2) == 0)
 }
 
@@ -93,7 +109,7 @@
 		}
 	}
 	if eager {
-		again(w.rnd.Int64N(300_000))
+		again(w.rnd.Int64N(c.w.Script.Int("eager_us", 300_000)))
 	}
 	life := p.life
 	w.after(w.net.latency(), func() {
@@ -107,6 +123,7 @@
 			return
 		}
 		planned := p.drains
+		c.sends[in.Key]++
 		p.front.read(in, func(o *inquiry.Outcome) {
 			c.open--
 			c.judge(p, &in, o, sent, planned || p.drains)
@@ -141,7 +158,7 @@
 		w.Judge.Fail("no_retry_after", w.now, "%s %s has no Retry-After", o.ID, o.Code)
 	}
 	w.healed(o, sent)
-	w.Judge.Proper(o, w.now, c.mayRefuse(p, in, o))
+	w.Judge.Proper(o, w.now, c.mayRefuse(in, o))
 	if o.Code != inquiry.OK {
 		return
 	}
@@ -166,7 +183,7 @@
 
 // mayRefuse tells whether the world gave a reason to refuse: the scenario says
 // so, no server of a needed shard is there, or the key's homes cannot vouch.
-func (c *callers) mayRefuse(p *proc, in *inquiry.Inquiry, o *inquiry.Outcome) string {
+func (c *callers) mayRefuse(in *inquiry.Inquiry, o *inquiry.Outcome) string {
 	w := c.w
 	if w.Script.Text("may_refuse", "") != "" {
 		return "scenario"
@@ -174,6 +191,10 @@
 	if in.Once() && in.Key != "" && strings.HasPrefix(o.Why, inquiry.ClaimsShort) {
 		return "claims"
 	}
+	if o.Why == inquiry.RepeatOver && c.sends[in.Key] > 1 {
+		c.refused[in.Key] = true
+		return "repeat"
+	}
 	for _, n := range w.cuts {
 		shard := -1
 		if in.Kind != inquiry.Search {
@@ -186,7 +207,25 @@
 	return ""
 }
 
+// asked notes that a server is asked, and tells whether one was asked the same before.
+func (c *callers) asked(a *inquiry.Ask) bool {
+	key := a.Inquiry.Key
+	if key == "" {
+		return false
+	}
+	c.reached[key] = true
+	at := fmt.Sprintf("%s/%d", key, a.Shard)
+	was := c.reached[at]
+	c.reached[at] = true
+	return was
+}
+
 func (c *callers) finish() {
+	for _, key := range slices.Sorted(maps.Keys(c.refused)) {
+		if !c.reached[key] {
+			c.w.Judge.Fail(check.ProperShed, c.w.now, "%s was refused as a repeat and no server was ever asked", key)
+		}
+	}
 	c.w.Judge.Count("callers_sent", c.n)
 	c.w.Judge.Count("callers_open", int64(c.open))
 }
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -75,7 +75,7 @@
 			}
 		})
 	case inquiry.Claim:
-		p.call("claims", claims.Ask{Key: v.Key, Index: v.Index, Sum: v.Sum, First: v.First, Within: v.Within}, func(ans any) {
+		p.call("claims", claims.Ask{Key: v.Key, Index: v.Index, Sum: v.Sum, First: v.First, Within: v.Within, Again: v.Again}, func(ans any) {
 			if s, in := inquiry.LateClaim(v.Key, ans.(inquiry.Verdict)); in && !f.runs[r] {
 				f.act(r, s)
 				return
@@ -83,7 +83,7 @@
 			f.step(r, inquiry.Claimed{Verdict: ans.(inquiry.Verdict)})
 		})
 	case inquiry.Settle:
-		p.call("claims", claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Outcome: v.Outcome}, nil)
+		p.call("claims", claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Tried: v.Tried, Outcome: v.Outcome}, nil)
 	case inquiry.Finish:
 		delete(f.runs, r)
 		f.list = slices.DeleteFunc(f.list, func(o *run) bool { return o == r })
@@ -95,14 +95,16 @@
 // seen tells the judge of work that leaves this node.
 func (f *front) seen(a *inquiry.Ask) {
 	w := f.p.w
+	// By what reaches the servers, whatever the node takes it for.
+	again := w.calls.asked(a) || a.Again
 	if f.p.isolated {
 		// What a node that is cut off from every other does is judged by scenarios of their own.
 		w.Judge.Count("asks_of_isolated", 1)
 	} else {
-		w.Judge.Asked(a.Inquiry.Index, a.Server.ID, a.Server.Zone, w.now, a.Again, a.Instead)
+		w.Judge.Asked(a.Inquiry.Index, a.Server.ID, a.Server.Zone, w.now, again, a.Instead)
 	}
 	w.Judge.Count("asks", 1)
-	if a.Again {
+	if again {
 		w.Judge.Count("extra_tries", 1)
 	}
 	w.cold(a)
--- a/serve/caller.go
+++ b/serve/caller.go
@@ -35,11 +35,11 @@
 }
 
 func (a callerAPI) Correct(ctx context.Context, p *caller.CorrectPayload) (*caller.Single, error) {
-	return a.single(ctx, inquiry.Inquiry{Kind: inquiry.Correct, Index: p.Index, Record: p.ID, Body: p.Body, Deadline: deref(p.DeadlineUs), Key: deref(p.Key)})
+	return a.single(ctx, inquiry.Inquiry{Kind: inquiry.Correct, Index: p.Index, Record: p.ID, Body: p.Body, Deadline: deref(p.DeadlineUs), Key: deref(p.Key), First: deref(p.FirstTry)})
 }
 
 func (a callerAPI) Part(ctx context.Context, p *caller.PartPayload) (*caller.Single, error) {
-	return a.single(ctx, inquiry.Inquiry{Kind: inquiry.Part, Index: p.Index, Record: p.ID, Part: p.Part, Deadline: deref(p.DeadlineUs), Key: deref(p.Key)})
+	return a.single(ctx, inquiry.Inquiry{Kind: inquiry.Part, Index: p.Index, Record: p.ID, Part: p.Part, Deadline: deref(p.DeadlineUs), Key: deref(p.Key), First: deref(p.FirstTry)})
 }
 
 func (a callerAPI) single(ctx context.Context, in inquiry.Inquiry) (*caller.Single, error) {
--- a/serve/http.go
+++ b/serve/http.go
@@ -108,7 +108,7 @@
 	mux.Handle(http.MethodGet, "/condition", s.condition)
 	mux.Handle(http.MethodGet, "/metrics", s.metrics)
 	var err error
-	if s.oper, err = s.listen(p.Kernel.Boot.Env.Operator, bounded(sheetMost, new(atomic.Int64), mux)); err != nil {
+	if s.oper, err = s.listen(p.Kernel.Boot.Env.Operator, bounded(sheetMost, new(atomic.Int64), onceEach(mux))); err != nil {
 		return nil, err
 	}
 	if s.front == nil {
--- a/serve/run.go
+++ b/serve/run.go
@@ -102,7 +102,7 @@
 }
 
 func (r *run) settle(v inquiry.Settle) {
-	r.f.p.Post(kernel.Call{Plugin: "claims", Ask: claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Outcome: v.Outcome}})
+	r.f.p.Post(kernel.Call{Plugin: "claims", Ask: claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Tried: v.Tried, Outcome: v.Outcome}})
 }
 
 func (r *run) loop() inquiry.Outcome {
@@ -142,7 +142,7 @@
 func (r *run) claim(c inquiry.Claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	v, err := r.f.p.Call(ctx, "claims", claims.Ask{Key: c.Key, Index: c.Index, Sum: c.Sum, First: c.First, Within: c.Within})
+	v, err := r.f.p.Call(ctx, "claims", claims.Ask{Key: c.Key, Index: c.Index, Sum: c.Sum, First: c.First, Within: c.Within, Again: c.Again})
 	verdict, ok := v.(inquiry.Verdict)
 	if err != nil || !ok {
 		verdict = inquiry.Verdict{Code: "short"}
--- a/serve/shape.go
+++ b/serve/shape.go
@@ -2,14 +2,20 @@
 package serve
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
+	"io"
+	"net/http"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 
 	"wallport/gen/caller"
 	"wallport/gen/operator"
+	"wallport/sheet"
+	"wallport/wire"
 )
 
 // plain is the shape of every fault on the wire.
@@ -32,6 +38,31 @@
 	Text  string `json:"text"`
 }
 
+// onceEach refuses what gives a name twice, before a decoder keeps one of the two.
+func onceEach(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		found := sheet.Twice(body)
+		if err != nil || len(found) == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		p := plain{Name: "malformed", Message: "nothing was changed", Ran: "no", Findings: placed(found)}
+		w.Header().Set(contentTypeH, jsonContent)
+		w.WriteHeader(http.StatusBadRequest)
+		json.NewEncoder(w).Encode(p)
+	})
+}
+
+func placed(found []wire.Finding) []place {
+	list := make([]place, 0, len(found))
+	for _, f := range found {
+		list = append(list, place{f.Place, f.Text})
+	}
+	return list
+}
+
 // shaped gives goa's own faults and ours the same shape.
 func shaped(_ context.Context, err error) goahttp.Statuser {
 	var e *goa.ServiceError
--- a/sheet/sheet_test.go
+++ b/sheet/sheet_test.go
@@ -112,3 +112,18 @@
 		}
 	})
 }
+
+func TestTwiceFindsNamesGivenTwice(t *testing.T) {
+	cases := map[string]string{
+		good: "",
+		`{"services":[{"index":"a","index":"b"}],"services":[]}`:   "services[0].index services",
+		`{"edits":[{"op":"set","row":{"k":1,"k":{"x":1,"x":2}}}]}`: "edits[0].row.k edits[0].row.k.x",
+		`[{"a":1},{"a":1}]`: "",
+		`{"a":1,"a":`:       "a",
+		`x`:                 "",
+		``:                  "",
+	}
+	for text, want := range cases {
+		must.Eq(t, want, places(Twice([]byte(text))), must.Sprint(text))
+	}
+}
--- /dev/null
+++ b/sheet/twice.go
@@ -0,0 +1,60 @@
+// Names given twice: a decoder keeps one of two equal names and says nothing, so
+// what an operator sent is looked through before anything decodes it.
+package sheet
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"wallport/wire"
+)
+
+// Twice lists every name that an object anywhere in a JSON text gives twice.
+// A text that is no JSON has none: whoever decodes it says so.
+func Twice(body []byte) []wire.Finding {
+	f := &finder{}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.UseNumber()
+	f.twice(d, "")
+	return f.found
+}
+
+func (f *finder) twice(d *json.Decoder, place string) bool {
+	tok, err := d.Token()
+	if err != nil {
+		return false
+	}
+	switch tok {
+	case json.Delim('{'):
+		seen := map[string]bool{}
+		for d.More() {
+			k, err := d.Token()
+			if err != nil {
+				return false
+			}
+			name, at := k.(string), place
+			if at != "" {
+				at += "."
+			}
+			at += name
+			if seen[name] {
+				f.add(at, "is given twice")
+			}
+			seen[name] = true
+			if !f.twice(d, at) {
+				return false
+			}
+		}
+	case json.Delim('['):
+		for i := 0; d.More(); i++ {
+			if !f.twice(d, fmt.Sprintf("%s[%d]", place, i)) {
+				return false
+			}
+		}
+	default:
+		return true
+	}
+	_, err = d.Token()
+	return err == nil
+}
--- a/smoke/api_test.go
+++ b/smoke/api_test.go
@@ -118,6 +118,16 @@
 	status, _, got = r.call("PUT", base+"/v1/sheet", `{"rows":[{"index":"x","kind":"y","share":-1,"q":2}],"zeilen":[]}`, "If-Match", stamp)
 	must.Eq(r.t, 400, status)
 	must.Greater(r.t, 1, len(got["findings"].([]any)))
+	for _, c := range []struct{ method, path, body, place string }{
+		{"PUT", "/v1/sheet", `{"rows":[{"index":"a","index":"b"}]}`, "rows[0].index"},
+		{"POST", "/v1/sheet/check", `{"rows":[],"rows":[]}`, "rows"},
+		{"PATCH", "/v1/sheet", `{"edits":[{"op":"set","table":"rows","row":{"share":1,"share":2}}]}`, "edits[0].row.share"},
+		{"POST", "/v1/indexes/scores/cut", `{"cut":"c8","shards":4,"shards":8}`, "shards"},
+	} {
+		status, _, got = r.call(c.method, base+c.path, c.body, "If-Match", stamp)
+		must.Eq(r.t, 400, status, must.Sprint(c.body))
+		must.Eq(r.t, c.place, got["findings"].([]any)[0].(map[string]any)["place"].(string))
+	}
 	status, _, now := r.call("GET", base+"/v1/sheet", "")
 	must.Eq(r.t, 200, status)
 	must.Eq(r.t, stamp, now["stamp"].(string), must.Sprint("nothing was changed"))
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -110,6 +110,8 @@
 	Code   string `msg:"c"`
 	Status int    `msg:"st"`
 	Body   []byte `msg:"b"`
+	// Tried tells that an earlier try of the key reached a server, which refused it.
+	Tried bool `msg:"t"`
 }
 
 // Place is a node's name and zone, which decide of which keys it is home.
@@ -135,12 +137,27 @@
 	All     bool     `msg:"a"`
 }
 
+// Seen asks one home of a search's or read's key whether it was sent before, and
+// has it remembered; Forget takes that back, since nothing was asked of any server.
+type Seen struct {
+	Key    string `msg:"k"`
+	Forget bool   `msg:"f"`
+}
+
+// SeenReply tells whether it was.
+type SeenReply struct {
+	Key    string `msg:"k"`
+	Before bool   `msg:"b"`
+}
+
 // Settle records the outcome of a claimed key.
 type Settle struct {
 	Key    string `msg:"k"`
 	Code   string `msg:"c"`
 	Status int    `msg:"st"`
 	Body   []byte `msg:"b"`
+	// Tried tells that a server was asked and refused.
+	Tried bool `msg:"t"`
 }
 
 // Rebuild asks a core, on an operator's word, to hold a version as the first of
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -238,6 +238,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "t":
+			z.Tried, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Tried")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -251,9 +257,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ClaimReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "k"
-	err = en.Append(0x86, 0xa1, 0x6b)
+	err = en.Append(0x87, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -312,15 +318,25 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Tried)
+	if err != nil {
+		err = msgp.WrapError(err, "Tried")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "k"
-	o = append(o, 0x86, 0xa1, 0x6b)
+	o = append(o, 0x87, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.Key)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
@@ -337,6 +353,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendBool(o, z.Tried)
 	return
 }
 
@@ -394,6 +413,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "t":
+			z.Tried, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tried")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -408,7 +433,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize
 	return
 }
 
@@ -4089,6 +4114,262 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Seen) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "f":
+			z.Forget, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Forget")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Seen) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "k"
+	err = en.Append(0x82, 0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Forget)
+	if err != nil {
+		err = msgp.WrapError(err, "Forget")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Seen) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "k"
+	o = append(o, 0x82, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Key)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Forget)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Seen) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "f":
+			z.Forget, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Forget")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Seen) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *SeenReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "b":
+			z.Before, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Before")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z SeenReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "k"
+	err = en.Append(0x82, 0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Before)
+	if err != nil {
+		err = msgp.WrapError(err, "Before")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z SeenReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "k"
+	o = append(o, 0x82, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Key)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBool(o, z.Before)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SeenReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "b":
+			z.Before, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Before")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SeenReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Server) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -4409,6 +4690,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "t":
+			z.Tried, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Tried")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4422,9 +4709,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Settle) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "k"
-	err = en.Append(0x84, 0xa1, 0x6b)
+	err = en.Append(0x85, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -4463,15 +4750,25 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Tried)
+	if err != nil {
+		err = msgp.WrapError(err, "Tried")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Settle) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "k"
-	o = append(o, 0x84, 0xa1, 0x6b)
+	o = append(o, 0x85, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.Key)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -4482,6 +4779,9 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendBool(o, z.Tried)
 	return
 }
 
@@ -4527,6 +4827,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "t":
+			z.Tried, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tried")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4541,7 +4847,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Settle) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize
 	return
 }
 
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -28,6 +28,8 @@
 	KindRebuildReply
 	KindHandOver
 	KindHanded
+	KindSeen
+	KindSeenReply
 )
 
 // Hello opens a mesh channel.
