Limits: a fleet lets in what the sheet says, not half as much again

Cause: each node used its part of the demand and half an equal part besides, so the parts added up to 1.5. Change: parts add up to one; what the fleet leaves unused is open to callers who have just moved; a node saves two seconds of its equal part for them; rates are told more exactly near a limit; one that drains is not counted; a booked slice has a gate of its own, so that what it lets in is not taken from the others. Ruled out: a central count (every inquiry would wait for it); a floor (that was the 1.5). Left: half of a fleet restarted at 87% load refuses a few inquiries in 2 s.

--- a/inquiry/budget.go
+++ b/inquiry/budget.go
@@ -6,15 +6,11 @@
 // cannot know how large the fleet is and has but what it earns.
 package inquiry
 
-import (
-	"sync/atomic"
-
-	"wallport/table"
-)
+import "wallport/table"
 
 // Figures of the budget, in thousandths of a try for the whole fleet.
 const (
-	oneTry     = 1000
+	oneTry     = oneToken
 	earnedEach = oneTry / 5
 	savedMost  = 50 * oneTry
 	flatEach   = 1 * oneTry
@@ -22,60 +18,15 @@
 	settleFor  = 10_000_000
 )
 
-// Budget is what one node may spend on one pool.
-type Budget struct {
-	saved  atomic.Int64
-	filled atomic.Int64
-}
-
-func (d *Desk) budgetOf(index string) *Budget {
+// budgetOf is what this node may spend on one pool.
+func (d *Desk) budgetOf(index string) *bucket {
 	if v, ok := d.budgets.Load(index); ok {
-		return v.(*Budget)
+		return v.(*bucket)
 	}
-	b := new(Budget)
+	b := new(bucket)
 	b.filled.Store(d.Began + settleFor)
 	v, _ := d.budgets.LoadOrStore(index, b)
-	return v.(*Budget)
-}
-
-// add saves so much, up to a bound.
-func (b *Budget) add(n, most int64) {
-	for {
-		was := b.saved.Load()
-		next := min(most, was+n)
-		if next <= was || b.saved.CompareAndSwap(was, next) {
-			return
-		}
-	}
-}
-
-// first earns from a first try.
-func (b *Budget) first(most int64) { b.add(earnedEach, most) }
-
-// take asks for so many repeated tries, all or none.
-func (b *Budget) take(now, nodes, most, n int64) bool {
-	for {
-		at := b.filled.Load()
-		gain := (now - at) * flatEach / nodes / 1_000_000
-		if gain < 1 {
-			break
-		}
-		if b.filled.CompareAndSwap(at, now) {
-			b.add(gain, most)
-			break
-		}
-	}
-	for {
-		was := b.saved.Load()
-		have := min(was, most)
-		// What is dearer than can be saved takes all that can be, and the rest is owed.
-		if have < min(n*oneTry, most) {
-			return false
-		}
-		if b.saved.CompareAndSwap(was, have-n*oneTry) {
-			return true
-		}
-	}
+	return v.(*bucket)
 }
 
 // bound is how much this node may save.
@@ -93,7 +44,10 @@
 
 // extras asks for the tries of a whole repeated inquiry.
 func (d *Desk) extras(cp *table.Checkpoint, index string, now, n int64) bool {
-	if d.budgetOf(index).take(now, int64(cp.Divisor), d.bound(cp, now), n) {
+	b, most := d.budgetOf(index), d.bound(cp, now)
+	b.refill(now, flatEach/int64(cp.Divisor), most)
+	// What is dearer than can be saved takes all that can be, and the rest is owed.
+	if b.take(n*oneTry, min(n*oneTry, most), most) {
 		d.Counts.Add("extra_tries", n)
 		return true
 	}
--- a/inquiry/limits.go
+++ b/inquiry/limits.go
@@ -1,48 +1,44 @@
-// Limits: each index has a gate per kind and one for the whole pool. A kind
+// Limits: each index has a gate per kind and one for what of the pool is not booked. A kind
 // inside its share or its booked slice is let in whatever the others do; above
 // it, what the others leave unused may be taken, up to the kind's ceiling.
+// A limit is the fleet's: this node's part of it is its part of what the fleet is
+// asked. Sums of parts are one, so that a fleet asked for more than the limit lets
+// in the limit. What a node has saved, up to its equal part, is for callers who move
+// to it before the others know.
 package inquiry
 
 import (
-	"sync/atomic"
-
 	"wallport/table"
+	"wallport/usage"
 )
 
-// burst is how far, in microseconds of its rate, a gate may run ahead.
-const burst = 2_000_000
+// burst is how much, in seconds of its rate, a gate may save.
+const burst = 2
 
-// gate is a rate limit in one atomic word: the time up to which it is used.
-type gate struct{ used atomic.Int64 }
+// full, as the moment of the last filling, lets a gate begin with all that it may save.
+const full = -60_000_000
 
-// pass takes one place at a rate a second, if the gate has one; force takes it anyway.
-func (g *gate) pass(now int64, rate float64, force bool) bool {
-	if rate <= 0 {
-		return force
-	}
-	step := int64(1e6 / rate)
-	for {
-		used := g.used.Load()
-		next := max(used, now) + step
-		if next-now > burst+step && !force {
-			return false
-		}
-		if force && next-now > 2*burst {
-			// What is let in above the rate must not shut the gate for long.
-			return true
-		}
-		if g.used.CompareAndSwap(used, next) {
-			return true
-		}
+// gate is one limit's part of this node.
+type gate struct{ bucket }
+
+// pass takes one place of a limit of which this node has a part, in a fleet of so
+// many nodes; force takes it anyway and lets the gate owe as much as it may save.
+func (g *gate) pass(now int64, limit float64, m *usage.Meter, nodes int, force bool) bool {
+	part := m.Part(limit, nodes)
+	most := max(oneToken, int64(burst*oneToken*max(part, limit/float64(max(1, nodes)))))
+	g.refill(now, int64(oneToken*part), most)
+	if force {
+		return g.take(oneToken, oneToken-most, most)
 	}
+	return limit > 0 && g.take(oneToken, oneToken, most)
 }
 
 type gates struct {
-	pool  gate
+	free  gate
 	kinds map[string]*kindGates
 }
 
-type kindGates struct{ share, ceiling gate }
+type kindGates struct{ booked, share, ceiling gate }
 
 func (d *Desk) gatesOf(index string) *gates {
 	if v, ok := d.gates.Load(index); ok {
@@ -51,33 +47,41 @@
 	g := &gates{kinds: map[string]*kindGates{}}
 	for _, k := range []string{Search, Read, Correct, Part} {
 		g.kinds[k] = &kindGates{}
+		for _, one := range []*gate{&g.kinds[k].booked, &g.kinds[k].share, &g.kinds[k].ceiling} {
+			one.filled.Store(full)
+		}
 	}
+	g.free.filled.Store(full)
 	v, _ := d.gates.LoadOrStore(index, g)
 	return v.(*gates)
 }
 
 // letIn decides whether an inquiry is inside the limits, and says why.
 func (d *Desk) letIn(cp *table.Checkpoint, x *table.Index, kind string, now int64) (bool, string) {
-	m := d.Usage.Of(x.Name, kind)
+	m, all := d.Usage.Of(x.Name, kind), d.Usage.Of(x.Name, "")
 	m.Came()
-	f := m.Fraction(cp.Peers)
+	all.Came()
 	l := x.Limits[kind]
 	g := d.gatesOf(x.Name)
 	k := g.kinds[kind]
-	if l.Ceiling > 0 && !k.ceiling.pass(now, l.Ceiling*f, false) {
+	m.Bound(l.Ceiling, l.Share+l.Booked)
+	all.Bound(x.Capacity, 0)
+	if l.Ceiling > 0 && !k.ceiling.pass(now, l.Ceiling, m, cp.Peers, false) {
 		return false, "ceiling"
 	}
-	if k.share.pass(now, (l.Share+l.Booked)*f, false) {
-		g.pool.pass(now, x.Capacity*f, true)
-		return true, "share"
+	if l.Booked > 0 && k.booked.pass(now, l.Booked, m, cp.Peers, false) {
+		return true, "booked slice"
 	}
+	// What is booked is kept for its kind, used or not; the rest is shared out.
 	free := x.Capacity
-	for other, o := range x.Limits {
-		if other != kind {
-			free -= o.Booked
-		}
+	for _, o := range x.Limits {
+		free -= o.Booked
+	}
+	if k.share.pass(now, l.Share, m, cp.Peers, false) {
+		g.free.pass(now, free, all, cp.Peers, true)
+		return true, "share"
 	}
-	if g.pool.pass(now, free*f, false) {
+	if g.free.pass(now, free, all, cp.Peers, false) {
 		return true, "left by others"
 	}
 	return false, "pool"
--- a/lab/check/check.go
+++ b/lab/check/check.go
@@ -64,6 +64,9 @@
 	extras   map[string]map[int64]int64
 	cold     map[string]*coldCount
 	okSecond map[int64]int64
+	let      map[string]*counted
+	limits   []Limits
+	moves    []int64
 }
 
 // New makes a judge.
@@ -71,7 +74,7 @@
 	return &Judge{
 		Tested: map[string]int64{}, Counts: map[string]int64{}, ran: map[string]int{}, refused: map[string]int64{},
 		left: map[string]int64{}, emptied: map[string]int64{}, sheets: newSheets(),
-		firsts: map[string]map[int64]int64{}, extras: map[string]map[int64]int64{}, cold: map[string]*coldCount{}, okSecond: map[int64]int64{},
+		firsts: map[string]map[int64]int64{}, extras: map[string]map[int64]int64{}, cold: map[string]*coldCount{}, okSecond: map[int64]int64{}, let: map[string]*counted{},
 	}
 }
 
--- a/lab/sim/bookings.go
+++ b/lab/sim/bookings.go
@@ -14,7 +14,11 @@
 	"wallport/wire"
 )
 
-type booking struct{ from, to int64 }
+type booking struct {
+	from, to int64
+	kind     string
+	slice    int64
+}
 
 // book makes a booking of a slice, from and to being seconds of simulated time.
 func (o *operators) book(id, kind string, slice, from, to int64) {
@@ -29,7 +33,10 @@
 		w.note("booking " + id + " " + code)
 		w.Judge.Count("bookings."+code, 1)
 		if code == "ok" {
-			o.booked[id] = booking{from * 1_000_000, to * 1_000_000}
+			b := booking{from * 1_000_000, to * 1_000_000, kind, slice}
+			o.booked[id] = b
+			w.at(b.from, w.judgedLimits)
+			w.at(b.to, w.judgedLimits)
 		}
 		return code == "ok" || code == "invalid"
 	})
--- a/lab/sim/callers.go
+++ b/lab/sim/callers.go
@@ -4,13 +4,10 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
-	"strings"
 
 	"wallport/inquiry"
-	"wallport/lab/check"
 	"wallport/lab/records"
+	"wallport/sheet"
 )
 
 type callers struct {
@@ -21,6 +18,9 @@
 	repeat int64
 	// again is the share of searches and reads that are sent again, under a key.
 	again int64
+	// skew is the share that goes to two nodes; mix weighs the kinds.
+	skew int64
+	mix  []int64
 	// reached holds keys, and keys with a shard, of which a server was asked.
 	reached map[string]bool
 	// sends counts how often a key was read by some node; refused are those told to be repeats.
@@ -33,6 +33,7 @@
 
 func (c *callers) init(w *World) {
 	c.w, c.rate, c.repeat = w, w.Script.Int("rate", 100), w.Script.Int("repeat_percent", 10)
+	c.skew, c.mix = w.Script.Int("skew", 0), []int64{8, 2, 1, 1}
 	c.again, c.reached = w.Script.Int("repeat_searches", 0), map[string]bool{}
 	c.sends, c.refused = map[string]int{}, map[string]bool{}
 	c.until = w.Script.Int("seconds", 30)*1_000_000 - w.Shape.Most - 1_000_000
@@ -68,15 +69,7 @@
 		Index: s.Index, Kind: inquiry.Search, Query: fmt.Sprintf("q%d", rnd.IntN(200)), Limit: 5 + rnd.IntN(20),
 		Record: records.ID(rnd.IntN(records.Size)), Deadline: s.Least + rnd.Int64N(s.Most-s.Least+1),
 	}
-	switch r := rnd.IntN(12); {
-	case r < 8:
-	case r < 10:
-		in.Kind = inquiry.Read
-	case r < 11:
-		in.Kind = inquiry.Correct
-	default:
-		in.Kind = inquiry.Part
-	}
+	in.Kind = c.kind()
 	if in.Once() {
 		in.Key = fmt.Sprintf("key-%d", c.n)
 		in.Body = "correction"
@@ -98,7 +91,7 @@
 // not waiting for the answer, or after a failure.
 func (c *callers) send(in inquiry.Inquiry, tries int, eager bool) {
 	w := c.w
-	p := c.ready[w.rnd.IntN(len(c.ready))]
+	p := c.node()
 	sent := w.now
 	c.open++
 	repeat := in
@@ -124,7 +117,9 @@
 		}
 		planned := p.drains
 		c.sends[in.Key]++
+		read := w.now
 		p.front.read(in, func(o *inquiry.Outcome) {
+			w.Judge.Came(in.Kind, read, o == nil || o.Code != inquiry.OverCeiling || o.Why == inquiry.RepeatOver)
 			c.open--
 			c.judge(p, &in, o, sent, planned || p.drains)
 			switch {
@@ -138,94 +133,24 @@
 	})
 }
 
-func (c *callers) judge(p *proc, in *inquiry.Inquiry, o *inquiry.Outcome, sent int64, planned bool) {
-	w := c.w
-	if o == nil {
-		w.Judge.Count("outcome.cut", 1)
-		w.Judge.Cut(p.name, w.now, planned && !w.killed[p.name])
-		return
-	}
-	w.note(p.name + " " + o.ID + " " + in.Kind + " " + in.Key + " " + o.Code + " " + o.Why)
-	w.Judge.Count("outcome."+o.Code, 1)
-	w.Judge.Count("outcome."+in.Kind+"."+o.Code, 1)
-	if took := w.now - sent; took > in.Deadline+100_000 {
-		w.Judge.Count("late", 1)
-	}
-	if o.Ran == "no" && in.Key != "" && (o.Code == inquiry.Shed || o.Code == inquiry.OverCeiling || o.Code == inquiry.GivenUp) && c.lone(in) {
-		w.Judge.Refused(in.Key, w.now)
-	}
-	if (o.Code == inquiry.Shed || o.Code == inquiry.OverCeiling || o.Code == inquiry.GivenUp) && o.Retry == 0 {
-		w.Judge.Fail("no_retry_after", w.now, "%s %s has no Retry-After", o.ID, o.Code)
-	}
-	w.healed(o, sent)
-	w.Judge.Proper(o, w.now, c.mayRefuse(in, o))
-	if o.Code != inquiry.OK {
-		return
-	}
-	w.Judge.Served(w.now)
-	if o.Repeat {
-		w.Judge.Count("repeats_answered", 1)
-		return
-	}
-	if in.Kind != inquiry.Search {
-		w.Judge.Single(in.Record, o, w.now)
-		return
-	}
-	if len(o.Missing) > 0 {
-		w.Judge.Count("partial", 1)
-	}
-	w.Judge.Search(in.Index, in.Query, in.Limit, 75, o, w.cuts, w.now)
-}
-
-// lone tells that no other try of the same key can be under way or have run:
-// only then does a refusal bind the key.
-func (c *callers) lone(in *inquiry.Inquiry) bool { return c.repeat == 0 || in.Kind == inquiry.Search }
-
-// mayRefuse tells whether the world gave a reason to refuse: the scenario says
-// so, no server of a needed shard is there, or the key's homes cannot vouch.
-func (c *callers) mayRefuse(in *inquiry.Inquiry, o *inquiry.Outcome) string {
-	w := c.w
-	if w.Script.Text("may_refuse", "") != "" {
-		return "scenario"
-	}
-	if in.Once() && in.Key != "" && strings.HasPrefix(o.Why, inquiry.ClaimsShort) {
-		return "claims"
-	}
-	if o.Why == inquiry.RepeatOver && c.sends[in.Key] > 1 {
-		c.refused[in.Key] = true
-		return "repeat"
-	}
-	for _, n := range w.cuts {
-		shard := -1
-		if in.Kind != inquiry.Search {
-			shard = inquiry.ShardOf(in.Record, n)
-		}
-		if w.noServer(n, shard) {
-			return "no_server"
+// kind draws one by the mix: two thirds are searches unless a scenario says otherwise.
+func (c *callers) kind() string {
+	sum := int64(0)
+	for _, n := range c.mix {
+		sum += n
+	}
+	r := c.w.rnd.Int64N(sum)
+	for i, n := range c.mix {
+		if r -= n; r < 0 {
+			return sheet.Kinds[i]
 		}
 	}
-	return ""
-}
-
-// asked notes that a server is asked, and tells whether one was asked the same before.
-func (c *callers) asked(a *inquiry.Ask) bool {
-	key := a.Inquiry.Key
-	if key == "" {
-		return false
-	}
-	c.reached[key] = true
-	at := fmt.Sprintf("%s/%d", key, a.Shard)
-	was := c.reached[at]
-	c.reached[at] = true
-	return was
+	return inquiry.Search
 }
 
-func (c *callers) finish() {
-	for _, key := range slices.Sorted(maps.Keys(c.refused)) {
-		if !c.reached[key] {
-			c.w.Judge.Fail(check.ProperShed, c.w.now, "%s was refused as a repeat and no server was ever asked", key)
-		}
+func (c *callers) node() *proc {
+	if c.skew > 0 && c.w.rnd.Int64N(100) < c.skew {
+		return c.ready[c.w.rnd.IntN(min(2, len(c.ready)))]
 	}
-	c.w.Judge.Count("callers_sent", c.n)
-	c.w.Judge.Count("callers_open", int64(c.open))
+	return c.ready[c.w.rnd.IntN(len(c.ready))]
 }
--- /dev/null
+++ b/lab/sim/judging.go
@@ -0,0 +1,106 @@
+// What the simulated callers make of their answers, and what they tell the judge.
+package sim
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"wallport/inquiry"
+	"wallport/lab/check"
+)
+
+func (c *callers) judge(p *proc, in *inquiry.Inquiry, o *inquiry.Outcome, sent int64, planned bool) {
+	w := c.w
+	if o == nil {
+		w.Judge.Count("outcome.cut", 1)
+		w.Judge.Cut(p.name, w.now, planned && !w.killed[p.name])
+		return
+	}
+	w.note(p.name + " " + o.ID + " " + in.Kind + " " + in.Key + " " + o.Code + " " + o.Why)
+	w.Judge.Count("outcome."+o.Code, 1)
+	w.Judge.Count("outcome."+in.Kind+"."+o.Code, 1)
+	if took := w.now - sent; took > in.Deadline+100_000 {
+		w.Judge.Count("late", 1)
+	}
+	if o.Ran == "no" && in.Key != "" && (o.Code == inquiry.Shed || o.Code == inquiry.OverCeiling || o.Code == inquiry.GivenUp) && c.lone(in) {
+		w.Judge.Refused(in.Key, w.now)
+	}
+	if (o.Code == inquiry.Shed || o.Code == inquiry.OverCeiling || o.Code == inquiry.GivenUp) && o.Retry == 0 {
+		w.Judge.Fail("no_retry_after", w.now, "%s %s has no Retry-After", o.ID, o.Code)
+	}
+	w.healed(o, sent)
+	w.Judge.Proper(o, w.now, c.mayRefuse(in, o))
+	if o.Code != inquiry.OK {
+		return
+	}
+	w.Judge.Served(w.now)
+	if o.Repeat {
+		w.Judge.Count("repeats_answered", 1)
+		return
+	}
+	if in.Kind != inquiry.Search {
+		w.Judge.Single(in.Record, o, w.now)
+		return
+	}
+	if len(o.Missing) > 0 {
+		w.Judge.Count("partial", 1)
+	}
+	w.Judge.Search(in.Index, in.Query, in.Limit, 75, o, w.cuts, w.now)
+}
+
+// lone tells that no other try of the same key can be under way or have run:
+// only then does a refusal bind the key.
+func (c *callers) lone(in *inquiry.Inquiry) bool {
+	return c.repeat == 0 && c.sends[in.Key] <= 1 || in.Kind == inquiry.Search
+}
+
+// mayRefuse tells whether the world gave a reason to refuse: the scenario says
+// so, no server of a needed shard is there, or the key's homes cannot vouch.
+func (c *callers) mayRefuse(in *inquiry.Inquiry, o *inquiry.Outcome) string {
+	w := c.w
+	if w.Script.Text("may_refuse", "") != "" {
+		return "scenario"
+	}
+	if in.Once() && in.Key != "" && strings.HasPrefix(o.Why, inquiry.ClaimsShort) {
+		return "claims"
+	}
+	if o.Why == inquiry.RepeatOver && c.sends[in.Key] > 1 {
+		c.refused[in.Key] = true
+		return "repeat"
+	}
+	for _, n := range w.cuts {
+		shard := -1
+		if in.Kind != inquiry.Search {
+			shard = inquiry.ShardOf(in.Record, n)
+		}
+		if w.noServer(n, shard) {
+			return "no_server"
+		}
+	}
+	return ""
+}
+
+// asked notes that a server is asked, and tells whether one was asked the same before.
+func (c *callers) asked(a *inquiry.Ask) bool {
+	key := a.Inquiry.Key
+	if key == "" {
+		return false
+	}
+	c.reached[key] = true
+	at := fmt.Sprintf("%s/%d", key, a.Shard)
+	was := c.reached[at]
+	c.reached[at] = true
+	return was
+}
+
+func (c *callers) finish() {
+	for _, key := range slices.Sorted(maps.Keys(c.refused)) {
+		if !c.reached[key] {
+			c.w.Judge.Fail(check.ProperShed, c.w.now, "%s was refused as a repeat and no server was ever asked", key)
+		}
+	}
+	c.w.Judge.Count("callers_sent", c.n)
+	c.w.Judge.Count("callers_open", int64(c.open))
+}
--- /dev/null
+++ b/lab/sim/limits.go
@@ -0,0 +1,64 @@
+// What scenarios say of limits and load: the sheet's capacity and ceilings, the rate,
+// the mix of kinds, and callers who crowd on a few nodes.
+package sim
+
+import (
+	"maps"
+	"strconv"
+	"strings"
+
+	"wallport/inquiry"
+	"wallport/lab/check"
+)
+
+// shares are those of the shape's sheet, in hundredths.
+var shares = map[string]float64{inquiry.Search: 60, inquiry.Read: 20, inquiry.Correct: 10, inquiry.Part: 10}
+
+// load does the verbs that change the load or the limits.
+func (w *World) load(verb string, args []string) {
+	first := num(args[0])
+	switch verb {
+	case "rate":
+		w.calls.rate = first
+	case "skew":
+		// So many in a hundred inquiries go to two of the nodes.
+		w.calls.skew = first
+	case "mix":
+		w.calls.mix = nil
+		for _, a := range args {
+			w.calls.mix = append(w.calls.mix, num(a))
+		}
+	case "limits":
+		w.oper.capacity = first
+		w.oper.ceilings = map[string]float64{}
+		for _, a := range args[1:] {
+			kind, n, _ := strings.Cut(a, "=")
+			w.oper.ceilings[kind], _ = strconv.ParseFloat(n, 64)
+		}
+		w.oper.put(w.oper.via(), w.oper.now(), "put", 0, nil)
+	}
+	w.judgedLimits()
+}
+
+// judgedLimits tells the judge what holds from now on; a booking's begin and end do too.
+func (w *World) judgedLimits() {
+	if w.Script.Text("judge_limits", "") == "" {
+		return
+	}
+	capacity := float64(w.oper.capacity)
+	l := check.Limits{From: w.now, Capacity: capacity, Shares: map[string]float64{}, Ceilings: maps.Clone(w.oper.ceilings), Spare: map[string]float64{}, Booked: map[string]bool{}}
+	booked, all := map[string]float64{}, 0.0
+	for _, b := range w.oper.booked {
+		if b.from <= w.now && w.now < b.to {
+			booked[b.kind] += capacity * float64(b.slice) / 100
+			all += capacity * float64(b.slice) / 100
+		}
+	}
+	l.Free = capacity - all
+	for kind, share := range shares {
+		l.Booked[kind] = booked[kind] > 0
+		l.Shares[kind] = (capacity-all)*share/100 + booked[kind]
+		l.Spare[kind] = capacity - all + booked[kind]
+	}
+	w.Judge.Limit(l)
+}
--- a/lab/sim/operators.go
+++ b/lab/sim/operators.go
@@ -21,6 +21,9 @@
 	w      *World
 	mark   int64
 	booked map[string]booking
+	// What the sheet says of limits from the next put on.
+	capacity int64
+	ceilings map[string]float64
 	// Calls are counted so that a later one for the same thing ends the asking for an earlier one.
 	zoneCall map[string]int
 	cutCall  int
@@ -28,6 +31,7 @@
 
 func (o *operators) init(w *World) {
 	o.w, o.mark, o.booked, o.zoneCall = w, markBase, map[string]booking{}, map[string]int{}
+	o.capacity = w.Script.Int("capacity", 2000)
 }
 
 // via picks a node for an operator's call; nil if none is up.
@@ -52,7 +56,12 @@
 	}
 	row := s["services"].([]any)[0].(map[string]any)
 	row["ramp_us"] = mark
-	row["capacity"] = o.w.Script.Int("capacity", 2000)
+	row["capacity"] = o.capacity
+	for _, v := range s["rows"].([]any) {
+		if c := o.ceilings[v.(map[string]any)["kind"].(string)]; c > 0 {
+			v.(map[string]any)["ceiling"] = c
+		}
+	}
 	if on != nil {
 		var was map[string]any
 		if json.Unmarshal(sheet.JSON(on), &was) == nil {
--- a/lab/sim/verbs.go
+++ b/lab/sim/verbs.go
@@ -94,6 +94,8 @@
 		w.recut(arg(0), int(num(arg(1))), int(num(arg(2))))
 	case "cut":
 		w.oper.cut(arg(0), int(num(arg(1))))
+	case "rate", "skew", "mix", "limits":
+		w.load(st.Verb, st.Args)
 	case "lose-all":
 		w.loseAll()
 	case "start-all":
@@ -143,6 +145,7 @@
 }
 
 func (w *World) proc(verb string, p *proc) {
+	w.Judge.Moved(w.now)
 	switch verb {
 	case "kill":
 		w.killed[p.name] = true
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -150,6 +150,7 @@
 		w.at(st.At, func() { w.do(st) })
 	}
 	w.oper.first()
+	w.at(w.Script.Int("callers_from_us", 10_000_000), w.judgedLimits)
 	w.calls.begin()
 	w.after(100_000, w.sample)
 }
@@ -190,6 +191,7 @@
 	w.Judge.Chain()
 	w.Judge.Budgets()
 	w.Judge.Ramps()
+	w.Judge.LimitsHeld(w.calls.until)
 	w.calls.finish()
 	w.heals()
 	if w.back >= 0 {
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,19 +1,30 @@
 // Package usage spreads each node's own rate of inquiries over the mesh, so
 // that fleet-wide shares and ceilings can be split by who is really asked. It
-// tells only when the rate moved by a fifth, and at most once a second.
+// tells only when the rate moved by a fifth, or near a limit by less, and at most
+// once a second.
 package usage
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 
 	"wallport/kernel"
+	"wallport/members"
 	"wallport/mesh"
 	"wallport/wire"
 )
 
-const tellEvery = 1_000_000
+// Figures of the telling: how often, by what part a rate must have moved, and what
+// part of a limit is near it.
+const (
+	tellEvery = 1_000_000
+	movedBy   = 0.2
+	movedNear = 0.06
+	nearAt    = 0.7
+	jumpOver  = 5
+)
 
 // Meter counts the inquiries of one index and kind that came to this node.
 type Meter struct {
@@ -23,32 +34,44 @@
 	told  float64
 	other atomic.Int64
 	mine  atomic.Int64
+	near  atomic.Bool
 }
 
 // Came counts one inquiry.
 func (m *Meter) Came() { m.came.Add(1) }
 
-// Fraction is this node's part of the fleet's rate, with a floor for the
-// moment when callers move here before the others know.
-func (m *Meter) Fraction(nodes int) float64 {
-	mine, other := float64(m.mine.Load()), float64(m.other.Load())
-	floor := 0.5 / float64(max(1, nodes))
-	if mine+other < 1 {
-		return floor + 1/float64(max(1, nodes))
+// Bound tells the limits that hold for what is metered; near one of them the rate is
+// told more exactly, since then the parts of the nodes have to add up to the whole.
+func (m *Meter) Bound(a, b float64) {
+	total := float64(m.mine.Load()+m.other.Load()) / 10
+	near := a > 0 && total > nearAt*a || b > 0 && total > nearAt*b
+	if m.near.Load() != near {
+		m.near.Store(near)
+	}
+}
+
+// Part is this node's part of a limit, in inquiries a second: as much of it as the node
+// has of the fleet's rate, an equal part while none is known. What the fleet as a whole
+// leaves of the limit is open to callers who have just come here: to each node half.
+func (m *Meter) Part(limit float64, nodes int) float64 {
+	mine, other := float64(m.mine.Load())/10, float64(m.other.Load())/10
+	if mine+other < 0.1 {
+		return limit / float64(max(1, nodes))
 	}
-	return min(1, mine/(mine+other)+floor)
+	return limit*mine/(mine+other) + max(0, limit-mine-other)/2
 }
 
 // Usage is the plug-in.
 type Usage struct {
-	mesh   *mesh.Mesh
-	meters sync.Map
-	others map[string]map[string]int64
+	mesh    *mesh.Mesh
+	members *members.Members
+	meters  sync.Map
+	others  map[string]map[string]int64
 }
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 55, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Usage{mesh: kernel.Find[*mesh.Mesh](k), others: map[string]map[string]int64{}}
+		return &Usage{mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), others: map[string]map[string]int64{}}
 	}})
 }
 
@@ -94,13 +117,23 @@
 	u.meters.Range(func(k, v any) bool {
 		key, m := k.(string), v.(*Meter)
 		n := m.came.Load()
-		m.rate += (float64(n-m.last) - m.rate) / 3
+		if came := float64(n - m.last); came > 2*m.rate+jumpOver {
+			// Callers have moved here: that is not noise.
+			m.rate = came
+		} else {
+			m.rate += (came - m.rate) / 2
+		}
 		m.last = n
-		moved = moved || m.rate > 1.2*m.told+0.5 || m.rate < 0.8*m.told-0.5
+		by := movedBy
+		if m.near.Load() {
+			by = movedNear
+		}
+		moved = moved || math.Abs(m.rate-m.told) > by*m.told+0.5
 		report.Rates[key] = int64(m.rate * 10)
 		var other int64
 		for origin, rates := range u.others {
-			if u.mesh.Live(origin, t.Now) {
+			// One that drains is asked no more; what it was asked goes elsewhere.
+			if u.mesh.Live(origin, t.Now) && !u.members.Drains(origin) {
 				other += rates[key]
 			}
 		}
