Empty cores no longer form a second fleet beside nodes that know of the first

Cause: seeds were redialled every 30 s, nodes have enough peers among themselves, and an empty core listens for 2.5 s and knows only the other cores. It had passed with 6 nodes, since those have fewer peers than they aim at. Change: a seed that did not answer is dialled every second or two; a core listens 4 s.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -5,6 +5,8 @@
 package mesh
 
 import (
+	"crypto/ed25519"
+
 	"wallport/kernel"
 	"wallport/wire"
 )
@@ -21,6 +23,7 @@
 	SeedEvery      = 30_000_000
 	BackoffFirst   = 500_000
 	BackoffMost    = 5_000_000
+	SeedBackoff    = 1_000_000
 	SeenFor        = 60_000_000
 	SeenMost       = 1 << 16
 	OriginRate     = 30
@@ -77,7 +80,8 @@
 		k: k, self: kernel.Fingerprint(k.Boot.Key.Public), addr: k.Boot.Env.Mesh,
 		peers: map[uint64]*peer{}, store: newStore(), seen: newSeenSet(), dials: map[string]*dial{},
 	}
-	m.store.origin(m.self, 0).beat = 1
+	self := m.store.origin(m.self, 0)
+	self.beat, self.key, self.sig = 1, k.Boot.Key.Public, ed25519.Sign(k.Boot.Key.Private, beatText(1))
 	return m
 }
 
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -1,5 +1,5 @@
 // Peers: whom to dial, when, and which channel to give up. Seeds are dialled
-// with a growing backoff and again every half minute; other addresses are
+// with a growing backoff, every second while they do not answer, and every half minute; other addresses are
 // learned from heartbeats. Above the cap the peer seen longest ago is evicted.
 package mesh
 
@@ -15,6 +15,8 @@
 	next  int64
 	under bool
 	tries int
+	// failed is that nobody answered at the last try.
+	failed bool
 }
 
 func (m *Mesh) know(addr string) {
@@ -44,9 +46,14 @@
 // dialMore opens channels up to the target, and to every seed now and then.
 func (m *Mesh) dialMore(t *kernel.Turn) {
 	seeds := m.k.Boot.Env.Seeds
-	if t.Now-m.lastSeed >= SeedEvery || len(m.peers) == 0 {
+	all := t.Now-m.lastSeed >= SeedEvery || len(m.peers) == 0
+	if all {
 		m.lastSeed = t.Now
-		for _, s := range seeds {
+	}
+	for _, s := range seeds {
+		// One that did not answer is tried every second: whoever comes back there, with an
+		// empty disk perhaps, has to hear of this fleet before it takes itself for the first.
+		if d := m.dials[s]; all || d != nil && d.failed {
 			m.tryDial(t, s)
 		}
 	}
@@ -75,7 +82,11 @@
 	}
 	d.under = true
 	d.next = t.Now + d.wait + t.Rand.Int64N(d.wait/4+1)
-	d.wait = min(2*d.wait, BackoffMost)
+	most := int64(BackoffMost)
+	if slices.Contains(m.k.Boot.Env.Seeds, addr) {
+		most = SeedBackoff
+	}
+	d.wait = min(2*d.wait, most)
 	t.Dial(addr)
 	return true
 }
@@ -83,7 +94,7 @@
 func (m *Mesh) up(t *kernel.Turn, v kernel.ChannelUp) {
 	if v.Dialed {
 		if d := m.dials[v.Addr]; d != nil {
-			d.under, d.wait, d.tries = false, BackoffFirst, 0
+			d.under, d.wait, d.tries, d.failed = false, BackoffFirst, 0, false
 		}
 	}
 	if v.Peer == m.self {
@@ -135,7 +146,7 @@
 		return
 	}
 	if d := m.dials[v.Addr]; d != nil && d.under && v.Chan == 0 {
-		d.under = false
+		d.under, d.failed = false, true
 		d.tries++
 		if d.tries > 20 && !slices.Contains(m.k.Boot.Env.Seeds, v.Addr) {
 			delete(m.dials, v.Addr)
--- a/part/forming.go
+++ b/part/forming.go
@@ -14,8 +14,9 @@
 	"wallport/wire"
 )
 
-// FormAfter is how long an empty core listens before it proposes.
-const FormAfter = 2_500_000
+// FormAfter is how long an empty core listens before it proposes: processes that know of
+// a fleet dial a seed that did not answer once in two seconds (mesh.SeedBackoff).
+const FormAfter = 4_000_000
 
 // FormEvery is how often a proposal is repeated.
 const FormEvery = 500_000
