--- a/env/env.go
+++ b/env/env.go
@@ -14,19 +14,21 @@
 
 // Env is the place of one process. Flags win over the file.
 type Env struct {
-	File     string   `long:"env-file" description:"file of key=value lines, the keys being these flags' names"`
-	Name     string   `long:"name" description:"name in logs and tables; made from the mesh address when absent"`
-	Zone     string   `long:"zone" description:"zone of this machine"`
-	Mesh     string   `long:"mesh" description:"IP:port of the mesh"`
-	Caller   string   `long:"caller" description:"IP:port of the caller API (node only)"`
-	Operator string   `long:"operator" description:"IP:port of the operator API, conditions and metrics"`
-	Seeds    []string `long:"seed" description:"mesh IP:port of another process; three at most"`
-	Data     string   `long:"data" description:"data folder (core only)"`
-	Platform string   `long:"platform" description:"URL of the platform's list of backends (node only)"`
-	Token    string   `long:"operator-token" description:"token that operators must send; empty turns authorisation off"`
-	Fleet    string   `long:"fleet-secret" description:"secret that all processes of one fleet share"`
-	PollsPer int64    `long:"polls-per-10s" description:"calls to the platform list allowed to the whole fleet in 10 s" default:"20"`
-	LogLevel string   `long:"log-level" description:"debug, info, warn or error" default:"info"`
+	File          string   `long:"env-file" description:"file of key=value lines, the keys being these flags' names"`
+	Name          string   `long:"name" description:"name in logs and tables; made from the mesh address when absent"`
+	Zone          string   `long:"zone" description:"zone of this machine"`
+	Mesh          string   `long:"mesh" description:"IP:port of the mesh"`
+	Caller        string   `long:"caller" description:"IP:port of the caller API (node only)"`
+	Operator      string   `long:"operator" description:"IP:port of the operator API, conditions and metrics"`
+	Seeds         []string `long:"seed" description:"mesh IP:port of another process; three at most"`
+	Data          string   `long:"data" description:"data folder (core only)"`
+	Platform      string   `long:"platform" description:"URL of the platform's list of backends (node only)"`
+	Token         string   `long:"operator-token" description:"token that operators must send; empty turns authorisation off"`
+	Fleet         string   `long:"fleet-secret" description:"secret that all processes of one fleet share"`
+	FleetToo      string   `long:"fleet-secret-too" description:"a second secret that is accepted from others, while the secret is being changed"`
+	PollsPer      int64    `long:"polls-per-10s" description:"calls to the platform list allowed to the whole fleet in 10 s" default:"20"`
+	UnsignedBeats bool     `long:"unsigned-beats" description:"take signs of life that are not signed, while a fleet is upgraded from a release before 2"`
+	LogLevel      string   `long:"log-level" description:"debug, info, warn or error" default:"info"`
 }
 
 // Finding is one fault with its place.
@@ -60,7 +62,7 @@
 func (e *Env) fields() map[string]*string {
 	return map[string]*string{
 		"name": &e.Name, "zone": &e.Zone, "mesh": &e.Mesh, "caller": &e.Caller, "operator": &e.Operator,
-		"data": &e.Data, "platform": &e.Platform, "operator-token": &e.Token, "fleet-secret": &e.Fleet,
+		"data": &e.Data, "platform": &e.Platform, "operator-token": &e.Token, "fleet-secret": &e.Fleet, "fleet-secret-too": &e.FleetToo,
 	}
 }
 
@@ -146,6 +148,9 @@
 	if e.Platform != "" && !strings.HasPrefix(e.Platform, "http://") {
 		out = append(out, Finding{"platform", "not an http:// URL: " + e.Platform})
 	}
+	if e.FleetToo != "" && e.Fleet == "" {
+		out = append(out, Finding{"fleet-secret-too", "needs a fleet-secret beside it"})
+	}
 	if e.PollsPer < 1 {
 		out = append(out, Finding{"polls-per-10s", "must be at least 1"})
 	}
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -5,6 +5,9 @@
 package mesh
 
 import (
+	"crypto/ed25519"
+	"encoding/binary"
+
 	"wallport/kernel"
 	"wallport/wire"
 )
@@ -14,6 +17,7 @@
 	self := m.store.origins[m.self]
 	self.beat++
 	self.beatAt = t.Now
+	self.key, self.sig = m.k.Boot.Key.Public, ed25519.Sign(m.k.Boot.Key.Private, beatText(self.beat))
 	for _, id := range sortedKeys(m.peers) {
 		if p := m.peers[id]; t.Now-p.lastSeen > SilentAfter {
 			t.Counts.Add("mesh_peers_silent", 1)
@@ -44,7 +48,7 @@
 		if o.beat == 0 {
 			continue
 		}
-		hb.Marks = append(hb.Marks, wire.Mark{Origin: fp, Max: o.max, Sum: o.sum, Beat: o.beat})
+		hb.Marks = append(hb.Marks, wire.Mark{Origin: fp, Max: o.max, Sum: o.sum, Beat: o.beat, Key: o.key, Sig: o.sig})
 	}
 	for _, part := range sortedKeys(m.store.parts) {
 		hb.Parts = append(hb.Parts, m.store.parts[part].Stamp)
@@ -113,11 +117,31 @@
 	if last, dead := m.store.buried[mk.Origin]; dead && mk.Beat <= last {
 		return
 	}
+	if o := m.store.origins[mk.Origin]; o != nil && mk.Beat <= o.beat {
+		return
+	}
+	if !m.proved(mk) {
+		t.Counts.Add("mesh_dropped_beat", 1)
+		return
+	}
 	o := m.store.origin(mk.Origin, t.Now)
-	if mk.Beat > o.beat {
-		o.beat, o.beatAt = mk.Beat, t.Now
-		delete(m.store.buried, mk.Origin)
+	o.beat, o.beatAt, o.key, o.sig = mk.Beat, t.Now, mk.Key, mk.Sig
+	delete(m.store.buried, mk.Origin)
+}
+
+// beatText is what an origin signs of each beat. The count binds it: it is signed when
+// it is due and raises nothing a second time.
+func beatText(beat uint64) []byte {
+	return binary.BigEndian.AppendUint64([]byte("wallport beat "), beat)
+}
+
+// proved tells whether the origin itself came to a beat. Releases before this one did
+// not sign them; while a fleet is upgraded from one, a setting lets those pass.
+func (m *Mesh) proved(mk wire.Mark) bool {
+	if len(mk.Sig) == 0 {
+		return m.k.Boot.Env.UnsignedBeats
 	}
+	return len(mk.Key) == ed25519.PublicKeySize && kernel.Fingerprint(mk.Key) == mk.Origin && ed25519.Verify(mk.Key, beatText(mk.Beat), mk.Sig)
 }
 
 // catchUp sends what the other side lacks of an origin: what is past its
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -164,9 +164,7 @@
 func TestBuriedOriginDoesNotComeBackFromAStaleHolder(t *testing.T) {
 	r := newRig(t)
 	fp := kernel.Fingerprint(key(3).Public)
-	beat := func(n uint64) {
-		r.feed(kernel.Received{Chan: 7, Data: wire.Seal(wire.KindHeartbeat, 0, &wire.Heartbeat{Marks: []wire.Mark{{Origin: fp, Beat: n}}})})
-	}
+	beat := func(n uint64) { r.heartbeat(mark(key(3), n)) }
 	beat(5)
 	r.gossip(entry(key(3), "opinion", "s1", 1))
 	must.True(t, r.m.Live(fp, r.now))
--- a/mesh/store.go
+++ b/mesh/store.go
@@ -17,6 +17,8 @@
 	sum     uint64
 	beat    uint64
 	beatAt  int64
+	key     []byte
+	sig     []byte
 	tokens  float64
 	tokenAt int64
 	entries map[string]*wire.Entry
--- a/process/channels.go
+++ b/process/channels.go
@@ -90,8 +90,15 @@
 	}
 }
 
-func (c *channels) proof(from, to string) []byte {
-	h := hmac.New(sha256.New, []byte(c.p.Kernel.Boot.Env.Fleet))
+// accepts tells whether a proof was made with the fleet's secret, or with the second
+// one that is accepted while the secret is being changed.
+func (c *channels) accepts(proof []byte, from, to string) bool {
+	e := c.p.Kernel.Boot.Env
+	return hmac.Equal(proof, prove(e.Fleet, from, to)) || e.FleetToo != "" && hmac.Equal(proof, prove(e.FleetToo, from, to))
+}
+
+func prove(secret, from, to string) []byte {
+	h := hmac.New(sha256.New, []byte(secret))
 	h.Write([]byte("wallport " + from + " " + to))
 	return h.Sum(nil)
 }
@@ -119,7 +126,7 @@
 		lane = "mesh"
 	}
 	conn.SetDeadline(time.Now().Add(helloWithin))
-	mine := wire.Hello{Addr: c.p.Kernel.Boot.Env.Mesh, Fleet: lane, Proof: c.proof(self, other)}
+	mine := wire.Hello{Addr: c.p.Kernel.Boot.Env.Mesh, Fleet: lane, Proof: prove(c.p.Kernel.Boot.Env.Fleet, self, other)}
 	if err := wire.WriteTo(conn, wire.Seal(wire.KindHello, 0, &mine)); err != nil {
 		return fail(err)
 	}
@@ -132,7 +139,7 @@
 	if err != nil || f.Kind != wire.KindHello || wire.Decode(f.Body, &theirs) != nil {
 		return fail(errors.New("no hello"))
 	}
-	if !hmac.Equal(theirs.Proof, c.proof(other, self)) {
+	if !c.accepts(theirs.Proof, other, self) {
 		c.p.Kernel.Counts.Add("channels_forbidden", 1)
 		c.p.notes.Warn("channel_forbidden", zap.String("addr", conn.RemoteAddr().String()), zap.String("why", "fleet secret differs"))
 		return fail(errors.New("fleet secret differs"))
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -65,6 +65,28 @@
 	must.Eq(t, 0, b.peers())
 }
 
+func TestSecretIsChangedWithoutAStop(t *testing.T) {
+	// Both secrets stand side by side: one process at a time goes from the old to the new.
+	steps := [][2]env.Env{
+		{{Fleet: "old", FleetToo: "new"}, {Fleet: "old"}},
+		{{Fleet: "new", FleetToo: "old"}, {Fleet: "old", FleetToo: "new"}},
+		{{Fleet: "new"}, {Fleet: "new", FleetToo: "old"}},
+	}
+	for _, s := range steps {
+		s[0].Mesh, s[1].Mesh = free(t), free(t)
+		a := start(t, s[0])
+		s[1].Seeds = []string{s[0].Mesh}
+		b := start(t, s[1])
+		until(t, "they meet", func() bool { return a.peers() == 1 && b.peers() == 1 })
+	}
+	// A process that was not given the new secret is shut out for good.
+	a := start(t, env.Env{Mesh: free(t), Fleet: "new"})
+	b := start(t, env.Env{Mesh: free(t), Fleet: "old", Seeds: []string{a.Kernel.Boot.Env.Mesh}})
+	until(t, "it is refused", func() bool { return a.Kernel.Counts.Of("channels_forbidden").Load() > 1 })
+	must.Eq(t, 0, a.peers())
+	must.Eq(t, 0, b.peers())
+}
+
 func TestStrangersBytesEndOnlyTheirConnection(t *testing.T) {
 	a := start(t, env.Env{Mesh: free(t)})
 	c, err := net.Dial("tcp", a.Kernel.Boot.Env.Mesh)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -45,6 +45,9 @@
 	Max    uint64 `msg:"m"`
 	Sum    uint64 `msg:"s"`
 	Beat   uint64 `msg:"b"`
+	// Key and Sig prove that the origin itself came to this beat.
+	Key []byte `msg:"k"`
+	Sig []byte `msg:"g"`
 }
 
 // Heartbeat keeps a channel alive, exchanges addresses and lets each side see what the other lacks.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -4089,6 +4089,18 @@
 				err = msgp.WrapError(err, "Beat")
 				return
 			}
+		case "k":
+			z.Key, err = dc.ReadBytes(z.Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "g":
+			z.Sig, err = dc.ReadBytes(z.Sig)
+			if err != nil {
+				err = msgp.WrapError(err, "Sig")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4102,9 +4114,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Mark) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 6
 	// write "o"
-	err = en.Append(0x84, 0xa1, 0x6f)
+	err = en.Append(0x86, 0xa1, 0x6f)
 	if err != nil {
 		return
 	}
@@ -4143,15 +4155,35 @@
 		err = msgp.WrapError(err, "Beat")
 		return
 	}
+	// write "k"
+	err = en.Append(0xa1, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteBytes(z.Sig)
+	if err != nil {
+		err = msgp.WrapError(err, "Sig")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Mark) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 6
 	// string "o"
-	o = append(o, 0x84, 0xa1, 0x6f)
+	o = append(o, 0x86, 0xa1, 0x6f)
 	o = msgp.AppendString(o, z.Origin)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
@@ -4162,6 +4194,12 @@
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendUint64(o, z.Beat)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBytes(o, z.Key)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBytes(o, z.Sig)
 	return
 }
 
@@ -4207,6 +4245,18 @@
 				err = msgp.WrapError(err, "Beat")
 				return
 			}
+		case "k":
+			z.Key, bts, err = msgp.ReadBytesBytes(bts, z.Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "g":
+			z.Sig, bts, err = msgp.ReadBytesBytes(bts, z.Sig)
+			if err != nil {
+				err = msgp.WrapError(err, "Sig")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4221,7 +4271,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Mark) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Key) + 2 + msgp.BytesPrefixSize + len(z.Sig)
 	return
 }
 
