--- a/inquiry/pick.go
+++ b/inquiry/pick.go
@@ -79,11 +79,11 @@
 func ramped(all []*table.Server, now, ramp int64, r *rnd) []*table.Server {
 	most := int64(1)
 	for _, s := range all {
-		most = max(most, s.Warm(now, ramp))
+		most = max(most, warmth(s, now, ramp))
 	}
 	out := make([]*table.Server, 0, len(all))
 	for _, s := range all {
-		w := s.Warm(now, ramp)
+		w := warmth(s, now, ramp)
 		if w >= most || int64(r.n(int(most))) < w {
 			out = append(out, s)
 		}
@@ -91,6 +91,15 @@
 	return out
 }
 
+// warmth is a server's, as far as is known. One that failed when it was asked last may
+// have been started anew since: it counts as just started until it is heard.
+func warmth(s *table.Server, now, ramp int64) int64 {
+	if ramp > 0 && s.Gauge.Fails.Load() > 0 {
+		return table.RampStart
+	}
+	return s.Warm(now, ramp)
+}
+
 func near(all []*table.Server, zone string) []*table.Server {
 	var out []*table.Server
 	for _, s := range all {
