--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -5,9 +5,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -21,14 +23,15 @@
 
 // Config is a server's place and manner.
 type Config struct {
-	ID     string `long:"id" required:"yes" description:"server id"`
-	Addr   string `long:"addr" required:"yes" description:"IP:port"`
-	Index  string `long:"index" required:"yes" description:"index"`
-	Cut    string `long:"cut" required:"yes" description:"cut"`
-	Shard  int    `long:"shard" description:"shard"`
-	Shards int    `long:"shards" required:"yes" description:"shards of the cut"`
-	Took   int64  `long:"took-us" default:"2000" description:"microseconds an answer takes when warm"`
-	Ramp   int64  `long:"ramp-us" default:"3000000" description:"microseconds until warm; cold answers take up to five times as long"`
+	ID      string `long:"id" required:"yes" description:"server id"`
+	Addr    string `long:"addr" required:"yes" description:"IP:port"`
+	Index   string `long:"index" required:"yes" description:"index"`
+	Cut     string `long:"cut" required:"yes" description:"cut"`
+	Shard   int    `long:"shard" description:"shard"`
+	Shards  int    `long:"shards" required:"yes" description:"shards of the cut"`
+	Took    int64  `long:"took-us" default:"2000" description:"microseconds an answer takes when warm"`
+	Journal string `long:"journal" description:"file to note every run in, which outlives this process"`
+	Ramp    int64  `long:"ramp-us" default:"3000000" description:"microseconds until warm; cold answers take up to five times as long"`
 }
 
 // Fault is a way to misbehave.
@@ -57,6 +60,7 @@
 	fault    atomic.Pointer[Fault]
 	mu       sync.Mutex
 	ran      map[string]int
+	journal  *os.File
 }
 
 // New makes a server.
@@ -68,6 +72,13 @@
 
 // Run serves until the listener fails.
 func (s *Server) Run() error {
+	if s.c.Journal != "" {
+		f, err := os.OpenFile(s.c.Journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		s.journal = f
+	}
 	l, err := net.Listen("tcp", s.c.Addr)
 	if err != nil {
 		return err
@@ -133,6 +144,10 @@
 		}
 		s.mu.Lock()
 		s.ran[key]++
+		if s.journal != nil {
+			// Whole before the answer: a kill of this process does not lose it.
+			fmt.Fprintln(s.journal, key)
+		}
 		s.mu.Unlock()
 	}
 	if f.Mode == "hang" {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -37,25 +37,35 @@
 	cmd  *exec.Cmd
 	done chan struct{}
 	Data string
+	mesh string
+	oper string
+	zone string
 }
 
 // Fleet is a running fleet.
 type Fleet struct {
-	o        Options
-	mu       sync.Mutex
-	procs    map[string]*Proc
-	Nodes    []platform.Node
-	Opers    map[string]string
-	Platform string
-	servers  []wire.Server
-	seeds    []string
-	client   *http.Client
-	left     map[string]int64
+	o         Options
+	mu        sync.Mutex
+	procs     map[string]*Proc
+	Nodes     []platform.Node
+	Opers     map[string]string
+	Platform  string
+	servers   []wire.Server
+	seeds     []string
+	client    *http.Client
+	left      map[string]int64
+	gone      map[string]bool
+	operators *operators
 }
 
 // New makes an empty fleet.
 func New(o Options) *Fleet {
-	return &Fleet{o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, left: map[string]int64{}, client: &http.Client{Timeout: 12 * time.Second}}
+	f := &Fleet{
+		o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, left: map[string]int64{}, gone: map[string]bool{},
+		client: &http.Client{Timeout: 12 * time.Second},
+	}
+	f.operators = newOperators(f)
+	return f
 }
 
 // ports takes free loopback addresses, all held until all are known.
@@ -147,7 +157,7 @@
 	if role == "node" && f.o.Token != "" {
 		args = append(args, "--operator-token", f.o.Token)
 	}
-	p := &Proc{Name: name, args: append(args, more...)}
+	p := &Proc{Name: name, args: append(args, more...), mesh: mesh, oper: oper, zone: zone}
 	if role == "core" {
 		p.Data = filepath.Join(f.o.Dir, name)
 	}
@@ -170,7 +180,7 @@
 		f.mu.Unlock()
 		err := f.Start(&Proc{Name: v.ID, args: []string{
 			filepath.Join(f.o.Bin, "lab"), "backend", "--id", v.ID, "--addr", v.Addr, "--index", v.Index, "--cut", v.Cut,
-			"--shard", fmt.Sprint(v.Shard), "--shards", fmt.Sprint(shards),
+			"--shard", fmt.Sprint(v.Shard), "--shards", fmt.Sprint(shards), "--journal", filepath.Join(f.o.Dir, v.ID+".ran"),
 		}})
 		if err != nil {
 			return err
--- /dev/null
+++ b/lab/fleet/gather.go
@@ -0,0 +1,75 @@
+// Gathering what the stand-ins saw and what the nodes counted.
+package fleet
+
+import (
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"wallport/lab/backend"
+)
+
+// Ran gathers how often each key ran, over all servers that answer.
+func (f *Fleet) Ran() (ran map[string]int, asked map[string]backend.Report) {
+	ran, asked = map[string]int{}, map[string]backend.Report{}
+	for _, s := range f.servers {
+		resp, err := f.client.Get("http://" + s.Addr + "/lab/report")
+		if err != nil {
+			continue
+		}
+		var r backend.Report
+		err = json.NewDecoder(resp.Body).Decode(&r)
+		resp.Body.Close()
+		if err != nil {
+			continue
+		}
+		asked[s.ID] = r
+	}
+	// From the journals, which outlive a server that was killed.
+	for _, s := range f.servers {
+		b, err := os.ReadFile(filepath.Join(f.o.Dir, s.ID+".ran"))
+		if err != nil {
+			continue
+		}
+		for _, key := range strings.Fields(string(b)) {
+			ran[key]++
+		}
+	}
+	return ran, asked
+}
+
+// Metric sums one counter over the live nodes.
+func (f *Fleet) Metric(name string) int64 {
+	var sum int64
+	for _, oper := range f.Opers {
+		resp, err := f.client.Get("http://" + oper + "/metrics")
+		if err != nil {
+			continue
+		}
+		sum += scan(resp, "wallport_"+name)
+	}
+	return sum
+}
+
+func scan(resp *http.Response, name string) int64 {
+	defer resp.Body.Close()
+	var buf strings.Builder
+	b := make([]byte, 64<<10)
+	for {
+		n, err := resp.Body.Read(b)
+		buf.Write(b[:n])
+		if err != nil {
+			break
+		}
+	}
+	for _, line := range strings.Split(buf.String(), "\n") {
+		if k, v, ok := strings.Cut(line, " "); ok && k == name {
+			n, _ := strconv.ParseInt(v, 10, 64)
+			return n
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/lab/fleet/replace.go
@@ -0,0 +1,78 @@
+// Core machines that are replaced, found, or short of disk.
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// replaceCore ends a core for good and starts an empty one in its zone at a new address.
+func (f *Fleet) replaceCore(old, name string) error {
+	if err := f.Signal(old, syscall.SIGKILL); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.gone[old] = true
+	zone := f.procs[old].zone
+	f.mu.Unlock()
+	addrs, err := ports(2)
+	if err != nil {
+		return err
+	}
+	return f.daemon("core", name, zone, addrs[0], addrs[1], "--data", filepath.Join(f.o.Dir, name))
+}
+
+// owner finds the core that owns most parts, by what the cores themselves tell.
+func (f *Fleet) owner() string {
+	best, most := "core-0", int64(-1)
+	for name, p := range f.procs {
+		if p.Data == "" || f.gone[name] {
+			continue
+		}
+		resp, err := http.Get("http://" + p.oper + "/metrics")
+		if err != nil {
+			continue
+		}
+		if n := scan(resp, "wallport_part_owned_now"); n > most {
+			best, most = name, n
+		}
+	}
+	return best
+}
+
+// fileLimit makes writes past so many bytes of a file fail, as on a full disk.
+func (f *Fleet) fileLimit(name string, most uint64) error {
+	f.mu.Lock()
+	p := f.procs[name]
+	f.mu.Unlock()
+	if p == nil {
+		return fmt.Errorf("no process %s", name)
+	}
+	lim := unix.Rlimit{Cur: most, Max: unix.RLIM_INFINITY}
+	if most == 0 {
+		lim.Cur = unix.RLIM_INFINITY
+	}
+	return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &lim, nil)
+}
+
+// all does something to every process of the fleet but the platform.
+func (f *Fleet) all(do func(name string) error) error {
+	f.mu.Lock()
+	var names []string
+	for name := range f.procs {
+		if name != "platform" && !f.gone[name] {
+			names = append(names, name)
+		}
+	}
+	f.mu.Unlock()
+	for _, name := range names {
+		if err := do(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -51,11 +51,17 @@
 	before := f.Metric("inquiries_read")
 	if o.Rate > 0 {
 		played := make(chan error, 1)
+		from := f.operators.now()
+		watched, enough := context.WithCancel(ctx)
+		f.operators.watch(watched)
 		go func() { played <- f.Play(ctx, o.Script) }()
 		r.Callers = caller.New(caller.Config{
 			Platform: f.Platform, Index: o.Shape.Index, Rate: o.Rate, Seconds: o.Seconds, Repeat: o.Repeat, Seed: o.Seed,
 			Least: o.Shape.Least, Most: o.Shape.Most,
 		}).Run(ctx)
+		enough()
+		f.operators.wait.Wait()
+		f.operators.served(from, r.Callers.Seconds)
 		if err := <-played; err != nil {
 			return nil, err
 		}
@@ -78,7 +84,8 @@
 // judge feeds what the stand-ins saw to the same judges as the simulator, and
 // gathers counts.
 func (f *Fleet) judge(r *Result) {
-	j := check.New()
+	j := f.operators.judge
+	j.Chain()
 	ran, reports := f.Ran()
 	for key, n := range ran {
 		j.RanTimes(key, n)
@@ -98,6 +105,9 @@
 		r.Violations = append(r.Violations, v.Point+": "+v.Text)
 	}
 	r.Violations = append(r.Violations, r.Callers.Wrong...)
+	for k, n := range j.Counts {
+		r.Counts[k] = n
+	}
 	for k, n := range j.Tested {
 		r.Counts["tested."+k] = n
 	}
--- a/lab/fleet/verbs.go
+++ b/lab/fleet/verbs.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -62,6 +60,12 @@
 		return each(func(n string) error { return f.Signal(n, syscall.SIGTERM) })
 	case "restart":
 		return each(f.Restart)
+	case "lose-all":
+		f.operators.lost.Store(f.operators.now())
+		return f.all(func(n string) error { return f.Signal(n, syscall.SIGKILL) })
+	case "start-all":
+		f.operators.back.Store(f.operators.now())
+		return f.all(f.Restart)
 	case "lose-disk":
 		return each(func(n string) error { return os.RemoveAll(f.procs[n].Data) })
 	case "fault":
@@ -80,6 +84,26 @@
 			return err
 		}
 		return f.tellPlatform(ctx)
+	case "race", "storm":
+		n, _ := strconv.Atoi(arg(0))
+		gap, _ := time.ParseDuration(arg(1))
+		f.operators.edits(ctx, n, gap, st.Verb == "race")
+		return nil
+	case "seeds":
+		// From now on processes that start are given other seeds.
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.seeds = nil
+		for _, n := range st.Args {
+			f.seeds = append(f.seeds, f.procs[n].mesh)
+		}
+		return nil
+	case "replace-core":
+		return f.replaceCore(arg(0), arg(1))
+	case "file-limit":
+		// Every write past so many bytes of a file fails from now on; 0 ends it.
+		most, _ := strconv.ParseUint(arg(1), 10, 64)
+		return each(func(n string) error { return f.fileLimit(n, most) })
 	case "cut":
 		shards, _ := strconv.Atoi(arg(1))
 		return f.post("http://"+f.Opers["node-1"]+"/v1/indexes/"+f.o.Shape.Index+"/cut", map[string]any{"cut": arg(0), "shards": shards})
@@ -96,6 +120,18 @@
 	defer f.mu.Unlock()
 	for _, a := range args {
 		zone, byZone := strings.CutPrefix(a, "zone:")
+		if prefix, many := strings.CutSuffix(a, "*"); many {
+			for name := range f.procs {
+				if strings.HasPrefix(name, prefix) && !f.gone[name] {
+					out = append(out, name)
+				}
+			}
+			continue
+		}
+		if a == "owner" {
+			out = append(out, f.owner())
+			continue
+		}
 		if !byZone {
 			out = append(out, a)
 			continue
@@ -143,58 +179,3 @@
 	}
 	return ""
 }
-
-// Ran gathers how often each key ran, over all servers that answer.
-func (f *Fleet) Ran() (ran map[string]int, asked map[string]backend.Report) {
-	ran, asked = map[string]int{}, map[string]backend.Report{}
-	for _, s := range f.servers {
-		resp, err := f.client.Get("http://" + s.Addr + "/lab/report")
-		if err != nil {
-			continue
-		}
-		var r backend.Report
-		err = json.NewDecoder(resp.Body).Decode(&r)
-		resp.Body.Close()
-		if err != nil {
-			continue
-		}
-		asked[s.ID] = r
-		for k, n := range r.Ran {
-			ran[k] += n
-		}
-	}
-	return ran, asked
-}
-
-// Metric sums one counter over the live nodes.
-func (f *Fleet) Metric(name string) int64 {
-	var sum int64
-	for _, oper := range f.Opers {
-		resp, err := f.client.Get("http://" + oper + "/metrics")
-		if err != nil {
-			continue
-		}
-		sum += scan(resp, "wallport_"+name)
-	}
-	return sum
-}
-
-func scan(resp *http.Response, name string) int64 {
-	defer resp.Body.Close()
-	var buf strings.Builder
-	b := make([]byte, 64<<10)
-	for {
-		n, err := resp.Body.Read(b)
-		buf.Write(b[:n])
-		if err != nil {
-			break
-		}
-	}
-	for _, line := range strings.Split(buf.String(), "\n") {
-		if k, v, ok := strings.Cut(line, " "); ok && k == name {
-			n, _ := strconv.ParseInt(v, 10, 64)
-			return n
-		}
-	}
-	return 0
-}
