All nodes of a fleet of eleven are home to every key: a split fleet runs none twice

Cause: in the 3.5 s before a half knows that it is cut off, three of a key's five homes may all be on its side; the other half never hears of the key, cannot be handed it and lets it in once its uncertain time is over. Ruled out: a longer uncertain time (half of the keys unknown for five minutes); four of five homes (any two lost nodes would refuse); eight homes, five to let in (safe for halves made of whole zones only). Change: eleven homes, a majority of them; as many hand over as share one with every majority, so the half that goes on is sure at once. The rule by which one home less was enough is gone. A dead node counts as home for 6 s, 10 s before.

--- a/claims/asking.go
+++ b/claims/asking.go
@@ -86,18 +86,16 @@
 			unsure++
 		}
 	}
-	return in, unsure, len(w.homes)/2 + 1
+	return in, unsure, quorum(len(w.homes))
 }
 
-// decide lets a key in that a majority of its homes let in. One less is enough where
-// all have answered: all keep the key from then on, and those that are sure were
-// told of every claim and every outcome. A caller's word that this is its first try
-// makes up for homes that cannot be sure.
+// decide lets a key in that a majority of its homes let in. A caller's word that this
+// is its first try makes up for homes that cannot be sure.
 func (c *Claims) decide(t *kernel.Turn, n uint64, w *asking) {
 	in, unsure, most := w.count()
 	all := len(w.replies) == len(w.homes)
 	switch {
-	case all && (in >= most || in > 0 && in == most-1 || w.ask.First && in+unsure >= most):
+	case all && (in >= most || w.ask.First && in+unsure >= most):
 	case w.decideAt > 0 && t.Now >= w.decideAt:
 	case in >= most && w.decideAt == 0 || w.ask.First && in+unsure >= most && w.decideAt == 0:
 		w.decideAt = t.Now + LastWait
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -21,6 +21,8 @@
 	// Grace is how long, beyond the sheet's longest deadline, a home that lost what
 	// it knew stays unsure, and a claim may go without an outcome.
 	Grace = 3_000_000
+	// UnsureLeast is the least of it: within it a caller repeats after everything was lost.
+	UnsureLeast = 9_000_000
 	// UnsureNoSheet is the same where no sheet tells the longest deadline yet.
 	UnsureNoSheet = 15_000_000
 	// SettleFor is how long a new roster takes to be everyone's.
--- a/claims/epochs.go
+++ b/claims/epochs.go
@@ -1,8 +1,8 @@
 // What makes a home unsure of a key that it does not hold, and what makes it sure
 // again. Each start, thaw, stay in a minority or change of the roster opens an epoch;
 // in it the home asks the others to hand over what it should have had. Whoever was
-// let in had a majority of the homes of then, so once a majority of those have handed
-// over, not holding a key means that it was never let in. Where so many are lost
+// let in had a majority of the homes of then, so once as many of those have handed over
+// as share one with every majority, not holding a key means that it was never let in. Where so many are lost
 // that no majority can, the epoch ends with the longest deadline and a grace.
 package claims
 
@@ -44,7 +44,7 @@
 	if c.longest == 0 {
 		return UnsureNoSheet
 	}
-	return c.longest + Grace
+	return max(c.longest+Grace, UnsureLeast)
 }
 
 // knows tells whether not holding a key means that it was never let in.
@@ -58,13 +58,11 @@
 			continue
 		}
 		prev := Homes(key, e.before)
-		most := len(prev)/2 + 1
 		if e.before == nil {
 			if c.saw(index) {
 				continue
 			}
 			prev = Homes(key, c.roster)
-			most = len(prev)/2 + 1
 		} else if isHome(key, c.name(), e.before) {
 			continue
 		} else if now-e.at < SettleFor {
@@ -77,7 +75,7 @@
 				n++
 			}
 		}
-		if n < most {
+		if n < max(1, others(len(prev))) {
 			return false
 		}
 	}
--- a/claims/homes.go
+++ b/claims/homes.go
@@ -1,5 +1,5 @@
-// Which nodes are home to a key: the five of the highest rendezvous weight, over
-// as many zones as there are; three in a fleet of fewer than five nodes.
+// Which nodes are home to a key: all of them in a fleet of eleven or fewer, in a larger
+// one the eleven of the highest rendezvous weight, over as many zones as there are.
 package claims
 
 import (
@@ -11,13 +11,11 @@
 	"wallport/table"
 )
 
-const (
-	homesMost = 5
-	homesFew  = 3
-)
+// homesMost is odd, and at least the size of the fleets of today: where all nodes are
+// homes, no half of a split fleet has a majority of a key's homes beside the other.
+const homesMost = 11
 
-// Homes lists a key's home nodes. With five of them any two nodes may be lost, and
-// any one zone of three or more, and a majority is left.
+// Homes lists a key's home nodes, the weightiest first.
 func Homes(key string, roster []table.Node) []table.Node {
 	type ranked struct {
 		w uint64
@@ -36,14 +34,11 @@
 		all = append(all, ranked{x, n})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.w, a.w) })
-	want := homesMost
-	if len(roster) < homesMost {
-		want = homesFew
-	}
+	want := min(homesMost, len(all))
 	// In each round a zone gives one home: so no zone has more than it must.
 	out := make([]table.Node, 0, want)
 	taken := make([]bool, len(all))
-	for len(out) < min(want, len(all)) {
+	for len(out) < want {
 		zones := map[string]bool{}
 		for i, r := range all {
 			if len(out) == want || taken[i] || zones[r.n.Zone] {
@@ -57,9 +52,17 @@
 }
 
 func isHome(key, name string, roster []table.Node) bool {
-	return slices.ContainsFunc(Homes(key, roster), func(n table.Node) bool { return n.Name == name })
+	if len(roster) > homesMost {
+		roster = Homes(key, roster)
+	}
+	return slices.ContainsFunc(roster, func(n table.Node) bool { return n.Name == name })
 }
 
+// quorum is how many of so many homes let a key in; others is how many of them share
+// at least one home with every quorum there can have been.
+func quorum(homes int) int { return homes/2 + 1 }
+func others(homes int) int { return homes - quorum(homes) + 1 }
+
 // minority tells that this node is not on the side of a split that may go on letting
 // keys in: the one with more than half of the nodes. Of two equal halves it is the one
 // that hears the owner of the configuration, which a majority of the cores follows.
--- a/table/table.go
+++ b/table/table.go
@@ -18,7 +18,7 @@
 const BuildWithin = 25_000
 
 // RosterFor is how long a silent node still counts as a home of claims.
-const RosterFor = 10_000_000
+const RosterFor = 6_000_000
 
 // Table is the plug-in.
 type Table struct {
