--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"wallport/lab/platform"
@@ -211,43 +210,3 @@
 		}
 	}
 }
-
-// Signal sends a signal to one process by its id.
-func (f *Fleet) Signal(name string, sig syscall.Signal) error {
-	f.mu.Lock()
-	p := f.procs[name]
-	f.mu.Unlock()
-	if p == nil {
-		return fmt.Errorf("no process %s", name)
-	}
-	p.ends = p.ends || sig == syscall.SIGKILL || sig == syscall.SIGTERM
-	return p.cmd.Process.Signal(sig)
-}
-
-// Restart starts a process that was told to end again as it was; others go on.
-func (f *Fleet) Restart(name string) error {
-	f.mu.Lock()
-	p := f.procs[name]
-	f.mu.Unlock()
-	if p == nil {
-		return fmt.Errorf("no process %s", name)
-	}
-	if !p.ends {
-		return nil
-	}
-	<-p.done
-	return f.Start(p)
-}
-
-// Down ends every process.
-func (f *Fleet) Down() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range f.procs {
-		p.cmd.Process.Signal(syscall.SIGCONT)
-		p.cmd.Process.Kill()
-	}
-	for _, p := range f.procs {
-		<-p.done
-	}
-}
--- a/lab/sim/healing.go
+++ b/lab/sim/healing.go
@@ -79,6 +79,9 @@
 			if n := len(p.seats.SeatsOf(part)); n != 3 {
 				fail("part %d has %d seats", part, n)
 			}
+			if zones := w.spread(p.seats.SeatsOf(part)); zones < 3 && w.coreZones() >= 3 {
+				fail("part %d has its seats in %d zones", part, zones)
+			}
 			for _, s := range p.seats.SeatsOf(part) {
 				if !live[s.ID] {
 					fail("part %d has a seat that is gone: %s at %s", part, s.ID, s.Addr)
@@ -92,3 +95,22 @@
 		}
 	}
 }
+
+func (w *World) spread(seats []wire.Seat) int {
+	zones := map[string]bool{}
+	for _, s := range seats {
+		zones[s.Zone] = true
+	}
+	return len(zones)
+}
+
+// coreZones counts the zones that have a core which runs.
+func (w *World) coreZones() int {
+	zones := map[string]bool{}
+	for _, p := range w.procs {
+		if p.role == "core" && p.runs() {
+			zones[p.env.Zone] = true
+		}
+	}
+	return len(zones)
+}
--- a/part/route.go
+++ b/part/route.go
@@ -5,7 +5,6 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"wallport/kernel"
-	"wallport/members"
 	"wallport/mesh"
 	"wallport/wire"
 )
@@ -156,42 +155,3 @@
 	t.Counts.Add("part_messages", 1)
 	t.SendTo(addr, kind, 0, m)
 }
-
-// mend plans at most one change of seats: a core that is long unheard, or one
-// of a zone that is there twice, makes room for a live spare.
-func (g *Group) mend(t *kernel.Turn) ([]wire.Seat, bool) {
-	seats := append([]wire.Seat(nil), g.served.Seats...)
-	for i, s := range seats {
-		if s.ID == g.self() || t.Now-g.heard[s.ID] < ReplaceAt {
-			continue
-		}
-		if spare, ok := g.spare(t, seats, i); ok {
-			t.Note(1, "part_seat_replaced", "part", g.part, "gone", s.ID, "new", spare.Seat, "zone", spare.Zone)
-			t.Counts.Add("part_seats_replaced", 1)
-			seats[i] = wire.Seat{ID: spare.Seat, Zone: spare.Zone, Addr: spare.Addr}
-			g.heard[spare.Seat] = t.Now
-			return seats, true
-		}
-	}
-	return seats, false
-}
-
-func (g *Group) spare(t *kernel.Turn, seats []wire.Seat, leaves int) (members.Row, bool) {
-	var best members.Row
-	score := -1
-	for _, r := range g.s.members.Live(t.Now, "core") {
-		if r.Seat == "" || r.Sick != "" || r.Draining || has(seats, r.Seat) {
-			continue
-		}
-		n := 1
-		for i, s := range seats {
-			if i != leaves && s.Zone == r.Zone {
-				n = 0
-			}
-		}
-		if n > score {
-			best, score = r, n
-		}
-	}
-	return best, score >= 0
-}
