--- a/design/design.go
+++ b/design/design.go
@@ -44,6 +44,7 @@
 	Error("conflict", Failure, "The inquiry key was used for another inquiry")
 	Error("lost_race", Failure, "Another edit came first")
 	Error("forbidden", Failure, "The operator token is missing or wrong")
+	Error("out_of_scope", Failure, "The operator token does not allow this")
 	HTTP(func() {
 		retry := func() { Header("retry_after:Retry-After") }
 		Response("malformed", StatusBadRequest)
@@ -56,5 +57,6 @@
 		Response("conflict", StatusConflict, retry)
 		Response("lost_race", StatusPreconditionFailed)
 		Response("forbidden", StatusUnauthorized)
+		Response("out_of_scope", StatusForbidden)
 	})
 }
--- a/env/env.go
+++ b/env/env.go
@@ -24,6 +24,7 @@
 	Data          string   `long:"data" description:"data folder (core only)"`
 	Platform      string   `long:"platform" description:"URL of the platform's list of backends (node only)"`
 	Token         string   `long:"operator-token" description:"token that operators must send; empty turns authorisation off"`
+	Tokens        string   `long:"operator-tokens" description:"file of operator tokens with scopes, read again when it changes (node only)"`
 	Fleet         string   `long:"fleet-secret" description:"secret that all processes of one fleet share"`
 	FleetToo      string   `long:"fleet-secret-too" description:"a second secret that is accepted from others, while the secret is being changed"`
 	PollsPer      int64    `long:"polls-per-10s" description:"calls to the platform list allowed to the whole fleet in 10 s" default:"20"`
@@ -62,7 +63,7 @@
 func (e *Env) fields() map[string]*string {
 	return map[string]*string{
 		"name": &e.Name, "zone": &e.Zone, "mesh": &e.Mesh, "caller": &e.Caller, "operator": &e.Operator,
-		"data": &e.Data, "platform": &e.Platform, "operator-token": &e.Token, "fleet-secret": &e.Fleet, "fleet-secret-too": &e.FleetToo,
+		"data": &e.Data, "platform": &e.Platform, "operator-token": &e.Token, "operator-tokens": &e.Tokens, "fleet-secret": &e.Fleet, "fleet-secret-too": &e.FleetToo,
 	}
 }
 
--- a/gen/caller/client.go
+++ b/gen/caller/client.go
@@ -43,6 +43,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Search(ctx context.Context, p *SearchPayload) (res *Merged, err error) {
 	var ires any
@@ -65,6 +66,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Read(ctx context.Context, p *ReadPayload) (res *Single, err error) {
 	var ires any
@@ -87,6 +89,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Correct(ctx context.Context, p *CorrectPayload) (res *Single, err error) {
 	var ires any
@@ -109,6 +112,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Part(ctx context.Context, p *PartPayload) (res *Single, err error) {
 	var ires any
--- a/gen/http/caller/client/cli.go
+++ b/gen/http/caller/client/cli.go
@@ -161,7 +161,7 @@
 	{
 		err = json.Unmarshal([]byte(callerCorrectBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"qjy\",\n      \"deadline_us\": 28118926\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"body\": \"jno\",\n      \"deadline_us\": 32643627\n   }'")
 		}
 		if body.DeadlineUs != nil {
 			if *body.DeadlineUs < 1000 {
@@ -243,7 +243,7 @@
 	{
 		err = json.Unmarshal([]byte(callerPartBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 4224585\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"deadline_us\": 9610994\n   }'")
 		}
 		if body.DeadlineUs != nil {
 			if *body.DeadlineUs < 1000 {
--- a/gen/http/caller/client/encode_decode.go
+++ b/gen/http/caller/client/encode_decode.go
@@ -80,6 +80,7 @@
 //   - "conflict" (type *caller.Failure): http.StatusConflict
 //   - "lost_race" (type *caller.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *caller.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *caller.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeSearchResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -326,6 +327,20 @@
 				return nil, goahttp.ErrValidationError("caller", "search", err)
 			}
 			return nil, NewSearchForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body SearchOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "search", err)
+			}
+			err = ValidateSearchOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "search", err)
+			}
+			return nil, NewSearchOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("caller", "search", resp.StatusCode, string(body))
@@ -395,6 +410,7 @@
 //   - "conflict" (type *caller.Failure): http.StatusConflict
 //   - "lost_race" (type *caller.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *caller.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *caller.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeReadResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -641,6 +657,20 @@
 				return nil, goahttp.ErrValidationError("caller", "read", err)
 			}
 			return nil, NewReadForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body ReadOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "read", err)
+			}
+			err = ValidateReadOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "read", err)
+			}
+			return nil, NewReadOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("caller", "read", resp.StatusCode, string(body))
@@ -714,6 +744,7 @@
 //   - "conflict" (type *caller.Failure): http.StatusConflict
 //   - "lost_race" (type *caller.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *caller.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *caller.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeCorrectResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -960,6 +991,20 @@
 				return nil, goahttp.ErrValidationError("caller", "correct", err)
 			}
 			return nil, NewCorrectForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body CorrectOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "correct", err)
+			}
+			err = ValidateCorrectOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "correct", err)
+			}
+			return nil, NewCorrectOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("caller", "correct", resp.StatusCode, string(body))
@@ -1035,6 +1080,7 @@
 //   - "conflict" (type *caller.Failure): http.StatusConflict
 //   - "lost_race" (type *caller.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *caller.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *caller.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodePartResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1281,6 +1327,20 @@
 				return nil, goahttp.ErrValidationError("caller", "part", err)
 			}
 			return nil, NewPartForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body PartOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("caller", "part", err)
+			}
+			err = ValidatePartOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("caller", "part", err)
+			}
+			return nil, NewPartOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("caller", "part", resp.StatusCode, string(body))
--- a/gen/http/caller/client/types.go
+++ b/gen/http/caller/client/types.go
@@ -267,6 +267,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// SearchOutOfScopeResponseBody is the type of the "caller" service "search"
+// endpoint HTTP response body for the "out_of_scope" error.
+type SearchOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ReadMalformedResponseBody is the type of the "caller" service "read"
 // endpoint HTTP response body for the "malformed" error.
 type ReadMalformedResponseBody struct {
@@ -449,6 +468,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ReadOutOfScopeResponseBody is the type of the "caller" service "read"
+// endpoint HTTP response body for the "out_of_scope" error.
+type ReadOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // CorrectMalformedResponseBody is the type of the "caller" service "correct"
 // endpoint HTTP response body for the "malformed" error.
 type CorrectMalformedResponseBody struct {
@@ -631,6 +669,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// CorrectOutOfScopeResponseBody is the type of the "caller" service "correct"
+// endpoint HTTP response body for the "out_of_scope" error.
+type CorrectOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // PartMalformedResponseBody is the type of the "caller" service "part"
 // endpoint HTTP response body for the "malformed" error.
 type PartMalformedResponseBody struct {
@@ -813,6 +870,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// PartOutOfScopeResponseBody is the type of the "caller" service "part"
+// endpoint HTTP response body for the "out_of_scope" error.
+type PartOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // RecordResponseBody is used to define fields on response body types.
 type RecordResponseBody struct {
 	ID    *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -1133,6 +1209,31 @@
 	return v
 }
 
+// NewSearchOutOfScope builds a caller service search endpoint out_of_scope
+// error.
+func NewSearchOutOfScope(body *SearchOutOfScopeResponseBody) *caller.Failure {
+	v := &caller.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*caller.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToCallerFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewReadSingleOK builds a "caller" service "read" endpoint result from a HTTP
 // "OK" response.
 func NewReadSingleOK(body *ReadResponseBody) *caller.Single {
@@ -1388,6 +1489,30 @@
 	return v
 }
 
+// NewReadOutOfScope builds a caller service read endpoint out_of_scope error.
+func NewReadOutOfScope(body *ReadOutOfScopeResponseBody) *caller.Failure {
+	v := &caller.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*caller.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToCallerFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewCorrectSingleOK builds a "caller" service "correct" endpoint result from
 // a HTTP "OK" response.
 func NewCorrectSingleOK(body *CorrectResponseBody) *caller.Single {
@@ -1644,6 +1769,31 @@
 	return v
 }
 
+// NewCorrectOutOfScope builds a caller service correct endpoint out_of_scope
+// error.
+func NewCorrectOutOfScope(body *CorrectOutOfScopeResponseBody) *caller.Failure {
+	v := &caller.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*caller.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToCallerFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewPartSingleOK builds a "caller" service "part" endpoint result from a HTTP
 // "OK" response.
 func NewPartSingleOK(body *PartResponseBody) *caller.Single {
@@ -1899,6 +2049,30 @@
 	return v
 }
 
+// NewPartOutOfScope builds a caller service part endpoint out_of_scope error.
+func NewPartOutOfScope(body *PartOutOfScopeResponseBody) *caller.Failure {
+	v := &caller.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*caller.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToCallerFinding(val)
+		}
+	}
+
+	return v
+}
+
 // ValidateSearchResponseBody runs the validations defined on SearchResponseBody
 func ValidateSearchResponseBody(body *SearchResponseBody) (err error) {
 	if body.Inquiry == nil {
@@ -2263,6 +2437,33 @@
 	return
 }
 
+// ValidateSearchOutOfScopeResponseBody runs the validations defined on
+// search_out_of_scope_response_body
+func ValidateSearchOutOfScopeResponseBody(body *SearchOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateReadMalformedResponseBody runs the validations defined on
 // read_malformed_response_body
 func ValidateReadMalformedResponseBody(body *ReadMalformedResponseBody) (err error) {
@@ -2533,6 +2734,33 @@
 	return
 }
 
+// ValidateReadOutOfScopeResponseBody runs the validations defined on
+// read_out_of_scope_response_body
+func ValidateReadOutOfScopeResponseBody(body *ReadOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateCorrectMalformedResponseBody runs the validations defined on
 // correct_malformed_response_body
 func ValidateCorrectMalformedResponseBody(body *CorrectMalformedResponseBody) (err error) {
@@ -2803,6 +3031,33 @@
 	return
 }
 
+// ValidateCorrectOutOfScopeResponseBody runs the validations defined on
+// correct_out_of_scope_response_body
+func ValidateCorrectOutOfScopeResponseBody(body *CorrectOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidatePartMalformedResponseBody runs the validations defined on
 // part_malformed_response_body
 func ValidatePartMalformedResponseBody(body *PartMalformedResponseBody) (err error) {
@@ -3073,6 +3328,33 @@
 	return
 }
 
+// ValidatePartOutOfScopeResponseBody runs the validations defined on
+// part_out_of_scope_response_body
+func ValidatePartOutOfScopeResponseBody(body *PartOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateRecordResponseBody runs the validations defined on RecordResponseBody
 func ValidateRecordResponseBody(body *RecordResponseBody) (err error) {
 	if body.ID == nil {
--- a/gen/http/caller/server/encode_decode.go
+++ b/gen/http/caller/server/encode_decode.go
@@ -245,6 +245,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSearchOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -483,6 +496,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReadOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -730,6 +756,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCorrectOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -989,6 +1028,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *caller.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPartOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
--- a/gen/http/caller/server/types.go
+++ b/gen/http/caller/server/types.go
@@ -268,6 +268,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// SearchOutOfScopeResponseBody is the type of the "caller" service "search"
+// endpoint HTTP response body for the "out_of_scope" error.
+type SearchOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ReadMalformedResponseBody is the type of the "caller" service "read"
 // endpoint HTTP response body for the "malformed" error.
 type ReadMalformedResponseBody struct {
@@ -450,6 +469,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ReadOutOfScopeResponseBody is the type of the "caller" service "read"
+// endpoint HTTP response body for the "out_of_scope" error.
+type ReadOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // CorrectMalformedResponseBody is the type of the "caller" service "correct"
 // endpoint HTTP response body for the "malformed" error.
 type CorrectMalformedResponseBody struct {
@@ -632,6 +670,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// CorrectOutOfScopeResponseBody is the type of the "caller" service "correct"
+// endpoint HTTP response body for the "out_of_scope" error.
+type CorrectOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // PartMalformedResponseBody is the type of the "caller" service "part"
 // endpoint HTTP response body for the "malformed" error.
 type PartMalformedResponseBody struct {
@@ -814,6 +871,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// PartOutOfScopeResponseBody is the type of the "caller" service "part"
+// endpoint HTTP response body for the "out_of_scope" error.
+type PartOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // RecordResponseBody is used to define fields on response body types.
 type RecordResponseBody struct {
 	ID    string  `form:"id" json:"id" xml:"id"`
@@ -1148,6 +1224,30 @@
 	return body
 }
 
+// NewSearchOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "search" endpoint of the "caller" service.
+func NewSearchOutOfScopeResponseBody(res *caller.Failure) *SearchOutOfScopeResponseBody {
+	body := &SearchOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalCallerFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewReadMalformedResponseBody builds the HTTP response body from the result
 // of the "read" endpoint of the "caller" service.
 func NewReadMalformedResponseBody(res *caller.Failure) *ReadMalformedResponseBody {
@@ -1384,6 +1484,30 @@
 	return body
 }
 
+// NewReadOutOfScopeResponseBody builds the HTTP response body from the result
+// of the "read" endpoint of the "caller" service.
+func NewReadOutOfScopeResponseBody(res *caller.Failure) *ReadOutOfScopeResponseBody {
+	body := &ReadOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalCallerFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewCorrectMalformedResponseBody builds the HTTP response body from the
 // result of the "correct" endpoint of the "caller" service.
 func NewCorrectMalformedResponseBody(res *caller.Failure) *CorrectMalformedResponseBody {
@@ -1620,6 +1744,30 @@
 	return body
 }
 
+// NewCorrectOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "correct" endpoint of the "caller" service.
+func NewCorrectOutOfScopeResponseBody(res *caller.Failure) *CorrectOutOfScopeResponseBody {
+	body := &CorrectOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalCallerFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewPartMalformedResponseBody builds the HTTP response body from the result
 // of the "part" endpoint of the "caller" service.
 func NewPartMalformedResponseBody(res *caller.Failure) *PartMalformedResponseBody {
@@ -1856,6 +2004,30 @@
 	return body
 }
 
+// NewPartOutOfScopeResponseBody builds the HTTP response body from the result
+// of the "part" endpoint of the "caller" service.
+func NewPartOutOfScopeResponseBody(res *caller.Failure) *PartOutOfScopeResponseBody {
+	body := &PartOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalCallerFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewSearchPayload builds a caller service search endpoint payload.
 func NewSearchPayload(body *SearchRequestBody, index string, key *string) *caller.SearchPayload {
 	v := &caller.SearchPayload{
--- a/gen/http/cli/wallport/cli.go
+++ b/gen/http/cli/wallport/cli.go
@@ -32,7 +32,7 @@
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
 	return os.Args[0] + " " + "caller search --body '{\n      \"deadline_us\": 35979390,\n      \"limit\": 234,\n      \"query\": \"2ve\"\n   }' --index \"e8d\" --key \"yex\"" + "\n" +
-		os.Args[0] + " " + "operator sheet --token \"Voluptatum aut aliquid.\"" + "\n" +
+		os.Args[0] + " " + "operator sheet --token \"Ducimus perferendis expedita optio rerum et praesentium.\"" + "\n" +
 		""
 }
 
@@ -389,7 +389,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller read --index \"daj\" --id \"2rg\" --deadline-us 38026030 --key \"9ze\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller read --index \"7r1\" --id \"aow\" --deadline-us 6279696 --key \"xnc\"")
 }
 
 func callerCorrectUsage() {
@@ -415,7 +415,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"qjy\",\n      \"deadline_us\": 28118926\n   }' --index \"8om\" --id \"v31\" --key \"l7e\" --first-try true")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"jno\",\n      \"deadline_us\": 32643627\n   }' --index \"tvm\" --id \"wic\" --key \"5mz\" --first-try true")
 }
 
 func callerPartUsage() {
@@ -443,7 +443,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller part --body '{\n      \"deadline_us\": 4224585\n   }' --index \"1e0\" --id \"uxf\" --part 4002678516211888251 --key \"g7g\" --first-try true")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller part --body '{\n      \"deadline_us\": 9610994\n   }' --index \"0er\" --id \"lye\" --part 4996941431178587990 --key \"ylt\" --first-try false")
 }
 
 // operatorUsage displays the usage of the operator command and its subcommands.
@@ -482,7 +482,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator sheet --token \"Voluptatum aut aliquid.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator sheet --token \"Ducimus perferendis expedita optio rerum et praesentium.\"")
 }
 
 func operatorPutSheetUsage() {
@@ -508,7 +508,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put-sheet --body \"Illo temporibus eos ut possimus vel.\" --token \"Laborum et ipsa autem.\" --edit-id \"kcx\" --based-on \"Nesciunt maxime ut pariatur saepe vero distinctio.\" --by \"wgj\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator put-sheet --body \"Molestiae omnis distinctio voluptatem.\" --token \"Autem possimus repellat praesentium.\" --edit-id \"o91\" --based-on \"Dicta consequatur voluptatem voluptatem.\" --by \"xu1\"")
 }
 
 func operatorCheckSheetUsage() {
@@ -528,7 +528,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator check-sheet --body \"Dolorum aut repellat sint et ut.\" --token \"Ipsa quam iure iure tenetur iure debitis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator check-sheet --body \"Iste est corporis id voluptatum voluptates facilis.\" --token \"Soluta vero enim error consectetur.\"")
 }
 
 func operatorHistoryUsage() {
@@ -546,7 +546,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --token \"Et et nesciunt illo voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator history --token \"Iste ipsum.\"")
 }
 
 func operatorReturnSheetUsage() {
@@ -572,7 +572,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator return-sheet --stamp \"Voluptates quos cumque nesciunt occaecati natus atque.\" --token \"Id eligendi laborum est ea ab aliquid.\" --edit-id \"4d8\" --based-on \"Aspernatur eveniet.\" --by \"t6t\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator return-sheet --stamp \"Repudiandae culpa dolores vero.\" --token \"Aliquam qui qui.\" --edit-id \"r2a\" --based-on \"Enim saepe.\" --by \"mjr\"")
 }
 
 func operatorEditSheetUsage() {
@@ -598,7 +598,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator edit-sheet --body '{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         },\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         }\n      ]\n   }' --token \"Odio et.\" --edit-id \"6zi\" --based-on \"Molestias aut ducimus qui quibusdam aliquid quae.\" --by \"j2c\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator edit-sheet --body '{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Provident suscipit quibusdam non repudiandae.\",\n            \"table\": \"services\"\n         }\n      ]\n   }' --token \"Fugiat id rerum molestiae odit ad facilis.\" --edit-id \"x0d\" --based-on \"Maiores non.\" --by \"i1j\"")
 }
 
 func operatorZoneUsage() {
@@ -626,7 +626,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator zone --zone \"Eos laudantium corporis recusandae dolore et.\" --action \"refill\" --token \"Id earum numquam qui repellendus et.\" --edit-id \"km9\" --based-on \"In nobis totam.\" --by \"qqj\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator zone --zone \"Eos omnis illum qui aut.\" --action \"empty\" --token \"Et mollitia atque soluta quaerat molestiae.\" --edit-id \"ux3\" --based-on \"Quae totam saepe quaerat ut perspiciatis.\" --by \"zr1\"")
 }
 
 func operatorCutUsage() {
@@ -654,7 +654,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator cut --body '{\n      \"cut\": \"4\",\n      \"shards\": 94\n   }' --index \"Et quis quo distinctio ea sed.\" --token \"Est ducimus nisi.\" --edit-id \"upo\" --based-on \"Aut qui exercitationem et.\" --by \"zrv\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator cut --body '{\n      \"cut\": \"h\",\n      \"shards\": 166\n   }' --index \"Maiores aut.\" --token \"Quod maiores inventore.\" --edit-id \"xjm\" --based-on \"Est dignissimos.\" --by \"qs2\"")
 }
 
 func operatorRebuildUsage() {
@@ -676,7 +676,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator rebuild --part 2 --token \"Delectus accusamus explicabo.\" --by \"0hn\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator rebuild --part 2 --token \"Quia qui.\" --by \"xvq\"")
 }
 
 func operatorMembersUsage() {
@@ -694,7 +694,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator members --token \"Ut vel sed iste reiciendis est.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator members --token \"Omnis ipsam est.\"")
 }
 
 func operatorServersUsage() {
@@ -712,7 +712,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Voluptas sed qui.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Dolorem repudiandae eaque dignissimos temporibus quia.\"")
 }
 
 func operatorExplainUsage() {
@@ -732,5 +732,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Dolor illo officiis magni quo delectus.\" --token \"Odit dolorem ea minus ea nisi.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Odio hic eos aut sit sed corporis.\" --token \"Ducimus consequatur commodi voluptas.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -40,7 +40,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorPutSheetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Illo temporibus eos ut possimus vel.\"")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Molestiae omnis distinctio voluptatem.\"")
 		}
 	}
 	var token *string
@@ -99,7 +99,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorCheckSheetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Dolorum aut repellat sint et ut.\"")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "\"Iste est corporis id voluptatum voluptates facilis.\"")
 		}
 	}
 	var token *string
@@ -194,7 +194,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorEditSheetBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         },\n         {\n            \"op\": \"remove\",\n            \"row\": \"Voluptatem perspiciatis aut.\",\n            \"table\": \"rows\"\n         }\n      ]\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"edits\": [\n         {\n            \"op\": \"remove\",\n            \"row\": \"Provident suscipit quibusdam non repudiandae.\",\n            \"table\": \"services\"\n         }\n      ]\n   }'")
 		}
 		if body.Edits == nil {
 			err = goa.MergeErrors(err, goa.MissingFieldError("edits", "body"))
@@ -343,7 +343,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorCutBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"cut\": \"4\",\n      \"shards\": 94\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"cut\": \"h\",\n      \"shards\": 166\n   }'")
 		}
 		if utf8.RuneCountInString(body.Cut) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.cut", body.Cut, utf8.RuneCountInString(body.Cut), 1, true))
--- a/gen/http/operator/client/encode_decode.go
+++ b/gen/http/operator/client/encode_decode.go
@@ -65,6 +65,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeSheetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -311,6 +312,20 @@
 				return nil, goahttp.ErrValidationError("operator", "sheet", err)
 			}
 			return nil, NewSheetForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body SheetOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "sheet", err)
+			}
+			err = ValidateSheetOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "sheet", err)
+			}
+			return nil, NewSheetOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "sheet", resp.StatusCode, string(body))
@@ -379,6 +394,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodePutSheetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -625,6 +641,20 @@
 				return nil, goahttp.ErrValidationError("operator", "put_sheet", err)
 			}
 			return nil, NewPutSheetForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body PutSheetOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "put_sheet", err)
+			}
+			err = ValidatePutSheetOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "put_sheet", err)
+			}
+			return nil, NewPutSheetOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "put_sheet", resp.StatusCode, string(body))
@@ -681,6 +711,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeCheckSheetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -933,6 +964,20 @@
 				return nil, goahttp.ErrValidationError("operator", "check_sheet", err)
 			}
 			return nil, NewCheckSheetForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body CheckSheetOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "check_sheet", err)
+			}
+			err = ValidateCheckSheetOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "check_sheet", err)
+			}
+			return nil, NewCheckSheetOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "check_sheet", resp.StatusCode, string(body))
@@ -985,6 +1030,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeHistoryResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1237,6 +1283,20 @@
 				return nil, goahttp.ErrValidationError("operator", "history", err)
 			}
 			return nil, NewHistoryForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body HistoryOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "history", err)
+			}
+			err = ValidateHistoryOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "history", err)
+			}
+			return nil, NewHistoryOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "history", resp.StatusCode, string(body))
@@ -1311,6 +1371,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeReturnSheetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1557,6 +1618,20 @@
 				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
 			}
 			return nil, NewReturnSheetForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body ReturnSheetOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "return_sheet", err)
+			}
+			err = ValidateReturnSheetOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "return_sheet", err)
+			}
+			return nil, NewReturnSheetOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "return_sheet", resp.StatusCode, string(body))
@@ -1625,6 +1700,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeEditSheetResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -1871,6 +1947,20 @@
 				return nil, goahttp.ErrValidationError("operator", "edit_sheet", err)
 			}
 			return nil, NewEditSheetForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body EditSheetOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "edit_sheet", err)
+			}
+			err = ValidateEditSheetOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "edit_sheet", err)
+			}
+			return nil, NewEditSheetOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "edit_sheet", resp.StatusCode, string(body))
@@ -1947,6 +2037,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeZoneResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -2193,6 +2284,20 @@
 				return nil, goahttp.ErrValidationError("operator", "zone", err)
 			}
 			return nil, NewZoneForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body ZoneOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "zone", err)
+			}
+			err = ValidateZoneOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "zone", err)
+			}
+			return nil, NewZoneOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "zone", resp.StatusCode, string(body))
@@ -2271,6 +2376,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeCutResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -2517,6 +2623,20 @@
 				return nil, goahttp.ErrValidationError("operator", "cut", err)
 			}
 			return nil, NewCutForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body CutOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "cut", err)
+			}
+			err = ValidateCutOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "cut", err)
+			}
+			return nil, NewCutOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "cut", resp.StatusCode, string(body))
@@ -2583,6 +2703,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeRebuildResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -2829,6 +2950,20 @@
 				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
 			}
 			return nil, NewRebuildForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body RebuildOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "rebuild", err)
+			}
+			err = ValidateRebuildOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "rebuild", err)
+			}
+			return nil, NewRebuildOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "rebuild", resp.StatusCode, string(body))
@@ -2881,6 +3016,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeMembersResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -3133,6 +3269,20 @@
 				return nil, goahttp.ErrValidationError("operator", "members", err)
 			}
 			return nil, NewMembersForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body MembersOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "members", err)
+			}
+			err = ValidateMembersOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "members", err)
+			}
+			return nil, NewMembersOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "members", resp.StatusCode, string(body))
@@ -3185,6 +3335,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeServersResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -3437,6 +3588,20 @@
 				return nil, goahttp.ErrValidationError("operator", "servers", err)
 			}
 			return nil, NewServersForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body ServersOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "servers", err)
+			}
+			err = ValidateServersOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "servers", err)
+			}
+			return nil, NewServersOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "servers", resp.StatusCode, string(body))
@@ -3499,6 +3664,7 @@
 //   - "conflict" (type *operator.Failure): http.StatusConflict
 //   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
 //   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
 //   - error: internal error
 func DecodeExplainResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
 	return func(resp *http.Response) (any, error) {
@@ -3740,6 +3906,20 @@
 				return nil, goahttp.ErrValidationError("operator", "explain", err)
 			}
 			return nil, NewExplainForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body ExplainOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "explain", err)
+			}
+			err = ValidateExplainOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "explain", err)
+			}
+			return nil, NewExplainOutOfScope(&body)
 		default:
 			body, _ := io.ReadAll(resp.Body)
 			return nil, goahttp.ErrInvalidResponse("operator", "explain", resp.StatusCode, string(body))
--- a/gen/http/operator/client/types.go
+++ b/gen/http/operator/client/types.go
@@ -281,6 +281,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// SheetOutOfScopeResponseBody is the type of the "operator" service "sheet"
+// endpoint HTTP response body for the "out_of_scope" error.
+type SheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // PutSheetMalformedResponseBody is the type of the "operator" service
 // "put_sheet" endpoint HTTP response body for the "malformed" error.
 type PutSheetMalformedResponseBody struct {
@@ -463,6 +482,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// PutSheetOutOfScopeResponseBody is the type of the "operator" service
+// "put_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type PutSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // CheckSheetMalformedResponseBody is the type of the "operator" service
 // "check_sheet" endpoint HTTP response body for the "malformed" error.
 type CheckSheetMalformedResponseBody struct {
@@ -645,6 +683,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// CheckSheetOutOfScopeResponseBody is the type of the "operator" service
+// "check_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type CheckSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // HistoryMalformedResponseBody is the type of the "operator" service "history"
 // endpoint HTTP response body for the "malformed" error.
 type HistoryMalformedResponseBody struct {
@@ -827,6 +884,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// HistoryOutOfScopeResponseBody is the type of the "operator" service
+// "history" endpoint HTTP response body for the "out_of_scope" error.
+type HistoryOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ReturnSheetMalformedResponseBody is the type of the "operator" service
 // "return_sheet" endpoint HTTP response body for the "malformed" error.
 type ReturnSheetMalformedResponseBody struct {
@@ -1009,6 +1085,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ReturnSheetOutOfScopeResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type ReturnSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // EditSheetMalformedResponseBody is the type of the "operator" service
 // "edit_sheet" endpoint HTTP response body for the "malformed" error.
 type EditSheetMalformedResponseBody struct {
@@ -1191,6 +1286,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// EditSheetOutOfScopeResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type EditSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ZoneMalformedResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "malformed" error.
 type ZoneMalformedResponseBody struct {
@@ -1373,6 +1487,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ZoneOutOfScopeResponseBody is the type of the "operator" service "zone"
+// endpoint HTTP response body for the "out_of_scope" error.
+type ZoneOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // CutMalformedResponseBody is the type of the "operator" service "cut"
 // endpoint HTTP response body for the "malformed" error.
 type CutMalformedResponseBody struct {
@@ -1555,6 +1688,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// CutOutOfScopeResponseBody is the type of the "operator" service "cut"
+// endpoint HTTP response body for the "out_of_scope" error.
+type CutOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // RebuildMalformedResponseBody is the type of the "operator" service "rebuild"
 // endpoint HTTP response body for the "malformed" error.
 type RebuildMalformedResponseBody struct {
@@ -1737,6 +1889,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// RebuildOutOfScopeResponseBody is the type of the "operator" service
+// "rebuild" endpoint HTTP response body for the "out_of_scope" error.
+type RebuildOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // MembersMalformedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "malformed" error.
 type MembersMalformedResponseBody struct {
@@ -1919,6 +2090,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// MembersOutOfScopeResponseBody is the type of the "operator" service
+// "members" endpoint HTTP response body for the "out_of_scope" error.
+type MembersOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ServersMalformedResponseBody is the type of the "operator" service "servers"
 // endpoint HTTP response body for the "malformed" error.
 type ServersMalformedResponseBody struct {
@@ -2101,6 +2291,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ServersOutOfScopeResponseBody is the type of the "operator" service
+// "servers" endpoint HTTP response body for the "out_of_scope" error.
+type ServersOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ExplainMalformedResponseBody is the type of the "operator" service "explain"
 // endpoint HTTP response body for the "malformed" error.
 type ExplainMalformedResponseBody struct {
@@ -2283,6 +2492,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ExplainOutOfScopeResponseBody is the type of the "operator" service
+// "explain" endpoint HTTP response body for the "out_of_scope" error.
+type ExplainOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // FindingResponseBody is used to define fields on response body types.
 type FindingResponseBody struct {
 	// Row and field
@@ -2623,6 +2851,31 @@
 	return v
 }
 
+// NewSheetOutOfScope builds a operator service sheet endpoint out_of_scope
+// error.
+func NewSheetOutOfScope(body *SheetOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewPutSheetTakenOK builds a "operator" service "put_sheet" endpoint result
 // from a HTTP "OK" response.
 func NewPutSheetTakenOK(body *PutSheetResponseBody) *operator.Taken {
@@ -2887,6 +3140,31 @@
 	return v
 }
 
+// NewPutSheetOutOfScope builds a operator service put_sheet endpoint
+// out_of_scope error.
+func NewPutSheetOutOfScope(body *PutSheetOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewCheckSheetFindingOK builds a "operator" service "check_sheet" endpoint
 // result from a HTTP "OK" response.
 func NewCheckSheetFindingOK(body []*FindingResponse) []*operator.Finding {
@@ -3151,24 +3429,9 @@
 	return v
 }
 
-// NewHistoryPastSheetOK builds a "operator" service "history" endpoint result
-// from a HTTP "OK" response.
-func NewHistoryPastSheetOK(body []*PastSheetResponse) []*operator.PastSheet {
-	v := make([]*operator.PastSheet, len(body))
-	for i, val := range body {
-		if val == nil {
-			v[i] = nil
-			continue
-		}
-		v[i] = unmarshalPastSheetResponseToOperatorPastSheet(val)
-	}
-
-	return v
-}
-
-// NewHistoryMalformed builds a operator service history endpoint malformed
-// error.
-func NewHistoryMalformed(body *HistoryMalformedResponseBody) *operator.Failure {
+// NewCheckSheetOutOfScope builds a operator service check_sheet endpoint
+// out_of_scope error.
+func NewCheckSheetOutOfScope(body *CheckSheetOutOfScopeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -3191,7 +3454,47 @@
 	return v
 }
 
-// NewHistoryUnknown builds a operator service history endpoint unknown error.
+// NewHistoryPastSheetOK builds a "operator" service "history" endpoint result
+// from a HTTP "OK" response.
+func NewHistoryPastSheetOK(body []*PastSheetResponse) []*operator.PastSheet {
+	v := make([]*operator.PastSheet, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalPastSheetResponseToOperatorPastSheet(val)
+	}
+
+	return v
+}
+
+// NewHistoryMalformed builds a operator service history endpoint malformed
+// error.
+func NewHistoryMalformed(body *HistoryMalformedResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewHistoryUnknown builds a operator service history endpoint unknown error.
 func NewHistoryUnknown(body *HistoryUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
@@ -3411,6 +3714,31 @@
 	return v
 }
 
+// NewHistoryOutOfScope builds a operator service history endpoint out_of_scope
+// error.
+func NewHistoryOutOfScope(body *HistoryOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewReturnSheetTakenOK builds a "operator" service "return_sheet" endpoint
 // result from a HTTP "OK" response.
 func NewReturnSheetTakenOK(body *ReturnSheetResponseBody) *operator.Taken {
@@ -3676,6 +4004,31 @@
 	return v
 }
 
+// NewReturnSheetOutOfScope builds a operator service return_sheet endpoint
+// out_of_scope error.
+func NewReturnSheetOutOfScope(body *ReturnSheetOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewEditSheetTakenOK builds a "operator" service "edit_sheet" endpoint result
 // from a HTTP "OK" response.
 func NewEditSheetTakenOK(body *EditSheetResponseBody) *operator.Taken {
@@ -3940,6 +4293,31 @@
 	return v
 }
 
+// NewEditSheetOutOfScope builds a operator service edit_sheet endpoint
+// out_of_scope error.
+func NewEditSheetOutOfScope(body *EditSheetOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewZoneTakenOK builds a "operator" service "zone" endpoint result from a
 // HTTP "OK" response.
 func NewZoneTakenOK(body *ZoneResponseBody) *operator.Taken {
@@ -4197,6 +4575,30 @@
 	return v
 }
 
+// NewZoneOutOfScope builds a operator service zone endpoint out_of_scope error.
+func NewZoneOutOfScope(body *ZoneOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewCutTakenOK builds a "operator" service "cut" endpoint result from a HTTP
 // "OK" response.
 func NewCutTakenOK(body *CutResponseBody) *operator.Taken {
@@ -4453,6 +4855,30 @@
 	return v
 }
 
+// NewCutOutOfScope builds a operator service cut endpoint out_of_scope error.
+func NewCutOutOfScope(body *CutOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewRebuildTakenOK builds a "operator" service "rebuild" endpoint result from
 // a HTTP "OK" response.
 func NewRebuildTakenOK(body *RebuildResponseBody) *operator.Taken {
@@ -4713,6 +5139,31 @@
 	return v
 }
 
+// NewRebuildOutOfScope builds a operator service rebuild endpoint out_of_scope
+// error.
+func NewRebuildOutOfScope(body *RebuildOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewMembersStatusOK builds a "operator" service "members" endpoint result
 // from a HTTP "OK" response.
 func NewMembersStatusOK(body []*StatusResponse) []*operator.Status {
@@ -4973,6 +5424,31 @@
 	return v
 }
 
+// NewMembersOutOfScope builds a operator service members endpoint out_of_scope
+// error.
+func NewMembersOutOfScope(body *MembersOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewServersServerStatusOK builds a "operator" service "servers" endpoint
 // result from a HTTP "OK" response.
 func NewServersServerStatusOK(body []*ServerStatusResponse) []*operator.ServerStatus {
@@ -5233,6 +5709,31 @@
 	return v
 }
 
+// NewServersOutOfScope builds a operator service servers endpoint out_of_scope
+// error.
+func NewServersOutOfScope(body *ServersOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // NewExplainMalformed builds a operator service explain endpoint malformed
 // error.
 func NewExplainMalformed(body *ExplainMalformedResponseBody) *operator.Failure {
@@ -5478,6 +5979,31 @@
 	return v
 }
 
+// NewExplainOutOfScope builds a operator service explain endpoint out_of_scope
+// error.
+func NewExplainOutOfScope(body *ExplainOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
 // ValidateSheetResponseBody runs the validations defined on SheetResponseBody
 func ValidateSheetResponseBody(body *SheetResponseBody) (err error) {
 	if body.Stamp == nil {
@@ -5847,6 +6373,33 @@
 	return
 }
 
+// ValidateSheetOutOfScopeResponseBody runs the validations defined on
+// sheet_out_of_scope_response_body
+func ValidateSheetOutOfScopeResponseBody(body *SheetOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidatePutSheetMalformedResponseBody runs the validations defined on
 // put_sheet_malformed_response_body
 func ValidatePutSheetMalformedResponseBody(body *PutSheetMalformedResponseBody) (err error) {
@@ -6036,9 +6589,36 @@
 	return
 }
 
-// ValidatePutSheetConflictResponseBody runs the validations defined on
-// put_sheet_conflict_response_body
-func ValidatePutSheetConflictResponseBody(body *PutSheetConflictResponseBody) (err error) {
+// ValidatePutSheetConflictResponseBody runs the validations defined on
+// put_sheet_conflict_response_body
+func ValidatePutSheetConflictResponseBody(body *PutSheetConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidatePutSheetLostRaceResponseBody runs the validations defined on
+// put_sheet_lost_race_response_body
+func ValidatePutSheetLostRaceResponseBody(body *PutSheetLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6063,9 +6643,9 @@
 	return
 }
 
-// ValidatePutSheetLostRaceResponseBody runs the validations defined on
-// put_sheet_lost_race_response_body
-func ValidatePutSheetLostRaceResponseBody(body *PutSheetLostRaceResponseBody) (err error) {
+// ValidatePutSheetForbiddenResponseBody runs the validations defined on
+// put_sheet_forbidden_response_body
+func ValidatePutSheetForbiddenResponseBody(body *PutSheetForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6090,9 +6670,9 @@
 	return
 }
 
-// ValidatePutSheetForbiddenResponseBody runs the validations defined on
-// put_sheet_forbidden_response_body
-func ValidatePutSheetForbiddenResponseBody(body *PutSheetForbiddenResponseBody) (err error) {
+// ValidatePutSheetOutOfScopeResponseBody runs the validations defined on
+// put_sheet_out_of_scope_response_body
+func ValidatePutSheetOutOfScopeResponseBody(body *PutSheetOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6387,6 +6967,33 @@
 	return
 }
 
+// ValidateCheckSheetOutOfScopeResponseBody runs the validations defined on
+// check_sheet_out_of_scope_response_body
+func ValidateCheckSheetOutOfScopeResponseBody(body *CheckSheetOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateHistoryMalformedResponseBody runs the validations defined on
 // history_malformed_response_body
 func ValidateHistoryMalformedResponseBody(body *HistoryMalformedResponseBody) (err error) {
@@ -6657,6 +7264,33 @@
 	return
 }
 
+// ValidateHistoryOutOfScopeResponseBody runs the validations defined on
+// history_out_of_scope_response_body
+func ValidateHistoryOutOfScopeResponseBody(body *HistoryOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateReturnSheetMalformedResponseBody runs the validations defined on
 // return_sheet_malformed_response_body
 func ValidateReturnSheetMalformedResponseBody(body *ReturnSheetMalformedResponseBody) (err error) {
@@ -6927,6 +7561,33 @@
 	return
 }
 
+// ValidateReturnSheetOutOfScopeResponseBody runs the validations defined on
+// return_sheet_out_of_scope_response_body
+func ValidateReturnSheetOutOfScopeResponseBody(body *ReturnSheetOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateEditSheetMalformedResponseBody runs the validations defined on
 // edit_sheet_malformed_response_body
 func ValidateEditSheetMalformedResponseBody(body *EditSheetMalformedResponseBody) (err error) {
@@ -7197,6 +7858,33 @@
 	return
 }
 
+// ValidateEditSheetOutOfScopeResponseBody runs the validations defined on
+// edit_sheet_out_of_scope_response_body
+func ValidateEditSheetOutOfScopeResponseBody(body *EditSheetOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateZoneMalformedResponseBody runs the validations defined on
 // zone_malformed_response_body
 func ValidateZoneMalformedResponseBody(body *ZoneMalformedResponseBody) (err error) {
@@ -7467,6 +8155,33 @@
 	return
 }
 
+// ValidateZoneOutOfScopeResponseBody runs the validations defined on
+// zone_out_of_scope_response_body
+func ValidateZoneOutOfScopeResponseBody(body *ZoneOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateCutMalformedResponseBody runs the validations defined on
 // cut_malformed_response_body
 func ValidateCutMalformedResponseBody(body *CutMalformedResponseBody) (err error) {
@@ -7737,6 +8452,33 @@
 	return
 }
 
+// ValidateCutOutOfScopeResponseBody runs the validations defined on
+// cut_out_of_scope_response_body
+func ValidateCutOutOfScopeResponseBody(body *CutOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateRebuildMalformedResponseBody runs the validations defined on
 // rebuild_malformed_response_body
 func ValidateRebuildMalformedResponseBody(body *RebuildMalformedResponseBody) (err error) {
@@ -8007,6 +8749,33 @@
 	return
 }
 
+// ValidateRebuildOutOfScopeResponseBody runs the validations defined on
+// rebuild_out_of_scope_response_body
+func ValidateRebuildOutOfScopeResponseBody(body *RebuildOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateMembersMalformedResponseBody runs the validations defined on
 // members_malformed_response_body
 func ValidateMembersMalformedResponseBody(body *MembersMalformedResponseBody) (err error) {
@@ -8277,6 +9046,33 @@
 	return
 }
 
+// ValidateMembersOutOfScopeResponseBody runs the validations defined on
+// members_out_of_scope_response_body
+func ValidateMembersOutOfScopeResponseBody(body *MembersOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateServersMalformedResponseBody runs the validations defined on
 // servers_malformed_response_body
 func ValidateServersMalformedResponseBody(body *ServersMalformedResponseBody) (err error) {
@@ -8547,6 +9343,33 @@
 	return
 }
 
+// ValidateServersOutOfScopeResponseBody runs the validations defined on
+// servers_out_of_scope_response_body
+func ValidateServersOutOfScopeResponseBody(body *ServersOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateExplainMalformedResponseBody runs the validations defined on
 // explain_malformed_response_body
 func ValidateExplainMalformedResponseBody(body *ExplainMalformedResponseBody) (err error) {
@@ -8817,6 +9640,33 @@
 	return
 }
 
+// ValidateExplainOutOfScopeResponseBody runs the validations defined on
+// explain_out_of_scope_response_body
+func ValidateExplainOutOfScopeResponseBody(body *ExplainOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
 // ValidateFindingResponseBody runs the validations defined on
 // FindingResponseBody
 func ValidateFindingResponseBody(body *FindingResponseBody) (err error) {
--- a/gen/http/operator/server/encode_decode.go
+++ b/gen/http/operator/server/encode_decode.go
@@ -210,6 +210,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewSheetOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -450,6 +463,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewPutSheetOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -662,6 +688,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCheckSheetOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -858,6 +897,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewHistoryOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -1087,6 +1139,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReturnSheetOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -1331,6 +1396,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEditSheetOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -1565,6 +1643,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewZoneOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -1813,6 +1904,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewCutOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -2040,6 +2144,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRebuildOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -2236,6 +2353,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewMembersOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -2432,6 +2562,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewServersOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
@@ -2632,6 +2775,19 @@
 			w.Header().Set("goa-error", res.GoaErrorName())
 			w.WriteHeader(http.StatusUnauthorized)
 			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewExplainOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
 		default:
 			return encodeError(ctx, w, v)
 		}
--- a/gen/http/operator/server/types.go
+++ b/gen/http/operator/server/types.go
@@ -298,6 +298,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// SheetOutOfScopeResponseBody is the type of the "operator" service "sheet"
+// endpoint HTTP response body for the "out_of_scope" error.
+type SheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // PutSheetMalformedResponseBody is the type of the "operator" service
 // "put_sheet" endpoint HTTP response body for the "malformed" error.
 type PutSheetMalformedResponseBody struct {
@@ -480,6 +499,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// PutSheetOutOfScopeResponseBody is the type of the "operator" service
+// "put_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type PutSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // CheckSheetMalformedResponseBody is the type of the "operator" service
 // "check_sheet" endpoint HTTP response body for the "malformed" error.
 type CheckSheetMalformedResponseBody struct {
@@ -662,6 +700,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// CheckSheetOutOfScopeResponseBody is the type of the "operator" service
+// "check_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type CheckSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // HistoryMalformedResponseBody is the type of the "operator" service "history"
 // endpoint HTTP response body for the "malformed" error.
 type HistoryMalformedResponseBody struct {
@@ -844,6 +901,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// HistoryOutOfScopeResponseBody is the type of the "operator" service
+// "history" endpoint HTTP response body for the "out_of_scope" error.
+type HistoryOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ReturnSheetMalformedResponseBody is the type of the "operator" service
 // "return_sheet" endpoint HTTP response body for the "malformed" error.
 type ReturnSheetMalformedResponseBody struct {
@@ -1026,6 +1102,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ReturnSheetOutOfScopeResponseBody is the type of the "operator" service
+// "return_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type ReturnSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // EditSheetMalformedResponseBody is the type of the "operator" service
 // "edit_sheet" endpoint HTTP response body for the "malformed" error.
 type EditSheetMalformedResponseBody struct {
@@ -1208,6 +1303,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// EditSheetOutOfScopeResponseBody is the type of the "operator" service
+// "edit_sheet" endpoint HTTP response body for the "out_of_scope" error.
+type EditSheetOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ZoneMalformedResponseBody is the type of the "operator" service "zone"
 // endpoint HTTP response body for the "malformed" error.
 type ZoneMalformedResponseBody struct {
@@ -1390,6 +1504,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ZoneOutOfScopeResponseBody is the type of the "operator" service "zone"
+// endpoint HTTP response body for the "out_of_scope" error.
+type ZoneOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // CutMalformedResponseBody is the type of the "operator" service "cut"
 // endpoint HTTP response body for the "malformed" error.
 type CutMalformedResponseBody struct {
@@ -1572,6 +1705,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// CutOutOfScopeResponseBody is the type of the "operator" service "cut"
+// endpoint HTTP response body for the "out_of_scope" error.
+type CutOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // RebuildMalformedResponseBody is the type of the "operator" service "rebuild"
 // endpoint HTTP response body for the "malformed" error.
 type RebuildMalformedResponseBody struct {
@@ -1754,6 +1906,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// RebuildOutOfScopeResponseBody is the type of the "operator" service
+// "rebuild" endpoint HTTP response body for the "out_of_scope" error.
+type RebuildOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // MembersMalformedResponseBody is the type of the "operator" service "members"
 // endpoint HTTP response body for the "malformed" error.
 type MembersMalformedResponseBody struct {
@@ -1936,6 +2107,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// MembersOutOfScopeResponseBody is the type of the "operator" service
+// "members" endpoint HTTP response body for the "out_of_scope" error.
+type MembersOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ServersMalformedResponseBody is the type of the "operator" service "servers"
 // endpoint HTTP response body for the "malformed" error.
 type ServersMalformedResponseBody struct {
@@ -2118,6 +2308,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ServersOutOfScopeResponseBody is the type of the "operator" service
+// "servers" endpoint HTTP response body for the "out_of_scope" error.
+type ServersOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ExplainMalformedResponseBody is the type of the "operator" service "explain"
 // endpoint HTTP response body for the "malformed" error.
 type ExplainMalformedResponseBody struct {
@@ -2300,6 +2509,25 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ExplainOutOfScopeResponseBody is the type of the "operator" service
+// "explain" endpoint HTTP response body for the "out_of_scope" error.
+type ExplainOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // FindingResponseBody is used to define fields on response body types.
 type FindingResponseBody struct {
 	// Row and field
@@ -2768,6 +2996,30 @@
 	return body
 }
 
+// NewSheetOutOfScopeResponseBody builds the HTTP response body from the result
+// of the "sheet" endpoint of the "operator" service.
+func NewSheetOutOfScopeResponseBody(res *operator.Failure) *SheetOutOfScopeResponseBody {
+	body := &SheetOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewPutSheetMalformedResponseBody builds the HTTP response body from the
 // result of the "put_sheet" endpoint of the "operator" service.
 func NewPutSheetMalformedResponseBody(res *operator.Failure) *PutSheetMalformedResponseBody {
@@ -3004,6 +3256,30 @@
 	return body
 }
 
+// NewPutSheetOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "put_sheet" endpoint of the "operator" service.
+func NewPutSheetOutOfScopeResponseBody(res *operator.Failure) *PutSheetOutOfScopeResponseBody {
+	body := &PutSheetOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewCheckSheetMalformedResponseBody builds the HTTP response body from the
 // result of the "check_sheet" endpoint of the "operator" service.
 func NewCheckSheetMalformedResponseBody(res *operator.Failure) *CheckSheetMalformedResponseBody {
@@ -3240,6 +3516,30 @@
 	return body
 }
 
+// NewCheckSheetOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "check_sheet" endpoint of the "operator" service.
+func NewCheckSheetOutOfScopeResponseBody(res *operator.Failure) *CheckSheetOutOfScopeResponseBody {
+	body := &CheckSheetOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewHistoryMalformedResponseBody builds the HTTP response body from the
 // result of the "history" endpoint of the "operator" service.
 func NewHistoryMalformedResponseBody(res *operator.Failure) *HistoryMalformedResponseBody {
@@ -3476,6 +3776,30 @@
 	return body
 }
 
+// NewHistoryOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "history" endpoint of the "operator" service.
+func NewHistoryOutOfScopeResponseBody(res *operator.Failure) *HistoryOutOfScopeResponseBody {
+	body := &HistoryOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewReturnSheetMalformedResponseBody builds the HTTP response body from the
 // result of the "return_sheet" endpoint of the "operator" service.
 func NewReturnSheetMalformedResponseBody(res *operator.Failure) *ReturnSheetMalformedResponseBody {
@@ -3712,6 +4036,30 @@
 	return body
 }
 
+// NewReturnSheetOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "return_sheet" endpoint of the "operator" service.
+func NewReturnSheetOutOfScopeResponseBody(res *operator.Failure) *ReturnSheetOutOfScopeResponseBody {
+	body := &ReturnSheetOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewEditSheetMalformedResponseBody builds the HTTP response body from the
 // result of the "edit_sheet" endpoint of the "operator" service.
 func NewEditSheetMalformedResponseBody(res *operator.Failure) *EditSheetMalformedResponseBody {
@@ -3948,6 +4296,30 @@
 	return body
 }
 
+// NewEditSheetOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "edit_sheet" endpoint of the "operator" service.
+func NewEditSheetOutOfScopeResponseBody(res *operator.Failure) *EditSheetOutOfScopeResponseBody {
+	body := &EditSheetOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewZoneMalformedResponseBody builds the HTTP response body from the result
 // of the "zone" endpoint of the "operator" service.
 func NewZoneMalformedResponseBody(res *operator.Failure) *ZoneMalformedResponseBody {
@@ -4184,6 +4556,30 @@
 	return body
 }
 
+// NewZoneOutOfScopeResponseBody builds the HTTP response body from the result
+// of the "zone" endpoint of the "operator" service.
+func NewZoneOutOfScopeResponseBody(res *operator.Failure) *ZoneOutOfScopeResponseBody {
+	body := &ZoneOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewCutMalformedResponseBody builds the HTTP response body from the result of
 // the "cut" endpoint of the "operator" service.
 func NewCutMalformedResponseBody(res *operator.Failure) *CutMalformedResponseBody {
@@ -4420,6 +4816,30 @@
 	return body
 }
 
+// NewCutOutOfScopeResponseBody builds the HTTP response body from the result
+// of the "cut" endpoint of the "operator" service.
+func NewCutOutOfScopeResponseBody(res *operator.Failure) *CutOutOfScopeResponseBody {
+	body := &CutOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewRebuildMalformedResponseBody builds the HTTP response body from the
 // result of the "rebuild" endpoint of the "operator" service.
 func NewRebuildMalformedResponseBody(res *operator.Failure) *RebuildMalformedResponseBody {
@@ -4656,6 +5076,30 @@
 	return body
 }
 
+// NewRebuildOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "rebuild" endpoint of the "operator" service.
+func NewRebuildOutOfScopeResponseBody(res *operator.Failure) *RebuildOutOfScopeResponseBody {
+	body := &RebuildOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewMembersMalformedResponseBody builds the HTTP response body from the
 // result of the "members" endpoint of the "operator" service.
 func NewMembersMalformedResponseBody(res *operator.Failure) *MembersMalformedResponseBody {
@@ -4892,6 +5336,30 @@
 	return body
 }
 
+// NewMembersOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "members" endpoint of the "operator" service.
+func NewMembersOutOfScopeResponseBody(res *operator.Failure) *MembersOutOfScopeResponseBody {
+	body := &MembersOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewServersMalformedResponseBody builds the HTTP response body from the
 // result of the "servers" endpoint of the "operator" service.
 func NewServersMalformedResponseBody(res *operator.Failure) *ServersMalformedResponseBody {
@@ -5128,6 +5596,30 @@
 	return body
 }
 
+// NewServersOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "servers" endpoint of the "operator" service.
+func NewServersOutOfScopeResponseBody(res *operator.Failure) *ServersOutOfScopeResponseBody {
+	body := &ServersOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewExplainMalformedResponseBody builds the HTTP response body from the
 // result of the "explain" endpoint of the "operator" service.
 func NewExplainMalformedResponseBody(res *operator.Failure) *ExplainMalformedResponseBody {
@@ -5364,6 +5856,30 @@
 	return body
 }
 
+// NewExplainOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "explain" endpoint of the "operator" service.
+func NewExplainOutOfScopeResponseBody(res *operator.Failure) *ExplainOutOfScopeResponseBody {
+	body := &ExplainOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewSheetPayload builds a operator service sheet endpoint payload.
 func NewSheetPayload(token *string) *operator.SheetPayload {
 	v := &operator.SheetPayload{}
--- a/gen/operator/client.go
+++ b/gen/operator/client.go
@@ -59,6 +59,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Sheet(ctx context.Context, p *SheetPayload) (res *SheetNow, err error) {
 	var ires any
@@ -81,6 +82,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) PutSheet(ctx context.Context, p *PutSheetPayload) (res *Taken, err error) {
 	var ires any
@@ -103,6 +105,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) CheckSheet(ctx context.Context, p *CheckSheetPayload) (res []*Finding, err error) {
 	var ires any
@@ -125,6 +128,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) History(ctx context.Context, p *HistoryPayload) (res []*PastSheet, err error) {
 	var ires any
@@ -147,6 +151,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) ReturnSheet(ctx context.Context, p *ReturnSheetPayload) (res *Taken, err error) {
 	var ires any
@@ -169,6 +174,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) EditSheet(ctx context.Context, p *EditSheetPayload) (res *Taken, err error) {
 	var ires any
@@ -191,6 +197,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Zone(ctx context.Context, p *ZonePayload) (res *Taken, err error) {
 	var ires any
@@ -213,6 +220,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Cut(ctx context.Context, p *CutPayload) (res *Taken, err error) {
 	var ires any
@@ -235,6 +243,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Rebuild(ctx context.Context, p *RebuildPayload) (res *Taken, err error) {
 	var ires any
@@ -257,6 +266,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Members(ctx context.Context, p *MembersPayload) (res []*Status, err error) {
 	var ires any
@@ -279,6 +289,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Servers(ctx context.Context, p *ServersPayload) (res []*ServerStatus, err error) {
 	var ires any
@@ -301,6 +312,7 @@
 //   - "conflict" (type *Failure): The inquiry key was used for another inquiry
 //   - "lost_race" (type *Failure): Another edit came first
 //   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
 //   - error: internal error
 func (c *Client) Explain(ctx context.Context, p *ExplainPayload) (res any, err error) {
 	var ires any
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -27,7 +27,9 @@
 	Before string
 	Log    io.Writer
 	// Token and Secret are the operator token of the nodes and the fleet's secret.
-	Token  string
+	Token string
+	// Tokens is a file of tokens with scopes for the nodes.
+	Tokens string
 	Secret string
 }
 
@@ -164,6 +166,9 @@
 	if role == "node" && f.o.Token != "" {
 		args = append(args, "--operator-token", f.o.Token)
 	}
+	if role == "node" && f.o.Tokens != "" {
+		args = append(args, "--operator-tokens", f.o.Tokens)
+	}
 	p := &Proc{Name: name, args: append(args, more...), mesh: mesh, oper: oper, zone: zone}
 	if role == "core" {
 		p.Data = filepath.Join(f.o.Dir, name)
--- a/serve/carry.go
+++ b/serve/carry.go
@@ -15,10 +15,14 @@
 
 // Rebuild makes a part's group anew on the operator's word.
 func (a operatorAPI) Rebuild(ctx context.Context, p *operator.RebuildPayload) (*operator.Taken, error) {
-	if err := a.allowed(p.Token); err != nil {
+	who, err := a.f.scopes.may(p.Token, sheet.ScopeAll, nil)
+	if err != nil {
 		return nil, err
 	}
-	return a.carry(ctx, wire.Edit{Op: "rebuild", Part: p.Part, By: deref(p.By)}, operate.Rebuild{Part: p.Part})
+	if who == "" {
+		who = deref(p.By)
+	}
+	return a.carry(ctx, wire.Edit{Op: "rebuild", Part: p.Part, By: who}, operate.Rebuild{Part: p.Part})
 }
 
 // carry asks the kernel and leaves a line for the audit.
@@ -41,7 +45,8 @@
 	case "conflict":
 		return nil, findings("conflict", res.Reply.Findings)
 	case "lost_race":
-		f := fail("lost_race", "another edit came first; read the sheet again and base the edit on it")
+		f := findings("lost_race", res.Reply.Findings)
+		f.Message = "another edit came first; read the sheet again and base the edit on it"
 		f.Stamp = &stamp
 		return nil, f
 	case "shed":
--- a/serve/http.go
+++ b/serve/http.go
@@ -102,6 +102,10 @@
 	mux := goahttp.NewMuxer()
 	if p.Kernel.Boot.Role == "node" {
 		s.front = NewFront(p)
+		var err error
+		if s.front.scopes, err = openScopes(p, s.over); err != nil {
+			return nil, err
+		}
 		h := operatorsrv.New(operator.NewEndpoints(operatorAPI{s.front}), mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, onErr, shaped)
 		operatorsrv.Mount(mux, h)
 	}
--- a/serve/operator.go
+++ b/serve/operator.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"encoding/json"
-	"strings"
 
 	"wallport/gen/operator"
 	"wallport/kernel"
@@ -24,15 +22,10 @@
 	return &operator.Failure{Name: code, Message: message, Ran: "no"}
 }
 
-// allowed compares the operator's token in constant time.
+// allowed tells whether a token may look.
 func (a operatorAPI) allowed(token *string) error {
-	want := a.f.p.Kernel.Boot.Env.Token
-	got := strings.TrimPrefix(deref(token), "Bearer ")
-	if want != "" && subtle.ConstantTimeCompare([]byte(want), []byte(got)) != 1 {
-		a.f.p.Kernel.Counts.Add("operator_forbidden", 1)
-		return fail("forbidden", "the operator token is missing or wrong")
-	}
-	return nil
+	_, err := a.f.scopes.may(token, sheet.ScopeRead, nil)
+	return err
 }
 
 type changing struct {
@@ -41,10 +34,19 @@
 
 // change carries an edit and tells what became of it, with a line for the audit.
 func (a operatorAPI) change(ctx context.Context, c changing, e wire.Edit) (*operator.Taken, error) {
-	if err := a.allowed(c.token); err != nil {
+	scope, indexes := sheet.ScopeAll, []string(nil)
+	if e.Op == "rows" {
+		scope, indexes = sheet.ScopeRows, sheet.Indexes(a.f.table.Now().Sheet, e.Body)
+	}
+	who, err := a.f.scopes.may(c.token, scope, indexes)
+	if err != nil {
 		return nil, err
 	}
 	e.EditID, e.By = deref(c.editID), deref(c.by)
+	if who != "" {
+		// Whom the token names, not whom the caller names, goes into audit and history.
+		e.By = who
+	}
 	if e.Strict {
 		stamp, ok := sheet.ParseStamp(e.Part, deref(c.basedOn))
 		if !ok && deref(c.basedOn) != "0.0" {
--- a/serve/run.go
+++ b/serve/run.go
@@ -18,10 +18,11 @@
 
 // Front is the request path of one node.
 type Front struct {
-	p     *process.Process
-	desk  *inquiry.Desk
-	table *table.Table
-	asker *asker
+	p      *process.Process
+	desk   *inquiry.Desk
+	table  *table.Table
+	asker  *asker
+	scopes *scopes
 }
 
 // NewFront makes the request path over a running process.
--- a/serve/shape.go
+++ b/serve/shape.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
@@ -38,6 +39,15 @@
 	Text  string `json:"text"`
 }
 
+// tokenFaults is the error of a file of tokens, a line each.
+func tokenFaults(file string, found []wire.Finding) error {
+	var lines []string
+	for _, f := range found {
+		lines = append(lines, file+": "+f.Place+": "+f.Text)
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
 // onceEach refuses what gives a name twice, before a decoder keeps one of the two.
 func onceEach(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/smoke/api_test.go
+++ b/smoke/api_test.go
@@ -68,7 +68,9 @@
 		t.Skip("real processes run in the plain test step")
 	}
 	r := rig{t: t, bin: build(t), dir: t.TempDir()}
-	r.f = fleet.New(fleet.Options{Shape: fleet.Shapes["small"], Dir: r.dir, Bin: r.bin, Token: token, Secret: "fleet"})
+	tokens := filepath.Join(r.dir, "tokens.json")
+	must.NoError(t, os.WriteFile(tokens, []byte(tokensFile), 0o600))
+	r.f = fleet.New(fleet.Options{Shape: fleet.Shapes["small"], Dir: r.dir, Bin: r.bin, Token: token, Tokens: tokens, Secret: "fleet"})
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
 	defer r.f.Down()
@@ -77,6 +79,7 @@
 	t.Run("operator", func(t *testing.T) { r.t = t; r.operatorFaults() })
 	t.Run("admin", func(t *testing.T) { r.t = t; r.commands() })
 	t.Run("ceiling", func(t *testing.T) { r.t = t; r.ceiling() })
+	t.Run("scopes", func(t *testing.T) { r.t = t; r.scopes() })
 	t.Run("explain", func(t *testing.T) { r.t = t; r.explain() })
 }
 
