A home asks no more nodes for its records than it needs

Each node asked all others after every change of the roster, and each answer was the whole set of records: 10 times 26,000 for a restart.

--- a/claims/epochs.go
+++ b/claims/epochs.go
@@ -101,14 +101,24 @@
 	c.roster = cp.Roster
 	c.epochs = slices.DeleteFunc(c.epochs, func(e *epoch) bool { return t.Now-e.at >= c.uncertain() })
 	for _, e := range c.epochs {
-		// A process that sees nobody else has heard of nothing.
-		e.whole = len(c.roster) > 1
+		// In a fleet whose nodes are all homes of all keys so many are enough for every key.
+		left := others(len(c.roster))
+		if len(c.roster) > homesMost {
+			left = len(c.roster) - 1
+		}
 		for _, n := range c.roster {
-			if n.Name == c.name() || e.heard[n.Name] {
-				continue
+			if n.Name != c.name() && e.heard[n.Name] {
+				left--
 			}
-			e.whole = false
-			if n.Live {
+		}
+		// A process that sees nobody else has heard of nothing.
+		e.whole = len(c.roster) > 1 && left <= 0
+		// Others each time: one that is itself not sure does not answer.
+		from := t.Rand.IntN(max(1, len(c.roster)))
+		for i := range c.roster {
+			n := c.roster[(i+from)%len(c.roster)]
+			if n.Name != c.name() && !e.heard[n.Name] && n.Live && left > 0 {
+				left--
 				t.SendTo(n.Addr, wire.KindHandOver, 0, &wire.HandOver{N: e.n, Name: c.name(), Before: places(e.before), Now: places(c.roster)})
 			}
 		}
@@ -156,7 +166,11 @@
 	before, now := nodes(m.Before), nodes(m.Now)
 	out := wire.Handed{N: m.N, Name: c.name()}
 	size := 0
-	for _, key := range slices.Sorted(maps.Keys(c.records)) {
+	var keys []string
+	if len(before) == 0 || len(before) > homesMost || !isHome("", m.Name, before) {
+		keys = slices.Sorted(maps.Keys(c.records))
+	}
+	for _, key := range keys {
 		if !isHome(key, m.Name, now) || len(before) > 0 && isHome(key, m.Name, before) {
 			continue
 		}
