A process that just started no longer counts those that are gone as live

Cause: a fresh process took every origin that others still remembered for live for 3.5 s; with ten restarts within 30 s the fleet seemed to have 21 nodes for ten minutes, and half of that is a minority. Ruled out: handing over of records (none was unsure). Now an origin heard of from another counts once its beat rises.

--- a/mesh/beat_test.go
+++ b/mesh/beat_test.go
@@ -22,6 +22,8 @@
 func TestNoMemberMakesADeadOneLookAlive(t *testing.T) {
 	r := newRig(t)
 	dead := kernel.Fingerprint(key(3).Public)
+	r.heartbeat(mark(key(3), 4))
+	must.False(t, r.m.Live(dead, r.now), must.Sprint("heard of from another, it may be long gone"))
 	r.heartbeat(mark(key(3), 5))
 	must.True(t, r.m.Live(dead, r.now))
 	r.now += LiveFor + 1
@@ -51,5 +53,7 @@
 	must.False(t, r.m.Live(mk.Origin, r.now))
 	r.k.Boot.Env.UnsignedBeats = true
 	r.heartbeat(mk)
+	mk.Beat++
+	r.heartbeat(mk)
 	must.True(t, r.m.Live(mk.Origin, r.now))
 }
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -63,7 +63,7 @@
 	theirs := make(map[string]wire.Mark, len(hb.Marks))
 	for _, mk := range hb.Marks {
 		theirs[mk.Origin] = mk
-		m.takeBeat(t, mk)
+		m.takeBeat(t, p.key, mk)
 	}
 	for _, fp := range sortedKeys(m.store.origins) {
 		m.catchUp(t, p, m.store.origins[fp], theirs[fp])
@@ -110,7 +110,7 @@
 	return false
 }
 
-func (m *Mesh) takeBeat(t *kernel.Turn, mk wire.Mark) {
+func (m *Mesh) takeBeat(t *kernel.Turn, from string, mk wire.Mark) {
 	if mk.Origin == m.self || mk.Beat == 0 {
 		return
 	}
@@ -124,8 +124,16 @@
 		t.Counts.Add("mesh_dropped_beat", 1)
 		return
 	}
-	o := m.store.origin(mk.Origin, t.Now)
+	o := m.store.origins[mk.Origin]
+	first := o == nil || o.beat == 0
+	if o == nil {
+		o = m.store.origin(mk.Origin, t.Now)
+	}
 	o.beat, o.beatAt, o.key, o.sig = mk.Beat, t.Now, mk.Key, mk.Sig
+	if first && mk.Origin != from {
+		// Heard of from another: it may be long gone, and counts once its beat rises.
+		o.beatAt = t.Now - LiveFor
+	}
 	delete(m.store.buried, mk.Origin)
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -165,6 +165,7 @@
 	r := newRig(t)
 	fp := kernel.Fingerprint(key(3).Public)
 	beat := func(n uint64) { r.heartbeat(mark(key(3), n)) }
+	beat(4)
 	beat(5)
 	r.gossip(entry(key(3), "opinion", "s1", 1))
 	must.True(t, r.m.Live(fp, r.now))
