--- a/members/members.go
+++ b/members/members.go
@@ -136,12 +136,6 @@
 	return out
 }
 
-// Drains tells whether an origin said that it is about to leave.
-func (m *Members) Drains(origin string) bool {
-	r := m.rows[origin]
-	return r != nil && r.Draining
-}
-
 // Seat finds the live core that has a seat's disk.
 func (m *Members) Seat(id string, now int64) (Row, bool) {
 	for _, r := range m.All(now) {
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 
 	"wallport/kernel"
-	"wallport/members"
 	"wallport/mesh"
 	"wallport/wire"
 )
@@ -63,15 +62,14 @@
 
 // Usage is the plug-in.
 type Usage struct {
-	mesh    *mesh.Mesh
-	members *members.Members
-	meters  sync.Map
-	others  map[string]map[string]int64
+	mesh   *mesh.Mesh
+	meters sync.Map
+	others map[string]map[string]int64
 }
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 55, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Usage{mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), others: map[string]map[string]int64{}}
+		return &Usage{mesh: kernel.Find[*mesh.Mesh](k), others: map[string]map[string]int64{}}
 	}})
 }
 
@@ -132,8 +130,7 @@
 		report.Rates[key] = int64(m.rate * 10)
 		var other int64
 		for origin, rates := range u.others {
-			// One that drains is asked no more; what it was asked goes elsewhere.
-			if u.mesh.Live(origin, t.Now) && !u.members.Drains(origin) {
+			if u.mesh.Live(origin, t.Now) {
 				other += rates[key]
 			}
 		}
