--- a/lab/fleet/shape.go
+++ b/lab/fleet/shape.go
@@ -87,7 +87,10 @@
 	}
 	sc.Set["shape"] = s.Name
 	sc.Set["rate"] = fmt.Sprint(FullRate)
-	for _, name := range []string{"nodes", "cores", "per_shard"} {
-		delete(sc.Set, name)
+	if sc.Int("cores", 0) <= int64(s.Cores) {
+		// What needs more disk machines than a deployment has keeps them.
+		delete(sc.Set, "cores")
 	}
+	delete(sc.Set, "nodes")
+	delete(sc.Set, "per_shard")
 }
