--- a/lab/sim/verbs.go
+++ b/lab/sim/verbs.go
@@ -86,7 +86,10 @@
 		// From now on processes that start are given other seeds.
 		w.seeds = nil
 		for _, n := range st.Args {
-			w.seeds = append(w.seeds, w.procs[n].env.Mesh)
+			// A deployment may have fewer machines than the scenario names.
+			if p := w.procs[n]; p != nil {
+				w.seeds = append(w.seeds, p.env.Mesh)
+			}
 		}
 		for _, name := range w.names {
 			w.procs[name].env.Seeds = w.seeds
