Claims: one word for enough homes, and homes ranked only where they are needed

The homes of an epoch's roster were ranked on the way of a claim even where they were not looked at, and the same condition stood three times.

--- a/claims/asking.go
+++ b/claims/asking.go
@@ -93,11 +93,11 @@
 // is its first try makes up for homes that cannot be sure.
 func (c *Claims) decide(t *kernel.Turn, n uint64, w *asking) {
 	in, unsure, most := w.count()
-	all := len(w.replies) == len(w.homes)
+	enough := in >= most || w.ask.First && in+unsure >= most
 	switch {
-	case all && (in >= most || w.ask.First && in+unsure >= most):
+	case enough && len(w.replies) == len(w.homes):
 	case w.decideAt > 0 && t.Now >= w.decideAt:
-	case in >= most && w.decideAt == 0 || w.ask.First && in+unsure >= most && w.decideAt == 0:
+	case enough && w.decideAt == 0:
 		w.decideAt = t.Now + LastWait
 		t.After(LastWait, "claims", fmt.Sprint(n))
 		return
--- a/claims/epochs.go
+++ b/claims/epochs.go
@@ -57,18 +57,17 @@
 		if now-e.at >= c.uncertain() || e.settled(now) {
 			continue
 		}
-		prev := Homes(key, e.before)
-		if e.before == nil {
-			if c.saw(index) {
-				continue
-			}
-			prev = Homes(key, c.roster)
-		} else if isHome(key, c.name(), e.before) {
+		before := e.before
+		switch {
+		case before == nil && c.saw(index), before != nil && isHome(key, c.name(), before):
 			continue
-		} else if now-e.at < SettleFor {
+		case before == nil:
+			before = c.roster
+		case now-e.at < SettleFor:
 			// Others may not have the new roster yet and claim at the old homes.
 			return false
 		}
+		prev := Homes(key, before)
 		n := 0
 		for _, h := range prev {
 			if e.heard[h.Name] {
