--- a/cmd/wallport/onplatform.go
+++ b/cmd/wallport/onplatform.go
@@ -15,7 +15,7 @@
 
 	"wallport/env"
 	"wallport/kernel"
-	"wallport/part"
+	"wallport/replica"
 	"wallport/platform"
 	"wallport/process"
 	"wallport/serve"
@@ -109,15 +109,15 @@
 
 // handOver waits until a core that stops owns no part any more.
 func handOver(p *process.Process) {
-	seats := kernel.Find[*part.Seats](p.Kernel)
+	seats := kernel.Find[*replica.Host](p.Kernel)
 	if seats == nil {
 		return
 	}
 	for end := time.Now().Add(handOverMost); time.Now().Before(end); time.Sleep(handOverLook) {
 		owns := false
 		p.Do(func(int64) {
-			for n := range part.Parts {
-				owns = owns || seats.Owns(n)
+			for n := range replica.Parts {
+				owns = owns || seats.Leads(n)
 			}
 		})
 		if !owns {
--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -18,7 +18,7 @@
 	"wallport/env"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	_ "wallport/part"
+	_ "wallport/replica"
 	"wallport/platform"
 	"wallport/process"
 	_ "wallport/pulls"
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -24,7 +24,7 @@
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	_ "wallport/part"
+	_ "wallport/replica"
 	"wallport/process"
 	_ "wallport/pulls"
 	"wallport/table"
--- a/lab/sim/day_faults.go
+++ b/lab/sim/day_faults.go
@@ -27,7 +27,7 @@
 		return m
 	}
 	for _, m := range d.machines {
-		if m.counted() && m.core.seats != nil && m.core.up && m.core.seats.Owns(0) {
+		if m.counted() && m.core.seats != nil && m.core.up && m.core.seats.Leads(0) {
 			return m
 		}
 	}
--- a/lab/sim/day_machines.go
+++ b/lab/sim/day_machines.go
@@ -219,7 +219,7 @@
 // handOver ends a core once it owns no part any more.
 func (p *proc) handOver(until int64) {
 	for part := range state.Parts {
-		if p.seats.Owns(part) && p.w.now < until {
+		if p.seats.Leads(part) && p.w.now < until {
 			p.later(10_000, func() { p.handOver(until) })
 			return
 		}
--- a/lab/sim/healing.go
+++ b/lab/sim/healing.go
@@ -52,9 +52,9 @@
 		case !p.runs():
 			fail("%s does not run", name)
 		case p.role == "core":
-			live[p.seats.ID()] = true
+			live[p.seats.ReplicaID()] = true
 			for part := range state.Parts {
-				if p.seats.Owns(part) {
+				if p.seats.Leads(part) {
 					owners[part]++
 				}
 			}
@@ -73,16 +73,16 @@
 			continue
 		}
 		for part := range state.Parts {
-			if !p.seats.Owns(part) {
+			if !p.seats.Leads(part) {
 				continue
 			}
-			if n := len(p.seats.SeatsOf(part)); n != 3 {
+			if n := len(p.seats.VotersOf(part)); n != 3 {
 				fail("part %d has %d seats", part, n)
 			}
-			if zones := w.spread(p.seats.SeatsOf(part)); zones < 3 && w.coreZones() >= 3 {
+			if zones := w.spread(p.seats.VotersOf(part)); zones < 3 && w.coreZones() >= 3 {
 				fail("part %d has its seats in %d zones", part, zones)
 			}
-			for _, s := range p.seats.SeatsOf(part) {
+			for _, s := range p.seats.VotersOf(part) {
 				if !live[s.ID] {
 					fail("part %d has a seat that is gone: %s at %s", part, s.ID, s.Addr)
 				}
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -13,7 +13,7 @@
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	"wallport/part"
+	"wallport/replica"
 	_ "wallport/pulls"
 	"wallport/table"
 	"wallport/usage"
@@ -42,7 +42,7 @@
 	skew      int64
 	kernel    *kernel.Kernel
 	table     *table.Table
-	seats     *part.Seats
+	seats     *replica.Host
 	desk      *inquiry.Desk
 	disk      *disk
 	waiting   []func()
@@ -116,7 +116,7 @@
 		})
 		p.front = newFront(p)
 	default:
-		p.seats = kernel.Find[*part.Seats](p.kernel)
+		p.seats = kernel.Find[*replica.Host](p.kernel)
 	}
 	p.step(kernel.Start{})
 }
--- a/lab/sim/verbs.go
+++ b/lab/sim/verbs.go
@@ -138,7 +138,7 @@
 	}
 	if pattern == "owner" {
 		for _, name := range w.names {
-			if p := w.procs[name]; p.seats != nil && p.up && p.seats.Owns(0) {
+			if p := w.procs[name]; p.seats != nil && p.up && p.seats.Leads(0) {
 				return []string{name}
 			}
 		}
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -226,7 +226,7 @@
 		if p.seats != nil && p.up {
 			n := int64(0)
 			for part := range state.Parts {
-				if p.seats.Owns(part) {
+				if p.seats.Leads(part) {
 					n++
 				}
 			}
--- a/operate/carrying.go
+++ b/operate/carrying.go
@@ -69,7 +69,7 @@
 	part := c.req.Edit.Part
 	addr := ""
 	if o.seats != nil {
-		addr = o.seats.Owner(part, t.Now)
+		addr = o.seats.Leader(part, t.Now)
 	}
 	if addr == "" {
 		addr = o.pulls.Owner(part)
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -9,7 +9,7 @@
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
-	"wallport/part"
+	"wallport/replica"
 	"wallport/pulls"
 	"wallport/routingpb"
 	"wallport/state"
@@ -90,7 +90,7 @@
 type Operate struct {
 	mesh    *mesh.Mesh
 	pulls   *pulls.Pulls
-	seats   *part.Seats
+	seats   *replica.Host
 	members *members.Members
 	calls   map[uint64]*call
 
@@ -100,7 +100,7 @@
 func init() {
 	kernel.Register(kernel.Registration{Rank: 50, Roles: []string{"node", "core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Operate{
-			mesh: kernel.Find[*mesh.Mesh](k), pulls: kernel.Find[*pulls.Pulls](k), seats: kernel.Find[*part.Seats](k),
+			mesh: kernel.Find[*mesh.Mesh](k), pulls: kernel.Find[*pulls.Pulls](k), seats: kernel.Find[*replica.Host](k),
 			members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
 		}
 	}})
@@ -127,7 +127,7 @@
 			return
 		}
 		o.try(t, id)
-	case part.Replied:
+	case replica.Replied:
 		o.replied(t, v.ID, v.Reply)
 	case kernel.Message:
 		if v.Kind == wire.KindRebuildReply {
--- /dev/null
+++ b/replica/bootstrap.go
@@ -0,0 +1,230 @@
+// Bootstrapping a fleet on empty disks. A replica syncs its consent to one formation at a
+// time, a formation needs all of its replicas, and only the replica that proposed it
+// completes it, or withdraws it and so frees the others. Nobody proposes one
+// while any reachable process knows of a formed fleet.
+package replica
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// Figures of bootstrap.
+const (
+	// BootstrapAfter is how long an empty core listens before it proposes: processes that know of
+	// a fleet dial a seed that did not answer once in two seconds (mesh.SeedBackoff).
+	BootstrapAfter = 4_000_000
+	// ProposeInterval is how often a proposal is repeated.
+	ProposeInterval = 200_000
+	// WithdrawAfter is how long a proposal may miss a consent before it is withdrawn.
+	WithdrawAfter = 2_500_000
+)
+
+func (s *Host) bootstrapStep(t *kernel.Turn) {
+	if s.replicaID == "" || s.diskProblem != "" || s.stopping {
+		return
+	}
+	// A node that still has a version in force knows of a formed fleet as well:
+	// its group is rebuilt by an operator's word or not at all.
+	for part := range Parts {
+		if v, ok := s.mesh.Part(part); ok && v.Stamp.Term > 0 {
+			s.joinFleet(t)
+			return
+		}
+	}
+	e := &s.k.Boot.Env
+	for _, c := range s.rows(t.Now) {
+		if !c.Formed {
+			continue
+		}
+		// While a platform has its fleet formed, the replicas learn of it one by one; who is not
+		// among them is a standby once a version is there.
+		if !e.BootstrapKnown {
+			s.joinFleet(t)
+		}
+		return
+	}
+	switch {
+	case s.formation.Formation == "":
+		if at := t.Now - s.started; e.BootstrapKnown || at >= BootstrapAfter {
+			s.planFormation(t)
+		}
+	case s.formation.By.ID == s.replicaID && t.Now-s.proposedAt >= ProposeInterval:
+		if t.Now-s.plannedAt > WithdrawAfter && !s.completing {
+			s.withdraw(t)
+			return
+		}
+		s.propose(t)
+	}
+}
+
+// joinFleet makes an unformed core a standby of the fleet that it found. Where the
+// found fleet is the one it consented to, its leaders bring it the versions.
+func (s *Host) joinFleet(t *kernel.Turn) {
+	if s.bootstrapped {
+		return
+	}
+	s.bootstrapped = true
+	s.publishMember()
+	t.Note(0, "core_spare", "seat", s.replicaID)
+}
+
+// planFormation proposes a formation, if this core is the one to do so and enough others are known.
+func (s *Host) planFormation(t *kernel.Turn) {
+	cores := s.standbys(t.Now)
+	cores = slices.DeleteFunc(cores, func(c wire.Seat) bool { return s.refused[c.ID] })
+	slices.SortFunc(cores, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
+	seats, ok := s.chooseFormation(t, cores)
+	if !ok {
+		return
+	}
+	f := wire.Form{Formation: fmt.Sprintf("%016x", t.Rand.Uint64()), Seats: seats}
+	f.By = wire.Seat{ID: s.replicaID, Zone: s.k.Boot.Env.Zone, Addr: s.k.Boot.Env.Mesh}
+	s.plannedAt = t.Now
+	t.Note(0, "formation_planned", "formation", f.Formation, "seats", len(seats))
+	s.consent(t, f, func(t *kernel.Turn, ok bool) {
+		if ok && s.formation.Formation == f.Formation {
+			s.propose(t)
+		}
+	})
+}
+
+// consent syncs that this disk consents to a formation; an empty one takes the consent back.
+func (s *Host) consent(t *kernel.Turn, f wire.Form, done func(t *kernel.Turn, ok bool)) {
+	s.formation, s.consents, s.synced = f, map[string]bool{}, false
+	s.save(t, "formation", wire.Encode(&f), func(t *kernel.Turn, err string) {
+		if s.formation.Formation == f.Formation {
+			s.synced = err == ""
+			if err != "" {
+				s.formation = wire.Form{}
+			}
+		}
+		done(t, err == "")
+	})
+}
+
+func (s *Host) propose(t *kernel.Turn) {
+	s.proposedAt = t.Now
+	for _, member := range s.formation.Seats {
+		if member.ID != s.replicaID {
+			s.sendReplica(t, member, wire.KindForm, &s.formation)
+			continue
+		}
+		s.handleFormReply(t, wire.FormReply{Formation: s.formation.Formation, From: s.replicaID, OK: true})
+	}
+}
+
+// withdraw gives up this replica's own proposal, for another one or for none. It is synced before
+// anyone is told: whoever consented to it is free only once it can never be complete.
+func (s *Host) withdraw(t *kernel.Turn) {
+	was := s.formation
+	t.Note(1, "formation_withdrawn", "formation", was.Formation)
+	s.consent(t, wire.Form{}, func(t *kernel.Turn, ok bool) {
+		if !ok {
+			return
+		}
+		was.Withdrawn = true
+		for _, member := range was.Seats {
+			if member.ID != s.replicaID {
+				s.sendReplica(t, member, wire.KindForm, &was)
+			}
+		}
+	})
+}
+
+func (s *Host) handleForm(t *kernel.Turn, ch uint64, f wire.Form) {
+	reply := func(t *kernel.Turn, r wire.FormReply) {
+		r.Formation, r.From = f.Formation, s.replicaID
+		t.Send(ch, wire.KindFormReply, 0, &r)
+	}
+	e := &s.k.Boot.Env
+	mine, in := s.formation, contains(f.Seats, s.replicaID)
+	switch {
+	case s.replicaID == "" || s.diskDamaged:
+	case f.Withdrawn:
+		if mine.Formation == f.Formation && mine.By.ID != s.replicaID && !s.bootstrapped && !s.completing {
+			s.consent(t, wire.Form{}, func(*kernel.Turn, bool) {})
+		}
+	case f.Go:
+		if f.Formation == mine.Formation {
+			s.complete(t)
+		}
+	case s.bootstrapped:
+		reply(t, wire.FormReply{Formed: true})
+	case mine.Formation == f.Formation:
+		if s.synced {
+			reply(t, wire.FormReply{OK: true})
+		}
+	case mine.Formation != "" && mine.By.ID == s.replicaID && f.By.ID < s.replicaID && !s.completing:
+		// Of two proposals the one of the lesser replica goes on; that replica asks again soon.
+		s.withdraw(t)
+	case mine.Formation != "":
+		reply(t, wire.FormReply{By: mine.By})
+	case e.BootstrapKnown && !e.Bootstrap:
+		reply(t, wire.FormReply{Never: true})
+	case in && s.diskProblem == "":
+		s.consent(t, f, func(t *kernel.Turn, ok bool) { reply(t, wire.FormReply{OK: ok}) })
+	}
+}
+
+func (s *Host) handleFormReply(t *kernel.Turn, r wire.FormReply) {
+	f := s.formation
+	if s.bootstrapped || f.Formation == "" || r.Formation != f.Formation || f.By.ID != s.replicaID || s.completing {
+		return
+	}
+	switch {
+	case r.OK:
+		s.consents[r.From] = true
+		if !slices.ContainsFunc(f.Seats, func(seat wire.Seat) bool { return !s.consents[seat.ID] }) {
+			s.complete(t)
+		}
+	case r.Formed:
+		s.joinFleet(t)
+	case r.Never:
+		s.refused[r.From] = true
+		s.withdraw(t)
+	case r.By.ID != "" && r.By.ID < s.replicaID:
+		s.withdraw(t)
+	case r.By.ID != "":
+		s.sendReplica(t, r.By, wire.KindForm, &f)
+	}
+}
+
+// adoptFormation gives every partition that holds nothing yet the formation's replicas.
+func (s *Host) adoptFormation() {
+	for _, g := range s.groups {
+		if len(g.accepted.Seats) == 0 {
+			g.accepted.Seats = s.formation.Seats
+			g.accepted.Stamp.Part = g.part
+		}
+	}
+}
+
+// complete makes a consenting replica a voter, once that is synced; the one that proposed the
+// formation then tells the others, who may have nobody else to tell them.
+func (s *Host) complete(t *kernel.Turn) {
+	f := s.formation
+	if f.Go || s.completing {
+		return
+	}
+	f.Go, s.completing = true, true
+	s.save(t, "formation", wire.Encode(&f), func(t *kernel.Turn, err string) {
+		s.completing = false
+		if err != "" || s.formation.Go {
+			return
+		}
+		s.formation, s.bootstrapped = f, true
+		s.adoptFormation()
+		t.Note(0, "fleet_formed", "formation", f.Formation, "seat", s.replicaID)
+		s.publishMember()
+		for _, member := range f.Seats {
+			if f.By.ID == s.replicaID && member.ID != s.replicaID {
+				s.sendReplica(t, member, wire.KindForm, &f)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/replica/bootstrap_choice.go
@@ -0,0 +1,79 @@
+// Which cores form a fleet, and which of them proposes it. Where a platform says
+// that all disks are empty, nothing is waited for but the cores themselves;
+// otherwise the cores have listened long enough for a fleet that is there already.
+package replica
+
+import (
+	"slices"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// Figures of bootstrap on a platform, in microseconds from the start.
+const (
+	// SeedTimeout is how long every seed is waited for, and a choice that can lose a zone.
+	SeedTimeout = 1_500_000
+	// SmallerGroupAfter is when a smaller group is formed, because there are not more cores.
+	SmallerGroupAfter = 3_000_000
+	// SmallestGroupAfter is when that is done though a seed was never heard.
+	SmallestGroupAfter = 6_000_000
+	// smallestGroup is what is formed then at least: a lone core may just not hear the others.
+	smallestGroup = 3
+	maxSeeds      = 3
+)
+
+// chooseFormation gives the replicas of the formation that this core should propose now, if any.
+func (s *Host) chooseFormation(t *kernel.Turn, cores []wire.Seat) ([]wire.Seat, bool) {
+	e, want := &s.k.Boot.Env, s.wantedVoters()
+	if !e.BootstrapKnown {
+		return pickMembers(cores, want), len(cores) >= want && cores[0].ID == s.replicaID
+	}
+	at := t.Now - s.started
+	all := !slices.ContainsFunc(e.Seeds, func(a string) bool { return !s.reaches(a, t.Now) })
+	if !e.Bootstrap || len(cores) == 0 || !all && at < SeedTimeout || s.proposer(cores) != s.replicaID {
+		return nil, false
+	}
+	if len(cores) >= want {
+		seats := pickMembers(cores, want)
+		return seats, at >= SeedTimeout || survivesZoneLoss(seats, e.Tolerance.Zones)
+	}
+	if fewer := (len(cores) - 1) | 1; at >= SmallerGroupAfter && all || at >= SmallestGroupAfter && fewer >= smallestGroup {
+		return pickMembers(cores, min(fewer, want)), true
+	}
+	return nil, false
+}
+
+// proposer is the core at the least seed address. All have the same seeds when a fleet starts,
+// but for themselves: a core that is not given as many as there can be is one of them.
+func (s *Host) proposer(cores []wire.Seat) string {
+	seeds := s.k.Boot.Env.Seeds
+	if len(seeds) < maxSeeds {
+		seeds = append(slices.Clone(seeds), s.k.Boot.Env.Mesh)
+	}
+	best := cores[0]
+	for _, c := range cores {
+		seed, was := slices.Contains(seeds, c.Addr), slices.Contains(seeds, best.Addr)
+		if seed && !was || seed && was && c.Addr < best.Addr {
+			best = c
+		}
+	}
+	return best.ID
+}
+
+// pickMembers chooses replicas, spread over the zones.
+func pickMembers(cores []wire.Seat, n int) []wire.Seat {
+	var seats []wire.Seat
+	for range min(n, len(cores)) {
+		c, _ := leastUsedZone(cores, seats, "")
+		seats = append(seats, c)
+	}
+	return seats
+}
+
+// survivesZoneLoss tells whether the loss of any one zone leaves a majority of the replicas.
+func survivesZoneLoss(seats []wire.Seat, zones int) bool {
+	return zones == 0 || !slices.ContainsFunc(seats, func(s wire.Seat) bool {
+		return 2*countInZone(seats, s.Zone, "") >= len(seats)
+	})
+}
--- a/part/forming_test.go
+++ b/replica/bootstrap_test.go
@@ -1,6 +1,6 @@
-// Forming: one consent at a time, withdrawn only by the seat that proposed, and
+// Bootstrapping: one consent at a time, withdrawn only by the replica that proposed, and
 // nothing said before it is on the disk.
-package part
+package replica
 
 import (
 	"slices"
@@ -14,7 +14,7 @@
 	"wallport/wire"
 )
 
-// emptyCore is a core on a platform with seat "m" and nothing else on its disk.
+// emptyCore is a core on a platform with replica "m" and nothing else on its disk.
 func emptyCore(t *testing.T, change func(e *env.Env)) *core {
 	e := env.Env{Mesh: "10.0.0.5:1", Zone: "z5", Data: "disk", BootstrapKnown: true, Bootstrap: true, Tolerance: env.Tolerance{Machines: 1, Zones: 1}}
 	e.Seeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
@@ -24,7 +24,7 @@
 	k := kernel.New(kernel.Boot{
 		Env: e, Role: "core", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32)), Files: map[string][]byte{"seat": diskfile.Pack([]byte("m"))},
 	})
-	c := &core{k: k, s: kernel.Find[*Seats](k), now: 1_000_000}
+	c := &core{k: k, s: kernel.Find[*Host](k), now: 1_000_000}
 	c.feed(kernel.Start{})
 	return c
 }
@@ -66,7 +66,7 @@
 	r := formReplies(t, c.send(wire.KindForm, f2))[0]
 	must.False(t, r.OK)
 	must.Eq(t, "a", r.By.ID)
-	// Once the seat that proposed it has given it up, the consent is free again.
+	// Once the replica that proposed it has given it up, the consent is free again.
 	f1.Withdrawn = true
 	c.sync(c.send(wire.KindForm, f1))
 	must.True(t, formReplies(t, c.sync(c.send(wire.KindForm, f2)))[0].OK)
@@ -108,13 +108,13 @@
 	must.SliceEmpty(t, sent[wire.Form](t, out, wire.KindForm), must.Sprint("not before its own consent is synced"))
 	out = c.sync(out)
 	must.Len(t, 2, sent[wire.Form](t, out, wire.KindForm))
-	for _, seat := range c.s.formation.Seats {
-		out = c.send(wire.KindFormReply, &wire.FormReply{Formation: c.s.formation.Formation, From: seat.ID, OK: true})
+	for _, member := range c.s.formation.Seats {
+		out = c.send(wire.KindFormReply, &wire.FormReply{Formation: c.s.formation.Formation, From: member.ID, OK: true})
 	}
-	must.False(t, c.s.formed)
+	must.False(t, c.s.bootstrapped)
 	must.SliceEmpty(t, sent[wire.Form](t, out, wire.KindForm), must.Sprint("not before it is synced that it is complete"))
 	gone := sent[wire.Form](t, c.sync(out), wire.KindForm)
-	must.True(t, c.s.formed)
+	must.True(t, c.s.bootstrapped)
 	must.Len(t, 2, gone)
 	must.True(t, gone[0].Go)
 }
@@ -123,7 +123,7 @@
 	c := emptyCore(t, nil)
 	others(c, 3)
 	must.SliceEmpty(t, c.tick().Writes)
-	c.now += 2 * FewestAfter
+	c.now += 2 * SmallestGroupAfter
 	others(c, 3)
 	must.SliceEmpty(t, c.tick().Writes)
 }
@@ -132,7 +132,7 @@
 	c := emptyCore(t, func(e *env.Env) {
 		e.Mesh, e.Zone, e.Seeds, e.Tolerance.Machines = "10.0.0.0:1", "z0", e.Seeds[:2], 2
 	})
-	c.now += FewerAfter
+	c.now += SmallerGroupAfter
 	others(c, 1)
 	must.SliceEmpty(t, c.tick().Writes, must.Sprint("one seed is not heard"))
 	others(c, 3)
@@ -150,8 +150,8 @@
 	out = c.send(wire.KindForm, proposal("f3", "a", "a", "s1", "s2"))
 	must.SliceEmpty(t, sent[wire.Form](t, out, wire.KindForm), must.Sprint("nobody is freed before the withdrawal is synced"))
 	// A late consent changes nothing any more.
-	for _, seat := range mine.Seats {
-		c.send(wire.KindFormReply, &wire.FormReply{Formation: mine.Formation, From: seat.ID, OK: true})
+	for _, member := range mine.Seats {
+		c.send(wire.KindFormReply, &wire.FormReply{Formation: mine.Formation, From: member.ID, OK: true})
 	}
 	must.False(t, c.s.completing)
 	freed := sent[wire.Form](t, c.sync(out), wire.KindForm)
@@ -169,14 +169,14 @@
 	c.tick()
 	must.NotEq(t, f.Formation, c.s.formation.Formation)
 	must.Len(t, 3, c.s.formation.Seats)
-	must.False(t, has(c.s.formation.Seats, f.Seats[i].ID))
+	must.False(t, contains(c.s.formation.Seats, f.Seats[i].ID))
 }
 
 func TestCoreWithoutADiskHoldsNoSeatAndHandsOn(t *testing.T) {
 	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.5:1", BootstrapKnown: true}, Role: "core", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32))})
-	c := &core{k: k, s: kernel.Find[*Seats](k), now: 1_000_000}
+	c := &core{k: k, s: kernel.Find[*Host](k), now: 1_000_000}
 	must.SliceEmpty(t, c.feed(kernel.Start{}).Writes)
-	must.Eq(t, "", c.s.ID())
+	must.Eq(t, "", c.s.ReplicaID())
 	must.Eq(t, map[uint64]string{1: "not_owner"}, replies(t, c.edit(1, wire.Edit{Op: "read"})))
 	c.s.mesh.AnnouncePart(&kernel.Turn{Now: c.now, Counts: c.k.Counts}, version(3, 1))
 	got := sent[wire.PullReply](t, c.send(wire.KindPull, &wire.Pull{}), wire.KindPullReply)
--- a/part/disk.go
+++ b/replica/disk.go
@@ -1,6 +1,6 @@
-// A seat's disk: each file is synced before anything is said that rests on it.
+// A replica's disk: each file is synced before anything is said that rests on it.
 // A disk that is full, slow or stalled is told of, and tried again.
-package part
+package replica
 
 import (
 	"fmt"
@@ -9,30 +9,30 @@
 	"wallport/kernel"
 )
 
-// identify gives an empty disk its seat; it is none before that is synced.
-func (s *Seats) identify(t *kernel.Turn) {
+// identify gives an empty disk its replica; it is none before that is synced.
+func (s *Host) identify(t *kernel.Turn) {
 	id := fmt.Sprintf("%016x", t.Rand.Uint64())
 	s.probing = true
 	s.save(t, "seat", []byte(id), func(t *kernel.Turn, err string) {
 		s.probing, s.probeAt = false, t.Now
 		if err == "" {
-			s.seat = id
-			s.tell()
+			s.replicaID = id
+			s.publishMember()
 		}
 	})
 }
 
-func (s *Seats) setSick(t *kernel.Turn, why string) {
-	if s.sick == why {
+func (s *Host) setSick(t *kernel.Turn, why string) {
+	if s.diskProblem == why {
 		return
 	}
-	t.Note(1, "disk_condition", "was", s.sick, "is", why)
-	s.sick = why
-	s.tell()
+	t.Note(1, "disk_condition", "was", s.diskProblem, "is", why)
+	s.diskProblem = why
+	s.publishMember()
 }
 
 // save writes a file and calls back when it is synced or has failed.
-func (s *Seats) save(t *kernel.Turn, file string, content []byte, done func(t *kernel.Turn, err string)) {
+func (s *Host) save(t *kernel.Turn, file string, content []byte, done func(t *kernel.Turn, err string)) {
 	s.nextWrite++
 	key := fmt.Sprintf("w%d", s.nextWrite)
 	s.writes[key], s.writeSince[key] = done, t.Now
@@ -40,11 +40,11 @@
 	t.Write("seats", key, file, diskfile.Pack(content))
 }
 
-func (s *Seats) remove(t *kernel.Turn, file string) { t.Write("seats", "", file, nil) }
+func (s *Host) remove(t *kernel.Turn, file string) { t.Write("seats", "", file, nil) }
 
-func (s *Seats) written(t *kernel.Turn, v kernel.Written) {
+func (s *Host) written(t *kernel.Turn, v kernel.Written) {
 	done := s.writes[v.Key]
-	slow := t.Now-s.writeSince[v.Key] > SickAfter
+	slow := t.Now-s.writeSince[v.Key] > SlowDiskAfter
 	delete(s.writes, v.Key)
 	delete(s.writeSince, v.Key)
 	switch {
@@ -62,15 +62,15 @@
 }
 
 // checkDisk notices a stalled disk, and tries a sick one again.
-func (s *Seats) checkDisk(t *kernel.Turn) {
+func (s *Host) checkDisk(t *kernel.Turn) {
 	for _, at := range s.writeSince {
-		if t.Now-at > SickAfter {
+		if t.Now-at > SlowDiskAfter {
 			s.setSick(t, "stalled")
 		}
 	}
-	if s.sick != "" && !s.probing && len(s.writes) == 0 && t.Now-s.probeAt >= ProbeEvery {
+	if s.diskProblem != "" && !s.probing && len(s.writes) == 0 && t.Now-s.probeAt >= DiskProbeInterval {
 		s.probing, s.probeAt = true, t.Now
-		if s.seat == "" {
+		if s.replicaID == "" {
 			s.identify(t)
 			return
 		}
--- a/part/disk_test.go
+++ b/replica/disk_test.go
@@ -1,6 +1,6 @@
 // A disk that is slow, stalled or full: the group goes on without it, and it
-// is a seat again as soon as it is well.
-package part
+// is a replica again as soon as it is well.
+package replica
 
 import (
 	"testing"
@@ -17,20 +17,20 @@
 	c.beats(g, 200_000, "a", "b")
 	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
 	must.Eq(t, map[uint64]string{1: "ok"}, replies(t, c.take(g)), must.Sprint("two of three hold it"))
-	c.beats(g, SickAfter+2*TickEvery, "a", "b")
-	must.Eq(t, "stalled", c.s.sick)
+	c.beats(g, SlowDiskAfter+2*TickInterval, "a", "b")
+	must.Eq(t, "stalled", c.s.diskProblem)
 	must.Eq(t, follower, g.role)
-	must.True(t, g.owner == "a" || g.owner == "b")
+	must.True(t, g.leader == "a" || g.leader == "b")
 }
 
 func TestSickSeatIsNoSuccessor(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: g.round, Held: g.held.Stamp, OK: true, Sick: true})
+	c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Stamp, OK: true, Sick: true})
 	c.now++
-	must.Eq(t, "", g.successor(&kernel.Turn{Now: c.now}))
-	c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "b", Round: g.round, Held: g.held.Stamp, OK: true})
-	must.Eq(t, "b", g.successor(&kernel.Turn{Now: c.now}))
+	must.Eq(t, "", g.bestSuccessor(&kernel.Turn{Now: c.now}))
+	c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "b", Round: g.round, Held: g.accepted.Stamp, OK: true})
+	must.Eq(t, "b", g.bestSuccessor(&kernel.Turn{Now: c.now}))
 }
 
 func pre(t *testing.T, c *core, term uint64) wire.VoteReply {
@@ -53,13 +53,13 @@
 	c := newCore(t, nil)
 	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)})
 	c.feed(kernel.Written{Plugin: "seats", Key: out.Writes[0].Key, Err: "no space left on device"})
-	must.NotEq(t, "", c.s.sick)
-	c.now += ProbeEvery
+	must.NotEq(t, "", c.s.diskProblem)
+	c.now += DiskProbeInterval
 	out = c.tick()
 	must.Len(t, 1, out.Writes)
 	must.SliceEmpty(t, c.tick().Writes, must.Sprint("one try at a time"))
 	c.sync(out)
-	must.Eq(t, "", c.s.sick)
+	must.Eq(t, "", c.s.diskProblem)
 	// What it missed is brought again, and taken.
 	must.True(t, accepted(t, c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)}))).OK)
 }
@@ -67,19 +67,19 @@
 func TestNoSeatBeforeItsNameIsSynced(t *testing.T) {
 	c := emptyCore(t, nil)
 	delete(c.k.Boot.Files, "seat")
-	c.s.seat, c.s.writes = "", map[string]func(*kernel.Turn, string){}
+	c.s.replicaID, c.s.writes = "", map[string]func(*kernel.Turn, string){}
 	out := c.feed(kernel.Start{})
-	must.Eq(t, "", c.s.ID())
+	must.Eq(t, "", c.s.ReplicaID())
 	for _, w := range out.Writes {
 		c.feed(kernel.Written{Plugin: "seats", Key: w.Key, Err: "no space left on device"})
 	}
-	must.Eq(t, "", c.s.ID())
-	c.now += ProbeEvery + 1
+	must.Eq(t, "", c.s.ReplicaID())
+	c.now += DiskProbeInterval + 1
 	c.sync(c.tick())
-	must.NotEq(t, "", c.s.ID())
+	must.NotEq(t, "", c.s.ReplicaID())
 }
 
-// A seat that lacks the newest version is given it, but not with every beat.
+// A replica that lacks the newest version is given it, but not with every heartbeat.
 func TestHandingOverIsBounded(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
--- /dev/null
+++ b/replica/election.go
@@ -0,0 +1,159 @@
+// Standing for leader: the replicas take turns, ask first whether a term would be
+// given, and vote nothing that is not synced.
+package replica
+
+import (
+	"cmp"
+	"slices"
+
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// scheduleElection puts the next try for a term off: the replicas take turns, each partition beginning with another.
+func (g *Group) scheduleElection(t *kernel.Turn) {
+	rank, after := int64(0), int64(ElectionTimeout)
+	if g.justStarted(t) {
+		after = ElectionTimeoutAtStart
+	}
+	seats := allVoters(g.accepted)
+	slices.SortFunc(seats, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range seats {
+		switch seats[(i+g.part)%len(seats)].ID {
+		case g.self():
+			g.electionAt = t.Now + after + rank*ElectionStagger + t.Rand.Int64N(ElectionJitter)
+			return
+		case g.leader:
+		default:
+			rank++
+		}
+	}
+	g.electionAt = t.Now + ElectionTimeout + t.Rand.Int64N(ElectionTimeout)
+}
+
+// justStarted tells that this process has just started, on a platform, and has heard no leader yet:
+// after a loss of everything there is none to wait for, and where there is one the other replicas,
+// who hear it, deny the first question, which binds nobody.
+func (g *Group) justStarted(t *kernel.Turn) bool {
+	return g.s.k.Boot.Env.BootstrapKnown && g.leader == "" && g.role != leader && t.Now-g.s.started < StartPeriod
+}
+
+// startElection begins a try: first whether a term would be given, then for the term.
+func (g *Group) startElection(t *kernel.Turn, named bool) {
+	g.scheduleElection(t)
+	g.role = preCandidate
+	g.term = g.votedTerm + 1
+	g.replies = map[string]wire.VoteReply{}
+	if named {
+		g.requestVotes(t, true)
+		return
+	}
+	for _, s := range allVoters(g.accepted) {
+		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Pre: true}
+		if s.ID == g.self() {
+			g.voteReply(t, wire.VoteReply{Part: g.part, Term: g.term, From: s.ID, Pre: true, Granted: true, Held: g.accepted})
+			continue
+		}
+		g.s.sendReplica(t, s, wire.KindVote, &v)
+	}
+}
+
+func (g *Group) requestVotes(t *kernel.Turn, named bool) {
+	g.role = candidate
+	g.replies = map[string]wire.VoteReply{}
+	t.Counts.Add("part_elections", 1)
+	for _, s := range allVoters(g.accepted) {
+		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Named: named}
+		if s.ID == g.self() {
+			g.vote(t, 0, 0, v)
+			continue
+		}
+		g.s.sendReplica(t, s, wire.KindVote, &v)
+	}
+}
+
+// vote answers a request for a term, after the vote is synced.
+func (g *Group) vote(t *kernel.Turn, ch, id uint64, v wire.Vote) {
+	reply := func(t *kernel.Turn, granted bool) {
+		r := wire.VoteReply{Part: g.part, Term: v.Term, From: g.self(), Pre: v.Pre, Granted: granted, Held: g.accepted}
+		if !granted {
+			r.Term = g.votedTerm
+		}
+		if !granted || v.Pre {
+			// Only who is given the term needs what is held; the others need to know how new it is.
+			r.Held.Body = nil
+		}
+		if v.From == g.self() {
+			g.voteReply(t, r)
+			return
+		}
+		t.Send(ch, wire.KindVoteReply, id, &r)
+	}
+	if g.s.diskDamaged {
+		return
+	}
+	fresh := v.Term > g.votedTerm || v.Term == g.votedTerm && g.votedFor == v.From
+	if v.Pre {
+		quiet := g.role != leader && t.Now-g.leaderSeen > ElectionTimeout/2
+		reply(t, v.Term > g.votedTerm && quiet && (g.s.diskProblem == "" || g.s.diskProblem == "slow"))
+		return
+	}
+	if !fresh {
+		reply(t, false)
+		return
+	}
+	if v.From != g.self() {
+		g.stepDown(t, "promised another")
+	}
+	g.votedTerm, g.votedFor = v.Term, v.From
+	g.scheduleElection(t)
+	g.s.save(t, voteFile(g.part), wire.Encode(&wire.Vote{Term: v.Term, From: v.From}), func(t *kernel.Turn, err string) {
+		if err == "" && g.votedTerm == v.Term && g.votedFor == v.From {
+			reply(t, true)
+		}
+	})
+}
+
+func (g *Group) voteReply(t *kernel.Turn, r wire.VoteReply) {
+	if r.Pre && g.role != preCandidate || !r.Pre && g.role != candidate {
+		return
+	}
+	if !r.Granted {
+		if r.Term > g.term {
+			g.role = follower
+			g.votedTerm = max(g.votedTerm, r.Term)
+		}
+		if mesh.Newer(r.Held.Stamp, g.accepted.Stamp) && !contains(allVoters(r.Held), g.self()) {
+			// Most likely this replica was replaced meanwhile: it need not ask again at once.
+			g.electionAt = t.Now + ReplaceAfter
+		}
+		return
+	}
+	if r.Term != g.term {
+		return
+	}
+	g.replies[r.From] = r
+	best := g.accepted
+	for _, v := range g.replies {
+		if mesh.Newer(v.Held.Stamp, best.Stamp) {
+			best = v.Held
+		}
+	}
+	if !quorum(best, func(id string) bool { _, ok := g.replies[id]; return ok }) {
+		return
+	}
+	if r.Pre {
+		g.requestVotes(t, false)
+		return
+	}
+	if _, synced := g.replies[g.self()]; !synced {
+		// Killed now, it would ask for the same term again and give one stamp to two versions.
+		return
+	}
+	if g.isSuperseded(t, best) {
+		g.role = follower
+		return
+	}
+	g.becomeLeader(t, best)
+}
--- a/part/fence_test.go
+++ b/replica/fence_test.go
@@ -1,6 +1,6 @@
-// The fence: a seat that promised a term takes nothing of an older one, and it
-// promises, and takes, only what is synced.
-package part
+// The fence: a replica that voted a term takes nothing of an older one, and it
+// votes, and takes, only what is synced.
+package replica
 
 import (
 	"testing"
@@ -15,11 +15,11 @@
 
 type core struct {
 	k   *kernel.Kernel
-	s   *Seats
+	s   *Host
 	now int64
 }
 
-// newCore is a formed core with seat "me" beside "a" and "b".
+// newCore is a formed core with replica "me" beside "a" and "b".
 func newCore(t *testing.T, more map[string][]byte) *core {
 	form := wire.Form{Formation: "f", Go: true, Seats: seats("a", "b", "me")}
 	files := map[string][]byte{"seat": diskfile.Pack([]byte("me")), "formation": diskfile.Pack(wire.Encode(&form))}
@@ -27,7 +27,7 @@
 		files[k] = v
 	}
 	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1"}, Role: "core", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32)), Files: files})
-	c := &core{k: k, s: kernel.Find[*Seats](k), now: 1_000_000}
+	c := &core{k: k, s: kernel.Find[*Host](k), now: 1_000_000}
 	c.feed(kernel.Start{})
 	return c
 }
@@ -80,7 +80,7 @@
 
 func TestPromiseOutlivesARestart(t *testing.T) {
 	promise := diskfile.Pack(wire.Encode(&wire.Vote{Term: 7, From: "a"}))
-	c := newCore(t, map[string][]byte{promiseFile(0): promise})
+	c := newCore(t, map[string][]byte{voteFile(0): promise})
 	must.False(t, accepted(t, c.send(wire.KindAccept, &wire.Accept{Term: 6, From: "b", Stamped: version(6, 1)})).OK)
 	out := c.send(wire.KindVote, &wire.Vote{Term: 7, From: "b"})
 	must.SliceEmpty(t, out.Writes, must.Sprint("a term is given once"))
@@ -90,22 +90,22 @@
 	v1, v2 := version(3, 1), version(3, 2)
 	whole := diskfile.Pack(wire.Encode(&v2))
 	c := newCore(t, map[string][]byte{
-		stampFile(v1.Stamp): diskfile.Pack(wire.Encode(&v1)), stampFile(v2.Stamp): whole[:len(whole)-3],
+		versionFile(v1.Stamp): diskfile.Pack(wire.Encode(&v1)), versionFile(v2.Stamp): whole[:len(whole)-3],
 	})
-	must.Eq(t, v1.Stamp, c.s.groups[0].held.Stamp)
-	must.False(t, c.s.damaged)
-	must.Eq(t, uint64(3), c.s.groups[0].promised)
+	must.Eq(t, v1.Stamp, c.s.groups[0].accepted.Stamp)
+	must.False(t, c.s.diskDamaged)
+	must.Eq(t, uint64(3), c.s.groups[0].votedTerm)
 }
 
 func TestDamagedDiskTakesNoPart(t *testing.T) {
 	for name, files := range map[string]map[string][]byte{
-		"torn promise": {promiseFile(1): []byte("wallport")},
+		"torn promise": {voteFile(1): []byte("wallport")},
 		"torn seat":    {"seat": []byte("x")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := newCore(t, files)
-			must.True(t, c.s.damaged)
-			must.Eq(t, "damaged", c.s.sick)
+			must.True(t, c.s.diskDamaged)
+			must.Eq(t, "damaged", c.s.diskProblem)
 			must.SliceEmpty(t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a"}).Writes)
 			must.SliceEmpty(t, c.send(wire.KindAccept, &wire.Accept{Term: 9, From: "a", Stamped: version(9, 1)}).Writes)
 		})
@@ -118,11 +118,11 @@
 	must.Len(t, 1, out.Writes)
 	r := accepted(t, c.feed(kernel.Written{Plugin: "seats", Key: out.Writes[0].Key, Err: "no space left on device"}))
 	must.False(t, r.OK)
-	must.Eq(t, wire.Stamp{}, c.s.groups[0].held.Stamp)
-	must.Eq(t, "no space left on device", c.s.sick)
+	must.Eq(t, wire.Stamp{}, c.s.groups[0].accepted.Stamp)
+	must.Eq(t, "no space left on device", c.s.diskProblem)
 }
 
-// A machine whose disk was lost is another seat at the old one's address.
+// A machine whose disk was lost is another replica at the old one's address.
 func TestWhatIsMeantForAnotherSeatIsNotTaken(t *testing.T) {
 	c := newCore(t, nil)
 	out := c.send(wire.KindAccept, &wire.Accept{To: "lost", Term: 5, From: "a", Stamped: version(5, 1)})
--- /dev/null
+++ b/replica/group.go
@@ -0,0 +1,143 @@
+// Package replica holds the control state: each partition is a register of versions
+// kept by a small group of replicas on disk machines. A group elects a leader by
+// majority in a term; a leader's version counts once a majority synced it; a
+// replica that has voted a term takes nothing of an older one, which is the
+// fence against leaders that were frozen or cut off.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// Figures of the groups.
+const (
+	TickInterval      = 50_000
+	HeartbeatInterval = 150_000
+	StepDownAfter     = 1_000_000
+	RebalanceAfter    = 4_000_000
+	VersionsKept      = 3
+	MaxQueued         = 256
+	// ElectionTimeout is how long the first of the replicas does without a leader before it stands; each
+	// further one waits ElectStep longer, so that two seldom stand at once.
+	ElectionTimeout = 500_000
+	// ElectionTimeoutAtStart campaigns for it while a process has just started; StartsFor is how long it has.
+	ElectionTimeoutAtStart = 60_000
+	StartPeriod            = 3_000_000
+	ElectionStagger        = 150_000
+	ElectionJitter         = 60_000
+	// ClockInterval is how often a leader looks whether something is due by the clock.
+	ClockInterval = 200_000
+	// DiskProbeInterval is how often a sick disk is tried.
+	DiskProbeInterval = 200_000
+	// SlowDiskAfter is how long a write may take before the disk counts as sick.
+	SlowDiskAfter = 300_000
+	// ReplaceAfter is how long a replica must be silent before a standby core takes its place.
+	ReplaceAfter = 2_000_000
+	// CatchUpInterval is how often a replica that lacks the newest version is given it.
+	CatchUpInterval = 600_000
+	// ListenBeforeElection is how long a process that just started listens before it campaigns for
+	// leader: a group that was rebuilt without it is heard of meanwhile. Where a platform runs
+	// the fleet nobody rebuilds a group, and ListenBriefly is enough.
+	ListenBeforeElection = 1_500_000
+	ListenOnPlatform     = 200_000
+)
+
+type role uint8
+
+const (
+	follower role = iota
+	preCandidate
+	candidate
+	leader
+)
+
+// Committed is emitted in a replica's process when it knows a version to be committed.
+type Committed struct{ Stamped wire.Stamped }
+
+type pendingEdit struct {
+	ch    uint64
+	id    uint64
+	edit  wire.Edit
+	reply wire.EditReply
+	// taken tells that the edit is part of the version under way; round is the heartbeat that must be confirmed before the reply is sent.
+	taken bool
+	round uint64
+}
+
+// Group is one replica's side of one partition.
+type Group struct {
+	part int
+	s    *Host
+
+	votedTerm    uint64
+	votedFor     string
+	accepted     wire.Stamped
+	pending      wire.Stamp
+	versionFiles []wire.Stamp
+
+	committed wire.Stamped
+
+	role          role
+	leader        string
+	leaderAddress string
+	leaderSeen    int64
+	electionAt    int64
+
+	term            uint64
+	replies         map[string]wire.VoteReply
+	acks            map[string]bool
+	proposal        *wire.Stamped
+	sentAt          int64
+	queue           []pendingEdit
+	proposedEdits   []pendingEdit
+	unconfirmed     []pendingEdit
+	heartbeatAt     int64
+	round           uint64
+	confirmedRounds map[string]uint64
+	heardAt         map[string]int64
+	steadySince     map[string]int64
+	diskProblem     map[string]bool
+	successors      map[string]wire.Seat
+	caughtUpAt      map[string]int64
+	clockOffsets    map[string]int64
+	quorumAt        int64
+	leaderSince     int64
+	clockAt         int64
+	ready           bool
+	transferring    bool
+	leases          map[string]*lease
+	leaseCount      uint64
+}
+
+func newGroup(s *Host, part int) *Group {
+	return &Group{part: part, s: s, leases: map[string]*lease{}, heardAt: map[string]int64{}}
+}
+
+func (g *Group) self() string { return g.s.replicaID }
+
+func (g *Group) isVoter() bool { return contains(allVoters(g.accepted), g.self()) }
+
+func (g *Group) tick(t *kernel.Turn) {
+	if !g.isVoter() {
+		return
+	}
+	if g.role == leader {
+		g.ownerTick(t)
+		return
+	}
+	if g.s.stopping {
+		return
+	}
+	if g.electionAt == 0 {
+		g.scheduleElection(t)
+	}
+	at := g.electionAt
+	if g.s.diskProblem != "" {
+		// A healthy replica goes first; where there is none, a slow leader is better than none.
+		at += 2 * ElectionTimeout
+	}
+	if t.Now >= at && t.Now-g.s.started >= g.s.listenPeriod() {
+		g.startElection(t, false)
+	}
+}
--- a/part/seats.go
+++ b/replica/host.go
@@ -1,7 +1,7 @@
-// Seats is the plug-in of a core process: its disk, its identity and its side
-// of every part's group. The seat's id is made on an empty disk and is lost
-// with it; a disk that cannot be trusted takes no part at all.
-package part
+// Host is the plug-in of a core process: its disk, its identity and its side
+// of every partition's group. The replica's id is made on an empty disk and is lost
+// with it; a disk that cannot be trusted takes no partition at all.
+package replica
 
 import (
 	"cmp"
@@ -17,32 +17,32 @@
 	"wallport/wire"
 )
 
-// Seats is the plug-in.
-type Seats struct {
-	k       *kernel.Kernel
-	mesh    *mesh.Mesh
-	members *members.Members
-	seat    string
-	groups  []*Group
-	damaged bool
-	future  string
-	sick    string
-	stops   bool
-
-	formation  wire.Form
-	formed     bool
-	consents   map[string]bool
-	refused    map[string]bool
-	synced     bool
-	completing bool
-	plannedAt  int64
-	proposedAt int64
-	started    int64
-	nextWrite  uint64
-	writes     map[string]func(t *kernel.Turn, err string)
-	writeSince map[string]int64
-	probing    bool
-	probeAt    int64
+// Host is the plug-in.
+type Host struct {
+	k            *kernel.Kernel
+	mesh         *mesh.Mesh
+	members      *members.Members
+	replicaID    string
+	groups       []*Group
+	diskDamaged  bool
+	futureFormat string
+	diskProblem  string
+	stopping     bool
+
+	formation    wire.Form
+	bootstrapped bool
+	consents     map[string]bool
+	refused      map[string]bool
+	synced       bool
+	completing   bool
+	plannedAt    int64
+	proposedAt   int64
+	started      int64
+	nextWrite    uint64
+	writes       map[string]func(t *kernel.Turn, err string)
+	writeSince   map[string]int64
+	probing      bool
+	probeAt      int64
 
 	pullers map[string]puller
 	rowsNow []members.Row
@@ -51,7 +51,7 @@
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 30, Roles: []string{"core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		s := &Seats{
+		s := &Host{
 			k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k),
 			writes: map[string]func(*kernel.Turn, string){}, writeSince: map[string]int64{}, consents: map[string]bool{},
 			refused: map[string]bool{}, pullers: map[string]puller{},
@@ -64,28 +64,28 @@
 }
 
 // Name is the plug-in's name.
-func (s *Seats) Name() string { return "seats" }
+func (s *Host) Name() string { return "seats" }
 
 // Kinds are the frames that it takes.
-func (s *Seats) Kinds() []uint8 {
+func (s *Host) Kinds() []uint8 {
 	return []uint8{
 		wire.KindVote, wire.KindVoteReply, wire.KindAccept, wire.KindAcceptReply, wire.KindBeat, wire.KindBeatReply,
 		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold, wire.KindRebuild,
 	}
 }
 
-func promiseFile(part int) string { return fmt.Sprintf("part-%d.promise", part) }
+func voteFile(part int) string { return fmt.Sprintf("part-%d.promise", part) }
 
-func stampFile(s wire.Stamp) string {
+func versionFile(s wire.Stamp) string {
 	return fmt.Sprintf("part-%d.stamp-%012d-%012d", s.Part, s.Term, s.Seq)
 }
 
 // Load reads the disk as it was at the start of the process.
-func (s *Seats) load(t *kernel.Turn) {
+func (s *Host) load(t *kernel.Turn) {
 	for name, raw := range s.k.Boot.Files {
 		b, err := diskfile.Unpack(raw)
 		if f, ok := err.(diskfile.ErrFuture); ok {
-			s.damaged, s.future = true, f.Error()
+			s.diskDamaged, s.futureFormat = true, f.Error()
 			continue
 		}
 		isStamped := strings.Contains(name, ".stamp-")
@@ -93,15 +93,15 @@
 			t.Counts.Add("disk_torn", 1)
 			t.Note(1, "disk_torn", "file", name)
 			// A version that was not whole was never acknowledged; any other file is needed whole.
-			s.damaged = s.damaged || !isStamped
+			s.diskDamaged = s.diskDamaged || !isStamped
 			continue
 		}
 		switch {
 		case name == "seat":
-			s.seat = string(b)
+			s.replicaID = string(b)
 		case name == "formation":
-			s.damaged = wire.Decode(b, &s.formation) != nil || s.damaged
-			s.formed, s.synced = s.formation.Go, true
+			s.diskDamaged = wire.Decode(b, &s.formation) != nil || s.diskDamaged
+			s.bootstrapped, s.synced = s.formation.Go, true
 			if len(s.formation.Seats) > 0 && s.formation.By.ID == "" {
 				// Releases before 2 did not write down who proposed: it was the first.
 				s.formation.By = s.formation.Seats[0]
@@ -109,77 +109,77 @@
 		case isStamped:
 			var v wire.Stamped
 			if wire.Decode(b, &v) != nil || v.Stamp.Part < 0 || v.Stamp.Part >= Parts {
-				s.damaged = true
+				s.diskDamaged = true
 				continue
 			}
 			g := s.groups[v.Stamp.Part]
-			g.files = append(g.files, v.Stamp)
-			if mesh.Newer(v.Stamp, g.held.Stamp) {
-				g.held = v
+			g.versionFiles = append(g.versionFiles, v.Stamp)
+			if mesh.Newer(v.Stamp, g.accepted.Stamp) {
+				g.accepted = v
 			}
 		case strings.HasSuffix(name, ".promise"):
 			var part int
 			var v wire.Vote
 			if _, err := fmt.Sscanf(name, "part-%d.promise", &part); err != nil || part < 0 || part >= Parts || wire.Decode(b, &v) != nil {
-				s.damaged = true
+				s.diskDamaged = true
 				continue
 			}
-			s.groups[part].promised, s.groups[part].votedFor = v.Term, v.From
+			s.groups[part].votedTerm, s.groups[part].votedFor = v.Term, v.From
 		}
 	}
 	for _, g := range s.groups {
-		if g.held.Stamp.Term > g.promised {
-			g.promised, g.votedFor = g.held.Stamp.Term, ""
+		if g.accepted.Stamp.Term > g.votedTerm {
+			g.votedTerm, g.votedFor = g.accepted.Stamp.Term, ""
 		}
-		s.formed = s.formed || g.held.Stamp.Term > 0
+		s.bootstrapped = s.bootstrapped || g.accepted.Stamp.Term > 0
 	}
 	if s.formation.Go {
-		s.found()
+		s.adoptFormation()
 	}
-	if s.seat == "" && len(s.k.Boot.Files) > 0 {
-		s.damaged = true
+	if s.replicaID == "" && len(s.k.Boot.Files) > 0 {
+		s.diskDamaged = true
 	}
 }
 
-// wanted is how many seats a part's group should have.
-func (s *Seats) wanted() int { return s.k.Boot.Env.Seats() }
+// wantedVoters is how many replicas a partition's group should have.
+func (s *Host) wantedVoters() int { return s.k.Boot.Env.Seats() }
 
-// listens is how long a process that just started does not stand for owner.
-func (s *Seats) listens() int64 {
+// listenPeriod is how long a process that just started does not stand for leader.
+func (s *Host) listenPeriod() int64 {
 	if s.k.Boot.Env.BootstrapKnown {
-		return ListenBriefly
+		return ListenOnPlatform
 	}
-	return ListenFirst
+	return ListenBeforeElection
 }
 
-func (s *Seats) start(t *kernel.Turn) {
+func (s *Host) start(t *kernel.Turn) {
 	s.started = t.Now
 	if s.k.Boot.Env.Data == "" && len(s.k.Boot.Files) == 0 {
-		// Without a disk it has no seat; it hands on what it is asked.
+		// Without a disk it has no replica; it hands on what it is asked.
 		t.Note(0, "core_without_disk")
 		return
 	}
 	s.load(t)
-	if s.damaged {
+	if s.diskDamaged {
 		s.setSick(t, "damaged")
-		t.Note(2, "disk_damaged", "do", "stop this core, empty its data folder, start it again: it comes back as a new seat", "why", s.future)
+		t.Note(2, "disk_damaged", "do", "stop this core, empty its data folder, start it again: it comes back as a new seat", "why", s.futureFormat)
 		return
 	}
-	if s.seat == "" {
+	if s.replicaID == "" {
 		s.identify(t)
 	} else {
-		s.tell()
+		s.publishMember()
 	}
-	t.After(TickEvery, "seats", "tick")
+	t.After(TickInterval, "seats", "tick")
 }
 
-func (s *Seats) tell() {
-	s.members.Update(func(m *wire.Member) { m.Seat, m.Formed, m.Sick = s.seat, s.formed, s.sick })
+func (s *Host) publishMember() {
+	s.members.Update(func(m *wire.Member) { m.Seat, m.Formed, m.Sick = s.replicaID, s.bootstrapped, s.diskProblem })
 }
 
-// addrOf is where a seat's disk is now, as the mesh tells it.
-func (s *Seats) addrOf(id string, now int64) string {
-	if id == s.seat {
+// addressOf is where a replica's disk is now, as the mesh tells it.
+func (s *Host) addressOf(id string, now int64) string {
+	if id == s.replicaID {
 		return s.k.Boot.Env.Mesh
 	}
 	if r, ok := s.row(id, now); ok {
--- /dev/null
+++ b/replica/leader.go
@@ -0,0 +1,187 @@
+// The leader's side of a partition: win, re-commit what was found, batch edits into
+// one version at a time, heartbeat, step down when a majority no longer answers.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+func (g *Group) becomeLeader(t *kernel.Turn, best wire.Stamped) {
+	g.role, g.leader, g.leaderAddress = leader, g.self(), g.s.k.Boot.Env.Mesh
+	g.ready, g.transferring = false, g.s.stopping
+	g.confirmedRounds, g.clockOffsets = map[string]uint64{}, map[string]int64{}
+	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
+	g.quorumAt, g.heartbeatAt, g.leaderSince = t.Now, 0, t.Now
+	g.leases = map[string]*lease{}
+	for _, s := range allVoters(best) {
+		g.heardAt[s.ID] = t.Now
+	}
+	t.Note(0, "part_owner", "part", g.part, "term", g.term, "adopts_term", best.Stamp.Term, "adopts_seq", best.Stamp.Seq)
+	t.Counts.Add("part_owned", 1)
+	v := best
+	v.Stamp = wire.Stamp{Part: g.part, Term: g.term, Seq: best.Stamp.Seq + 1}
+	g.propose(t, v)
+	g.ownerTick(t)
+}
+
+// stepDown ends leadership or candidature. What was in flight has an unknown outcome.
+func (g *Group) stepDown(t *kernel.Turn, why string) {
+	if g.role == leader {
+		t.Note(1, "part_retired", "part", g.part, "term", g.term, "why", why)
+		for _, w := range g.proposedEdits {
+			g.answer(t, w.ch, w.id, wire.EditReply{Code: "unknown"})
+		}
+		for _, w := range append(g.queue, g.unconfirmed...) {
+			g.answer(t, w.ch, w.id, wire.EditReply{Code: "not_owner"})
+		}
+		g.leader, g.leaderAddress = "", ""
+	}
+	g.proposedEdits, g.queue, g.unconfirmed, g.proposal = nil, nil, nil, nil
+	g.role = follower
+	g.ready = false
+	g.scheduleElection(t)
+}
+
+func (g *Group) propose(t *kernel.Turn, v wire.Stamped) {
+	g.proposal, g.sentAt = &v, t.Now
+	g.acks = map[string]bool{}
+	g.resend(t)
+}
+
+func (g *Group) resend(t *kernel.Turn) {
+	g.sentAt = t.Now
+	a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.proposal}
+	for _, s := range allVoters(*g.proposal) {
+		if g.acks[s.ID] {
+			continue
+		}
+		if s.ID == g.self() {
+			g.accept(t, 0, 0, a)
+			continue
+		}
+		g.s.sendReplica(t, s, wire.KindAccept, &a)
+	}
+}
+
+func (g *Group) acceptReply(t *kernel.Turn, r wire.AcceptReply) {
+	if g.role != leader {
+		return
+	}
+	if !r.OK {
+		if r.Term > g.term {
+			g.votedTerm = max(g.votedTerm, r.Term)
+			g.stepDown(t, "fenced by a newer term")
+		}
+		return
+	}
+	g.heardAt[r.From] = t.Now
+	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
+		return
+	}
+	g.acks[r.From] = true
+	if !quorum(*g.proposal, func(id string) bool { return g.acks[id] }) {
+		return
+	}
+	v := *g.proposal
+	g.proposal = nil
+	done := g.proposedEdits
+	g.proposedEdits = nil
+	g.ready = true
+	g.commit(t, v)
+	for _, w := range done {
+		if w.taken {
+			w.reply.Stamp = v.Stamp
+		}
+		g.answer(t, w.ch, w.id, w.reply)
+	}
+	g.sendHeartbeats(t)
+	g.proposeNext(t)
+}
+
+// commit takes note that a version is committed.
+func (g *Group) commit(t *kernel.Turn, v wire.Stamped) {
+	if !mesh.Newer(v.Stamp, g.committed.Stamp) {
+		return
+	}
+	g.committed = v
+	t.Emit(Committed{Stamped: v})
+}
+
+func (g *Group) ownerTick(t *kernel.Turn) {
+	ok := func(id string) bool { return id == g.self() || t.Now-g.heardAt[id] < StepDownAfter }
+	if quorum(g.newestVersion(), ok) {
+		g.quorumAt = t.Now
+	}
+	switch {
+	case g.isSuperseded(t, g.newestVersion()):
+		g.stepDown(t, "another group has committed a newer version")
+		return
+	case t.Now-g.quorumAt > StepDownAfter:
+		g.stepDown(t, "no majority answers")
+		return
+	case (g.s.diskProblem != "" || g.transferring) && g.proposal == nil && g.bestSuccessor(t) != "":
+		g.transferLeadership(t)
+		return
+	case t.Now-g.heartbeatAt >= HeartbeatInterval:
+		g.sendHeartbeats(t)
+	}
+	if to := g.preferredLeader(t); to != "" {
+		g.transferTo(t, to)
+		return
+	}
+	if g.proposal != nil && t.Now-g.sentAt > 2*HeartbeatInterval {
+		g.resend(t)
+	}
+	g.proposeNext(t)
+}
+
+// newestVersion is the version whose replicas a leader must hear from.
+func (g *Group) newestVersion() wire.Stamped {
+	if g.proposal != nil {
+		return *g.proposal
+	}
+	return g.committed
+}
+
+func (g *Group) sendHeartbeats(t *kernel.Turn) {
+	g.heartbeatAt = t.Now
+	g.round++
+	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Round: g.round, Committed: g.committed.Stamp}
+	for _, s := range allVoters(g.newestVersion()) {
+		if s.ID != g.self() {
+			g.s.sendReplica(t, s, wire.KindBeat, &b)
+		}
+	}
+}
+
+func (g *Group) handleHeartbeatReply(t *kernel.Turn, ch uint64, r wire.BeatReply) {
+	if g.role != leader {
+		return
+	}
+	if r.Instead != "" {
+		g.successors[r.From] = wire.Seat{ID: r.Instead, Zone: r.Zone}
+		return
+	}
+	if !r.OK {
+		if r.Term > g.term {
+			g.votedTerm = max(g.votedTerm, r.Term)
+			g.stepDown(t, "fenced by a newer term")
+		}
+		return
+	}
+	if t.Now-g.heardAt[r.From] > StepDownAfter || g.steadySince[r.From] == 0 {
+		g.steadySince[r.From] = t.Now
+	}
+	g.heardAt[r.From], g.diskProblem[r.From] = t.Now, r.Sick
+	g.clockOffsets[r.From] = r.Wall - t.Now
+	g.confirmedRounds[r.From] = max(g.confirmedRounds[r.From], r.Round)
+	if g.ready && mesh.Newer(g.committed.Stamp, r.Held) && (g.proposal == nil || r.Held != g.proposal.Stamp) &&
+		(g.caughtUpAt[r.From] == 0 || t.Now-g.caughtUpAt[r.From] >= CatchUpInterval) {
+		g.caughtUpAt[r.From] = t.Now
+		t.Counts.Add("part_handed_over", 1)
+		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: r.From, Part: g.part, Term: g.term, From: g.self(), Stamped: g.committed})
+	}
+	g.confirm(t)
+}
--- a/part/mending_test.go
+++ b/replica/membership_test.go
@@ -1,6 +1,6 @@
-// Seats that are lost, replaced and added: one committed change at a time, each
-// followed by a version that binds the new seats alone.
-package part
+// Replicas that are lost, replaced and added: one committed change at a time, each
+// followed by a version that binds the new replicas alone.
+package replica
 
 import (
 	"fmt"
@@ -21,29 +21,29 @@
 
 func (c *core) tick() kernel.Out { return c.feed(kernel.Tick{Plugin: "seats", Key: "tick"}) }
 
-// beats lets time pass while the seats of an owner's group answer it.
+// heartbeats lets time pass while the replicas of a leader's group answer it.
 func (c *core) beats(g *Group, us int64, alive ...string) {
-	for end := c.now + us; c.now < end && g.role == owner; {
-		c.now += TickEvery
+	for end := c.now + us; c.now < end && g.role == leader; {
+		c.now += TickInterval
 		c.tick()
 		for _, id := range alive {
-			c.send(wire.KindBeatReply, &wire.BeatReply{Part: g.part, Term: g.term, From: id, Round: g.round, Held: g.held.Stamp, OK: true})
+			c.send(wire.KindBeatReply, &wire.BeatReply{Part: g.part, Term: g.term, From: id, Round: g.round, Held: g.accepted.Stamp, OK: true})
 		}
 	}
 }
 
-// holds has some seats, and this one's disk, take the version under way; it gives that version.
-func (c *core) holds(t *testing.T, g *Group, who ...string) wire.Stamped {
+// leases has some replicas, and this one's disk, take the version under way; it gives that version.
+func (c *core) leases(t *testing.T, g *Group, who ...string) wire.Stamped {
 	t.Helper()
-	must.NotNil(t, g.flight)
-	v := *g.flight
+	must.NotNil(t, g.proposal)
+	v := *g.proposal
 	for key := range c.s.writes {
 		c.feed(kernel.Written{Plugin: "seats", Key: key})
 	}
 	for _, id := range who {
 		c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: id, Stamp: v.Stamp, OK: true})
 	}
-	must.Eq(t, v.Stamp, g.served.Stamp)
+	must.Eq(t, v.Stamp, g.committed.Stamp)
 	return v
 }
 
@@ -52,12 +52,12 @@
 	g := owns(t, c)
 	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2", Zone: "z2"})
 	c.tick()
-	v := c.holds(t, g, "a")
+	v := c.leases(t, g, "a")
 	must.Eq(t, []string{"a", "b2", "me"}, ids(v.Seats))
 	must.Eq(t, []string{"a", "b", "me"}, ids(v.Prev))
-	// Without a further edit, the next version no longer needs the old seats.
+	// Without a further edit, the next version no longer needs the old replicas.
 	c.tick()
-	v = c.holds(t, g, "a")
+	v = c.leases(t, g, "a")
 	must.Eq(t, []string{"a", "b2", "me"}, ids(v.Prev))
 	must.True(t, quorum(v, func(id string) bool { return id == "b2" || id == "me" }), must.Sprint("a may be lost now"))
 }
@@ -68,12 +68,12 @@
 	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2"})
 	c.send(wire.KindBeatReply, &wire.BeatReply{From: "a", Instead: "a2"})
 	c.tick()
-	must.Eq(t, []string{"a2", "b", "me"}, ids(g.flight.Seats), must.Sprint("one at a time"))
-	c.holds(t, g, "b")
-	must.Eq(t, []string{"a2", "b", "me"}, ids(g.flight.Seats), must.Sprint("settled first"))
-	must.Eq(t, ids(g.flight.Seats), ids(g.flight.Prev))
-	c.holds(t, g, "b")
-	must.Eq(t, []string{"a2", "b2", "me"}, ids(g.flight.Seats))
+	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Seats), must.Sprint("one at a time"))
+	c.leases(t, g, "b")
+	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Seats), must.Sprint("settled first"))
+	must.Eq(t, ids(g.proposal.Seats), ids(g.proposal.Prev))
+	c.leases(t, g, "b")
+	must.Eq(t, []string{"a2", "b2", "me"}, ids(g.proposal.Seats))
 }
 
 func TestSilentSeatIsReplacedByASpareThatPulls(t *testing.T) {
@@ -81,30 +81,30 @@
 	g := owns(t, c)
 	spare := func() { c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"}) }
 	spare()
-	c.beats(g, ReplaceAt-200_000, "a")
-	must.Nil(t, g.flight, must.Sprint("not yet"))
+	c.beats(g, ReplaceAfter-200_000, "a")
+	must.Nil(t, g.proposal, must.Sprint("not yet"))
 	spare()
 	c.beats(g, 300_000, "a")
-	v := c.holds(t, g, "a")
+	v := c.leases(t, g, "a")
 	must.Eq(t, []string{"a", "d", "me"}, ids(v.Seats))
-	// It comes back as it was: a spare, and nothing moves.
+	// It comes back as it was: a standby, and nothing moves.
 	c.tick()
-	c.holds(t, g, "a")
+	c.leases(t, g, "a")
 	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.2:1", Seat: "b", Zone: "z2"})
 	c.beats(g, 1_000_000, "a", "d")
-	must.Nil(t, g.flight)
+	must.Nil(t, g.proposal)
 }
 
 func TestSickOrLeavingCoreIsNoSpare(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
 	for range 30 {
-		// A core whose disk is not well pulls without naming its seat.
+		// A core whose disk is not well pulls without naming its replica.
 		c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Zone: "z4"})
 		c.beats(g, 100_000, "a")
 	}
-	must.Nil(t, g.flight)
-	must.Eq(t, []string{"a", "b", "me"}, ids(g.served.Seats))
+	must.Nil(t, g.proposal)
+	must.Eq(t, []string{"a", "b", "me"}, ids(g.committed.Seats))
 }
 
 func cores(zones ...string) (out []wire.Seat) {
@@ -116,9 +116,9 @@
 
 func TestSeatsAreSpreadSoThatAZoneLostLeavesAMajority(t *testing.T) {
 	for _, v := range []struct {
-		cores []wire.Seat
-		n     int
-		bears bool
+		cores            []wire.Seat
+		n                int
+		survivesZoneLoss bool
 	}{
 		{cores("z1", "z1", "z2", "z2", "z3", "z3", "z4", "z4"), 5, true},
 		{cores("z1", "z2", "z3", "z4"), 3, true},
@@ -127,10 +127,10 @@
 		{cores("z1", "z1", "z2"), 3, false},
 		{cores("z1", "z1", "z1", "z2", "z2", "z3", "z3"), 5, true},
 	} {
-		got := pick(v.cores, v.n)
+		got := pickMembers(v.cores, v.n)
 		must.Len(t, v.n, got)
-		must.Eq(t, v.bears, bears(got, 1), must.Sprint(v.cores))
-		must.True(t, bears(got, 0))
+		must.Eq(t, v.survivesZoneLoss, survivesZoneLoss(got, 1), must.Sprint(v.cores))
+		must.True(t, survivesZoneLoss(got, 0))
 	}
 }
 
@@ -143,12 +143,12 @@
 		c.send(wire.KindPull, &wire.Pull{Addr: id + ":1", Seat: id, Zone: id})
 	}
 	pull("d")
-	c.beats(g, PlaceAfter, "a", "b")
-	must.Nil(t, g.flight, must.Sprint("four seats bear no more than three"))
+	c.beats(g, RebalanceAfter, "a", "b")
+	must.Nil(t, g.proposal, must.Sprint("four seats bear no more than three"))
 	pull("d")
 	pull("e")
-	c.beats(g, TickEvery, "a", "b")
-	v := c.holds(t, g, "a", "b")
+	c.beats(g, TickInterval, "a", "b")
+	v := c.leases(t, g, "a", "b")
 	must.Eq(t, []string{"a", "b", "me", "d", "e"}, ids(v.Seats))
 	must.False(t, quorum(v, func(id string) bool { return id == "a" || id == "me" }))
 }
@@ -159,7 +159,7 @@
 	c.beats(g, 200_000, "a")
 	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
 	out := c.feed(kernel.Stopping{})
-	must.Eq(t, owner, g.role)
+	must.Eq(t, leader, g.role)
 	must.Eq(t, map[uint64]string{2: "not_owner"}, replies(t, c.edit(2, wire.Edit{Op: "empty", Name: "z1"})))
 	must.Eq(t, map[uint64]string{1: "ok"}, replies(t, c.take(g)))
 	out = c.tick()
@@ -175,5 +175,5 @@
 		}
 	}
 	must.Eq(t, 2, yields)
-	must.Eq(t, "a", g.owner, must.Sprint("who asks meanwhile is sent on"))
+	must.Eq(t, "a", g.leader, must.Sprint("who asks meanwhile is sent on"))
 }
--- /dev/null
+++ b/replica/proposals.go
@@ -0,0 +1,101 @@
+// The leader's answers: edits are batched into one version and judged in turn,
+// and nothing is said that rests on what is not committed, or on an leadership
+// that a majority has not confirmed since the question came.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// handleEdit takes an operator's or another plug-in's change, or a confirmed read.
+func (g *Group) handleEdit(t *kernel.Turn, ch, id uint64, e wire.Edit) {
+	if g.role != leader || g.transferring {
+		g.answer(t, ch, id, wire.EditReply{Code: "not_owner", Addr: g.leaderAddress})
+		return
+	}
+	if len(g.queue)+len(g.unconfirmed) >= MaxQueued {
+		g.answer(t, ch, id, wire.EditReply{Code: "shed"})
+		return
+	}
+	w := pendingEdit{ch: ch, id: id, edit: e}
+	if e.Op != "read" {
+		g.queue = append(g.queue, w)
+		g.proposeNext(t)
+		return
+	}
+	if !g.ready {
+		g.answer(t, ch, id, wire.EditReply{Code: "not_owner"})
+		return
+	}
+	g.awaitConfirmation(t, w)
+}
+
+// awaitConfirmation has a majority confirm this leader before a read or a refusal is answered.
+func (g *Group) awaitConfirmation(t *kernel.Turn, w ...pendingEdit) {
+	for _, v := range w {
+		v.round = g.round + 1
+		g.unconfirmed = append(g.unconfirmed, v)
+	}
+	g.sendHeartbeats(t)
+	g.confirm(t)
+}
+
+// proposeNext batches the queue into one version, each edit judged in turn against the outcome of
+// those before it; what is refused or repeated is answered with the version that it rests on.
+func (g *Group) proposeNext(t *kernel.Turn) {
+	if g.role != leader || !g.ready || g.proposal != nil || g.transferring {
+		return
+	}
+	body := g.committed.Body
+	stamp := wire.Stamp{Part: g.part, Term: g.term, Seq: g.committed.Stamp.Seq + 1}
+	seats, changed := g.nextMembers(t)
+	batch := g.queue
+	g.queue = nil
+	for i := range batch {
+		w := &batch[i]
+		var after []byte
+		after, w.reply, w.taken = g.s.judge(g.part)(body, g.committed.Stamp, stamp, &w.edit, t.Wall)
+		switch {
+		case w.taken:
+			body, changed = after, true
+		case w.reply.Stamp == (wire.Stamp{}):
+			w.reply.Stamp = g.committed.Stamp
+		}
+	}
+	if len(batch) == 0 && !changed && t.Now-g.clockAt < ClockInterval {
+		return
+	}
+	g.clockAt = t.Now
+	if wall, known := g.agreedTime(t); known {
+		if after, due := g.s.clockwork(g.part)(body, stamp, wall, g.leaseHolders(t)); due {
+			body, changed = after, true
+		}
+	} else {
+		t.Counts.Add("part_clocks_disagree", 1)
+	}
+	switch {
+	case changed:
+		g.proposedEdits = batch
+		t.Counts.Add("part_versions", 1)
+		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: body})
+	case len(batch) > 0:
+		g.awaitConfirmation(t, batch...)
+	}
+}
+
+// confirm answers reads and refusals that a majority confirmed this leader for, after they came.
+func (g *Group) confirm(t *kernel.Turn) {
+	var left []pendingEdit
+	for _, w := range g.unconfirmed {
+		if !quorum(g.committed, func(id string) bool { return id == g.self() || g.confirmedRounds[id] >= w.round }) {
+			left = append(left, w)
+			continue
+		}
+		if w.edit.Op == "read" {
+			w.reply = wire.EditReply{Code: "ok", Stamp: g.committed.Stamp, Body: g.committed.Body}
+		}
+		g.answer(t, w.ch, w.id, w.reply)
+	}
+	g.unconfirmed = left
+}
--- a/part/batch_test.go
+++ b/replica/proposals_test.go
@@ -1,6 +1,6 @@
-// What an owner answers while a version is under way: nothing that rests on
-// what is not committed, and no refusal before a majority confirmed the owner.
-package part
+// What a leader answers while a version is under way: nothing that rests on
+// what is not committed, and no refusal before a majority confirmed the leader.
+package replica
 
 import (
 	"testing"
@@ -11,32 +11,32 @@
 	"wallport/wire"
 )
 
-// owns makes the core the owner of part 0 by the votes and answers of seat "a".
+// owns makes the core the leader of partition 0 by the votes and answers of replica "a".
 func owns(t *testing.T, c *core) *Group {
 	t.Helper()
 	g := c.s.groups[0]
 	c.feed(kernel.Tick{Plugin: "seats", Key: "tick"})
 	c.now += 10_000_000
 	c.feed(kernel.Tick{Plugin: "seats", Key: "tick"})
-	must.Eq(t, asking, g.role)
+	must.Eq(t, preCandidate, g.role)
 	out := c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Pre: true, Granted: true})
 	c.sync(out)
 	c.sync(c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Granted: true}))
-	must.Eq(t, owner, g.role)
+	must.Eq(t, leader, g.role)
 	c.take(g)
 	must.True(t, g.ready)
 	return g
 }
 
-// take has seats "a" and "b" hold the version under way.
+// take has replicas "a" and "b" hold the version under way.
 func (c *core) take(g *Group) kernel.Out {
-	if g.flight == nil {
+	if g.proposal == nil {
 		return kernel.Out{}
 	}
-	held := wire.AcceptReply{Term: g.term, From: "a", Stamp: g.flight.Stamp, OK: true}
-	c.send(wire.KindAcceptReply, &held)
-	held.From = "b"
-	return c.send(wire.KindAcceptReply, &held)
+	accepted := wire.AcceptReply{Term: g.term, From: "a", Stamp: g.proposal.Stamp, OK: true}
+	c.send(wire.KindAcceptReply, &accepted)
+	accepted.From = "b"
+	return c.send(wire.KindAcceptReply, &accepted)
 }
 
 // replies are the answers to edits among an output, by the id of the asking frame.
@@ -84,14 +84,14 @@
 	must.Eq(t, map[uint64]string{2: "unknown", 3: "unknown"}, replies(t, out))
 }
 
-// A cut-off owner may judge by what has long been replaced: its refusal counts once a majority answers.
+// A cut-off leader may judge by what has long been replaced: its refusal counts once a majority answers.
 func TestRefusalsAreConfirmedByAMajority(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
 	must.MapEmpty(t, replies(t, c.edit(1, wire.Edit{Op: "nonsense"})))
 	round := g.round
-	out := c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: round - 1, Held: g.held.Stamp, OK: true})
+	out := c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: round - 1, Held: g.accepted.Stamp, OK: true})
 	must.MapEmpty(t, replies(t, out))
-	out = c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: round, Held: g.held.Stamp, OK: true})
+	out = c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: round, Held: g.accepted.Stamp, OK: true})
 	must.Eq(t, map[uint64]string{1: "invalid"}, replies(t, out))
 }
--- a/part/quorum_test.go
+++ b/replica/quorum_test.go
@@ -1,5 +1,5 @@
-// Quorums across a change of seats.
-package part
+// Quorums across a change of replicas.
+package replica
 
 import (
 	"testing"
@@ -19,12 +19,12 @@
 func TestChangeOfSeatsNeedsBothMajorities(t *testing.T) {
 	v := wire.Stamped{Seats: seats("a", "b", "d"), Prev: seats("a", "b", "c")}
 	of := func(ids ...string) func(string) bool {
-		return func(id string) bool { return has(seats(ids...), id) }
+		return func(id string) bool { return contains(seats(ids...), id) }
 	}
 	must.True(t, quorum(v, of("a", "b")))
 	must.True(t, quorum(v, of("a", "c", "d")))
 	must.False(t, quorum(v, of("b", "d")), must.Sprint("a majority of the new seats alone"))
 	must.False(t, quorum(v, of("a", "c")), must.Sprint("a majority of the old seats alone"))
 	must.False(t, quorum(wire.Stamped{}, of("a")), must.Sprint("no seats, no quorum"))
-	must.Len(t, 4, binds(v))
+	must.Len(t, 4, allVoters(v))
 }
--- a/part/rebuild.go
+++ b/replica/rebuild.go
@@ -1,7 +1,7 @@
-// Making a part's group anew, on an operator's explicit word, when a majority of
-// its disks is gone for good. A core that hears an owner refuses; so does one
+// Making a partition's group anew, on an operator's explicit word, when a majority of
+// its disks is gone for good. A core that hears a leader refuses; so does one
 // that holds something newer than it is offered.
-package part
+package replica
 
 import (
 	"wallport/kernel"
@@ -9,47 +9,47 @@
 	"wallport/wire"
 )
 
-// OwnerlessFor is how long no owner must have been heard of.
-const OwnerlessFor = 5_000_000
+// LeaderlessFor is how long no leader must have been heard of.
+const LeaderlessFor = 5_000_000
 
 func (g *Group) rebuild(t *kernel.Turn, ch, id uint64, m wire.Rebuild) {
 	reply := func(t *kernel.Turn, why string) {
-		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Part: g.part, From: g.self(), OK: why == "", Why: why, Held: g.held})
+		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Part: g.part, From: g.self(), OK: why == "", Why: why, Held: g.accepted})
 	}
 	switch {
-	case g.s.sick != "":
-		reply(t, "the disk is "+g.s.sick)
+	case g.s.diskProblem != "":
+		reply(t, "the disk is "+g.s.diskProblem)
 		return
-	case g.role == owner || g.ownerSeen > 0 && t.Now-g.ownerSeen < OwnerlessFor:
+	case g.role == leader || g.leaderSeen > 0 && t.Now-g.leaderSeen < LeaderlessFor:
 		reply(t, "the part has an owner")
 		return
 	case !m.Do:
 		reply(t, "")
 		return
-	case !mesh.Newer(m.Stamped.Stamp, g.held.Stamp) || m.Stamped.Stamp.Term <= g.promised:
+	case !mesh.Newer(m.Stamped.Stamp, g.accepted.Stamp) || m.Stamped.Stamp.Term <= g.votedTerm:
 		reply(t, "it holds or has promised something newer")
 		return
 	}
 	v := m.Stamped
-	g.promised = v.Stamp.Term
+	g.votedTerm = v.Stamp.Term
 	t.Note(1, "part_rebuilt", "part", g.part, "term", v.Stamp.Term, "seq", v.Stamp.Seq)
-	g.s.save(t, stampFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
+	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
 		if err != "" {
 			reply(t, err)
 			return
 		}
-		if mesh.Newer(v.Stamp, g.held.Stamp) {
-			g.held = v
+		if mesh.Newer(v.Stamp, g.accepted.Stamp) {
+			g.accepted = v
 		}
-		g.files = append(g.files, v.Stamp)
-		g.s.enter(t)
+		g.versionFiles = append(g.versionFiles, v.Stamp)
+		g.s.joinFleet(t)
 		reply(t, "")
 	})
 }
 
-// superseded tells that a version was committed which no majority of this group holds:
+// isSuperseded tells that a version was committed which no majority of this group holds:
 // the group was rebuilt without it, and it stands aside until it is given the newer one.
-func (g *Group) superseded(t *kernel.Turn, best wire.Stamped) bool {
+func (g *Group) isSuperseded(t *kernel.Turn, best wire.Stamped) bool {
 	v, ok := g.s.mesh.Part(g.part)
 	if !ok || !mesh.Newer(v.Stamp, best.Stamp) {
 		return false
--- a/part/route.go
+++ b/replica/route.go
@@ -1,5 +1,5 @@
 // Routing of a core's inputs to its groups, and the answers to pulls.
-package part
+package replica
 
 import (
 	"github.com/tinylib/msgp/msgp"
@@ -10,7 +10,7 @@
 )
 
 // Step takes one input.
-func (s *Seats) Step(t *kernel.Turn, in kernel.Input) {
+func (s *Host) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		s.start(t)
@@ -23,7 +23,7 @@
 			g.thawed(t)
 		}
 	case kernel.Stopping:
-		s.stops = true
+		s.stopping = true
 		for _, g := range s.groups {
 			g.stop(t)
 		}
@@ -37,29 +37,29 @@
 	}
 }
 
-func (s *Seats) tick(t *kernel.Turn) {
-	t.After(TickEvery, "seats", "tick")
+func (s *Host) tick(t *kernel.Turn) {
+	t.After(TickInterval, "seats", "tick")
 	s.checkDisk(t)
-	if !s.formed {
-		s.form(t)
+	if !s.bootstrapped {
+		s.bootstrapStep(t)
 		return
 	}
-	owned := int64(0)
+	ledPartitions := int64(0)
 	for _, g := range s.groups {
 		g.tick(t)
-		if g.role == owner {
-			owned++
+		if g.role == leader {
+			ledPartitions++
 		}
 	}
-	t.Counts.Set("part_owned_now", owned)
+	t.Counts.Set("part_owned_now", ledPartitions)
 }
 
-// thawed: an owner that did not run for a while cannot know that it still is one.
+// thawed: a leader that did not run for a while cannot know that it still is one.
 func (g *Group) thawed(t *kernel.Turn) {
 	if g.role != follower {
-		g.retire(t, "did not run for a while")
+		g.stepDown(t, "did not run for a while")
 	}
-	g.defer_(t)
+	g.scheduleElection(t)
 }
 
 func decode[T any, P interface {
@@ -75,18 +75,18 @@
 	f(m)
 }
 
-func (s *Seats) message(t *kernel.Turn, v kernel.Message) {
+func (s *Host) message(t *kernel.Turn, v kernel.Message) {
 	g := func(part int, f func(g *Group)) {
-		if part >= 0 && part < len(s.groups) && !s.damaged {
+		if part >= 0 && part < len(s.groups) && !s.diskDamaged {
 			f(s.groups[part])
 		}
 	}
-	// A machine whose disk was lost is another seat at the old one's address:
+	// A machine whose disk was lost is another replica at the old one's address:
 	// what is meant for the old one is not for it.
 	to := func(id string, part int, f func(g *Group)) {
-		if id != "" && id != s.seat {
+		if id != "" && id != s.replicaID {
 			t.Counts.Add("part_misdirected", 1)
-			s.instead(t, v, id, part)
+			s.reportReplacement(t, v, id, part)
 			return
 		}
 		g(part, f)
@@ -97,38 +97,38 @@
 	case wire.KindVoteReply:
 		decode(t, v, func(m wire.VoteReply) { g(m.Part, func(g *Group) { g.voteReply(t, m) }) })
 	case wire.KindAccept:
-		decode(t, v, func(m wire.Accept) { to(m.To, m.Part, func(g *Group) { s.enter(t); g.accept(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Accept) { to(m.To, m.Part, func(g *Group) { s.joinFleet(t); g.accept(t, v.Chan, v.ID, m) }) })
 	case wire.KindAcceptReply:
 		decode(t, v, func(m wire.AcceptReply) { g(m.Part, func(g *Group) { g.acceptReply(t, m) }) })
 	case wire.KindBeat:
-		decode(t, v, func(m wire.Beat) { to(m.To, m.Part, func(g *Group) { g.beat(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Beat) { to(m.To, m.Part, func(g *Group) { g.handleHeartbeat(t, v.Chan, v.ID, m) }) })
 	case wire.KindBeatReply:
-		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.beatReply(t, v.Chan, m) }) })
+		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.handleHeartbeatReply(t, v.Chan, m) }) })
 	case wire.KindForm:
-		decode(t, v, func(m wire.Form) { s.formAsked(t, v.Chan, m) })
+		decode(t, v, func(m wire.Form) { s.handleForm(t, v.Chan, m) })
 	case wire.KindFormReply:
-		decode(t, v, func(m wire.FormReply) { s.formReply(t, m) })
+		decode(t, v, func(m wire.FormReply) { s.handleFormReply(t, m) })
 	case wire.KindPull:
 		decode(t, v, func(m wire.Pull) { s.pull(t, v.Chan, v.ID, m) })
 	case wire.KindEdit:
-		decode(t, v, func(m wire.Edit) { g(m.Part, func(g *Group) { g.edit(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Edit) { g(m.Part, func(g *Group) { g.handleEdit(t, v.Chan, v.ID, m) }) })
 	case wire.KindRebuild:
 		decode(t, v, func(m wire.Rebuild) { g(m.Part, func(g *Group) { g.rebuild(t, v.Chan, v.ID, m) }) })
 	case wire.KindHold:
-		decode(t, v, func(m wire.Hold) { g(m.Part, func(g *Group) { g.hold(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Hold) { g(m.Part, func(g *Group) { g.renewLease(t, v.Chan, v.ID, m) }) })
 	}
 }
 
-// instead tells an owner that beats a lost disk's seat who is at its address now, and could have its place.
-func (s *Seats) instead(t *kernel.Turn, v kernel.Message, id string, part int) {
-	if v.Kind != wire.KindBeat || part < 0 || part >= len(s.groups) || s.groups[part].seated() || s.seat == "" || s.sick != "" || s.stops {
+// reportReplacement tells a leader that heartbeats a lost disk's replica who is at its address now, and could have its place.
+func (s *Host) reportReplacement(t *kernel.Turn, v kernel.Message, id string, part int) {
+	if v.Kind != wire.KindBeat || part < 0 || part >= len(s.groups) || s.groups[part].isVoter() || s.replicaID == "" || s.diskProblem != "" || s.stopping {
 		return
 	}
-	t.Send(v.Chan, wire.KindBeatReply, v.ID, &wire.BeatReply{Part: part, From: id, Instead: s.seat, Zone: s.k.Boot.Env.Zone})
+	t.Send(v.Chan, wire.KindBeatReply, v.ID, &wire.BeatReply{Part: part, From: id, Instead: s.replicaID, Zone: s.k.Boot.Env.Zone})
 }
 
 // pull answers with every committed version newer than what the asker has.
-func (s *Seats) pull(t *kernel.Turn, ch, id uint64, p wire.Pull) {
+func (s *Host) pull(t *kernel.Turn, ch, id uint64, p wire.Pull) {
 	var r wire.PullReply
 	s.pulled(t, p)
 	have := map[int]wire.Stamp{}
@@ -136,32 +136,32 @@
 		have[st.Part] = st
 	}
 	for _, g := range s.groups {
-		v := g.served
+		v := g.committed
 		if m, ok := s.mesh.Part(g.part); ok && mesh.Newer(m.Stamp, v.Stamp) {
-			// A core that has no seat here hands on what the mesh brought it.
+			// A core that has no replica here hands on what the mesh brought it.
 			v = m
 		}
 		if st, ok := have[g.part]; v.Stamp.Term > 0 && (!ok || mesh.Newer(v.Stamp, st)) {
 			r.Stamped = append(r.Stamped, wire.Stamped{Stamp: v.Stamp, Body: v.Body})
 		}
-		if g.owner != "" && (g.role == owner || t.Now-g.ownerSeen < StepDown) {
-			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.promised, Seat: g.owner, Addr: g.s.addrOf(g.owner, t.Now)})
+		if g.leader != "" && (g.role == leader || t.Now-g.leaderSeen < StepDownAfter) {
+			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.votedTerm, Seat: g.leader, Addr: g.s.addressOf(g.leader, t.Now)})
 		}
 	}
 	t.Send(ch, wire.KindPullReply, id, &r)
 }
 
-func (s *Seats) sendSeat(t *kernel.Turn, seat wire.Seat, kind uint8, m msgp.Marshaler) {
-	addr := seat.Addr
+func (s *Host) sendReplica(t *kernel.Turn, replicaID wire.Seat, kind uint8, m msgp.Marshaler) {
+	addr := replicaID.Addr
 	switch v := m.(type) {
 	case *wire.Vote:
-		v.To = seat.ID
+		v.To = replicaID.ID
 	case *wire.Accept:
-		v.To = seat.ID
+		v.To = replicaID.ID
 	case *wire.Beat:
-		v.To = seat.ID
+		v.To = replicaID.ID
 	}
-	if a := s.addrOf(seat.ID, t.Now); a != "" {
+	if a := s.addressOf(replicaID.ID, t.Now); a != "" {
 		addr = a
 	}
 	t.Counts.Add("part_messages", 1)
--- /dev/null
+++ b/replica/state_machine.go
@@ -0,0 +1,58 @@
+// What a partition's leader runs over its body: the judge of its edits and the
+// clockwork that changes it as time passes. The partitions themselves are state's.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// Parts is the number of partitions.
+const Parts = state.Parts
+
+func (s *Host) judge(part int) state.Judge { return state.JudgeOf(part) }
+
+func (s *Host) clockwork(part int) state.Clockwork { return state.ClockworkOf(part) }
+
+// Leads tells whether this process owns a partition and may take its edits, for tests and metrics.
+func (s *Host) Leads(part int) bool { return s.groups[part].role == leader && s.groups[part].ready }
+
+// ReplicaID is the replica's id, made on its empty disk.
+func (s *Host) ReplicaID() string { return s.replicaID }
+
+// VotersOf lists the replicas of a partition's newest committed version that is known here.
+func (s *Host) VotersOf(part int) []wire.Seat { return s.groups[part].committed.Seats }
+
+// Replied is emitted in the process of a leader that answered an edit of this same process.
+type Replied struct {
+	ID    uint64
+	Reply wire.EditReply
+}
+
+// Edit takes an edit, or a confirmed read, of this same process; Replied follows.
+func (s *Host) Edit(t *kernel.Turn, id uint64, e wire.Edit) {
+	if e.Part < 0 || e.Part >= Parts || s.diskDamaged {
+		t.Emit(Replied{ID: id, Reply: wire.EditReply{Code: "not_owner"}})
+		return
+	}
+	s.groups[e.Part].handleEdit(t, 0, id, e)
+}
+
+// Leader is the address of the core that owns a partition, where this replica has heard it of late.
+func (s *Host) Leader(part int, now int64) string {
+	g := s.groups[part]
+	if g.role == leader || g.leader != "" && now-g.leaderSeen < StepDownAfter {
+		return g.leaderAddress
+	}
+	return ""
+}
+
+// answer sends the reply to an edit where it came from; channel 0 is this process.
+func (g *Group) answer(t *kernel.Turn, ch, id uint64, r wire.EditReply) {
+	if ch == 0 {
+		t.Emit(Replied{ID: id, Reply: r})
+		return
+	}
+	t.Send(ch, wire.KindEditReply, id, &r)
+}
--- /dev/null
+++ b/replica/transfer.go
@@ -0,0 +1,69 @@
+// Where a partition's leader is: handed on purpose to a named successor, in a planned
+// stop, when the own disk is sick, or to spread the partitions over the cores.
+package replica
+
+import (
+	"cmp"
+	"slices"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// bestSuccessor picks the healthy replica that answered last.
+func (g *Group) bestSuccessor(t *kernel.Turn) string {
+	best, at := "", int64(0)
+	for _, s := range g.committed.Seats {
+		if s.ID != g.self() && g.steadySince[s.ID] > 0 && g.heardAt[s.ID] > at && t.Now-g.heardAt[s.ID] < 2*HeartbeatInterval && !g.diskProblem[s.ID] {
+			best, at = s.ID, g.heardAt[s.ID]
+		}
+	}
+	return best
+}
+
+// preferredLeader names the replica that should own the partition so that the partitions are spread, once
+// this leader has served a while, nothing is under way, and that replica has long been well.
+func (g *Group) preferredLeader(t *kernel.Turn) string {
+	if !g.ready || g.proposal != nil || len(g.queue)+len(g.unconfirmed) > 0 || t.Now-g.leaderSince < RebalanceAfter {
+		return ""
+	}
+	seats := slices.Clone(g.committed.Seats)
+	slices.SortFunc(seats, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
+	want := seats[g.part%len(seats)].ID
+	if want == g.self() || t.Now-g.heardAt[want] > 2*HeartbeatInterval || t.Now-g.steadySince[want] < RebalanceAfter || g.diskProblem[want] {
+		return ""
+	}
+	if r, live := g.s.row(want, t.Now); !live || r.Sick != "" || r.Draining {
+		return ""
+	}
+	return want
+}
+
+// stop hands the partition on in a planned stop, once the version under way is committed.
+func (g *Group) stop(t *kernel.Turn) {
+	g.transferring = true
+	if g.role == leader {
+		g.ownerTick(t)
+	}
+}
+
+// transfer hands the partition to the best successor there is.
+func (g *Group) transferLeadership(t *kernel.Turn) {
+	if next := g.bestSuccessor(t); g.role == leader && next != "" {
+		g.transferTo(t, next)
+	}
+}
+
+// transferTo hands the partition to a named successor.
+func (g *Group) transferTo(t *kernel.Turn, next string) {
+	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Committed: g.committed.Stamp, Yield: next}
+	for _, s := range allVoters(g.committed) {
+		if s.ID != g.self() {
+			g.s.sendReplica(t, s, wire.KindBeat, &b)
+		}
+	}
+	t.Counts.Add("part_yielded", 1)
+	g.stepDown(t, "handed to "+next)
+	// Whoever asks meanwhile is sent to the successor.
+	g.leader, g.leaderAddress, g.leaderSeen = next, g.s.addressOf(next, t.Now), t.Now
+}
