--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -72,7 +72,6 @@
 	log      journal
 	ids      int
 	works    map[string]int64
-	stop     int64
 }
 
 type simNode struct {
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -24,15 +24,16 @@
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	_ "wallport/replica"
 	"wallport/process"
 	_ "wallport/pulls"
+	_ "wallport/replica"
 	"wallport/table"
 	_ "wallport/usage"
 )
 
 // HollowConfig says which hollow processes to run.
 type HollowConfig struct {
+	//lint:ignore SA5008 go-flags takes one choice a tag
 	Role     string   `long:"role" default:"node" choice:"node" choice:"core" description:"their role"`
 	Count    int      `long:"count" default:"50" description:"how many share this process"`
 	First    int      `long:"first" description:"number of the first one"`
--- a/lab/scale/phases.go
+++ b/lab/scale/phases.go
@@ -35,7 +35,6 @@
 }
 
 func (f *run) measure(ctx context.Context) error {
-	began := time.Now()
 	if err := f.stands(ctx); err != nil {
 		return err
 	}
@@ -50,7 +49,7 @@
 			seeds = append(seeds, c.mesh)
 		}
 	}
-	began = time.Now()
+	began := time.Now()
 	if err := f.hollow(ctx, f.m.Nodes-f.m.Real, seeds); err != nil {
 		return err
 	}
--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -97,7 +96,6 @@
 	mu       sync.Mutex
 	children []*child
 	hosts    []*child
-	servers  json.RawMessage
 	platform string
 	shards   int
 	client   *http.Client
--- a/test.sh
+++ b/test.sh
@@ -1,9 +1,13 @@
 #!/usr/bin/env bash
-# The whole check: formatting, vet, file lengths, fresh generated code, tests, and a race run.
+# The whole check: packages, formatting, file lengths, fresh generated code, vet, the linter, the
+# build of the deploy file, tests, and a race run.
 set -eu
 cd "$(dirname "$0")"
 step() { printf '== %s\n' "$*"; }
 
+step packages
+tools/install_packages.sh
+
 step formatting
 bad=$(gofmt -l $(git ls-files '*.go'))
 [ -z "$bad" ] || { echo "not formatted: $bad"; exit 1; }
@@ -20,6 +24,12 @@
 step vet
 go vet ./...
 
+step linter
+go tool staticcheck $(go list ./... | grep -v -e '/gen/')
+
+step "build of the deploy file"
+bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
+
 step tests
 go test -count=1 -timeout 40m ./...
 
