--- a/cmd/wallport/onplatform.go
+++ b/cmd/wallport/onplatform.go
@@ -15,9 +15,9 @@
 
 	"wallport/env"
 	"wallport/kernel"
-	"wallport/replica"
 	"wallport/platform"
 	"wallport/process"
+	"wallport/replica"
 	"wallport/serve"
 )
 
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -13,8 +13,8 @@
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	"wallport/replica"
 	_ "wallport/pulls"
+	"wallport/replica"
 	"wallport/table"
 	"wallport/usage"
 )
