--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -140,6 +140,8 @@
 		k.to(t, v.Plugin, in)
 	case Call:
 		k.to(t, v.Plugin, in)
+	case Abandoned:
+		k.to(t, v.Plugin, in)
 	default:
 		for _, p := range k.plugins {
 			p.Step(t, in)
--- a/kernel/turn.go
+++ b/kernel/turn.go
@@ -60,6 +60,11 @@
 		ID     uint64
 		Ask    any
 	}
+	// Abandoned tells that whoever made a Call is gone: what was not sent for it need not be.
+	Abandoned struct {
+		Plugin string
+		ID     uint64
+	}
 	// Thawed tells that the process did not run for a while.
 	Thawed struct{ Gap int64 }
 	// Stopping tells that a planned stop has begun.
--- a/operate/carrying.go
+++ b/operate/carrying.go
@@ -8,24 +8,13 @@
 
 	"wallport/kernel"
 	"wallport/mesh"
-	"wallport/state"
 	"wallport/wire"
 )
 
 // answer ends a call.
 func (o *Operate) answer(t *kernel.Turn, id uint64, c *call, res Result) {
 	delete(o.calls, id)
-	if !c.read {
-		t.Answer(id, res)
-		return
-	}
-	out := Routing{Code: "shed"}
-	if cfg, err := state.ReadConfig(res.Reply.Body); res.Reply.Code == "ok" && err == nil {
-		if out.Table, err = state.RoutingOf(cfg); err == nil {
-			out.Code = "ok"
-		}
-	}
-	t.Answer(id, out)
+	t.Answer(id, c.outcome(res))
 }
 
 // try sends the edit; its id, or its base and digest, make a second sending harmless.
@@ -54,13 +43,32 @@
 	t.After(min(TryEvery, c.giveUp()/triesLeast, left), "operate", fmt.Sprint(id))
 }
 
+// send sends the order, or the question for the version that it is to be bound to. Nothing is
+// sent for a call that nobody waits for any more: the order would act late.
 func (o *Operate) send(t *kernel.Turn, id uint64, c *call, addr string) {
-	c.open++
+	if c.expired(t.Now) {
+		return
+	}
+	edit := c.req.Edit
+	if c.needsVersion() {
+		edit, id = c.readVersion(), id|versionRead
+	} else {
+		c.open++
+	}
 	if o.seats != nil && addr == o.members.SelfRow().Addr {
-		o.seats.Edit(t, id, c.req.Edit)
+		o.seats.Edit(t, id, edit)
 		return
 	}
-	t.SendTo(addr, wire.KindEdit, id, &c.req.Edit)
+	t.SendTo(addr, wire.KindEdit, id, &edit)
+}
+
+// handOn sends what a call sends next to an address that a reply named.
+func (o *Operate) handOn(t *kernel.Turn, id uint64, c *call, addr string) {
+	if addr == "" || c.hops >= hopsMost {
+		return
+	}
+	c.hops++
+	o.send(t, id, c, addr)
 }
 
 // owner is where to send a call next: to the part's owner as last heard, and every other time to
@@ -85,6 +93,10 @@
 }
 
 func (o *Operate) replied(t *kernel.Turn, id uint64, r wire.EditReply) {
+	if id&versionRead != 0 {
+		o.versionReplied(t, id&^versionRead, r)
+		return
+	}
 	c := o.calls[id]
 	if c == nil || c.reply != nil {
 		return
@@ -92,10 +104,10 @@
 	switch r.Code {
 	case "not_owner":
 		c.open--
-		if r.Addr != "" && c.hops < hopsMost {
-			c.hops++
-			o.send(t, id, c, r.Addr)
-		}
+		o.handOn(t, id, c, r.Addr)
+		return
+	case wire.CodeStale:
+		o.stale(t, id, c)
 		return
 	case "shed":
 		c.open--
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -9,9 +9,8 @@
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
-	"wallport/replica"
 	"wallport/pulls"
-	"wallport/routingpb"
+	"wallport/replica"
 	"wallport/state"
 	"wallport/wire"
 )
@@ -45,47 +44,6 @@
 	Laggards []string
 }
 
-// ReadRouting asks for the routing table in force, confirmed by a majority after the question
-// came. GiveUpUs is how long that may take; 0 stands for GiveUp.
-type ReadRouting struct{ GiveUpUs int64 }
-
-// Routing answers ReadRouting. Code is "ok" or "shed"; Table is nil where no table was ever set.
-type Routing struct {
-	Table *routingpb.RoutingTable
-	Code  string
-}
-
-type call struct {
-	req   Carry
-	read  bool
-	began int64
-	tries int
-	hops  int
-	// open counts the sendings that nobody has declined.
-	open  int
-	reply *wire.EditReply
-	at    int64
-}
-
-func (c *call) giveUp() int64 {
-	if c.req.GiveUpUs > 0 {
-		return c.req.GiveUpUs
-	}
-	return GiveUp
-}
-
-// waits is how long the call waits for the nodes, from the reply on.
-func (c *call) waits() int64 {
-	w := c.req.WaitUs
-	if w == 0 {
-		w = ForceWait
-	}
-	if c.req.GiveUpUs > 0 {
-		w = min(w, c.began+c.req.GiveUpUs-c.at)
-	}
-	return w
-}
-
 // Operate is the plug-in of a node, and of a core, which operators may reach as well.
 type Operate struct {
 	mesh    *mesh.Mesh
@@ -117,6 +75,9 @@
 	switch v := in.(type) {
 	case kernel.Call:
 		o.called(t, v)
+	case kernel.Abandoned:
+		// What is under way may be taken; nothing more is sent for it.
+		delete(o.calls, v.ID)
 	case kernel.Tick:
 		var id uint64
 		if _, err := fmt.Sscan(v.Key, &id); err != nil {
@@ -151,8 +112,13 @@
 		o.rebuild(t, v.ID, ask.Part)
 		return
 	case ReadRouting:
-		c.read, c.req = true, Carry{Edit: wire.Edit{Part: state.Config, Op: "read"}, GiveUpUs: ask.GiveUpUs}
+		c.outcome = routingOutcome
+		c.req = Carry{Edit: wire.Edit{Part: state.Config, Op: wire.OpRead}, GiveUpUs: ask.GiveUpUs}
+	case ReadHistory:
+		c.outcome = historyOutcome
+		c.req = Carry{Edit: wire.Edit{Part: state.Config, Op: wire.OpHistory}}
 	case Carry:
+		c.outcome = func(res Result) any { return res }
 		c.req = ask
 		if c.req.Edit.EditID == "" {
 			c.req.Edit.EditID = fmt.Sprintf("%016x%016x", t.Rand.Uint64(), t.Rand.Uint64())
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -21,10 +21,13 @@
 	part    int
 	doing   bool
 	version wire.Stamped
-	picked  []wire.Seat
-	yes     map[string]bool
-	refused []string
-	top     uint64
+	// ledger is that of the newest version that a core holds; what the mesh brought has none.
+	ledger   []byte
+	ledgerAt wire.Stamp
+	picked   []wire.Seat
+	yes      map[string]bool
+	refused  []string
+	top      uint64
 }
 
 func (o *Operate) rebuild(t *kernel.Turn, id uint64, part int) {
@@ -60,6 +63,9 @@
 		return
 	}
 	r.yes[m.From] = true
+	if r.ledger == nil || mesh.Newer(m.Held.Stamp, r.ledgerAt) {
+		r.ledger, r.ledgerAt = m.Held.Ledger, m.Held.Stamp
+	}
 	if !r.doing && mesh.Newer(m.Held.Stamp, r.version.Stamp) {
 		r.version = m.Held
 	}
@@ -102,7 +108,7 @@
 	}
 	// A term past anything that the lost seats can have promised among few of them.
 	r.version.Stamp = wire.Stamp{Part: r.part, Term: max(r.top, r.version.Stamp.Term) + 1000, Seq: r.version.Stamp.Seq + 1}
-	r.version.Seats, r.version.Prev = r.picked, nil
+	r.version.Seats, r.version.Prev, r.version.Ledger = r.picked, nil, r.ledger
 	r.doing, r.yes = true, map[string]bool{}
 	for _, c := range r.picked {
 		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Stamped: r.version})
--- a/process/loop.go
+++ b/process/loop.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// Call asks a plug-in and waits for its answer.
+// Call asks a plug-in and waits for its answer. The plug-in is told when nobody waits any more.
 func (p *Process) Call(ctx context.Context, plugin string, ask any) (any, error) {
 	id := p.nextCall.Add(1)
 	ch := make(chan any, 1)
@@ -119,6 +119,7 @@
 	case v := <-ch:
 		return v, nil
 	case <-ctx.Done():
+		p.Post(kernel.Abandoned{Plugin: plugin, ID: id})
 		return nil, ctx.Err()
 	case <-p.stop:
 		return nil, fmt.Errorf("process is stopping")
--- a/replica/election.go
+++ b/replica/election.go
@@ -82,7 +82,7 @@
 		}
 		if !granted || v.Pre {
 			// Only who is given the term needs what is held; the others need to know how new it is.
-			r.Held.Body = nil
+			r.Held.Body, r.Held.Ledger = nil, nil
 		}
 		if v.From == g.self() {
 			g.voteReply(t, r)
--- /dev/null
+++ b/replica/orders_test.go
@@ -0,0 +1,164 @@
+// Operators' orders at a leader: one number in one batch, repeats across a change
+// of leader and a loss of power, a leader without a majority, and who gets the ledger.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"wallport/diskfile"
+	"wallport/kernel"
+	"wallport/routingpb"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// order is a routing table under a number, told apart from others by a limit.
+func order(t *testing.T, base, revision, limit int64) wire.Edit {
+	t.Helper()
+	b, err := proto.Marshal(&routingpb.RoutingEdit{
+		Base: base, Revision: revision, Whole: &routingpb.RoutingTable{Revision: revision, Limits: &routingpb.Limits{MaxBodyBytes: limit}},
+	})
+	must.NoError(t, err)
+	return wire.Edit{Op: "routing", Body: b}
+}
+
+// confirmed has a majority answer the newest heartbeat.
+func (c *core) confirmed(g *Group) kernel.Out {
+	return c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Stamp, OK: true})
+}
+
+// leads is a core that has taken one order in each of two versions.
+func leads(t *testing.T) (*core, *Group) {
+	t.Helper()
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.edit(1, order(t, 0, 5, 1))
+	must.Eq(t, map[uint64]string{1: "ok"}, replies(t, c.take(g)))
+	c.edit(2, order(t, 5, 7, 1))
+	must.Eq(t, map[uint64]string{2: "ok"}, replies(t, c.take(g)))
+	return c, g
+}
+
+func TestOneNumberInOneBatch(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.edit(1, order(t, 0, 5, 1))
+	// These wait for the version under way.
+	c.edit(2, order(t, 5, 7, 1))
+	c.edit(3, order(t, 5, 7, 2))
+	c.edit(4, order(t, 5, 7, 1))
+	must.Eq(t, map[uint64]string{1: "ok"}, replies(t, c.take(g)))
+	must.Eq(t, map[uint64]string{2: "ok", 3: "lost_race", 4: "ok"}, replies(t, c.take(g)))
+}
+
+// The next leader, elected by others or started again after all power was lost, judges as the one before.
+func TestTakenOrdersAreKnownToTheNextLeader(t *testing.T) {
+	_, was := leads(t)
+	held := was.committed
+	for name, start := range map[string]func() (*core, *Group){
+		"power lost": func() (*core, *Group) {
+			c := newCore(t, map[string][]byte{versionFile(held.Stamp): diskfile.Pack(wire.Encode(&held))})
+			return c, owns(t, c)
+		},
+		"elected": func() (*core, *Group) {
+			c := newCore(t, nil)
+			g := c.s.groups[0]
+			c.tick()
+			c.now += 10_000_000
+			c.tick()
+			out := c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Pre: true, Granted: true})
+			out = c.sync(out)
+			c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Granted: true, Held: held})
+			must.Eq(t, leader, g.role)
+			c.take(g)
+			return c, g
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, g := start()
+			must.True(t, g.ready)
+			c.edit(1, order(t, 0, 5, 1))
+			c.edit(2, order(t, 0, 5, 2))
+			c.edit(3, order(t, 5, 7, 1))
+			c.edit(4, order(t, 5, 7, 2))
+			must.Eq(t, map[uint64]string{1: "ok", 2: "lost_race", 3: "ok", 4: "lost_race"}, replies(t, c.confirmed(g)))
+		})
+	}
+}
+
+// A leader that a majority does not answer says neither yes nor no, to orders, repeats and reads.
+func TestCutOffLeaderAnswersNothing(t *testing.T) {
+	c, g := leads(t)
+	for id, e := range []wire.Edit{
+		order(t, 0, 5, 1), order(t, 0, 5, 2), order(t, 7, 9, 1), order(t, 7, 9, 2), {Op: "empty", Name: "z"},
+		{Op: wire.OpRead}, {Op: wire.OpZoneVersion, Name: "z"}, {Op: wire.OpHistory}, {Op: "nonsense"},
+	} {
+		must.MapEmpty(t, replies(t, c.edit(uint64(id), e)))
+	}
+	c.now += StepDownAfter + 1
+	told := replies(t, c.tick())
+	must.NotEq(t, leader, g.role)
+	for id, code := range told {
+		must.SliceContains(t, []string{"unknown", "not_owner"}, code, must.Sprint(id))
+	}
+	must.MapLen(t, 9, told)
+}
+
+// The ledger goes from replica to replica; pulls, announcements and denied votes leave it out.
+func TestOnlyReplicasGetTheLedger(t *testing.T) {
+	c, g := leads(t)
+	must.NotNil(t, g.committed.Ledger)
+	out := c.send(wire.KindPull, &wire.Pull{})
+	f, err := wire.Open(out.Sends[0].Data)
+	must.NoError(t, err)
+	var pulled wire.PullReply
+	must.NoError(t, wire.Decode(f.Body, &pulled))
+	must.Len(t, 1, pulled.Stamped)
+	must.Nil(t, pulled.Stamped[0].Ledger)
+	told, ok := c.s.mesh.Part(state.Config)
+	must.True(t, ok)
+	must.Nil(t, told.Ledger)
+	must.Eq(t, g.committed.Body, told.Body)
+	config, err := state.ReadConfig(told.Body)
+	must.NoError(t, err)
+	must.True(t, config.Revisions == nil && config.Recent == nil && config.History == nil)
+
+	// A vote that is denied shows how new the voter's version is, and nothing of it.
+	denied := c.send(wire.KindVote, &wire.Vote{Term: g.term, From: "b"})
+	f, err = wire.Open(denied.Sends[0].Data)
+	must.NoError(t, err)
+	var vote wire.VoteReply
+	must.NoError(t, wire.Decode(f.Body, &vote))
+	must.False(t, vote.Granted)
+	must.Nil(t, vote.Held.Ledger)
+}
+
+// An order about a zone that was held up is refused by the leader, and the refusal is confirmed.
+func TestLateOrderAboutAZoneIsRefused(t *testing.T) {
+	c, g := leads(t)
+	c.edit(1, wire.Edit{Op: wire.OpZoneVersion, Name: "z"})
+	base := readVersion(t, c.confirmed(g))
+	c.edit(2, wire.Edit{Op: "refill", Name: "z", EditID: "newer", Base: base})
+	must.Eq(t, map[uint64]string{2: "ok"}, replies(t, c.take(g)))
+	must.MapEmpty(t, replies(t, c.edit(3, wire.Edit{Op: "empty", Name: "z", EditID: "late", Base: base})))
+	must.Eq(t, map[uint64]string{3: wire.CodeStale}, replies(t, c.confirmed(g)))
+	must.Nil(t, g.proposal)
+}
+
+func readVersion(t *testing.T, out kernel.Out) wire.Stamp {
+	t.Helper()
+	for _, s := range out.Sends {
+		f, err := wire.Open(s.Data)
+		must.NoError(t, err)
+		var r wire.EditReply
+		if f.Kind == wire.KindEditReply && wire.Decode(f.Body, &r) == nil {
+			must.Eq(t, wire.CodeVersion, r.Code)
+			return r.Stamp
+		}
+	}
+	t.Fatal("no answer")
+	return wire.Stamp{}
+}
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -5,6 +5,7 @@
 
 import (
 	"wallport/kernel"
+	"wallport/state"
 	"wallport/wire"
 )
 
@@ -19,7 +20,7 @@
 		return
 	}
 	w := pendingEdit{ch: ch, id: id, edit: e}
-	if e.Op != "read" {
+	if !state.Reads(e.Op) {
 		g.queue = append(g.queue, w)
 		g.proposeNext(t)
 		return
@@ -47,18 +48,18 @@
 	if g.role != leader || !g.ready || g.proposal != nil || g.transferring {
 		return
 	}
-	body := g.committed.Body
+	value := state.Value{Body: g.committed.Body, Ledger: g.committed.Ledger}
 	stamp := wire.Stamp{Part: g.part, Term: g.term, Seq: g.committed.Stamp.Seq + 1}
 	seats, changed := g.nextMembers(t)
 	batch := g.queue
 	g.queue = nil
 	for i := range batch {
 		w := &batch[i]
-		var after []byte
-		after, w.reply, w.taken = g.s.judge(g.part)(body, g.committed.Stamp, stamp, &w.edit, t.Wall)
+		var after state.Value
+		after, w.reply, w.taken = g.s.judge(g.part)(value, stamp, &w.edit)
 		switch {
 		case w.taken:
-			body, changed = after, true
+			value, changed = after, true
 		case w.reply.Stamp == (wire.Stamp{}):
 			w.reply.Stamp = g.committed.Stamp
 		}
@@ -68,8 +69,8 @@
 	}
 	g.clockAt = t.Now
 	if wall, known := g.agreedTime(t); known {
-		if after, due := g.s.clockwork(g.part)(body, stamp, wall, g.leaseHolders(t)); due {
-			body, changed = after, true
+		if after, due := g.s.clockwork(g.part)(value.Body, stamp, wall, g.leaseHolders(t)); due {
+			value.Body, changed = after, true
 		}
 	} else {
 		t.Counts.Add("part_clocks_disagree", 1)
@@ -78,7 +79,7 @@
 	case changed:
 		g.proposedEdits = batch
 		t.Counts.Add("part_versions", 1)
-		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: body})
+		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: value.Body, Ledger: value.Ledger})
 	case len(batch) > 0:
 		g.awaitConfirmation(t, batch...)
 	}
@@ -92,8 +93,9 @@
 			left = append(left, w)
 			continue
 		}
-		if w.edit.Op == "read" {
-			w.reply = wire.EditReply{Code: "ok", Stamp: g.committed.Stamp, Body: g.committed.Body}
+		if state.Reads(w.edit.Op) {
+			w.reply = state.Answer(g.committed, &w.edit)
+			w.reply.Addr = g.leaderAddress
 		}
 		g.answer(t, w.ch, w.id, w.reply)
 	}
--- a/routing/edit.go
+++ b/routing/edit.go
@@ -2,6 +2,7 @@
 package routing
 
 import (
+	"crypto/sha256"
 	"hash/fnv"
 	"slices"
 
@@ -14,11 +15,12 @@
 // end, and a name that is to be withdrawn but is not there changes nothing. Neither argument is changed.
 func Apply(cur *routingpb.RoutingTable, e *routingpb.RoutingEdit) *routingpb.RoutingTable {
 	if e.Whole != nil {
-		return &routingpb.RoutingTable{Revision: e.Revision, Routes: e.Whole.Routes, Pools: e.Whole.Pools, Limits: e.Whole.Limits}
+		return &routingpb.RoutingTable{Revision: e.Revision, Routes: e.Whole.Routes, Pools: e.Whole.Pools, Limits: e.Whole.Limits, Further: e.Whole.Further}
 	}
 	t := &routingpb.RoutingTable{Revision: e.Revision, Limits: cur.GetLimits()}
 	t.Routes = merge(cur.GetRoutes(), e.Upsert.GetRoutes(), e.WithdrawRoutes)
 	t.Pools = merge(cur.GetPools(), e.Upsert.GetPools(), e.WithdrawPools)
+	t.Further = merge(cur.GetFurther(), e.Upsert.GetFurther(), nil)
 	if e.Upsert.GetLimits() != nil {
 		t.Limits = e.Upsert.Limits
 	}
@@ -39,9 +41,24 @@
 }
 
 // Digest sums up an edit as it was sent, its base and revision included.
-func Digest(e *routingpb.RoutingEdit) uint64 {
-	b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(e)
+func Digest(e *routingpb.RoutingEdit) [sha256.Size]byte {
+	return sha256.Sum256(encoded(e))
+}
+
+// LegacyDigest is the digest that releases before 3 remembered; they knew no further fields.
+func LegacyDigest(e *routingpb.RoutingEdit) uint64 {
+	known := proto.Clone(e).(*routingpb.RoutingEdit)
+	for _, t := range []*routingpb.RoutingTable{known.Whole, known.Upsert} {
+		if t != nil {
+			t.Further = nil
+		}
+	}
 	h := fnv.New64a()
-	h.Write(b)
+	h.Write(encoded(known))
 	return h.Sum64()
 }
+
+func encoded(e *routingpb.RoutingEdit) []byte {
+	b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(e)
+	return b
+}
--- a/serve/carry.go
+++ b/serve/carry.go
@@ -13,6 +13,9 @@
 	"wallport/wire"
 )
 
+// callWithin is how long an operator's call may take.
+const callWithin = 10 * time.Second
+
 // Rebuild makes a part's group anew on the operator's word.
 func (a operatorAPI) Rebuild(ctx context.Context, p *operator.RebuildPayload) (*operator.Taken, error) {
 	who, err := a.f.scopes.may(p.Token, sheet.ScopeAll, nil)
@@ -27,7 +30,7 @@
 
 // carry asks the kernel and leaves a line for the audit.
 func (a operatorAPI) carry(ctx context.Context, e wire.Edit, ask any) (*operator.Taken, error) {
-	ctx, cancel := context.WithTimeout(ctx, 10*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
 	v, err := a.f.p.Call(ctx, "operate", ask)
 	if err != nil {
--- a/serve/operator.go
+++ b/serve/operator.go
@@ -102,12 +102,19 @@
 	return append([]*operator.Finding{}, findings("", found).Findings...), nil
 }
 
-func (a operatorAPI) History(_ context.Context, p *operator.HistoryPayload) ([]*operator.PastSheet, error) {
+func (a operatorAPI) History(ctx context.Context, p *operator.HistoryPayload) ([]*operator.PastSheet, error) {
 	if err := a.allowed(p.Token); err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	v, err := a.f.p.Call(ctx, "operate", operate.ReadHistory{})
+	history, known := v.(operate.History)
+	if err != nil || !known || history.Code != "ok" {
+		return nil, fail("shed", "no leader of the configuration can be reached")
+	}
 	out := []*operator.PastSheet{}
-	for _, h := range a.f.table.Now().Config.History {
+	for _, h := range history.Sheets {
 		s := state.SheetOf(wire.ConfigBody{Sheet: h.Sheet})
 		out = append(out, &operator.PastSheet{Stamp: sheet.StampText(h.Stamp), By: h.By, Sheet: sheet.JSON(s)})
 	}
--- a/state/config.go
+++ b/state/config.go
@@ -4,7 +4,11 @@
 package state
 
 import (
+	"fmt"
 	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/proto"
 
@@ -13,7 +17,11 @@
 	"wallport/wire"
 )
 
-const historyMost = 32
+// Bounds of what orders about zones may leave behind.
+const (
+	zoneNameMost = 128
+	drainedMost  = 128
+)
 
 // ReadConfig decodes a configuration body; nil is the empty one.
 func ReadConfig(body []byte) (wire.ConfigBody, error) {
@@ -34,37 +42,45 @@
 	return s
 }
 
-func judgeConfig(body []byte, cur, next wire.Stamp, e *wire.Edit, wall int64) ([]byte, wire.EditReply, bool) {
-	c, err := ReadConfig(body)
+func judgeConfig(value Value, next wire.Stamp, e *wire.Edit) (Value, wire.EditReply, bool) {
+	c, err := ReadConfig(value.Body)
+	if err != nil {
+		return value, invalid("body", "the part's body cannot be read: "+err.Error()), false
+	}
+	ledger, err := ReadLedger(value.Ledger)
 	if err != nil {
-		return nil, invalid("body", "the part's body cannot be read: "+err.Error()), false
+		return value, invalid("ledger", "cannot be read: "+err.Error()), false
 	}
-	if r, ok := repeated(c.Recent, e); ok {
-		return nil, r, false
+	adoptConfig(&ledger, &c)
+	if r, ok := editTaken(&ledger, e); ok {
+		return value, r, false
 	}
 	var r wire.EditReply
 	switch e.Op {
 	case "routing":
-		// Known again by its base and digest: its edit id is not kept.
-		r, took := editRouting(&c, next, e)
-		return wire.Encode(&c), r, took
+		// Known again by its digest, which covers its base and number: its edit id is not kept.
+		var took bool
+		if r, took = editRouting(&c, &ledger, next, e); !took {
+			return value, r, false
+		}
+		return Value{Body: wire.Encode(&c), Ledger: wire.Encode(&ledger)}, r, true
 	case "put", "rows", "return":
-		r = editSheet(&c, next, e)
+		r = editSheet(&c, &ledger, next, e)
 	case "empty", "refill":
-		r = editZone(&c, e)
+		r = editZone(&c, &ledger, next, e)
 	default:
 		r = invalid("op", "no such operation: "+e.Op)
 	}
 	if r.Code != "ok" {
-		return nil, r, false
+		return value, r, false
 	}
-	c.Recent = remember(c.Recent, e, next)
-	return wire.Encode(&c), r, true
+	rememberEdit(&ledger, e, next)
+	return Value{Body: wire.Encode(&c), Ledger: wire.Encode(&ledger)}, r, true
 }
 
-func editSheet(c *wire.ConfigBody, next wire.Stamp, e *wire.Edit) wire.EditReply {
+func editSheet(c *wire.ConfigBody, ledger *wire.Ledger, next wire.Stamp, e *wire.Edit) wire.EditReply {
 	if e.Base != c.SheetAt {
-		if r, lost := lostRace(c, e); lost {
+		if r, lost := lostRace(c, ledger, e); lost {
 			return r
 		}
 	}
@@ -76,11 +92,11 @@
 	case "rows":
 		s, found = sheet.Apply(SheetOf(*c), e.Body)
 	case "return":
-		i := slices.IndexFunc(c.History, func(p wire.Past) bool { return sheet.StampText(p.Stamp) == e.Name })
+		i := slices.IndexFunc(ledger.History, func(p wire.Past) bool { return sheet.StampText(p.Stamp) == e.Name })
 		if i < 0 {
 			return invalid("stamp", "not in the history: "+e.Name)
 		}
-		s = SheetOf(wire.ConfigBody{Sheet: c.History[i].Sheet})
+		s = SheetOf(wire.ConfigBody{Sheet: ledger.History[i].Sheet})
 	}
 	if len(found) == 0 {
 		found = sheet.Check(s)
@@ -93,38 +109,61 @@
 		return invalid("sheet", err.Error())
 	}
 	c.Sheet, c.SheetAt = b, next
-	c.History = append(slices.Clone(c.History), wire.Past{Stamp: next, By: e.By, Sheet: b})
-	if len(c.History) > historyMost {
-		c.History = c.History[len(c.History)-historyMost:]
-	}
+	ledger.History = boundHistory(append(ledger.History, wire.Past{Stamp: next, By: e.By, Sheet: b}))
 	return wire.EditReply{Code: "ok"}
 }
 
 // lostRace judges an edit that is not based on the sheet in force: one of rows
 // alone still holds if none of its rows has changed since its base.
-func lostRace(c *wire.ConfigBody, e *wire.Edit) (wire.EditReply, bool) {
+func lostRace(c *wire.ConfigBody, ledger *wire.Ledger, e *wire.Edit) (wire.EditReply, bool) {
 	lost := wire.EditReply{Code: "lost_race", Stamp: c.SheetAt}
-	i := slices.IndexFunc(c.History, func(p wire.Past) bool { return p.Stamp == e.Base })
+	i := slices.IndexFunc(ledger.History, func(p wire.Past) bool { return p.Stamp == e.Base })
 	if e.Op != "rows" || i < 0 {
 		return lost, true
 	}
-	lost.Findings = sheet.Clash(SheetOf(wire.ConfigBody{Sheet: c.History[i].Sheet}), SheetOf(*c), e.Body)
+	lost.Findings = sheet.Clash(SheetOf(wire.ConfigBody{Sheet: ledger.History[i].Sheet}), SheetOf(*c), e.Body)
 	return lost, len(lost.Findings) > 0
 }
 
-func editZone(c *wire.ConfigBody, e *wire.Edit) wire.EditReply {
-	if e.Name == "" {
-		return invalid("zone", "is needed")
+// editZone drains a zone or restores it. The order is bound to the version that last took one about
+// that zone, as it was read after the order came: a late copy is bound to an older one and is stale.
+func editZone(c *wire.ConfigBody, ledger *wire.Ledger, next wire.Stamp, e *wire.Edit) wire.EditReply {
+	drains := e.Op == "empty"
+	if found := checkZone(c, e.Name, drains); len(found) > 0 {
+		return wire.EditReply{Code: "invalid", Findings: found}
+	}
+	if e.Base != zoneVersion(ledger, e.Name) {
+		return wire.EditReply{Code: wire.CodeStale}
 	}
-	rest := slices.DeleteFunc(slices.Clone(c.Emptied), func(z string) bool { return z == e.Name })
-	if e.Op == "empty" {
-		rest = append(rest, e.Name)
-		slices.Sort(rest)
+	before := c.Emptied
+	c.Emptied = slices.DeleteFunc(slices.Clone(before), func(z string) bool { return z == e.Name })
+	if drains {
+		c.Emptied = append(c.Emptied, e.Name)
+		slices.Sort(c.Emptied)
 	}
-	c.Emptied = rest
+	// Also an order that changes nothing is acknowledged: whatever was given before it is stale.
+	setZoneVersion(ledger, e.Name, next)
 	return wire.EditReply{Code: "ok"}
 }
 
+// checkZone lists what makes an order about a zone invalid.
+func checkZone(c *wire.ConfigBody, zone string, drains bool) []wire.Finding {
+	var text string
+	switch {
+	case zone == "":
+		text = "is needed"
+	case len(zone) > zoneNameMost:
+		text = fmt.Sprintf("is longer than %d bytes", zoneNameMost)
+	case !utf8.ValidString(zone) || strings.ContainsFunc(zone, unicode.IsControl):
+		text = "is not a name in plain text"
+	case drains && len(c.Emptied) >= drainedMost && !slices.Contains(c.Emptied, zone):
+		text = fmt.Sprintf("%d zones are drained already", drainedMost)
+	default:
+		return nil
+	}
+	return []wire.Finding{{Place: "zone", Text: text}}
+}
+
 // configClock starts and ends bookings by the owner's corrected clock.
 func configClock(body []byte, _ wire.Stamp, wall int64, _ map[string]string) ([]byte, bool) {
 	c, err := ReadConfig(body)
--- a/state/index.go
+++ b/state/index.go
@@ -24,13 +24,19 @@
 	return b, err
 }
 
-func judgeIndex(body []byte, cur, next wire.Stamp, e *wire.Edit, wall int64) ([]byte, wire.EditReply, bool) {
-	b, err := ReadIndex(body)
+func judgeIndex(value Value, next wire.Stamp, e *wire.Edit) (Value, wire.EditReply, bool) {
+	b, err := ReadIndex(value.Body)
+	if err != nil {
+		return value, invalid("body", "the part's body cannot be read: "+err.Error()), false
+	}
+	ledger, err := ReadLedger(value.Ledger)
 	if err != nil {
-		return nil, invalid("body", "the part's body cannot be read: "+err.Error()), false
+		return value, invalid("ledger", "cannot be read: "+err.Error()), false
 	}
-	if r, ok := repeated(b.Recent, e); ok {
-		return nil, r, false
+	adoptEdits(&ledger, b.Recent)
+	b.Recent = nil
+	if r, ok := editTaken(&ledger, e); ok {
+		return value, r, false
 	}
 	var r wire.EditReply
 	switch e.Op {
@@ -42,10 +48,10 @@
 		r = invalid("op", "no such operation: "+e.Op)
 	}
 	if r.Code != "ok" {
-		return nil, r, false
+		return value, r, false
 	}
-	b.Recent = remember(b.Recent, e, next)
-	return wire.Encode(&b), r, true
+	rememberEdit(&ledger, e, next)
+	return Value{Body: wire.Encode(&b), Ledger: wire.Encode(&ledger)}, r, true
 }
 
 // startCut begins a move; the first cut of an index is in force at once.
--- a/state/layout.go
+++ b/state/layout.go
@@ -1,11 +1,10 @@
 // Package state says how the control state is cut into parts, and judges the
 // edits that a part's owner batches into its next version. Judging is a pure
-// function of the body, the edit and the corrected clock.
+// function of the value and the edit; what time changes is the clockwork's.
 package state
 
 import (
 	"hash/fnv"
-	"slices"
 
 	"wallport/wire"
 )
@@ -23,8 +22,12 @@
 	return 1 + int(h.Sum32()%(Parts-1))
 }
 
-// Judge decides one edit: the body after it, the reply, and whether it took.
-type Judge func(body []byte, cur, next wire.Stamp, e *wire.Edit, wall int64) (after []byte, r wire.EditReply, took bool)
+// Value is what a partition's replicas agree on: the body, which everyone reads, and the ledger,
+// which stays with them.
+type Value struct{ Body, Ledger []byte }
+
+// Judge decides one edit: the value after it, the reply, and whether it took.
+type Judge func(value Value, next wire.Stamp, e *wire.Edit) (after Value, r wire.EditReply, took bool)
 
 // Clockwork changes a body because time passed or duties moved.
 type Clockwork func(body []byte, next wire.Stamp, wall int64, holders map[string]string) (after []byte, due bool)
@@ -45,46 +48,17 @@
 	return indexClock
 }
 
-const recentMost = 256
-
-func editSum(e *wire.Edit) uint64 {
+// legacyEditSum is the digest that releases before 3 remembered of an edit.
+func legacyEditSum(edit *wire.Edit) uint64 {
 	h := fnv.New64a()
-	for _, s := range []string{e.Op, e.Name} {
-		h.Write([]byte(s))
+	for _, text := range []string{edit.Op, edit.Name} {
+		h.Write([]byte(text))
 		h.Write([]byte{0})
 	}
-	h.Write(e.Body)
+	h.Write(edit.Body)
 	return h.Sum64()
 }
 
-// repeated answers an edit id that was taken before.
-func repeated(recent []wire.Done, e *wire.Edit) (wire.EditReply, bool) {
-	if e.EditID == "" {
-		return wire.EditReply{}, false
-	}
-	for _, d := range recent {
-		if d.EditID != e.EditID {
-			continue
-		}
-		if d.Sum != editSum(e) {
-			return wire.EditReply{Code: "conflict", Findings: []wire.Finding{{Place: "Edit-Id", Text: "was used for another edit"}}}, true
-		}
-		return wire.EditReply{Code: "ok", Stamp: d.Stamp}, true
-	}
-	return wire.EditReply{}, false
-}
-
-func remember(recent []wire.Done, e *wire.Edit, at wire.Stamp) []wire.Done {
-	if e.EditID == "" {
-		return recent
-	}
-	recent = append(slices.Clone(recent), wire.Done{EditID: e.EditID, Sum: editSum(e), Stamp: at})
-	if len(recent) > recentMost {
-		recent = recent[len(recent)-recentMost:]
-	}
-	return recent
-}
-
 func invalid(place, text string) wire.EditReply {
 	return wire.EditReply{Code: "invalid", Findings: []wire.Finding{{Place: place, Text: text}}}
 }
--- /dev/null
+++ b/state/read.go
@@ -0,0 +1,29 @@
+// What a leader answers to the operations that only read.
+package state
+
+import "wallport/wire"
+
+// Reads tells whether an operation only reads.
+func Reads(op string) bool {
+	return op == wire.OpRead || op == wire.OpHistory || op == wire.OpZoneVersion
+}
+
+// Answer answers a read by a committed version.
+func Answer(version wire.Stamped, read *wire.Edit) wire.EditReply {
+	if read.Op == wire.OpRead {
+		return wire.EditReply{Code: "ok", Stamp: version.Stamp, Body: version.Body}
+	}
+	ledger, err := ReadLedger(version.Ledger)
+	if err != nil {
+		return invalid("ledger", "cannot be read: "+err.Error())
+	}
+	if read.Op == wire.OpZoneVersion {
+		return wire.EditReply{Code: wire.CodeVersion, Stamp: zoneVersion(&ledger, read.Name)}
+	}
+	config, err := ReadConfig(version.Body)
+	if err != nil {
+		return invalid("body", "cannot be read: "+err.Error())
+	}
+	adoptConfig(&ledger, &config)
+	return wire.EditReply{Code: "ok", Stamp: version.Stamp, Body: wire.Encode(&wire.Ledger{History: ledger.History})}
+}
--- a/state/routing.go
+++ b/state/routing.go
@@ -5,7 +5,6 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -14,8 +13,6 @@
 	"wallport/wire"
 )
 
-const revisionsMost = 512
-
 // RoutingOf decodes the routing table of a configuration; nil is none.
 func RoutingOf(c wire.ConfigBody) (*routingpb.RoutingTable, error) {
 	if len(c.Routing) == 0 {
@@ -28,7 +25,7 @@
 	return t, nil
 }
 
-func editRouting(c *wire.ConfigBody, next wire.Stamp, raw *wire.Edit) (r wire.EditReply, took bool) {
+func editRouting(c *wire.ConfigBody, ledger *wire.Ledger, next wire.Stamp, raw *wire.Edit) (r wire.EditReply, took bool) {
 	e := new(routingpb.RoutingEdit)
 	if err := proto.Unmarshal(raw.Body, e); err != nil {
 		return invalid("edit", "cannot be read: "+err.Error()), false
@@ -38,7 +35,7 @@
 		return invalid("body", "the table in force cannot be read: "+err.Error()), false
 	}
 	if cur.GetRevision() != e.Base {
-		return otherRevision(c, e, cur.GetRevision()), false
+		return otherRevision(ledger, e, cur.GetRevision()), false
 	}
 	if e.Revision <= e.Base {
 		return invalid("revision", fmt.Sprintf("%d is not above the current one, %d", e.Revision, e.Base)), false
@@ -52,21 +49,15 @@
 		return invalid("edit", err.Error()), false
 	}
 	c.Routing = b
-	c.Revisions = append(slices.Clone(c.Revisions), wire.Revision{Number: e.Revision, Base: e.Base, Sum: routing.Digest(e), Stamp: next})
-	if len(c.Revisions) > revisionsMost {
-		c.Revisions = c.Revisions[len(c.Revisions)-revisionsMost:]
-	}
+	rememberOrder(ledger, e, next)
 	return wire.EditReply{Code: "ok"}, true
 }
 
 // otherRevision answers an edit that is not built on the revision in force: exactly this edit
 // may have been taken before, else it lost.
-func otherRevision(c *wire.ConfigBody, e *routingpb.RoutingEdit, current int64) wire.EditReply {
-	sum := routing.Digest(e)
-	for _, r := range c.Revisions {
-		if r.Number == e.Revision && r.Base == e.Base && r.Sum == sum {
-			return wire.EditReply{Code: "ok", Stamp: r.Stamp}
-		}
+func otherRevision(ledger *wire.Ledger, e *routingpb.RoutingEdit, current int64) wire.EditReply {
+	if at, taken := orderTaken(ledger, e); taken {
+		return wire.EditReply{Code: "ok", Stamp: at}
 	}
 	return wire.EditReply{Code: "lost_race", Findings: []wire.Finding{{Place: "base", Text: fmt.Sprintf("revision %d is in force", current)}}}
 }
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -66,15 +66,16 @@
 	Sheet   []byte   `msg:"s"`
 	Emptied []string `msg:"e"`
 	Running []string `msg:"b"`
-	Recent  []Done   `msg:"r"`
-	History []Past   `msg:"h"`
 	SheetAt Stamp    `msg:"sa"`
-	// Routing is the routing table in force, encoded; Revisions are those taken before.
-	Routing   []byte     `msg:"ro,omitempty"`
+	// Routing is the routing table in force, encoded.
+	Routing []byte `msg:"ro,omitempty"`
+	// Recent, History and Revisions are read of releases before 3; the ledger holds them since.
+	Recent    []Done     `msg:"r,omitempty"`
+	History   []Past     `msg:"h,omitempty"`
 	Revisions []Revision `msg:"rv,omitempty"`
 }
 
-// Revision remembers a routing table that was taken, so that its repeat is known.
+// Revision remembers a routing table that was taken, as releases before 3 did.
 type Revision struct {
 	Number int64 `msg:"n"`
 	// Sum is a digest of what was sent; Base is the revision that it was built on.
@@ -84,7 +85,7 @@
 	Stamp Stamp `msg:"t"`
 }
 
-// Done remembers the answer to an edit id, for retries.
+// Done remembers the answer to an edit id, as releases before 3 did.
 type Done struct {
 	EditID string `msg:"e"`
 	Sum    uint64 `msg:"s"`
@@ -102,7 +103,8 @@
 type IndexBody struct {
 	Cuts    map[string]LiveCut `msg:"c"`
 	Holders map[string]Holder  `msg:"h"`
-	Recent  []Done             `msg:"r"`
+	// Recent is read of releases before 3; the ledger holds it since.
+	Recent []Done `msg:"r,omitempty"`
 }
 
 // LiveCut is the set of shards that an index is served from, and the one being moved to.
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -499,6 +499,18 @@
 					return
 				}
 			}
+		case "sa":
+			err = z.SheetAt.DecodeMsg(dc)
+			if err != nil {
+				err = msgp.WrapError(err, "SheetAt")
+				return
+			}
+		case "ro":
+			z.Routing, err = dc.ReadBytes(z.Routing)
+			if err != nil {
+				err = msgp.WrapError(err, "Routing")
+				return
+			}
 		case "r":
 			var zb0004 uint32
 			zb0004, err = dc.ReadArrayHeader()
@@ -607,18 +619,6 @@
 					}
 				}
 			}
-		case "sa":
-			err = z.SheetAt.DecodeMsg(dc)
-			if err != nil {
-				err = msgp.WrapError(err, "SheetAt")
-				return
-			}
-		case "ro":
-			z.Routing, err = dc.ReadBytes(z.Routing)
-			if err != nil {
-				err = msgp.WrapError(err, "Routing")
-				return
-			}
 		case "rv":
 			var zb0008 uint32
 			zb0008, err = dc.ReadArrayHeader()
@@ -656,6 +656,14 @@
 	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Routing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Recent == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.History == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
@@ -715,113 +723,117 @@
 				return
 			}
 		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
+		// write "sa"
+		err = en.Append(0xa2, 0x73, 0x61)
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Recent)))
+		err = z.SheetAt.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Recent")
+			err = msgp.WrapError(err, "SheetAt")
 			return
 		}
-		for za0003 := range z.Recent {
-			// map header, size 3
-			// write "e"
-			err = en.Append(0x83, 0xa1, 0x65)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Recent[za0003].EditID)
-			if err != nil {
-				err = msgp.WrapError(err, "Recent", za0003, "EditID")
-				return
-			}
-			// write "s"
-			err = en.Append(0xa1, 0x73)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(z.Recent[za0003].Sum)
-			if err != nil {
-				err = msgp.WrapError(err, "Recent", za0003, "Sum")
-				return
-			}
-			// write "t"
-			err = en.Append(0xa1, 0x74)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "ro"
+			err = en.Append(0xa2, 0x72, 0x6f)
 			if err != nil {
 				return
 			}
-			err = z.Recent[za0003].Stamp.EncodeMsg(en)
+			err = en.WriteBytes(z.Routing)
 			if err != nil {
-				err = msgp.WrapError(err, "Recent", za0003, "Stamp")
+				err = msgp.WrapError(err, "Routing")
 				return
 			}
 		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.History)))
-		if err != nil {
-			err = msgp.WrapError(err, "History")
-			return
-		}
-		for za0004 := range z.History {
-			// map header, size 3
-			// write "t"
-			err = en.Append(0x83, 0xa1, 0x74)
-			if err != nil {
-				return
-			}
-			err = z.History[za0004].Stamp.EncodeMsg(en)
-			if err != nil {
-				err = msgp.WrapError(err, "History", za0004, "Stamp")
-				return
-			}
-			// write "b"
-			err = en.Append(0xa1, 0x62)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.History[za0004].By)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
 			if err != nil {
-				err = msgp.WrapError(err, "History", za0004, "By")
 				return
 			}
-			// write "s"
-			err = en.Append(0xa1, 0x73)
+			err = en.WriteArrayHeader(uint32(len(z.Recent)))
 			if err != nil {
+				err = msgp.WrapError(err, "Recent")
 				return
 			}
-			err = en.WriteBytes(z.History[za0004].Sheet)
-			if err != nil {
-				err = msgp.WrapError(err, "History", za0004, "Sheet")
-				return
+			for za0003 := range z.Recent {
+				// map header, size 3
+				// write "e"
+				err = en.Append(0x83, 0xa1, 0x65)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Recent[za0003].EditID)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0003, "EditID")
+					return
+				}
+				// write "s"
+				err = en.Append(0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Recent[za0003].Sum)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0003, "Sum")
+					return
+				}
+				// write "t"
+				err = en.Append(0xa1, 0x74)
+				if err != nil {
+					return
+				}
+				err = z.Recent[za0003].Stamp.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0003, "Stamp")
+					return
+				}
 			}
 		}
-		// write "sa"
-		err = en.Append(0xa2, 0x73, 0x61)
-		if err != nil {
-			return
-		}
-		err = z.SheetAt.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "SheetAt")
-			return
-		}
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// write "ro"
-			err = en.Append(0xa2, 0x72, 0x6f)
+			// write "h"
+			err = en.Append(0xa1, 0x68)
 			if err != nil {
 				return
 			}
-			err = en.WriteBytes(z.Routing)
+			err = en.WriteArrayHeader(uint32(len(z.History)))
 			if err != nil {
-				err = msgp.WrapError(err, "Routing")
+				err = msgp.WrapError(err, "History")
 				return
 			}
+			for za0004 := range z.History {
+				// map header, size 3
+				// write "t"
+				err = en.Append(0x83, 0xa1, 0x74)
+				if err != nil {
+					return
+				}
+				err = z.History[za0004].Stamp.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "History", za0004, "Stamp")
+					return
+				}
+				// write "b"
+				err = en.Append(0xa1, 0x62)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.History[za0004].By)
+				if err != nil {
+					err = msgp.WrapError(err, "History", za0004, "By")
+					return
+				}
+				// write "s"
+				err = en.Append(0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteBytes(z.History[za0004].Sheet)
+				if err != nil {
+					err = msgp.WrapError(err, "History", za0004, "Sheet")
+					return
+				}
+			}
 		}
 		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// write "rv"
@@ -854,6 +866,14 @@
 	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.Routing == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Recent == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.History == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
@@ -881,44 +901,6 @@
 		for za0002 := range z.Running {
 			o = msgp.AppendString(o, z.Running[za0002])
 		}
-		// string "r"
-		o = append(o, 0xa1, 0x72)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Recent)))
-		for za0003 := range z.Recent {
-			// map header, size 3
-			// string "e"
-			o = append(o, 0x83, 0xa1, 0x65)
-			o = msgp.AppendString(o, z.Recent[za0003].EditID)
-			// string "s"
-			o = append(o, 0xa1, 0x73)
-			o = msgp.AppendUint64(o, z.Recent[za0003].Sum)
-			// string "t"
-			o = append(o, 0xa1, 0x74)
-			o, err = z.Recent[za0003].Stamp.MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "Recent", za0003, "Stamp")
-				return
-			}
-		}
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
-		for za0004 := range z.History {
-			// map header, size 3
-			// string "t"
-			o = append(o, 0x83, 0xa1, 0x74)
-			o, err = z.History[za0004].Stamp.MarshalMsg(o)
-			if err != nil {
-				err = msgp.WrapError(err, "History", za0004, "Stamp")
-				return
-			}
-			// string "b"
-			o = append(o, 0xa1, 0x62)
-			o = msgp.AppendString(o, z.History[za0004].By)
-			// string "s"
-			o = append(o, 0xa1, 0x73)
-			o = msgp.AppendBytes(o, z.History[za0004].Sheet)
-		}
 		// string "sa"
 		o = append(o, 0xa2, 0x73, 0x61)
 		o, err = z.SheetAt.MarshalMsg(o)
@@ -926,11 +908,53 @@
 			err = msgp.WrapError(err, "SheetAt")
 			return
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "ro"
 			o = append(o, 0xa2, 0x72, 0x6f)
 			o = msgp.AppendBytes(o, z.Routing)
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Recent)))
+			for za0003 := range z.Recent {
+				// map header, size 3
+				// string "e"
+				o = append(o, 0x83, 0xa1, 0x65)
+				o = msgp.AppendString(o, z.Recent[za0003].EditID)
+				// string "s"
+				o = append(o, 0xa1, 0x73)
+				o = msgp.AppendUint64(o, z.Recent[za0003].Sum)
+				// string "t"
+				o = append(o, 0xa1, 0x74)
+				o, err = z.Recent[za0003].Stamp.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0003, "Stamp")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "h"
+			o = append(o, 0xa1, 0x68)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.History)))
+			for za0004 := range z.History {
+				// map header, size 3
+				// string "t"
+				o = append(o, 0x83, 0xa1, 0x74)
+				o, err = z.History[za0004].Stamp.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "History", za0004, "Stamp")
+					return
+				}
+				// string "b"
+				o = append(o, 0xa1, 0x62)
+				o = msgp.AppendString(o, z.History[za0004].By)
+				// string "s"
+				o = append(o, 0xa1, 0x73)
+				o = msgp.AppendBytes(o, z.History[za0004].Sheet)
+			}
+		}
 		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "rv"
 			o = append(o, 0xa2, 0x72, 0x76)
@@ -1009,6 +1033,18 @@
 					return
 				}
 			}
+		case "sa":
+			bts, err = z.SheetAt.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SheetAt")
+				return
+			}
+		case "ro":
+			z.Routing, bts, err = msgp.ReadBytesBytes(bts, z.Routing)
+			if err != nil {
+				err = msgp.WrapError(err, "Routing")
+				return
+			}
 		case "r":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1117,18 +1153,6 @@
 					}
 				}
 			}
-		case "sa":
-			bts, err = z.SheetAt.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "SheetAt")
-				return
-			}
-		case "ro":
-			z.Routing, bts, err = msgp.ReadBytesBytes(bts, z.Routing)
-			if err != nil {
-				err = msgp.WrapError(err, "Routing")
-				return
-			}
 		case "rv":
 			var zb0008 uint32
 			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -1170,7 +1194,7 @@
 	for za0002 := range z.Running {
 		s += msgp.StringPrefixSize + len(z.Running[za0002])
 	}
-	s += 2 + msgp.ArrayHeaderSize
+	s += 3 + z.SheetAt.Msgsize() + 3 + msgp.BytesPrefixSize + len(z.Routing) + 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Recent {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Recent[za0003].EditID) + 2 + msgp.Uint64Size + 2 + z.Recent[za0003].Stamp.Msgsize()
 	}
@@ -1178,7 +1202,7 @@
 	for za0004 := range z.History {
 		s += 1 + 2 + z.History[za0004].Stamp.Msgsize() + 2 + msgp.StringPrefixSize + len(z.History[za0004].By) + 2 + msgp.BytesPrefixSize + len(z.History[za0004].Sheet)
 	}
-	s += 3 + z.SheetAt.Msgsize() + 3 + msgp.BytesPrefixSize + len(z.Routing) + 3 + msgp.ArrayHeaderSize
+	s += 3 + msgp.ArrayHeaderSize
 	for za0005 := range z.Revisions {
 		s += z.Revisions[za0005].Msgsize()
 	}
@@ -2279,108 +2303,126 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *IndexBody) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "c"
-	err = en.Append(0x83, 0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteMapHeader(uint32(len(z.Cuts)))
-	if err != nil {
-		err = msgp.WrapError(err, "Cuts")
-		return
-	}
-	for za0001, za0002 := range z.Cuts {
-		err = en.WriteString(za0001)
-		if err != nil {
-			err = msgp.WrapError(err, "Cuts")
-			return
-		}
-		err = za0002.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Cuts", za0001)
-			return
-		}
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Recent == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	err = en.WriteMapHeader(uint32(len(z.Holders)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Holders")
 		return
 	}
-	for za0003, za0004 := range z.Holders {
-		err = en.WriteString(za0003)
-		if err != nil {
-			err = msgp.WrapError(err, "Holders")
-			return
-		}
-		// map header, size 2
-		// write "n"
-		err = en.Append(0x82, 0xa1, 0x6e)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(za0004.Node)
-		if err != nil {
-			err = msgp.WrapError(err, "Holders", za0003, "Node")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(za0004.Turn)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "c"
+		err = en.Append(0xa1, 0x63)
 		if err != nil {
-			err = msgp.WrapError(err, "Holders", za0003, "Turn")
 			return
 		}
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Recent)))
-	if err != nil {
-		err = msgp.WrapError(err, "Recent")
-		return
-	}
-	for za0005 := range z.Recent {
-		// map header, size 3
-		// write "e"
-		err = en.Append(0x83, 0xa1, 0x65)
+		err = en.WriteMapHeader(uint32(len(z.Cuts)))
 		if err != nil {
+			err = msgp.WrapError(err, "Cuts")
 			return
 		}
-		err = en.WriteString(z.Recent[za0005].EditID)
-		if err != nil {
-			err = msgp.WrapError(err, "Recent", za0005, "EditID")
-			return
+		for za0001, za0002 := range z.Cuts {
+			err = en.WriteString(za0001)
+			if err != nil {
+				err = msgp.WrapError(err, "Cuts")
+				return
+			}
+			err = za0002.EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Cuts", za0001)
+				return
+			}
 		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
+		// write "h"
+		err = en.Append(0xa1, 0x68)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Recent[za0005].Sum)
+		err = en.WriteMapHeader(uint32(len(z.Holders)))
 		if err != nil {
-			err = msgp.WrapError(err, "Recent", za0005, "Sum")
+			err = msgp.WrapError(err, "Holders")
 			return
 		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
+		for za0003, za0004 := range z.Holders {
+			err = en.WriteString(za0003)
+			if err != nil {
+				err = msgp.WrapError(err, "Holders")
+				return
+			}
+			// map header, size 2
+			// write "n"
+			err = en.Append(0x82, 0xa1, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(za0004.Node)
+			if err != nil {
+				err = msgp.WrapError(err, "Holders", za0003, "Node")
+				return
+			}
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(za0004.Turn)
+			if err != nil {
+				err = msgp.WrapError(err, "Holders", za0003, "Turn")
+				return
+			}
 		}
-		err = z.Recent[za0005].Stamp.EncodeMsg(en)
-		if err != nil {
-			err = msgp.WrapError(err, "Recent", za0005, "Stamp")
-			return
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Recent)))
+			if err != nil {
+				err = msgp.WrapError(err, "Recent")
+				return
+			}
+			for za0005 := range z.Recent {
+				// map header, size 3
+				// write "e"
+				err = en.Append(0x83, 0xa1, 0x65)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Recent[za0005].EditID)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0005, "EditID")
+					return
+				}
+				// write "s"
+				err = en.Append(0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Recent[za0005].Sum)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0005, "Sum")
+					return
+				}
+				// write "t"
+				err = en.Append(0xa1, 0x74)
+				if err != nil {
+					return
+				}
+				err = z.Recent[za0005].Stamp.EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0005, "Stamp")
+					return
+				}
+			}
 		}
 	}
 	return
@@ -2389,48 +2431,63 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *IndexBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
-	o = msgp.AppendMapHeader(o, uint32(len(z.Cuts)))
-	for za0001, za0002 := range z.Cuts {
-		o = msgp.AppendString(o, za0001)
-		o, err = za0002.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Cuts", za0001)
-			return
-		}
-	}
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendMapHeader(o, uint32(len(z.Holders)))
-	for za0003, za0004 := range z.Holders {
-		o = msgp.AppendString(o, za0003)
-		// map header, size 2
-		// string "n"
-		o = append(o, 0x82, 0xa1, 0x6e)
-		o = msgp.AppendString(o, za0004.Node)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, za0004.Turn)
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Recent == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Recent)))
-	for za0005 := range z.Recent {
-		// map header, size 3
-		// string "e"
-		o = append(o, 0x83, 0xa1, 0x65)
-		o = msgp.AppendString(o, z.Recent[za0005].EditID)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Recent[za0005].Sum)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o, err = z.Recent[za0005].Stamp.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Recent", za0005, "Stamp")
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendMapHeader(o, uint32(len(z.Cuts)))
+		for za0001, za0002 := range z.Cuts {
+			o = msgp.AppendString(o, za0001)
+			o, err = za0002.MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Cuts", za0001)
+				return
+			}
+		}
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendMapHeader(o, uint32(len(z.Holders)))
+		for za0003, za0004 := range z.Holders {
+			o = msgp.AppendString(o, za0003)
+			// map header, size 2
+			// string "n"
+			o = append(o, 0x82, 0xa1, 0x6e)
+			o = msgp.AppendString(o, za0004.Node)
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, za0004.Turn)
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Recent)))
+			for za0005 := range z.Recent {
+				// map header, size 3
+				// string "e"
+				o = append(o, 0x83, 0xa1, 0x65)
+				o = msgp.AppendString(o, z.Recent[za0005].EditID)
+				// string "s"
+				o = append(o, 0xa1, 0x73)
+				o = msgp.AppendUint64(o, z.Recent[za0005].Sum)
+				// string "t"
+				o = append(o, 0xa1, 0x74)
+				o, err = z.Recent[za0005].Stamp.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Recent", za0005, "Stamp")
+					return
+				}
+			}
 		}
 	}
 	return
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -24,6 +24,25 @@
 	Addr string `msg:"a"`
 }
 
+// Operations that read, each confirmed by a majority after it came.
+const (
+	// OpRead asks for the body.
+	OpRead = "read"
+	// OpHistory asks for the earlier sheets: a Ledger with nothing but these.
+	OpHistory = "history"
+	// OpZoneVersion asks which version last took an order about the zone that Name gives.
+	OpZoneVersion = "zone_version"
+)
+
+// Codes of replies that stay between processes.
+const (
+	// CodeVersion answers OpZoneVersion.
+	CodeVersion = "version"
+	// CodeStale refuses an order about a zone that is bound to another version than the one in
+	// force. Nothing was taken.
+	CodeStale = "stale"
+)
+
 // Edit is one operator change for a part's owner.
 type Edit struct {
 	Part   int    `msg:"p"`
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -14,6 +14,7 @@
 //go:generate go tool msgp -tests=false -file messages.go -o messages_gen.go
 //go:generate go tool msgp -tests=false -file calls.go -o calls_gen.go
 //go:generate go tool msgp -tests=false -file bodies.go -o bodies_gen.go
+//go:generate go tool msgp -tests=false -file ledger.go -o ledger_gen.go
 
 // MaxFrame bounds a frame in bytes.
 const MaxFrame = 1 << 20
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -122,6 +122,8 @@
 	Seats []Seat `msg:"se"`
 	Prev  []Seat `msg:"pr"`
 	Body  []byte `msg:"b"`
+	// Ledger goes with the body from replica to replica; whoever only reads the body gets none.
+	Ledger []byte `msg:"l,omitempty"`
 }
 
 // Seat is one place in a part's group.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -4866,6 +4866,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "l":
+			z.Ledger, err = dc.ReadBytes(z.Ledger)
+			if err != nil {
+				err = msgp.WrapError(err, "Ledger")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4879,138 +4885,166 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Stamped) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "st"
-	err = en.Append(0x84, 0xa2, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Stamp.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stamp.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Term")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stamp.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Seq")
-		return
-	}
-	// write "se"
-	err = en.Append(0xa2, 0x73, 0x65)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Ledger == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Seats)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Seats")
 		return
 	}
-	for za0001 := range z.Seats {
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "st"
+		err = en.Append(0xa2, 0x73, 0x74)
+		if err != nil {
+			return
+		}
 		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
+		// write "p"
+		err = en.Append(0x83, 0xa1, 0x70)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Seats[za0001].ID)
+		err = en.WriteInt(z.Stamp.Part)
 		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "ID")
+			err = msgp.WrapError(err, "Stamp", "Part")
 			return
 		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
+		// write "t"
+		err = en.Append(0xa1, 0x74)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Seats[za0001].Zone)
+		err = en.WriteUint64(z.Stamp.Term)
 		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "Zone")
+			err = msgp.WrapError(err, "Stamp", "Term")
 			return
 		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
+		// write "s"
+		err = en.Append(0xa1, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Seats[za0001].Addr)
+		err = en.WriteUint64(z.Stamp.Seq)
 		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "Addr")
+			err = msgp.WrapError(err, "Stamp", "Seq")
 			return
 		}
-	}
-	// write "pr"
-	err = en.Append(0xa2, 0x70, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Prev)))
-	if err != nil {
-		err = msgp.WrapError(err, "Prev")
-		return
-	}
-	for za0002 := range z.Prev {
-		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
+		// write "se"
+		err = en.Append(0xa2, 0x73, 0x65)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Prev[za0002].ID)
+		err = en.WriteArrayHeader(uint32(len(z.Seats)))
 		if err != nil {
-			err = msgp.WrapError(err, "Prev", za0002, "ID")
+			err = msgp.WrapError(err, "Seats")
 			return
 		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
+		for za0001 := range z.Seats {
+			// map header, size 3
+			// write "i"
+			err = en.Append(0x83, 0xa1, 0x69)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Seats[za0001].ID)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats", za0001, "ID")
+				return
+			}
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Seats[za0001].Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats", za0001, "Zone")
+				return
+			}
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Seats[za0001].Addr)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats", za0001, "Addr")
+				return
+			}
+		}
+		// write "pr"
+		err = en.Append(0xa2, 0x70, 0x72)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Prev[za0002].Zone)
+		err = en.WriteArrayHeader(uint32(len(z.Prev)))
 		if err != nil {
-			err = msgp.WrapError(err, "Prev", za0002, "Zone")
+			err = msgp.WrapError(err, "Prev")
 			return
 		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
+		for za0002 := range z.Prev {
+			// map header, size 3
+			// write "i"
+			err = en.Append(0x83, 0xa1, 0x69)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Prev[za0002].ID)
+			if err != nil {
+				err = msgp.WrapError(err, "Prev", za0002, "ID")
+				return
+			}
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Prev[za0002].Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Prev", za0002, "Zone")
+				return
+			}
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Prev[za0002].Addr)
+			if err != nil {
+				err = msgp.WrapError(err, "Prev", za0002, "Addr")
+				return
+			}
+		}
+		// write "b"
+		err = en.Append(0xa1, 0x62)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Prev[za0002].Addr)
+		err = en.WriteBytes(z.Body)
 		if err != nil {
-			err = msgp.WrapError(err, "Prev", za0002, "Addr")
+			err = msgp.WrapError(err, "Body")
 			return
 		}
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "l"
+			err = en.Append(0xa1, 0x6c)
+			if err != nil {
+				return
+			}
+			err = en.WriteBytes(z.Ledger)
+			if err != nil {
+				err = msgp.WrapError(err, "Ledger")
+				return
+			}
+		}
 	}
 	return
 }
@@ -5018,52 +5052,70 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stamped) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "st"
-	o = append(o, 0x84, 0xa2, 0x73, 0x74)
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Stamp.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Stamp.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Stamp.Seq)
-	// string "se"
-	o = append(o, 0xa2, 0x73, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
-	for za0001 := range z.Seats {
-		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Seats[za0001].ID)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Seats[za0001].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Seats[za0001].Addr)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Ledger == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "pr"
-	o = append(o, 0xa2, 0x70, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Prev)))
-	for za0002 := range z.Prev {
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "st"
+		o = append(o, 0xa2, 0x73, 0x74)
 		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Prev[za0002].ID)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Prev[za0002].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Prev[za0002].Addr)
+		// string "p"
+		o = append(o, 0x83, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Stamp.Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Stamp.Term)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Stamp.Seq)
+		// string "se"
+		o = append(o, 0xa2, 0x73, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
+		for za0001 := range z.Seats {
+			// map header, size 3
+			// string "i"
+			o = append(o, 0x83, 0xa1, 0x69)
+			o = msgp.AppendString(o, z.Seats[za0001].ID)
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendString(o, z.Seats[za0001].Zone)
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendString(o, z.Seats[za0001].Addr)
+		}
+		// string "pr"
+		o = append(o, 0xa2, 0x70, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Prev)))
+		for za0002 := range z.Prev {
+			// map header, size 3
+			// string "i"
+			o = append(o, 0x83, 0xa1, 0x69)
+			o = msgp.AppendString(o, z.Prev[za0002].ID)
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendString(o, z.Prev[za0002].Zone)
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendString(o, z.Prev[za0002].Addr)
+		}
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Body)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendBytes(o, z.Ledger)
+		}
 	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
 	return
 }
 
@@ -5240,6 +5292,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "l":
+			z.Ledger, bts, err = msgp.ReadBytesBytes(bts, z.Ledger)
+			if err != nil {
+				err = msgp.WrapError(err, "Ledger")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5262,7 +5320,7 @@
 	for za0002 := range z.Prev {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].ID) + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].Zone) + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].Addr)
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Body)
+	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BytesPrefixSize + len(z.Ledger)
 	return
 }
 
