--- a/lab/sim/day_orders.go
+++ b/lab/sim/day_orders.go
@@ -36,6 +36,8 @@
 	// last is the machine that acknowledged last.
 	last  *machine
 	zones map[string]*rules.Order
+	// taken are the configurations that were acknowledged, as they were sent.
+	taken []wire.Edit
 }
 
 // order is one call of an operator, sent until its answer is clear.
@@ -131,11 +133,13 @@
 		panic(err)
 	}
 	o.open++
-	o.carry(wire.Edit{Op: "routing", Body: body}, func(code string, m *machine) {
+	edit := wire.Edit{Op: "routing", Body: body}
+	o.carry(edit, func(code string, m *machine) {
 		o.open--
 		d.w.Judge.Count("versions."+code, 1)
 		if code == "ok" {
 			v.Acked = d.w.now
+			o.taken = append(o.taken, edit)
 			if o.base == nil || v.Revision > o.base.Revision && !v.Invalid {
 				o.base = v
 			}
--- a/lab/sim/day_verbs.go
+++ b/lab/sim/day_verbs.go
@@ -119,7 +119,7 @@
 	case "rate":
 		d.clients.rate *= e.xOr(1)
 	default:
-		return false
+		return d.mishap(e)
 	}
 	return true
 }
