--- a/operate/binding.go
+++ b/operate/binding.go
@@ -33,6 +33,11 @@
 	case wire.CodeVersion:
 		c.bound, c.req.Edit.Base = true, r.Stamp
 		o.handOn(t, id, c, r.Addr)
+	case "invalid":
+		// A leader of a release before 3 has no versions, and takes the order without one. A later
+		// leader refuses it then, unless no order about the zone was ever taken.
+		c.bound, c.req.Edit.Base = true, wire.Stamp{}
+		o.handOn(t, id, c, o.owner(t, c))
 	}
 }
 
--- a/operate/binding_test.go
+++ b/operate/binding_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"wallport/kernel"
+	"wallport/mesh"
 	"wallport/wire"
 )
 
@@ -78,6 +79,15 @@
 	}
 }
 
+// A leader of the release before does not know the question, and takes orders without it.
+func TestLeaderOfTheReleaseBefore(t *testing.T) {
+	n := newNode(t)
+	n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+	n.reply(n.last().id, wire.EditReply{Code: "invalid"})
+	must.Eq(t, "empty z1", n.last().edit.Op+" "+n.last().edit.Name)
+	must.Eq(t, wire.Stamp{}, n.last().edit.Base)
+}
+
 // A reply to the question says nothing of the order, which another core may take meanwhile.
 func TestDeclinedQuestionIsNotADeclinedOrder(t *testing.T) {
 	n := newNode(t)
@@ -109,3 +119,43 @@
 	n.pass(GiveUp)
 	must.Eq(t, "shed", n.answers[2].(History).Code)
 }
+
+// A zone of which a whole list knows nothing is not drained; one that may exist is.
+func TestUnknownZoneIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		list   wire.Listing
+		op     string
+		zone   string
+		refuse bool
+	}{
+		{"nothing known", wire.Listing{}, "empty", "z9", false},
+		{"a list in part", wire.Listing{Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z9", false},
+		{"nothing there", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z9", true},
+		{"a backend there", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z2", false},
+		{"a member there", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z1", false},
+		{"taken back", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "refill", "z9", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode(t)
+			if len(c.list.Servers) > 0 {
+				n.announce("listing", wire.Encode(&c.list))
+			}
+			n.call(1, Carry{Edit: wire.Edit{Op: c.op, Name: c.zone}})
+			if c.refuse {
+				must.Eq(t, CodeUnknownZone, n.code(1))
+				must.Eq(t, "zone", n.answers[1].(Result).Reply.Findings[0].Place)
+				must.SliceEmpty(t, n.frames)
+				return
+			}
+			must.Eq(t, "", n.code(1))
+			must.Len(t, 1, n.frames)
+		})
+	}
+}
+
+// announce has the node's own mesh hold an entry.
+func (n *node) announce(typ string, body []byte) {
+	n.k.Later(func(t *kernel.Turn) { kernel.Find[*mesh.Mesh](n.k).Announce(t, typ, typ, body, false) })
+	n.step(kernel.Tick{Plugin: "operate", Key: "none"})
+}
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -118,6 +118,10 @@
 		c.outcome = historyOutcome
 		c.req = Carry{Edit: wire.Edit{Part: state.Config, Op: wire.OpHistory}}
 	case Carry:
+		if ask.Edit.Op == "empty" && ask.Edit.Name != "" && !o.knowsZone(ask.Edit.Name, t.Now) {
+			t.Answer(v.ID, unknownZone(ask.Edit.Name))
+			return
+		}
 		c.outcome = func(res Result) any { return res }
 		c.req = ask
 		if c.req.Edit.EditID == "" {
--- /dev/null
+++ b/operate/zones.go
@@ -0,0 +1,35 @@
+// Which zones there are, as far as this process knows.
+package operate
+
+import (
+	"slices"
+
+	"wallport/wire"
+)
+
+// CodeUnknownZone refuses to drain a zone in which there is nothing. Nothing was sent.
+const CodeUnknownZone = "unknown_zone"
+
+// knowsZone tells whether a zone may exist: a member or a listed backend is in it, or this process
+// has not heard of a whole list yet and cannot tell.
+func (o *Operate) knowsZone(zone string, now int64) bool {
+	for _, member := range o.members.All(now) {
+		if member.Zone == zone {
+			return true
+		}
+	}
+	known, whole := false, false
+	o.mesh.Each("listing", func(e *wire.Entry, _ string) {
+		var listing wire.Listing
+		if wire.Decode(e.Body, &listing) != nil {
+			return
+		}
+		whole = whole || listing.Whole && len(listing.Servers) > 0
+		known = known || slices.ContainsFunc(listing.Servers, func(s wire.Server) bool { return s.Zone == zone })
+	})
+	return known || !whole
+}
+
+func unknownZone(zone string) Result {
+	return Result{Reply: wire.EditReply{Code: CodeUnknownZone, Findings: []wire.Finding{{Place: "zone", Text: "nothing that is known here is in zone " + zone}}}}
+}
--- a/serve/carry.go
+++ b/serve/carry.go
@@ -43,7 +43,7 @@
 	switch res.Reply.Code {
 	case "ok":
 		return &operator.Taken{Stamp: stamp, InForce: res.InForce, Laggards: append([]string{}, res.Laggards...)}, nil
-	case "invalid":
+	case "invalid", operate.CodeUnknownZone:
 		return nil, findings("malformed", res.Reply.Findings)
 	case "conflict":
 		return nil, findings("conflict", res.Reply.Findings)
