--- a/replica/orders_test.go
+++ b/replica/orders_test.go
@@ -127,7 +127,10 @@
 	must.True(t, config.Revisions == nil && config.Recent == nil && config.History == nil)
 
 	// A vote that is denied shows how new the voter's version is, and nothing of it.
-	denied := c.send(wire.KindVote, &wire.Vote{Term: g.term, From: "b"})
+	held := g.committed
+	c = newCore(t, map[string][]byte{versionFile(held.Stamp): diskfile.Pack(wire.Encode(&held))})
+	must.Eq(t, held.Ledger, c.s.groups[0].accepted.Ledger)
+	denied := c.send(wire.KindVote, &wire.Vote{Term: held.Stamp.Term - 1, From: "b"})
 	f, err = wire.Open(denied.Sends[0].Data)
 	must.NoError(t, err)
 	var vote wire.VoteReply
