Claims: a majority is of the greatest roster among the homes that let a key in

Cause, by review of who counts as a home while rosters differ (a node that has just started sees some of the fleet for up to a second, since who is live is looked at with each heartbeat): - A node that sees three of eight homes let a key in with two; others could let it in beside them. Each home now says how many homes it counts, and a claim needs a majority of the greatest number among the homes that it counts on. A claim that goes on asks homes that were learned of meanwhile too. - A home that lost its records took itself for sure once two of three that it saw had handed over, though five of eight might have let the key in. It needs as many as the largest roster asks for. - A home handed over to one that it did not count yet, and what it let in afterwards by its smaller roster was missing there. - A record that a home kept while it was unsure hid the one that was handed over to it afterwards, and was let in when it was asked again. Seen failing before (claims/roster_test.go): 'three of more homes are no majority: len 1', 'expected slice to be empty, len 1' (handed over), '2 of seven others: is true', 'expected running, in'. Old processes tell no number of homes and are counted as before.

--- a/claims/asking.go
+++ b/claims/asking.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"wallport/inquiry"
 	"wallport/kernel"
@@ -17,7 +18,7 @@
 	ask     Ask
 	homes   []table.Node
 	until   int64
-	replies map[string]string
+	replies map[string]homeReply
 	tried   bool
 	// decideAt is set once a majority let the key in and only slower homes are waited for.
 	decideAt int64
@@ -33,7 +34,7 @@
 	}
 	c.next++
 	n := c.next
-	w := &asking{id: id, ask: a, until: t.Now + min(a.Within, GiveUp), replies: map[string]string{}}
+	w := &asking{id: id, ask: a, until: t.Now + min(a.Within, GiveUp), replies: map[string]homeReply{}}
 	c.asks[n] = w
 	if !c.fresh(t.Now) {
 		w.homes = Homes(a.Key, cp.Homes)
@@ -60,7 +61,7 @@
 		switch {
 		case c.asks[n] == nil:
 			return
-		case w.replies[h.Name] == "in":
+		case w.replies[h.Name].code == "in":
 		case h.Origin == c.mesh.Self():
 			c.replied(t, n, c.claim(t, m))
 		default:
@@ -77,7 +78,7 @@
 	for _, h := range w.homes {
 		// By name: a home that was started anew answers for its place, as one that is unsure.
 		if h.Name == r.Name || h.Origin == r.From {
-			w.replies[h.Name] = r.Code
+			w.replies[h.Name] = homeReply{code: r.Code, homes: r.Homes}
 		}
 	}
 	w.tried = w.tried || r.Tried
@@ -89,26 +90,13 @@
 	c.decide(t, n, w)
 }
 
-func (w *asking) count() (in, unsure, most int) {
-	for _, code := range w.replies {
-		switch code {
-		case "in":
-			in++
-		case "unsure":
-			unsure++
-		}
-	}
-	return in, unsure, quorum(len(w.homes))
-}
-
 // decide lets a key in that a majority of its homes let in. A caller's word that this
 // is its first try makes up for homes that cannot be sure.
 func (c *Claims) decide(t *kernel.Turn, n uint64, w *asking) {
-	in, unsure, most := w.count()
 	if len(w.homes) == 0 {
 		return
 	}
-	enough := in >= most || w.ask.First && in+unsure >= most
+	enough := w.majority(w.ask.First)
 	switch {
 	case enough && len(w.replies) == len(w.homes):
 	case w.decideAt > 0 && t.Now >= w.decideAt:
@@ -134,8 +122,8 @@
 		t.Answer(w.id, inquiry.Verdict{Code: "in"})
 		return
 	}
-	if w.homes == nil && !c.fresh(t.Now) {
-		w.homes = Homes(w.ask.Key, c.table.Now().Homes)
+	if !c.fresh(t.Now) {
+		w.widen(Homes(w.ask.Key, c.table.Now().Homes))
 	}
 	if c.decide(t, n, w); c.asks[n] == nil || w.decideAt > t.Now {
 		return
@@ -148,15 +136,23 @@
 		}
 		return
 	}
-	in, unsure, most := w.count()
-	if in+unsure >= most && len(w.homes) > 0 {
+	if w.majority(true) {
 		// Those that would know have lost what they knew, and an earlier try may have run.
 		t.Counts.Add("claims_unknown", 1)
 		c.end(t, n, inquiry.Verdict{Code: "unknown"})
 		return
 	}
 	t.Counts.Add("claims_short", 1)
-	c.end(t, n, inquiry.Verdict{Code: "short", Why: fmt.Sprintf("%d of the key's %d home nodes answered", in+unsure, len(w.homes))})
+	c.end(t, n, inquiry.Verdict{Code: "short", Why: fmt.Sprintf("%d of the key's %d home nodes answered", w.agreed(), len(w.homes))})
+}
+
+// widen adds homes that this node has learned of meanwhile. None is left out: it may hold the claim.
+func (w *asking) widen(homes []table.Node) {
+	for _, h := range homes {
+		if !slices.ContainsFunc(w.homes, func(o table.Node) bool { return o.Name == h.Name }) {
+			w.homes = append(w.homes, h)
+		}
+	}
 }
 
 // token names one claim, not its node: two claims of one key through one node
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -67,8 +67,10 @@
 	sum  uint64
 	from string
 	done bool
-	body []byte
-	at   int64
+	// unsure is that the home could not vouch for the key when it last answered the claim.
+	unsure bool
+	body   []byte
+	at     int64
 }
 
 // Claims is the plug-in of a node.
--- a/claims/epochs.go
+++ b/claims/epochs.go
@@ -22,7 +22,18 @@
 	// have lost what it knew itself.
 	before []table.Node
 	heard  map[string]bool
-	whole  bool
+	// homes is the most homes that any of those counts.
+	homes int
+	whole bool
+}
+
+// needs is how many others must have handed over, of the homes of a key that this process knows of.
+// In an epoch in which it may have lost what it knew, others may count more homes than it does.
+func (e *epoch) needs(homes int) int {
+	if e.before == nil {
+		homes = max(homes, e.homes)
+	}
+	return others(homes)
 }
 
 // settled tells that every other node of a roster that had time to be known has handed over.
@@ -73,7 +84,7 @@
 				n++
 			}
 		}
-		if n < max(1, others(len(prev))) {
+		if n < max(1, e.needs(len(prev))) {
 			return false
 		}
 	}
@@ -125,7 +136,7 @@
 	asks := 0
 	for _, e := range c.epochs {
 		// In a fleet whose nodes are all homes of all keys so many are enough for every key.
-		left := others(len(c.roster))
+		left := e.needs(len(c.roster))
 		if len(c.roster) > homesMost {
 			left = len(c.roster) - 1
 		}
--- a/claims/handover.go
+++ b/claims/handover.go
@@ -30,13 +30,17 @@
 const handedMost = 256 << 10
 
 // handOver gives a home what it should have had; a process that is itself not
-// sure of all that it lost says nothing and is asked again.
+// sure of all that it lost, or does not count the asker among the homes yet, says nothing and
+// is asked again: what it lets in afterwards by a smaller roster would be missing.
 func (c *Claims) handOver(t *kernel.Turn, ch uint64, m wire.HandOver) {
 	if slices.ContainsFunc(c.epochs, func(e *epoch) bool { return e.before == nil && !e.settled(t.Now) && !c.sawAll() }) {
 		return
 	}
+	if !slices.ContainsFunc(c.roster, func(n table.Node) bool { return n.Name == m.Name }) {
+		return
+	}
 	before, now := nodes(m.Before), nodes(m.Now)
-	out := wire.Handed{N: m.N, Name: c.name()}
+	out := wire.Handed{N: m.N, Name: c.name(), Homes: c.countsHomes()}
 	size := 0
 	var keys []string
 	if len(before) == 0 || len(before) > homesMost || !isHome("", m.Name, before) {
@@ -69,6 +73,7 @@
 	for _, e := range c.epochs {
 		if e.n == m.N && m.All {
 			e.heard[m.Name] = true
+			e.homes = max(e.homes, m.Homes)
 		}
 	}
 }
--- a/claims/home.go
+++ b/claims/home.go
@@ -8,15 +8,16 @@
 
 // claim is a home's answer.
 func (c *Claims) claim(t *kernel.Turn, m wire.Claim) wire.ClaimReply {
-	r := wire.ClaimReply{Key: m.Key, From: c.mesh.Self(), Name: c.name()}
+	r := wire.ClaimReply{Key: m.Key, From: c.mesh.Self(), Name: c.name(), Homes: c.countsHomes()}
 	rec := c.records[m.Key]
 	switch {
 	case rec == nil || !rec.done && rec.from == m.From:
 		if rec == nil {
-			c.keep(m.Key, &record{sum: m.Sum, from: m.From, at: t.Now})
+			rec = &record{sum: m.Sum, from: m.From, at: t.Now}
+			c.keep(m.Key, rec)
 		}
 		r.Code, r.Tried = "in", c.seen.has(m.Key, t.Now)
-		if !c.knows(m.Key, m.Index, t.Now) {
+		if rec.unsure = !c.knows(m.Key, m.Index, t.Now); rec.unsure {
 			t.Counts.Add("claims_unsure", 1)
 			r.Code = "unsure"
 		}
@@ -54,12 +55,24 @@
 			rec.done, rec.body = true, m.Body
 		}
 	case "running":
-		if rec == nil {
+		switch {
+		case rec == nil:
 			c.keep(m.Key, &record{sum: uint64(m.Status), from: string(m.Body), at: t.Now})
+		case rec.unsure && !rec.done && rec.from != string(m.Body):
+			// Either claim may have been let in: nobody's release frees the key.
+			rec.from = contested
 		}
 	}
 }
 
+// contested stands for the claim of a record that two claims may have been let in with.
+const contested = ""
+
+// countsHomes is how many homes a key has by what this process knows of the fleet.
+func (c *Claims) countsHomes() int {
+	return min(homesMost, max(len(c.roster), len(c.table.Now().Homes)))
+}
+
 func (c *Claims) keep(key string, r *record) {
 	c.records[key] = r
 	c.order = append(c.order, key)
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -137,6 +137,8 @@
 	Body   []byte `msg:"b"`
 	// Tried tells that an earlier try of the key reached a server, which refused it.
 	Tried bool `msg:"t"`
+	// Homes is how many home nodes the key has by the sender's own roster; 0 where it does not say.
+	Homes int `msg:"h"`
 }
 
 // Place is a node's name and zone, which decide of which keys it is home.
@@ -160,6 +162,8 @@
 	Name    string   `msg:"n"`
 	Records []Settle `msg:"r"`
 	All     bool     `msg:"a"`
+	// Homes is how many home nodes a key has by the sender's own roster; 0 where it does not say.
+	Homes int `msg:"h"`
 }
 
 // Seen asks one home of a search's or read's key whether it was sent before, and
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -244,6 +244,12 @@
 				err = msgp.WrapError(err, "Tried")
 				return
 			}
+		case "h":
+			z.Homes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -257,9 +263,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *ClaimReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
+	// map header, size 8
 	// write "k"
-	err = en.Append(0x87, 0xa1, 0x6b)
+	err = en.Append(0x88, 0xa1, 0x6b)
 	if err != nil {
 		return
 	}
@@ -328,15 +334,25 @@
 		err = msgp.WrapError(err, "Tried")
 		return
 	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Homes)
+	if err != nil {
+		err = msgp.WrapError(err, "Homes")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ClaimReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "k"
-	o = append(o, 0x87, 0xa1, 0x6b)
+	o = append(o, 0x88, 0xa1, 0x6b)
 	o = msgp.AppendString(o, z.Key)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
@@ -356,6 +372,9 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendBool(o, z.Tried)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendInt(o, z.Homes)
 	return
 }
 
@@ -419,6 +438,12 @@
 				err = msgp.WrapError(err, "Tried")
 				return
 			}
+		case "h":
+			z.Homes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -433,7 +458,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ClaimReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Code) + 3 + msgp.IntSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BoolSize + 2 + msgp.IntSize
 	return
 }
 
@@ -1814,6 +1839,12 @@
 				err = msgp.WrapError(err, "All")
 				return
 			}
+		case "h":
+			z.Homes, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1827,9 +1858,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Handed) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "e"
-	err = en.Append(0x84, 0xa1, 0x65)
+	err = en.Append(0x85, 0xa1, 0x65)
 	if err != nil {
 		return
 	}
@@ -1875,15 +1906,25 @@
 		err = msgp.WrapError(err, "All")
 		return
 	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Homes)
+	if err != nil {
+		err = msgp.WrapError(err, "Homes")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Handed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "e"
-	o = append(o, 0x84, 0xa1, 0x65)
+	o = append(o, 0x85, 0xa1, 0x65)
 	o = msgp.AppendUint64(o, z.N)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -1901,6 +1942,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.All)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendInt(o, z.Homes)
 	return
 }
 
@@ -1959,6 +2003,12 @@
 				err = msgp.WrapError(err, "All")
 				return
 			}
+		case "h":
+			z.Homes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Homes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1977,7 +2027,7 @@
 	for za0001 := range z.Records {
 		s += z.Records[za0001].Msgsize()
 	}
-	s += 2 + msgp.BoolSize
+	s += 2 + msgp.BoolSize + 2 + msgp.IntSize
 	return
 }
 
