Backend: nothing is written to a connection that has spoken first, or after a freeze at the write

Review of what a request that may run once meets on its connection; each case has a test against a stand-in (backend/once_test.go). Three were wrong: - A new connection was written to without a look. One that the backend had already closed (too many connections) then made the request's fate unknown, though it was never read; a promise or an answer that came before the question was taken for the question's own. Each connection is now looked at in the same turn in which it is written to, new ones too. - The process's freeze and the request's time were looked at before the request was made up and its connection armed, so a freeze in between sent it late. They are looked at again right before the write. Seen failing before: TestNewConnectionThatEndsFirst (class 3, timed out), TestAnswerBeforeTheQuestion (class 2 for the promise, 0 for the answer and after the interim one), TestFreezeAtTheWrite and TestTimeThatRunsOutAtTheWrite (class 0: it was sent). Held already, and now tested: an answer after the deadline, a body partly written, an interim answer after an answer, a connection closed exactly when it is reused. Cost: one system call more for each new connection, none for a reused one.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -68,6 +68,29 @@
 	return c.within(time.Time{}) == nil
 }
 
+// held is why nothing may be written to a connection; empty is that it may.
+func (x *Exchange) held(c *conn) string {
+	ok, unwanted := x.hold(c)
+	switch {
+	case !ok:
+		return "cancelled"
+	case unwanted:
+		return "not wanted any more"
+	}
+	return x.late()
+}
+
+// late is why a request may not be written any more, whatever its connection is like.
+func (x *Exchange) late() string {
+	switch {
+	case x.frozen():
+		return "the process was frozen"
+	case time.Until(x.until) < time.Millisecond:
+		return "no time left"
+	}
+	return ""
+}
+
 func (x *Exchange) frozen() bool { return x.k.c.Frozen() || x.k.c.Thaws() != x.thaws }
 
 func notSent(why string) forward.Reply { return forward.Reply{Class: forward.ClassNotSent, Why: why} }
@@ -122,33 +145,25 @@
 // on carries the exchange out on a connection; again is that an idle one was found dead before the write.
 func (x *Exchange) on(c *conn) (rep forward.Reply, again bool) {
 	left := time.Until(x.until)
-	stop := ""
-	ok, unwanted := x.hold(c)
-	switch {
-	case !ok:
-		stop = "cancelled"
-	case unwanted:
-		stop = "not wanted any more"
-	case left < time.Millisecond:
-		stop = "no time left"
-	case x.frozen():
-		stop = "the process was frozen"
-	}
-	if stop != "" {
+	if held := x.held(c); held != "" {
 		c.give(x.release())
-		return notSent(stop), false
+		return notSent(held), false
 	}
 	b := heads.Get().(*[]byte)
 	*b = x.request((*b)[:0], left)
-	resp, body, err := c.exchange(*b, x.ask.Request.Method)
+	resp, body, err := c.exchange(x, *b)
 	if cap(*b) <= 64<<10 {
 		heads.Put(b)
 	}
 	keep := false
-	if c.dead {
+	switch {
+	case c.held != "":
+		c.give(x.release())
+		return notSent(c.held), false
+	case c.dead:
 		x.release()
 		c.give(false)
-		return rep, true
+		return notSent("the connection ended before anything was written"), c.reused
 	}
 	if err != nil {
 		rep = x.broken(c, err)
--- a/backend/fake_test.go
+++ b/backend/fake_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -31,6 +32,21 @@
 
 func (c *call) write(s string) { io.WriteString(c.c, s) }
 
+// arrived waits until more has come on the call's connection, and leaves it unread.
+func (c *call) arrived() {
+	raw, err := c.c.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Read(somethingToRead)
+}
+
+func somethingToRead(fd uintptr) bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err != unix.EAGAIN
+}
+
 // good is a whole answer to a call.
 func (c *call) good(body string) string { return answerTo(c.req.Header.Get("Try-Id"), body) }
 
@@ -41,9 +57,13 @@
 type fake struct {
 	l     *net.TCPListener
 	serve func(c *call) (keep bool)
-	mu    sync.Mutex
-	calls []*call
-	conns int
+	// accepted, where it is set, is told of each connection before anything is read from it.
+	accepted func(c *net.TCPConn)
+	// cutAfter, above 0, is after how many bytes of a body a connection is reset.
+	cutAfter atomic.Int64
+	mu       sync.Mutex
+	calls    []*call
+	conns    int
 }
 
 func newFake(t *testing.T, serve func(c *call) bool) *fake {
@@ -61,6 +81,9 @@
 			f.conns++
 			n := f.conns
 			f.mu.Unlock()
+			if f.accepted != nil {
+				f.accepted(c)
+			}
 			go f.run(c, n)
 		}
 	}()
@@ -75,20 +98,31 @@
 		if err != nil {
 			return
 		}
+		if most := f.cutAfter.Load(); most > 0 {
+			io.CopyN(io.Discard, req.Body, most)
+			f.note(&call{conn: conn, c: c, req: req})
+			c.SetLinger(0)
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
 		}
-		f.mu.Lock()
-		k := &call{n: len(f.calls) + 1, conn: conn, c: c, req: req, body: body}
-		f.calls = append(f.calls, k)
-		f.mu.Unlock()
+		k := &call{conn: conn, c: c, req: req, body: body}
+		f.note(k)
 		if !f.serve(k) {
 			return
 		}
 	}
 }
 
+func (f *fake) note(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.n = len(f.calls) + 1
+	f.calls = append(f.calls, c)
+}
+
 // times is how often a request was read.
 func (f *fake) times(id string) (n int) {
 	f.mu.Lock()
@@ -155,9 +189,5 @@
 
 // readable waits until something can be read from a connection, be it its end.
 func readable(t *testing.T, c *conn) {
-	must.NoError(t, c.sys.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		return err != unix.EAGAIN
-	}))
+	must.NoError(t, c.sys.Read(somethingToRead))
 }
--- /dev/null
+++ b/backend/once_test.go
@@ -0,0 +1,230 @@
+// What a request that may run once meets on its connection: it is written to one connection,
+// once, and only what is certain not to have been read is told as not sent.
+package backend
+
+import (
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/forward"
+)
+
+// greeter does something to each new connection before anything was asked, when it is let go.
+type greeter struct {
+	*fake
+	begin, done chan bool
+}
+
+func newGreeter(t *testing.T, greet func(c *net.TCPConn)) *greeter {
+	t.Helper()
+	f := newFake(t, func(c *call) bool { c.write(c.good("served")); return true })
+	g := &greeter{f, make(chan bool), make(chan bool)}
+	f.accepted = func(c *net.TCPConn) {
+		<-g.begin
+		greet(c)
+		g.done <- true
+	}
+	return g
+}
+
+// dial gives a connection on which what was sent before any request has come, as a client may
+// have it that has just made it.
+func (g *greeter) dial(t *testing.T, k *Client) *conn {
+	t.Helper()
+	_, p, room := k.take(g.server(), 1)
+	must.True(t, room)
+	c, err := k.dial(t.Context(), g.server(), p)
+	must.NoError(t, err)
+	g.begin <- true
+	<-g.done
+	readable(t, c)
+	return c
+}
+
+// TestNewConnectionThatEndsFirst has the backend end a connection before anything was written to
+// it, as one does that has too many: the request has not been read and may go elsewhere.
+func TestNewConnectionThatEndsFirst(t *testing.T) {
+	for name, greet := range map[string]func(c *net.TCPConn){
+		"closed": func(c *net.TCPConn) { c.CloseWrite() },
+		"reset":  func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newGreeter(t, greet)
+			k := newTestClient(t, Config{})
+			x := k.Start(f.once("a"))
+			rep, again := x.on(f.dial(t, k))
+			must.False(t, again)
+			must.Eq(t, forward.ClassNotSent, rep.Class, must.Sprint(rep.Why))
+			must.Eq(t, 0, f.times("a"))
+			must.Eq(t, 0, k.open.Load())
+		})
+	}
+}
+
+// TestAnswerBeforeTheQuestion has a promise, and an answer that bears the request's own id, come
+// before anything was asked: they answer nothing, and the request is not written there.
+func TestAnswerBeforeTheQuestion(t *testing.T) {
+	for name, answer := range map[string]string{
+		"promise": "HTTP/1.1 503 Full\r\nDid-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"answer":  answerTo("a", "early"),
+		"interim": "HTTP/1.1 100 Continue\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newGreeter(t, func(c *net.TCPConn) { c.Write([]byte(answer)) })
+			k := newTestClient(t, Config{})
+			x := k.Start(f.once("a"))
+			rep, again := x.on(f.dial(t, k))
+			must.False(t, again)
+			must.Eq(t, forward.ClassNotSent, rep.Class, must.Sprint(rep.Why))
+			must.Eq(t, 0, f.times("a"))
+		})
+	}
+}
+
+// TestFreezeAtTheWrite has the process freeze after it has decided to write, and wake up when the
+// request's time is over, or knowing that it was frozen.
+func TestFreezeAtTheWrite(t *testing.T) {
+	for _, reused := range []bool{false, true} {
+		var looks, thaws atomic.Int64
+		frozenAt := int64(-1)
+		f := newFake(t, func(c *call) bool { c.write(c.good("")); return true })
+		k := newTestClient(t, Config{
+			Thaws:  thaws.Load,
+			Frozen: func() bool { return looks.Add(1) == frozenAt },
+		})
+		if reused {
+			run(t, k, f.once("first"), forward.ClassAnswer)
+		}
+		// The first look is before the request is made up, the second right before its write.
+		frozenAt = looks.Load() + 2
+		rep := run(t, k, f.once("a"), forward.ClassNotSent)
+		must.Eq(t, "the process was frozen", rep.Why)
+		must.Eq(t, 0, f.times("a"))
+		must.Eq(t, 1, k.open.Load(), must.Sprint("nothing was written: the connection is kept"))
+		run(t, k, f.once("b"), forward.ClassAnswer)
+		must.Eq(t, 1, f.connections())
+	}
+}
+
+// TestTimeThatRunsOutAtTheWrite wakes up without a word of a freeze, past the request's time.
+func TestTimeThatRunsOutAtTheWrite(t *testing.T) {
+	f := newFake(t, func(c *call) bool { c.write(c.good("")); return true })
+	var x *Exchange
+	looks := 0
+	k := newTestClient(t, Config{Frozen: func() bool {
+		if looks++; looks == 2 {
+			x.until = x.until.Add(-time.Duration(x.ask.WithinUs) * time.Microsecond)
+		}
+		return false
+	}})
+	x = k.Start(f.once("a"))
+	rep := x.Run()
+	must.Eq(t, forward.ClassNotSent, rep.Class, must.Sprint(rep.Why))
+	must.Eq(t, 0, f.times("a"))
+}
+
+// TestAnswerAfterTheDeadline has the answer come when its time is over: it is nobody's, and the
+// connection that it comes on is not used again.
+func TestAnswerAfterTheDeadline(t *testing.T) {
+	late, wrote := make(chan bool), make(chan bool)
+	f := newFake(t, func(c *call) bool {
+		if c.n == 1 {
+			<-late
+			c.write(c.good("late"))
+			wrote <- true
+			return true
+		}
+		c.write(c.good("right"))
+		return true
+	})
+	k := newTestClient(t, Config{})
+	a := f.once("a")
+	a.WithinUs = 20_000
+	must.True(t, run(t, k, a, forward.ClassFailed).Silent)
+	must.Eq(t, 0, k.open.Load())
+	late <- true
+	<-wrote
+	rep := run(t, k, f.once("b"), forward.ClassAnswer)
+	must.Eq(t, "right", string(rep.Body))
+	must.False(t, rep.Reused)
+	must.Eq(t, 1, f.times("a"))
+	must.Eq(t, 2, f.connections())
+}
+
+// TestBodyPartlyWritten has the backend end the connection when it has read a part of a body that
+// the kernel does not take at once: it may have run.
+func TestBodyPartlyWritten(t *testing.T) {
+	for _, reused := range []bool{false, true} {
+		f := newFake(t, func(c *call) bool { c.write(c.good("")); return true })
+		k := newTestClient(t, Config{})
+		if reused {
+			run(t, k, f.once("first"), forward.ClassAnswer)
+		}
+		f.cutAfter.Store(1000)
+		a := f.once("a")
+		a.Request.Body = []byte(strings.Repeat("x", 32<<20))
+		rep := run(t, k, a, forward.ClassFailed)
+		must.Eq(t, reused, rep.Reused)
+		must.Eq(t, 1, f.times("a"))
+		must.Eq(t, 0, k.open.Load())
+		must.Eq(t, 1, f.connections(), must.Sprint("written to one connection"))
+	}
+}
+
+// TestInterimAfterAnAnswer leaves a connection alone on which something follows the answer, be it
+// only an interim answer, whether it comes with it or later.
+func TestInterimAfterAnAnswer(t *testing.T) {
+	const interim = "HTTP/1.1 100 Continue\r\n\r\n"
+	for _, later := range []bool{false, true} {
+		follow := make(chan bool)
+		f := newFake(t, func(c *call) bool {
+			switch {
+			case c.n > 1:
+				c.write(c.good("right"))
+			case later:
+				c.write(c.good("right"))
+				<-follow
+				c.write(interim)
+			default:
+				c.write(c.good("right") + interim)
+			}
+			return true
+		})
+		k := newTestClient(t, Config{})
+		run(t, k, f.once("a"), forward.ClassAnswer)
+		if later {
+			follow <- true
+			readable(t, idleConn(t, k))
+		}
+		rep := run(t, k, f.once("b"), forward.ClassAnswer)
+		must.False(t, rep.Reused)
+		must.Eq(t, "right", string(rep.Body))
+		must.Eq(t, 1, f.times("b"))
+	}
+}
+
+// TestClosedExactlyWhenReused has the backend close a connection that it let be idle in the moment
+// in which the next request arrives: whether that was read cannot be told.
+func TestClosedExactlyWhenReused(t *testing.T) {
+	f := newFake(t, func(c *call) bool {
+		c.write(c.good(""))
+		if c.n > 1 {
+			return true
+		}
+		// Something has arrived: it is thrown away unread, as by an idle timer that was due.
+		c.arrived()
+		return false
+	})
+	k := newTestClient(t, Config{})
+	run(t, k, f.once("a"), forward.ClassAnswer)
+	rep := run(t, k, f.once("b"), forward.ClassFailed)
+	must.True(t, rep.Reused)
+	must.Eq(t, 0, f.times("b"))
+	must.Eq(t, 1, f.connections(), must.Sprint("it was not written again elsewhere"))
+	must.Eq(t, 0, k.open.Load())
+}
--- a/backend/turn.go
+++ b/backend/turn.go
@@ -1,6 +1,6 @@
 // What is done on a connection for one exchange, in as few system calls as it
-// takes: a look at an idle connection, the write, a wait until there is
-// something to read, and then net/http's reading.
+// takes: a look at the connection, the write, a wait until there is something
+// to read, and then net/http's reading.
 package backend
 
 import (
@@ -16,14 +16,17 @@
 
 // turn is the state of one exchange on a connection.
 type turn struct {
+	x  *Exchange
 	at step
 	// out is what is to be written, wrote how much of it the kernel has taken.
 	out   []byte
 	wrote int
 	// err is the connection's own error, be it its end.
 	err error
-	// dead tells that an idle connection was found closed, or with something to read, before a write.
+	// dead tells that the connection was found closed, or with something to read, before a write.
 	dead bool
+	// held is why nothing was written though the connection is good.
+	held string
 	// surplus tells that more than the answer came.
 	surplus bool
 }
@@ -39,13 +42,10 @@
 
 var heads = sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }}
 
-// exchange carries out one request on the connection. Where there is an error and err is nil, the answer is none.
-func (c *conn) exchange(out []byte, method string) (resp *http.Response, body []byte, err error) {
-	c.turn = turn{out: out, at: toWrite}
-	defer func() { c.out = nil }()
-	if c.reused {
-		c.at = toLook
-	}
+// exchange carries out a request on the connection. Where there is an error and err is nil, the answer is none.
+func (c *conn) exchange(x *Exchange, out []byte) (resp *http.Response, body []byte, err error) {
+	c.turn = turn{x: x, out: out, at: toLook}
+	defer func() { c.x, c.out = nil, nil }()
 	err = c.sys.Read(c.turnF)
 	if err == nil && c.at == toWrite && c.err == nil {
 		// The kernel took a part: the rest goes the usual way.
@@ -56,12 +56,12 @@
 	if err != nil {
 		c.err = err
 	}
-	if c.err != nil || c.dead {
+	if c.err != nil || c.dead || c.held != "" {
 		return nil, nil, c.err
 	}
 	r := readers.Get().(*bufio.Reader)
 	r.Reset(c)
-	resp, body, err = read(r, method)
+	resp, body, err = read(r, x.ask.Request.Method)
 	c.surplus = r.Buffered() > 0
 	r.Reset(nil)
 	readers.Put(r)
@@ -84,8 +84,14 @@
 			}
 			c.at = toWrite
 		case toWrite:
+			// Nothing lies between this look and the write: a freeze before it is noticed.
+			if c.held = c.x.late(); c.held != "" {
+				c.at = atEnd
+				return true
+			}
 			n, err := unix.Write(int(fd), c.out[c.wrote:])
 			if err == unix.EINTR {
+				// Nothing was taken.
 				continue
 			}
 			c.wrote += max(0, n)
