Backend tests: the stand-in's hook is set under its lock

The race detector told of a hook of the stand-in that was set after its accept loop had begun (TestNewConnectionThatEndsFirst). The race was the test's own; with the lock, go test -race ./backend passes.

--- a/backend/fake_test.go
+++ b/backend/fake_test.go
@@ -79,10 +79,10 @@
 			}
 			f.mu.Lock()
 			f.conns++
-			n := f.conns
+			n, accepted := f.conns, f.accepted
 			f.mu.Unlock()
-			if f.accepted != nil {
-				f.accepted(c)
+			if accepted != nil {
+				accepted(c)
 			}
 			go f.run(c, n)
 		}
--- a/backend/once_test.go
+++ b/backend/once_test.go
@@ -24,6 +24,8 @@
 	t.Helper()
 	f := newFake(t, func(c *call) bool { c.write(c.good("served")); return true })
 	g := &greeter{f, make(chan bool), make(chan bool)}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.accepted = func(c *net.TCPConn) {
 		<-g.begin
 		greet(c)
