Serve: a connection on which a server's answer is outstanding is not used again

Cause: net/http puts a connection back as soon as an answer's body has been read, before it is checked. A surplus answer in place of the one that was waited for was found out by its id, but the connection then stayed one answer behind: each inquiry on it was lost as garbage, a correction as unknown, until it was idle. An answer that is none gives the connection up now; a request that finds it given up with nothing written goes on a new connection, and that is told from a part written. Seen failing before: TestConnectionWithAnOutstandingAnswerIsNotUsedAgain (second ask: garbage, 'answers another inquiry'). net/http's own retries stay off (TestNoTransparentRetry).

--- a/serve/ask.go
+++ b/serve/ask.go
@@ -52,7 +52,7 @@
 	d := &net.Dialer{Timeout: 300 * time.Millisecond, KeepAlive: 15 * time.Second}
 	return &asker{client: &http.Client{
 		Transport: &http.Transport{
-			DialContext: d.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second,
+			DialContext: dialServer(d), MaxIdleConnsPerHost: 64, IdleConnTimeout: 20 * time.Second,
 			DisableCompression: true, MaxResponseHeaderBytes: 16 << 10,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -64,27 +64,50 @@
 
 func (unrewindable) Close() error { return nil }
 
+// ask sends a message and checks its answer. It is written to one connection at most.
 func (k *asker) ask(ctx context.Context, a *inquiry.Ask) inquiry.Reply {
 	m := Of(a)
 	body, err := json.Marshal(&m)
 	if err != nil {
 		return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: err.Error()}
 	}
-	var had atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { had.Store(true) }})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Server.Addr+"/v1/"+m.Kind, unrewindable{bytes.NewReader(body)})
+	for {
+		rep, again := k.once(ctx, a, m.Kind, body)
+		if !again {
+			return rep
+		}
+	}
+}
+
+// once sends a message on one connection; again is that this had been given up before anything was written to it.
+func (k *asker) once(ctx context.Context, a *inquiry.Ask, kind string, body []byte) (rep inquiry.Reply, again bool) {
+	var had atomic.Pointer[connUse]
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { had.Store(beginUse(i.Conn)) }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Server.Addr+"/v1/"+kind, unrewindable{bytes.NewReader(body)})
 	if err != nil {
-		return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: err.Error()}
+		return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: err.Error()}, false
 	}
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := k.client.Do(req)
-	if err != nil {
-		if !had.Load() {
-			return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: reason(err)}
-		}
-		return inquiry.Reply{Class: inquiry.ReplyFailed, Why: reason(err)}
+	used := had.Load()
+	switch {
+	case err != nil && used == nil:
+		return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: reason(err)}, false
+	case err != nil && used.unwritten(err):
+		return inquiry.Reply{Class: inquiry.ReplyNotWritten, Why: reason(err)}, ctx.Err() == nil
+	case err != nil:
+		return inquiry.Reply{Class: inquiry.ReplyFailed, Why: reason(err)}, false
+	}
+	rep = receive(a, resp)
+	if rep.Class == inquiry.ReplyGarbage && used != nil {
+		used.giveUp()
 	}
+	return rep, false
+}
+
+// receive reads an answer whole and checks it.
+func receive(a *inquiry.Ask, resp *http.Response) inquiry.Reply {
 	defer resp.Body.Close()
 	got, err := io.ReadAll(io.LimitReader(resp.Body, answerMost+1))
 	if err != nil || len(got) > answerMost {
--- /dev/null
+++ b/serve/surplus_test.go
@@ -0,0 +1,97 @@
+// An answer to another inquiry in place of the one that is waited for: it is not passed on, and the
+// connection, on which an answer is still outstanding, is not used again.
+package serve
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/inquiry"
+)
+
+// oneBehind is a server that answers on each connection with the answer to the question before,
+// and on all but the first connection with the right one.
+type oneBehind struct {
+	l     net.Listener
+	conns atomic.Int64
+}
+
+func newOneBehind(t *testing.T) *oneBehind {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	s := &oneBehind{l: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c, s.conns.Add(1) == 1)
+		}
+	}()
+	return s
+}
+
+func (s *oneBehind) serve(c net.Conn, behind bool) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	before := "n-0.surplus"
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		var m Message
+		if json.NewDecoder(req.Body).Decode(&m) != nil {
+			return
+		}
+		id := m.Inquiry
+		if behind {
+			id, before = before, id
+		}
+		body, _ := json.Marshal(inquiry.Sealed{Inquiry: id, Cut: m.Cut, Shard: m.Shard, Records: []inquiry.Record{{ID: m.Record}}})
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Digest: %s\r\nContent-Length: %d\r\n\r\n%s", inquiry.Digest(body), len(body), body)
+	}
+}
+
+func TestConnectionWithAnOutstandingAnswerIsNotUsedAgain(t *testing.T) {
+	s := newOneBehind(t)
+	k := newAsker()
+	a := correction(s.l.Addr().String())
+	rep := k.ask(context.Background(), a)
+	must.Eq(t, inquiry.ReplyGarbage, rep.Class)
+	must.Eq(t, "answers another inquiry", rep.Why)
+	next := *a
+	next.ID = "n-1.bb"
+	rep = k.ask(context.Background(), &next)
+	must.Eq(t, inquiry.ReplyOK, rep.Class, must.Sprint(rep.Why))
+	must.Eq(t, 2, s.conns.Load())
+}
+
+// A connection that is given up while a request is being written to it has carried a part of it.
+func TestPartlyWrittenIsNotCalledUnwritten(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	go io.Copy(io.Discard, far)
+	conn := &serverConn{Conn: near}
+	first := beginUse(conn)
+	_, err := conn.Write([]byte("a part"))
+	must.NoError(t, err)
+	second := beginUse(conn)
+	second.giveUp()
+	_, err = conn.Write([]byte("the rest"))
+	must.ErrorIs(t, err, errGivenUp)
+	must.False(t, first.unwritten(err))
+	must.True(t, second.unwritten(err))
+	must.False(t, second.unwritten(net.ErrClosed), must.Sprint("a write may follow"))
+}
