A zone that the settings name is drained though nothing is in it

Cause: the refusal of unknown zones went by members and the list alone; a zone that has lost all that was in it would have been refused to an operator who may well drain it just then. Seen failing first: the call ended with unknown_zone and nothing was sent.

--- a/operate/binding_test.go
+++ b/operate/binding_test.go
@@ -154,6 +154,16 @@
 	}
 }
 
+// A zone that has lost all that was in it is still drained where the settings name it.
+func TestZoneOfTheSettingsIsDrainedThoughNothingIsInIt(t *testing.T) {
+	n := newNode(t)
+	n.announce("listing", wire.Encode(&wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}))
+	kernel.Find[*Operate](n.k).zones = map[string]string{"z1": "r1", "z9": "r1"}
+	n.call(1, Carry{Edit: wire.Edit{Op: "empty", Name: "z9"}})
+	must.Eq(t, "", n.code(1))
+	must.Len(t, 1, n.frames)
+}
+
 // announce has the node's own mesh hold an entry.
 func (n *node) announce(typ string, body []byte) {
 	n.k.Later(func(t *kernel.Turn) { kernel.Find[*mesh.Mesh](n.k).Announce(t, typ, typ, body, false) })
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -51,6 +51,8 @@
 	seats   *replica.Host
 	members *members.Members
 	calls   map[uint64]*call
+	// zones are the zones that the settings name, with their regions; empty where they name none.
+	zones map[string]string
 
 	rebuilds map[uint64]*rebuilding
 }
@@ -59,7 +61,7 @@
 	kernel.Register(kernel.Registration{Rank: 50, Roles: []string{"node", "core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Operate{
 			mesh: kernel.Find[*mesh.Mesh](k), pulls: kernel.Find[*pulls.Pulls](k), seats: kernel.Find[*replica.Host](k),
-			members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
+			zones: k.Boot.Env.Regions, members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
 		}
 	}})
 }
--- a/operate/zones.go
+++ b/operate/zones.go
@@ -10,9 +10,12 @@
 // CodeUnknownZone refuses to drain a zone in which there is nothing. Nothing was sent.
 const CodeUnknownZone = "unknown_zone"
 
-// knowsZone tells whether a zone may exist: a member or a listed backend is in it, or this process
-// has not heard of a whole list yet and cannot tell.
+// knowsZone tells whether a zone may exist: the settings name it, a member or a listed backend is
+// in it, or this process has not heard of a whole list yet and cannot tell.
 func (o *Operate) knowsZone(zone string, now int64) bool {
+	if _, named := o.zones[zone]; named {
+		return true
+	}
 	for _, member := range o.members.All(now) {
 		if member.Zone == zone {
 			return true
