--- a/replica/orders_test.go
+++ b/replica/orders_test.go
@@ -70,7 +70,7 @@
 			c.now += 10_000_000
 			c.tick()
 			out := c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Pre: true, Granted: true})
-			out = c.sync(out)
+			c.sync(out)
 			c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Granted: true, Held: held})
 			must.Eq(t, leader, g.role)
 			c.take(g)
--- a/state/routing_test.go
+++ b/state/routing_test.go
@@ -7,68 +7,11 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"google.golang.org/protobuf/proto"
 
 	"wallport/routingpb"
 	"wallport/wire"
 )
 
-type part0 struct {
-	t     *testing.T
-	value Value
-	seq   uint64
-}
-
-// send judges one edit as the owner does.
-func (p *part0) send(e *routingpb.RoutingEdit) wire.EditReply {
-	p.t.Helper()
-	b, err := proto.Marshal(e)
-	must.NoError(p.t, err)
-	return p.judge(&wire.Edit{Op: "routing", Body: b})
-}
-
-func (p *part0) judge(e *wire.Edit) wire.EditReply {
-	next := wire.Stamp{Term: 1, Seq: p.seq + 1}
-	after, r, took := JudgeOf(Config)(p.value, next, e)
-	if took {
-		p.value, p.seq = after, p.seq+1
-		r.Stamp = next
-	}
-	return r
-}
-
-func (p *part0) ledger() wire.Ledger {
-	ledger, err := ReadLedger(p.value.Ledger)
-	must.NoError(p.t, err)
-	return ledger
-}
-
-// zone gives an order about a zone as a machine does: bound to the version that it has just read.
-func (p *part0) zone(op, zone, id string) wire.EditReply {
-	p.t.Helper()
-	return p.judge(&wire.Edit{Op: op, Name: zone, EditID: id, Base: p.zoneVersion(zone)})
-}
-
-func (p *part0) zoneVersion(zone string) wire.Stamp {
-	r := Answer(wire.Stamped{Body: p.value.Body, Ledger: p.value.Ledger}, &wire.Edit{Op: wire.OpZoneVersion, Name: zone})
-	must.Eq(p.t, wire.CodeVersion, r.Code)
-	return r.Stamp
-}
-
-func (p *part0) drained() []string {
-	c, err := ReadConfig(p.value.Body)
-	must.NoError(p.t, err)
-	return c.Emptied
-}
-
-func (p *part0) table() *routingpb.RoutingTable {
-	c, err := ReadConfig(p.value.Body)
-	must.NoError(p.t, err)
-	t, err := RoutingOf(c)
-	must.NoError(p.t, err)
-	return t
-}
-
 func route(name, prefix, pool string) *routingpb.Route {
 	return &routingpb.Route{Name: name, Host: "h.example", Prefix: prefix, TimeoutUs: 1, Pool: pool, Source: []byte("{" + name + "}")}
 }
--- a/tools/pages/pages_test.go
+++ b/tools/pages/pages_test.go
@@ -38,8 +38,10 @@
 	}
 	files("scenario", "scenarios/*.txt")
 	files("fleet", "lab/fleet/scripts/*.txt")
-	for _, m := range regexp.MustCompile(`(?m)^guard: (.+)$`).FindAllStringSubmatch(read(t, "tools/mutate/mutants.txt"), -1) {
-		out["mutant/"+m[1]] = true
+	for _, list := range []string{"mutants.txt", "orders.txt"} {
+		for _, m := range regexp.MustCompile(`(?m)^guard: (.+)$`).FindAllStringSubmatch(read(t, "tools/mutate/"+list), -1) {
+			out["mutant/"+m[1]] = true
+		}
 	}
 	points := regexp.MustCompile(`(?m)^\t[A-Z]\w+ += "(\w+)"$`)
 	for _, f := range []string{"lab/check/check.go", "lab/check/limits.go"} {
