--- a/cmd/wallport/onplatform.go
+++ b/cmd/wallport/onplatform.go
@@ -15,7 +15,6 @@
 
 	"wallport/env"
 	"wallport/kernel"
-	"wallport/replica"
 	"wallport/platform"
 	"wallport/process"
 	"wallport/serve"
@@ -77,8 +76,8 @@
 		case sig := <-signals:
 			if sig != syscall.SIGHUP {
 				s.Drain()
+				leaveGroups(p)
 				stop()
-				handOver(p)
 				s.Stop()
 				p.Stop()
 				log.Info("stopped")
@@ -100,33 +99,6 @@
 	}
 }
 
-// How long a core may take to hand its parts on, and then for the last frames to leave.
-const (
-	handOverMost = 800 * time.Millisecond
-	handOverLook = 10 * time.Millisecond
-	lastFrames   = 50 * time.Millisecond
-)
-
-// handOver waits until a core that stops owns no part any more.
-func handOver(p *process.Process) {
-	seats := kernel.Find[*replica.Host](p.Kernel)
-	if seats == nil {
-		return
-	}
-	for end := time.Now().Add(handOverMost); time.Now().Before(end); time.Sleep(handOverLook) {
-		owns := false
-		p.Do(func(int64) {
-			for n := range replica.Parts {
-				owns = owns || seats.Leads(n)
-			}
-		})
-		if !owns {
-			break
-		}
-	}
-	time.Sleep(lastFrames)
-}
-
 // openRole opens what the platform calls: on a node clients' server and readiness, on a core the control address.
 func openRole(p *process.Process, place platform.Place, role string, failed chan<- error) (stop func(), err error) {
 	if role == "core" {
--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -103,6 +103,8 @@
 	}
 	select {
 	case <-signals:
+		s.Drain()
+		leaveGroups(p)
 		s.Stop()
 		p.Stop()
 		log.Info("stopped")
--- a/lab/sim/day_machines.go
+++ b/lab/sim/day_machines.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"math"
 
-	"wallport/state"
+	"wallport/replica"
 )
 
 // restartUs is how soon an ended process is started again.
@@ -198,7 +198,7 @@
 			p.drains = true
 			w.note(p.name + " drains")
 			p.step(stopping)
-			p.handOver(w.now + handOverMost)
+			p.leaveGroups(w.now + replica.LeaveWithin)
 		}
 		w.after(m.d.journal.Bounds.GraceUs, func() {
 			if p.up && p.life == life {
@@ -210,21 +210,16 @@
 	m.ended(then)
 }
 
-// How long a core that stops may take to hand its parts on, and then for the last frames to leave.
-const (
-	handOverMost = 800_000
-	lastFrames   = 50_000
-)
+// lastFramesUs is how long the last frames of a core that stops have to leave it.
+const lastFramesUs = 50_000
 
-// handOver ends a core once it owns no part any more.
-func (p *proc) handOver(until int64) {
-	for part := range state.Parts {
-		if p.seats.Leads(part) && p.w.now < until {
-			p.later(10_000, func() { p.handOver(until) })
-			return
-		}
+// leaveGroups ends a core once it leads nothing and votes nowhere, or once its time for that is over.
+func (p *proc) leaveGroups(until int64) {
+	if !p.seats.HasLeft() && p.w.now < until {
+		p.later(10_000, func() { p.leaveGroups(until) })
+		return
 	}
-	p.later(lastFrames, p.kill)
+	p.later(lastFramesUs, p.kill)
 }
 
 // ended waits until both processes have.
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -13,8 +13,8 @@
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	"wallport/replica"
 	_ "wallport/pulls"
+	"wallport/replica"
 	"wallport/table"
 	"wallport/usage"
 )
@@ -50,7 +50,9 @@
 	calls     map[uint64]func(any)
 	nextCall  uint64
 	drains    bool
-	again     bool
+	// stopBy is when a core that drains ends though it is still a voter.
+	stopBy int64
+	again  bool
 	// did counts what the process sent, received and stepped.
 	did Traffic
 	// freezeAt is the state of an inquiry at which this node freezes.
--- a/lab/sim/stops.go
+++ b/lab/sim/stops.go
@@ -1,7 +1,10 @@
 // The planned stop of a simulated process, and what comes after it.
 package sim
 
-import "wallport/kernel"
+import (
+	"wallport/kernel"
+	"wallport/replica"
+)
 
 // stop is the planned stop: nothing new, what was read is finished, then the end.
 func (p *proc) stop() {
@@ -11,11 +14,13 @@
 	p.drains = true
 	p.w.note(p.name + " drains")
 	p.step(kernel.Stopping{})
+	p.stopBy = p.w.now + replica.LeaveWithin
 	p.later(1_000_000, p.tryEnd)
 }
 
 func (p *proc) tryEnd() {
-	if p.front != nil && len(p.front.runs) > 0 {
+	leaving := p.seats != nil && !p.seats.HasLeft() && p.w.now < p.stopBy
+	if leaving || p.front != nil && len(p.front.runs) > 0 {
 		p.later(20_000, p.tryEnd)
 		return
 	}
--- /dev/null
+++ b/replica/cluster_checks_test.go
@@ -0,0 +1,99 @@
+// What is looked at after each step of a simulated process.
+package replica
+
+import (
+	"fmt"
+	"slices"
+
+	"wallport/diskfile"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// check looks at a process after a step: whatever it newly proposes or has committed keeps what was acknowledged.
+func (c *simCluster) check(m *simMachine) {
+	for _, g := range m.host.groups {
+		if g.role == leader && g.proposal != nil && isJoint(*g.proposal) {
+			c.checkNewcomers(g)
+		}
+	}
+	g := m.host.groups[0]
+	if !mesh.Newer(g.committed.Stamp, c.newest) {
+		return
+	}
+	c.newest = g.committed.Stamp
+	var body wire.ConfigBody
+	if len(g.committed.Body) > 0 && wire.Decode(g.committed.Body, &body) != nil {
+		c.violations = append(c.violations, "a committed body cannot be decoded")
+		return
+	}
+	for _, name := range c.acknowledged {
+		if !slices.Contains(body.Emptied, name) {
+			c.violations = append(c.violations, fmt.Sprintf("%d us: %s was acknowledged and is not in version %v of %s", c.now, name, g.committed.Stamp, m.addr))
+			return
+		}
+	}
+}
+
+// checkNewcomers: who gets a vote holds the version before that on its disk.
+func (c *simCluster) checkNewcomers(g *Group) {
+	oldest := g.committed.Stamp
+	oldest.Part = g.part
+	for _, voter := range g.proposal.Seats {
+		if contains(g.proposal.Prev, voter.ID) {
+			continue
+		}
+		if !slices.ContainsFunc(c.machines, func(m *simMachine) bool { return m.holds(voter.ID, oldest) }) {
+			c.violations = append(c.violations, fmt.Sprintf("%d us: partition %d gives %s a vote before it holds %v", c.now, g.part, voter.ID, g.committed.Stamp))
+		}
+	}
+}
+
+// holds tells whether this disk is that of a replica and has a version that is no older than another.
+func (m *simMachine) holds(replicaID string, oldest wire.Stamp) bool {
+	id, err := diskfile.Unpack(m.disk["seat"])
+	if err != nil || string(id) != replicaID {
+		return false
+	}
+	for name := range m.disk {
+		var held wire.Stamp
+		_, err := fmt.Sscanf(name, "part-%d.stamp-%d-%d", &held.Part, &held.Term, &held.Seq)
+		if err == nil && held.Part == oldest.Part && !mesh.Newer(oldest, held) {
+			return true
+		}
+	}
+	return false
+}
+
+// verify fails the test if anything was violated so far.
+func (c *simCluster) verify() {
+	c.t.Helper()
+	if len(c.violations) > 0 {
+		c.fail(c.violations[0])
+	}
+}
+
+// serves runs until an edit is acknowledged again.
+func (c *simCluster) serves(what string, most int64) int64 {
+	c.t.Helper()
+	from := c.now
+	took := c.runUntil(what, most, func() bool { return c.lastAck > from })
+	c.verify()
+	return took
+}
+
+// voters lists the machines that vote in a partition, by the newest committed version.
+func (c *simCluster) voters(part int) (out []*simMachine) {
+	leader := c.leader(part)
+	if leader == nil {
+		return nil
+	}
+	for _, voter := range leader.host.groups[part].committed.Seats {
+		for _, m := range c.machines {
+			if m.up && m.host.replicaID == voter.ID {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/replica/cluster_machine_test.go
@@ -0,0 +1,206 @@
+// A simulated machine: one process with its clock, disk and connections.
+package replica
+
+import (
+	"fmt"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// simMachine is a machine with a disk and, while it is up, a process on it.
+type simMachine struct {
+	cluster    *simCluster
+	addr, zone string
+	disk       map[string][]byte
+	first      bool
+	up         bool
+	stopping   bool
+	life       int
+	upAt       int64
+	kernel     *kernel.Kernel
+	host       *Host
+	writes     []kernel.Write
+	writing    bool
+}
+
+type simLink struct {
+	ends  [2]*simMachine
+	lives [2]int
+	ids   [2]uint64
+	last  [2]int64
+}
+
+func (m *simMachine) clock() int64 { return m.cluster.now - m.upAt }
+
+func (m *simMachine) start() {
+	c := m.cluster
+	if m.up {
+		return
+	}
+	m.life++
+	m.up, m.stopping, m.upAt, m.writes, m.writing = true, false, c.now, nil, false
+	var seeds []string
+	for _, other := range c.machines[:3] {
+		if other != m {
+			seeds = append(seeds, other.addr)
+		}
+	}
+	key := make([]byte, 32)
+	for i := range key {
+		key[i] = byte(c.random.Uint32())
+	}
+	files := map[string][]byte{}
+	for name, content := range m.disk {
+		files[name] = content
+	}
+	m.kernel = kernel.New(kernel.Boot{
+		Env: env.Env{
+			Name: m.addr, Mesh: m.addr, Zone: m.zone, Data: "disk", Seeds: seeds,
+			BootstrapKnown: true, Bootstrap: m.first, Tolerance: c.shape.tolerance,
+		},
+		Role: "core", Seed: c.random.Uint64(), Key: kernel.KeyFrom(key), Files: files,
+	})
+	m.first = false
+	m.host = kernel.Find[*Host](m.kernel)
+	c.note(m.addr + " starts")
+	m.step(kernel.Start{})
+	m.later(c.random.Int64N(simPullEvery), m.pull)
+}
+
+// kill ends the process at once; writes that are not synced are lost.
+func (m *simMachine) kill() {
+	if m.up {
+		m.cluster.note(m.addr + " dies")
+		m.up = false
+		m.life++
+	}
+}
+
+func (m *simMachine) wipe() {
+	m.cluster.note(m.addr + " loses its disk")
+	m.disk = map[string][]byte{}
+}
+
+// terminate is a planned stop: the process ends once it has left its groups, or at the end of its time.
+func (m *simMachine) terminate() {
+	if !m.up || m.stopping {
+		return
+	}
+	m.stopping = true
+	m.cluster.note(m.addr + " is told to stop")
+	m.step(kernel.Stopping{})
+	m.awaitLeft(m.cluster.now + LeaveWithin)
+}
+
+func (m *simMachine) awaitLeft(until int64) {
+	if m.host.HasLeft() || m.cluster.now >= until {
+		m.kill()
+		return
+	}
+	m.later(10_000, func() { m.awaitLeft(until) })
+}
+
+func (m *simMachine) later(d int64, run func()) {
+	life := m.life
+	m.cluster.after(d, func() {
+		if m.life == life {
+			run()
+		}
+	})
+}
+
+// pull stands for the configuration sync, by which a process tells the others of itself.
+func (m *simMachine) pull() {
+	m.later(simPullEvery, m.pull)
+	pull := wire.Pull{Addr: m.addr, Zone: m.zone}
+	if m.host.diskProblem == "" && !m.stopping {
+		pull.Seat = m.host.replicaID
+	}
+	for _, other := range m.cluster.machines {
+		if other != m {
+			m.send(kernel.Send{Addr: other.addr, Data: wire.Seal(wire.KindPull, 0, &pull)})
+		}
+	}
+}
+
+func (m *simMachine) step(in kernel.Input) {
+	c := m.cluster
+	out := m.kernel.Step(m.clock(), simWallStart+c.now, in)
+	for _, n := range out.Notes {
+		c.note(m.addr + " " + n.Event + " " + fmt.Sprint(n.KV...))
+	}
+	for _, timer := range out.Timers {
+		m.later(timer.At-m.clock(), func() { m.step(kernel.Tick{Plugin: timer.Plugin, Key: timer.Key}) })
+	}
+	m.writes = append(m.writes, out.Writes...)
+	m.write()
+	for _, send := range out.Sends {
+		m.send(send)
+	}
+	c.check(m)
+}
+
+// write carries out one write after the other, each synced before it is answered.
+func (m *simMachine) write() {
+	if m.writing || len(m.writes) == 0 {
+		return
+	}
+	m.writing = true
+	w := m.writes[0]
+	m.later(simSyncTime+m.cluster.random.Int64N(simSyncTime), func() {
+		m.writes, m.writing = m.writes[1:], false
+		if w.Data == nil {
+			delete(m.disk, w.File)
+		} else {
+			m.disk[w.File] = w.Data
+		}
+		if w.Key != "" {
+			m.step(kernel.Written{Plugin: w.Plugin, Key: w.Key})
+		}
+		m.write()
+	})
+}
+
+func (l *simLink) alive() bool {
+	return l.ends[0].life == l.lives[0] && l.ends[1].life == l.lives[1] && l.ends[0].up && l.ends[1].up
+}
+
+func (m *simMachine) send(s kernel.Send) {
+	c := m.cluster
+	if s.Chan == operatorChanID {
+		c.answered(s.Data)
+		return
+	}
+	link := c.links[s.Chan]
+	if s.Addr != "" {
+		key := m.addr + ">" + s.Addr
+		link = c.direct[key]
+		to := c.byAddr[s.Addr]
+		if to == nil || !to.up {
+			return
+		}
+		if link == nil || !link.alive() {
+			c.nextLink += 2
+			link = &simLink{ends: [2]*simMachine{m, to}, lives: [2]int{m.life, to.life}, ids: [2]uint64{c.nextLink, c.nextLink + 1}}
+			c.links[c.nextLink], c.links[c.nextLink+1], c.direct[key] = link, link, link
+		}
+	}
+	if link != nil && link.alive() {
+		link.carry(m, s.Data)
+	}
+}
+
+func (l *simLink) carry(from *simMachine, data []byte) {
+	c, i := from.cluster, 0
+	if l.ends[1] == from {
+		i = 1
+	}
+	l.last[i] = max(l.last[i], c.now+simLatency+c.random.Int64N(simLatency))
+	c.after(l.last[i]-c.now, func() {
+		if l.alive() {
+			l.ends[1-i].step(kernel.Received{Chan: l.ids[1-i], Data: data})
+		}
+	})
+}
--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,171 @@
+// A cluster of cores on simulated time, network and disks: the real state
+// machines, an operator who edits, and what must hold at every step.
+package replica
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// Figures of the simulated cluster, in microseconds.
+const (
+	simWallStart   = 1_700_000_000_000_000
+	simPullEvery   = 200_000
+	simEditEvery   = 100_000
+	simLatency     = 300
+	simSyncTime    = 2_000
+	operatorChanID = 1 << 40
+)
+
+type simEvent struct {
+	at, order int64
+	run       func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// simShape is how many cores there are, in which zones, and what must be borne.
+type simShape struct {
+	name      string
+	zones     []string
+	tolerance env.Tolerance
+}
+
+type simCluster struct {
+	t        *testing.T
+	shape    simShape
+	now      int64
+	order    int64
+	random   *rand.Rand
+	events   simEvents
+	machines []*simMachine
+	byAddr   map[string]*simMachine
+	links    map[uint64]*simLink
+	direct   map[string]*simLink
+	nextLink uint64
+	// acknowledged are the names of the operator's edits that were answered "ok"; edits maps the ids under way.
+	acknowledged []string
+	lastAck      int64
+	edits        map[uint64]string
+	nextEdit     uint64
+	newest       wire.Stamp
+	violations   []string
+	notes        []string
+}
+
+func newSimCluster(t *testing.T, shape simShape, seed uint64) *simCluster {
+	c := &simCluster{
+		t: t, shape: shape, random: rand.New(rand.NewPCG(seed, 1)), byAddr: map[string]*simMachine{},
+		links: map[uint64]*simLink{}, direct: map[string]*simLink{}, edits: map[uint64]string{},
+	}
+	for _, zone := range shape.zones {
+		c.addMachine(zone).first = true
+	}
+	for _, m := range c.machines {
+		m.start()
+	}
+	c.after(0, c.operate)
+	c.runUntil("the cluster is formed", 15_000_000, func() bool { return c.leader(0) != nil && len(c.acknowledged) > 0 })
+	return c
+}
+
+func (c *simCluster) addMachine(zone string) *simMachine {
+	m := &simMachine{cluster: c, zone: zone, addr: fmt.Sprintf("10.0.0.%d:1", len(c.machines)+1), disk: map[string][]byte{}}
+	c.machines = append(c.machines, m)
+	c.byAddr[m.addr] = m
+	return m
+}
+
+func (c *simCluster) after(d int64, run func()) {
+	c.order++
+	heap.Push(&c.events, simEvent{at: c.now + max(d, 0), order: c.order, run: run})
+}
+
+func (c *simCluster) run(d int64) {
+	end := c.now + d
+	for len(c.events) > 0 && c.events[0].at <= end {
+		event := heap.Pop(&c.events).(simEvent)
+		c.now = event.at
+		event.run()
+	}
+	c.now = end
+}
+
+// runUntil runs until something holds, and fails the test if that takes too long.
+func (c *simCluster) runUntil(what string, most int64, holds func() bool) (took int64) {
+	c.t.Helper()
+	for began := c.now; ; c.run(10_000) {
+		if holds() {
+			return c.now - began
+		}
+		if c.now-began > most {
+			c.fail(what)
+		}
+	}
+}
+
+func (c *simCluster) fail(what string) {
+	c.t.Helper()
+	for _, note := range c.notes {
+		c.t.Log(note)
+	}
+	c.t.Fatalf("after %d us: %s", c.now, what)
+}
+
+func (c *simCluster) note(text string) {
+	c.notes = append(c.notes, fmt.Sprintf("%9d %s", c.now, text))
+}
+
+// leader is the machine whose process leads a partition with the highest term and may serve.
+func (c *simCluster) leader(part int) (best *simMachine) {
+	for _, m := range c.machines {
+		if m.up && m.host.Leads(part) && (best == nil || m.host.groups[part].term > best.host.groups[part].term) {
+			best = m
+		}
+	}
+	return best
+}
+
+// operate sends one edit to the leader every while and looks at what every process has committed.
+func (c *simCluster) operate() {
+	c.after(simEditEvery, c.operate)
+	if leader := c.leader(0); leader != nil {
+		c.nextEdit++
+		name := fmt.Sprintf("zone-%d", c.nextEdit)
+		c.edits[c.nextEdit] = name
+		edit := wire.Edit{Op: "empty", Name: name, EditID: name}
+		leader.step(kernel.Received{Chan: operatorChanID, Data: wire.Seal(wire.KindEdit, c.nextEdit, &edit)})
+	}
+}
+
+func (c *simCluster) answered(data []byte) {
+	f, err := wire.Open(data)
+	must.NoError(c.t, err)
+	var r wire.EditReply
+	if f.Kind != wire.KindEditReply || wire.Decode(f.Body, &r) != nil || r.Code != "ok" {
+		return
+	}
+	c.acknowledged = append(c.acknowledged, c.edits[f.ID])
+	c.lastAck = c.now
+}
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -23,6 +23,11 @@
 	if g.s.diskDamaged {
 		return
 	}
+	if g.s.stopping && !g.isVoter() && !contains(allVoters(a.Stamped), g.self()) {
+		// It would be gone before it could be a voter.
+		reply(t, wire.AcceptReply{Term: a.Term, Err: "leaving"})
+		return
+	}
 	if a.Term < g.votedTerm || a.Stamped.Stamp.Term > a.Term {
 		reply(t, wire.AcceptReply{Term: g.votedTerm})
 		return
--- a/replica/group.go
+++ b/replica/group.go
@@ -108,6 +108,13 @@
 	transferring    bool
 	leases          map[string]*lease
 	leaseCount      uint64
+
+	// change is the change of membership whose learners are catching up, if there is one.
+	change          *memberChange
+	learnerFailedAt map[string]int64
+	// leavingAt is when each voter asked last to be moved out; leaveSentAt is when this one did.
+	leavingAt   map[string]int64
+	leaveSentAt int64
 }
 
 func newGroup(s *Host, part int) *Group {
@@ -127,6 +134,7 @@
 		return
 	}
 	if g.s.stopping {
+		g.requestLeave(t)
 		return
 	}
 	if g.electionAt == 0 {
--- a/replica/host.go
+++ b/replica/host.go
@@ -70,7 +70,7 @@
 func (s *Host) Kinds() []uint8 {
 	return []uint8{
 		wire.KindVote, wire.KindVoteReply, wire.KindAccept, wire.KindAcceptReply, wire.KindBeat, wire.KindBeatReply,
-		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold, wire.KindRebuild,
+		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold, wire.KindRebuild, wire.KindLeave,
 	}
 }
 
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -15,6 +15,7 @@
 	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
 	g.quorumAt, g.heartbeatAt, g.leaderSince = t.Now, 0, t.Now
 	g.leases = map[string]*lease{}
+	g.change, g.learnerFailedAt, g.leavingAt = nil, map[string]int64{}, map[string]int64{}
 	for _, s := range allVoters(best) {
 		g.heardAt[s.ID] = t.Now
 	}
@@ -63,6 +64,7 @@
 		}
 		g.s.sendReplica(t, s, wire.KindAccept, &a)
 	}
+	g.sendToLearners(t, *g.proposal)
 }
 
 func (g *Group) acceptReply(t *kernel.Turn, r wire.AcceptReply) {
@@ -73,10 +75,13 @@
 		if r.Term > g.term {
 			g.votedTerm = max(g.votedTerm, r.Term)
 			g.stepDown(t, "fenced by a newer term")
+			return
 		}
+		g.handleLearnerReply(t, r)
 		return
 	}
 	g.heardAt[r.From] = t.Now
+	g.handleLearnerReply(t, r)
 	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
 		return
 	}
@@ -105,7 +110,11 @@
 	if !mesh.Newer(v.Stamp, g.committed.Stamp) {
 		return
 	}
+	before := g.committed
 	g.committed = v
+	if g.role == leader {
+		g.endChange(t, before, v)
+	}
 	t.Emit(Committed{Stamped: v})
 }
 
--- /dev/null
+++ b/replica/leaving.go
@@ -0,0 +1,66 @@
+// A voter that is told to stop asks the leader to be moved out, and stays a
+// voter until a committed change has given its place to a replica that holds the
+// newest version; where there is none to take its place it stays until its
+// process ends. It votes and syncs meanwhile, and stands for leader no more.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// Figures of leaving.
+const (
+	// LeaveInterval is how often a voter that stops asks to be moved out.
+	LeaveInterval = 100_000
+	// LeaveRequestLife is how long a request counts that is not repeated: its process has ended.
+	LeaveRequestLife = 500_000
+	// LeaveWithin is how long a process that stops waits until it is moved out.
+	LeaveWithin = 2_500_000
+)
+
+// HasLeft tells whether this process may end without a group losing a voter or its leader.
+func (s *Host) HasLeft() bool {
+	if s.diskDamaged {
+		return true
+	}
+	for _, g := range s.groups {
+		if g.role == leader || g.isVoter() {
+			return false
+		}
+	}
+	return true
+}
+
+// requestLeave asks the leader, or whoever may be the leader, to move this voter out.
+func (g *Group) requestLeave(t *kernel.Turn) {
+	if g.role == leader || !g.isVoter() || g.leaveSentAt > 0 && t.Now-g.leaveSentAt < LeaveInterval {
+		return
+	}
+	g.leaveSentAt = t.Now
+	leaderKnown := g.leader != "" && t.Now-g.leaderSeen < StepDownAfter
+	for _, voter := range allVoters(g.accepted) {
+		if voter.ID != g.self() && (!leaderKnown || voter.ID == g.leader) {
+			g.s.sendReplica(t, voter, wire.KindLeave, &wire.Leave{Part: g.part, From: g.self()})
+		}
+	}
+}
+
+// handleLeave takes note that a voter stops; one that is no voter any more is told so.
+func (g *Group) handleLeave(t *kernel.Turn, ch uint64, m wire.Leave) {
+	if g.role != leader || !g.ready || m.From == g.self() {
+		return
+	}
+	if !contains(allVoters(g.newestVersion()), m.From) {
+		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: m.From, Part: g.part, Term: g.term, From: g.self(), Stamped: g.committed})
+		return
+	}
+	g.leavingAt[m.From] = t.Now
+	g.proposeNext(t)
+}
+
+// isLeaving tells whether a replica has asked to be moved out of late.
+func (g *Group) isLeaving(t *kernel.Turn, id string) bool {
+	at, asked := g.leavingAt[id]
+	return asked && t.Now-at < LeaveRequestLife
+}
--- /dev/null
+++ b/replica/leaving_test.go
@@ -0,0 +1,240 @@
+// Voters that are told to stop: moved out by a committed change before their
+// process ends, or voters to the end where nobody can take their place.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// isVoterAnywhere tells whether a replica votes in a partition by the newest version that a leader has committed.
+func (c *simCluster) isVoterAnywhere(id string) bool {
+	for part := range Parts {
+		leader := c.leader(part)
+		if leader != nil && contains(allVoters(leader.host.groups[part].committed), id) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasMajorities tells whether of each partition a majority of the voters runs.
+func (c *simCluster) hasMajorities() bool {
+	for part := range Parts {
+		newest := c.newestOf(part)
+		if !quorum(newest, c.runs) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *simCluster) runs(id string) bool {
+	for _, m := range c.machines {
+		if m.up && m.host.replicaID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// newestOf is the newest version of a partition that any running process knows to be committed.
+func (c *simCluster) newestOf(part int) (newest wire.Stamped) {
+	for _, m := range c.machines {
+		if m.up && newest.Stamp.Term <= m.host.groups[part].committed.Stamp.Term && len(m.host.groups[part].committed.Seats) > 0 {
+			if v := m.host.groups[part].committed; newest.Stamp.Term < v.Stamp.Term || newest.Stamp.Seq < v.Stamp.Seq {
+				newest = v
+			}
+		}
+	}
+	return newest
+}
+
+// ends runs until a machine's process has ended, and gives how long that took.
+func (c *simCluster) ends(m *simMachine) int64 {
+	c.t.Helper()
+	return c.runUntil("the process ends", LeaveWithin+100_000, func() bool { return !m.up })
+}
+
+func TestLeavingVoterIsMovedOutAndTheNextLossIsBorneAtOnce(t *testing.T) {
+	for _, shape := range simShapes[1:] {
+		for _, who := range []string{"leader", "another voter"} {
+			t.Run(shape.name+"/"+who, func(t *testing.T) {
+				c := newSimCluster(t, shape, 11)
+				c.run(2_000_000)
+				leaving := c.leader(0)
+				if who != "leader" {
+					leaving = c.victims(simLosses[0], false)[0]
+				}
+				id := leaving.host.replicaID
+				must.True(t, c.isVoterAnywhere(id))
+				leaving.terminate()
+				must.Less(t, 1_000_000, c.ends(leaving))
+				must.False(t, c.isVoterAnywhere(id), must.Sprint("its place was given away before its process ended"))
+				for _, m := range c.secondVictims() {
+					m.kill()
+				}
+				c.serves("edits are taken after a loss right after the leaving", simServeWithin)
+			})
+		}
+	}
+}
+
+func TestVoterThatNobodyCanReplaceStaysOneToTheEnd(t *testing.T) {
+	c := newSimCluster(t, simShapes[0], 12)
+	c.run(2_000_000)
+	leaving := c.leader(0)
+	id := leaving.host.replicaID
+	leaving.terminate()
+	c.run(200_000)
+	must.False(t, leaving.host.Leads(0), must.Sprint("leadership is handed over at once"))
+	c.serves("another one leads", 500_000)
+	must.GreaterEq(t, LeaveWithin-1_000_000, c.ends(leaving))
+	must.True(t, c.isVoterAnywhere(id))
+	must.Eq(t, 3, len(c.newestOf(0).Seats))
+	leaving.start()
+	c.run(1_000_000)
+	must.True(t, c.isVoterAnywhere(id))
+	c.serves("all are back", simServeWithin)
+}
+
+func TestVotersThatLeaveTogetherAreMovedOneAfterTheOther(t *testing.T) {
+	c := newSimCluster(t, simShapes[2], 13)
+	c.run(2_000_000)
+	voters := c.voters(0)
+	first, second := voters[0], voters[1]
+	first.terminate()
+	second.terminate()
+	for first.up || second.up {
+		c.run(1_000)
+		must.True(t, c.hasMajorities())
+		for _, m := range c.machines {
+			if !m.up {
+				continue
+			}
+			for _, g := range m.host.groups {
+				if g.role == leader && g.proposal != nil {
+					must.LessEq(t, 1, changedVoters(*g.proposal), must.Sprint("one at a time"))
+				}
+			}
+		}
+	}
+	must.False(t, c.isVoterAnywhere(first.host.replicaID) || c.isVoterAnywhere(second.host.replicaID))
+	c.serves("edits are taken", 500_000)
+}
+
+// changedVoters counts the voters that a version adds.
+func changedVoters(v wire.Stamped) (n int) {
+	for _, voter := range v.Seats {
+		if len(v.Prev) > 0 && !contains(v.Prev, voter.ID) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestLeavingStandbyTakesNoPlace(t *testing.T) {
+	c := newSimCluster(t, simShapes[1], 14)
+	c.run(2_000_000)
+	var standby *simMachine
+	for _, m := range c.machines {
+		if !c.isVoterAnywhere(m.host.replicaID) {
+			standby = m
+		}
+	}
+	must.NotNil(t, standby)
+	// It is known as a standby from its last pull, and stops before it could be a voter.
+	leaving := c.leader(0)
+	standby.host.stopping = true
+	leaving.terminate()
+	c.ends(leaving)
+	must.False(t, c.isVoterAnywhere(standby.host.replicaID))
+	must.True(t, c.isVoterAnywhere(leaving.host.replicaID), must.Sprint("better a voter that comes back than one that goes"))
+	leaving.start()
+	c.serves("all are back", simServeWithin)
+}
+
+func TestDeadStandbyTakesNoPlace(t *testing.T) {
+	c := newSimCluster(t, simShapes[1], 15)
+	c.run(2_000_000)
+	var standby *simMachine
+	for _, m := range c.machines {
+		if !c.isVoterAnywhere(m.host.replicaID) {
+			standby = m
+		}
+	}
+	must.NotNil(t, standby)
+	id := standby.host.replicaID
+	lost := c.victims(simLosses[0], false)[0]
+	lost.kill()
+	c.run(ReplaceAfter - 500_000)
+	standby.kill()
+	for range 60 {
+		c.run(100_000)
+		must.False(t, c.isVoterAnywhere(id))
+	}
+	// Whichever of the two is back first completes the group.
+	standby.start()
+	c.run(3_000_000)
+	must.True(t, c.isVoterAnywhere(id))
+	must.False(t, c.isVoterAnywhere(lost.host.replicaID))
+	c.verify()
+}
+
+func TestMachinesRolledInTurnNeverLeaveAGroupWithoutAMajority(t *testing.T) {
+	for _, shape := range simShapes {
+		t.Run(shape.name, func(t *testing.T) {
+			c := newSimCluster(t, shape, 16)
+			c.run(2_000_000)
+			for _, m := range c.machines {
+				m.terminate()
+				c.startWhenEnded(m)
+				c.runUntil("the machine is back", 10_000_000, func() bool {
+					must.True(t, c.hasMajorities())
+					return m.up && !m.stopping
+				})
+				c.serves("edits go on", 1_500_000)
+				c.run(1_300_000)
+			}
+			c.verify()
+		})
+	}
+}
+
+func TestSteadyEditsDoNotKeepALearnerBehind(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2", Zone: "z2"})
+	c.tick()
+	earlier := g.committed.Stamp
+	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
+	c.edit(2, wire.Edit{Op: "empty", Name: "z1"})
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "b2", Stamp: earlier, OK: true})
+	c.take(g)
+	must.Nil(t, g.proposal, must.Sprint("the second edit waits for the learner"))
+	must.Len(t, 1, g.queue)
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "b2", Stamp: g.committed.Stamp, OK: true})
+	must.NotNil(t, g.proposal)
+	must.True(t, isJoint(*g.proposal))
+	must.Len(t, 1, g.proposedEdits)
+}
+
+func TestEditsWaitForALearnerOnlyForAMoment(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2", Zone: "z2"})
+	c.tick()
+	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "b2", Stamp: g.committed.Stamp, OK: true})
+	c.take(g)
+	c.edit(2, wire.Edit{Op: "empty", Name: "z1"})
+	must.Nil(t, g.proposal)
+	c.now += LearnerPause
+	c.feed(kernel.Tick{Plugin: "seats", Key: "tick"})
+	must.NotNil(t, g.proposal)
+	must.False(t, isJoint(*g.proposal))
+}
--- /dev/null
+++ b/replica/member_change.go
@@ -0,0 +1,216 @@
+// Changes of a group's membership. A replica that is to join is a learner
+// first: it is sent every version, and has no vote, until it has synced the
+// newest one. Only then is the change proposed, as a joint version that needs a
+// majority of the voters before and of the voters after it; the version that
+// follows needs the voters after it alone, and only then the next change begins.
+package replica
+
+import (
+	"slices"
+
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// Figures of membership changes.
+const (
+	// LearnerTimeout is how long a learner has to sync the newest version before it is given up.
+	LearnerTimeout = 1_500_000
+	// LearnerResendInterval is how often a learner that lacks the newest version is sent it again.
+	LearnerResendInterval = 200_000
+	// LearnerRetryAfter is how long a learner that was given up is not chosen again.
+	LearnerRetryAfter = 2_000_000
+	// LearnerPause is how long edits wait, once for each change, for a learner that has synced an
+	// earlier version: otherwise steady edits could keep it one version behind for ever.
+	LearnerPause = 200_000
+)
+
+// changeReason says why the voters of a group change.
+type changeReason string
+
+const (
+	reasonDiskLost    changeReason = "disk_lost"
+	reasonLeaving     changeReason = "leaving"
+	reasonSilent      changeReason = "silent"
+	reasonTooFew      changeReason = "too_few_voters"
+	reasonCrowdedZone changeReason = "crowded_zone"
+)
+
+// changeCounters names the counter of each reason that has one.
+var changeCounters = map[changeReason]string{
+	reasonSilent: "part_seats_replaced", reasonCrowdedZone: "part_seats_spread", reasonLeaving: "part_voters_left",
+}
+
+// memberChange is a change whose learners are catching up.
+type memberChange struct {
+	reason changeReason
+	// removed is the voter that gives up its place, if one does.
+	removed string
+	// voters are those after the change; learners are those of them that are new.
+	voters, learners []wire.Seat
+	// synced is the newest version that each learner said it has synced.
+	synced                      map[string]wire.Stamp
+	begunAt, sentAt, pauseUntil int64
+}
+
+// caughtUp tells whether every learner has synced a version.
+func (c *memberChange) caughtUp(newest wire.Stamp) bool {
+	return !slices.ContainsFunc(c.learners, func(r wire.Seat) bool { return c.synced[r.ID] != newest })
+}
+
+// answered tells whether every learner has synced some version.
+func (c *memberChange) answered() bool { return len(c.synced) == len(c.learners) }
+
+// isJoint tells whether a version needs the voters before a change as well as those after it.
+func isJoint(v wire.Stamped) bool { return len(v.Prev) > 0 && !sameMembers(v.Prev, v.Seats) }
+
+func sameMembers(a, b []wire.Seat) bool {
+	return slices.EqualFunc(a, b, func(a, b wire.Seat) bool { return a.ID == b.ID })
+}
+
+// nextMembers gives the voters of the next version, and whether they alone are a reason to propose one.
+func (g *Group) nextMembers(t *kernel.Turn) ([]wire.Seat, bool) {
+	if isJoint(g.committed) {
+		return g.committed.Seats, true
+	}
+	g.reviewChange(t)
+	if g.change == nil {
+		g.beginChange(t)
+	}
+	change := g.change
+	if change == nil {
+		return g.committed.Seats, false
+	}
+	if !change.caughtUp(g.committed.Stamp) {
+		if t.Now-change.sentAt >= LearnerResendInterval {
+			g.sendToLearners(t, g.committed)
+		}
+		return g.committed.Seats, false
+	}
+	g.change = nil
+	for _, learner := range change.learners {
+		g.heardAt[learner.ID] = t.Now
+	}
+	t.Counts.Add("part_seats_changed", 1)
+	if counter := changeCounters[change.reason]; counter != "" {
+		t.Counts.Add(counter, 1)
+	}
+	return change.voters, true
+}
+
+// beginChange looks for a change that is due and has its learners catch up.
+func (g *Group) beginChange(t *kernel.Turn) {
+	plans := []func(*kernel.Turn) *memberChange{g.replaceWiped, g.replaceLeaving, g.replaceSilent, g.addVoters, g.rebalance}
+	for _, plan := range plans {
+		if change := plan(t); change != nil {
+			change.synced, change.begunAt = map[string]wire.Stamp{}, t.Now
+			g.change = change
+			t.Note(0, "membership_change_begun", "part", g.part, "reason", string(change.reason), "removed", change.removed,
+				"learners", replicaIDs(change.learners))
+			g.sendToLearners(t, g.committed)
+			return
+		}
+	}
+}
+
+// reviewChange gives a change up whose reason is gone or whose learners are too slow.
+func (g *Group) reviewChange(t *kernel.Turn) {
+	change := g.change
+	switch {
+	case change == nil:
+	case !g.isStillDue(t, change):
+		g.abandonChange(t, "no longer due")
+	case !change.caughtUp(g.committed.Stamp) && t.Now-change.begunAt > LearnerTimeout:
+		for _, learner := range change.learners {
+			if change.synced[learner.ID] != g.committed.Stamp {
+				g.learnerFailedAt[learner.ID] = t.Now
+			}
+		}
+		g.abandonChange(t, "learner too slow")
+	}
+}
+
+func (g *Group) isStillDue(t *kernel.Turn, change *memberChange) bool {
+	switch change.reason {
+	case reasonDiskLost:
+		return g.successors[change.removed].ID == change.learners[0].ID
+	case reasonLeaving:
+		return g.isLeaving(t, change.removed)
+	case reasonSilent:
+		return g.isSilent(t, change.removed)
+	}
+	return true
+}
+
+func (g *Group) abandonChange(t *kernel.Turn, why string) {
+	t.Note(1, "membership_change_abandoned", "part", g.part, "reason", string(g.change.reason), "learners", replicaIDs(g.change.learners), "why", why)
+	t.Counts.Add("part_changes_abandoned", 1)
+	g.change = nil
+}
+
+// sendToLearners sends a version to the learners that have not synced it.
+func (g *Group) sendToLearners(t *kernel.Turn, v wire.Stamped) {
+	if g.change == nil {
+		return
+	}
+	g.change.sentAt = t.Now
+	for _, learner := range g.change.learners {
+		if g.change.synced[learner.ID] != v.Stamp {
+			g.s.sendReplica(t, learner, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v})
+		}
+	}
+}
+
+// handleLearnerReply takes note of what a learner has synced, or that it will not.
+func (g *Group) handleLearnerReply(t *kernel.Turn, r wire.AcceptReply) {
+	change := g.change
+	if change == nil || !contains(change.learners, r.From) {
+		return
+	}
+	if !r.OK {
+		g.learnerFailedAt[r.From] = t.Now
+		g.abandonChange(t, "learner refused: "+r.Err)
+		return
+	}
+	if mesh.Newer(r.Stamp, change.synced[r.From]) {
+		change.synced[r.From] = r.Stamp
+	}
+	if g.proposal == nil && change.caughtUp(g.committed.Stamp) {
+		g.proposeNext(t)
+	}
+}
+
+// awaitsLearners holds edits back for a moment while the learners sync the newest version.
+func (g *Group) awaitsLearners(t *kernel.Turn) bool {
+	change := g.change
+	if change == nil || !change.answered() || change.caughtUp(g.committed.Stamp) {
+		return false
+	}
+	if change.pauseUntil == 0 {
+		change.pauseUntil = t.Now + LearnerPause
+	}
+	return t.Now < change.pauseUntil
+}
+
+// endChange logs that a change is in force and tells those that it removed, who would
+// otherwise go on as voters of a group that does without them.
+func (g *Group) endChange(t *kernel.Turn, before, now wire.Stamped) {
+	if before.Stamp.Term == 0 || isJoint(now) || !isJoint(before) && sameMembers(before.Seats, now.Seats) {
+		return
+	}
+	t.Note(0, "membership_change_ended", "part", g.part, "term", now.Stamp.Term, "seq", now.Stamp.Seq, "voters", replicaIDs(now.Seats))
+	for _, voter := range allVoters(before) {
+		if !contains(now.Seats, voter.ID) {
+			g.s.sendReplica(t, voter, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: now})
+		}
+	}
+}
+
+func replicaIDs(replicas []wire.Seat) []string {
+	ids := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -1,6 +1,6 @@
-// Which replicas a partition's group should have: one that is lost or long silent is
-// replaced, a group that is too small grows, and the replicas are spread over the
-// zones. One change at a time, and none before the one before it is settled.
+// Which change of membership is due: a voter whose disk is lost, that leaves or
+// that is silent gives its place to another replica, a group that is too small
+// grows, and the voters are spread over the zones.
 package replica
 
 import (
@@ -10,96 +10,107 @@
 	"wallport/wire"
 )
 
-// nextMembers gives the replicas of the next version and whether they are a reason to make one. After a
-// change of replicas, one more version binds the new replicas alone: until then the old ones count too.
-func (g *Group) nextMembers(t *kernel.Turn) ([]wire.Seat, bool) {
-	if len(g.committed.Prev) > 0 && !sameMembers(g.committed.Prev, g.committed.Seats) {
-		return g.committed.Seats, true
-	}
-	seats := slices.Clone(g.committed.Seats)
-	for _, change := range []func(*kernel.Turn, []wire.Seat) ([]wire.Seat, bool){g.replaceWiped, g.replaceSilent, g.addVoters, g.rebalance} {
-		if after, ok := change(t, seats); ok {
-			for _, s := range after {
-				if !contains(g.committed.Seats, s.ID) {
-					g.heardAt[s.ID] = t.Now
-				}
-			}
-			t.Counts.Add("part_seats_changed", 1)
-			return after, true
+// substitute is the change that gives a voter's place to a learner.
+func (g *Group) substitute(reason changeReason, removed string, learner wire.Seat) *memberChange {
+	voters := slices.Clone(g.committed.Seats)
+	for i := range voters {
+		if voters[i].ID == removed {
+			voters[i] = learner
 		}
 	}
-	return seats, false
+	return &memberChange{reason: reason, removed: removed, voters: voters, learners: []wire.Seat{learner}}
+}
+
+// candidates are the standbys that can be learners now.
+func (g *Group) candidates(t *kernel.Turn) []wire.Seat {
+	return slices.DeleteFunc(g.s.standbys(t.Now), func(r wire.Seat) bool { return !g.canLearn(t, r.ID) })
 }
 
-func sameMembers(a, b []wire.Seat) bool {
-	return slices.EqualFunc(a, b, func(a, b wire.Seat) bool { return a.ID == b.ID })
+func (g *Group) canLearn(t *kernel.Turn, id string) bool {
+	failedAt, failed := g.learnerFailedAt[id]
+	return !g.isLeaving(t, id) && !(failed && t.Now-failedAt < LearnerRetryAfter)
+}
+
+// replaceWiped gives the place of a voter whose disk is lost to the replica that is at its address now.
+func (g *Group) replaceWiped(t *kernel.Turn) *memberChange {
+	for _, voter := range g.committed.Seats {
+		now, ok := g.successors[voter.ID]
+		if ok && !contains(g.committed.Seats, now.ID) && g.canLearn(t, now.ID) {
+			return g.substitute(reasonDiskLost, voter.ID, wire.Seat{ID: now.ID, Zone: now.Zone, Addr: voter.Addr})
+		}
+	}
+	return nil
 }
 
-// replaceWiped gives the place of a replica whose disk is gone to the one that is now at its address.
-func (g *Group) replaceWiped(t *kernel.Turn, seats []wire.Seat) ([]wire.Seat, bool) {
-	for i, s := range seats {
-		now, ok := g.successors[s.ID]
-		if ok && !contains(seats, now.ID) {
-			t.Note(1, "part_seat_returned_empty", "part", g.part, "gone", s.ID, "new", now.ID)
-			seats[i] = wire.Seat{ID: now.ID, Zone: now.Zone, Addr: s.Addr}
-			return seats, true
+// replaceLeaving gives the place of a voter that is stopping to a standby, unless the loss of
+// one zone would then take a majority that it does not take now.
+func (g *Group) replaceLeaving(t *kernel.Turn) *memberChange {
+	zones := g.s.k.Boot.Env.Tolerance.Zones
+	for _, voter := range g.committed.Seats {
+		if voter.ID == g.self() || !g.isLeaving(t, voter.ID) {
+			continue
+		}
+		standby, ok := leastUsedZone(g.candidates(t), g.committed.Seats, voter.ID)
+		if !ok {
+			return nil
+		}
+		change := g.substitute(reasonLeaving, voter.ID, standby)
+		if survivesZoneLoss(change.voters, zones) || !survivesZoneLoss(g.committed.Seats, zones) {
+			return change
 		}
 	}
-	return nil, false
+	return nil
 }
 
-// replaceSilent gives the place of a replica that is long unheard to a standby core.
-func (g *Group) replaceSilent(t *kernel.Turn, seats []wire.Seat) ([]wire.Seat, bool) {
-	for i, s := range seats {
-		if s.ID == g.self() || t.Now-g.heardAt[s.ID] < ReplaceAfter {
+func (g *Group) isSilent(t *kernel.Turn, id string) bool {
+	return id != g.self() && t.Now-g.heardAt[id] >= ReplaceAfter
+}
+
+// replaceSilent gives the place of a voter that was not heard for long to a standby.
+func (g *Group) replaceSilent(t *kernel.Turn) *memberChange {
+	for _, voter := range g.committed.Seats {
+		if !g.isSilent(t, voter.ID) {
 			continue
 		}
-		if spare, ok := leastUsedZone(g.s.standbys(t.Now), seats, s.ID); ok {
-			t.Note(1, "part_seat_replaced", "part", g.part, "gone", s.ID, "new", spare.ID, "zone", spare.Zone)
-			t.Counts.Add("part_seats_replaced", 1)
-			seats[i] = spare
-			return seats, true
+		if standby, ok := leastUsedZone(g.candidates(t), g.committed.Seats, voter.ID); ok {
+			return g.substitute(reasonSilent, voter.ID, standby)
 		}
 	}
-	return nil, false
+	return nil
 }
 
-// addVoters adds two replicas to a group that has fewer than it should; with one it would bear no more.
-func (g *Group) addVoters(t *kernel.Turn, seats []wire.Seat) ([]wire.Seat, bool) {
-	if len(seats)+2 > g.s.wantedVoters() || t.Now-g.leaderSince < RebalanceAfter {
-		return nil, false
+// addVoters adds two voters to a group that has fewer than it should; with one it would bear no more.
+func (g *Group) addVoters(t *kernel.Turn) *memberChange {
+	if len(g.committed.Seats)+2 > g.s.wantedVoters() || t.Now-g.leaderSince < RebalanceAfter {
+		return nil
 	}
-	cores := g.s.standbys(t.Now)
+	change := &memberChange{reason: reasonTooFew, voters: slices.Clone(g.committed.Seats)}
+	candidates := g.candidates(t)
 	for range 2 {
-		spare, ok := leastUsedZone(cores, seats, "")
+		standby, ok := leastUsedZone(candidates, change.voters, "")
 		if !ok {
-			return nil, false
+			return nil
 		}
-		seats = append(seats, spare)
+		change.voters = append(change.voters, standby)
+		change.learners = append(change.learners, standby)
 	}
-	t.Note(0, "part_seats_added", "part", g.part, "seats", len(seats))
-	return seats, true
+	return change
 }
 
-// rebalance moves a replica out of a zone that has two more of them than another one with a live
-// core: the loss of one zone must not take a majority.
-func (g *Group) rebalance(t *kernel.Turn, seats []wire.Seat) ([]wire.Seat, bool) {
-	if t.Now-g.leaderSince < RebalanceAfter {
-		return nil, false
-	}
-	crowded := slices.ContainsFunc(seats, func(s wire.Seat) bool { return countInZone(seats, s.Zone, "") > 1 })
-	if !crowded {
-		return nil, false
+// rebalance moves a voter out of a zone that has two more of them than another one with a
+// standby: the loss of one zone must not take a majority.
+func (g *Group) rebalance(t *kernel.Turn) *memberChange {
+	voters := g.committed.Seats
+	crowded := slices.ContainsFunc(voters, func(r wire.Seat) bool { return countInZone(voters, r.Zone, "") > 1 })
+	if !crowded || t.Now-g.leaderSince < RebalanceAfter {
+		return nil
 	}
-	cores := g.s.standbys(t.Now)
-	for i, s := range seats {
-		spare, ok := leastUsedZone(cores, seats, s.ID)
-		if ok && s.ID != g.self() && countInZone(seats, s.Zone, s.ID) > countInZone(seats, spare.Zone, s.ID) {
-			t.Note(0, "part_seat_spread", "part", g.part, "from", s.Zone, "to", spare.Zone)
-			t.Counts.Add("part_seats_spread", 1)
-			seats[i] = spare
-			return seats, true
+	candidates := g.candidates(t)
+	for _, voter := range voters {
+		standby, ok := leastUsedZone(candidates, voters, voter.ID)
+		if ok && voter.ID != g.self() && countInZone(voters, voter.Zone, voter.ID) > countInZone(voters, standby.Zone, voter.ID) {
+			return g.substitute(reasonCrowdedZone, voter.ID, standby)
 		}
 	}
-	return nil, false
+	return nil
 }
--- a/replica/membership_test.go
+++ b/replica/membership_test.go
@@ -47,11 +47,23 @@
 	return v
 }
 
+// learns has the learners of the change under way sync the newest version; nothing is proposed before.
+func (c *core) learns(t *testing.T, g *Group, who ...string) {
+	t.Helper()
+	must.Nil(t, g.proposal, must.Sprint("no change is proposed before its learners have caught up"))
+	must.NotNil(t, g.change)
+	must.Eq(t, who, ids(g.change.learners))
+	for _, id := range who {
+		c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: id, Stamp: g.committed.Stamp, OK: true})
+	}
+}
+
 func TestWipedMachineIsASeatAtOnceAndTheNextLossIsBorne(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
 	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2", Zone: "z2"})
 	c.tick()
+	c.learns(t, g, "b2")
 	v := c.leases(t, g, "a")
 	must.Eq(t, []string{"a", "b2", "me"}, ids(v.Seats))
 	must.Eq(t, []string{"a", "b", "me"}, ids(v.Prev))
@@ -68,11 +80,13 @@
 	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2"})
 	c.send(wire.KindBeatReply, &wire.BeatReply{From: "a", Instead: "a2"})
 	c.tick()
+	c.learns(t, g, "a2")
 	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Seats), must.Sprint("one at a time"))
 	c.leases(t, g, "b")
 	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Seats), must.Sprint("settled first"))
 	must.Eq(t, ids(g.proposal.Seats), ids(g.proposal.Prev))
 	c.leases(t, g, "b")
+	c.learns(t, g, "b2")
 	must.Eq(t, []string{"a2", "b2", "me"}, ids(g.proposal.Seats))
 }
 
@@ -85,6 +99,7 @@
 	must.Nil(t, g.proposal, must.Sprint("not yet"))
 	spare()
 	c.beats(g, 300_000, "a")
+	c.learns(t, g, "d")
 	v := c.leases(t, g, "a")
 	must.Eq(t, []string{"a", "d", "me"}, ids(v.Seats))
 	// It comes back as it was: a standby, and nothing moves.
@@ -148,6 +163,7 @@
 	pull("d")
 	pull("e")
 	c.beats(g, TickInterval, "a", "b")
+	c.learns(t, g, "d", "e")
 	v := c.leases(t, g, "a", "b")
 	must.Eq(t, []string{"a", "b", "me", "d", "e"}, ids(v.Seats))
 	must.False(t, quorum(v, func(id string) bool { return id == "a" || id == "me" }))
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -50,6 +50,9 @@
 	body := g.committed.Body
 	stamp := wire.Stamp{Part: g.part, Term: g.term, Seq: g.committed.Stamp.Seq + 1}
 	seats, changed := g.nextMembers(t)
+	if g.awaitsLearners(t) {
+		return
+	}
 	batch := g.queue
 	g.queue = nil
 	for i := range batch {
--- a/replica/route.go
+++ b/replica/route.go
@@ -114,6 +114,8 @@
 		decode(t, v, func(m wire.Edit) { g(m.Part, func(g *Group) { g.handleEdit(t, v.Chan, v.ID, m) }) })
 	case wire.KindRebuild:
 		decode(t, v, func(m wire.Rebuild) { g(m.Part, func(g *Group) { g.rebuild(t, v.Chan, v.ID, m) }) })
+	case wire.KindLeave:
+		decode(t, v, func(m wire.Leave) { to(m.To, m.Part, func(g *Group) { g.handleLeave(t, v.Chan, m) }) })
 	case wire.KindHold:
 		decode(t, v, func(m wire.Hold) { g(m.Part, func(g *Group) { g.renewLease(t, v.Chan, v.ID, m) }) })
 	}
@@ -160,6 +162,8 @@
 		v.To = replicaID.ID
 	case *wire.Beat:
 		v.To = replicaID.ID
+	case *wire.Leave:
+		v.To = replicaID.ID
 	}
 	if a := s.addressOf(replicaID.ID, t.Now); a != "" {
 		addr = a
--- /dev/null
+++ b/replica/second_loss_test.go
@@ -0,0 +1,192 @@
+// A second loss at every quarter of a second after a repair or a replacement:
+// nothing acknowledged is lost, and from the sync time on it is served through it.
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+)
+
+// Figures of the losses, in microseconds.
+const (
+	// simSyncTimeAllowed is the platform's sync_time_s: for so long after it is back, or after its
+	// successor started, a machine counts as lost.
+	simSyncTimeAllowed = 4_000_000
+	simLossStep        = 250_000
+	simDownFor         = 1_000_000
+	// simServeWithin is how soon edits are taken again after a loss that is borne.
+	simServeWithin = 4_000_000
+)
+
+var simShapes = []simShape{
+	{name: "3 of 3", zones: []string{"z1", "z2", "z3"}, tolerance: env.Tolerance{Machines: 1, Zones: 1}},
+	{name: "3 of 4", zones: []string{"z1", "z2", "z3", "z4"}, tolerance: env.Tolerance{Machines: 1, Zones: 1}},
+	{name: "5 of 8", zones: []string{"z1", "z2", "z3", "z4", "z1", "z2", "z3", "z4"}, tolerance: env.Tolerance{Machines: 2, Zones: 1}},
+}
+
+// simLoss takes machines away, and brings them or their successors back after a while.
+type simLoss struct {
+	name string
+	// zone tells that all machines of the first one's zone are taken.
+	zone bool
+	hit  func(c *simCluster, m *simMachine)
+}
+
+var simLosses = []simLoss{
+	{name: "machine", hit: func(c *simCluster, m *simMachine) {
+		m.kill()
+		c.after(simDownFor, m.start)
+	}},
+	{name: "disk", hit: func(c *simCluster, m *simMachine) {
+		m.kill()
+		m.wipe()
+		c.after(simDownFor, m.start)
+	}},
+	{name: "machine replaced", hit: func(c *simCluster, m *simMachine) {
+		m.kill()
+		c.after(simDownFor, func() { c.addMachine(m.zone).start() })
+	}},
+	{name: "machine stopped and replaced", hit: func(c *simCluster, m *simMachine) {
+		m.terminate()
+		c.after(simDownFor, func() { c.addMachine(m.zone).start() })
+	}},
+	{name: "machine rolled", hit: func(c *simCluster, m *simMachine) {
+		m.terminate()
+		c.startWhenEnded(m)
+	}},
+	{name: "zone", zone: true, hit: func(c *simCluster, m *simMachine) {
+		m.kill()
+		c.after(simDownFor, m.start)
+	}},
+	{name: "zone with its disks", zone: true, hit: func(c *simCluster, m *simMachine) {
+		m.kill()
+		m.wipe()
+		c.after(simDownFor, m.start)
+	}},
+}
+
+// startWhenEnded starts a machine again once its planned stop is over.
+func (c *simCluster) startWhenEnded(m *simMachine) {
+	if m.up && m.stopping {
+		c.after(10_000, func() { c.startWhenEnded(m) })
+		return
+	}
+	c.after(simDownFor/4, m.start)
+}
+
+// victims are as many machines as may be lost at once: voters first, the leader at the head or at the end.
+func (c *simCluster) victims(loss simLoss, leaderFirst bool) (out []*simMachine) {
+	voters := c.voters(0)
+	leader := c.leader(0)
+	ordered := []*simMachine{}
+	for _, m := range voters {
+		if m != leader {
+			ordered = append(ordered, m)
+		}
+	}
+	if leaderFirst {
+		ordered = append([]*simMachine{leader}, ordered...)
+	}
+	if !loss.zone {
+		return ordered[:c.shape.tolerance.Machines]
+	}
+	for _, m := range c.machines {
+		if m.zone == ordered[0].zone && m.up {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// back tells whether all machines of a loss, or their successors, run.
+func (c *simCluster) back(up int) bool {
+	n := 0
+	for _, m := range c.machines {
+		if m.up && !m.stopping {
+			n++
+		}
+	}
+	return n >= up
+}
+
+// lossStep is the time between two moments of the second loss; a short run takes three of them.
+func lossStep() int64 {
+	if testing.Short() {
+		return simSyncTimeAllowed / 2
+	}
+	return simLossStep
+}
+
+func TestSecondLossAfterARepairOrAReplacement(t *testing.T) {
+	for _, shape := range simShapes {
+		for _, first := range simLosses {
+			t.Run(shape.name+"/"+first.name, func(t *testing.T) {
+				t.Parallel()
+				// The leader is among the first lost at every other step.
+				leaderFirst := true
+				for gap := int64(0); gap <= simSyncTimeAllowed+simLossStep; gap += lossStep() {
+					secondLoss(t, shape, first, leaderFirst, gap)
+					leaderFirst = !leaderFirst
+				}
+			})
+		}
+	}
+}
+
+func secondLoss(t *testing.T, shape simShape, first simLoss, leaderFirst bool, gap int64) {
+	t.Helper()
+	seed := uint64(gap) + 1
+	c := newSimCluster(t, shape, seed)
+	c.note(fmt.Sprintf("seed %d, shape %s, first loss %s, leader first %v, second after %d us", seed, shape.name, first.name, leaderFirst, gap))
+	c.run(2_000_000)
+	running := len(c.machines)
+	for _, m := range c.victims(first, leaderFirst) {
+		first.hit(c, m)
+	}
+	c.run(100_000)
+	c.runUntil("the lost machines or their successors run", 10_000_000, func() bool { return c.back(running) })
+	c.run(gap)
+	second := c.secondVictims()
+	for _, m := range second {
+		m.kill()
+	}
+	if gap >= simSyncTimeAllowed {
+		c.serves("edits are taken again after a loss that must be borne", simServeWithin)
+	} else {
+		c.run(simServeWithin)
+	}
+	for _, m := range second {
+		m.start()
+	}
+	c.serves("edits are taken again once all is back", simServeWithin)
+	c.run(1_000_000)
+	c.verify()
+	must.NotNil(t, c.leader(0))
+}
+
+// secondVictims are as many voters as may be lost at once, the leader first.
+func (c *simCluster) secondVictims() []*simMachine {
+	voters := c.voters(0)
+	if len(voters) == 0 {
+		// There is no leader yet: whoever runs.
+		for _, m := range c.machines {
+			if m.up {
+				voters = append(voters, m)
+			}
+		}
+	}
+	out := []*simMachine{}
+	if leader := c.leader(0); leader != nil {
+		out = append(out, leader)
+	}
+	for _, m := range voters {
+		if m != c.leader(0) {
+			out = append(out, m)
+		}
+	}
+	return out[:c.shape.tolerance.Machines]
+}
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -14,7 +14,7 @@
 func (g *Group) bestSuccessor(t *kernel.Turn) string {
 	best, at := "", int64(0)
 	for _, s := range g.committed.Seats {
-		if s.ID != g.self() && g.steadySince[s.ID] > 0 && g.heardAt[s.ID] > at && t.Now-g.heardAt[s.ID] < 2*HeartbeatInterval && !g.diskProblem[s.ID] {
+		if s.ID != g.self() && g.steadySince[s.ID] > 0 && g.heardAt[s.ID] > at && t.Now-g.heardAt[s.ID] < 2*HeartbeatInterval && !g.diskProblem[s.ID] && !g.isLeaving(t, s.ID) {
 			best, at = s.ID, g.heardAt[s.ID]
 		}
 	}
@@ -30,7 +30,7 @@
 	seats := slices.Clone(g.committed.Seats)
 	slices.SortFunc(seats, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
 	want := seats[g.part%len(seats)].ID
-	if want == g.self() || t.Now-g.heardAt[want] > 2*HeartbeatInterval || t.Now-g.steadySince[want] < RebalanceAfter || g.diskProblem[want] {
+	if want == g.self() || t.Now-g.heardAt[want] > 2*HeartbeatInterval || t.Now-g.steadySince[want] < RebalanceAfter || g.diskProblem[want] || g.isLeaving(t, want) {
 		return ""
 	}
 	if r, live := g.s.row(want, t.Now); !live || r.Sick != "" || r.Draining {
@@ -45,6 +45,7 @@
 	if g.role == leader {
 		g.ownerTick(t)
 	}
+	g.requestLeave(t)
 }
 
 // transfer hands the partition to the best successor there is.
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -31,6 +31,7 @@
 	KindSeen
 	KindSeenReply
 	KindNotice
+	KindLeave
 )
 
 // Hello opens a mesh channel.
@@ -198,6 +199,13 @@
 	Zone    string `msg:"z,omitempty"`
 }
 
+// Leave is a stopping voter's request to the leader to be moved out of the group.
+type Leave struct {
+	To   string `msg:"to"`
+	Part int    `msg:"p"`
+	From string `msg:"f"`
+}
+
 // Form asks an empty seat's consent to a formation, or tells that all gave it.
 type Form struct {
 	Formation string `msg:"f"`
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -3431,6 +3431,159 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Leave) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "p":
+			z.Part, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "f":
+			z.From, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Leave) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "to"
+	err = en.Append(0x83, 0xa2, 0x74, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.To)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Leave) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "to"
+	o = append(o, 0x83, 0xa2, 0x74, 0x6f)
+	o = msgp.AppendString(o, z.To)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Leave) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Leave) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.From)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Links) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
