--- a/operate/operate.go
+++ b/operate/operate.go
@@ -9,8 +9,8 @@
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
-	"wallport/replica"
 	"wallport/pulls"
+	"wallport/replica"
 	"wallport/routingpb"
 	"wallport/state"
 	"wallport/wire"
@@ -95,6 +95,8 @@
 	calls   map[uint64]*call
 
 	rebuilds map[uint64]*rebuilding
+	// wantedVoters is how many voters a group should have.
+	wantedVoters int
 }
 
 func init() {
@@ -102,6 +104,7 @@
 		return &Operate{
 			mesh: kernel.Find[*mesh.Mesh](k), pulls: kernel.Find[*pulls.Pulls](k), seats: kernel.Find[*replica.Host](k),
 			members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
+			wantedVoters: k.Boot.Env.Seats(),
 		}
 	}})
 }
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -8,6 +8,7 @@
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
+	"wallport/replica"
 	"wallport/wire"
 )
 
@@ -65,6 +66,19 @@
 	}
 }
 
+// fewestVoters is how many cores a group is rebuilt on at least.
+const fewestVoters = 3
+
+// rebuiltVoters picks the voters of a rebuilt group: as many as wanted, or else the greatest odd
+// number that there is, spread over the zones; none where there are too few cores.
+func rebuiltVoters(cores []wire.Seat, wanted int) []wire.Seat {
+	n := min(max(wanted, fewestVoters), (len(cores)-1)|1)
+	if n < fewestVoters {
+		return nil
+	}
+	return replica.PickVoters(cores, n)
+}
+
 // rebuildStep ends one of the two steps.
 func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
 	end := func(code, text string) {
@@ -87,16 +101,14 @@
 		end("invalid", fmt.Sprint(r.refused))
 		return
 	}
-	zones := map[string]bool{}
-	for pass := range 2 {
-		for _, c := range o.cores(t.Now) {
-			if len(r.picked) < 3 && r.yes[c.Seat] && (pass == 1) == zones[c.Zone] {
-				zones[c.Zone] = true
-				r.picked = append(r.picked, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
-			}
+	var agreed []wire.Seat
+	for _, c := range o.cores(t.Now) {
+		if r.yes[c.Seat] {
+			agreed = append(agreed, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
 		}
 	}
-	if len(r.picked) < 3 {
+	r.picked = rebuiltVoters(agreed, o.wantedVoters)
+	if len(r.picked) == 0 {
 		end("invalid", "needs three live cores with sound disks")
 		return
 	}
--- a/replica/bootstrap_choice.go
+++ b/replica/bootstrap_choice.go
@@ -27,7 +27,7 @@
 func (s *Host) chooseFormation(t *kernel.Turn, cores []wire.Seat) ([]wire.Seat, bool) {
 	e, want := &s.k.Boot.Env, s.wantedVoters()
 	if !e.BootstrapKnown {
-		return pickMembers(cores, want), len(cores) >= want && cores[0].ID == s.replicaID
+		return PickVoters(cores, want), len(cores) >= want && cores[0].ID == s.replicaID
 	}
 	at := t.Now - s.started
 	all := !slices.ContainsFunc(e.Seeds, func(a string) bool { return !s.reaches(a, t.Now) })
@@ -35,11 +35,11 @@
 		return nil, false
 	}
 	if len(cores) >= want {
-		seats := pickMembers(cores, want)
+		seats := PickVoters(cores, want)
 		return seats, at >= SeedTimeout || survivesZoneLoss(seats, e.Tolerance.Zones)
 	}
 	if fewer := (len(cores) - 1) | 1; at >= SmallerGroupAfter && all || at >= SmallestGroupAfter && fewer >= smallestGroup {
-		return pickMembers(cores, min(fewer, want)), true
+		return PickVoters(cores, min(fewer, want)), true
 	}
 	return nil, false
 }
@@ -61,8 +61,8 @@
 	return best.ID
 }
 
-// pickMembers chooses replicas, spread over the zones.
-func pickMembers(cores []wire.Seat, n int) []wire.Seat {
+// PickVoters chooses replicas, spread over the zones.
+func PickVoters(cores []wire.Seat, n int) []wire.Seat {
 	var seats []wire.Seat
 	for range min(n, len(cores)) {
 		c, _ := leastUsedZone(cores, seats, "")
--- a/replica/membership_test.go
+++ b/replica/membership_test.go
@@ -142,7 +142,7 @@
 		{cores("z1", "z1", "z2"), 3, false},
 		{cores("z1", "z1", "z1", "z2", "z2", "z3", "z3"), 5, true},
 	} {
-		got := pickMembers(v.cores, v.n)
+		got := PickVoters(v.cores, v.n)
 		must.Len(t, v.n, got)
 		must.Eq(t, v.survivesZoneLoss, survivesZoneLoss(got, 1), must.Sprint(v.cores))
 		must.True(t, survivesZoneLoss(got, 0))
