--- a/claims/asking.go
+++ b/claims/asking.go
@@ -26,7 +26,7 @@
 
 // ask claims a key at its homes.
 func (c *Claims) ask(t *kernel.Turn, id uint64, a Ask) {
-	cp := c.table.Now()
+	cp := c.snapshot()
 	if c.minority(cp, t.Now) {
 		t.Counts.Add("claims_minority", 1)
 		t.Answer(id, inquiry.Verdict{Code: "short", Why: "this node sees too few of the fleet to vouch for a key"})
@@ -123,7 +123,7 @@
 		return
 	}
 	if !c.fresh(t.Now) {
-		w.widen(Homes(w.ask.Key, c.table.Now().Homes))
+		w.widen(Homes(w.ask.Key, c.snapshot().Homes))
 	}
 	if c.decide(t, n, w); c.asks[n] == nil || w.decideAt > t.Now {
 		return
@@ -187,7 +187,7 @@
 			m.Body = b
 		}
 	}
-	c.spread(t, Homes(a.Key, c.table.Now().Homes), m)
+	c.spread(t, Homes(a.Key, c.snapshot().Homes), m)
 }
 
 func (c *Claims) spread(t *kernel.Turn, homes []table.Node, m wire.Settle) {
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -75,16 +75,18 @@
 
 // Claims is the plug-in of a node.
 type Claims struct {
-	mesh    *mesh.Mesh
-	table   *table.Table
-	pulls   *pulls.Pulls
-	records map[string]*record
-	order   []string
-	asks    map[uint64]*asking
-	next    uint64
-	roster  []table.Node
-	epochs  []*epoch
-	longest int64
+	mesh  *mesh.Mesh
+	table *table.Table
+	pulls *pulls.Pulls
+	// snapshot is the table's newest checkpoint.
+	snapshot func() *table.Checkpoint
+	records  map[string]*record
+	order    []string
+	asks     map[uint64]*asking
+	next     uint64
+	roster   []table.Node
+	epochs   []*epoch
+	longest  int64
 	// began is when this process started, caught when it first had all that a peer has.
 	began, caught int64
 	// looked is when the roster was last looked at, dueAt when it will be next.
@@ -97,7 +99,11 @@
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 80, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Claims{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), pulls: kernel.Find[*pulls.Pulls](k), records: map[string]*record{}, asks: map[uint64]*asking{}, seen: seenKeys{at: map[string]int64{}}, first: map[int]map[string]bool{}}
+		built := kernel.Find[*table.Table](k)
+		return &Claims{
+			mesh: kernel.Find[*mesh.Mesh](k), table: built, pulls: kernel.Find[*pulls.Pulls](k), snapshot: built.Now,
+			records: map[string]*record{}, asks: map[uint64]*asking{}, seen: seenKeys{at: map[string]int64{}}, first: map[int]map[string]bool{},
+		}
 	}})
 }
 
--- a/claims/epochs.go
+++ b/claims/epochs.go
@@ -93,7 +93,7 @@
 
 // follow notices a changed roster, and asks for what is still to be handed over.
 func (c *Claims) follow(t *kernel.Turn) {
-	cp := c.table.Now()
+	cp := c.snapshot()
 	if cp == nil {
 		return
 	}
--- a/claims/home.go
+++ b/claims/home.go
@@ -70,7 +70,7 @@
 
 // countsHomes is how many homes a key has by what this process knows of the fleet.
 func (c *Claims) countsHomes() int {
-	return min(homesMost, max(len(c.roster), len(c.table.Now().Homes)))
+	return min(homesMost, max(len(c.roster), len(c.snapshot().Homes)))
 }
 
 func (c *Claims) keep(key string, r *record) {
--- /dev/null
+++ b/claims/model_callers_test.go
@@ -0,0 +1,72 @@
+// The callers of the model, and what they are told.
+package claims
+
+import (
+	"fmt"
+	"slices"
+
+	"wallport/inquiry"
+	"wallport/kernel"
+)
+
+// callers send a key through several nodes, some before they have heard of an answer.
+func (m *model) callers(number int) {
+	key := fmt.Sprintf("key-%d", number)
+	tries := 1 + m.rand.IntN(4)
+	for range tries {
+		m.after(m.between(0, 600*ms), func() { m.call(key, 4) })
+	}
+	m.after(m.between(10*ms, 40*ms), func() { m.callers(number + 1) })
+}
+
+func (m *model) call(key string, tries int) {
+	n := m.front()
+	again := func() {
+		if tries > 1 {
+			m.after(m.between(100*ms, 500*ms), func() { m.call(key, tries-1) })
+		}
+	}
+	if !n.up {
+		again()
+		return
+	}
+	m.lastCall++
+	here := n.life()
+	m.calls[m.lastCall] = func(v inquiry.Verdict) {
+		if v.Code != "in" {
+			again()
+			return
+		}
+		m.admit(here, key, v.Token)
+	}
+	n.step(kernel.Call{Plugin: "claims", ID: m.lastCall, Ask: Ask{Key: key, Index: "index", Sum: 7, Within: 2 * second}})
+}
+
+// front is a node that a caller comes to: every other time one that has just started, if there is one.
+func (m *model) front() *modelNode {
+	young := slices.DeleteFunc(slices.Clone(m.nodes), func(n *modelNode) bool { return !n.up || m.now-n.upAt > youngFor })
+	if len(young) > 0 && m.rand.IntN(2) == 0 {
+		return young[m.rand.IntN(len(young))]
+	}
+	return m.nodes[m.rand.IntN(len(m.nodes))]
+}
+
+// admit runs what was let in; its process tells of the outcome, if it lives to do so.
+func (m *model) admit(here life, key, token string) {
+	m.admitted++
+	if m.letIn[key] {
+		m.twice = append(m.twice, fmt.Sprintf("%s let in again by %s at %.3f s", key, here.node.name, float64(m.now)/1e6))
+	}
+	m.letIn[key] = true
+	refused := m.rand.IntN(8) == 0
+	m.after(m.between(5*ms, 600*ms), func() {
+		switch {
+		case !here.there():
+		case refused:
+			delete(m.letIn, key)
+			here.node.step(kernel.Call{Plugin: "claims", Ask: Tell{Key: key, Code: "released", Token: token}})
+		default:
+			here.node.step(kernel.Call{Plugin: "claims", Ask: Tell{Key: key, Code: "done", Outcome: inquiry.Outcome{Code: inquiry.OK}}})
+		}
+	})
+}
--- /dev/null
+++ b/claims/model_node_test.go
@@ -0,0 +1,118 @@
+// The nodes of the model: each runs the package's own code, and sees of the fleet what the model
+// lets it see.
+package claims
+
+import (
+	"fmt"
+
+	"wallport/env"
+	"wallport/inquiry"
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/sheetpb"
+	"wallport/table"
+)
+
+// modelNode is a node with its process of now, or its last one.
+type modelNode struct {
+	m     *model
+	name  string
+	count int
+	up    bool
+	// upAt is when its process started, downAt when its last one ended.
+	upAt, downAt int64
+	claims       *Claims
+	view         *table.Checkpoint
+	peak         int
+}
+
+func (n *modelNode) life() life { return life{n, n.count} }
+
+func (l life) there() bool { return l.node.up && l.node.count == l.count }
+
+// start begins a process of the node, which sees nobody else yet.
+func (n *modelNode) start() {
+	n.count++
+	n.up, n.upAt = true, n.m.now
+	key := fmt.Sprintf("%-32s", fmt.Sprintf("%s/%d", n.name, n.count))
+	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: n.name, Name: n.name}, Role: "node", Seed: 1, Key: kernel.KeyFrom([]byte(key))})
+	n.claims = kernel.Find[*Claims](k)
+	n.claims.snapshot = func() *table.Checkpoint { return n.view }
+	n.peak = 0
+	n.look([]*modelNode{n})
+	n.step(kernel.Start{})
+}
+
+// sees has the node's roster follow what is told of others.
+func (n *modelNode) sees(others []*modelNode) {
+	n.look(others)
+	n.step(table.Built{})
+}
+
+func (n *modelNode) look(others []*modelNode) {
+	live := 0
+	var homes []table.Node
+	for _, o := range others {
+		gone := !o.up && n.m.now-o.downAt > table.RosterFor
+		if gone && o != n {
+			continue
+		}
+		isLive := o.up || n.m.now-o.downAt < second
+		if isLive {
+			live++
+		}
+		homes = append(homes, table.Node{Name: o.name, Addr: o.name, Origin: o.claims.mesh.Self(), Live: isLive})
+	}
+	n.peak = max(n.peak, live)
+	n.view = &table.Checkpoint{
+		Homes: homes, Roster: homes, Peers: live, Divisor: n.peak,
+		Sheet: &sheetpb.Sheet{Services: []*sheetpb.Service{{MaxDeadlineUs: 5 * second}}},
+	}
+}
+
+// step gives the node's process an input and carries out what it asks for.
+func (n *modelNode) step(in kernel.Input) {
+	t := &kernel.Turn{Now: n.m.now, Rand: n.m.rand, Counts: kernel.NewCounts()}
+	n.claims.Step(t, in)
+	here := n.life()
+	for _, s := range t.Out.Sends {
+		n.m.send(here, s)
+	}
+	for _, timer := range t.Out.Timers {
+		n.m.after(timer.At-n.m.now, func() {
+			if here.there() {
+				n.step(kernel.Tick{Plugin: timer.Plugin, Key: timer.Key})
+			}
+		})
+	}
+	for _, a := range t.Out.Answers {
+		answered := n.m.calls[a.ID]
+		delete(n.m.calls, a.ID)
+		answered(a.Value.(inquiry.Verdict))
+	}
+}
+
+// comeBack starts a process that sees some of the others first, and all of them later.
+func (n *modelNode) comeBack() {
+	n.start()
+	m, here := n.m, n.life()
+	some := []*modelNode{n}
+	for _, o := range m.nodes {
+		if o != n && m.rand.IntN(3) == 0 {
+			some = append(some, o)
+		}
+	}
+	first := m.between(20*ms, 200*ms)
+	m.after(first, func() {
+		if here.there() {
+			n.sees(some)
+			n.step(mesh.CaughtUp{})
+		}
+	})
+	m.after(first+m.between(0, second), func() {
+		if here.there() {
+			n.sees(m.nodes)
+		}
+	})
+	m.told()
+}
--- /dev/null
+++ b/claims/model_test.go
@@ -0,0 +1,194 @@
+// A model of a fleet whose nodes see different rosters while some of them die and come back: the
+// package's own code on every node, over simulated time, messages late and lost with their node.
+// No key is let in twice.
+package claims
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/inquiry"
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/table"
+	"wallport/wire"
+)
+
+const (
+	ms     = int64(1000)
+	second = 1000 * ms
+	// modelLoss is how many of the model's nodes are lost at once at most: fewer than half.
+	modelNodes, modelLoss = 8, 3
+	modelSeconds          = 40 * second
+	// youngFor is for how long a node counts as just started.
+	youngFor = 1500 * ms
+)
+
+// modelSeeds is how many runs of the model are made: go test ./claims -model.seeds 500.
+var modelSeeds = flag.Uint64("model.seeds", 12, "runs of the model")
+
+type modelEvent struct {
+	at  int64
+	seq int
+	do  func()
+}
+
+type modelQueue []modelEvent
+
+func (q modelQueue) Len() int { return len(q) }
+func (q modelQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q modelQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *modelQueue) Push(x any)   { *q = append(*q, x.(modelEvent)) }
+func (q *modelQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// model is the fleet, the messages under way and what was let in.
+type model struct {
+	t *testing.T
+
+	rand  *rand.Rand
+	now   int64
+	seq   int
+	queue modelQueue
+	nodes []*modelNode
+	// chans are the way back of each message that was received.
+	chans    map[uint64]route
+	lastChan uint64
+	// arrives is when the last message between two lives of nodes arrives: they keep their order.
+	arrives map[[2]life]int64
+	// letIn are the keys that were let in and not released; admitted counts them.
+	letIn    map[string]bool
+	admitted int
+	twice    []string
+	calls    map[uint64]func(v inquiry.Verdict)
+	lastCall uint64
+}
+
+// life is one process of a node.
+type life struct {
+	node  *modelNode
+	count int
+}
+
+type route struct{ from, to life }
+
+func newModel(t *testing.T, seed uint64) *model {
+	m := &model{
+		t: t, rand: rand.New(rand.NewPCG(seed, 3)), now: second, chans: map[uint64]route{}, arrives: map[[2]life]int64{},
+		letIn: map[string]bool{}, calls: map[uint64]func(inquiry.Verdict){},
+	}
+	for i := range modelNodes {
+		m.nodes = append(m.nodes, &modelNode{m: m, name: fmt.Sprintf("node-%d", i)})
+	}
+	for _, n := range m.nodes {
+		n.start()
+	}
+	for _, n := range m.nodes {
+		n.sees(m.nodes)
+		n.step(mesh.CaughtUp{})
+		// The first start of a fleet: nothing was let in before.
+		n.claims.epochs = nil
+	}
+	return m
+}
+
+func (m *model) after(wait int64, do func()) {
+	m.seq++
+	heap.Push(&m.queue, modelEvent{m.now + wait, m.seq, do})
+}
+
+// between draws a time.
+func (m *model) between(least, most int64) int64 { return least + m.rand.Int64N(most-least+1) }
+
+func (m *model) run(until int64) {
+	for len(m.queue) > 0 && m.queue[0].at <= until {
+		e := heap.Pop(&m.queue).(modelEvent)
+		m.now = e.at
+		e.do()
+	}
+}
+
+// send brings a message to a node's process of then, or back on the channel of a question.
+func (m *model) send(from life, s kernel.Send) {
+	to := m.chans[s.Chan].from
+	if s.Addr != "" {
+		i := slices.IndexFunc(m.nodes, func(n *modelNode) bool { return n.name == s.Addr })
+		to = m.nodes[i].life()
+	}
+	wait := m.between(ms/2, 15*ms)
+	if m.rand.IntN(20) == 0 {
+		wait += m.between(0, 150*ms)
+	}
+	pair := [2]life{from, to}
+	at := max(m.now+wait, m.arrives[pair])
+	m.arrives[pair] = at
+	m.after(at-m.now, func() {
+		if !to.there() {
+			return
+		}
+		m.lastChan++
+		m.chans[m.lastChan] = route{from: from, to: to}
+		f, err := wire.Open(s.Data)
+		must.NoError(m.t, err)
+		to.node.step(kernel.Message{Chan: m.lastChan, Kind: f.Kind, ID: f.ID, Body: f.Body})
+	})
+}
+
+// lose ends some nodes at once; each comes back after a while, at times when the others have
+// ceased to count it.
+func (m *model) lose() {
+	all := slices.Clone(m.nodes)
+	m.rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	away := m.between(200*ms, 2*second)
+	if m.rand.IntN(3) == 0 {
+		away += table.RosterFor
+	}
+	for _, n := range all[:1+m.rand.IntN(modelLoss)] {
+		n.up, n.downAt = false, m.now
+		m.after(away+m.between(0, 300*ms), n.comeBack)
+	}
+	m.told()
+	m.after(table.RosterFor, m.told)
+	m.after(away+m.between(4*second, 6*second), m.lose)
+}
+
+// told has every node see, each after its own while, what the fleet is then.
+func (m *model) told() {
+	for _, n := range m.nodes {
+		here := n.life()
+		m.after(m.between(5*ms, second), func() {
+			if here.there() {
+				n.sees(m.nodes)
+			}
+		})
+	}
+}
+
+func TestNoKeyIsLetInTwiceWhileRostersDiffer(t *testing.T) {
+	t.Parallel()
+	seeds, admitted := *modelSeeds, 0
+	if testing.Short() {
+		seeds = min(seeds, 2)
+	}
+	for seed := range seeds {
+		m := newModel(t, seed)
+		m.after(second, func() { m.callers(0) })
+		m.after(2*second, m.lose)
+		m.run(modelSeconds)
+		must.SliceEmpty(t, m.twice, must.Sprintf("seed %d", seed))
+		admitted += m.admitted
+	}
+	t.Logf("%d seeds, %d keys let in", seeds, admitted)
+	must.Greater(t, int(seeds)*500, admitted, must.Sprint("keys are let in"))
+}
--- a/claims/seen.go
+++ b/claims/seen.go
@@ -55,7 +55,7 @@
 // seenHome is the address of the live home that is asked, empty for this process
 // itself; ok is false where none is live.
 func (c *Claims) seenHome(key string) (addr string, ok bool) {
-	for _, h := range Homes(key, c.table.Now().Homes) {
+	for _, h := range Homes(key, c.snapshot().Homes) {
 		if h.Origin == c.mesh.Self() {
 			return "", true
 		}
--- a/serve/conn.go
+++ b/serve/conn.go
@@ -47,14 +47,14 @@
 }
 
 // unwritten tells that an error of the request means that nothing of it was written or will be.
-func (l *connUse) unwritten(err error) bool {
-	return errors.Is(err, errGivenUp) && l.conn != nil && l.conn.written.Load() == l.from
+func (u *connUse) unwritten(err error) bool {
+	return errors.Is(err, errGivenUp) && u.conn != nil && u.conn.written.Load() == u.from
 }
 
 // giveUp keeps the connection from being used again: an answer may still be outstanding on it.
-func (l *connUse) giveUp() {
-	if l.conn != nil {
-		l.conn.givenUp.Store(true)
+func (u *connUse) giveUp() {
+	if u.conn != nil {
+		u.conn.givenUp.Store(true)
 	}
 }
 
