Gateway: a request that may run once, from the client's bytes to the backend's and back

With the product's own chart and connections: sixteen things that a backend may do after it has read a request that may run once (reset, close, silence, cut answers, another's answer, no id, no seal, an interim answer alone, 503, 429 and 408 without a promise). It arrives at one backend, once; the client gets 502 or 504, or the backend's own sealed failure, never a status that promises that nothing ran; the next request is served on another connection. A backend's promise sends it to the other backend once, and 503 is told where both gave it.

--- /dev/null
+++ b/gateway/once_test.go
@@ -0,0 +1,169 @@
+// A request that may run once, from a client's bytes to a backend's and back, with the product's own
+// chart: it reaches one backend once, whatever becomes of it there, and the client is told that it
+// has not run only where a backend gave its word for that.
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/forward"
+	"wallport/routing"
+	"wallport/routingpb"
+	"wallport/table"
+)
+
+// longUs is a time that no test takes, briefUs one that a silent backend is to reach.
+const (
+	longUs  = 20_000_000
+	briefUs = 250_000
+)
+
+// newOnceWorld has routes whose requests may run once and a pool of two backends, both at the
+// world's one address.
+func newOnceWorld(t *testing.T) *world {
+	config := &routingpb.RoutingTable{
+		Revision: 1,
+		Routes: []*routingpb.Route{
+			{Name: "long", Host: "h", Prefix: "/", TimeoutUs: longUs, MaxBackends: 3, Pool: "desk"},
+			{Name: "brief", Host: "h", Prefix: "/brief/", TimeoutUs: briefUs, MaxBackends: 3, Pool: "desk"},
+		},
+		Pools:  []*routingpb.Pool{{Name: "desk", MaxConnections: 10}},
+		Limits: &routingpb.Limits{},
+	}
+	w := newWorld(t, func(w *world, c *Config) {
+		desk := forward.NewDesk(forward.Config{Table: w.cp.Load, Counts: w.counts, Seed: 1, Now: w.now(), Retry: forward.RetryConfig{Ratio: 0.2, Allowance: 60, WindowUs: 10_000_000}})
+		c.Chart = func(r forward.Request, now int64) Chart { return forward.NewChart(desk, r, now) }
+	})
+	compiled := routing.Compile(config)
+	gauges := &table.Gauges{}
+	pool := &table.Pool{Pool: compiled.Pools["desk"]}
+	for i := range 2 {
+		s := w.server
+		s.ID = fmt.Sprintf("i-%d", i+1)
+		s.Gauge = gauges.Of(s.ID)
+		pool.Servers = append(pool.Servers, &s)
+	}
+	w.cp.Store(&table.Checkpoint{Whole: true, Divisor: 1, Peers: 1, Routing: compiled, Pools: map[string]*table.Pool{"desk": pool}})
+	return w
+}
+
+// times is how often a backend was sent a request.
+func (w *world) times(id string) (n int) {
+	for _, r := range w.requests() {
+		if r.head.Get("Try-Id") == id {
+			n++
+		}
+	}
+	return n
+}
+
+func post(path, id string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: h\r\nTry-Id: " + id + "\r\nContent-Length: 3\r\n\r\nabc"
+}
+
+// rawAnswer has the backend write bytes in place of an answer, and end the connection if cut is set.
+func rawAnswer(bytes string, cut bool) func(http.ResponseWriter, *http.Request) {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			return
+		}
+		io.WriteString(conn, strings.ReplaceAll(bytes, "ID", r.Header.Get("Try-Id")))
+		if cut {
+			conn.Close()
+			return
+		}
+		// Until the other side ends it.
+		io.Copy(io.Discard, conn)
+		conn.Close()
+	}
+}
+
+func resets(rw http.ResponseWriter, _ *http.Request) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+func TestWhatMayHaveRunReachesOneBackendAndIsToldSo(t *testing.T) {
+	const long, brief = "/a", "/brief/a"
+	const whole = "Try-Id: ID\r\nStamp: s\r\nContent-Length: 2\r\n\r\nhi"
+	for _, c := range []struct {
+		name   string
+		serve  func(http.ResponseWriter, *http.Request)
+		path   string
+		status int
+	}{
+		{"reset", resets, long, 502},
+		{"closed", rawAnswer("", true), long, 502},
+		{"silence", rawAnswer("", false), brief, 504},
+		{"cut head", rawAnswer("HTTP/1.1 200 OK\r\nTry-Id: ID\r\n", true), long, 502},
+		{"cut body", rawAnswer("HTTP/1.1 200 OK\r\nTry-Id: ID\r\nStamp: s\r\nContent-Length: 9\r\n\r\nhi", true), long, 502},
+		{"half an answer and silence", rawAnswer("HTTP/1.1 200 OK\r\nTry-Id: ID\r\n", false), brief, 504},
+		{"only an interim answer", rawAnswer("HTTP/1.1 100 Continue\r\n\r\n", false), brief, 504},
+		{"noise", rawAnswer("\x00\x01\x02\r\n\r\n", true), long, 502},
+		{"another request's", rawAnswer("HTTP/1.1 200 OK\r\nTry-Id: z\r\nStamp: s\r\nContent-Length: 2\r\n\r\nhi", true), long, 502},
+		{"no id", rawAnswer("HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 2\r\n\r\nhi", true), long, 502},
+		{"no seal", rawAnswer("HTTP/1.1 200 OK\r\nTry-Id: ID\r\nContent-Length: 2\r\n\r\nhi", true), long, 502},
+		{"503 without a promise", rawAnswer("HTTP/1.1 503 Busy\r\n"+whole, true), long, 502},
+		{"429 without a promise", rawAnswer("HTTP/1.1 429 Busy\r\n"+whole, true), long, 502},
+		{"408 without a promise", rawAnswer("HTTP/1.1 408 Late\r\n"+whole, true), long, 502},
+		{"its own failure", rawAnswer("HTTP/1.1 500 Oh\r\n"+whole, true), long, 500},
+		{"a promise about a success", rawAnswer("HTTP/1.1 200 OK\r\nDid-Not-Run: 1\r\n"+whole, true), long, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newOnceWorld(t)
+			w.serve = c.serve
+			client := w.dial()
+			client.send(post(c.path, "a"))
+			resp, _ := client.answer("POST")
+			if c.path == brief {
+				// Whoever notices first that the time is over: neither is a promise.
+				must.SliceContains(t, []int{502, 504}, resp.StatusCode)
+			} else {
+				must.Eq(t, c.status, resp.StatusCode)
+			}
+			must.Eq(t, 1, w.times("a"), must.Sprint("to one backend, once"))
+			// Its connection is not used again, and the next is served as if nothing had been.
+			w.serve = func(rw http.ResponseWriter, _ *http.Request) { io.WriteString(rw, "right") }
+			client.send(post(long, "b"))
+			resp, body := client.answer("POST")
+			must.Eq(t, 200, resp.StatusCode, must.Sprint(body))
+			must.Eq(t, "right", body)
+			must.Eq(t, 1, w.times("b"))
+		})
+	}
+}
+
+// TestPromiseSendsElsewhere tries the other backend on a backend's word, and tells the client so
+// where both gave it.
+func TestPromiseSendsElsewhere(t *testing.T) {
+	const promise = "HTTP/1.1 503 Full\r\nTry-Id: ID\r\nDid-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	w := newOnceWorld(t)
+	client := w.dial()
+	for i := range 60 {
+		// A second arrival is paid from what is saved.
+		client.send(post("/a", fmt.Sprint("saved-", i)))
+		client.answer("POST")
+	}
+	w.serve = rawAnswer(promise, true)
+	client.send(post("/a", "a"))
+	resp, _ := client.answer("POST")
+	must.Eq(t, 503, resp.StatusCode)
+	must.Eq(t, 2, w.times("a"), must.Sprint("one arrival at each backend"))
+	seen := map[string]bool{}
+	for _, r := range w.requests()[60:] {
+		seen[r.head.Get("Meant-For")] = true
+	}
+	must.MapLen(t, 2, seen)
+}
