--- /dev/null
+++ b/listing/lease.go
@@ -0,0 +1,47 @@
+// The lease of the duty as its holder sees it: it lasts from when it was asked
+// for, and what is given up, or was held before a freeze, is not taken up again.
+package listing
+
+import (
+	"wallport/kernel"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// asksMost is how many asks a grant may still answer.
+const asksMost = 16
+
+// granted takes a grant. It lasts from when it was asked for: how long the answer took to come,
+// and whether this process stood still meanwhile, is not known.
+func (p *Lister) granted(id uint64, r wire.HoldReply) {
+	at, open := p.asked[id]
+	delete(p.asked, id)
+	if !open || r.Duty != Duty || r.Holder != p.mesh.Self() {
+		return
+	}
+	p.until = max(p.until, at+r.For)
+	p.lease, p.turn = max(p.lease, r.Turn), max(p.turn, r.Turn)
+}
+
+// release ends what this node holds of the duty: a grant that is still on its way is not taken.
+func (p *Lister) release() {
+	p.until = 0
+	clear(p.asked)
+}
+
+// drop gives the duty up to the next node by rank, if this node has it and there is another.
+func (p *Lister) drop(t *kernel.Turn) bool {
+	part := state.PartOf(Duty)
+	addr := p.pulls.Owner(part)
+	if addr == "" || t.Now >= p.until {
+		return false
+	}
+	for _, r := range p.members.Live(t.Now, "node") {
+		if r.Origin != p.mesh.Self() && !r.Draining {
+			t.SendTo(addr, wire.KindHold, 0, &wire.Hold{Part: part, Duty: Duty, From: p.mesh.Self(), Drop: true, Next: r.Origin, Turn: p.lease})
+			p.release()
+			return true
+		}
+	}
+	return false
+}
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -40,6 +40,11 @@
 	members *members.Members
 	pulls   *pulls.Pulls
 	until   int64
+	// lease is the turn of the duty as it was granted to this node last; asked is when each ask was
+	// sent that a grant may still answer, by its id.
+	lease   uint64
+	asked   map[uint64]int64
+	nextAsk uint64
 	turn    uint64
 	polled  int64
 	heard   int64
@@ -60,7 +65,7 @@
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 50, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Lister{calls: 1, blank: true, polled: -TellEvery, k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), pulls: kernel.Find[*pulls.Pulls](k)}
+		return &Lister{calls: 1, blank: true, asked: map[uint64]int64{}, polled: -TellEvery, k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), pulls: kernel.Find[*pulls.Pulls](k)}
 	}})
 }
 
@@ -92,14 +97,11 @@
 		if wire.Decode(v.Body, &r) != nil {
 			return
 		}
-		if r.Duty == Duty && r.Holder == p.mesh.Self() {
-			// What is left of the grant, less than half a renewal for the way here.
-			p.until, p.turn = t.Now+r.For-RenewEvery/2, max(p.turn, r.Turn)
-		}
+		p.granted(v.ID, r)
 	case kernel.Fetched:
 		p.fetched(t, v)
 	case kernel.Thawed:
-		p.until = 0
+		p.release()
 	case kernel.Stopping:
 		p.drop(t)
 	case mesh.Stored:
@@ -163,7 +165,10 @@
 		gap := RenewEvery * int64(min(len(p.members.Live(t.Now, "node")), AskMost))
 		p.askAt = t.Now + gap/2 + t.Rand.Int64N(gap+1)
 	}
-	t.SendTo(addr, wire.KindHold, 0, &wire.Hold{Part: part, Duty: Duty, From: p.mesh.Self()})
+	p.nextAsk++
+	p.asked[p.nextAsk] = t.Now
+	delete(p.asked, p.nextAsk-asksMost)
+	t.SendTo(addr, wire.KindHold, p.nextAsk, &wire.Hold{Part: part, Duty: Duty, From: p.mesh.Self()})
 }
 
 // orphaned tells that nobody's reading was heard of for so long that it is this node's turn
@@ -212,20 +217,3 @@
 	p.told = t.Now
 	p.mesh.Announce(t, "listing", Duty, wire.Encode(&l), false)
 }
-
-// drop gives the duty up to the next node by rank, if this node has it and there is another.
-func (p *Lister) drop(t *kernel.Turn) bool {
-	part := state.PartOf(Duty)
-	addr := p.pulls.Owner(part)
-	if addr == "" || t.Now >= p.until {
-		return false
-	}
-	for _, r := range p.members.Live(t.Now, "node") {
-		if r.Origin != p.mesh.Self() && !r.Draining {
-			t.SendTo(addr, wire.KindHold, 0, &wire.Hold{Part: part, Duty: Duty, From: p.mesh.Self(), Drop: true, Next: r.Origin})
-			p.until = 0
-			return true
-		}
-	}
-	return false
-}
--- a/listing/listing_test.go
+++ b/listing/listing_test.go
@@ -74,7 +74,8 @@
 		}
 		r.holds = append(r.holds, h)
 		if r.grants && !h.Drop {
-			r.message(wire.KindHoldReply, &wire.HoldReply{Duty: Duty, Holder: r.l.mesh.Self(), For: 800_000, Turn: 3})
+			granted := &wire.HoldReply{Duty: Duty, Holder: r.l.mesh.Self(), For: 800_000, Turn: 3}
+			r.feed(kernel.Received{Data: wire.Seal(wire.KindHoldReply, f.ID, granted)})
 		}
 	}
 }
--- a/part/duties.go
+++ b/part/duties.go
@@ -1,6 +1,8 @@
-// Duties that one node does at a time: an owner grants them for a short while
-// and renews; a holder that gives one up names its successor. A new owner
-// grants nothing until every grant of its predecessor has run out.
+// Leases of the tasks that one node does at a time. A leader grants a lease for a short while from
+// the sending of the last heartbeat round that a majority answered: some voter of any later
+// leader's majority answered that round before it voted, so the lease ends before a later leader
+// has been in office for as long, and until then that one grants nothing. A holder counts a lease
+// from when it asked, and one that gives it up names its successor.
 package part
 
 import (
@@ -10,7 +12,7 @@
 	"wallport/wire"
 )
 
-// HoldFor is how long a grant lasts.
+// HoldFor is how long a grant lasts at most.
 const HoldFor = 800_000
 
 type grant struct {
@@ -20,23 +22,19 @@
 }
 
 func (g *Group) hold(t *kernel.Turn, ch, id uint64, h wire.Hold) {
-	if g.role != owner || !g.ready || g.yielding {
+	until := g.contact.confirmedAt + HoldFor
+	if g.role != owner || !g.ready || g.yielding || until <= t.Now {
 		t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty})
 		return
 	}
 	gr := g.holds[h.Duty]
 	if gr == nil {
-		gr = &grant{until: t.Now + HoldFor}
+		// Whatever a predecessor granted has ended by then.
+		gr = &grant{until: g.wonAt + HoldFor}
 		g.holds[h.Duty] = gr
 	}
 	if h.Drop {
-		if gr.holder == h.From {
-			g.turns++
-			*gr = grant{until: t.Now, turn: g.term<<24 | g.turns}
-			if h.Next != "" {
-				gr.holder, gr.until = h.Next, t.Now+HoldFor
-			}
-		}
+		g.giveUp(t, gr, h, until)
 		return
 	}
 	if t.Now >= gr.until && gr.holder != h.From {
@@ -44,11 +42,23 @@
 		gr.holder, gr.turn = h.From, g.term<<24|g.turns
 	}
 	if gr.holder == h.From {
-		gr.until = t.Now + HoldFor
+		gr.until = max(gr.until, until)
 	}
 	t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty, Holder: gr.holder, For: gr.until - t.Now, Turn: gr.turn})
 }
 
+// giveUp ends a lease that its holder gives up. One that it got since is not meant.
+func (g *Group) giveUp(t *kernel.Turn, gr *grant, h wire.Hold, until int64) {
+	if gr.holder != h.From || h.Turn != 0 && h.Turn != gr.turn {
+		return
+	}
+	g.turns++
+	*gr = grant{until: t.Now, turn: g.term<<24 | g.turns}
+	if h.Next != "" {
+		gr.holder, gr.until = h.Next, until
+	}
+}
+
 func (g *Group) holders(t *kernel.Turn) map[string]string {
 	out := map[string]string{}
 	for d, gr := range g.holds {
--- a/part/follower.go
+++ b/part/follower.go
@@ -85,7 +85,7 @@
 }
 
 func (g *Group) beat(t *kernel.Turn, ch, id uint64, b wire.Beat) {
-	r := wire.BeatReply{Part: g.part, Term: g.promised, From: g.self(), Round: b.Round, Held: g.held.Stamp, Wall: t.Wall, Sick: g.s.sick != ""}
+	r := wire.BeatReply{Part: g.part, Term: g.promised, From: g.self(), Round: b.Round, Held: g.held.Stamp, Wall: t.Wall, Clock: g.s.clock(t.Now), Sick: g.s.sick != ""}
 	if b.Term < g.promised || g.s.damaged {
 		t.Send(ch, wire.KindBeatReply, id, &r)
 		return
@@ -100,6 +100,7 @@
 	}
 	g.follow(t, b.From, b.Term)
 	g.promised = b.Term
+	g.contact.proven(b.ContactAt-g.s.clockOrigin, t.Now, b.Committed)
 	r.OK, r.Term = true, b.Term
 	if b.Committed == g.held.Stamp {
 		g.commit(t, g.held)
--- a/part/group.go
+++ b/part/group.go
@@ -101,13 +101,16 @@
 	instead   map[string]wire.Seat
 	handed    map[string]int64
 	walls     map[string]int64
-	quorumAt  int64
-	wonAt     int64
-	clockAt   int64
-	ready     bool
-	yielding  bool
-	holds     map[string]*grant
-	turns     uint64
+	contact   contact
+	relayedAt int64
+	// lostContact is that a leader's loss of contact is logged.
+	lostContact bool
+	wonAt       int64
+	clockAt     int64
+	ready       bool
+	yielding    bool
+	holds       map[string]*grant
+	turns       uint64
 }
 
 func newGroup(s *Seats, part int) *Group {
--- /dev/null
+++ b/part/lease_test.go
@@ -0,0 +1,81 @@
+// A singleton task has one holder at a time, whoever leads, is cut off or frozen.
+package part
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/wire"
+)
+
+const (
+	renewEvery = 200 * millisecond
+	leaseSeeds = 30
+)
+
+// holder asks for a lease again and again, and counts it from when it asked.
+type holder struct {
+	name  string
+	until int64
+	given int
+	// to is the member that it asks: one that it takes for the leader.
+	to func() *member
+}
+
+func (h *holder) renew(c *cluster) {
+	c.after(renewEvery, func() { h.renew(c) })
+	to := h.to()
+	if to == nil {
+		return
+	}
+	asked := c.now
+	c.ask(to, wire.KindHold, 1, &wire.Hold{Duty: "task", From: h.name}, func(f wire.Frame) {
+		var r wire.HoldReply
+		must.NoError(c.t, wire.Decode(f.Body, &r))
+		if r.Holder == h.name && r.For > 0 {
+			h.given++
+			h.until = max(h.until, asked+r.For)
+		}
+	})
+}
+
+// TestOneHolderWhileALeaderIsCutOffOrFrozen has one process ask the old leader, as one does that is
+// cut off with it, and another one whoever leads now.
+func TestOneHolderWhileALeaderIsCutOffOrFrozen(t *testing.T) {
+	troubles := map[string]struct{ begin, end func(c *cluster, m *member) }{
+		"cut":    {func(c *cluster, m *member) { c.isolate(m) }, func(c *cluster, m *member) { c.heal() }},
+		"frozen": {func(c *cluster, m *member) { c.freeze(m) }, func(c *cluster, m *member) { c.thaw(m, 20*second) }},
+	}
+	for name, trouble := range troubles {
+		for _, size := range []int{3, 5} {
+			for seed := range uint64(leaseSeeds) {
+				t.Run(fmt.Sprint(name, " ", size, " seed ", seed), func(t *testing.T) {
+					c := newCluster(t, seed, size)
+					old := c.settled(0)
+					kept := &holder{name: "kept", to: func() *member { return old }}
+					other := &holder{name: "other", to: func() *member {
+						if m := c.leader(0); m != old {
+							return m
+						}
+						return nil
+					}}
+					kept.renew(c)
+					other.renew(c)
+					look := func() {
+						must.False(t, c.now < kept.until && c.now < other.until, must.Sprintf(
+							"two holders at %d ms, until %d and %d ms", c.now/1000, kept.until/1000, other.until/1000))
+					}
+					c.run(2*second+c.rnd.Int64N(second), look)
+					must.Positive(t, kept.given)
+					trouble.begin(c, old)
+					c.run(20*second, look)
+					must.Positive(t, other.given, must.Sprint("nobody else got the lease"))
+					trouble.end(c, old)
+					c.run(3*second, look)
+				})
+			}
+		}
+	}
+}
--- a/part/owner.go
+++ b/part/owner.go
@@ -13,7 +13,8 @@
 	g.ready, g.yielding = false, g.s.stops
 	g.roundAcks, g.walls = map[string]uint64{}, map[string]int64{}
 	g.sick, g.instead, g.handed, g.steady = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
-	g.quorumAt, g.beatAt, g.wonAt = t.Now, 0, t.Now
+	g.beatAt, g.wonAt = 0, t.Now
+	g.contact.leads()
 	g.holds = map[string]*grant{}
 	for _, s := range binds(best) {
 		g.heard[s.ID] = t.Now
@@ -110,15 +111,12 @@
 }
 
 func (g *Group) ownerTick(t *kernel.Turn) {
-	ok := func(id string) bool { return id == g.self() || t.Now-g.heard[id] < StepDown }
-	if quorum(g.served2(), ok) {
-		g.quorumAt = t.Now
-	}
+	g.noteContact(t)
 	switch {
 	case g.superseded(t, g.served2()):
 		g.retire(t, "another group has committed a newer version")
 		return
-	case t.Now-g.quorumAt > StepDown:
+	case t.Now-max(g.wonAt, g.contact.confirmedAt) > StepDown:
 		g.retire(t, "no majority answers")
 		return
 	case (g.s.sick != "" || g.yielding) && g.flight == nil && g.successor(t) != "":
@@ -148,14 +146,24 @@
 func (g *Group) beatNow(t *kernel.Turn) {
 	g.beatAt = t.Now
 	g.round++
+	g.contact.sends(g.round, t.Now)
+	g.confirmRounds()
 	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Round: g.round, Committed: g.served.Stamp}
 	for _, s := range binds(g.served2()) {
 		if s.ID != g.self() {
+			b.ContactAt = g.contact.proofFor(s.ID)
 			g.s.sendSeat(t, s, wire.KindBeat, &b)
 		}
 	}
 }
 
+// confirmRounds notes which rounds a majority has answered.
+func (g *Group) confirmRounds() {
+	g.contact.confirms(func(round uint64) bool {
+		return quorum(g.served2(), func(id string) bool { return id == g.self() || g.roundAcks[id] >= round })
+	})
+}
+
 func (g *Group) beatReply(t *kernel.Turn, ch uint64, r wire.BeatReply) {
 	if g.role != owner {
 		return
@@ -171,12 +179,20 @@
 		}
 		return
 	}
+	if r.Term != g.term {
+		// It answers a heartbeat of an earlier term, held up on its way.
+		return
+	}
 	if t.Now-g.heard[r.From] > StepDown || g.steady[r.From] == 0 {
 		g.steady[r.From] = t.Now
 	}
 	g.heard[r.From], g.sick[r.From] = t.Now, r.Sick
 	g.walls[r.From] = r.Wall - t.Now
 	g.roundAcks[r.From] = max(g.roundAcks[r.From], r.Round)
+	if r.Clock > 0 {
+		g.contact.offsets[r.From] = r.Clock - t.Now
+	}
+	g.confirmRounds()
 	if g.ready && mesh.Newer(g.served.Stamp, r.Held) && (g.flight == nil || r.Held != g.flight.Stamp) &&
 		(g.handed[r.From] == 0 || t.Now-g.handed[r.From] >= HandOverEvery) {
 		g.handed[r.From] = t.Now
--- a/part/route.go
+++ b/part/route.go
@@ -6,6 +6,7 @@
 
 	"wallport/kernel"
 	"wallport/mesh"
+	"wallport/pulls"
 	"wallport/wire"
 )
 
@@ -29,6 +30,8 @@
 		}
 	case kernel.Message:
 		s.message(t, v)
+	case pulls.Pulled:
+		s.pulledFrom(v)
 	case Committed:
 		s.mesh.AnnouncePart(t, v.Stamped)
 		if v.Stamped.Stamp.Part == 0 {
@@ -141,10 +144,16 @@
 			// A core that has no seat here hands on what the mesh brought it.
 			v = m
 		}
+		if g.inContact(t.Now, v.Stamp) {
+			r.Contact |= 1 << uint(g.part)
+		}
+		if g.relayedAt > 0 && t.Now-g.relayedAt <= RelayedFor {
+			r.Relayed |= 1 << uint(g.part)
+		}
 		if st, ok := have[g.part]; v.Stamp.Term > 0 && (!ok || mesh.Newer(v.Stamp, st)) {
 			r.Stamped = append(r.Stamped, wire.Stamped{Stamp: v.Stamp, Body: v.Body})
 		}
-		if g.owner != "" && (g.role == owner || t.Now-g.ownerSeen < StepDown) {
+		if g.owner != "" && (g.role == owner && g.contact.within(t.Now, ContactFor) || g.role != owner && t.Now-g.ownerSeen < StepDown) {
 			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.promised, Seat: g.owner, Addr: g.s.addrOf(g.owner, t.Now)})
 		}
 	}
--- a/part/seats.go
+++ b/part/seats.go
@@ -39,10 +39,12 @@
 	proposedAt int64
 	started    int64
 	nextWrite  uint64
-	writes     map[string]func(t *kernel.Turn, err string)
-	writeSince map[string]int64
-	probing    bool
-	probeAt    int64
+	// clockOrigin is where the clock begins that leaders are told.
+	clockOrigin int64
+	writes      map[string]func(t *kernel.Turn, err string)
+	writeSince  map[string]int64
+	probing     bool
+	probeAt     int64
 
 	pullers map[string]puller
 	rowsNow []members.Row
@@ -153,7 +155,7 @@
 }
 
 func (s *Seats) start(t *kernel.Turn) {
-	s.started = t.Now
+	s.started, s.clockOrigin = t.Now, 1+t.Rand.Int64N(clockOrigins)
 	if s.k.Boot.Env.Data == "" && len(s.k.Boot.Files) == 0 {
 		// Without a disk it has no seat; it hands on what it is asked.
 		t.Note(0, "core_without_disk")
--- a/pulls/choice_test.go
+++ b/pulls/choice_test.go
@@ -14,7 +14,7 @@
 
 func puller() *Pulls {
 	return &Pulls{
-		liveAt: map[string]int64{}, zones: map[string]string{}, asked: map[string]int64{}, addrs: map[uint64]string{},
+		liveAt: map[string]int64{}, zones: map[string]string{}, asked: map[string]int64{}, sent: map[uint64]sentPull{}, contact: contact{without: map[string]bool{}},
 		place: env.Env{Mesh: "10.0.0.1:1", Zone: "z1"},
 	}
 }
--- a/pulls/cores.go
+++ b/pulls/cores.go
@@ -18,16 +18,16 @@
 	nearMost = 2
 	farMost  = 2
 	farEvery = 4
-	// silentAfter is how long a core may leave a pull unanswered; then it is asked only by every
-	// silentEvery-th pull, or where no other is left.
+	// silentAfter is how long a core may leave a pull unanswered; then, as one without contact with a
+	// majority, it is asked only by every silentEvery-th pull, or where no other is left.
 	silentAfter = 900_000
 	silentEvery = 6
-	addrsMost   = 64
+	sentMost    = 64
 )
 
 // cores are those that were live of late. Where the mesh itself is cut they
 // fade from it one by one, so the last known ones are kept while none is live.
-// Before the mesh has told of any, the seeds are asked: they tell of cores.
+// Before the mesh has told of any, or while nothing is confirmed, the seeds are asked, too: they tell of cores.
 func (p *Pulls) cores(now int64) []string {
 	self := p.place.Mesh
 	live := p.members.Live(now, "core")
@@ -37,6 +37,7 @@
 		}
 		if _, ok := p.liveAt[r.Addr]; !ok {
 			p.known = append(p.known, r.Addr)
+			p.contact.knownAt = now
 		}
 		p.liveAt[r.Addr], p.zones[r.Addr] = now, r.Zone
 	}
@@ -48,7 +49,7 @@
 		return old
 	})
 	p.bound()
-	if len(p.known) > 0 && !p.empty() {
+	if len(p.known) > 0 && !p.empty() && !p.fresh(now) {
 		return p.known
 	}
 	out := slices.Clone(p.known)
@@ -64,6 +65,7 @@
 	delete(p.liveAt, addr)
 	delete(p.zones, addr)
 	delete(p.asked, addr)
+	delete(p.contact.without, addr)
 }
 
 // bound forgets the cores that were live longest ago beyond so many, and of equals those asked last.
@@ -104,7 +106,7 @@
 	for _, a := range slices.SortedFunc(slices.Values(cores), p.rank) {
 		at, open := p.asked[a]
 		switch {
-		case open && t.Now-at > silentAfter:
+		case open && t.Now-at > silentAfter, p.contact.without[a]:
 			silent = append(silent, a)
 		case p.zones[a] == p.place.Zone && len(near) < nearMost:
 			near = append(near, a)
--- a/pulls/pulls.go
+++ b/pulls/pulls.go
@@ -20,7 +20,19 @@
 )
 
 // Pulled is emitted when a core has answered and its versions are taken in.
-type Pulled struct{}
+type Pulled struct {
+	// AskedAt is when it was asked.
+	AskedAt int64
+	// Contact has a bit for each part of which the core is itself in contact with a majority;
+	// Confirmed has those, too, of which it was told so.
+	Contact, Confirmed uint32
+}
+
+// sentPull is a pull that may still be answered.
+type sentPull struct {
+	addr string
+	at   int64
+}
 
 // Pulls is the plug-in of a node, and of a core, which may have no seat and then hears no owner otherwise.
 type Pulls struct {
@@ -36,9 +48,10 @@
 	core    bool
 
 	// asked is when a core was first asked without having answered since.
-	asked  map[string]int64
-	addrs  map[uint64]string
-	nextID uint64
+	asked   map[string]int64
+	sent    map[uint64]sentPull
+	nextID  uint64
+	contact contact
 }
 
 // Bounds of the addresses of cores kept beyond the mesh's own memory.
@@ -51,7 +64,8 @@
 	kernel.Register(kernel.Registration{Rank: 40, Roles: []string{"node", "core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Pulls{
 			mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), liveAt: map[string]int64{},
-			zones: map[string]string{}, place: k.Boot.Env, core: k.Boot.Role == "core", asked: map[string]int64{}, addrs: map[uint64]string{},
+			zones: map[string]string{}, place: k.Boot.Env, core: k.Boot.Role == "core", asked: map[string]int64{}, sent: map[uint64]sentPull{},
+			contact: contact{without: map[string]bool{}},
 		}
 	}})
 }
@@ -77,9 +91,9 @@
 func (p *Pulls) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
-		t.After(t.Rand.Int64N(p.every()), "pulls", "pull")
+		t.After(t.Rand.Int64N(p.every(t.Now)), "pulls", "pull")
 	case kernel.Tick:
-		t.After(p.every(), "pulls", "pull")
+		t.After(p.every(t.Now), "pulls", "pull")
 		p.pull(t)
 	case kernel.Thawed:
 		clear(p.asked)
@@ -89,27 +103,40 @@
 	case kernel.Message:
 		p.replied(t, v)
 	case mesh.Stored:
-		if v.Entry.Type == "part" && !p.core {
-			stamps := p.stamps()
-			p.members.Update(func(s *wire.Member) { s.InForce = stamps })
+		if v.Entry.Type == "part" {
+			p.held(t.Now)
 		}
 	}
 }
 
+// held notes that there is a new version of a part.
+func (p *Pulls) held(now int64) {
+	if p.contact.heldAt == 0 {
+		p.contact.heldAt = max(now, 1)
+	}
+	if !p.core {
+		stamps := p.stamps()
+		p.members.Update(func(s *wire.Member) { s.InForce = stamps })
+	}
+}
+
 func (p *Pulls) replied(t *kernel.Turn, v kernel.Message) {
 	var r wire.PullReply
 	if wire.Decode(v.Body, &r) != nil {
 		t.Counts.Add("frames_malformed", 1)
 		return
 	}
-	if a, ok := p.addrs[v.ID]; ok {
-		delete(p.asked, a)
-		delete(p.addrs, v.ID)
+	asked, open := p.sent[v.ID]
+	if open {
+		delete(p.asked, asked.addr)
+		delete(p.sent, v.ID)
 	}
 	for _, ver := range r.Stamped {
 		p.mesh.HoldPart(t, ver)
 	}
-	t.Emit(Pulled{})
+	if open {
+		p.answered(t, asked, &r)
+	}
 	for _, o := range r.Owners {
 		if o.Part >= 0 && o.Part < state.Parts && o.Term >= p.owners[o.Part].Term && o.Addr != "" {
 			p.owners[o.Part], p.ownerAt[o.Part] = o, t.Now
@@ -133,9 +160,12 @@
 	return !ok && p.core
 }
 
-func (p *Pulls) every() int64 {
-	if p.empty() {
+func (p *Pulls) every(now int64) int64 {
+	switch {
+	case p.empty():
 		return EmptyEvery
+	case p.fresh(now):
+		return FreshEvery
 	}
 	return Every
 }
@@ -150,20 +180,24 @@
 		}
 	}
 	cores := p.cores(t.Now)
-	if !p.empty() {
+	switch {
+	case p.empty():
+	case p.fresh(t.Now):
+		cores = p.several(cores)
+	default:
 		cores = p.choose(t, cores)
 	}
 	for _, a := range cores {
 		p.nextID++
-		p.addrs[p.nextID] = a
+		p.sent[p.nextID] = sentPull{a, t.Now}
 		if _, ok := p.asked[a]; !ok {
 			p.asked[a] = t.Now
 		}
 		t.SendTo(a, wire.KindPull, p.nextID, &req)
 	}
-	for id := range p.addrs {
-		if id+addrsMost < p.nextID {
-			delete(p.addrs, id)
+	for id := range p.sent {
+		if id+sentMost < p.nextID {
+			delete(p.sent, id)
 		}
 	}
 }
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -14,6 +14,11 @@
 type PullReply struct {
 	Stamped []Stamped `msg:"v"`
 	Owners  []Owner   `msg:"o"`
+	// Contact has a bit for each part of which the sender is, itself, in contact with a majority, and
+	// of which the asker now has whatever was acknowledged before that contact.
+	Contact uint32 `msg:"c,omitempty"`
+	// Relayed has one where the sender was lately told so by another core.
+	Relayed uint32 `msg:"r,omitempty"`
 }
 
 // Owner tells which seat owns a part.
@@ -59,6 +64,8 @@
 	// Next names the successor when the holder gives the duty up.
 	Next string `msg:"n"`
 	Drop bool   `msg:"x"`
+	// Turn is that of the lease which a holder gives up: a late Drop ends no newer one. 0 is any.
+	Turn uint64 `msg:"t,omitempty"`
 }
 
 // HoldReply says who has the duty, and for how long.
--- a/wire/calls_gen.go
+++ b/wire/calls_gen.go
@@ -791,6 +791,12 @@
 				err = msgp.WrapError(err, "Drop")
 				return
 			}
+		case "t":
+			z.Turn, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Turn")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -804,56 +810,84 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Hold) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "p"
-	err = en.Append(0x85, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Duty)
-	if err != nil {
-		err = msgp.WrapError(err, "Duty")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Next)
-	if err != nil {
-		err = msgp.WrapError(err, "Next")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Turn == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// write "x"
-	err = en.Append(0xa1, 0x78)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Drop)
-	if err != nil {
-		err = msgp.WrapError(err, "Drop")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Part")
+			return
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Duty)
+		if err != nil {
+			err = msgp.WrapError(err, "Duty")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Next)
+		if err != nil {
+			err = msgp.WrapError(err, "Next")
+			return
+		}
+		// write "x"
+		err = en.Append(0xa1, 0x78)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Drop)
+		if err != nil {
+			err = msgp.WrapError(err, "Drop")
+			return
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Turn)
+			if err != nil {
+				err = msgp.WrapError(err, "Turn")
+				return
+			}
+		}
 	}
 	return
 }
@@ -861,22 +895,40 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "p"
-	o = append(o, 0x85, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendString(o, z.Duty)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Next)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendBool(o, z.Drop)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Turn == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Part)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendString(o, z.Duty)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Next)
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendBool(o, z.Drop)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, z.Turn)
+		}
+	}
 	return
 }
 
@@ -928,6 +980,12 @@
 				err = msgp.WrapError(err, "Drop")
 				return
 			}
+		case "t":
+			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Turn")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -942,7 +1000,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hold) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Duty) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Next) + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Duty) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Next) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
@@ -1637,6 +1695,18 @@
 					return
 				}
 			}
+		case "c":
+			z.Contact, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Contact")
+				return
+			}
+		case "r":
+			z.Relayed, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1650,40 +1720,84 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PullReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "v"
-	err = en.Append(0x82, 0xa1, 0x76)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Contact == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Stamped)))
+	if z.Relayed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Stamped")
 		return
 	}
-	for za0001 := range z.Stamped {
-		err = z.Stamped[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "v"
+		err = en.Append(0xa1, 0x76)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamped", za0001)
 			return
 		}
-	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Owners)))
-	if err != nil {
-		err = msgp.WrapError(err, "Owners")
-		return
-	}
-	for za0002 := range z.Owners {
-		err = z.Owners[za0002].EncodeMsg(en)
+		err = en.WriteArrayHeader(uint32(len(z.Stamped)))
+		if err != nil {
+			err = msgp.WrapError(err, "Stamped")
+			return
+		}
+		for za0001 := range z.Stamped {
+			err = z.Stamped[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Stamped", za0001)
+				return
+			}
+		}
+		// write "o"
+		err = en.Append(0xa1, 0x6f)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Owners)))
 		if err != nil {
-			err = msgp.WrapError(err, "Owners", za0002)
+			err = msgp.WrapError(err, "Owners")
 			return
 		}
+		for za0002 := range z.Owners {
+			err = z.Owners[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Owners", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Contact)
+			if err != nil {
+				err = msgp.WrapError(err, "Contact")
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Relayed)
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1691,25 +1805,52 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PullReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "v"
-	o = append(o, 0x82, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stamped)))
-	for za0001 := range z.Stamped {
-		o, err = z.Stamped[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Stamped", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Contact == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Owners)))
-	for za0002 := range z.Owners {
-		o, err = z.Owners[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Owners", za0002)
-			return
+	if z.Relayed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stamped)))
+		for za0001 := range z.Stamped {
+			o, err = z.Stamped[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Stamped", za0001)
+				return
+			}
+		}
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Owners)))
+		for za0002 := range z.Owners {
+			o, err = z.Owners[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Owners", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendUint32(o, z.Contact)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendUint32(o, z.Relayed)
 		}
 	}
 	return
@@ -1771,6 +1912,18 @@
 					return
 				}
 			}
+		case "c":
+			z.Contact, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Contact")
+				return
+			}
+		case "r":
+			z.Relayed, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Relayed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1793,5 +1946,6 @@
 	for za0002 := range z.Owners {
 		s += z.Owners[za0002].Msgsize()
 	}
+	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -181,6 +181,10 @@
 	Committed Stamp  `msg:"c"`
 	// Yield names the successor in a planned handover.
 	Yield string `msg:"y"`
+	// ContactAt proves that the leader is in contact with a majority: a moment, on the receiver's own
+	// clock as its answers told it (BeatReply.Clock), that is not later than the sending of the newest
+	// heartbeat round that a majority answered. 0 proves nothing.
+	ContactAt int64 `msg:"ca,omitempty"`
 }
 
 // BeatReply confirms the owner's term at a seat.
@@ -193,6 +197,8 @@
 	OK    bool   `msg:"ok"`
 	Wall  int64  `msg:"w"`
 	Sick  bool   `msg:"s"`
+	// Clock is the sender's steady clock, from an origin drawn anew at each start of its process.
+	Clock int64 `msg:"c,omitempty"`
 	// Instead is the seat that is now where the one that was meant used to be, and Zone is its zone.
 	Instead string `msg:"in,omitempty"`
 	Zone    string `msg:"z,omitempty"`
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -641,6 +641,12 @@
 				err = msgp.WrapError(err, "Yield")
 				return
 			}
+		case "ca":
+			z.ContactAt, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ContactAt")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -654,102 +660,130 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Beat) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "to"
-	err = en.Append(0x87, 0xa2, 0x74, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.To)
-	if err != nil {
-		err = msgp.WrapError(err, "To")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Round)
-	if err != nil {
-		err = msgp.WrapError(err, "Round")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Committed.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Committed", "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Committed.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Committed", "Term")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Committed.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Committed", "Seq")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.ContactAt == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	// write "y"
-	err = en.Append(0xa1, 0x79)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Yield)
-	if err != nil {
-		err = msgp.WrapError(err, "Yield")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "to"
+		err = en.Append(0xa2, 0x74, 0x6f)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.To)
+		if err != nil {
+			err = msgp.WrapError(err, "To")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Part")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Term")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Round)
+		if err != nil {
+			err = msgp.WrapError(err, "Round")
+			return
+		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		// map header, size 3
+		// write "p"
+		err = en.Append(0x83, 0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Committed.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Committed", "Part")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Committed.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Committed", "Term")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Committed.Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Committed", "Seq")
+			return
+		}
+		// write "y"
+		err = en.Append(0xa1, 0x79)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Yield)
+		if err != nil {
+			err = msgp.WrapError(err, "Yield")
+			return
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "ca"
+			err = en.Append(0xa2, 0x63, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.ContactAt)
+			if err != nil {
+				err = msgp.WrapError(err, "ContactAt")
+				return
+			}
+		}
 	}
 	return
 }
@@ -757,37 +791,55 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "to"
-	o = append(o, 0x87, 0xa2, 0x74, 0x6f)
-	o = msgp.AppendString(o, z.To)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Term)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.Round)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Committed.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Committed.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Committed.Seq)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendString(o, z.Yield)
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.ContactAt == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "to"
+		o = append(o, 0xa2, 0x74, 0x6f)
+		o = msgp.AppendString(o, z.To)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Term)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.Round)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		// map header, size 3
+		// string "p"
+		o = append(o, 0x83, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Committed.Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Committed.Term)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Committed.Seq)
+		// string "y"
+		o = append(o, 0xa1, 0x79)
+		o = msgp.AppendString(o, z.Yield)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "ca"
+			o = append(o, 0xa2, 0x63, 0x61)
+			o = msgp.AppendInt64(o, z.ContactAt)
+		}
+	}
 	return
 }
 
@@ -886,6 +938,12 @@
 				err = msgp.WrapError(err, "Yield")
 				return
 			}
+		case "ca":
+			z.ContactAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ContactAt")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -900,7 +958,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Yield)
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Yield) + 3 + msgp.Int64Size
 	return
 }
 
@@ -1005,6 +1063,12 @@
 				err = msgp.WrapError(err, "Sick")
 				return
 			}
+		case "c":
+			z.Clock, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Clock")
+				return
+			}
 		case "in":
 			z.Instead, err = dc.ReadString()
 			if err != nil {
@@ -1031,17 +1095,21 @@
 // EncodeMsg implements msgp.Encodable
 func (z *BeatReply) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
-	if z.Instead == "" {
+	if z.Clock == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Zone == "" {
+	if z.Instead == "" {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1157,6 +1225,18 @@
 			return
 		}
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt64(z.Clock)
+			if err != nil {
+				err = msgp.WrapError(err, "Clock")
+				return
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// write "in"
 			err = en.Append(0xa2, 0x69, 0x6e)
 			if err != nil {
@@ -1168,7 +1248,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// write "z"
 			err = en.Append(0xa1, 0x7a)
 			if err != nil {
@@ -1188,17 +1268,21 @@
 func (z *BeatReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(10)
-	var zb0001Mask uint16 /* 10 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
-	if z.Instead == "" {
+	if z.Clock == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Zone == "" {
+	if z.Instead == "" {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1238,11 +1322,16 @@
 		o = append(o, 0xa1, 0x73)
 		o = msgp.AppendBool(o, z.Sick)
 		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendInt64(o, z.Clock)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "in"
 			o = append(o, 0xa2, 0x69, 0x6e)
 			o = msgp.AppendString(o, z.Instead)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "z"
 			o = append(o, 0xa1, 0x7a)
 			o = msgp.AppendString(o, z.Zone)
@@ -1352,6 +1441,12 @@
 				err = msgp.WrapError(err, "Sick")
 				return
 			}
+		case "c":
+			z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Clock")
+				return
+			}
 		case "in":
 			z.Instead, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1378,7 +1473,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *BeatReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 3 + msgp.StringPrefixSize + len(z.Instead) + 2 + msgp.StringPrefixSize + len(z.Zone)
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 3 + msgp.StringPrefixSize + len(z.Instead) + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
