--- a/part/cluster_test.go
+++ b/replica/cluster_test.go
@@ -1,6 +1,6 @@
 // A small cluster of whole replicas on simulated time: their own code, a network
 // with delays and cuts that hold frames back, disks that take a while, freezes.
-package part
+package replica
 
 import (
 	"bytes"
@@ -9,8 +9,6 @@
 	"math/rand/v2"
 	"testing"
 
-	"github.com/shoenig/test/must"
-
 	"wallport/diskfile"
 	"wallport/env"
 	"wallport/kernel"
@@ -47,7 +45,7 @@
 type member struct {
 	name, addr string
 	kernel     *kernel.Kernel
-	seats      *Seats
+	host       *Host
 	files      map[string][]byte
 	life       int
 	startedAt  int64
@@ -55,15 +53,6 @@
 	waiting    []func()
 }
 
-// connection leads frames both ways between a member, or the test, and a member.
-type connection struct {
-	ends [2]*member
-	// free is when the next frame may arrive at an end: frames keep their order.
-	free  [2]int64
-	lives [2]int
-	reply func(f wire.Frame)
-}
-
 type cluster struct {
 	t       *testing.T
 	rnd     *rand.Rand
@@ -105,7 +94,7 @@
 	m.life++
 	m.frozen, m.waiting, m.startedAt = false, nil, c.now
 	m.kernel = kernel.New(kernel.Boot{Env: e, Role: "core", Seed: c.rnd.Uint64(), Key: kernel.KeyFrom(bytes.Repeat([]byte{m.name[1]}, 32)), Files: files})
-	m.seats = kernel.Find[*Seats](m.kernel)
+	m.host = kernel.Find[*Host](m.kernel)
 	c.step(m, kernel.Start{})
 }
 
@@ -156,106 +145,6 @@
 	}
 }
 
-func (c *cluster) write(m *member, w kernel.Write) {
-	life := m.life
-	c.after(millisecond+c.rnd.Int64N(5*millisecond), func() {
-		if m.life != life {
-			return
-		}
-		if w.Data == nil {
-			delete(m.files, w.File)
-			return
-		}
-		m.files[w.File] = w.Data
-		if w.Key != "" {
-			c.feed(m, life, kernel.Written{Plugin: w.Plugin, Key: w.Key})
-		}
-	})
-}
-
-// connect opens a connection from a member, or from the test where that is nil, to a member.
-func (c *cluster) connect(from, to *member) uint64 {
-	c.nextID++
-	conn := &connection{ends: [2]*member{from, to}, lives: [2]int{0, to.life}}
-	if from != nil {
-		conn.lives[0] = from.life
-	}
-	c.conns[c.nextID] = conn
-	return c.nextID
-}
-
-func (c *cluster) send(m *member, s kernel.Send) {
-	id := s.Chan
-	if s.Addr != "" {
-		key := fmt.Sprint(m.name, m.life, ">", s.Addr)
-		to := c.at(s.Addr)
-		if to == nil {
-			return
-		}
-		conn := c.conns[c.direct[key]]
-		if conn == nil || conn.lives[1] != to.life {
-			c.direct[key] = c.connect(m, to)
-		}
-		id = c.direct[key]
-	}
-	conn := c.conns[id]
-	if conn == nil {
-		return
-	}
-	side := 1
-	if conn.ends[1] == m {
-		side = 0
-	}
-	c.deliver(conn, id, side, s.Data)
-}
-
-func (c *cluster) at(addr string) *member {
-	for _, m := range c.members {
-		if m.addr == addr {
-			return m
-		}
-	}
-	return nil
-}
-
-func (c *cluster) deliver(conn *connection, id uint64, side int, data []byte) {
-	to, from := conn.ends[side], conn.ends[1-side]
-	if to != nil && from != nil && (to == c.cut || from == c.cut) {
-		c.held = append(c.held, func() { c.deliver(conn, id, side, data) })
-		return
-	}
-	at := max(c.now+150+c.rnd.Int64N(2*millisecond), conn.free[side]+1)
-	conn.free[side] = at
-	c.after(at-c.now, func() {
-		if to == nil {
-			f, err := wire.Open(data)
-			must.NoError(c.t, err)
-			conn.reply(f)
-			return
-		}
-		c.feed(to, conn.lives[side], kernel.Received{Chan: id, Data: data})
-	})
-}
-
-// ask sends a frame of the test to a member; reply gets whatever comes back on its connection.
-func (c *cluster) ask(to *member, kind uint8, id uint64, m interface{ MarshalMsg([]byte) ([]byte, error) }, reply func(f wire.Frame)) {
-	ch := c.connect(nil, to)
-	c.conns[ch].reply = reply
-	c.deliver(c.conns[ch], ch, 1, wire.Seal(kind, id, m))
-}
-
-// isolate cuts a member off from the others; heal lets the frames pass that were held back.
-func (c *cluster) isolate(m *member) { c.cut = m }
-
-func (c *cluster) heal() {
-	c.cut = nil
-	held := c.held
-	c.held = nil
-	for _, f := range held {
-		f()
-	}
-}
-
 func (c *cluster) freeze(m *member) { m.frozen = true }
 
 func (c *cluster) thaw(m *member, gap int64) {
@@ -274,7 +163,7 @@
 // leader is the member that leads a part and may take its edits, and follower some other one.
 func (c *cluster) leader(part int) *member {
 	for _, m := range c.members {
-		if m.seats.Owns(part) && !m.frozen && m != c.cut {
+		if m.host.Leads(part) && !m.frozen && m != c.cut {
 			return m
 		}
 	}
--- a/part/duties.go
+++ b/replica/leases.go
@@ -3,7 +3,7 @@
 // leader's majority answered that round before it voted, so the lease ends before a later leader
 // has been in office for as long, and until then that one grants nothing. A holder counts a lease
 // from when it asked, and one that gives it up names its successor.
-package part
+package replica
 
 import (
 	"slices"
@@ -12,34 +12,34 @@
 	"wallport/wire"
 )
 
-// HoldFor is how long a grant lasts at most.
-const HoldFor = 800_000
+// LeaseDuration is how long a lease lasts at most.
+const LeaseDuration = 800_000
 
-type grant struct {
+type lease struct {
 	holder string
 	until  int64
 	turn   uint64
 }
 
-func (g *Group) hold(t *kernel.Turn, ch, id uint64, h wire.Hold) {
-	until := g.contact.confirmedAt + HoldFor
-	if g.role != owner || !g.ready || g.yielding || until <= t.Now {
+func (g *Group) renewLease(t *kernel.Turn, ch, id uint64, h wire.Hold) {
+	until := g.contact.confirmedAt + LeaseDuration
+	if g.role != leader || !g.ready || g.transferring || until <= t.Now {
 		t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty})
 		return
 	}
-	gr := g.holds[h.Duty]
+	gr := g.leases[h.Duty]
 	if gr == nil {
 		// Whatever a predecessor granted has ended by then.
-		gr = &grant{until: g.wonAt + HoldFor}
-		g.holds[h.Duty] = gr
+		gr = &lease{until: g.leaderSince + LeaseDuration}
+		g.leases[h.Duty] = gr
 	}
 	if h.Drop {
-		g.giveUp(t, gr, h, until)
+		g.dropLease(t, gr, h, until)
 		return
 	}
 	if t.Now >= gr.until && gr.holder != h.From {
-		g.turns++
-		gr.holder, gr.turn = h.From, g.term<<24|g.turns
+		g.leaseCount++
+		gr.holder, gr.turn = h.From, g.term<<24|g.leaseCount
 	}
 	if gr.holder == h.From {
 		gr.until = max(gr.until, until)
@@ -47,21 +47,21 @@
 	t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty, Holder: gr.holder, For: gr.until - t.Now, Turn: gr.turn})
 }
 
-// giveUp ends a lease that its holder gives up. One that it got since is not meant.
-func (g *Group) giveUp(t *kernel.Turn, gr *grant, h wire.Hold, until int64) {
+// dropLease ends a lease that its holder gives up. One that it got since is not meant.
+func (g *Group) dropLease(t *kernel.Turn, gr *lease, h wire.Hold, until int64) {
 	if gr.holder != h.From || h.Turn != 0 && h.Turn != gr.turn {
 		return
 	}
-	g.turns++
-	*gr = grant{until: t.Now, turn: g.term<<24 | g.turns}
+	g.leaseCount++
+	*gr = lease{until: t.Now, turn: g.term<<24 | g.leaseCount}
 	if h.Next != "" {
 		gr.holder, gr.until = h.Next, until
 	}
 }
 
-func (g *Group) holders(t *kernel.Turn) map[string]string {
+func (g *Group) leaseHolders(t *kernel.Turn) map[string]string {
 	out := map[string]string{}
-	for d, gr := range g.holds {
+	for d, gr := range g.leases {
 		if gr.holder != "" && t.Now < gr.until {
 			out[d] = gr.holder
 		}
@@ -70,16 +70,16 @@
 }
 
 // AgreeWithin is how far two clocks may be apart and still agree.
-const AgreeWithin = 2_000_000
+const ClockTolerance = 2_000_000
 
-// wall is the time that a majority of the seats agrees on, as the lowest clock
+// agreedTime is the time that a majority of the replicas agrees on, as the lowest clock
 // of the largest group that agrees; without such a majority it is not known, and
 // no booking starts or ends by a guess.
-func (g *Group) wall(t *kernel.Turn) (int64, bool) {
+func (g *Group) agreedTime(t *kernel.Turn) (int64, bool) {
 	// Offsets from this process's steady clock: its time of day may jump like any other.
 	offs := []int64{t.Wall - t.Now}
-	for _, s := range g.served.Seats {
-		if off, ok := g.walls[s.ID]; ok && t.Now-g.heard[s.ID] < StepDown {
+	for _, s := range g.committed.Seats {
+		if off, ok := g.clockOffsets[s.ID]; ok && t.Now-g.heardAt[s.ID] < StepDownAfter {
 			offs = append(offs, off)
 		}
 	}
@@ -88,7 +88,7 @@
 	for i, off := range offs {
 		n := 0
 		for _, other := range offs[i:] {
-			if other-off <= AgreeWithin {
+			if other-off <= ClockTolerance {
 				n++
 			}
 		}
@@ -96,5 +96,5 @@
 			best, from = n, off
 		}
 	}
-	return t.Now + from, best > len(g.served.Seats)/2
+	return t.Now + from, best > len(g.committed.Seats)/2
 }
