Contact with a majority: tests on a cluster of real replicas, and of single rules

A cluster of whole replicas on simulated time: delays, cuts that hold frames back and deliver them with the join, disks that take a while, freezes, restarts with the disk. Leaders and followers of groups of 3 and 5, with a standby or without, are cut off, frozen or started again for 20 s under operators at every member. Judged: what a pull calls confirmed holds all that was acknowledged 1 s before the question (3 s where it is passed on), a read all that was acknowledged before it, and a member that is cut off answers no order with yes or no.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -68,17 +68,22 @@
 	held []func()
 }
 
-// newCluster starts members m0, m1 ... that form one group.
+// newCluster starts members m0, m1 ... of which the first ones, an odd number, form one group.
 func newCluster(t *testing.T, seed uint64, size int) *cluster {
 	c := &cluster{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), conns: map[uint64]*connection{}, direct: map[string]uint64{}}
 	form := wire.Form{Formation: "f", Go: true}
 	for i := range size {
 		m := &member{name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1)}
-		form.Seats = append(form.Seats, wire.Seat{ID: m.name, Addr: m.addr, Zone: fmt.Sprintf("z%d", i)})
+		if i < (size-1)|1 {
+			form.Seats = append(form.Seats, wire.Seat{ID: m.name, Addr: m.addr, Zone: fmt.Sprintf("z%d", i)})
+		}
 		c.members = append(c.members, m)
 	}
 	for _, m := range c.members {
-		m.files = map[string][]byte{"seat": diskfile.Pack([]byte(m.name)), "formation": diskfile.Pack(wire.Encode(&form))}
+		m.files = map[string][]byte{"seat": diskfile.Pack([]byte(m.name))}
+		if contains(form.Seats, m.name) {
+			m.files["formation"] = diskfile.Pack(wire.Encode(&form))
+		}
 		c.start(m)
 	}
 	return c
@@ -87,6 +92,9 @@
 func (c *cluster) start(m *member) {
 	e := env.Env{Mesh: m.addr, Zone: "z" + m.name[1:], BootstrapKnown: true}
 	e.Tolerance.Machines = (len(c.members) - 1) / 2
+	for _, other := range c.members {
+		e.Seeds = append(e.Seeds, other.addr)
+	}
 	files := map[string][]byte{}
 	for name, data := range m.files {
 		files[name] = bytes.Clone(data)
@@ -103,6 +111,12 @@
 	heap.Push(&c.queue, event{c.now + max(d, 0), c.order, do})
 }
 
+// every does something again and again.
+func (c *cluster) every(d int64, do func()) {
+	do()
+	c.after(d, func() { c.every(d, do) })
+}
+
 // run lets time pass; look is called after each event.
 func (c *cluster) run(d int64, look func()) {
 	for end := c.now + d; ; {
--- /dev/null
+++ b/replica/contact_rules_test.go
@@ -0,0 +1,166 @@
+// Single rules of contact with a majority: which answers prove it, and for how long.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// pulled is what the core answers to a pull of one that has nothing.
+func (c *core) pulled(t *testing.T) wire.PullReply {
+	t.Helper()
+	return sent[wire.PullReply](t, c.send(wire.KindPull, &wire.Pull{}), wire.KindPullReply)[0]
+}
+
+// confirmed has one of the two other voters answer the newest round.
+func (c *core) confirmed(g *Group, clock int64) kernel.Out {
+	return c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Stamp, OK: true, Clock: clock})
+}
+
+// A process that was held up for less than a freeze is told of has not ticked: what it answers is
+// judged by the clock, too.
+func TestALeadersContactEndsByTheClockAlone(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	must.Zero(t, c.pulled(t).Contact, must.Sprint("no round is answered yet"))
+	c.now += HeartbeatInterval
+	c.tick()
+	c.confirmed(g, 0)
+	must.Eq(t, 1, c.pulled(t).Contact)
+	must.Len(t, 1, c.pulled(t).Owners)
+	c.now += ContactFor
+	must.Eq(t, 1, c.pulled(t).Contact)
+	c.now++
+	must.Zero(t, c.pulled(t).Contact)
+	must.SliceEmpty(t, c.pulled(t).Owners, must.Sprint("nobody is sent to a leader without contact"))
+	must.Eq(t, leader, g.role, must.Sprint("it did not tick"))
+	c.tick()
+	must.Eq(t, follower, g.role)
+	must.Eq(t, 1, c.k.Counts.Of("part_contact_lost").Load())
+}
+
+// Contact counts from when a round was sent: a late answer proves what was true then.
+func TestLateAnswerProvesNoMoreThanTheTimeOfItsRound(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.now += HeartbeatInterval
+	c.tick()
+	c.now += ContactFor - HeartbeatInterval
+	c.confirmed(g, 0)
+	must.Eq(t, 1, c.pulled(t).Contact)
+	c.now += 2 * HeartbeatInterval
+	must.Zero(t, c.pulled(t).Contact)
+}
+
+func TestAnswerToAnEarlierTermConfirmsNothing(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.now += HeartbeatInterval
+	c.tick()
+	c.edit(1, wire.Edit{Op: "read"})
+	reply := wire.BeatReply{Term: g.term - 1, From: "a", Round: g.round + 9, Held: g.accepted.Stamp, OK: true}
+	must.MapEmpty(t, replies(t, c.send(wire.KindBeatReply, &reply)))
+	must.Zero(t, c.pulled(t).Contact)
+	must.Eq(t, map[uint64]string{1: "ok"}, replies(t, c.confirmed(g, 0)))
+}
+
+// heartbeat has the core follow "a" and gives its answer.
+func (c *core) heartbeat(t *testing.T, contactAt int64, committed wire.Stamp) wire.BeatReply {
+	t.Helper()
+	beat := wire.Beat{Term: 5, From: "a", Round: 1, ContactAt: contactAt, Committed: committed}
+	return sent[wire.BeatReply](t, c.send(wire.KindBeat, &beat), wire.KindBeatReply)[0]
+}
+
+// A heartbeat proves contact at a moment of the follower's own clock, however long it was on its way.
+func TestAFollowersContactEndsByItsOwnClock(t *testing.T) {
+	v := version(5, 1)
+	c := newCore(t, nil)
+	c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: v}))
+	clock := c.heartbeat(t, 0, v.Stamp).Clock
+	must.Zero(t, c.pulled(t).Contact, must.Sprint("its leader has no contact"))
+	c.heartbeat(t, clock, v.Stamp)
+	must.Eq(t, 1, c.pulled(t).Contact)
+	c.now += ContactFor + 1
+	must.Zero(t, c.pulled(t).Contact)
+	c.heartbeat(t, clock, v.Stamp)
+	must.Zero(t, c.pulled(t).Contact, must.Sprint("held up on its way"))
+	now := c.heartbeat(t, clock+ContactFor, v.Stamp).Clock
+	must.Eq(t, 1, c.pulled(t).Contact)
+	// A version that it is told to be committed and lacks is not confirmed by it.
+	c.heartbeat(t, now, wire.Stamp{Term: 5, Seq: 2})
+	must.Zero(t, c.pulled(t).Contact)
+	c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 2)}))
+	c.heartbeat(t, now, wire.Stamp{Term: 5, Seq: 2})
+	must.Eq(t, 1, c.pulled(t).Contact)
+}
+
+// A heartbeat that was meant for this machine's process before proves nothing to the one of now.
+func TestProofForAnEarlierLifeIsNone(t *testing.T) {
+	v := version(5, 1)
+	first, again := newCore(t, nil), newCore(t, nil)
+	again.s.clockOrigin = first.s.clockOrigin / 2
+	for _, c := range []*core{first, again} {
+		c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: v}))
+	}
+	clock := first.heartbeat(t, 0, v.Stamp).Clock
+	again.heartbeat(t, clock, v.Stamp)
+	must.Zero(t, again.pulled(t).Contact)
+	must.Between(t, 1, first.s.clockOrigin, clockOrigins)
+	other := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1"}, Role: "core", Seed: 2, Key: kernel.KeyFrom(make([]byte, 32))})
+	other.Step(1, 1, kernel.Start{})
+	must.NotEq(t, first.s.clockOrigin, kernel.Find[*Host](other).clockOrigin)
+}
+
+// The proof in a heartbeat is on the receiver's clock, as old as the newest confirmed round.
+func TestHeartbeatsCarryAProofOnTheReceiversClock(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.now += HeartbeatInterval
+	c.tick()
+	sentAt := c.now
+	c.now += 20_000
+	c.confirmed(g, 7_000_000)
+	c.now += HeartbeatInterval
+	beats := sent[wire.Beat](t, c.tick(), wire.KindBeat)
+	must.Len(t, 2, beats)
+	for _, b := range beats {
+		if b.To == "a" {
+			must.Eq(t, 7_000_000-20_000, b.ContactAt)
+			continue
+		}
+		must.Zero(t, b.ContactAt, must.Sprint("its clock is not known"))
+	}
+	must.Eq(t, sentAt, g.contact.confirmedAt)
+}
+
+// A core with no replica of a partition passes on, for a while, what one in contact told it.
+func TestStandbyRelaysContactForAWhile(t *testing.T) {
+	c := newCore(t, nil)
+	c.feed(kernel.SeedsChanged{Seeds: []string{"10.0.0.9:1"}})
+	asked := uint64(0)
+	for range 40 {
+		c.now += 100_000
+		out := c.feed(kernel.Tick{Plugin: "pulls", Key: "pull"})
+		for _, s := range out.Sends {
+			if f, err := wire.Open(s.Data); err == nil && f.Kind == wire.KindPull {
+				asked = f.ID
+			}
+		}
+		if asked > 0 {
+			break
+		}
+	}
+	must.Positive(t, asked)
+	at := c.now
+	c.now += 50_000
+	c.feed(kernel.Received{Chan: 5, Data: wire.Seal(wire.KindPullReply, asked, &wire.PullReply{Contact: 1, Relayed: 2})})
+	must.Eq(t, 1, c.pulled(t).Relayed, must.Sprint("what was relayed is not relayed again"))
+	must.Zero(t, c.pulled(t).Contact)
+	c.now = at + RelayedFor + 1
+	must.Zero(t, c.pulled(t).Relayed)
+}
--- /dev/null
+++ b/replica/contact_test.go
@@ -0,0 +1,191 @@
+// What is said to be confirmed holds everything that was acknowledged shortly
+// before, whoever is cut off or frozen, and a member without contact confirms,
+// refuses and reads nothing.
+package replica
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+const (
+	pullEvery = 110 * millisecond
+	editEvery = 230 * millisecond
+)
+
+// worlds is how many worlds each kind of trouble is tried in.
+var worlds = flag.Uint64("worlds", 2, "worlds for each kind of trouble")
+
+// acknowledgement is a version that an operator was told of, and when.
+type acknowledgement struct {
+	at    int64
+	stamp wire.Stamp
+}
+
+// observer is the test's operators and nodes: they edit, read and pull, and judge what they are told.
+type observer struct {
+	c     *cluster
+	acks  []acknowledgement
+	edits int
+	// confirmed counts by member the pulls that told of contact, reads those that were answered.
+	confirmed map[string]int
+	last      map[string]int64
+	reads     map[string]int
+	// cutAsked counts what a member that is cut off was asked meanwhile.
+	cutAsked int
+}
+
+func newObserver(c *cluster) *observer {
+	return &observer{c: c, confirmed: map[string]int{}, last: map[string]int64{}, reads: map[string]int{}}
+}
+
+// newestBy is the newest version that was acknowledged by a moment.
+func (o *observer) newestBy(at int64) (newest wire.Stamp) {
+	for _, a := range o.acks {
+		if a.at <= at && mesh.Newer(a.stamp, newest) {
+			newest = a.stamp
+		}
+	}
+	return newest
+}
+
+// edit has an operator change a zone at a member.
+func (o *observer) edit(to *member) {
+	o.edits++
+	op := []string{"empty", "refill"}[o.edits%2]
+	id := fmt.Sprint("edit-", o.edits)
+	cut := to == o.c.cut
+	o.c.ask(to, wire.KindEdit, 1, &wire.Edit{Op: op, Name: "z1", EditID: id}, func(f wire.Frame) {
+		var r wire.EditReply
+		must.NoError(o.c.t, wire.Decode(f.Body, &r))
+		if cut && to == o.c.cut {
+			must.SliceContains(o.c.t, []string{"not_owner", "unknown", "shed"}, r.Code, must.Sprint("from the member that is cut off"))
+		}
+		if r.Code == "ok" {
+			o.acks = append(o.acks, acknowledgement{o.c.now, r.Stamp})
+		}
+	})
+}
+
+// read asks a member for the state: what it answers holds all that was acknowledged before it was asked.
+func (o *observer) read(to *member) {
+	asked := o.c.now
+	o.c.ask(to, wire.KindEdit, 1, &wire.Edit{Op: "read"}, func(f wire.Frame) {
+		var r wire.EditReply
+		must.NoError(o.c.t, wire.Decode(f.Body, &r))
+		if r.Code != "ok" {
+			return
+		}
+		o.reads[to.name]++
+		must.False(o.c.t, mesh.Newer(o.newestBy(asked), r.Stamp), must.Sprintf(
+			"%s was asked at %d ms and answered %v; %v was acknowledged", to.name, asked/1000, r.Stamp, o.newestBy(asked)))
+	})
+}
+
+// pull asks a member for its state as a node does that has none.
+func (o *observer) pull(to *member) {
+	asked := o.c.now
+	o.c.ask(to, wire.KindPull, 1, &wire.Pull{}, func(f wire.Frame) {
+		var r wire.PullReply
+		must.NoError(o.c.t, wire.Decode(f.Body, &r))
+		var got wire.Stamp
+		for _, v := range r.Stamped {
+			if v.Stamp.Part == 0 {
+				got = v.Stamp
+			}
+		}
+		by := asked - ContactFor
+		if r.Contact&1 == 0 {
+			by -= RelayedFor
+		}
+		if (r.Contact|r.Relayed)&1 == 0 {
+			return
+		}
+		o.confirmed[to.name]++
+		o.last[to.name] = o.c.now
+		must.False(o.c.t, mesh.Newer(o.newestBy(by), got), must.Sprintf(
+			"%s was pulled at %d ms and confirmed %v; %v was acknowledged by %d ms", to.name, asked/1000, got, o.newestBy(by), by/1000))
+	})
+}
+
+// goOn has every member asked again and again.
+func (o *observer) goOn() {
+	o.c.every(pullEvery, func() {
+		for _, m := range o.c.members {
+			o.pull(m)
+			o.read(m)
+		}
+	})
+	o.c.every(editEvery, func() {
+		for _, m := range o.c.members {
+			o.edit(m)
+		}
+	})
+}
+
+// trouble is something that takes a member's contact away for a while.
+type trouble struct {
+	name       string
+	begin, end func(c *cluster, m *member)
+}
+
+func troubles() []trouble {
+	cut := func(c *cluster, m *member) { c.isolate(m) }
+	heal := func(c *cluster, _ *member) { c.heal() }
+	return []trouble{
+		{"cut", cut, heal},
+		{"frozen", func(c *cluster, m *member) { c.freeze(m) }, func(c *cluster, m *member) { c.thaw(m, 20*second) }},
+		{"cut and started again", func(c *cluster, m *member) { c.isolate(m); c.restart(m) }, heal},
+		{"cut, then started again with the join", cut, func(c *cluster, m *member) { c.restart(m); c.heal() }},
+	}
+}
+
+// TestWhatIsConfirmedHoldsWhatWasAcknowledged cuts off or freezes a leader or a follower for twenty
+// seconds, under two operators, in groups of 3 and 5, with a standby that takes its place or without.
+func TestWhatIsConfirmedHoldsWhatWasAcknowledged(t *testing.T) {
+	for _, v := range troubles() {
+		for _, size := range []int{3, 4, 5} {
+			for _, who := range []string{"leader", "follower"} {
+				for seed := range *worlds {
+					t.Run(fmt.Sprint(v.name, " ", who, " of ", size, " seed ", seed), func(t *testing.T) {
+						c := newCluster(t, seed, size)
+						m := c.settled(0)
+						if who == "follower" {
+							m = c.others(m)[0]
+						}
+						playTrouble(c, v, m)
+					})
+				}
+			}
+		}
+	}
+}
+
+func playTrouble(c *cluster, v trouble, m *member) {
+	o := newObserver(c)
+	o.goOn()
+	c.run(2*second+c.rnd.Int64N(second), nil)
+	for _, each := range c.members {
+		must.Positive(c.t, o.confirmed[each.name], must.Sprint("in calm times each member has contact: ", each.name))
+	}
+	v.begin(c, m)
+	began, acks := c.now, len(o.acks)
+	c.run(20*second, nil)
+	must.Greater(c.t, acks+10, len(o.acks), must.Sprint("the majority goes on"))
+	must.Less(c.t, began+ContactFor+RelayedFor+second/2, max(o.last[m.name], 1), must.Sprint("it says for too long that it has contact"))
+	v.end(c, m)
+	for range 100 {
+		// What was held back arrives now, the newest last.
+		o.pull(m)
+		o.read(m)
+		c.run(300, nil)
+	}
+	c.run(4*second, nil)
+	must.Greater(c.t, c.now-second, o.last[m.name], must.Sprint("it has contact again"))
+}
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -10,10 +10,7 @@
 	"wallport/wire"
 )
 
-const (
-	renewEvery = 200 * millisecond
-	leaseSeeds = 30
-)
+const renewEvery = 200 * millisecond
 
 // holder asks for a lease again and again, and counts it from when it asked.
 type holder struct {
@@ -50,7 +47,7 @@
 	}
 	for name, trouble := range troubles {
 		for _, size := range []int{3, 5} {
-			for seed := range uint64(leaseSeeds) {
+			for seed := range 6 * *worlds {
 				t.Run(fmt.Sprint(name, " ", size, " seed ", seed), func(t *testing.T) {
 					c := newCluster(t, seed, size)
 					old := c.settled(0)
