--- /dev/null
+++ b/listing/lease_test.go
@@ -0,0 +1,47 @@
+// The lease of the duty as its holder counts it.
+package listing
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// asks lets time pass until the node has asked for the duty once more, and gives the ask's id.
+func (r *rig) asks() uint64 {
+	for before := r.l.nextAsk; r.l.nextAsk == before; {
+		r.run(10_000)
+	}
+	return r.l.nextAsk
+}
+
+func (r *rig) grant(id uint64) {
+	granted := &wire.HoldReply{Duty: Duty, Holder: r.l.mesh.Self(), For: 800_000, Turn: 3}
+	r.feed(kernel.Received{Data: wire.Seal(wire.KindHoldReply, id, granted)})
+}
+
+func TestLeaseCountsFromWhenItWasAskedFor(t *testing.T) {
+	r := newRig(t, env.Env{PollsPer: 20})
+	r.owned()
+	id := r.asks()
+	asked := r.now
+	r.run(700_000)
+	r.grant(id)
+	must.Between(t, asked+790_000, r.l.until, asked+800_000)
+	r.grant(id + 100)
+	must.Less(t, asked+800_001, r.l.until, must.Sprint("nobody asked for that one"))
+}
+
+// A grant on its way while the lease is given up, or the process stands still, is not taken.
+func TestLeaseGivenUpIsNotTakenUpAgain(t *testing.T) {
+	r := newRig(t, env.Env{PollsPer: 20})
+	r.owned()
+	id := r.asks()
+	r.feed(kernel.Thawed{Gap: 2 * second})
+	r.grant(id)
+	must.Zero(t, r.l.until)
+}
--- a/pulls/pulls_test.go
+++ b/pulls/pulls_test.go
@@ -19,3 +19,17 @@
 	must.Eq(t, "core-03", p.known[0])
 	must.MapLen(t, knownMost, p.liveAt)
 }
+
+// State that nobody confirmed is not served before a core was asked that has just become known.
+func TestCoreJustHeardOfIsAskedBeforeUnconfirmedStateIsServed(t *testing.T) {
+	const held = int64(1_000_000)
+	p := &Pulls{contact: contact{heldAt: held}}
+	must.False(t, p.Confirmed(0, held+UnconfirmedAfter-1))
+	must.True(t, p.Confirmed(0, held+UnconfirmedAfter))
+	p.contact.knownAt = held + UnconfirmedAfter - 1
+	must.False(t, p.Confirmed(0, held+UnconfirmedAfter))
+	must.True(t, p.Confirmed(0, p.contact.knownAt+AskedFor))
+	p.contact.knownAt = held + UnconfirmedMost - 1
+	must.True(t, p.Confirmed(0, held+UnconfirmedMost), must.Sprint("it ends"))
+	must.False(t, (&Pulls{}).Confirmed(0, 1<<40), must.Sprint("there is nothing to serve"))
+}
