--- /dev/null
+++ b/operate/binding_test.go
@@ -0,0 +1,171 @@
+// Orders about zones: bound to what was in force when they came, sent only while
+// whoever gave them waits.
+package operate
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+func drain() wire.Edit { return wire.Edit{Op: "empty", Name: "z1"} }
+
+func version(seq uint64) wire.EditReply {
+	return wire.EditReply{Code: wire.CodeVersion, Stamp: wire.Stamp{Term: 3, Seq: seq}, Addr: "owner"}
+}
+
+func (n *node) last() sentEdit { return n.frames[len(n.frames)-1] }
+
+func TestOrderAboutAZoneIsBoundFirst(t *testing.T) {
+	n := newNode(t)
+	n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+	read := n.last()
+	must.Eq(t, "zone_version z1", read.edit.Op+" "+read.edit.Name)
+	n.reply(read.id, version(7))
+	order := n.last()
+	must.Eq(t, "empty z1", order.edit.Op+" "+order.edit.Name)
+	must.Eq(t, wire.Stamp{Term: 3, Seq: 7}, order.edit.Base)
+	n.reply(order.id, wire.EditReply{Code: "ok"})
+	must.Eq(t, "ok", n.code(1))
+}
+
+func TestStaleOrderIsBoundAnewWhileTheCallIsOpen(t *testing.T) {
+	n := newNode(t)
+	n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+	n.reply(n.last().id, version(7))
+	first := n.last()
+	n.reply(first.id, wire.EditReply{Code: wire.CodeStale})
+	must.Eq(t, wire.OpZoneVersion, n.last().edit.Op)
+	n.reply(n.last().id, version(8))
+	second := n.last()
+	must.Eq(t, uint64(8), second.edit.Base.Seq)
+	must.Eq(t, first.edit.EditID, second.edit.EditID, must.Sprint("it is the same order"))
+	n.reply(second.id, wire.EditReply{Code: wire.CodeStale})
+	n.pass(800_000)
+	must.Eq(t, "shed", n.code(1), must.Sprint("each sending was declined"))
+}
+
+// A process that was frozen, or that heard late, sends nothing for a call that nobody waits for.
+func TestNothingIsSentForACallThatIsOver(t *testing.T) {
+	for name, over := range map[string]func(n *node){
+		"old":       func(n *node) { n.now += 800_000 },
+		"abandoned": func(n *node) { n.step(kernel.Abandoned{Plugin: "operate", ID: 1}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(t)
+			n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+			read := n.last()
+			over(n)
+			n.reply(read.id, version(7))
+			must.Eq(t, wire.OpZoneVersion, n.last().edit.Op)
+
+			n = newNode(t)
+			n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+			n.reply(n.last().id, version(7))
+			order := n.last()
+			over(n)
+			sent := len(n.frames)
+			n.reply(order.id, wire.EditReply{Code: wire.CodeStale})
+			n.reply(order.id, wire.EditReply{Code: "not_owner", Addr: "other"})
+			if name == "abandoned" {
+				n.pass(5_000_000)
+			}
+			must.Eq(t, sent, len(n.frames))
+		})
+	}
+}
+
+// A leader of the release before does not know the question, and takes orders without it.
+func TestLeaderOfTheReleaseBefore(t *testing.T) {
+	n := newNode(t)
+	n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+	n.reply(n.last().id, wire.EditReply{Code: "invalid"})
+	must.Eq(t, "empty z1", n.last().edit.Op+" "+n.last().edit.Name)
+	must.Eq(t, wire.Stamp{}, n.last().edit.Base)
+}
+
+// A reply to the question says nothing of the order, which another core may take meanwhile.
+func TestDeclinedQuestionIsNotADeclinedOrder(t *testing.T) {
+	n := newNode(t)
+	n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+	read := n.last()
+	n.reply(read.id, version(7))
+	n.reply(read.id, wire.EditReply{Code: "not_owner"})
+	n.pass(800_000)
+	must.Eq(t, "unknown", n.code(1))
+}
+
+func TestUnansweredQuestionTookNothing(t *testing.T) {
+	n := newNode(t)
+	n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
+	n.pass(800_000)
+	must.Eq(t, "shed", n.code(1))
+	for _, f := range n.frames {
+		must.Eq(t, wire.OpZoneVersion, f.edit.Op)
+	}
+}
+
+func TestHistoryIsReadThroughTheLeader(t *testing.T) {
+	n := newNode(t)
+	n.call(1, ReadHistory{})
+	must.Eq(t, wire.OpHistory, n.last().edit.Op)
+	n.reply(1, wire.EditReply{Code: "ok", Body: wire.Encode(&wire.Ledger{History: []wire.Past{{By: "someone"}}})})
+	must.Eq(t, "someone", n.answers[1].(History).Sheets[0].By)
+	n.call(2, ReadHistory{})
+	n.pass(GiveUp)
+	must.Eq(t, "shed", n.answers[2].(History).Code)
+}
+
+// A zone of which a whole list knows nothing is not drained; one that may exist is.
+func TestUnknownZoneIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		list   wire.Listing
+		op     string
+		zone   string
+		refuse bool
+	}{
+		{"nothing known", wire.Listing{}, "empty", "z9", false},
+		{"a list in part", wire.Listing{Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z9", false},
+		{"nothing there", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z9", true},
+		{"a backend there", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z2", false},
+		{"a member there", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "empty", "z1", false},
+		{"taken back", wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}, "refill", "z9", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNode(t)
+			if len(c.list.Servers) > 0 {
+				n.announce("listing", wire.Encode(&c.list))
+			}
+			n.call(1, Carry{Edit: wire.Edit{Op: c.op, Name: c.zone}})
+			if c.refuse {
+				must.Eq(t, CodeUnknownZone, n.code(1))
+				must.Eq(t, "zone", n.answers[1].(Result).Reply.Findings[0].Place)
+				must.SliceEmpty(t, n.frames)
+				return
+			}
+			must.Eq(t, "", n.code(1))
+			must.Len(t, 1, n.frames)
+		})
+	}
+}
+
+// A zone that has lost all that was in it is still drained where the settings name it.
+func TestZoneOfTheSettingsIsDrainedThoughNothingIsInIt(t *testing.T) {
+	n := newNode(t)
+	n.announce("listing", wire.Encode(&wire.Listing{Whole: true, Servers: []wire.Server{{Zone: "z2"}}}))
+	kernel.Find[*Operate](n.k).zones = map[string]string{"z1": "r1", "z9": "r1"}
+	n.call(1, Carry{Edit: wire.Edit{Op: "empty", Name: "z9"}})
+	must.Eq(t, "", n.code(1))
+	must.Len(t, 1, n.frames)
+}
+
+// announce has the node's own mesh hold an entry.
+func (n *node) announce(typ string, body []byte) {
+	n.k.Later(func(t *kernel.Turn) { kernel.Find[*mesh.Mesh](n.k).Announce(t, typ, typ, body, false) })
+	n.step(kernel.Tick{Plugin: "operate", Key: "none"})
+}
--- a/state/routing_test.go
+++ b/state/routing_test.go
@@ -7,44 +7,11 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
-	"google.golang.org/protobuf/proto"
 
 	"wallport/routingpb"
 	"wallport/wire"
 )
 
-type part0 struct {
-	t    *testing.T
-	body []byte
-	seq  uint64
-}
-
-// send judges one edit as the owner does.
-func (p *part0) send(e *routingpb.RoutingEdit) wire.EditReply {
-	p.t.Helper()
-	b, err := proto.Marshal(e)
-	must.NoError(p.t, err)
-	return p.judge(&wire.Edit{Op: "routing", Body: b})
-}
-
-func (p *part0) judge(e *wire.Edit) wire.EditReply {
-	next := wire.Stamp{Term: 1, Seq: p.seq + 1}
-	after, r, took := JudgeOf(Config)(p.body, wire.Stamp{Term: 1, Seq: p.seq}, next, e, 0)
-	if took {
-		p.body, p.seq = after, p.seq+1
-		r.Stamp = next
-	}
-	return r
-}
-
-func (p *part0) table() *routingpb.RoutingTable {
-	c, err := ReadConfig(p.body)
-	must.NoError(p.t, err)
-	t, err := RoutingOf(c)
-	must.NoError(p.t, err)
-	return t
-}
-
 func route(name, prefix, pool string) *routingpb.Route {
 	return &routingpb.Route{Name: name, Host: "h.example", Prefix: prefix, TimeoutUs: 1, Pool: pool, Source: []byte("{" + name + "}")}
 }
@@ -204,12 +171,10 @@
 
 func TestRevisionsRememberedAreBounded(t *testing.T) {
 	p := &part0{t: t}
-	for i := range int64(revisionsMost + 5) {
+	for i := range int64(ordersMost + 5) {
 		must.Eq(t, "ok", p.send(whole(i, i+1)).Code)
 	}
-	c, err := ReadConfig(p.body)
-	must.NoError(t, err)
-	must.Len(t, revisionsMost, c.Revisions)
+	must.Len(t, ordersMost, p.ledger().Orders)
 	must.Eq(t, "lost_race", p.send(whole(0, 1)).Code)
 	must.Eq(t, "ok", p.send(whole(100, 101)).Code)
 }
@@ -218,11 +183,11 @@
 	p := &part0{t: t}
 	p.send(whole(0, 1))
 	for _, id := range []string{"one", "one", "two", ""} {
-		must.Eq(t, "ok", p.judge(&wire.Edit{Op: "empty", Name: "z", EditID: id}).Code)
+		must.Eq(t, "ok", p.zone("empty", "z", id).Code)
 	}
-	must.Eq(t, "ok", p.judge(&wire.Edit{Op: "refill", Name: "z", EditID: "three"}).Code)
-	must.Eq(t, "ok", p.judge(&wire.Edit{Op: "empty", Name: "z", EditID: "two"}).Code, must.Sprint("an old repeat"))
-	c, err := ReadConfig(p.body)
+	must.Eq(t, "ok", p.zone("refill", "z", "three").Code)
+	must.Eq(t, "ok", p.zone("empty", "z", "two").Code, must.Sprint("an old repeat"))
+	c, err := ReadConfig(p.value.Body)
 	must.NoError(t, err)
 	must.SliceEmpty(t, c.Emptied)
 	must.Eq(t, 1, p.table().Revision)
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -66,15 +66,16 @@
 	Sheet   []byte   `msg:"s"`
 	Emptied []string `msg:"e"`
 	Running []string `msg:"b"`
-	Recent  []Done   `msg:"r"`
-	History []Past   `msg:"h"`
 	SheetAt Stamp    `msg:"sa"`
-	// Routing is the routing table in force, encoded; Revisions are those taken before.
-	Routing   []byte     `msg:"ro,omitempty"`
+	// Routing is the routing table in force, encoded.
+	Routing []byte `msg:"ro,omitempty"`
+	// Recent, History and Revisions are read of releases before 3; the ledger holds them since.
+	Recent    []Done     `msg:"r,omitempty"`
+	History   []Past     `msg:"h,omitempty"`
 	Revisions []Revision `msg:"rv,omitempty"`
 }
 
-// Revision remembers a routing table that was taken, so that its repeat is known.
+// Revision remembers a routing table that was taken, as releases before 3 did.
 type Revision struct {
 	Number int64 `msg:"n"`
 	// Sum is a digest of what was sent; Base is the revision that it was built on.
@@ -84,7 +85,7 @@
 	Stamp Stamp `msg:"t"`
 }
 
-// Done remembers the answer to an edit id, for retries.
+// Done remembers the answer to an edit id, as releases before 3 did.
 type Done struct {
 	EditID string `msg:"e"`
 	Sum    uint64 `msg:"s"`
@@ -102,7 +103,8 @@
 type IndexBody struct {
 	Cuts    map[string]LiveCut `msg:"c"`
 	Holders map[string]Holder  `msg:"h"`
-	Recent  []Done             `msg:"r"`
+	// Recent is read of releases before 3; the ledger holds it since.
+	Recent []Done `msg:"r,omitempty"`
 }
 
 // LiveCut is the set of shards that an index is served from, and the one being moved to.
@@ -137,6 +139,8 @@
 	Body   []byte `msg:"b"`
 	// Tried tells that an earlier try of the key reached a server, which refused it.
 	Tried bool `msg:"t"`
+	// Homes is how many home nodes the key has by the sender's own roster; 0 where it does not say.
+	Homes int `msg:"h"`
 }
 
 // Place is a node's name and zone, which decide of which keys it is home.
@@ -160,6 +164,8 @@
 	Name    string   `msg:"n"`
 	Records []Settle `msg:"r"`
 	All     bool     `msg:"a"`
+	// Homes is how many home nodes a key has by the sender's own roster; 0 where it does not say.
+	Homes int `msg:"h"`
 }
 
 // Seen asks one home of a search's or read's key whether it was sent before, and
