--- /dev/null
+++ b/replica/learner_test.go
@@ -0,0 +1,115 @@
+// Learners that do not answer, changes that are no longer due, and who is not
+// chosen: nothing of it holds a group up or gives a vote to the wrong replica.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/wire"
+)
+
+func TestAnotherStandbyIsTakenWhereALearnerIsDead(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	pull := func(id string) { c.send(wire.KindPull, &wire.Pull{Addr: id + ":1", Seat: id, Zone: id}) }
+	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
+	pull("d")
+	leaves := func(us int64) {
+		for end := c.now + us; c.now < end; {
+			c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
+			c.beats(g, LeaveInterval, "a", "b")
+		}
+	}
+	leaves(200_000)
+	must.Eq(t, []string{"d"}, ids(g.change.learners))
+	leaves(LearnerTimeout - 400_000)
+	pull("d")
+	pull("e")
+	must.Eq(t, []string{"d"}, ids(g.change.learners), must.Sprint("not given up yet"))
+	leaves(400_000)
+	c.learns(t, g, "e")
+	must.Eq(t, []string{"a", "e", "me"}, ids(g.proposal.Seats))
+}
+
+func TestChangeIsAbandonedWhereTheSilentVoterIsHeardAgain(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	pull := func() { c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"}) }
+	c.beats(g, ReplaceAfter-200_000, "a")
+	pull()
+	c.beats(g, 300_000, "a")
+	must.NotNil(t, g.change)
+	c.beats(g, 2*TickInterval, "a", "b")
+	must.Nil(t, g.change)
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "d", Stamp: g.committed.Stamp, OK: true})
+	must.Nil(t, g.proposal)
+	must.Eq(t, []string{"a", "b", "me"}, ids(g.committed.Seats))
+}
+
+func TestChangeIsAbandonedWhereTheLeavingVoterAsksNoMore(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"})
+	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
+	must.NotNil(t, g.change)
+	// Its process has ended and comes back as the voter that it was.
+	c.beats(g, LeaveRequestLife+TickInterval, "a", "b")
+	must.Nil(t, g.change)
+}
+
+func TestLeadershipIsNotHandedToAVoterThatLeaves(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.beats(g, 200_000, "a", "b")
+	// Of the two that answer, the one heard last would be taken.
+	c.now += 1_000
+	c.send(wire.KindBeatReply, &wire.BeatReply{Part: g.part, Term: g.term, From: "b", Round: g.round, Held: g.accepted.Stamp, OK: true})
+	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
+	c.s.diskProblem = "slow"
+	c.tick()
+	must.Eq(t, "a", g.leader)
+}
+
+// A leaving voter's place is not given to a zone that would then hold a majority.
+func TestLeavingVoterIsNotReplacedByAStandbyOfACrowdedZone(t *testing.T) {
+	shape := simShape{name: "4 cores in 3 zones", zones: []string{"z1", "z2", "z3", "z1"}, tolerance: simShapes[1].tolerance}
+	c := newSimCluster(t, shape, 17)
+	c.run(2_000_000)
+	for _, m := range c.voters(0) {
+		if m.zone == "z1" {
+			continue
+		}
+		id := m.host.replicaID
+		m.terminate()
+		c.ends(m)
+		must.True(t, c.isVoterAnywhere(id))
+		m.start()
+		c.run(2_000_000)
+	}
+	// In its own zone there is one to take its place.
+	for _, m := range c.voters(0) {
+		if m.zone == "z1" {
+			id := m.host.replicaID
+			m.terminate()
+			must.Less(t, 1_000_000, c.ends(m))
+			must.False(t, c.isVoterAnywhere(id))
+		}
+	}
+	c.verify()
+}
+
+// Who was moved out is told so and is a standby at once; it answers a late leader with nothing.
+func TestRemovedVoterIsToldThatItIsNone(t *testing.T) {
+	c := newSimCluster(t, simShapes[1], 18)
+	c.run(2_000_000)
+	leaving := c.victims(simLosses[0], false)[0]
+	host := leaving.host
+	leaving.terminate()
+	c.ends(leaving)
+	for _, g := range host.groups {
+		must.False(t, g.isVoter())
+		must.False(t, isJoint(g.accepted))
+	}
+}
