--- a/replica/cluster_checks_test.go
+++ b/replica/cluster_checks_test.go
@@ -7,6 +7,7 @@
 
 	"wallport/diskfile"
 	"wallport/mesh"
+	"wallport/state"
 	"wallport/wire"
 )
 
@@ -22,14 +23,18 @@
 		return
 	}
 	c.newest = g.committed.Stamp
-	var body wire.ConfigBody
-	if len(g.committed.Body) > 0 && wire.Decode(g.committed.Body, &body) != nil {
-		c.violations = append(c.violations, "a committed body cannot be decoded")
+	ledger, err := state.ReadLedger(g.committed.Ledger)
+	if err != nil {
+		c.violations = append(c.violations, "a committed ledger cannot be decoded")
 		return
 	}
+	taken := map[string]bool{}
+	for _, order := range ledger.Orders {
+		taken[string(order.Digest)] = true
+	}
 	for _, name := range c.acknowledged {
-		if !slices.Contains(body.Emptied, name) {
-			c.violations = append(c.violations, fmt.Sprintf("%d us: %s was acknowledged and is not in version %v of %s", c.now, name, g.committed.Stamp, m.addr))
+		if !taken[name] {
+			c.violations = append(c.violations, fmt.Sprintf("%d us: the order with digest %x was acknowledged and is not in version %v of %s", c.now, name, g.committed.Stamp, m.addr))
 			return
 		}
 	}
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -9,9 +9,13 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"wallport/env"
 	"wallport/kernel"
+	"wallport/routing"
+	"wallport/routingpb"
+	"wallport/state"
 	"wallport/wire"
 )
 
@@ -64,7 +68,7 @@
 	links    map[uint64]*simLink
 	direct   map[string]*simLink
 	nextLink uint64
-	// acknowledged are the names of the operator's edits that were answered "ok"; edits maps the ids under way.
+	// acknowledged are the digests of the operator's orders that were answered "ok"; edits are those of the ids under way.
 	acknowledged []string
 	lastAck      int64
 	edits        map[uint64]string
@@ -152,13 +156,24 @@
 	c.after(simEditEvery, c.operate)
 	if leader := c.leader(0); leader != nil {
 		c.nextEdit++
-		name := fmt.Sprintf("zone-%d", c.nextEdit)
-		c.edits[c.nextEdit] = name
-		edit := wire.Edit{Op: "empty", Name: name, EditID: name}
+		edit := order(c.t, c.revision(leader), int64(c.nextEdit), int64(c.nextEdit))
+		var sent routingpb.RoutingEdit
+		must.NoError(c.t, proto.Unmarshal(edit.Body, &sent))
+		digest := routing.Digest(&sent)
+		c.edits[c.nextEdit] = string(digest[:])
 		leader.step(kernel.Received{Chan: operatorChanID, Data: wire.Seal(wire.KindEdit, c.nextEdit, &edit)})
 	}
 }
 
+// revision is that of the routing table that a leader has committed.
+func (c *simCluster) revision(leader *simMachine) int64 {
+	config, err := state.ReadConfig(leader.host.groups[0].committed.Body)
+	must.NoError(c.t, err)
+	table, err := state.RoutingOf(config)
+	must.NoError(c.t, err)
+	return table.GetRevision()
+}
+
 func (c *simCluster) answered(data []byte) {
 	f, err := wire.Open(data)
 	must.NoError(c.t, err)
