--- /dev/null
+++ b/process/call_test.go
@@ -0,0 +1,21 @@
+// A call whose caller has gone.
+package process
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+)
+
+func TestPluginIsToldThatACallerHasGone(t *testing.T) {
+	p := &Process{inbox: make(chan kernel.Input, 2), stop: make(chan struct{})}
+	ctx, gone := context.WithCancel(context.Background())
+	gone()
+	_, err := p.Call(ctx, "operate", "a question")
+	must.ErrorIs(t, err, context.Canceled)
+	asked := (<-p.inbox).(kernel.Call)
+	must.Eq(t, kernel.Abandoned{Plugin: "operate", ID: asked.ID}, (<-p.inbox).(kernel.Abandoned))
+}
