--- a/operate/operate.go
+++ b/operate/operate.go
@@ -55,6 +55,8 @@
 	zones map[string]string
 
 	rebuilds map[uint64]*rebuilding
+	// wantedVoters is how many voters a group should have.
+	wantedVoters int
 }
 
 func init() {
@@ -62,6 +64,7 @@
 		return &Operate{
 			mesh: kernel.Find[*mesh.Mesh](k), pulls: kernel.Find[*pulls.Pulls](k), seats: kernel.Find[*replica.Host](k),
 			zones: k.Boot.Env.Regions, members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
+			wantedVoters: k.Boot.Env.Seats(),
 		}
 	}})
 }
