Mesh: entries are forwarded in batches, copies dropped undecoded; tables from sorted rows

Cause: on the grown deployments (96 processes) a stretch in which many processes tell something at once (a start, a herd killed, a configuration in force) is a flood of every entry over every link.

Now: the first entry after a pause goes out at once, those within 20 ms leave together, and a peer that has sent an entry itself meanwhile is not sent it back. A copy is known by a hash over its frame without the hops and is neither decoded nor hashed field by field. Members are sorted when a row changed, not at each look; opinions are decoded once and kept by server.

Ruled out: 40 ms between batches.

--- a/members/members.go
+++ b/members/members.go
@@ -4,6 +4,8 @@
 package members
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 
 	"wallport/kernel"
@@ -20,13 +22,15 @@
 
 // Members is the plug-in.
 type Members struct {
-	k       *kernel.Kernel
-	mesh    *mesh.Mesh
-	self    wire.Member
-	told    int64
-	dirty   bool
-	armed   bool
-	rows    map[string]*wire.Member
+	k     *kernel.Kernel
+	mesh  *mesh.Mesh
+	self  wire.Member
+	told  int64
+	dirty bool
+	armed bool
+	rows  map[string]*wire.Member
+	// order is the origins of the rows, by name; nil where a row came or went since.
+	order   []string
 	peak    int
 	peakAt  int64
 	started int64
@@ -71,7 +75,7 @@
 		if v.Entry.Type == "member" {
 			row := new(wire.Member)
 			if wire.Decode(v.Entry.Body, row) == nil {
-				m.rows[v.Origin] = row
+				m.rows[v.Origin], m.order = row, nil
 			}
 		}
 	case mesh.Forgotten:
@@ -80,8 +84,9 @@
 			m.peak--
 		}
 		delete(m.rows, v.Origin)
+		m.order = nil
 	case mesh.Pulse:
-		n := len(m.Live(t.Now, "node"))
+		n := m.Count(t.Now, "node")
 		if n >= m.peak || t.Now-m.peakAt > PeakFor {
 			m.peak, m.peakAt = n, t.Now
 		}
@@ -123,40 +128,52 @@
 // All lists the members, by name.
 func (m *Members) All(now int64) []Row {
 	out := make([]Row, 0, len(m.rows))
-	for fp, r := range m.rows {
-		out = append(out, Row{Member: *r, Origin: fp, Live: m.mesh.Live(fp, now)})
+	for _, fp := range m.sorted() {
+		out = append(out, m.row(fp, now))
 	}
-	slices.SortFunc(out, func(a, b Row) int {
-		if a.Name != b.Name {
-			if a.Name < b.Name {
-				return -1
-			}
-			return 1
-		}
-		if a.Origin < b.Origin {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
+func (m *Members) row(origin string, now int64) Row {
+	return Row{Member: *m.rows[origin], Origin: origin, Live: m.mesh.Live(origin, now)}
+}
+
+// sorted lists the origins of all rows, by name; they are sorted only where a row changed.
+func (m *Members) sorted() []string {
+	if m.order == nil {
+		m.order = slices.SortedFunc(maps.Keys(m.rows), func(a, b string) int {
+			return cmp.Or(cmp.Compare(m.rows[a].Name, m.rows[b].Name), cmp.Compare(a, b))
+		})
+	}
+	return m.order
+}
+
 // Live lists the live members of a role.
 func (m *Members) Live(now int64, role string) []Row {
 	var out []Row
-	for _, r := range m.All(now) {
-		if r.Live && r.Role == role {
-			out = append(out, r)
+	for _, fp := range m.sorted() {
+		if m.rows[fp].Role == role && m.mesh.Live(fp, now) {
+			out = append(out, m.row(fp, now))
 		}
 	}
 	return out
 }
 
+// Count is how many members of a role are live.
+func (m *Members) Count(now int64, role string) (n int) {
+	for fp, r := range m.rows {
+		if r.Role == role && m.mesh.Live(fp, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Seat finds the live core that has a seat's disk.
 func (m *Members) Seat(id string, now int64) (Row, bool) {
-	for _, r := range m.All(now) {
-		if r.Seat == id && r.Live {
-			return r, true
+	for _, fp := range m.sorted() {
+		if m.rows[fp].Seat == id && m.mesh.Live(fp, now) {
+			return m.row(fp, now), true
 		}
 	}
 	return Row{}, false
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -59,13 +59,7 @@
 		t.Counts.Add("mesh_heartbeats_in", 1)
 		m.heartbeat(t, p, &hb)
 	case wire.KindGossip:
-		e := new(wire.Entry)
-		if wire.Decode(v.Body, e) != nil {
-			m.bad(t, p, "entry")
-			return
-		}
-		t.Counts.Add("mesh_entries_in", 1)
-		m.receive(t, p, e, v.ID)
+		m.gossip(t, p, v)
 	case wire.KindNotice:
 		var n wire.Notice
 		if wire.Decode(v.Body, &n) != nil {
@@ -76,6 +70,31 @@
 	}
 }
 
+// gossip takes an entry's frame; one that was seen is not decoded again.
+func (m *Mesh) gossip(t *kernel.Turn, p *peer, v kernel.Message) {
+	t.Counts.Add("mesh_entries_in", 1)
+	frame := m.seen.frame(v.Body)
+	if key, ok := m.seen.known(frame, t.Now); ok {
+		m.duplicate(t, p, key)
+		return
+	}
+	e := new(wire.Entry)
+	if wire.Decode(v.Body, e) != nil {
+		m.bad(t, p, "entry")
+		return
+	}
+	m.receive(t, p, e, v.ID)
+	m.seen.learn(frame, seenKey(e))
+}
+
+// duplicate drops an entry that was seen; its sender needs it no more.
+func (m *Mesh) duplicate(t *kernel.Turn, p *peer, key uint64) {
+	t.Counts.Add("mesh_dropped_seen", 1)
+	if p.outbox.has(key) {
+		t.Counts.Add("mesh_forwards_spared", 1)
+	}
+}
+
 func (m *Mesh) bad(t *kernel.Turn, p *peer, what string) {
 	t.Counts.Add("mesh_dropped_malformed", 1)
 	t.Note(1, "mesh_malformed", "what", what, "peer", p.key)
--- a/mesh/flood.go
+++ b/mesh/flood.go
@@ -28,7 +28,7 @@
 func (m *Mesh) receive(t *kernel.Turn, p *peer, e *wire.Entry, way uint64) {
 	k := seenKey(e)
 	if m.seen.has(k, t.Now) {
-		t.Counts.Add("mesh_dropped_seen", 1)
+		m.duplicate(t, p, k)
 		return
 	}
 	if len(e.Origin) != ed25519.PublicKeySize || !ed25519.Verify(e.Origin, signed(e), e.Sig) {
@@ -91,15 +91,14 @@
 	if e.Hops+1 > MaxHops {
 		return
 	}
+	if len(e.Body) <= NoticeOver {
+		m.forward(t, e, except)
+		return
+	}
 	for _, id := range sortedKeys(m.peers) {
-		if id == except {
-			continue
-		}
-		if len(e.Body) > NoticeOver {
+		if id != except {
 			m.notify(t, id, e)
-			continue
 		}
-		m.send(t, id, e, news)
 	}
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -59,6 +59,7 @@
 	// old is that it speaks the messages of the release before.
 	old bool
 	catching
+	outbox outbox
 }
 
 // Mesh is the plug-in.
@@ -87,6 +88,10 @@
 	served    int
 	servedAt  int64
 	prunedAt  int64
+	// forwardedAt is when entries were last forwarded; stopping that none may wait any more.
+	forwardedAt  int64
+	forwardArmed bool
+	stopping     bool
 }
 
 func init() {
@@ -134,6 +139,9 @@
 		if v.Mesh {
 			m.down(t, v)
 		}
+	case kernel.Stopping:
+		m.stopping = true
+		m.forwardAll(t)
 	case kernel.Thawed:
 		m.thawed(t, v.Gap)
 	case kernel.Message:
@@ -151,6 +159,9 @@
 	case "links":
 		m.links.due = 0
 		m.relink(t)
+	case "forward":
+		m.forwardArmed = false
+		m.forwardAll(t)
 	case "dial":
 		m.tend(t)
 	}
--- /dev/null
+++ b/mesh/outbox_test.go
@@ -0,0 +1,126 @@
+// Forwarding in batches: the first entry at once, the following ones together, and none back
+// to a peer that has it by its own word.
+package mesh
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+const (
+	firstPeer  uint64 = 7
+	secondPeer uint64 = 8
+)
+
+// pair is a mesh with two peers that has just forwarded an entry.
+func pair(t testing.TB) *rig {
+	r := newRig(t)
+	r.feed(kernel.ChannelUp{Chan: secondPeer, Addr: "10.0.0.3:1", Peer: kernel.Fingerprint(key(3).Public), Mesh: true})
+	must.Len(t, 1, r.gossip(entry(key(2), "opinion", "first", 1)).Sends)
+	return r
+}
+
+func (r *rig) gossipFrom(peer uint64, e *wire.Entry) kernel.Out {
+	return r.feed(kernel.Received{Chan: peer, Data: wire.Seal(wire.KindGossip, news, e)})
+}
+
+func (r *rig) forwardTick() kernel.Out {
+	r.now += ForwardEvery
+	return r.feed(kernel.Tick{Plugin: "mesh", Key: "forward"})
+}
+
+func TestEntriesOfABurstAreForwardedTogether(t *testing.T) {
+	r := pair(t)
+	second, third := entry(key(2), "opinion", "second", 2), entry(key(2), "opinion", "third", 3)
+	out := r.gossip(second)
+	must.SliceEmpty(t, out.Sends)
+	must.Len(t, 1, out.Timers, must.Sprint("one timer for the batch"))
+	must.SliceEmpty(t, r.gossip(third).Timers)
+	sends := r.forwardTick().Sends
+	must.Len(t, 2, sends)
+	for _, s := range sends {
+		must.Eq(t, secondPeer, s.Chan)
+	}
+	must.SliceEmpty(t, r.forwardTick().Sends, must.Sprint("once"))
+}
+
+func TestEntryIsNotForwardedToAPeerThatSentIt(t *testing.T) {
+	r := pair(t)
+	e := entry(key(2), "opinion", "second", 2)
+	r.gossipFrom(firstPeer, e)
+	copied := *e
+	copied.Hops = 3
+	r.gossipFrom(secondPeer, &copied)
+	must.Eq(t, 1, r.count("mesh_forwards_spared"))
+	must.SliceEmpty(t, r.forwardTick().Sends)
+}
+
+func TestNothingWaitsInAProcessThatStops(t *testing.T) {
+	r := pair(t)
+	r.gossip(entry(key(2), "opinion", "second", 2))
+	must.Len(t, 1, r.feed(kernel.Stopping{}).Sends)
+	must.Len(t, 1, r.gossip(entry(key(2), "opinion", "third", 3)).Sends)
+}
+
+func TestCopiesAreKnownByTheirFrame(t *testing.T) {
+	r := pair(t)
+	e := entry(key(2), "opinion", "second", 2)
+	r.gossip(e)
+	for hops := range uint8(3) {
+		copied := *e
+		copied.Hops = hops
+		frame := r.m.seen.frame(wire.Encode(&copied))
+		seen, ok := r.m.seen.known(frame, r.now)
+		must.True(t, ok)
+		must.Eq(t, seenKey(e), seen)
+	}
+	changed := *e
+	changed.Body = []byte("y")
+	_, ok := r.m.seen.known(r.m.seen.frame(wire.Encode(&changed)), r.now)
+	must.False(t, ok, must.Sprint("another body is another frame"))
+}
+
+func TestFramesAreForgottenWithTheirEntries(t *testing.T) {
+	s := newSeenSet()
+	for i := range uint64(SeenMost + 10) {
+		s.add(i, int64(i))
+		s.learn(1000+i, i)
+	}
+	must.MapLen(t, SeenMost, s.frames)
+	must.MapLen(t, SeenMost, s.framesOf)
+	s.add(1<<40, SeenFor+2*SeenMost)
+	must.MapEmpty(t, s.frames)
+}
+
+// In a burst that all processes of a fleet take part in, as when a configuration comes into
+// force, most copies of an entry are spared.
+func TestBurstOfAllProcessesCostsFewCopies(t *testing.T) {
+	const processes, entries = 32, 5
+	f := settled(t, processes, 4, 6)
+	f.run(f.now + 20_000_000)
+	var before int64
+	for _, p := range f.procs {
+		before += p.frames
+	}
+	for i := range entries {
+		for _, p := range f.procs {
+			f.after(f.rnd.Int64N(50_000), func() { f.announce(p, "opinion", string(rune('a'+i)), []byte("x")) })
+		}
+	}
+	f.run(f.now + 900_000)
+	var after int64
+	for _, p := range f.procs {
+		after += p.frames
+		must.Eq(t, processes, int64(len(p.m.store.origins)))
+		for _, o := range p.m.store.origins {
+			must.MapLen(t, 1+1+entries, o.entries, must.Sprint("all are there"))
+		}
+	}
+	copies := float64(after-before) / (processes * processes * entries)
+	t.Logf("%.2f frames for each entry and process", copies)
+	must.Less(t, 3.5, copies)
+}
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -184,6 +184,7 @@
 func (m *Mesh) leave(t *kernel.Turn, p *peer) {
 	delete(m.peers, p.chanID)
 	t.Note(-1, "mesh_peer_left", "peer", p.key, "addr", p.addr, "peers", len(m.peers))
+	m.empty(t, p)
 	t.SendSlot(p.chanID, wire.KindHeartbeat, &wire.Heartbeat{Addrs: m.someAddrs(t, p.zone, greetAddrs), Digest: m.digest()}, "heartbeat")
 	t.Drop(p.chanID)
 }
--- /dev/null
+++ b/table/opinions.go
@@ -0,0 +1,50 @@
+// The opinions of servers as the mesh brought them, decoded once each and kept by server.
+package table
+
+import (
+	"cmp"
+	"slices"
+
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// opinion is what one observer says of a server.
+type opinion struct {
+	wire.Opinion
+	origin string
+}
+
+// opinions holds those of each server, by the observer's fingerprint.
+type opinions map[string][]opinion
+
+// take keeps an opinion, or drops the one that its observer takes back.
+func (all opinions) take(v mesh.Stored) {
+	server := v.Entry.ID
+	of := all[server]
+	at, found := slices.BinarySearchFunc(of, v.Origin, func(o opinion, origin string) int { return cmp.Compare(o.origin, origin) })
+	if found {
+		of = slices.Delete(of, at, at+1)
+	}
+	o := opinion{origin: v.Origin}
+	if !v.Entry.Gone && wire.Decode(v.Entry.Body, &o.Opinion) == nil {
+		of = slices.Insert(of, at, o)
+	}
+	if len(of) == 0 {
+		delete(all, server)
+		return
+	}
+	all[server] = of
+}
+
+// forget drops all that an observer said.
+func (all opinions) forget(origin string) {
+	for server, of := range all {
+		of = slices.DeleteFunc(of, func(o opinion) bool { return o.origin == origin })
+		if len(of) == 0 {
+			delete(all, server)
+			continue
+		}
+		all[server] = of
+	}
+}
--- /dev/null
+++ b/table/opinions_test.go
@@ -0,0 +1,48 @@
+// Opinions by server: kept in the order of their observers, replaced, taken back, forgotten.
+package table
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+func told(origin, server, state string, gone bool) mesh.Stored {
+	body := wire.Encode(&wire.Opinion{State: state})
+	return mesh.Stored{Origin: origin, Entry: &wire.Entry{Type: "opinion", ID: server, Gone: gone, Body: body}}
+}
+
+func states(of []opinion) (out []string) {
+	for _, o := range of {
+		out = append(out, o.origin+" "+o.State)
+	}
+	return out
+}
+
+func TestOpinionsAreKeptByServer(t *testing.T) {
+	all := opinions{}
+	all.take(told("b", "s1", "lost", false))
+	all.take(told("a", "s1", "ok", false))
+	all.take(told("a", "s2", "slow", false))
+	must.Eq(t, []string{"a ok", "b lost"}, states(all["s1"]))
+	all.take(told("b", "s1", "ok", false))
+	must.Eq(t, []string{"a ok", "b ok"}, states(all["s1"]))
+	all.take(told("b", "s1", "ok", true))
+	must.Eq(t, []string{"a ok"}, states(all["s1"]))
+	all.take(told("c", "s3", "ok", true))
+	must.MapNotContainsKey(t, all, "s3")
+	all.forget("a")
+	must.MapEmpty(t, all)
+}
+
+func TestUnreadableOpinionCountsForNothing(t *testing.T) {
+	all := opinions{}
+	all.take(told("a", "s1", "lost", false))
+	v := told("a", "s1", "", false)
+	v.Entry.Body = []byte("x")
+	all.take(v)
+	must.MapEmpty(t, all)
+}
--- a/table/table.go
+++ b/table/table.go
@@ -20,22 +20,23 @@
 
 // Table is the plug-in.
 type Table struct {
-	k       *kernel.Kernel
-	mesh    *mesh.Mesh
-	members *members.Members
-	usage   *usage.Usage
-	Gauges  *Gauges
-	now     atomic.Pointer[Checkpoint]
-	armed   bool
-	alive   uint64
-	config  config
-	listing wire.Listing
-	from    string
-	count   uint64
-	left    map[string]int64
-	births  map[string]birth
-	liveAt  map[string]int64
-	absent  map[string]int64
+	k        *kernel.Kernel
+	mesh     *mesh.Mesh
+	members  *members.Members
+	usage    *usage.Usage
+	Gauges   *Gauges
+	now      atomic.Pointer[Checkpoint]
+	armed    bool
+	alive    uint64
+	config   config
+	listing  wire.Listing
+	from     string
+	count    uint64
+	left     map[string]int64
+	births   map[string]birth
+	liveAt   map[string]int64
+	absent   map[string]int64
+	opinions opinions
 	// cuts are those that this node serves from.
 	cuts  map[string]wire.LiveCut
 	stale stale
@@ -56,7 +57,7 @@
 	kernel.Register(kernel.Registration{Rank: 60, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Table{
 			k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), usage: kernel.Find[*usage.Usage](k),
-			Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{}, cuts: map[string]wire.LiveCut{},
+			Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{}, opinions: opinions{}, cuts: map[string]wire.LiveCut{},
 		}
 	}})
 }
@@ -94,6 +95,7 @@
 		}
 	case mesh.Forgotten:
 		delete(b.liveAt, v.Origin)
+		b.opinions.forget(v.Origin)
 		b.soon(t)
 		b.inherit(t, v.Origin)
 	case mesh.Stored:
@@ -102,7 +104,10 @@
 			b.build(t)
 		case "listing":
 			b.list(t, v)
-		case "member", "opinion":
+		case "opinion":
+			b.opinions.take(v)
+			b.soon(t)
+		case "member":
 			b.soon(t)
 		}
 	}
@@ -176,7 +181,7 @@
 	}
 	c.Roster = b.roster(t)
 	c.Homes = homes(c.Roster)
-	c.Peers = len(b.members.Live(t.Now, "node"))
+	c.Peers = b.members.Count(t.Now, "node")
 	c.Servers = b.judge(t, c)
 	if c.Sheet != nil {
 		for _, s := range c.Sheet.Services {
--- a/table/verdict.go
+++ b/table/verdict.go
@@ -19,46 +19,47 @@
 	up                       int64
 }
 
-func (b *Table) votes(now int64) map[string]*votes {
-	out := map[string]*votes{}
-	b.mesh.Each("opinion", func(e *wire.Entry, origin string) {
-		var o wire.Opinion
-		if !b.mesh.Live(origin, now) || wire.Decode(e.Body, &o) != nil {
-			return
+// votes counts the opinions of live observers on one server; nil where there is none.
+func (b *Table) votes(server string, now int64) *votes {
+	var v *votes
+	for _, o := range b.opinions[server] {
+		if !b.mesh.Live(o.origin, now) {
+			continue
 		}
-		v := out[e.ID]
 		if v == nil {
 			v = &votes{}
-			out[e.ID] = v
-		}
-		if o.Incarnation > v.incarnation {
-			// Opinions of an earlier incarnation say nothing of this one.
-			*v = votes{incarnation: o.Incarnation, up: o.Up}
-		} else if o.Incarnation < v.incarnation && o.Incarnation != 0 {
-			return
-		}
-		v.all++
-		switch o.State {
-		case "lost":
-			v.lost++
-		case "garbage":
-			v.garbage++
-		case "slow":
-			v.slow++
 		}
-		if origin == b.mesh.Self() {
-			v.own = o.State
-		}
-	})
-	return out
+		v.count(o, o.origin == b.mesh.Self())
+	}
+	return v
+}
+
+func (v *votes) count(o opinion, own bool) {
+	if o.Incarnation > v.incarnation {
+		// Opinions of an earlier incarnation say nothing of this one.
+		*v = votes{incarnation: o.Incarnation, up: o.Up}
+	} else if o.Incarnation < v.incarnation && o.Incarnation != 0 {
+		return
+	}
+	v.all++
+	switch o.State {
+	case "lost":
+		v.lost++
+	case "garbage":
+		v.garbage++
+	case "slow":
+		v.slow++
+	}
+	if own {
+		v.own = o.State
+	}
 }
 
 func (b *Table) judge(t *kernel.Turn, c *Checkpoint) []*Server {
-	votes := b.votes(t.Now)
 	out := make([]*Server, 0, len(b.listing.Servers))
 	for _, row := range b.listing.Servers {
 		s := &Server{Server: row, Gauge: b.Gauges.Of(row.ID)}
-		if v := votes[row.ID]; v != nil {
+		if v := b.votes(row.ID, t.Now); v != nil {
 			s.Incarnation = max(s.Incarnation, v.incarnation)
 			s.Verdict = v.verdict()
 			b.bear(t, s, v.up)
