Backends: connections that are too few for all nodes are closed after use

A reset after the write of a request that may run once only has to be answered with 502.

What is open is then what is under way.

Tests: TestCloseAfterUse, TestIdleConnectionsStayWithinTheBound (the field is new: neither could be run on the sources before).

--- a/backend/conn_test.go
+++ b/backend/conn_test.go
@@ -217,3 +217,19 @@
 	must.False(t, run(t, k, b, forward.ClassAnswer).Reused)
 	must.Eq(t, 2, f.connections())
 }
+
+// TestCloseAfterUse has a backend whose connections are too few to be kept idle by every node.
+func TestCloseAfterUse(t *testing.T) {
+	counts := kernel.NewCounts()
+	f := newFake(t, func(c *call) bool { c.write(c.good("")); return true })
+	k := newTestClient(t, Config{Counts: counts})
+	for _, id := range []string{"a", "b"} {
+		a := f.once(id)
+		a.Server.CloseAfterUse = true
+		must.False(t, run(t, k, a, forward.ClassAnswer).Reused)
+	}
+	must.Eq(t, 2, counts.Of("backend_dials").Load())
+	must.Eq(t, 0, k.open.Load())
+	run(t, k, f.once("c"), forward.ClassAnswer)
+	must.True(t, run(t, k, f.once("d"), forward.ClassAnswer).Reused, must.Sprint("kept where nothing forbids it"))
+}
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -156,6 +156,7 @@
 		rep, keep = x.judge(c, resp, body)
 	}
 	rep.Reused = c.reused
+	keep = keep && !x.ask.Server.CloseAfterUse
 	if !x.release() {
 		keep = false
 	}
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -80,6 +80,8 @@
 	stallTimes = 6
 	// chanceTimes the usual time is what a request that may be sent only once waits rather than be a trial.
 	chanceTimes = 4
+	// dialCost is what a new connection costs where none may be kept idle, in microseconds.
+	dialCost = 2_000
 )
 
 // cost is the expected time to a good answer, in microseconds.
@@ -91,6 +93,9 @@
 	if !s.near {
 		c += st.far.Load()
 	}
+	if s.server.CloseAfterUse {
+		c += dialCost
+	}
 	if w := b.wrong(now); w > 0 {
 		// A failure costs another ask, or all that the request is worth where it may not be sent again.
 		times := int64(wrongAgain)
--- a/table/checkpoint.go
+++ b/table/checkpoint.go
@@ -34,6 +34,8 @@
 	// Born is when, on this process's monotonic clock, the incarnation began.
 	Born  int64
 	Gauge *Gauge
+	// CloseAfterUse is that connections to it are not kept idle.
+	CloseAfterUse bool
 }
 
 // Warm is how warm a server is, in thousandths, after a ramp of so many microseconds.
--- a/table/pools.go
+++ b/table/pools.go
@@ -32,6 +32,9 @@
 			p.Servers = append(p.Servers, s)
 		}
 	}
+	for _, p := range c.Pools {
+		p.reside(b.Self(), c.Divisor)
+	}
 }
 
 // Self is the name of this process.
--- /dev/null
+++ b/table/residents_test.go
@@ -0,0 +1,57 @@
+// Idle connections where a backend allows fewer than there are nodes.
+package table
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/routingpb"
+	"wallport/wire"
+)
+
+func poolOf(backends int, connections int64) *Pool {
+	p := &Pool{Pool: &routingpb.Pool{MaxConnections: connections}}
+	for i := range backends {
+		p.Servers = append(p.Servers, &Server{Server: wire.Server{ID: fmt.Sprintf("s%d", i)}})
+	}
+	return p
+}
+
+// idle counts to which backends so many nodes keep connections, and the fewest that a node keeps.
+func idle(backends int, connections int64, nodes int) (most, fewest int) {
+	by := map[string]int{}
+	fewest = backends
+	for n := range nodes {
+		p, kept := poolOf(backends, connections), 0
+		p.reside(fmt.Sprintf("node-%d", n), nodes)
+		for _, s := range p.Servers {
+			if !s.CloseAfterUse {
+				by[s.ID]++
+				kept++
+			}
+		}
+		fewest = min(fewest, kept)
+	}
+	for _, n := range by {
+		most = max(most, n)
+	}
+	return most, fewest
+}
+
+func TestIdleConnectionsStayWithinTheBound(t *testing.T) {
+	for _, c := range []struct {
+		backends      int
+		connections   int64
+		nodes, fewest int
+	}{
+		{8, 26, 88, 1}, {4, 24, 88, 0}, {8, 330, 72, 8}, {4, 69, 11, 4}, {4, 110, 11, 4}, {4, 0, 88, 4}, {1, 24, 88, 0}, {0, 24, 88, 0},
+	} {
+		most, fewest := idle(c.backends, c.connections, c.nodes)
+		must.Eq(t, c.fewest, fewest, must.Sprint(c))
+		if c.connections > 0 {
+			must.LessEq(t, int(c.connections), most, must.Sprint(c))
+		}
+	}
+}
