Grown fleets: few observers tell what all meet, tables and versions in force are paced

Cause: with probing left to requests, each of 88 nodes that meets a slow or lost backend tells its own opinion to all, and takes it back: 40 slow backends were up to 3,500 signed entries, each verified by 96 processes. Every such entry had a table built within 25 ms; and every version in force was told by every node to every other, one row for each version.

Now: a node that is no prober of a backend does not tell what six live observers tell already (one that has told goes on until it is over); checkpoints for members and opinions alone are built within 25 ms after a pause but at most ten times a second; a row in which only the versions in force changed waits 0.2 s for each sixteen members, 1 s at most. A row's other changes are not held back by that: they used to wait behind a timer already set.

--- a/conditions/conditions.go
+++ b/conditions/conditions.go
@@ -23,8 +23,11 @@
 	TickEvery   = 250_000
 	TellEvery   = 700_000
 	LostAfter   = 2
-	SlowTimes   = 4
-	SlowFrom    = 50_000
+	// Enough is how many observers that say the same of a server hold back those that are not
+	// among its probers: what many nodes meet at once is told by a few.
+	Enough    = 6
+	SlowTimes = 4
+	SlowFrom  = 50_000
 
 	ForgiveAfter = 8_000_000
 )
@@ -210,7 +213,7 @@
 		o.State = "slow"
 	}
 	same := o.State == w.told.State && o.Incarnation == w.told.Incarnation
-	telling := w.probing && o.Incarnation != 0 || o.State != "ok"
+	telling := w.probing && o.Incarnation != 0 || o.State != "ok" && (w.tells || c.table.Agreeing(s.ID, o, t.Now) < Enough)
 	if telling == w.tells && (same || !telling) || t.Now-w.toldAt < TellEvery {
 		return
 	}
--- /dev/null
+++ b/conditions/conditions_test.go
@@ -0,0 +1,107 @@
+// What many nodes meet at once of a server is told by a few of them.
+package conditions
+
+import (
+	"crypto/ed25519"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/listing"
+	"wallport/mesh"
+	"wallport/table"
+	"wallport/wire"
+)
+
+const sick = "s1"
+
+// node is one process with mesh, table and conditions, and some neighbours.
+type node struct {
+	k   *kernel.Kernel
+	now int64
+}
+
+func keyOf(n byte) kernel.Key {
+	seed := make([]byte, ed25519.SeedSize)
+	seed[0] = n
+	return kernel.KeyFrom(seed)
+}
+
+func newNode(neighbours byte) *node {
+	e := env.Env{Name: "a", Mesh: "10.0.0.1:1", PassiveHealth: true}
+	n := &node{k: kernel.New(kernel.Boot{Env: e, Role: "node", Seed: 1, Key: keyOf(0)}), now: 5_000_000}
+	n.feed(kernel.Start{})
+	for i := range neighbours {
+		n.feed(kernel.ChannelUp{Chan: uint64(i) + 1, Addr: "10.0.0.2:1", Peer: kernel.Fingerprint(keyOf(i + 1).Public), Mesh: true})
+	}
+	n.hears(1, "listing", listing.Duty, &wire.Listing{Turn: 1, Whole: true, Servers: []wire.Server{{ID: sick}}})
+	return n
+}
+
+func (n *node) feed(in kernel.Input) { n.k.Step(n.now, n.now, in) }
+
+// hears has a neighbour tell something of its own.
+func (n *node) hears(neighbour byte, typ, id string, body interface {
+	MarshalMsg([]byte) ([]byte, error)
+}) {
+	b, _ := body.MarshalMsg(nil)
+	key := keyOf(neighbour)
+	e := &wire.Entry{Type: typ, ID: id, Origin: key.Public, Count: 1, Body: b}
+	e.Sig = ed25519.Sign(key.Private, wire.Encode(e))
+	n.feed(kernel.Received{Chan: uint64(neighbour), Data: wire.Seal(wire.KindGossip, 0, e)})
+}
+
+// looks has the node look at its servers once more.
+func (n *node) looks() {
+	n.now += TellEvery
+	n.feed(kernel.Tick{Plugin: "mesh", Key: "reach"})
+	n.feed(kernel.Tick{Plugin: "table", Key: "build"})
+	n.feed(kernel.Tick{Plugin: "conditions", Key: "watch"})
+}
+
+func (n *node) tells() int64 { return n.k.Counts.Of("opinions_told").Load() }
+
+func (n *node) meets(fails int64) {
+	kernel.Find[*table.Table](n.k).Gauges.Of(sick).Fails.Store(fails)
+	n.looks()
+}
+
+func TestFewTellWhatAllMeet(t *testing.T) {
+	for _, c := range []struct {
+		agree byte
+		state string
+		told  int64
+	}{
+		{0, "lost", 1}, {Enough - 1, "lost", 1}, {Enough, "lost", 0}, {Enough, "slow", 1}, {Enough + 3, "lost", 0},
+	} {
+		n := newNode(Enough + 3)
+		must.Eq(t, 1, len(kernel.Find[*table.Table](n.k).Now().Servers))
+		for i := range c.agree {
+			n.hears(i+1, "opinion", sick, &wire.Opinion{State: c.state})
+		}
+		n.meets(table.EjectAfter)
+		must.Eq(t, c.told, n.tells(), must.Sprint(c))
+	}
+}
+
+// One that has told goes on doing so while others agree, and takes it back when it is over.
+func TestOneThatHasToldDoesNotFallSilent(t *testing.T) {
+	n := newNode(Enough)
+	n.meets(table.EjectAfter)
+	must.Eq(t, 1, n.tells())
+	for i := range byte(Enough) {
+		n.hears(i+1, "opinion", sick, &wire.Opinion{State: "lost"})
+	}
+	n.looks()
+	n.looks()
+	must.Eq(t, 1, n.tells())
+	n.meets(0)
+	must.Eq(t, 2, n.tells(), must.Sprint("taken back"))
+	mine := false
+	kernel.Find[*mesh.Mesh](n.k).Each("opinion", func(_ *wire.Entry, origin string) {
+		mine = mine || origin == kernel.Find[*mesh.Mesh](n.k).Self()
+	})
+	must.False(t, mine)
+}
--- a/members/members.go
+++ b/members/members.go
@@ -4,6 +4,7 @@
 package members
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -22,13 +23,16 @@
 
 // Members is the plug-in.
 type Members struct {
-	k     *kernel.Kernel
-	mesh  *mesh.Mesh
-	self  wire.Member
-	told  int64
-	dirty bool
-	armed bool
-	rows  map[string]*wire.Member
+	k    *kernel.Kernel
+	mesh *mesh.Mesh
+	self wire.Member
+	told int64
+	// toldRow is what was told then.
+	toldRow wire.Member
+	dirty   bool
+	// due is when the row is told next, 0 where nothing waits.
+	due  int64
+	rows map[string]*wire.Member
 	// order is the origins of the rows, by name; nil where a row came or went since.
 	order   []string
 	peak    int
@@ -36,8 +40,14 @@
 	started int64
 }
 
-// tellEvery is the least time between two tellings of this process's row.
-const tellEvery = 200_000
+// tellEvery is the least time between two tellings of this process's row. Where only the versions
+// in force changed, it is that for each inForceShare members that there are, up to inForceMost:
+// all members tell of a version at about the same time, each to all.
+const (
+	tellEvery    = 200_000
+	inForceShare = 16
+	inForceMost  = 1_000_000
+)
 
 // PeakFor is how long a larger fleet's size still divides what is shared out.
 const PeakFor = 600_000_000
@@ -66,8 +76,8 @@
 		m.dirty = true
 		m.tell(t)
 	case kernel.Tick:
-		m.armed = false
-		m.tell(t)
+		m.due = 0
+		m.soon(t)
 	case kernel.Stopping:
 		m.Update(func(s *wire.Member) { s.Draining = true })
 		m.tell(t)
@@ -96,22 +106,33 @@
 // Update changes what this process tells of itself; it is told soon after.
 func (m *Members) Update(f func(s *wire.Member)) {
 	f(&m.self)
-	if !m.dirty {
-		m.dirty = true
-		m.k.Later(m.soon)
-	}
+	m.dirty = true
+	m.k.Later(m.soon)
 }
 
 // soon tells what changed, at once if nothing was told of late.
 func (m *Members) soon(t *kernel.Turn) {
-	if wait := m.told + tellEvery - t.Now; wait > 0 && m.dirty {
-		if !m.armed {
-			m.armed = true
-			t.After(wait, "members", "tell")
-		}
+	if !m.dirty {
 		return
 	}
-	m.tell(t)
+	at := m.told + m.pause()
+	switch {
+	case m.told == 0 || at <= t.Now:
+		m.tell(t)
+	case m.due == 0 || at < m.due:
+		m.due = at
+		t.After(at-t.Now, "members", "tell")
+	}
+}
+
+// pause is how long to wait between two tellings for what changed.
+func (m *Members) pause() int64 {
+	was, is := m.toldRow, m.self
+	was.InForce, is.InForce = nil, nil
+	if !bytes.Equal(wire.Encode(&was), wire.Encode(&is)) {
+		return tellEvery
+	}
+	return min(inForceMost, tellEvery*int64(max(1, len(m.rows)/inForceShare)))
 }
 
 // SelfRow is what this process tells of itself.
@@ -121,7 +142,7 @@
 	if !m.dirty {
 		return
 	}
-	m.dirty, m.told = false, t.Now
+	m.dirty, m.told, m.toldRow = false, t.Now, m.self
 	m.mesh.Announce(t, "member", m.mesh.Self(), wire.Encode(&m.self), false)
 }
 
--- /dev/null
+++ b/members/members_test.go
@@ -0,0 +1,101 @@
+// When a process's own row is told: at once after a pause, what else changed soon, and versions in
+// force together, the later the more members there are.
+package members
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// process is one process with its mesh and members alone.
+type process struct {
+	k   *kernel.Kernel
+	m   *Members
+	now int64
+}
+
+func newProcess(others int) *process {
+	k := kernel.New(kernel.Boot{Env: env.Env{Name: "a", Mesh: "10.0.0.1:1"}, Role: "node", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32))})
+	p := &process{k: k, m: kernel.Find[*Members](k), now: 5_000_000}
+	p.feed(kernel.Start{})
+	for i := range others {
+		p.m.rows[fmt.Sprint(i)] = &wire.Member{Name: fmt.Sprint("node-", i), Role: "node"}
+	}
+	p.m.order = nil
+	return p
+}
+
+func (p *process) feed(in kernel.Input) kernel.Out { return p.k.Step(p.now, p.now, in) }
+
+// update changes the row and lets the step at its end run.
+func (p *process) update(f func(*wire.Member)) {
+	p.m.Update(f)
+	p.feed(kernel.Tick{Plugin: "nobody"})
+}
+
+// toldWithin runs the members' own timers on and gives when the row was told again.
+func (p *process) toldWithin(most int64) int64 {
+	was, began := p.m.told, p.now
+	for p.now < began+most {
+		p.now += 10_000
+		if p.m.due > 0 && p.m.due <= p.now {
+			p.feed(kernel.Tick{Plugin: "members", Key: "tell"})
+		}
+		if p.m.told != was {
+			return p.m.told - was
+		}
+	}
+	return -1
+}
+
+func version(seq uint64) func(*wire.Member) {
+	return func(m *wire.Member) { m.InForce = []wire.Stamp{{Seq: seq}} }
+}
+
+func TestVersionsInForceAreToldTogether(t *testing.T) {
+	for others, want := range map[int]int64{3: tellEvery, 40: 2 * tellEvery, 95: inForceMost} {
+		p := newProcess(others)
+		p.update(version(1))
+		p.update(version(2))
+		must.Between(t, want, p.toldWithin(2_000_000), want+20_000, must.Sprint(others, " others"))
+		must.Eq(t, -1, p.toldWithin(2_000_000), must.Sprint("once"))
+		p.now += 1_000_000
+		p.update(version(3))
+		must.Eq(t, p.now, p.m.told, must.Sprint("at once after a pause"))
+	}
+}
+
+func TestWhatElseChangesIsNotHeldBack(t *testing.T) {
+	p := newProcess(95)
+	p.update(version(1))
+	p.update(func(m *wire.Member) { m.Sick = "disk" })
+	must.Between(t, tellEvery, p.toldWithin(2_000_000), tellEvery+20_000)
+	p.update(version(2))
+	p.feed(kernel.Stopping{})
+	must.Eq(t, p.now, p.m.told)
+}
+
+func TestMembersByName(t *testing.T) {
+	p := newProcess(0)
+	for i, name := range []string{"c", "b", "d"} {
+		row := wire.Member{Name: name, Role: "core"}
+		e := &wire.Entry{Type: "member", Body: wire.Encode(&row)}
+		p.m.Step(&kernel.Turn{Now: p.now, Counts: p.k.Counts}, mesh.Stored{Entry: e, Origin: fmt.Sprint(i)})
+	}
+	var names string
+	for _, r := range p.m.All(p.now) {
+		names += r.Name
+	}
+	must.Eq(t, "abcd", names)
+	p.m.Step(&kernel.Turn{Now: p.now, Counts: p.k.Counts}, mesh.Forgotten{Origin: "1"})
+	must.Len(t, 3, p.m.All(p.now))
+	must.Eq(t, 1, p.m.Count(p.now, "node"))
+	must.Eq(t, len(p.m.Live(p.now, "node")), p.m.Count(p.now, "node"))
+}
--- a/table/opinions.go
+++ b/table/opinions.go
@@ -37,6 +37,16 @@
 	all[server] = of
 }
 
+// Agreeing counts the live observers other than this process that say the same of a server.
+func (b *Table) Agreeing(server string, o wire.Opinion, now int64) (n int) {
+	for _, other := range b.opinions[server] {
+		if other.State == o.State && other.Incarnation >= o.Incarnation && other.origin != b.mesh.Self() && b.mesh.Live(other.origin, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // forget drops all that an observer said.
 func (all opinions) forget(origin string) {
 	for server, of := range all {
--- a/table/table.go
+++ b/table/table.go
@@ -15,8 +15,12 @@
 	"wallport/wire"
 )
 
-// BuildWithin is how long a change other than a part's may wait for the next checkpoint.
-const BuildWithin = 25_000
+// BuildWithin is how long a change other than a part's may wait for the next checkpoint, and
+// BuildEvery the least time between two checkpoints that are built for such changes alone.
+const (
+	BuildWithin = 25_000
+	BuildEvery  = 100_000
+)
 
 // Table is the plug-in.
 type Table struct {
@@ -27,6 +31,7 @@
 	Gauges   *Gauges
 	now      atomic.Pointer[Checkpoint]
 	armed    bool
+	builtAt  int64
 	alive    uint64
 	config   config
 	listing  wire.Listing
@@ -117,7 +122,7 @@
 func (b *Table) soon(t *kernel.Turn) {
 	if !b.armed {
 		b.armed = true
-		t.After(BuildWithin, "table", "build")
+		t.After(max(BuildWithin, b.builtAt+BuildEvery-t.Now), "table", "build")
 	}
 }
 
@@ -191,6 +196,7 @@
 	b.pools(c)
 	c.Whole = b.whole(c)
 	b.now.Store(c)
+	b.builtAt = t.Now
 	t.Emit(Built{})
 }
 
