--- /dev/null
+++ b/lab/draw/kinds.go
@@ -0,0 +1,109 @@
+// The kinds of trouble and of planned work that a day on the users' platform
+// may hold, as the platform lists them, each with its ways.
+package draw
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// dayKind is one kind: the ways of which one is drawn, and what else its line says.
+type dayKind struct {
+	name string
+	ways []string
+	// follows tells that a change, or backends that leave, may meet the machine afterwards.
+	follows bool
+	line    func(d *drawing) string
+}
+
+// follows are what may meet a machine as it returns, and during a cut.
+var follows = []string{"", "", "meet", "race", "hard", "hard,race", "drain", "meet,drain"}
+
+func text(s string) func(d *drawing) string { return func(*drawing) string { return s } }
+
+// lasting is a share of the things that fit, for a while.
+func lasting(shareLeast, shareMost, least, most float64) func(d *drawing) string {
+	return func(d *drawing) string {
+		return fmt.Sprintf("share=%.2f for=%.1fs", d.f(shareLeast, shareMost), d.f(least, most))
+	}
+}
+
+// during is a time alone.
+func during(least, most float64) func(d *drawing) string {
+	return func(d *drawing) string { return fmt.Sprintf("for=%.1fs", d.f(least, most)) }
+}
+
+// draw makes the entry's line.
+func (k *dayKind) draw(d *drawing) string {
+	line := k.name
+	if k.line != nil {
+		line += " " + k.line(d)
+	}
+	var how []string
+	if len(k.ways) > 0 {
+		how = append(how, k.ways[d.n(len(k.ways))])
+	}
+	if k.follows {
+		how = append(how, follows[d.n(len(follows))])
+	}
+	how = slices.DeleteFunc(how, func(s string) bool { return s == "" })
+	if len(how) > 0 {
+		line += " how=" + strings.Join(how, ",")
+	}
+	return line
+}
+
+var planned = []dayKind{
+	{name: "config_change", ways: []string{"route", "idle", "timeout", "weights", "invalid"}},
+	{name: "config_race", line: func(d *drawing) string {
+		return fmt.Sprintf("count=%d gap=%.2fs x=%d", 1+d.n(3), d.f(0.6, 1.6), 2+d.n(3))
+	}},
+	{name: "config_storm", line: func(d *drawing) string { return fmt.Sprintf("for=4s gap=%.2fs", d.f(0.1, 0.4)) }},
+	{name: "roll_term", ways: []string{"", "busy", "remove"}, follows: true, line: func(d *drawing) string {
+		return fmt.Sprintf("share=%.2f x=1 gap=%.2fs", d.f(0.2, 1), d.f(0.8, 1.6))
+	}},
+	{name: "seed_turnover"},
+	{name: "reshard", line: func(d *drawing) string { return fmt.Sprintf("x=%.1f", d.f(3, 4)) }},
+	{name: "drain", line: func(d *drawing) string { return fmt.Sprintf("count=%d gap=1s", 1+d.n(5)) }},
+	{name: "replace_core", ways: []string{"", "term", "planned"}, line: func(d *drawing) string { return fmt.Sprintf("x=%.1f", d.f(0.5, 2)) }},
+	{name: "evacuate", line: text("zone=z1")},
+	{name: "hup", line: func(d *drawing) string { return fmt.Sprintf("share=%.2f gap=%.1fs", d.f(0.2, 1), d.f(0.1, 2)) }},
+	{name: "release", line: func(d *drawing) string {
+		return fmt.Sprintf("share=%.2f x=%d gap=%.1fs", d.f(0.2, 0.6), 1+d.n(3), d.f(0.3, 1))
+	}},
+	{name: "scale_out", line: func(d *drawing) string { return fmt.Sprintf("share=%.2f gap=%.1fs", d.f(0.1, 0.4), d.f(0.2, 2)) }},
+	{name: "scale_in", ways: []string{"", "spot"}, line: func(d *drawing) string { return fmt.Sprintf("share=%.2f x=%.1f", d.f(0.1, 0.2), d.f(1, 3)) }},
+	{name: "bad_config", ways: []string{
+		"", "cut_short", "unknown_service", "same_place", "no_weight", "no_timeout", "old_version", "same_version", "stale_match", "shared_key",
+	}, line: func(d *drawing) string { return fmt.Sprintf("count=%d gap=%.1fs", 1+d.n(5), d.f(0.1, 1)) }},
+	{name: "resend", line: func(d *drawing) string { return fmt.Sprintf("count=%d", 1+d.n(6)) }},
+	{name: "burst", line: func(d *drawing) string {
+		return fmt.Sprintf("x=%.1f for=%.1fs", d.f(2, 5), d.f(1, 4)) + []string{"", " zone=z1"}[d.n(2)]
+	}},
+	{name: "retry_abuse", line: func(d *drawing) string {
+		return fmt.Sprintf("share=%.2f x=%d for=%.1fs", d.f(0.2, 0.8), 1+d.n(4), d.f(2, 6))
+	}},
+}
+
+// DayKinds lists every kind, and every way of one as KIND.WAY.
+func DayKinds() (kinds, ways []string) {
+	for _, k := range slices.Concat(planned, faults) {
+		kinds = append(kinds, k.name)
+		for _, way := range k.ways {
+			for w := range strings.SplitSeq(way, ",") {
+				if w != "" {
+					ways = append(ways, k.name+"."+w)
+				}
+			}
+		}
+		for _, way := range follows {
+			if k.follows && way != "" && !strings.Contains(way, ",") {
+				ways = append(ways, k.name+"."+way)
+			}
+		}
+	}
+	slices.Sort(kinds)
+	slices.Sort(ways)
+	return slices.Compact(kinds), slices.Compact(ways)
+}
--- a/lab/rules/answers.go
+++ b/lab/rules/answers.go
@@ -46,6 +46,9 @@
 			}
 		default:
 			j.tested(Mixed)
+			if !t.Served() {
+				j.tested(MixedFailure)
+			}
 			a := bySeal[t.Seal]
 			switch {
 			case a == nil:
@@ -187,6 +190,9 @@
 			continue
 		}
 		j.tested(Lost)
+		if j.Touch.Planned.Hit(t.Sent, t.Ended) {
+			j.tested(LostPlanned)
+		}
 		offered := len(j.byTry[t.ID]) > 0
 		if t.Cut && !t.GaveUp && !t.AfterStop && (offered || t.Ended-t.Sent > j.Bounds.LossUs) {
 			j.fail(Lost, t.Ended, "%s was read by %s and its connection ended", t.ID, t.Machine)
--- a/lab/rules/journal.go
+++ b/lab/rules/journal.go
@@ -31,6 +31,29 @@
 	Acks     = "ACKS"
 )
 
+// Parts of rules that are counted for themselves, so that a sweep can tell whether they were put to the test.
+const (
+	// LostPlanned are requests near planned work that the rule LOST was put to.
+	LostPlanned = "LOST near planned work"
+	// MixedFailure are failures with a backend's seal, whose status must be that backend's.
+	MixedFailure = "MIXED in failures"
+	// ConfigRepeat are repeats of acknowledged changes, ConfigNumber pairs of changes under one number.
+	ConfigRepeat = "CONFIG of repeats"
+	ConfigNumber = "CONFIG of one number"
+	// BudgetTry are tries that ran on more than one backend of a service.
+	BudgetTry = "BUDGET of one try"
+	// DrainUnsettled are arrivals at leaving backends whose time ran while the core was not settled.
+	DrainUnsettled = "DRAIN over an unsettled core"
+)
+
+// Names lists every rule and every part of one that is counted.
+func Names() []string {
+	return []string{
+		Mixed, Unasked, Twice, Refused, Denied, Route, Drain, Lost, Config, Budget, Failback, Evac, Recover, Acks,
+		LostPlanned, MixedFailure, ConfigRepeat, ConfigNumber, BudgetTry, DrainUnsettled,
+	}
+}
+
 // Bounds are the figures of the rules.
 type Bounds struct {
 	ContactUs, AckUs, DrainUs, GraceUs, LossUs, ApplyUs, StretchUs, EmptyUs, RecoverUs int64
@@ -70,11 +93,11 @@
 	Method, Target string
 	Body           []byte
 	Sent, At       int64
-	// Ran tells that work began; Wrong that the backend was not the one meant.
-	Ran, Wrong bool
-	Status     int
-	Seal       string
-	Answer     []byte
+	// Ran tells that work began; Wrong that the backend was not the one meant; Held that the way to it was cut.
+	Ran, Wrong, Held bool
+	Status           int
+	Seal             string
+	Answer           []byte
 }
 
 // Backend is one life of a backend.
@@ -95,7 +118,11 @@
 	Table *routingpb.RoutingTable
 	// Sent is when it was sent first; Acked and Refused are when the answer came, or Never.
 	Sent, Acked, Refused int64
-	Invalid              bool
+	// Taken is when the first acknowledgement left a machine, lost on its way or not, and RefusedAgain when
+	// a repeat of what was acknowledged was refused; 0 is never. Repeats counts those repeats.
+	Taken, RefusedAgain int64
+	Repeats             int64
+	Invalid             bool
 	// Alone tells that it was sent on top of the newest version, with no rival.
 	Alone bool
 }
@@ -106,6 +133,8 @@
 	Sent, Acked int64
 	Back        int64
 	BackAcked   int64
+	// Taken and BackTaken are when the first acknowledgement left a machine, lost on its way or not; 0 is never.
+	Taken, BackTaken int64
 }
 
 // InForce is what a node had in force at a moment; Life counts the starts of its process.
@@ -116,8 +145,9 @@
 	Revision int64
 }
 
-// Reading is a configuration that was read back.
+// Reading is a configuration that was read back; Asked is when the question was sent that it answers.
 type Reading struct {
+	Asked int64
 	At    int64
 	Table *routingpb.RoutingTable
 }
--- /dev/null
+++ b/lab/rules/repeats_test.go
@@ -0,0 +1,97 @@
+// The rules on repeats, numbers, further backends and read-backs, each on a
+// journal in order and on one that breaks it.
+package rules
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// secondBackends lets a number of tries run on two backends of one service, well inside the windows' bound.
+func secondBackends(j *Journal, tries int) {
+	j.Bounds.RetryAllowance = 100
+	second := backend("bq2", "q")
+	j.Backends = append(j.Backends, second)
+	for i := range tries {
+		t := j.one("further-"+string(rune('a'+i)), 30*int64(1e6)+int64(i)*1e6, 1)
+		t.Repeatable = true
+		a := j.arrive(t, 1, "", nil)
+		a.Backend = second
+	}
+}
+
+func TestRulesOnRepeats(t *testing.T) {
+	for _, c := range []struct {
+		rule, name string
+		broken     func(j *Journal)
+	}{
+		{Config, "an acknowledgement that was lost, then a refusal", func(j *Journal) {
+			v := version(4, 3, 35*second, table(4, "p"))
+			v.Alone, v.Taken, v.Acked, v.Refused = false, 35*second+500, Never, 37*second
+			j.Versions = append(j.Versions, v)
+		}},
+		{Config, "a repeat of what was acknowledged is refused", func(j *Journal) {
+			j.Versions[1].Repeats, j.Versions[1].RefusedAgain = 1, 40*second
+		}},
+		{Config, "two changes acknowledged under one number", func(j *Journal) {
+			v := version(3, 2, 21*second, table(3, "q"))
+			j.Versions = append(j.Versions, v)
+		}},
+		{Config, "the second one's acknowledgement was lost", func(j *Journal) {
+			v := version(3, 2, 21*second, table(3, "q"))
+			v.Taken, v.Acked = v.Acked, Never
+			j.Versions = append(j.Versions, v)
+		}},
+		{Budget, "tries run on more backends than allowed", func(j *Journal) { secondBackends(j, furtherMost+1) }},
+		{Mixed, "a failure with a seal and another status", func(j *Journal) {
+			j.Tries[0].Status, j.Arrivals[0].Status = 502, 500
+		}},
+		{Drain, "work for a backend whose time ran while the core was not settled", func(j *Journal) {
+			j.Backends[1].Shown = 22 * second
+			j.Touch.Unsettled = Spans{{22 * second, 25 * second}}
+		}},
+	} {
+		t.Run(c.rule+"/"+c.name, func(t *testing.T) {
+			j := calm()
+			c.broken(j)
+			j.Judge()
+			must.Positive(t, j.Broken[c.rule], must.Sprint(j.Findings))
+		})
+	}
+}
+
+func TestRepeatsInOrder(t *testing.T) {
+	j := calm()
+	v := j.Versions[1]
+	v.Taken, v.Acked, v.Repeats = v.Acked, v.Acked+2*second, 2
+	loser := version(3, 1, 20*second, table(3, "p"))
+	loser.Alone, loser.Acked, loser.Refused = false, Never, 21*second
+	j.Versions = append(j.Versions, loser)
+	secondBackends(j, furtherMost)
+	j.Judge()
+	must.Eq(t, nil, j.Findings, must.Sprint("acknowledged again; of two under one number one lost; three tries too many"))
+	must.Positive(t, j.Tested[ConfigRepeat])
+	must.Positive(t, j.Tested[ConfigNumber])
+	must.Eq(t, furtherMost, j.Tested[BudgetTry])
+}
+
+func TestWhatExcusesABackendOrAReading(t *testing.T) {
+	j := calm()
+	secondBackends(j, furtherMost+1)
+	j.Backends[len(j.Backends)-1].Ended = 30 * second
+	j.Judge()
+	must.Eq(t, nil, j.Findings, must.Sprint("a backend that crashed meanwhile doesn't count"))
+
+	j = calm()
+	j.Versions = append(j.Versions, version(9, 3, 58*second+900_000, table(9, "q")))
+	j.ReadBack[0].Asked = 58 * second
+	j.Judge()
+	must.Eq(t, nil, j.Findings, must.Sprint("it was acknowledged after the question"))
+
+	j = calm()
+	j.Backends[0].Shown = 6 * second
+	j.Arrivals[0].Held = true
+	j.Judge()
+	must.Eq(t, nil, j.Findings, must.Sprint("a cut held the request up"))
+}
--- a/lab/sim/day.go
+++ b/lab/sim/day.go
@@ -27,6 +27,10 @@
 	byName   map[string]*machine
 	cuts     map[string]bool
 	cutOff   map[string]bool
+	zoneCuts map[string]bool
+	refused  map[string]bool
+	reader   *machine
+	takes    []armedTake
 	seedList []string
 	shownAt  []shownCores
 
@@ -44,7 +48,7 @@
 	if !ok {
 		panic(fmt.Sprintf("%s: no site %q", w.Script.Name, name))
 	}
-	d := &day{w: w, site: site, byName: map[string]*machine{}, cuts: map[string]bool{}, cutOff: map[string]bool{}, gates: map[*proc]*gate{}}
+	d := &day{w: w, site: site, byName: map[string]*machine{}, cuts: map[string]bool{}, cutOff: map[string]bool{}, zoneCuts: map[string]bool{}, refused: map[string]bool{}, gates: map[*proc]*gate{}}
 	b := rules.Bounds{
 		ContactUs: 4_000_000, AckUs: 5_000_000, DrainUs: 3_000_000, GraceUs: 6_000_000, LossUs: 200_000, ApplyUs: 3_000_000,
 		StretchUs: 12_000_000, EmptyUs: 5_000_000, RecoverUs: 12_000_000, RetryRatio: 0.2, RetryAllowance: site.allowance,
@@ -89,7 +93,7 @@
 	}
 	w.after(1_000_000, func() { d.env.Bootstrap = false })
 	for _, st := range w.Script.Steps {
-		w.at(d.traffic(st.At), func() {
+		w.at(d.traffic(st.At)+w.shift(st), func() {
 			w.note("step " + st.Verb + " " + fmt.Sprint(st.Args))
 			w.Judge.Count("steps", 1)
 			d.do(st)
--- a/lab/sim/day_gate.go
+++ b/lab/sim/day_gate.go
@@ -36,6 +36,8 @@
 	wake  uint64
 	done  func(o *forward.Outcome)
 	over  bool
+	// cut ends the client's connection at once.
+	cut func()
 }
 
 // newGate opens the request path of a node that has just started.
@@ -77,6 +79,7 @@
 			return
 		}
 		t.Read = g.d.w.now
+		g.d.took(g.p.machine, t.Repeatable || t.Probe)
 		req := forward.Request{
 			ID: t.ID, Method: t.Method, Target: t.Target, Path: t.Path, Host: t.Host, Body: t.Body,
 			BudgetUs: t.Deadline - t.Sent,
--- a/lab/sim/day_sites.go
+++ b/lab/sim/day_sites.go
@@ -139,6 +139,12 @@
 			s.zones[i].machines, s.zones[i].disks = 4, 2
 		}
 		s.tolerance, s.coreShare = [2]int{2, 1}, 0.5
+	case "trust_grown":
+		s.grow()
+	case "registry_grown":
+		s = registrySite()
+		s.zones = append(s.zones, zoneShape{"z4", "r1", 3, 1, 175})
+		s.grow()
 	case "ramped":
 		for i := range s.pools {
 			s.pools[i].rampPerS = 20
