--- a/lab/sim/day_acks.go
+++ b/lab/sim/day_acks.go
@@ -3,6 +3,9 @@
 package sim
 
 import (
+	"fmt"
+
+	"wallport/kernel"
 	"wallport/lab/rules"
 	"wallport/wire"
 )
@@ -97,3 +100,15 @@
 		f()
 	}
 }
+
+// hangUp ends the operator's connection to a process whose answer it no longer waits for.
+func (o *orders) hangUp(p *proc, over *bool, id uint64) {
+	sent := o.d.w.now
+	p.later(silentUs+controlUs, func() {
+		if *over && p.calls[id] != nil {
+			o.d.w.Judge.Count("orders.abandoned", 1)
+			p.w.note(fmt.Sprintf("%s: the operator that called at %d us has gone", p.name, sent))
+			p.step(kernel.Abandoned{Plugin: "operate", ID: id})
+		}
+	})
+}
--- a/lab/sim/day_orders.go
+++ b/lab/sim/day_orders.go
@@ -77,13 +77,13 @@
 	}
 	c.avoid = m
 	over := false
+	p := m.core
 	next := func() {
 		if !over {
 			over = true
 			again()
 		}
 	}
-	p := m.core
 	switch {
 	case m.dark:
 	case !p.up:
@@ -93,6 +93,7 @@
 		life := p.life
 		d.w.after(controlUs, func() {
 			p.feed(func() {
+				o.hangUp(p, &over, p.nextCall+1)
 				p.call("operate", c.ask(), func(v any) {
 					code := c.code(v)
 					lost := o.loses(c, code)
--- a/lab/sim/day_verbs.go
+++ b/lab/sim/day_verbs.go
@@ -140,7 +140,7 @@
 	case "rate":
 		d.clients.rate *= e.xOr(1)
 	default:
-		return d.scaled(e)
+		return d.scaled(e) || d.mishap(e)
 	}
 	return true
 }
