Large messages travel in pieces, checked as a whole

Cause: every message between processes was one frame of 1 MiB at most, and a frame that was larger was dropped without a word; a frame of that size also holds up the heartbeats behind it for 0.8 s at 10 Mbit/s.

The kernel cuts what is over 64 KiB into pieces of 32 KiB and puts them together again, for all senders at once: no plug-in sees it. Per destination one message is under way and at most 64 KiB are unacknowledged, 128 KiB for the process, so small frames pass between. After a reconnect the transfer begins again; without progress for 5 s it is given up. Assemblies are one a connection and 8.5 MiB together; the one that began first goes on.

Ruled out: segmentation in the real channel and again in the simulated one (twice the code, and a backlog there isn't bounded by what the peer has read); larger frames (heartbeats would wait). Kinds of frames may overtake each other, as they could before on two connections; hand-overs of keys, whose last frame says that they are complete, keep their order.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -56,13 +56,14 @@
 	later   []func(t *Turn)
 	Counts  *Counts
 	steps   *atomic.Int64
+	pieces  *pieces
 }
 
 // New makes a kernel with every registered plug-in of the boot's role.
 func New(b Boot) *Kernel {
 	k := &Kernel{
 		Boot: b, Rand: rand.New(rand.NewPCG(b.Seed, 0x77616c6c)), Counts: NewCounts(),
-		byName: map[string]Plugin{}, byKind: map[uint8]Plugin{},
+		byName: map[string]Plugin{}, byKind: map[uint8]Plugin{}, pieces: newPieces(),
 	}
 	k.steps = k.Counts.Of("steps")
 	regs := append([]Registration(nil), registered...)
@@ -110,6 +111,7 @@
 			p.Step(t, ev)
 		}
 	}
+	k.pieces.send(t)
 	return t.Out
 }
 
@@ -120,19 +122,18 @@
 func (k *Kernel) route(t *Turn, in Input) {
 	switch v := in.(type) {
 	case Received:
-		f, err := wire.Open(v.Data)
-		if err != nil {
+		if err := k.received(t, v); err != nil {
 			k.Counts.Add("frames_malformed", 1)
 			t.Drop(v.Chan)
-			return
 		}
-		p, ok := k.byKind[f.Kind]
-		if !ok {
-			k.Counts.Add("frames_unknown_kind", 1)
+	case ChannelDown:
+		k.pieces.closed(v.Chan)
+		k.each(t, in)
+	case Tick:
+		if v.Plugin == piecesName {
+			k.pieces.tick(t)
 			return
 		}
-		p.Step(t, Message{Chan: v.Chan, Kind: f.Kind, ID: f.ID, Body: f.Body})
-	case Tick:
 		k.to(t, v.Plugin, in)
 	case Written:
 		k.to(t, v.Plugin, in)
@@ -141,10 +142,53 @@
 	case Call:
 		k.to(t, v.Plugin, in)
 	default:
-		for _, p := range k.plugins {
-			p.Step(t, in)
+		k.each(t, in)
+	}
+}
+
+func (k *Kernel) each(t *Turn, in Input) {
+	for _, p := range k.plugins {
+		p.Step(t, in)
+	}
+}
+
+// received takes a frame; an error means that it is not one that this process can read.
+func (k *Kernel) received(t *Turn, in Received) error {
+	f, err := wire.Open(in.Data)
+	if err != nil {
+		return err
+	}
+	switch f.Kind {
+	case wire.KindPieceAck:
+		var ack wire.PieceAck
+		if err := wire.Decode(f.Body, &ack); err != nil {
+			return err
+		}
+		k.pieces.acked(t, ack)
+	case wire.KindPiece:
+		var piece wire.Piece
+		if err := wire.Decode(f.Body, &piece); err != nil {
+			return err
+		}
+		whole, err := k.pieces.piece(t, in.Chan, piece)
+		if whole == nil || err != nil {
+			return err
 		}
+		k.deliver(t, in.Chan, *whole)
+	default:
+		k.deliver(t, in.Chan, f)
+	}
+	return nil
+}
+
+// deliver hands a message to the plug-in of its kind.
+func (k *Kernel) deliver(t *Turn, conn uint64, f wire.Frame) {
+	p, ok := k.byKind[f.Kind]
+	if !ok {
+		k.Counts.Add("frames_unknown_kind", 1)
+		return
 	}
+	p.Step(t, Message{Chan: conn, Kind: f.Kind, ID: f.ID, Body: f.Body})
 }
 
 func (k *Kernel) to(t *Turn, name string, in Input) {
--- /dev/null
+++ b/kernel/pieces.go
@@ -0,0 +1,120 @@
+// Messages that are larger than a frame should be leave and reach a process in pieces.
+// The plug-ins see none of it: they send a message, and get it whole.
+package kernel
+
+import (
+	"errors"
+
+	"wallport/segment"
+	"wallport/wire"
+)
+
+// piecesName is the timer's name; no plug-in has it.
+const piecesName = "pieces"
+
+// pieces is the kernel's side of segmented messages.
+type pieces struct {
+	sender    *segment.Sender
+	assembler *segment.Assembler
+	ticking   bool
+}
+
+func newPieces() *pieces {
+	return &pieces{sender: segment.NewSender(0), assembler: segment.NewAssembler()}
+}
+
+// keepsOrder tells of the kinds of which a small frame must not pass a large one: the last
+// frame of a hand-over says that it is complete.
+func keepsOrder(kind uint8) bool { return kind == wire.KindHanded }
+
+// send takes the large messages out of a step's sends and adds the pieces that may leave now.
+func (p *pieces) send(t *Turn) {
+	sends := t.Out.Sends[:0]
+	for _, s := range t.Out.Sends {
+		to := segment.Destination{Conn: s.Chan, Addr: s.Addr}
+		behind := keepsOrder(wire.KindOf(s.Data)) && p.sender.Sending(to)
+		if len(s.Data) <= wire.WholeMost && !behind {
+			sends = append(sends, s)
+			continue
+		}
+		if !p.sender.Enqueue(t.Now, segment.Message{To: to, Slot: s.Slot, Data: s.Data}) {
+			t.Counts.Add("transfers_dropped", 1)
+		}
+	}
+	t.Out.Sends = sends
+	p.pump(t)
+	p.tickSoon(t)
+}
+
+func (p *pieces) pump(t *Turn) {
+	for _, o := range p.sender.Pump(t.Now) {
+		t.Counts.Add("transfer_bytes_out", int64(len(o.Piece.Data)))
+		frame := wire.Seal(wire.KindPiece, 0, &o.Piece)
+		t.Out.Sends = append(t.Out.Sends, Send{Chan: o.To.Conn, Addr: o.To.Addr, Data: frame})
+	}
+}
+
+// tickSoon sets the timer while anything is on its way.
+func (p *pieces) tickSoon(t *Turn) {
+	if p.ticking {
+		return
+	}
+	switch {
+	case p.sender.Busy():
+		t.After(segment.RetryAfter/2, piecesName, "")
+	case p.assembler.Busy():
+		t.After(segment.IdleAfter, piecesName, "")
+	default:
+		return
+	}
+	p.ticking = true
+}
+
+// tick sends again, gives up and forgets; the pieces leave at the end of the step.
+func (p *pieces) tick(t *Turn) {
+	p.ticking = false
+	if given := p.sender.Expire(t.Now); given > 0 {
+		t.Counts.Add("transfers_abandoned", int64(given))
+		t.Note(1, "transfer_abandoned", "transfers", given)
+	}
+	p.assembler.Expire(t.Now)
+}
+
+// closed drops what was under way on a connection that has ended.
+func (p *pieces) closed(conn uint64) {
+	p.sender.Closed(conn)
+	p.assembler.Closed(conn)
+}
+
+// acked takes an acknowledgement.
+func (p *pieces) acked(t *Turn, ack wire.PieceAck) {
+	done, again := p.sender.Acked(t.Now, ack)
+	if done {
+		t.Counts.Add("transfers_sent", 1)
+	}
+	if again {
+		t.Counts.Add("transfers_restarted", 1)
+	}
+}
+
+// piece takes a piece, and gives the message that is whole by it. An error means that the
+// connection should be dropped.
+func (p *pieces) piece(t *Turn, conn uint64, piece wire.Piece) (*wire.Frame, error) {
+	taken, err := p.assembler.Take(t.Now, conn, piece)
+	if err != nil {
+		if errors.Is(err, segment.ErrDigest) {
+			t.Counts.Add("transfers_corrupt", 1)
+		}
+		t.Note(1, "transfer_refused", "why", err.Error())
+		return nil, err
+	}
+	if taken.Reply {
+		t.Send(conn, wire.KindPieceAck, 0, &taken.Ack)
+	}
+	if taken.Whole == nil {
+		return nil, nil
+	}
+	t.Counts.Add("transfers_received", 1)
+	frame, err := wire.OpenMessage(taken.Whole)
+	return &frame, err
+}
--- /dev/null
+++ b/segment/segment_test.go
@@ -0,0 +1,248 @@
+// Messages in pieces: whatever the way does to the pieces, a message arrives as it was
+// sent or not at all, and what is held is bounded.
+package segment
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/wire"
+)
+
+// way is what happens to pieces and acknowledgements: the chance in 100 of each.
+type way struct{ lose, double, hold, reconnect int }
+
+// transport is a sender and an assembler with a way between them.
+type transport struct {
+	t         *testing.T
+	rnd       *rand.Rand
+	way       way
+	now       int64
+	conn      uint64
+	sender    *Sender
+	assembler *Assembler
+	arrived   [][]byte
+	held      []func()
+}
+
+func newTransport(t *testing.T, seed uint64, w way) *transport {
+	return &transport{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 5)), way: w, conn: 1,
+		sender: NewSender(0), assembler: NewAssembler(),
+	}
+}
+
+func (x *transport) chance(in100 int) bool { return x.rnd.IntN(100) < in100 }
+
+// carry brings something to the other side, or does to it what the way does.
+func (x *transport) carry(f func()) {
+	if x.chance(x.way.lose) {
+		return
+	}
+	if x.chance(x.way.hold) {
+		x.held = append(x.held, f)
+		return
+	}
+	f()
+	if x.chance(x.way.double) {
+		x.held = append(x.held, f)
+	}
+}
+
+// run goes on until nothing is under way, or for so long.
+func (x *transport) run(for_ int64) {
+	for end := x.now + for_; x.sender.Busy() && x.now < end; x.now += 10_000 {
+		if x.chance(x.way.reconnect) {
+			x.conn++
+		}
+		for _, o := range x.sender.Pump(x.now) {
+			conn, piece := x.conn, o.Piece
+			x.carry(func() { x.take(conn, piece) })
+		}
+		if len(x.held) > 0 && x.chance(50) {
+			i := x.rnd.IntN(len(x.held))
+			f := x.held[i]
+			x.held = append(x.held[:i], x.held[i+1:]...)
+			f()
+		}
+		x.sender.Expire(x.now)
+		x.assembler.Expire(x.now)
+	}
+}
+
+func (x *transport) take(conn uint64, p wire.Piece) {
+	taken, err := x.assembler.Take(x.now, conn, p)
+	must.NoError(x.t, err)
+	if taken.Whole != nil {
+		x.arrived = append(x.arrived, taken.Whole)
+	}
+	if taken.Reply {
+		x.carry(func() { x.sender.Acked(x.now, taken.Ack) })
+	}
+}
+
+func message(seed byte, size int) []byte {
+	b := make([]byte, size)
+	rand.NewChaCha8([32]byte{seed}).Read(b)
+	return b
+}
+
+// same compares messages by their bytes; printing the difference of large ones takes long.
+func same(t *testing.T, want, got [][]byte) {
+	t.Helper()
+	must.Eq(t, len(want), len(got))
+	for i := range want {
+		must.True(t, bytes.Equal(want[i], got[i]), must.Sprintf("message %d differs", i))
+	}
+}
+
+// pieceOf cuts one piece out of a message.
+func pieceOf(transfer uint64, data []byte, offset int) wire.Piece {
+	digest := sha256.Sum256(data)
+	return pieceWith(transfer, data, digest[:], offset)
+}
+
+func pieceWith(transfer uint64, data, digest []byte, offset int) wire.Piece {
+	return wire.Piece{
+		Transfer: transfer, Offset: offset, Total: len(data), Digest: digest,
+		Data: data[offset:min(offset+wire.PieceBytes, len(data))],
+	}
+}
+
+func TestMessagesArriveAsTheyWereSentOrNotAtAll(t *testing.T) {
+	for name, w := range map[string]way{
+		"calm": {}, "lost": {lose: 10}, "doubled": {double: 40}, "out of order": {hold: 20},
+		"reconnected": {reconnect: 5}, "all of it": {lose: 5, double: 20, hold: 10, reconnect: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			arrived := 0
+			for seed := range uint64(40) {
+				x := newTransport(t, seed, w)
+				sent := map[[sha256.Size]byte]bool{}
+				for i := range byte(4) {
+					m := message(i, wire.WholeMost+int(i)*50_001+1)
+					sent[sha256.Sum256(m)] = true
+					must.True(t, x.sender.Enqueue(x.now, Message{To: Destination{Conn: 1}, Data: m}))
+				}
+				x.run(600_000_000)
+				must.False(t, x.sender.Busy(), must.Sprintf("seed %d", seed))
+				must.Eq(t, 0, x.sender.held, must.Sprintf("seed %d", seed))
+				for _, m := range x.arrived {
+					must.True(t, sent[sha256.Sum256(m)], must.Sprintf("seed %d: a message that nobody sent", seed))
+				}
+				if w.reconnect == 0 && w.lose == 0 {
+					must.Len(t, 4, x.arrived, must.Sprintf("seed %d", seed))
+				}
+				arrived += len(x.arrived)
+			}
+			must.GreaterEq(t, 4*40/2, arrived)
+		})
+	}
+}
+
+func TestAfterAReconnectATransferBeginsAgain(t *testing.T) {
+	x := newTransport(t, 1, way{})
+	m := message(1, 10*wire.PieceBytes)
+	x.sender.Enqueue(x.now, Message{To: Destination{Addr: "a"}, Data: m})
+	x.run(20_000)
+	must.Positive(t, x.assembler.Held())
+	x.conn = 2
+	x.run(10_000_000)
+	same(t, [][]byte{m}, x.arrived)
+}
+
+func TestPiecesOfTwoMessagesAndOfTwoSendersDoNotMix(t *testing.T) {
+	a, b := message(1, 3*wire.PieceBytes), message(2, 3*wire.PieceBytes)
+	as := NewAssembler()
+	take := func(conn uint64, p wire.Piece) Taken {
+		taken, err := as.Take(0, conn, p)
+		must.NoError(t, err)
+		return taken
+	}
+	take(1, pieceOf(1, a, 0))
+	take(2, pieceOf(1, b, 0))
+	take(1, pieceOf(1, a, wire.PieceBytes))
+	must.Eq(t, wire.PieceAck{Transfer: 1, Next: wire.PieceBytes}, take(2, pieceOf(1, b, 2*wire.PieceBytes)).Ack)
+	same(t, [][]byte{a}, [][]byte{take(1, pieceOf(1, a, 2*wire.PieceBytes)).Whole})
+
+	// A piece of the next message in the middle of this one, and then a late one of this.
+	must.Eq(t, wire.PieceAck{Transfer: 2, Next: 0}, take(2, pieceOf(2, a, wire.PieceBytes)).Ack)
+	take(2, pieceOf(2, a, 0))
+	must.False(t, take(2, pieceOf(1, b, wire.PieceBytes)).Reply, must.Sprint("the sender has gone on"))
+	take(2, pieceOf(2, a, wire.PieceBytes))
+	same(t, [][]byte{a}, [][]byte{take(2, pieceOf(2, a, 2*wire.PieceBytes)).Whole})
+
+	// Pieces of another message under the same number.
+	take(3, pieceOf(7, a, 0))
+	_, err := as.Take(0, 3, pieceOf(7, b, wire.PieceBytes))
+	must.ErrorIs(t, err, ErrMalformed)
+}
+
+func TestAMessageThatDiffersFromItsDigestIsNotDelivered(t *testing.T) {
+	m := message(1, 2*wire.PieceBytes)
+	as := NewAssembler()
+	_, err := as.Take(0, 1, pieceOf(1, m, 0))
+	must.NoError(t, err)
+	last := pieceOf(1, m, wire.PieceBytes)
+	last.Data = append([]byte(nil), last.Data...)
+	last.Data[5] ^= 1
+	taken, err := as.Take(0, 1, last)
+	must.ErrorIs(t, err, ErrDigest)
+	must.Nil(t, taken.Whole)
+	must.Eq(t, 0, as.Held())
+}
+
+func TestPiecesThatNoSenderSendsAreRefused(t *testing.T) {
+	good := pieceOf(1, message(1, 2*wire.PieceBytes), 0)
+	for name, spoil := range map[string]func(p *wire.Piece){
+		"too large":       func(p *wire.Piece) { p.Total = wire.MaxMessage + 1 },
+		"of no size":      func(p *wire.Piece) { p.Total = 0 },
+		"short digest":    func(p *wire.Piece) { p.Digest = p.Digest[1:] },
+		"empty":           func(p *wire.Piece) { p.Data = nil },
+		"before the head": func(p *wire.Piece) { p.Offset = -1 },
+		"past the end":    func(p *wire.Piece) { p.Offset = p.Total - 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, as := good, NewAssembler()
+			spoil(&p)
+			_, err := as.Take(0, 1, p)
+			must.ErrorIs(t, err, ErrMalformed)
+			must.False(t, as.Busy())
+		})
+	}
+}
+
+func TestWhatIsHeldIsBoundedAndTheFirstGoesOn(t *testing.T) {
+	const senders = 12
+	as := NewAssembler()
+	messages := make([][]byte, senders)
+	digests := make([][sha256.Size]byte, senders)
+	for i := range messages {
+		messages[i] = message(byte(i), 2<<20)
+		digests[i] = sha256.Sum256(messages[i])
+	}
+	var whole int
+	next := make([]int, senders)
+	for range 3 * (2 << 20) / wire.PieceBytes {
+		for i, m := range messages {
+			taken, err := as.Take(0, uint64(i), pieceWith(1, m, digests[i][:], next[i]))
+			must.NoError(t, err)
+			must.LessEq(t, AssembledMost, as.Held())
+			if taken.Reply {
+				next[i] = taken.Ack.Next % len(m)
+			}
+			if taken.Whole != nil {
+				whole++
+				same(t, [][]byte{m}, [][]byte{taken.Whole})
+			}
+		}
+	}
+	must.GreaterEq(t, 4, whole, must.Sprint("those that began first are whole"))
+	as.Expire(IdleAfter)
+	must.Eq(t, 0, as.Held())
+	must.False(t, as.Busy())
+}
--- /dev/null
+++ b/segment/sender.go
@@ -0,0 +1,221 @@
+// Package segment carries messages larger than a frame between two processes: the
+// sender cuts them into pieces, the assembler puts them together and checks the whole
+// by its digest. Both are state machines: they are given what happened and the time in
+// microseconds, and give the pieces and acknowledgements to send.
+//
+// One message at a time travels to a destination, and few bytes are unacknowledged at
+// any moment, so that small frames pass between the pieces. A transfer is begun again
+// when the receiver asks for it, as it does after a reconnect. A transfer that makes
+// no progress is given up: whoever sent the message sends it again if it still matters.
+package segment
+
+import (
+	"bytes"
+
+	"wallport/wire"
+)
+
+// Figures of sending; times in microseconds, sizes in bytes.
+const (
+	// DestinationWindow bounds what is unacknowledged to one destination, and
+	// ProcessWindow to all together: 105 ms on a link of 10 Mbit/s.
+	DestinationWindow = 2 * wire.PieceBytes
+	ProcessWindow     = 4 * wire.PieceBytes
+	// RetryAfter is how long a transfer goes without progress before its pieces are sent
+	// again from the last one that was acknowledged.
+	RetryAfter = 1_000_000
+	// GiveUpAfter is how long a transfer may go without any progress.
+	GiveUpAfter = 5_000_000
+	// RestartsMost is how often the receiver may ask for the beginning.
+	RestartsMost = 4
+	// QueueMost bounds the messages that wait for one destination, the one under way included.
+	QueueMost = 16
+	// QueueBytesMost bounds what the messages of all destinations hold.
+	QueueBytesMost = 8 * wire.MaxMessage
+)
+
+// Destination is an open connection, or the address of a direct one.
+type Destination struct {
+	Conn uint64
+	Addr string
+}
+
+// Message is what is to be sent. One that waits is replaced by a newer one of its slot.
+type Message struct {
+	To   Destination
+	Slot string
+	Data []byte
+}
+
+// Outgoing is a piece for a destination.
+type Outgoing struct {
+	To    Destination
+	Piece wire.Piece
+}
+
+// Sender holds the messages that are on their way in pieces.
+type Sender struct {
+	queues map[Destination]*queue
+	// order is the order in which destinations take turns.
+	order []Destination
+	next  uint64
+	held  int
+}
+
+// NewSender makes a sender that numbers its transfers from first on.
+func NewSender(first uint64) *Sender {
+	return &Sender{queues: map[Destination]*queue{}, next: first}
+}
+
+// Busy tells whether anything is on its way.
+func (s *Sender) Busy() bool { return len(s.queues) > 0 }
+
+// Sending tells whether anything waits for a destination or is on its way to it.
+func (s *Sender) Sending(to Destination) bool { return s.queues[to] != nil }
+
+// Enqueue takes a message. One that waits already is not taken twice; one that
+// finds no room is dropped, which is told by false.
+func (s *Sender) Enqueue(now int64, m Message) bool {
+	q := s.queues[m.To]
+	if q != nil {
+		if grown, taken := q.replace(m); taken {
+			s.held += grown
+			return true
+		}
+	}
+	if len(m.Data) > wire.MaxMessage || s.held+len(m.Data) > QueueBytesMost || q != nil && len(q.messages) >= QueueMost {
+		return false
+	}
+	m.Data = s.shared(m.Data)
+	s.held += len(m.Data)
+	if q != nil {
+		q.messages = append(q.messages, m)
+		return true
+	}
+	q = &queue{messages: []Message{m}}
+	s.queues[m.To] = q
+	s.order = append(s.order, m.To)
+	s.next++
+	q.begin(s.next, now)
+	return true
+}
+
+// shared gives the bytes of an equal message for another destination, if there is one.
+func (s *Sender) shared(data []byte) []byte {
+	for _, to := range s.order {
+		for _, m := range s.queues[to].messages {
+			if bytes.Equal(m.Data, data) {
+				return m.Data
+			}
+		}
+	}
+	return data
+}
+
+// end drops a queue's first message and starts the next one.
+func (s *Sender) end(to Destination, now int64) {
+	q := s.queues[to]
+	s.held -= len(q.messages[0].Data)
+	q.messages = q.messages[1:]
+	if len(q.messages) > 0 {
+		s.next++
+		q.begin(s.next, now)
+		return
+	}
+	s.forget(to)
+}
+
+func (s *Sender) forget(to Destination) {
+	q := s.queues[to]
+	if q == nil {
+		return
+	}
+	for _, m := range q.messages {
+		s.held -= len(m.Data)
+	}
+	delete(s.queues, to)
+	for i, other := range s.order {
+		if other == to {
+			s.order = append(s.order[:i], s.order[i+1:]...)
+			return
+		}
+	}
+}
+
+// Closed drops what was meant for a connection that has ended.
+func (s *Sender) Closed(conn uint64) { s.forget(Destination{Conn: conn}) }
+
+// Acked takes an acknowledgement. It tells whether a transfer has ended by it, and
+// whether it began again.
+func (s *Sender) Acked(now int64, ack wire.PieceAck) (done, again bool) {
+	for to, q := range s.queues {
+		if q.transfer != ack.Transfer {
+			continue
+		}
+		switch {
+		case ack.Next >= len(q.messages[0].Data):
+			s.end(to, now)
+			return true, false
+		case ack.Next > q.acked:
+			q.acked, q.sent = ack.Next, max(q.sent, ack.Next)
+			q.progressAt, q.retryAt = now, now+RetryAfter
+		case ack.Next == 0 && q.acked > 0:
+			q.acked, q.sent = 0, 0
+			q.retryAt = now + RetryAfter
+			if q.restarts++; q.restarts > RestartsMost {
+				s.end(to, now)
+			}
+			return false, true
+		}
+		return false, false
+	}
+	return false, false
+}
+
+// Expire sends again what was not acknowledged in time, and gives up what made no progress.
+// It tells how many transfers were given up.
+func (s *Sender) Expire(now int64) (given int) {
+	for _, to := range append([]Destination(nil), s.order...) {
+		q := s.queues[to]
+		switch {
+		case now-q.progressAt >= GiveUpAfter:
+			given++
+			s.end(to, now)
+		case now >= q.retryAt:
+			q.sent, q.retryAt = q.acked, now+RetryAfter
+		}
+	}
+	return given
+}
+
+// Pump gives the pieces that may be sent now, the destinations in turns.
+func (s *Sender) Pump(now int64) (out []Outgoing) {
+	room := ProcessWindow - s.unacknowledged(now)
+	for sent := true; sent && room > 0; {
+		sent = false
+		for _, to := range s.order {
+			q := s.queues[to]
+			if room <= 0 || !q.hasRoom() {
+				continue
+			}
+			piece := q.piece()
+			room -= len(piece.Data)
+			out, sent = append(out, Outgoing{To: to, Piece: piece}), true
+		}
+	}
+	if len(s.order) > 1 {
+		s.order = append(s.order[1:], s.order[0])
+	}
+	return out
+}
+
+// unacknowledged counts the bytes on their way, but for those to a destination that is silent:
+// they would hold up all others.
+func (s *Sender) unacknowledged(now int64) (n int) {
+	for _, q := range s.queues {
+		if now-q.progressAt < RetryAfter/2 {
+			n += q.sent - q.acked
+		}
+	}
+	return n
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -14,6 +14,7 @@
 //go:generate go tool msgp -tests=false -file messages.go -o messages_gen.go
 //go:generate go tool msgp -tests=false -file calls.go -o calls_gen.go
 //go:generate go tool msgp -tests=false -file bodies.go -o bodies_gen.go
+//go:generate go tool msgp -tests=false -file pieces.go -o pieces_gen.go
 
 // MaxFrame bounds a frame in bytes.
 const MaxFrame = 1 << 20
@@ -47,12 +48,25 @@
 	return out
 }
 
-// Open checks and splits an envelope; the body is not yet decoded.
-func Open(b []byte) (Frame, error) {
+// KindOf is the kind of a sealed frame.
+func KindOf(frame []byte) uint8 {
+	if len(frame) < 2 {
+		return 0
+	}
+	return frame[1]
+}
+
+// Open checks and splits the envelope of a frame; the body is not yet decoded.
+func Open(b []byte) (Frame, error) { return open(b, MaxFrame) }
+
+// OpenMessage is Open for a message that came in pieces.
+func OpenMessage(b []byte) (Frame, error) { return open(b, MaxMessage) }
+
+func open(b []byte, most int) (Frame, error) {
 	if len(b) < 10 {
 		return Frame{}, ErrEmpty
 	}
-	if len(b) > MaxFrame {
+	if len(b) > most {
 		return Frame{}, ErrOversize
 	}
 	if b[0] > Format {
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -31,6 +31,8 @@
 	KindSeen
 	KindSeenReply
 	KindNotice
+	KindPiece
+	KindPieceAck
 )
 
 // Hello opens a mesh channel.
