--- a/kernel/turn.go
+++ b/kernel/turn.go
@@ -141,6 +141,11 @@
 	t.Out.Sends = append(t.Out.Sends, Send{Chan: ch, Data: wire.Seal(kind, 0, m), Slot: slot})
 }
 
+// SendSlotTo is SendSlot on the direct channel to an address.
+func (t *Turn) SendSlotTo(addr string, kind uint8, m msgp.Marshaler, slot string) {
+	t.Out.Sends = append(t.Out.Sends, Send{Addr: addr, Data: wire.Seal(kind, 0, m), Slot: slot})
+}
+
 // SendTo queues a message on the direct channel to an address.
 func (t *Turn) SendTo(addr string, kind uint8, id uint64, m msgp.Marshaler) {
 	t.Out.Sends = append(t.Out.Sends, Send{Addr: addr, Data: wire.Seal(kind, id, m)})
--- /dev/null
+++ b/replica/catch_up.go
@@ -0,0 +1,161 @@
+// Bringing the newest version to a replica that lacks it, and how long large
+// versions may take on their way.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// Figures of versions on their way; times in microseconds, sizes in bytes.
+const (
+	// LargeInterval is how often a large version is sent again. The transport sends lost pieces
+	// again by itself; what it still has under way it does not take twice.
+	LargeInterval = 2_000_000
+	// ProposalTimeout is how long a version may be under way, and SlowestTransfer, in bytes a
+	// second, what it may take beyond that by its size.
+	ProposalTimeout = 10_000_000
+	SlowestTransfer = 100_000
+	// MaxQueuedBytes bounds the orders that wait for the next version.
+	MaxQueuedBytes = 8 << 20
+	// PullAgainAfter is how long a large version counts as on its way to a node that pulled it.
+	PullAgainAfter  = 4_000_000
+	pullsRemembered = 256
+)
+
+// isLarge tells whether a body travels in pieces.
+func isLarge(size int) bool { return size > wire.WholeMost }
+
+// resendInterval is how often a version that was not acknowledged is sent again.
+func resendInterval(size int) int64 {
+	if isLarge(size) {
+		return LargeInterval
+	}
+	return 2 * HeartbeatInterval
+}
+
+// proposalIsOverdue tells that the version under way was not taken by a majority in time. Whoever
+// leads next finds it at some replica, or not; this leader can do no more for it.
+func (g *Group) proposalIsOverdue(now int64) bool {
+	if g.proposal == nil {
+		return false
+	}
+	return now-g.proposedAt > ProposalTimeout+int64(len(g.proposal.Body))*1_000_000/SlowestTransfer
+}
+
+// queuedBytes is the size of the orders that wait for the next version.
+func (g *Group) queuedBytes() (n int) {
+	for _, w := range g.queue {
+		n += len(w.edit.Body)
+	}
+	return n
+}
+
+// refuseTooLarge turns an order down whose outcome is larger than the product takes.
+func (g *Group) refuseTooLarge(t *kernel.Turn, w *pendingEdit, before, after []byte) {
+	if !w.taken {
+		return
+	}
+	if reply, tooLarge := state.TooLarge(g.part, before, after); tooLarge {
+		w.reply, w.taken = reply, false
+		t.Counts.Add("orders_too_large", 1)
+	}
+}
+
+// catchUp sends the newest committed version to a replica whose heartbeat reply shows that it
+// lacks it. While another version is under way to it, a large one is not sent as well.
+func (g *Group) catchUp(t *kernel.Turn, r wire.BeatReply) {
+	size := len(g.committed.Body)
+	underWay := g.proposal != nil && (r.Held == g.proposal.Stamp || isLarge(size))
+	if !g.ready || underWay || !mesh.Newer(g.committed.Stamp, r.Held) {
+		return
+	}
+	interval := int64(CatchUpInterval)
+	if isLarge(size) {
+		interval = LargeInterval
+	}
+	if at := g.caughtUpAt[r.From]; at != 0 && t.Now-at < interval {
+		return
+	}
+	for _, voter := range allVoters(g.committed) {
+		if voter.ID != r.From {
+			continue
+		}
+		g.caughtUpAt[r.From] = t.Now
+		t.Counts.Add("part_handed_over", 1)
+		t.Counts.Add("snapshot_bytes_sent", int64(size))
+		t.Note(0, "snapshot_sent", "part", g.part, "to", r.From, "had_term", r.Held.Term, "had_seq", r.Held.Seq,
+			"term", g.committed.Stamp.Term, "seq", g.committed.Stamp.Seq, "bytes", size)
+		g.s.sendReplica(t, voter, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: g.committed})
+	}
+}
+
+// syncedVersion is the newest version that a replica said it has synced, and the newest round of
+// heartbeats when it did.
+type syncedVersion struct {
+	stamp wire.Stamp
+	round uint64
+}
+
+// noteSynced remembers what a replica has acknowledged.
+func (g *Group) noteSynced(r wire.AcceptReply) {
+	if mesh.Newer(r.Stamp, g.synced[r.From].stamp) {
+		g.synced[r.From] = syncedVersion{r.Stamp, g.round}
+	}
+}
+
+// noticeRollback tells of a replica that holds an older version than it has acknowledged: its disk
+// was put back to an older state. The protocol assumes that this does not happen.
+func (g *Group) noticeRollback(t *kernel.Turn, r wire.BeatReply) {
+	was, known := g.synced[r.From]
+	if !known || r.Round <= was.round || !mesh.Newer(was.stamp, r.Held) {
+		return
+	}
+	delete(g.synced, r.From)
+	t.Counts.Add("replicas_rolled_back", 1)
+	t.Note(2, "replica_rolled_back", "part", g.part, "replica", r.From, "had_seq", was.stamp.Seq, "has_seq", r.Held.Seq,
+		"do", "stop this core, empty its data folder, start it again: it comes back as a new replica")
+}
+
+// sentVersions are the large versions that were sent to a node, by partition.
+type sentVersions map[int]sentVersion
+
+type sentVersion struct {
+	stamp wire.Stamp
+	at    int64
+}
+
+// limitPull takes large versions out of a reply that are on their way to the node already, and
+// those that do not fit into one message: the next pull brings them.
+func (s *Host) limitPull(t *kernel.Turn, conn uint64, r *wire.PullReply) {
+	room := wire.MaxMessage - wire.WholeMost
+	versions := r.Stamped
+	r.Stamped = nil
+	for _, v := range versions {
+		if room < len(v.Body) || isLarge(len(v.Body)) && !s.mayPull(t.Now, conn, v.Stamp) {
+			r.Partial = true
+			continue
+		}
+		room -= len(v.Body)
+		r.Stamped = append(r.Stamped, v)
+	}
+}
+
+// mayPull tells whether a large version is not on its way on a connection, and notes that it is now.
+func (s *Host) mayPull(now int64, conn uint64, stamp wire.Stamp) bool {
+	if len(s.pullsSent) >= pullsRemembered || s.pullsSent == nil {
+		s.pullsSent = map[uint64]sentVersions{}
+	}
+	sent := s.pullsSent[conn]
+	if sent == nil {
+		sent = sentVersions{}
+		s.pullsSent[conn] = sent
+	}
+	if was := sent[stamp.Part]; was.stamp == stamp && now-was.at < PullAgainAfter {
+		return false
+	}
+	sent[stamp.Part] = sentVersion{stamp, now}
+	return true
+}
--- /dev/null
+++ b/replica/catch_up_test.go
@@ -0,0 +1,223 @@
+// A replica that was away, or comes back with an empty disk, is whole again within a
+// bound that its number of missed changes has no part in; and the leader leads on
+// meanwhile. The benchmark gives the figures for several sizes and numbers of changes.
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// wholeWithin is how long a replica that comes back may take: to listen, to be found and made a
+// voter if its disk is new, and twice the time that its link takes for the body.
+func wholeWithin(size int) int64 {
+	return ListenBeforeElection + LargeInterval + 1_000_000 + 2*int64(size)*1_000_000/linkOf10Mbit
+}
+
+// retryAllowance is what a piece that was lost on its way to one that was away may cost.
+const retryAllowance = 1_000_000
+
+// caughtUp is what it took a replica to be whole again.
+type caughtUp struct {
+	us, bytes, body int64
+	// terms is by how many the leader's term has risen meanwhile.
+	terms uint64
+}
+
+// catchUpAfter has a core be away for so many changes of a body, and come back.
+func catchUpAfter(t testing.TB, size, changes int, emptyDisk bool) caughtUp {
+	c := newCluster(t, 0)
+	revision := c.grow(size)
+	away := c.settle()
+	c.stop(away.id)
+	for i := range changes {
+		must.Eq(t, "ok", c.order(pools(revision, 100, fmt.Sprintf("changed-%d", i%50)), 10_000_000).Code)
+		revision++
+	}
+	back := c.now + 3_000_000
+	c.run(4_000_000, "it is away for a while", func() bool { return c.now >= back })
+	if emptyDisk {
+		away.files = map[string][]byte{}
+	}
+	c.bytesPerSecond = linkOf10Mbit
+	want := c.lead().committed().Stamp
+	c.start(away.id)
+	us := c.run(wholeWithin(size), "the replica is whole again", func() bool { return away.holds(want) })
+	return caughtUp{us, away.bytesIn, int64(len(c.lead().committed().Body)), c.lead().committed().Stamp.Term - want.Term}
+}
+
+// settle waits until the core that should lead the configuration does, and all hold the same; it
+// gives one of the others.
+func (c *cluster) settle() *member {
+	c.t.Helper()
+	c.run(60_000_000, "the preferred core leads", func() bool { return c.members["a"].host.Leads(state.Config) })
+	c.all(60_000_000)
+	return c.members["b"]
+}
+
+func TestAReplicaThatWasAwayIsWholeAgain(t *testing.T) {
+	for _, size := range []int{10_000, 100_000, 1_000_000, 4_000_000} {
+		for _, emptyDisk := range []bool{false, true} {
+			t.Run(fmt.Sprintf("size=%d/empty=%v", size, emptyDisk), func(t *testing.T) {
+				r := catchUpAfter(t, size, 10, emptyDisk)
+				t.Logf("whole again after %d ms and %d KB", r.us/1000, r.bytes/1000)
+				must.Eq(t, 0, r.terms, must.Sprint("the leader leads on"))
+				// A new disk takes two changes of members, and so two versions.
+				most := 3*r.body + r.body/10 + 50_000
+				if !emptyDisk {
+					most = 2*r.body + 50_000
+				}
+				must.LessEq(t, most, r.bytes)
+			})
+		}
+	}
+}
+
+func TestSixHundredMissedChangesTakeNoLongerThanTen(t *testing.T) {
+	few, many := catchUpAfter(t, 50_000, 10, false), catchUpAfter(t, 50_000, 600, false)
+	must.Eq(t, 0, many.terms)
+	must.LessEq(t, few.us+retryAllowance, many.us)
+	must.LessEq(t, 2*many.body+50_000, many.bytes)
+}
+
+// A large version on its way to a replica must not hold up the heartbeats to it and the others.
+func TestHeartbeatsPassALargeVersion(t *testing.T) {
+	c := newCluster(t, linkOf10Mbit)
+	revision := c.grow(3_000_000)
+	away := c.settle()
+	l, term := c.lead(), c.lead().committed().Stamp.Term
+	c.stop(away.id)
+	must.Eq(t, "ok", c.order(pools(revision, 100, "changed"), 60_000_000).Code)
+	want := l.committed().Stamp
+	back := c.now + 3_000_000
+	c.run(4_000_000, "it is away for a while", func() bool { return c.now >= back })
+	c.start(away.id)
+	g := away.host.groups[state.Config]
+	worst := int64(0)
+	c.run(wholeWithin(3_000_000), "the replica is whole again", func() bool {
+		if g.leaderSeen > 0 {
+			worst = max(worst, c.now-g.leaderSeen)
+		}
+		return away.holds(want)
+	})
+	t.Logf("the longest wait for a heartbeat was %d ms", worst/1000)
+	must.Less(t, ElectionTimeout, worst)
+	must.Eq(t, l, c.leader())
+	must.Eq(t, term, l.committed().Stamp.Term)
+}
+
+// A member that is away while versions follow each other is brought the newest one only.
+func TestOnlyTheNewestVersionIsBrought(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	must.NotNil(t, g)
+	c.now += LargeInterval
+	g.committed.Body = make([]byte, wire.WholeMost+1)
+	beat := wire.BeatReply{Term: g.term, From: "b", Round: g.round, OK: true}
+	count := func() int64 { return c.k.Counts.Of("part_handed_over").Load() }
+	c.send(wire.KindBeatReply, &beat)
+	must.Eq(t, 1, count())
+	for range 5 {
+		c.now += CatchUpInterval / 2
+		c.send(wire.KindBeatReply, &beat)
+	}
+	must.Eq(t, 1, count(), must.Sprint("a large one is on its way"))
+	g.proposal = &wire.Stamped{Stamp: wire.Stamp{Term: g.term, Seq: 99}, Seats: g.committed.Seats}
+	c.now += 2 * LargeInterval
+	c.send(wire.KindBeatReply, &beat)
+	must.Eq(t, 1, count(), must.Sprint("the one that is proposed takes its place"))
+}
+
+func TestADiskThatWasPutBackIsNoticed(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	beat := wire.BeatReply{Term: g.term, From: "b", Round: g.round, Held: wire.Stamp{}, OK: true}
+	g.synced["b"] = syncedVersion{g.committed.Stamp, g.round}
+	c.send(wire.KindBeatReply, &beat)
+	must.Eq(t, 0, c.k.Counts.Of("replicas_rolled_back").Load(), must.Sprint("sent before the acknowledgement"))
+	beat.Round++
+	c.send(wire.KindBeatReply, &beat)
+	must.Eq(t, 1, c.k.Counts.Of("replicas_rolled_back").Load())
+	beat.Held = g.committed.Stamp
+	g.synced["b"] = syncedVersion{g.committed.Stamp, g.round}
+	c.send(wire.KindBeatReply, &beat)
+	must.Eq(t, 1, c.k.Counts.Of("replicas_rolled_back").Load())
+}
+
+// A large version is in the answer to one pull, not to each one while it is under way.
+func TestALargeVersionIsPulledOnce(t *testing.T) {
+	c := newCore(t, nil)
+	large := func(part, size int) {
+		c.s.groups[part].committed = wire.Stamped{Stamp: wire.Stamp{Part: part, Term: 1, Seq: 1}, Body: make([]byte, size)}
+	}
+	large(0, 3<<20)
+	large(1, 2<<20)
+	large(2, 100)
+	pull := func() (parts []int, partial bool) {
+		var r wire.PullReply
+		must.NoError(t, wire.Decode(receivedWhole(t, c, wire.KindPull, &wire.Pull{}), &r))
+		for _, v := range r.Stamped {
+			parts = append(parts, v.Stamp.Part)
+		}
+		return parts, r.Partial
+	}
+	parts, partial := pull()
+	must.Eq(t, []int{0, 2}, parts, must.Sprint("two large ones do not fit into one message"))
+	must.True(t, partial)
+	parts, partial = pull()
+	must.Eq(t, []int{1, 2}, parts)
+	must.True(t, partial)
+	c.now += PullAgainAfter
+	parts, _ = pull()
+	must.Eq(t, []int{0, 2}, parts)
+}
+
+// receivedWhole has a core answer a message, and puts the answer's pieces together.
+func receivedWhole(t *testing.T, c *core, kind uint8, m interface{ MarshalMsg([]byte) ([]byte, error) }) []byte {
+	t.Helper()
+	out := c.send(kind, m)
+	var whole []byte
+	for len(out.Sends) > 0 {
+		var next kernel.Out
+		for _, s := range out.Sends {
+			f, err := wire.Open(s.Data)
+			must.NoError(t, err)
+			if f.Kind != wire.KindPiece {
+				return f.Body
+			}
+			var p wire.Piece
+			must.NoError(t, wire.Decode(f.Body, &p))
+			whole = append(whole, p.Data...)
+			ack := wire.PieceAck{Transfer: p.Transfer, Next: len(whole)}
+			next.Sends = append(next.Sends, c.send(wire.KindPieceAck, &ack).Sends...)
+		}
+		out = next
+	}
+	f, err := wire.OpenMessage(whole)
+	must.NoError(t, err)
+	return f.Body
+}
+
+func BenchmarkCatchUp(b *testing.B) {
+	for _, size := range []int{10_000, 100_000, 1_000_000, 4_000_000} {
+		for _, changes := range []int{10, 100, 1000, 5000} {
+			for _, emptyDisk := range []bool{false, true} {
+				b.Run(fmt.Sprintf("size=%d/changes=%d/empty=%v", size, changes, emptyDisk), func(b *testing.B) {
+					var r caughtUp
+					for range b.N {
+						r = catchUpAfter(b, size, changes, emptyDisk)
+					}
+					b.ReportMetric(float64(r.us)/1000, "simulated-ms")
+					b.ReportMetric(float64(r.bytes)/1000, "received-KB")
+					b.ReportMetric(float64(r.terms), "terms")
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,250 @@
+// A group of cores on simulated time, joined by links of a given bandwidth, with
+// disks of their own: what several replicas do together.
+package replica
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"wallport/diskfile"
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/routingpb"
+	"wallport/state"
+	"wallport/wire"
+)
+
+const (
+	linkDelay  = 1_000
+	diskDelay  = 2_000
+	clientConn = 1 << 40
+)
+
+type clusterEvent struct {
+	at, seq int64
+	run     func()
+}
+
+type clusterEvents []clusterEvent
+
+func (e clusterEvents) Len() int { return len(e) }
+func (e clusterEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e clusterEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *clusterEvents) Push(x any)   { *e = append(*e, x.(clusterEvent)) }
+func (e *clusterEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// member is one core of a cluster.
+type member struct {
+	id      string
+	k       *kernel.Kernel
+	host    *Host
+	files   map[string][]byte
+	up      bool
+	life    int
+	free    int64
+	bytesIn int64
+	replies map[uint64]wire.EditReply
+}
+
+// cluster joins cores "a", "b" and "c", whose addresses are their names.
+type cluster struct {
+	t       testing.TB
+	now     int64
+	seq     int64
+	events  clusterEvents
+	members map[string]*member
+	conns   map[string]uint64    // by dialer and dialed
+	ends    map[uint64][2]string // of the open connections
+	// bytesPerSecond is what each core's link takes; 0 is any number.
+	bytesPerSecond int64
+	nextEdit       uint64
+}
+
+func newCluster(t testing.TB, bytesPerSecond int64) *cluster {
+	c := &cluster{t: t, members: map[string]*member{}, conns: map[string]uint64{}, ends: map[uint64][2]string{}, bytesPerSecond: bytesPerSecond}
+	form := wire.Form{Formation: "f", Go: true}
+	for _, id := range []string{"a", "b", "c"} {
+		form.Seats = append(form.Seats, wire.Seat{ID: id, Addr: id, Zone: "z" + id})
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		files := map[string][]byte{"seat": diskfile.Pack([]byte(id)), "formation": diskfile.Pack(wire.Encode(&form))}
+		c.members[id] = &member{id: id, files: files}
+		c.start(id)
+	}
+	return c
+}
+
+func (c *cluster) after(d int64, f func()) {
+	c.seq++
+	heap.Push(&c.events, clusterEvent{c.now + d, c.seq, f})
+}
+
+// start starts a core with the files that its disk holds.
+func (c *cluster) start(id string) {
+	m := c.members[id]
+	m.up, m.replies, m.bytesIn = true, map[uint64]wire.EditReply{}, 0
+	m.life++
+	boot := kernel.Boot{Env: env.Env{Name: id, Mesh: id, Zone: "z" + id, Data: "disk"}, Role: "core", Seed: uint64(id[0]), Key: kernel.KeyFrom(bytes.Repeat([]byte(id), 32)), Files: map[string][]byte{}}
+	for name, b := range m.files {
+		boot.Files[name] = b
+	}
+	m.k = kernel.New(boot)
+	m.host = kernel.Find[*Host](m.k)
+	c.step(m, kernel.Start{})
+}
+
+// stop ends a core as a loss of power does: what it has not written is gone.
+func (c *cluster) stop(id string) {
+	m := c.members[id]
+	m.up = false
+	m.life++
+	for conn, ends := range c.ends {
+		if ends[0] == id || ends[1] == id {
+			delete(c.ends, conn)
+			delete(c.conns, ends[0]+">"+ends[1])
+		}
+	}
+}
+
+func (c *cluster) step(m *member, in kernel.Input) {
+	out := m.k.Step(c.now, c.now, in)
+	life := m.life
+	for _, timer := range out.Timers {
+		c.after(timer.At-c.now, func() {
+			if m.life == life {
+				c.step(m, kernel.Tick{Plugin: timer.Plugin, Key: timer.Key})
+			}
+		})
+	}
+	for _, w := range out.Writes {
+		c.after(diskDelay, func() {
+			if m.life != life {
+				return
+			}
+			if m.files[w.File] = w.Data; w.Data == nil {
+				delete(m.files, w.File)
+			}
+			if w.Key != "" {
+				c.step(m, kernel.Written{Plugin: w.Plugin, Key: w.Key})
+			}
+		})
+	}
+	for _, s := range out.Sends {
+		c.send(m, s)
+	}
+}
+
+// send puts a frame on its connection, as the channels do: what is too large is dropped.
+func (c *cluster) send(m *member, s kernel.Send) {
+	if s.Chan == clientConn {
+		f, err := wire.Open(s.Data)
+		must.NoError(c.t, err)
+		var r wire.EditReply
+		must.NoError(c.t, wire.Decode(f.Body, &r))
+		m.replies[f.ID] = r
+		return
+	}
+	conn := s.Chan
+	if s.Addr != "" {
+		conn = c.connect(m.id, s.Addr)
+	}
+	ends, open := c.ends[conn]
+	var b bytes.Buffer
+	if !open || wire.WriteTo(&b, s.Data) != nil {
+		return
+	}
+	to := c.members[ends[0]]
+	if to == m {
+		to = c.members[ends[1]]
+	}
+	at := max(c.now, m.free)
+	if c.bytesPerSecond > 0 {
+		at += int64(b.Len()) * 1_000_000 / c.bytesPerSecond
+	}
+	m.free = at
+	life := to.life
+	c.after(at-c.now+linkDelay, func() {
+		if to.life == life && to.up {
+			to.bytesIn += int64(len(s.Data))
+			c.step(to, kernel.Received{Chan: conn, Data: s.Data})
+		}
+	})
+}
+
+func (c *cluster) connect(from, to string) uint64 {
+	key := from + ">" + to
+	if c.members[to] == nil || !c.members[to].up {
+		return 0
+	}
+	if c.conns[key] == 0 {
+		c.seq++
+		c.conns[key] = uint64(c.seq)
+		c.ends[uint64(c.seq)] = [2]string{from, to}
+	}
+	return c.conns[key]
+}
+
+// run goes on until something holds, and tells how long that took; it fails after so long.
+func (c *cluster) run(most int64, what string, until func() bool) int64 {
+	c.t.Helper()
+	began := c.now
+	for !until() {
+		e := heap.Pop(&c.events).(clusterEvent)
+		c.now = e.at
+		if c.now-began > most {
+			c.t.Fatalf("not within %d us: %s", most, what)
+		}
+		e.run()
+	}
+	return c.now - began
+}
+
+// leader is the core that leads the configuration and may take its edits.
+func (c *cluster) leader() *member {
+	for _, id := range []string{"a", "b", "c"} {
+		if m := c.members[id]; m.up && m.host.Leads(state.Config) {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *cluster) lead() *member {
+	c.run(20_000_000, "a leader", func() bool { return c.leader() != nil })
+	return c.leader()
+}
+
+// order sends an edit of the configuration to its leader and waits for the answer.
+func (c *cluster) order(e *routingpb.RoutingEdit, within int64) wire.EditReply {
+	c.t.Helper()
+	m := c.lead()
+	b, err := proto.Marshal(e)
+	must.NoError(c.t, err)
+	c.nextEdit++
+	id := c.nextEdit
+	edit := wire.Edit{Op: "routing", Body: b, EditID: fmt.Sprint(id)}
+	c.step(m, kernel.Received{Chan: clientConn, Data: wire.Seal(wire.KindEdit, id, &edit)})
+	c.run(within, "an answer to the order", func() bool { _, ok := m.replies[id]; return ok })
+	return m.replies[id]
+}
+
+// pools is an edit that sets pools of so many bytes of source each.
+func pools(base int64, size int, names ...string) *routingpb.RoutingEdit {
+	up := new(routingpb.RoutingTable)
+	for _, name := range names {
+		up.Pools = append(up.Pools, &routingpb.Pool{Name: name, Source: bytes.Repeat([]byte(name[:1]), size)})
+	}
+	return &routingpb.RoutingEdit{Base: base, Revision: base + 1, Upsert: up}
+}
--- a/replica/election.go
+++ b/replica/election.go
@@ -50,7 +50,7 @@
 		return
 	}
 	for _, s := range allVoters(g.accepted) {
-		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Pre: true}
+		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Pre: true, Held: g.accepted.Stamp}
 		if s.ID == g.self() {
 			g.voteReply(t, wire.VoteReply{Part: g.part, Term: g.term, From: s.ID, Pre: true, Granted: true, Held: g.accepted})
 			continue
@@ -64,7 +64,7 @@
 	g.replies = map[string]wire.VoteReply{}
 	t.Counts.Add("part_elections", 1)
 	for _, s := range allVoters(g.accepted) {
-		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Named: named}
+		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Named: named, Held: g.accepted.Stamp}
 		if s.ID == g.self() {
 			g.vote(t, 0, 0, v)
 			continue
@@ -80,8 +80,9 @@
 		if !granted {
 			r.Term = g.votedTerm
 		}
-		if !granted || v.Pre {
-			// Only who is given the term needs what is held; the others need to know how new it is.
+		if !granted || v.Pre || !mesh.Newer(g.accepted.Stamp, v.Held) {
+			// Only who is given the term and holds an older version needs what is held; the others
+			// need to know how new it is.
 			r.Held.Body = nil
 		}
 		if v.From == g.self() {
@@ -96,7 +97,7 @@
 	fresh := v.Term > g.votedTerm || v.Term == g.votedTerm && g.votedFor == v.From
 	if v.Pre {
 		quiet := g.role != leader && t.Now-g.leaderSeen > ElectionTimeout/2
-		reply(t, v.Term > g.votedTerm && quiet && (g.s.diskProblem == "" || g.s.diskProblem == "slow"))
+		reply(t, v.Term > g.votedTerm && quiet && !g.outranks(v) && (g.s.diskProblem == "" || g.s.diskProblem == "slow"))
 		return
 	}
 	if !fresh {
@@ -115,6 +116,12 @@
 	})
 }
 
+// outranks tells that this replica should lead rather than the candidate: it holds a newer version,
+// which the candidate would have to be sent first, and it can stand itself.
+func (g *Group) outranks(v wire.Vote) bool {
+	return mesh.Newer(g.accepted.Stamp, v.Held) && g.isVoter() && !g.s.stopping
+}
+
 func (g *Group) voteReply(t *kernel.Turn, r wire.VoteReply) {
 	if r.Pre && g.role != preCandidate || !r.Pre && g.role != candidate {
 		return
--- a/replica/group.go
+++ b/replica/group.go
@@ -89,6 +89,7 @@
 	acks            map[string]bool
 	proposal        *wire.Stamped
 	sentAt          int64
+	proposedAt      int64
 	queue           []pendingEdit
 	proposedEdits   []pendingEdit
 	unconfirmed     []pendingEdit
@@ -100,6 +101,7 @@
 	diskProblem     map[string]bool
 	successors      map[string]wire.Seat
 	caughtUpAt      map[string]int64
+	synced          map[string]syncedVersion
 	clockOffsets    map[string]int64
 	quorumAt        int64
 	leaderSince     int64
--- a/replica/host.go
+++ b/replica/host.go
@@ -27,6 +27,7 @@
 	diskDamaged  bool
 	futureFormat string
 	diskProblem  string
+	pullsSent    map[uint64]sentVersions
 	stopping     bool
 
 	formation    wire.Form
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -12,6 +12,7 @@
 	g.role, g.leader, g.leaderAddress = leader, g.self(), g.s.k.Boot.Env.Mesh
 	g.ready, g.transferring = false, g.s.stopping
 	g.confirmedRounds, g.clockOffsets = map[string]uint64{}, map[string]int64{}
+	g.synced = map[string]syncedVersion{}
 	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
 	g.quorumAt, g.heartbeatAt, g.leaderSince = t.Now, 0, t.Now
 	g.leases = map[string]*lease{}
@@ -45,7 +46,7 @@
 }
 
 func (g *Group) propose(t *kernel.Turn, v wire.Stamped) {
-	g.proposal, g.sentAt = &v, t.Now
+	g.proposal, g.proposedAt = &v, t.Now
 	g.acks = map[string]bool{}
 	g.resend(t)
 }
@@ -77,6 +78,7 @@
 		return
 	}
 	g.heardAt[r.From] = t.Now
+	g.noteSynced(r)
 	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
 		return
 	}
@@ -121,6 +123,9 @@
 	case t.Now-g.quorumAt > StepDownAfter:
 		g.stepDown(t, "no majority answers")
 		return
+	case g.proposalIsOverdue(t.Now):
+		g.stepDown(t, "the version under way was not taken in time")
+		return
 	case (g.s.diskProblem != "" || g.transferring) && g.proposal == nil && g.bestSuccessor(t) != "":
 		g.transferLeadership(t)
 		return
@@ -131,7 +136,7 @@
 		g.transferTo(t, to)
 		return
 	}
-	if g.proposal != nil && t.Now-g.sentAt > 2*HeartbeatInterval {
+	if g.proposal != nil && t.Now-g.sentAt > resendInterval(len(g.proposal.Body)) {
 		g.resend(t)
 	}
 	g.proposeNext(t)
@@ -156,7 +161,7 @@
 	}
 }
 
-func (g *Group) handleHeartbeatReply(t *kernel.Turn, ch uint64, r wire.BeatReply) {
+func (g *Group) handleHeartbeatReply(t *kernel.Turn, r wire.BeatReply) {
 	if g.role != leader {
 		return
 	}
@@ -177,11 +182,7 @@
 	g.heardAt[r.From], g.diskProblem[r.From] = t.Now, r.Sick
 	g.clockOffsets[r.From] = r.Wall - t.Now
 	g.confirmedRounds[r.From] = max(g.confirmedRounds[r.From], r.Round)
-	if g.ready && mesh.Newer(g.committed.Stamp, r.Held) && (g.proposal == nil || r.Held != g.proposal.Stamp) &&
-		(g.caughtUpAt[r.From] == 0 || t.Now-g.caughtUpAt[r.From] >= CatchUpInterval) {
-		g.caughtUpAt[r.From] = t.Now
-		t.Counts.Add("part_handed_over", 1)
-		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: r.From, Part: g.part, Term: g.term, From: g.self(), Stamped: g.committed})
-	}
+	g.noticeRollback(t, r)
+	g.catchUp(t, r)
 	g.confirm(t)
 }
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -5,6 +5,7 @@
 
 import (
 	"wallport/kernel"
+	"wallport/state"
 	"wallport/wire"
 )
 
@@ -14,7 +15,7 @@
 		g.answer(t, ch, id, wire.EditReply{Code: "not_owner", Addr: g.leaderAddress})
 		return
 	}
-	if len(g.queue)+len(g.unconfirmed) >= MaxQueued {
+	if len(g.queue)+len(g.unconfirmed) >= MaxQueued || g.queuedBytes()+len(e.Body) > MaxQueuedBytes {
 		g.answer(t, ch, id, wire.EditReply{Code: "shed"})
 		return
 	}
@@ -56,6 +57,7 @@
 		w := &batch[i]
 		var after []byte
 		after, w.reply, w.taken = g.s.judge(g.part)(body, g.committed.Stamp, stamp, &w.edit, t.Wall)
+		g.refuseTooLarge(t, w, body, after)
 		switch {
 		case w.taken:
 			body, changed = after, true
@@ -68,7 +70,7 @@
 	}
 	g.clockAt = t.Now
 	if wall, known := g.agreedTime(t); known {
-		if after, due := g.s.clockwork(g.part)(body, stamp, wall, g.leaseHolders(t)); due {
+		if after, due := g.s.clockwork(g.part)(body, stamp, wall, g.leaseHolders(t)); due && len(after) <= state.MaxBody(g.part)+state.ClockRoom {
 			body, changed = after, true
 		}
 	} else {
--- a/replica/route.go
+++ b/replica/route.go
@@ -2,6 +2,8 @@
 package replica
 
 import (
+	"fmt"
+
 	"github.com/tinylib/msgp/msgp"
 
 	"wallport/kernel"
@@ -103,7 +105,7 @@
 	case wire.KindBeat:
 		decode(t, v, func(m wire.Beat) { to(m.To, m.Part, func(g *Group) { g.handleHeartbeat(t, v.Chan, v.ID, m) }) })
 	case wire.KindBeatReply:
-		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.handleHeartbeatReply(t, v.Chan, m) }) })
+		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.handleHeartbeatReply(t, m) }) })
 	case wire.KindForm:
 		decode(t, v, func(m wire.Form) { s.handleForm(t, v.Chan, m) })
 	case wire.KindFormReply:
@@ -148,6 +150,7 @@
 			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.votedTerm, Seat: g.leader, Addr: g.s.addressOf(g.leader, t.Now)})
 		}
 	}
+	s.limitPull(t, ch, &r)
 	t.Send(ch, wire.KindPullReply, id, &r)
 }
 
@@ -165,5 +168,10 @@
 		addr = a
 	}
 	t.Counts.Add("part_messages", 1)
+	if accept, ok := m.(*wire.Accept); ok {
+		// A replica that is slow or away needs the newest version only.
+		t.SendSlotTo(addr, kind, m, fmt.Sprintf("version %d", accept.Part))
+		return
+	}
 	t.SendTo(addr, kind, 0, m)
 }
--- /dev/null
+++ b/replica/snapshot_test.go
@@ -0,0 +1,223 @@
+// Versions larger than a frame: taken, brought to every replica, and adopted by the
+// next leader; what is too large for the product is refused before it is proposed.
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// linkOf10Mbit is the bandwidth of a link of 10 Mbit/s in bytes a second.
+const linkOf10Mbit = 10_000_000 / 8
+
+// follower is a core that does not lead the configuration.
+func (c *cluster) follower() *member {
+	for _, id := range []string{"a", "b", "c"} {
+		if m := c.members[id]; m != c.lead() {
+			return m
+		}
+	}
+	return nil
+}
+
+// holds tells whether a core has committed a version that is at least as new.
+func (m *member) holds(at wire.Stamp) bool {
+	g := m.host.groups[state.Config]
+	return g.committed.Stamp == at || g.committed.Stamp.Term > at.Term || g.committed.Stamp.Term == at.Term && g.committed.Stamp.Seq > at.Seq
+}
+
+func (m *member) committed() wire.Stamped { return m.host.groups[state.Config].committed }
+
+// grow takes orders until the configuration has at least so many bytes, and gives its revision.
+func (c *cluster) grow(size int) (revision int64) {
+	c.t.Helper()
+	for i := 0; ; i++ {
+		have := len(c.lead().committed().Body)
+		if have >= size {
+			return revision
+		}
+		step := min(size-have+1, 700_000)
+		must.Eq(c.t, "ok", c.order(pools(revision, step, fmt.Sprintf("pool-%d", i)), 60_000_000).Code)
+		revision++
+	}
+}
+
+// all waits until all cores that are up have committed what the leader has.
+func (c *cluster) all(within int64) int64 {
+	c.t.Helper()
+	return c.run(within, "all hold the newest version", func() bool {
+		l := c.leader()
+		if l == nil {
+			return false
+		}
+		for _, m := range c.members {
+			if m.up && !m.holds(l.committed().Stamp) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// Two valid orders of 600 KB make a version that no frame of 1 MiB holds.
+func TestAVersionLargerThanAFrameIsTaken(t *testing.T) {
+	c := newCluster(t, linkOf10Mbit)
+	must.Eq(t, "ok", c.order(pools(0, 600_000, "p"), 10_000_000).Code)
+	must.Eq(t, "ok", c.order(pools(1, 600_000, "q"), 10_000_000).Code)
+	must.Eq(t, "ok", c.order(pools(2, 10, "r"), 10_000_000).Code)
+	c.all(10_000_000)
+	body := c.lead().committed().Body
+	for _, m := range c.members {
+		must.True(t, bytes.Equal(body, m.committed().Body), must.Sprint(m.id))
+	}
+}
+
+func TestAnOrderThatMakesABodyTooLargeIsRefusedAndTheNextOneTaken(t *testing.T) {
+	c := newCluster(t, 0)
+	revision := c.grow(state.MaxConfigBody - 300_000)
+	before := c.lead().committed().Stamp
+	reply := c.order(pools(revision, 400_000, "one-more"), 10_000_000)
+	must.Eq(t, "invalid", reply.Code)
+	must.Len(t, 1, reply.Findings)
+	must.Eq(t, "configuration", reply.Findings[0].Place)
+	must.StrContains(t, reply.Findings[0].Text, fmt.Sprint(state.MaxConfigBody))
+	must.Eq(t, before, c.lead().committed().Stamp, must.Sprint("nothing was proposed"))
+	must.Eq(t, "ok", c.order(pools(revision, 1000, "small"), 10_000_000).Code)
+	// What makes it smaller is taken as well.
+	must.Eq(t, "ok", c.order(pools(revision+1, 1000, "pool-0"), 10_000_000).Code)
+	must.Eq(t, "ok", c.order(pools(revision+2, 400_000, "one-more"), 10_000_000).Code)
+}
+
+// Three versions of each partition, and a fourth while it is written, fit a disk of 64 MB.
+func TestVersionsOfTheLargestBodiesFitADisk(t *testing.T) {
+	const diskBytes = 64_000_000
+	total := 0
+	for part := range state.Parts {
+		total += (VersionsKept + 1) * (state.MaxBody(part) + state.ClockRoom)
+		must.LessEq(t, wire.MaxMessage, state.MaxBody(part)+state.ClockRoom+wire.WholeMost)
+	}
+	must.LessEq(t, diskBytes*6/10, total)
+}
+
+// A leader that hears a majority whose disks never answer must not hold the orders for good.
+func TestALeaderWhoseVersionIsNotTakenGivesItUp(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
+	c.edit(2, wire.Edit{Op: "empty", Name: "z1"})
+	must.NotNil(t, g.proposal)
+	var out kernel.Out
+	for end := c.now + ProposalTimeout + 1_000_000; c.now < end && g.role == leader; c.now += TickInterval {
+		for _, id := range []string{"a", "b"} {
+			c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: id, Round: g.round, Held: g.committed.Stamp, OK: true})
+		}
+		out = c.tick()
+	}
+	must.Eq(t, follower, g.role)
+	must.Eq(t, map[uint64]string{1: "unknown", 2: "not_owner"}, replies(t, out))
+	must.Nil(t, g.proposal)
+}
+
+func TestOrdersThatWaitAreBoundedByTheirSize(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	large := wire.Edit{Op: "routing", Body: make([]byte, 900_000)}
+	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
+	for id := uint64(2); id < 20; id++ {
+		got := replies(t, c.edit(id, large))
+		must.LessEq(t, MaxQueuedBytes, g.queuedBytes())
+		if id > 12 {
+			must.Eq(t, map[uint64]string{id: "shed"}, got)
+		}
+	}
+}
+
+// What was committed before is served after a change of leader, in the new leader's own term.
+func TestTheNextLeaderHasRecommittedALargeVersion(t *testing.T) {
+	c := newCluster(t, linkOf10Mbit)
+	revision := c.grow(1_500_000)
+	c.all(20_000_000)
+	old := c.lead()
+	was := old.committed()
+	c.stop(old.id)
+	took := c.run(30_000_000, "another leader", func() bool { l := c.leader(); return l != nil && l != old })
+	t.Logf("served again after %d ms", took/1000)
+	now := c.lead().committed()
+	must.Greater(t, was.Stamp.Term, now.Stamp.Term)
+	must.True(t, bytes.Equal(was.Body, now.Body))
+	n := 0
+	for _, m := range c.members {
+		if m.up && m.host.groups[state.Config].accepted.Stamp == now.Stamp {
+			n++
+		}
+	}
+	must.Eq(t, 2, n, must.Sprint("a majority has synced it in that term"))
+	must.Eq(t, "ok", c.order(pools(revision, 10, "next"), 20_000_000).Code)
+}
+
+// A replica that was away is named by the leader that goes: it must not lead with its old state.
+func TestANamedSuccessorThatLagsAdoptsTheNewestVersion(t *testing.T) {
+	c := newCluster(t, linkOf10Mbit)
+	c.grow(200_000)
+	c.all(20_000_000)
+	l := c.lead()
+	away := c.follower()
+	c.stop(away.id)
+	was := c.order(pools(int64(len(c.pools())), 900_000, "new"), 20_000_000).Stamp
+	c.start(away.id)
+	g := away.host.groups[state.Config]
+	c.run(5_000_000, "it follows", func() bool { return g.leader == l.id || g.isVoter() })
+	must.False(t, away.holds(was))
+	c.stop(l.id)
+	c.step(away, kernel.Received{Chan: 1 << 41, Data: wire.Seal(wire.KindBeat, 0, &wire.Beat{Part: state.Config, Term: g.votedTerm + 1, From: l.id, Yield: away.id})})
+	c.run(30_000_000, "a leader", func() bool { return c.leader() != nil })
+	must.True(t, c.leader().holds(was))
+}
+
+// pools are the pools of the configuration that the leader has committed.
+func (c *cluster) pools() []string {
+	cfg, err := state.ReadConfig(c.lead().committed().Body)
+	must.NoError(c.t, err)
+	table, err := state.RoutingOf(cfg)
+	must.NoError(c.t, err)
+	var names []string
+	for _, p := range table.GetPools() {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+// A replica that holds an older version does not stand against one with a newer one.
+func TestAnOlderVersionIsNotElected(t *testing.T) {
+	newer := version(4, 7)
+	c := newCore(t, nil)
+	c.s.groups[0].accepted = newer
+	ask := func(held wire.Stamp) bool {
+		return sent[wire.VoteReply](t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Pre: true, Held: held}), wire.KindVoteReply)[0].Granted
+	}
+	must.False(t, ask(version(4, 6).Stamp))
+	must.True(t, ask(newer.Stamp))
+	c.s.stopping = true
+	must.True(t, ask(version(4, 6).Stamp), must.Sprint("who stops doesn't stand itself"))
+}
+
+// The body is in a vote reply only for a candidate that lacks it.
+func TestVoteRepliesCarryTheVersionOnlyWhereItIsNewer(t *testing.T) {
+	newer := version(4, 7)
+	for held, want := range map[wire.Stamp]int{version(4, 6).Stamp: len(newer.Body), newer.Stamp: 0, version(5, 1).Stamp: 0} {
+		c := newCore(t, nil)
+		c.s.groups[0].accepted = newer
+		out := c.sync(c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Held: held}))
+		r := sent[wire.VoteReply](t, out, wire.KindVoteReply)[0]
+		must.True(t, r.Granted)
+		must.Eq(t, newer.Stamp, r.Held.Stamp)
+		must.Len(t, want, r.Held.Body)
+	}
+}
--- a/segment/queue.go
+++ b/segment/queue.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 
 	"wallport/wire"
 )
@@ -20,22 +21,35 @@
 	retryAt    int64
 }
 
-// replace looks for a message that the new one repeats, or whose place it takes. The one
-// under way is finished first: with a newer one every second none would ever arrive whole.
-// It tells by how many bytes the queue has grown.
-func (q *queue) replace(m Message) (grown int, taken bool) {
-	for i := range q.messages {
-		old := &q.messages[i]
+// repeats tells whether a message waits already.
+func (q *queue) repeats(m Message) bool {
+	for _, old := range q.messages {
 		if bytes.Equal(old.Data, m.Data) {
-			return 0, true
+			return true
 		}
-		if i > 0 && m.Slot != "" && old.Slot == m.Slot {
-			grown = len(m.Data) - len(old.Data)
-			old.Data = m.Data
-			return grown, true
+	}
+	return false
+}
+
+// placeOf is the place of the message that a newer one of its slot replaces, or -1. The one under
+// way is finished first, unless the destination does not answer: with a newer one every second
+// none would ever arrive whole.
+func (q *queue) placeOf(now int64, m Message) int {
+	for i, old := range q.messages {
+		if m.Slot != "" && old.Slot == m.Slot && (i > 0 || q.isSilent(now)) {
+			return i
 		}
 	}
-	return 0, false
+	return -1
+}
+
+// isSilent tells that nothing of the first message was ever acknowledged, for long.
+func (q *queue) isSilent(now int64) bool { return q.acked == 0 && now-q.progressAt >= RetryAfter }
+
+// hasNewer tells whether a newer message of the first one's slot waits.
+func (q *queue) hasNewer() bool {
+	first := q.messages[0]
+	return first.Slot != "" && slices.ContainsFunc(q.messages[1:], func(m Message) bool { return m.Slot == first.Slot })
 }
 
 // begin starts the transfer of a queue's first message.
--- a/segment/sender.go
+++ b/segment/sender.go
@@ -77,11 +77,8 @@
 // finds no room is dropped, which is told by false.
 func (s *Sender) Enqueue(now int64, m Message) bool {
 	q := s.queues[m.To]
-	if q != nil {
-		if grown, taken := q.replace(m); taken {
-			s.held += grown
-			return true
-		}
+	if q != nil && (q.repeats(m) || s.replace(q, now, m)) {
+		return true
 	}
 	if len(m.Data) > wire.MaxMessage || s.held+len(m.Data) > QueueBytesMost || q != nil && len(q.messages) >= QueueMost {
 		return false
@@ -100,6 +97,21 @@
 	return true
 }
 
+// replace puts a message in the place of an older one of its slot, if there is one.
+func (s *Sender) replace(q *queue, now int64, m Message) bool {
+	i := q.placeOf(now, m)
+	if i < 0 {
+		return false
+	}
+	s.held += len(m.Data) - len(q.messages[i].Data)
+	q.messages[i].Data = m.Data
+	if i == 0 {
+		s.next++
+		q.begin(s.next, now)
+	}
+	return true
+}
+
 // shared gives the bytes of an equal message for another destination, if there is one.
 func (s *Sender) shared(data []byte) []byte {
 	for _, to := range s.order {
@@ -181,6 +193,8 @@
 		case now-q.progressAt >= GiveUpAfter:
 			given++
 			s.end(to, now)
+		case q.isSilent(now) && q.hasNewer():
+			s.end(to, now)
 		case now >= q.retryAt:
 			q.sent, q.retryAt = q.acked, now+RetryAfter
 		}
--- a/segment/sender_test.go
+++ b/segment/sender_test.go
@@ -69,3 +69,18 @@
 	s.Closed(0)
 	must.True(t, s.Busy(), must.Sprint("an address outlives a connection"))
 }
+
+// What is under way to one that was away is the newest when it is back.
+func TestOneThatDoesNotAnswerIsSentTheNewestOnly(t *testing.T) {
+	x := newTransport(t, 1, way{lose: 100})
+	for i := range byte(9) {
+		m := message(i, 200_000)
+		must.True(t, x.sender.Enqueue(x.now, Message{To: Destination{Addr: "a"}, Slot: "version", Data: m}))
+		x.run(RetryAfter)
+	}
+	must.Eq(t, 200_000, x.sender.held)
+	x.way.lose = 0
+	x.run(20_000_000)
+	same(t, [][]byte{message(8, 200_000)}, x.arrived[len(x.arrived)-1:])
+	must.Len(t, 1, x.arrived)
+}
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -14,6 +14,9 @@
 type PullReply struct {
 	Stamped []Stamped `msg:"v"`
 	Owners  []Owner   `msg:"o"`
+	// Partial tells that newer versions are left out: they are on their way already, or were
+	// too large for one reply.
+	Partial bool `msg:"pa,omitempty"`
 }
 
 // Owner tells which seat owns a part.
--- a/wire/calls_gen.go
+++ b/wire/calls_gen.go
@@ -1637,6 +1637,12 @@
 					return
 				}
 			}
+		case "pa":
+			z.Partial, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1650,40 +1656,68 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *PullReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "v"
-	err = en.Append(0x82, 0xa1, 0x76)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Partial == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Stamped)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Stamped")
 		return
 	}
-	for za0001 := range z.Stamped {
-		err = z.Stamped[za0001].EncodeMsg(en)
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "v"
+		err = en.Append(0xa1, 0x76)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamped", za0001)
 			return
 		}
-	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Owners)))
-	if err != nil {
-		err = msgp.WrapError(err, "Owners")
-		return
-	}
-	for za0002 := range z.Owners {
-		err = z.Owners[za0002].EncodeMsg(en)
+		err = en.WriteArrayHeader(uint32(len(z.Stamped)))
+		if err != nil {
+			err = msgp.WrapError(err, "Stamped")
+			return
+		}
+		for za0001 := range z.Stamped {
+			err = z.Stamped[za0001].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Stamped", za0001)
+				return
+			}
+		}
+		// write "o"
+		err = en.Append(0xa1, 0x6f)
+		if err != nil {
+			return
+		}
+		err = en.WriteArrayHeader(uint32(len(z.Owners)))
 		if err != nil {
-			err = msgp.WrapError(err, "Owners", za0002)
+			err = msgp.WrapError(err, "Owners")
 			return
 		}
+		for za0002 := range z.Owners {
+			err = z.Owners[za0002].EncodeMsg(en)
+			if err != nil {
+				err = msgp.WrapError(err, "Owners", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "pa"
+			err = en.Append(0xa2, 0x70, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Partial)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1691,25 +1725,43 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PullReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "v"
-	o = append(o, 0x82, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stamped)))
-	for za0001 := range z.Stamped {
-		o, err = z.Stamped[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Stamped", za0001)
-			return
-		}
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Partial == false {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Owners)))
-	for za0002 := range z.Owners {
-		o, err = z.Owners[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Owners", za0002)
-			return
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Stamped)))
+		for za0001 := range z.Stamped {
+			o, err = z.Stamped[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Stamped", za0001)
+				return
+			}
+		}
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Owners)))
+		for za0002 := range z.Owners {
+			o, err = z.Owners[za0002].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Owners", za0002)
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "pa"
+			o = append(o, 0xa2, 0x70, 0x61)
+			o = msgp.AppendBool(o, z.Partial)
 		}
 	}
 	return
@@ -1771,6 +1823,12 @@
 					return
 				}
 			}
+		case "pa":
+			z.Partial, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1793,5 +1851,6 @@
 	for za0002 := range z.Owners {
 		s += z.Owners[za0002].Msgsize()
 	}
+	s += 3 + msgp.BoolSize
 	return
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -142,9 +142,12 @@
 	Pre  bool   `msg:"e"`
 	// Named is set when the outgoing owner named this successor.
 	Named bool `msg:"n"`
+	// Held is the newest version that the candidate holds; a voter with a newer one says so.
+	Held Stamp `msg:"h"`
 }
 
-// VoteReply grants or denies a term and shows the newest version held.
+// VoteReply grants or denies a term and shows the newest version held. The body is in it only
+// where the term is granted to a candidate that holds an older version.
 type VoteReply struct {
 	Part    int     `msg:"p"`
 	Term    uint64  `msg:"t"`
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -5448,6 +5448,47 @@
 				err = msgp.WrapError(err, "Named")
 				return
 			}
+		case "h":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Held")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Held.Part, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Part")
+						return
+					}
+				case "t":
+					z.Held.Term, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Term")
+						return
+					}
+				case "s":
+					z.Held.Seq, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Seq")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Held")
+						return
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -5461,9 +5502,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Vote) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
+	// map header, size 7
 	// write "to"
-	err = en.Append(0x86, 0xa2, 0x74, 0x6f)
+	err = en.Append(0x87, 0xa2, 0x74, 0x6f)
 	if err != nil {
 		return
 	}
@@ -5522,15 +5563,51 @@
 		err = msgp.WrapError(err, "Named")
 		return
 	}
+	// write "h"
+	err = en.Append(0xa1, 0x68)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "p"
+	err = en.Append(0x83, 0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Held.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Held", "Part")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Held.Term)
+	if err != nil {
+		err = msgp.WrapError(err, "Held", "Term")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Held.Seq)
+	if err != nil {
+		err = msgp.WrapError(err, "Held", "Seq")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Vote) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "to"
-	o = append(o, 0x86, 0xa2, 0x74, 0x6f)
+	o = append(o, 0x87, 0xa2, 0x74, 0x6f)
 	o = msgp.AppendString(o, z.To)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
@@ -5547,6 +5624,18 @@
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendBool(o, z.Named)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	// map header, size 3
+	// string "p"
+	o = append(o, 0x83, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Held.Part)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Held.Term)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Held.Seq)
 	return
 }
 
@@ -5604,6 +5693,47 @@
 				err = msgp.WrapError(err, "Named")
 				return
 			}
+		case "h":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Held")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Held.Part, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Part")
+						return
+					}
+				case "t":
+					z.Held.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Term")
+						return
+					}
+				case "s":
+					z.Held.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Seq")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held")
+						return
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5618,7 +5748,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Vote) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
