Mesh: a large version is asked for once, and passed on by those who have it

Cause: catching up pushed a version whole to every peer that lacked it, and a notice was answered by each who was asked while the first still sent: at 10 Mbit/s a version of 2 MiB crossed the links 59.1 times for 18 processes, and one of 1 MiB 4.0 times to a process that came late (both tests seen failing with these figures).

Ruled out: remembering what was pushed to whom (37.4 copies, 4.0 to the late one).

--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -80,6 +80,15 @@
 	p.assembler.Expire(t.Now)
 }
 
+// Receiving tells whether a large message is coming in, on any connection.
+func (k *Kernel) Receiving() bool { return k.pieces.assembler.Held() > 0 }
+
+// ReceivingOn tells whether one is coming in on a connection.
+func (k *Kernel) ReceivingOn(conn uint64) bool { return k.pieces.assembler.Receiving(conn) }
+
+// Sending is the number of destinations that large messages are under way to.
+func (k *Kernel) Sending() int { return k.pieces.sender.Destinations() }
+
 // closed drops what was under way on a connection that has ended.
 func (p *pieces) closed(conn uint64) {
 	p.sender.Closed(conn)
--- a/mesh/digest.go
+++ b/mesh/digest.go
@@ -23,6 +23,8 @@
 	StillFor = 300_000
 	// PushMost bounds what is sent on one frame of marks, in bytes.
 	PushMost = 96 << 10
+	// AskReceiving takes the place of AskEvery while a large message comes in: that may be what differs.
+	AskReceiving = 4_000_000
 	// ServeMost bounds it for all peers together, in bytes a second.
 	ServeMost = 512 << 10
 )
@@ -82,6 +84,7 @@
 	case p.mine == m.digest() && p.theirs == theirs:
 	case first && t.Now-m.changedAt < StillFor:
 	case t.Now-p.askedAt < AskEvery || t.Now-m.askedAt < AskEvery:
+	case m.k.Receiving() && t.Now-m.askedAt < AskReceiving:
 	default:
 		m.ask(t, p)
 	}
@@ -158,7 +161,8 @@
 	return out
 }
 
-// pushParts sends the versions that the other side lacks.
+// pushParts sends the versions that the other side lacks. Of a large one it is told, and asks for it
+// unless another already sends it.
 func (m *Mesh) pushParts(t *kernel.Turn, p *peer, theirs []wire.Stamp) (sent int) {
 	stamps := map[int]wire.Stamp{}
 	for _, s := range theirs {
@@ -167,6 +171,10 @@
 	for _, part := range sortedKeys(m.store.parts) {
 		e := m.store.parts[part]
 		if s, ok := stamps[part]; !ok || Newer(e.Stamp, s) {
+			if isLarge(e) {
+				m.notify(t, p.chanID, e)
+				continue
+			}
 			t.Counts.Add("mesh_caught_up", 1)
 			sent += m.send(t, p.chanID, e, caughtUp)
 		}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -74,7 +74,7 @@
 	lastSeed int64
 	seeds    []string
 	links    links
-	wants    map[wire.Notice]int64
+	wants    map[wire.Notice]want
 	// turn counts the changes of who is reached.
 	turn       uint64
 	reachArmed bool
@@ -100,7 +100,7 @@
 	m := &Mesh{
 		k: k, self: kernel.Fingerprint(k.Boot.Key.Public), addr: k.Boot.Env.Mesh,
 		peers: map[uint64]*peer{}, store: newStore(), seen: newSeenSet(), dials: map[string]*dial{},
-		wants: map[wire.Notice]int64{}, links: links{lost: map[string]uint64{}, ended: map[string]ended{}}, served: ServeMost,
+		wants: map[wire.Notice]want{}, links: links{lost: map[string]uint64{}, ended: map[string]ended{}}, served: ServeMost,
 	}
 	self := m.store.origin(m.self, 0)
 	self.beat, self.key, self.sig = 1, k.Boot.Key.Public, ed25519.Sign(k.Boot.Key.Private, beatText(1))
--- a/mesh/net_test.go
+++ b/mesh/net_test.go
@@ -49,6 +49,8 @@
 	next   uint64
 	// cut tells which frames are lost on their way.
 	cut func(from, to *process) bool
+	// bytesPerSecond is what each process's link takes; 0 is any number.
+	bytesPerSecond int64
 }
 
 type process struct {
@@ -64,6 +66,7 @@
 	frames  int64
 	steps   int64
 	across  int64
+	free    int64
 }
 
 type end struct {
@@ -156,7 +159,7 @@
 		if e.p.zone != p.zone {
 			p.across += int64(len(s.Data))
 		}
-		f.after(500, func() {
+		f.after(500+f.queued(p, len(s.Data)), func() {
 			if _, open := f.chans[s.Chan]; open && !f.cut(p, e.p) {
 				e.p.in += int64(len(s.Data))
 				f.step(e.p, kernel.Received{Chan: e.other, Data: s.Data})
@@ -238,13 +241,3 @@
 	}
 	return f.now - began
 }
-
-// met tells that every process takes every other for live.
-func (f *fleet) met() bool {
-	for _, p := range f.procs {
-		if p.up && p.k.Counts.Of("mesh_reached").Load() < int64(len(f.procs)) {
-			return false
-		}
-	}
-	return true
-}
--- a/mesh/notice.go
+++ b/mesh/notice.go
@@ -16,8 +16,20 @@
 	WantFor = 400_000
 	// WantsMost bounds the entries that are waited for.
 	WantsMost = 256
+	// LargeSendsMost is how many large messages a process sends at once before it leaves those who
+	// ask for a large entry to others, who have it soon.
+	LargeSendsMost = 3
 )
 
+// isLarge tells whether an entry travels in pieces.
+func isLarge(e *wire.Entry) bool { return len(e.Body) > wire.WholeMost }
+
+// want is when an entry was asked for, and on which connection.
+type want struct {
+	at   int64
+	conn uint64
+}
+
 func (m *Mesh) notify(t *kernel.Turn, ch uint64, e *wire.Entry) {
 	n := noticeOf(e)
 	n.Hops = e.Hops + 1
@@ -37,7 +49,7 @@
 func (m *Mesh) noticed(t *kernel.Turn, p *peer, n wire.Notice) {
 	e := m.held(n)
 	if n.Want {
-		if e != nil {
+		if e != nil && !(isLarge(e) && m.k.Sending() >= LargeSendsMost) {
 			m.send(t, p.chanID, e, news)
 		}
 		return
@@ -49,13 +61,13 @@
 		return
 	}
 	n.Hops, n.Want = 0, true
-	if at, ok := m.wants[n]; ok && t.Now-at < WantFor {
+	if w, ok := m.wants[n]; ok && (t.Now-w.at < WantFor || m.k.ReceivingOn(w.conn)) {
 		return
 	}
 	if len(m.wants) >= WantsMost {
 		clear(m.wants)
 	}
-	m.wants[n] = t.Now
+	m.wants[n] = want{t.Now, p.chanID}
 	t.Send(p.chanID, wire.KindNotice, 0, &n)
 }
 
--- a/segment/assembler.go
+++ b/segment/assembler.go
@@ -52,6 +52,12 @@
 // Held is the number of bytes of all assemblies under way.
 func (a *Assembler) Held() int { return a.held }
 
+// Receiving tells whether a message is under way on a connection.
+func (a *Assembler) Receiving(conn uint64) bool {
+	as := a.byConn[conn]
+	return as != nil && !as.whole
+}
+
 // Taken is what came of a piece: an acknowledgement to send, if Reply is set, and the whole
 // message, once it is whole and is what its sender announced.
 type Taken struct {
--- a/segment/sender.go
+++ b/segment/sender.go
@@ -70,6 +70,9 @@
 // Busy tells whether anything is on its way.
 func (s *Sender) Busy() bool { return len(s.queues) > 0 }
 
+// Destinations is the number of those that something is under way to.
+func (s *Sender) Destinations() int { return len(s.queues) }
+
 // Sending tells whether anything waits for a destination or is on its way to it.
 func (s *Sender) Sending(to Destination) bool { return s.queues[to] != nil }
 
