Rebuilding: the newest version is found by its number and fetched once

Cause: every core sent the whole version that it holds to the one that rebuilds, all within 1.5 s; over a link of 10 Mbit/s three versions of 4 MB take 10 s, and a group would have been made from an older one that came sooner, or not at all.

Cores now say which version they hold; the newest is fetched from one of them, unless this node has it, within 8 s, and else nothing is done. The cores that are to hold a large version have the time that its size takes. A timer of a step that ended sooner no longer ends the next one.

--- a/operate/operate.go
+++ b/operate/operate.go
@@ -123,7 +123,7 @@
 			return
 		}
 		if r := o.rebuilds[id]; r != nil {
-			o.rebuildStep(t, id, r)
+			o.rebuildTick(t, id, r)
 			return
 		}
 		o.try(t, id)
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -1,5 +1,5 @@
-// The node's side of rebuilding a part's group: ask every live core, take the
-// newest version that any of them or this node has, and have three cores hold it.
+// The node's side of rebuilding a part's group: ask every live core which version it
+// holds, fetch the newest one where this node lacks it, and have three cores hold it.
 package operate
 
 import (
@@ -14,8 +14,16 @@
 // Rebuild is an operator's word to make a part's group anew.
 type Rebuild struct{ Part int }
 
-// AskedFor is how long the cores have for each of the two steps.
-const AskedFor = 1_500_000
+// Figures of rebuilding.
+const (
+	// AskedFor is how long the cores have for each step, FetchFor how long one has to send the
+	// newest version.
+	AskedFor = 1_500_000
+	FetchFor = 8_000_000
+	// slowestHold, in bytes a second, is what a large version may take on its way to the cores
+	// that are to hold it, beyond AskedFor.
+	slowestHold = 500_000
+)
 
 type rebuilding struct {
 	part    int
@@ -25,6 +33,13 @@
 	yes     map[string]bool
 	refused []string
 	top     uint64
+	// newest is the newest version that a core holds, and holder that core's replica. fetching is
+	// that the version was asked for.
+	newest   wire.Stamp
+	holder   string
+	fetching bool
+	// dueAt is when the step under way ends.
+	dueAt int64
 }
 
 func (o *Operate) rebuild(t *kernel.Turn, id uint64, part int) {
@@ -34,9 +49,22 @@
 	}
 	o.rebuilds[id] = r
 	for _, c := range o.cores(t.Now) {
-		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: part})
+		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: part, Brief: true})
+	}
+	o.rebuildDue(t, id, r, AskedFor)
+}
+
+// rebuildDue has the step under way end after a while.
+func (o *Operate) rebuildDue(t *kernel.Turn, id uint64, r *rebuilding, after int64) {
+	r.dueAt = t.Now + after
+	t.After(after, "operate", fmt.Sprint(id))
+}
+
+// rebuildTick ends the step under way, unless the timer was that of an earlier one.
+func (o *Operate) rebuildTick(t *kernel.Turn, id uint64, r *rebuilding) {
+	if t.Now >= r.dueAt {
+		o.rebuildStep(t, id, r)
 	}
-	t.After(AskedFor, "operate", fmt.Sprint(id))
 }
 
 func (o *Operate) cores(now int64) []members.Row {
@@ -60,12 +88,31 @@
 		return
 	}
 	r.yes[m.From] = true
-	if !r.doing && mesh.Newer(m.Held.Stamp, r.version.Stamp) {
-		r.version = m.Held
+	if mesh.Newer(m.Held.Stamp, r.newest) {
+		r.newest, r.holder = m.Held.Stamp, m.From
+	}
+	if r.fetching && m.From == r.holder && mesh.Newer(m.Held.Stamp, r.version.Stamp) {
+		r.version, r.fetching = m.Held, false
+		o.rebuildStep(t, id, r)
 	}
 }
 
-// rebuildStep ends one of the two steps.
+// fetch asks the core that holds the newest version for it; false where this node has it already.
+func (o *Operate) fetch(t *kernel.Turn, id uint64, r *rebuilding) bool {
+	if !mesh.Newer(r.newest, r.version.Stamp) {
+		return false
+	}
+	r.fetching = true
+	for _, c := range o.cores(t.Now) {
+		if c.Seat == r.holder {
+			t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part})
+		}
+	}
+	o.rebuildDue(t, id, r, FetchFor)
+	return true
+}
+
+// rebuildStep ends one of the steps.
 func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
 	end := func(code, text string) {
 		delete(o.rebuilds, id)
@@ -83,9 +130,15 @@
 		}
 		return
 	}
-	if len(r.refused) > 0 {
+	switch {
+	case len(r.refused) > 0:
 		end("invalid", fmt.Sprint(r.refused))
 		return
+	case r.fetching:
+		end("invalid", "the newest version did not arrive from "+r.holder)
+		return
+	case o.fetch(t, id, r):
+		return
 	}
 	zones := map[string]bool{}
 	for pass := range 2 {
@@ -107,5 +160,5 @@
 	for _, c := range r.picked {
 		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Stamped: r.version})
 	}
-	t.After(AskedFor, "operate", fmt.Sprint(id))
+	o.rebuildDue(t, id, r, AskedFor+int64(len(r.version.Body))*1_000_000/slowestHold)
 }
--- a/replica/rebuild.go
+++ b/replica/rebuild.go
@@ -14,7 +14,11 @@
 
 func (g *Group) rebuild(t *kernel.Turn, ch, id uint64, m wire.Rebuild) {
 	reply := func(t *kernel.Turn, why string) {
-		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Part: g.part, From: g.self(), OK: why == "", Why: why, Held: g.accepted})
+		held := g.accepted
+		if m.Brief || m.Do {
+			held.Body = nil
+		}
+		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Part: g.part, From: g.self(), OK: why == "", Why: why, Held: held})
 	}
 	switch {
 	case g.s.diskProblem != "":
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -191,6 +191,8 @@
 	Part    int     `msg:"p"`
 	Do      bool    `msg:"d"`
 	Stamped Stamped `msg:"v"`
+	// Brief asks which version is held, and not for its body.
+	Brief bool `msg:"r,omitempty"`
 }
 
 // RebuildReply says whether it does, and what it holds.
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -4040,6 +4040,12 @@
 				err = msgp.WrapError(err, "Stamped")
 				return
 			}
+		case "r":
+			z.Brief, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Brief")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -4053,36 +4059,64 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Rebuild) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "d"
-	err = en.Append(0xa1, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Do)
-	if err != nil {
-		err = msgp.WrapError(err, "Do")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Brief == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = z.Stamped.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamped")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Part")
+			return
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Do)
+		if err != nil {
+			err = msgp.WrapError(err, "Do")
+			return
+		}
+		// write "v"
+		err = en.Append(0xa1, 0x76)
+		if err != nil {
+			return
+		}
+		err = z.Stamped.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Stamped")
+			return
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "r"
+			err = en.Append(0xa1, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Brief)
+			if err != nil {
+				err = msgp.WrapError(err, "Brief")
+				return
+			}
+		}
 	}
 	return
 }
@@ -4090,19 +4124,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Rebuild) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.Do)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.Stamped.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamped")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Brief == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Part)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendBool(o, z.Do)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o, err = z.Stamped.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Stamped")
+			return
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "r"
+			o = append(o, 0xa1, 0x72)
+			o = msgp.AppendBool(o, z.Brief)
+		}
 	}
 	return
 }
@@ -4143,6 +4195,12 @@
 				err = msgp.WrapError(err, "Stamped")
 				return
 			}
+		case "r":
+			z.Brief, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Brief")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4157,7 +4215,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Rebuild) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + z.Stamped.Msgsize()
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + z.Stamped.Msgsize() + 2 + msgp.BoolSize
 	return
 }
 
