--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -218,6 +218,7 @@
 	if w.back >= 0 {
 		w.Judge.Recovers(w.lost, w.back)
 	}
+	w.countBehind()
 	for _, name := range w.names {
 		p := w.procs[name]
 		if p.kernel == nil {
--- a/replica/state_machine.go
+++ b/replica/state_machine.go
@@ -21,6 +21,9 @@
 // ReplicaID is the replica's id, made on its empty disk.
 func (s *Host) ReplicaID() string { return s.replicaID }
 
+// CommittedVersion is the newest version of a partition that is known to be committed here.
+func (s *Host) CommittedVersion(part int) wire.Stamp { return s.groups[part].committed.Stamp }
+
 // VotersOf lists the replicas of a partition's newest committed version that is known here.
 func (s *Host) VotersOf(part int) []wire.Seat { return s.groups[part].committed.Seats }
 
