A version whose body a replica holds already is sent to it without

Cause: the winner of an election commits the newest version anew in its own term, and a change of members is a version of its own: each sent the whole body to every voter, 1.5 MB to each at a change of leader, before anything was served.

Votes and acknowledgements say which version a replica holds, and that it reads the new field; a large body is then left out and named by the version that has it. A replica that lacks that one asks for the body. Who does not know the field gets the body.

--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -92,33 +92,6 @@
 	}
 }
 
-// syncedVersion is the newest version that a replica said it has synced, and the newest round of
-// heartbeats when it did.
-type syncedVersion struct {
-	stamp wire.Stamp
-	round uint64
-}
-
-// noteSynced remembers what a replica has acknowledged.
-func (g *Group) noteSynced(r wire.AcceptReply) {
-	if mesh.Newer(r.Stamp, g.synced[r.From].stamp) {
-		g.synced[r.From] = syncedVersion{r.Stamp, g.round}
-	}
-}
-
-// noticeRollback tells of a replica that holds an older version than it has acknowledged: its disk
-// was put back to an older state. The protocol assumes that this does not happen.
-func (g *Group) noticeRollback(t *kernel.Turn, r wire.BeatReply) {
-	was, known := g.synced[r.From]
-	if !known || r.Round <= was.round || !mesh.Newer(was.stamp, r.Held) {
-		return
-	}
-	delete(g.synced, r.From)
-	t.Counts.Add("replicas_rolled_back", 1)
-	t.Note(2, "replica_rolled_back", "part", g.part, "replica", r.From, "had_seq", was.stamp.Seq, "has_seq", r.Held.Seq,
-		"do", "stop this core, empty its data folder, start it again: it comes back as a new replica")
-}
-
 // sentVersions are the large versions that were sent to a node, by partition.
 type sentVersions map[int]sentVersion
 
--- a/replica/catch_up_test.go
+++ b/replica/catch_up_test.go
@@ -61,6 +61,14 @@
 	return c.members["b"]
 }
 
+// bytesIn is what all cores have received.
+func (c *cluster) bytesIn() (n int64) {
+	for _, m := range c.members {
+		n += m.bytesIn
+	}
+	return n
+}
+
 func TestAReplicaThatWasAwayIsWholeAgain(t *testing.T) {
 	for _, size := range []int{10_000, 100_000, 1_000_000, 4_000_000} {
 		for _, emptyDisk := range []bool{false, true} {
@@ -138,14 +146,14 @@
 	c := newCore(t, nil)
 	g := owns(t, c)
 	beat := wire.BeatReply{Term: g.term, From: "b", Round: g.round, Held: wire.Stamp{}, OK: true}
-	g.synced["b"] = syncedVersion{g.committed.Stamp, g.round}
+	g.synced["b"] = syncedVersion{stamp: g.committed.Stamp, round: g.round}
 	c.send(wire.KindBeatReply, &beat)
 	must.Eq(t, 0, c.k.Counts.Of("replicas_rolled_back").Load(), must.Sprint("sent before the acknowledgement"))
 	beat.Round++
 	c.send(wire.KindBeatReply, &beat)
 	must.Eq(t, 1, c.k.Counts.Of("replicas_rolled_back").Load())
 	beat.Held = g.committed.Stamp
-	g.synced["b"] = syncedVersion{g.committed.Stamp, g.round}
+	g.synced["b"] = syncedVersion{stamp: g.committed.Stamp, round: g.round}
 	c.send(wire.KindBeatReply, &beat)
 	must.Eq(t, 1, c.k.Counts.Of("replicas_rolled_back").Load())
 }
--- a/replica/election.go
+++ b/replica/election.go
@@ -76,7 +76,7 @@
 // vote answers a request for a term, after the vote is synced.
 func (g *Group) vote(t *kernel.Turn, ch, id uint64, v wire.Vote) {
 	reply := func(t *kernel.Turn, granted bool) {
-		r := wire.VoteReply{Part: g.part, Term: v.Term, From: g.self(), Pre: v.Pre, Granted: granted, Held: g.accepted}
+		r := wire.VoteReply{Part: g.part, Term: v.Term, From: g.self(), Pre: v.Pre, Granted: granted, Held: g.accepted, TakesBase: true}
 		if !granted {
 			r.Term = g.votedTerm
 		}
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -13,7 +13,7 @@
 // accept syncs a version and says so, unless a newer term was voted.
 func (g *Group) accept(t *kernel.Turn, ch, id uint64, a wire.Accept) {
 	reply := func(t *kernel.Turn, r wire.AcceptReply) {
-		r.Part, r.From = g.part, g.self()
+		r.Part, r.From, r.TakesBase = g.part, g.self(), true
 		if a.From == g.self() {
 			g.acceptReply(t, r)
 			return
@@ -39,6 +39,13 @@
 	if !mesh.Newer(v.Stamp, g.accepted.Stamp) || !mesh.Newer(v.Stamp, g.pending) {
 		return
 	}
+	if a.Base != (wire.Stamp{}) {
+		if a.Base != g.accepted.Stamp {
+			reply(t, wire.AcceptReply{Term: a.Term, Stamp: v.Stamp, LacksBase: true})
+			return
+		}
+		v.Body = g.accepted.Body
+	}
 	g.pending = v.Stamp
 	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
 		if err != "" {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -23,7 +23,8 @@
 	t.Counts.Add("part_owned", 1)
 	v := best
 	v.Stamp = wire.Stamp{Part: g.part, Term: g.term, Seq: best.Stamp.Seq + 1}
-	g.propose(t, v)
+	g.noteHeld(g.replies)
+	g.propose(t, v, best.Stamp)
 	g.ownerTick(t)
 }
 
@@ -45,13 +46,16 @@
 	g.scheduleElection(t)
 }
 
-func (g *Group) propose(t *kernel.Turn, v wire.Stamped) {
+// propose has the voters hold a version. Its body is that of the version base, if that is one:
+// who holds that already needs not be sent it.
+func (g *Group) propose(t *kernel.Turn, v wire.Stamped, base wire.Stamp) {
 	g.proposal, g.proposedAt = &v, t.Now
 	g.acks = map[string]bool{}
-	g.resend(t)
+	g.sendProposal(t, base)
 }
 
-func (g *Group) resend(t *kernel.Turn) {
+// sendProposal sends the version under way to those who have not synced it yet.
+func (g *Group) sendProposal(t *kernel.Turn, base wire.Stamp) {
 	g.sentAt = t.Now
 	a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.proposal}
 	for _, s := range allVoters(*g.proposal) {
@@ -62,7 +66,8 @@
 			g.accept(t, 0, 0, a)
 			continue
 		}
-		g.s.sendReplica(t, s, wire.KindAccept, &a)
+		one := g.withBase(a, s.ID, base)
+		g.s.sendReplica(t, s, wire.KindAccept, &one)
 	}
 }
 
@@ -74,6 +79,8 @@
 		if r.Term > g.term {
 			g.votedTerm = max(g.votedTerm, r.Term)
 			g.stepDown(t, "fenced by a newer term")
+		} else if r.LacksBase {
+			g.sendBody(t, r)
 		}
 		return
 	}
@@ -137,7 +144,7 @@
 		return
 	}
 	if g.proposal != nil && t.Now-g.sentAt > resendInterval(len(g.proposal.Body)) {
-		g.resend(t)
+		g.sendProposal(t, wire.Stamp{})
 	}
 	g.proposeNext(t)
 }
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -4,6 +4,8 @@
 package replica
 
 import (
+	"bytes"
+
 	"wallport/kernel"
 	"wallport/state"
 	"wallport/wire"
@@ -80,7 +82,11 @@
 	case changed:
 		g.proposedEdits = batch
 		t.Counts.Add("part_versions", 1)
-		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: body})
+		var base wire.Stamp
+		if bytes.Equal(body, g.committed.Body) {
+			base = g.committed.Stamp
+		}
+		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: body}, base)
 	case len(batch) > 0:
 		g.awaitConfirmation(t, batch...)
 	}
--- a/replica/snapshot_test.go
+++ b/replica/snapshot_test.go
@@ -146,9 +146,12 @@
 	c.all(20_000_000)
 	old := c.lead()
 	was := old.committed()
+	before := c.bytesIn()
 	c.stop(old.id)
 	took := c.run(30_000_000, "another leader", func() bool { l := c.leader(); return l != nil && l != old })
-	t.Logf("served again after %d ms", took/1000)
+	moved := c.bytesIn() - before
+	t.Logf("served again after %d ms, %d KB moved", took/1000, moved/1000)
+	must.LessEq(t, 100_000, moved, must.Sprint("both hold the body already"))
 	now := c.lead().committed()
 	must.Greater(t, was.Stamp.Term, now.Stamp.Term)
 	must.True(t, bytes.Equal(was.Body, now.Body))
@@ -193,31 +196,3 @@
 	}
 	return names
 }
-
-// A replica that holds an older version does not stand against one with a newer one.
-func TestAnOlderVersionIsNotElected(t *testing.T) {
-	newer := version(4, 7)
-	c := newCore(t, nil)
-	c.s.groups[0].accepted = newer
-	ask := func(held wire.Stamp) bool {
-		return sent[wire.VoteReply](t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Pre: true, Held: held}), wire.KindVoteReply)[0].Granted
-	}
-	must.False(t, ask(version(4, 6).Stamp))
-	must.True(t, ask(newer.Stamp))
-	c.s.stopping = true
-	must.True(t, ask(version(4, 6).Stamp), must.Sprint("who stops doesn't stand itself"))
-}
-
-// The body is in a vote reply only for a candidate that lacks it.
-func TestVoteRepliesCarryTheVersionOnlyWhereItIsNewer(t *testing.T) {
-	newer := version(4, 7)
-	for held, want := range map[wire.Stamp]int{version(4, 6).Stamp: len(newer.Body), newer.Stamp: 0, version(5, 1).Stamp: 0} {
-		c := newCore(t, nil)
-		c.s.groups[0].accepted = newer
-		out := c.sync(c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Held: held}))
-		r := sent[wire.VoteReply](t, out, wire.KindVoteReply)[0]
-		must.True(t, r.Granted)
-		must.Eq(t, newer.Stamp, r.Held.Stamp)
-		must.Len(t, want, r.Held.Body)
-	}
-}
--- /dev/null
+++ b/replica/synced.go
@@ -0,0 +1,67 @@
+// What a leader knows of the versions that the other replicas hold: a version whose body
+// one of them has already is sent to it without.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// syncedVersion is the newest version that a replica said it has synced, and the newest round of
+// heartbeats when it did.
+type syncedVersion struct {
+	stamp     wire.Stamp
+	round     uint64
+	takesBase bool
+}
+
+// noteSynced remembers what a replica has acknowledged.
+func (g *Group) noteSynced(r wire.AcceptReply) {
+	if mesh.Newer(r.Stamp, g.synced[r.From].stamp) {
+		g.synced[r.From] = syncedVersion{r.Stamp, g.round, r.TakesBase}
+	}
+}
+
+// noticeRollback tells of a replica that holds an older version than it has acknowledged: its disk
+// was put back to an older state. The protocol assumes that this does not happen.
+func (g *Group) noticeRollback(t *kernel.Turn, r wire.BeatReply) {
+	was, known := g.synced[r.From]
+	if !known || r.Round <= was.round || !mesh.Newer(was.stamp, r.Held) {
+		return
+	}
+	delete(g.synced, r.From)
+	t.Counts.Add("replicas_rolled_back", 1)
+	t.Note(2, "replica_rolled_back", "part", g.part, "replica", r.From, "had_seq", was.stamp.Seq, "has_seq", r.Held.Seq,
+		"do", "stop this core, empty its data folder, start it again: it comes back as a new replica")
+}
+
+// noteHeld remembers what the voters of an election hold.
+func (g *Group) noteHeld(votes map[string]wire.VoteReply) {
+	for id, v := range votes {
+		g.synced[id] = syncedVersion{v.Held.Stamp, g.round, v.TakesBase}
+	}
+}
+
+// withBase leaves a large body out for a replica that holds it as another version.
+func (g *Group) withBase(a wire.Accept, id string, base wire.Stamp) wire.Accept {
+	held := g.synced[id]
+	if isLarge(len(a.Stamped.Body)) && base.Term > 0 && held.takesBase && held.stamp == base {
+		a.Base, a.Stamped.Body = base, nil
+	}
+	return a
+}
+
+// sendBody sends the version under way whole to a replica that lacks the version that its body is of.
+func (g *Group) sendBody(t *kernel.Turn, r wire.AcceptReply) {
+	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
+		return
+	}
+	delete(g.synced, r.From)
+	for _, voter := range allVoters(*g.proposal) {
+		if voter.ID == r.From {
+			a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.proposal}
+			g.s.sendReplica(t, voter, wire.KindAccept, &a)
+		}
+	}
+}
--- /dev/null
+++ b/replica/vote_held_test.go
@@ -0,0 +1,101 @@
+// What the replicas tell each other of the versions that they hold: a body goes only
+// to those who lack it.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/wire"
+)
+
+// A replica that holds an older version does not stand against one with a newer one.
+func TestAnOlderVersionIsNotElected(t *testing.T) {
+	newer := version(4, 7)
+	c := newCore(t, nil)
+	c.s.groups[0].accepted = newer
+	ask := func(held wire.Stamp) bool {
+		return sent[wire.VoteReply](t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Pre: true, Held: held}), wire.KindVoteReply)[0].Granted
+	}
+	must.False(t, ask(version(4, 6).Stamp))
+	must.True(t, ask(newer.Stamp))
+	c.s.stopping = true
+	must.True(t, ask(version(4, 6).Stamp), must.Sprint("who stops doesn't stand itself"))
+}
+
+// The body is in a vote reply only for a candidate that lacks it.
+func TestVoteRepliesCarryTheVersionOnlyWhereItIsNewer(t *testing.T) {
+	newer := version(4, 7)
+	for held, want := range map[wire.Stamp]int{version(4, 6).Stamp: len(newer.Body), newer.Stamp: 0, version(5, 1).Stamp: 0} {
+		c := newCore(t, nil)
+		c.s.groups[0].accepted = newer
+		out := c.sync(c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Held: held}))
+		r := sent[wire.VoteReply](t, out, wire.KindVoteReply)[0]
+		must.True(t, r.Granted)
+		must.Eq(t, newer.Stamp, r.Held.Stamp)
+		must.Len(t, want, r.Held.Body)
+	}
+}
+
+// large is a version whose body travels in pieces.
+func large(term, seq uint64) wire.Stamped {
+	v := version(term, seq)
+	v.Body = make([]byte, wire.WholeMost+1)
+	return v
+}
+
+func TestAVersionWhoseBodyIsHeldIsTakenWithoutIt(t *testing.T) {
+	c := newCore(t, nil)
+	held, next := large(4, 7), version(5, 8)
+	c.s.groups[0].accepted = held
+	next.Body = nil
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: next, Base: held.Stamp})
+	must.Len(t, 1, out.Writes)
+	must.True(t, accepted(t, c.sync(out)).OK)
+	must.Eq(t, next.Stamp, c.s.groups[0].accepted.Stamp)
+	must.Eq(t, len(held.Body), len(c.s.groups[0].accepted.Body))
+}
+
+func TestAVersionWhoseBodyIsLackingIsNotTakenWithoutIt(t *testing.T) {
+	c := newCore(t, nil)
+	c.s.groups[0].accepted = large(4, 6)
+	next := version(5, 8)
+	next.Body = nil
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: next, Base: wire.Stamp{Term: 4, Seq: 7}})
+	must.SliceEmpty(t, out.Writes)
+	r := accepted(t, out)
+	must.False(t, r.OK)
+	must.True(t, r.LacksBase)
+}
+
+// A body is left out only for those who said that they hold it and that they read Base.
+func TestABodyIsLeftOutForThoseWhoHoldIt(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	v := large(g.term, 9)
+	g.synced = map[string]syncedVersion{
+		"holds": {stamp: wire.Stamp{Term: 1, Seq: 8}, takesBase: true}, "other": {stamp: wire.Stamp{Term: 1, Seq: 7}, takesBase: true},
+		"older release": {stamp: wire.Stamp{Term: 1, Seq: 8}},
+	}
+	for id, want := range map[string]int{"holds": 0, "other": len(v.Body), "older release": len(v.Body), "unknown": len(v.Body)} {
+		a := g.withBase(wire.Accept{Stamped: v}, id, wire.Stamp{Term: 1, Seq: 8})
+		must.Len(t, want, a.Stamped.Body, must.Sprint(id))
+		must.Eq(t, want == 0, a.Base != wire.Stamp{}, must.Sprint(id))
+	}
+	must.Len(t, len(v.Body), g.withBase(wire.Accept{Stamped: v}, "holds", wire.Stamp{}).Stamped.Body)
+}
+
+func TestOneThatLacksTheBaseIsSentTheBody(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
+	must.NotNil(t, g.proposal)
+	out := c.send(wire.KindAcceptReply, &wire.AcceptReply{Term: g.term, From: "b", Stamp: g.proposal.Stamp, LacksBase: true})
+	sentAgain := sent[wire.Accept](t, out, wire.KindAccept)
+	must.Len(t, 1, sentAgain)
+	must.Eq(t, "b", sentAgain[0].To)
+	must.Eq(t, g.proposal.Body, sentAgain[0].Stamped.Body)
+	out = c.send(wire.KindAcceptReply, &wire.AcceptReply{Term: g.term, From: "b", Stamp: wire.Stamp{Term: 1}, LacksBase: true})
+	must.SliceEmpty(t, sent[wire.Accept](t, out, wire.KindAccept), must.Sprint("not of the version under way"))
+}
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -155,6 +155,8 @@
 	Pre     bool    `msg:"e"`
 	Granted bool    `msg:"g"`
 	Held    Stamped `msg:"h"`
+	// TakesBase tells that the voter reads Accept.Base.
+	TakesBase bool `msg:"tb,omitempty"`
 }
 
 // Accept asks a seat to hold a version.
@@ -164,6 +166,9 @@
 	Term    uint64  `msg:"t"`
 	From    string  `msg:"f"`
 	Stamped Stamped `msg:"v"`
+	// Base, where it is set, is the version whose body this one has: the replica holds it, and
+	// the body is left out.
+	Base Stamp `msg:"b"`
 }
 
 // AcceptReply says that a version is synced, or which term stands against it.
@@ -174,6 +179,10 @@
 	Stamp Stamp  `msg:"st"`
 	OK    bool   `msg:"ok"`
 	Err   string `msg:"e"`
+	// LacksBase asks for the version with its body.
+	LacksBase bool `msg:"lb,omitempty"`
+	// TakesBase tells that the replica reads Accept.Base.
+	TakesBase bool `msg:"tb,omitempty"`
 }
 
 // Beat is an owner's sign of life with the newest committed stamp.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -54,6 +54,47 @@
 				err = msgp.WrapError(err, "Stamped")
 				return
 			}
+		case "b":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
+				if err != nil {
+					err = msgp.WrapError(err, "Base")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Base.Part, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "Base", "Part")
+						return
+					}
+				case "t":
+					z.Base.Term, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Base", "Term")
+						return
+					}
+				case "s":
+					z.Base.Seq, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Base", "Seq")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Base")
+						return
+					}
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -67,9 +108,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Accept) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
+	// map header, size 6
 	// write "to"
-	err = en.Append(0x85, 0xa2, 0x74, 0x6f)
+	err = en.Append(0x86, 0xa2, 0x74, 0x6f)
 	if err != nil {
 		return
 	}
@@ -118,15 +159,51 @@
 		err = msgp.WrapError(err, "Stamped")
 		return
 	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "p"
+	err = en.Append(0x83, 0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Base.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Base", "Part")
+		return
+	}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Base.Term)
+	if err != nil {
+		err = msgp.WrapError(err, "Base", "Term")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Base.Seq)
+	if err != nil {
+		err = msgp.WrapError(err, "Base", "Seq")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Accept) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "to"
-	o = append(o, 0x85, 0xa2, 0x74, 0x6f)
+	o = append(o, 0x86, 0xa2, 0x74, 0x6f)
 	o = msgp.AppendString(o, z.To)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
@@ -144,6 +221,18 @@
 		err = msgp.WrapError(err, "Stamped")
 		return
 	}
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	// map header, size 3
+	// string "p"
+	o = append(o, 0x83, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Base.Part)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Base.Term)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Base.Seq)
 	return
 }
 
@@ -195,6 +284,47 @@
 				err = msgp.WrapError(err, "Stamped")
 				return
 			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Base")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Base")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Base.Part, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Base", "Part")
+						return
+					}
+				case "t":
+					z.Base.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Base", "Term")
+						return
+					}
+				case "s":
+					z.Base.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Base", "Seq")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Base")
+						return
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -209,7 +339,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Accept) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Stamped.Msgsize()
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Stamped.Msgsize() + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -302,6 +432,18 @@
 				err = msgp.WrapError(err, "Err")
 				return
 			}
+		case "lb":
+			z.LacksBase, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "LacksBase")
+				return
+			}
+		case "tb":
+			z.TakesBase, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "TakesBase")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -315,92 +457,136 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *AcceptReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "p"
-	err = en.Append(0x86, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "st"
-	err = en.Append(0xa2, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Stamp.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stamp.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Term")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stamp.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Seq")
-		return
-	}
-	// write "ok"
-	err = en.Append(0xa2, 0x6f, 0x6b)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.LacksBase == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	err = en.WriteBool(z.OK)
-	if err != nil {
-		err = msgp.WrapError(err, "OK")
-		return
+	if z.TakesBase == false {
+		zb0001Len--
+		zb0001Mask |= 0x80
 	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Err)
-	if err != nil {
-		err = msgp.WrapError(err, "Err")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Part")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Term")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "st"
+		err = en.Append(0xa2, 0x73, 0x74)
+		if err != nil {
+			return
+		}
+		// map header, size 3
+		// write "p"
+		err = en.Append(0x83, 0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Stamp.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Stamp", "Part")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Stamp.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Stamp", "Term")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Stamp.Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Stamp", "Seq")
+			return
+		}
+		// write "ok"
+		err = en.Append(0xa2, 0x6f, 0x6b)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.OK)
+		if err != nil {
+			err = msgp.WrapError(err, "OK")
+			return
+		}
+		// write "e"
+		err = en.Append(0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Err)
+		if err != nil {
+			err = msgp.WrapError(err, "Err")
+			return
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "lb"
+			err = en.Append(0xa2, 0x6c, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.LacksBase)
+			if err != nil {
+				err = msgp.WrapError(err, "LacksBase")
+				return
+			}
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "tb"
+			err = en.Append(0xa2, 0x74, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.TakesBase)
+			if err != nil {
+				err = msgp.WrapError(err, "TakesBase")
+				return
+			}
+		}
 	}
 	return
 }
@@ -408,34 +594,61 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AcceptReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "p"
-	o = append(o, 0x86, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Term)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "st"
-	o = append(o, 0xa2, 0x73, 0x74)
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Stamp.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Stamp.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Stamp.Seq)
-	// string "ok"
-	o = append(o, 0xa2, 0x6f, 0x6b)
-	o = msgp.AppendBool(o, z.OK)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendString(o, z.Err)
+	// check for omitted fields
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
+	_ = zb0001Mask
+	if z.LacksBase == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	if z.TakesBase == false {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Term)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "st"
+		o = append(o, 0xa2, 0x73, 0x74)
+		// map header, size 3
+		// string "p"
+		o = append(o, 0x83, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Stamp.Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Stamp.Term)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Stamp.Seq)
+		// string "ok"
+		o = append(o, 0xa2, 0x6f, 0x6b)
+		o = msgp.AppendBool(o, z.OK)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendString(o, z.Err)
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "lb"
+			o = append(o, 0xa2, 0x6c, 0x62)
+			o = msgp.AppendBool(o, z.LacksBase)
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "tb"
+			o = append(o, 0xa2, 0x74, 0x62)
+			o = msgp.AppendBool(o, z.TakesBase)
+		}
+	}
 	return
 }
 
@@ -528,6 +741,18 @@
 				err = msgp.WrapError(err, "Err")
 				return
 			}
+		case "lb":
+			z.LacksBase, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LacksBase")
+				return
+			}
+		case "tb":
+			z.TakesBase, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TakesBase")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -542,7 +767,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AcceptReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Err)
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Err) + 3 + msgp.BoolSize + 3 + msgp.BoolSize
 	return
 }
 
@@ -5806,6 +6031,12 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
+		case "tb":
+			z.TakesBase, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "TakesBase")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -5819,66 +6050,94 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *VoteReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "p"
-	err = en.Append(0x86, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Pre)
-	if err != nil {
-		err = msgp.WrapError(err, "Pre")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Granted)
-	if err != nil {
-		err = msgp.WrapError(err, "Granted")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.TakesBase == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = z.Held.EncodeMsg(en)
-	if err != nil {
-		err = msgp.WrapError(err, "Held")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Part)
+		if err != nil {
+			err = msgp.WrapError(err, "Part")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Term")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "e"
+		err = en.Append(0xa1, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Pre)
+		if err != nil {
+			err = msgp.WrapError(err, "Pre")
+			return
+		}
+		// write "g"
+		err = en.Append(0xa1, 0x67)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Granted)
+		if err != nil {
+			err = msgp.WrapError(err, "Granted")
+			return
+		}
+		// write "h"
+		err = en.Append(0xa1, 0x68)
+		if err != nil {
+			return
+		}
+		err = z.Held.EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Held")
+			return
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "tb"
+			err = en.Append(0xa2, 0x74, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.TakesBase)
+			if err != nil {
+				err = msgp.WrapError(err, "TakesBase")
+				return
+			}
+		}
 	}
 	return
 }
@@ -5886,28 +6145,46 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *VoteReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "p"
-	o = append(o, 0x86, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Term)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendBool(o, z.Pre)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendBool(o, z.Granted)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o, err = z.Held.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Held")
-		return
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.TakesBase == false {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Term)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "e"
+		o = append(o, 0xa1, 0x65)
+		o = msgp.AppendBool(o, z.Pre)
+		// string "g"
+		o = append(o, 0xa1, 0x67)
+		o = msgp.AppendBool(o, z.Granted)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o, err = z.Held.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Held")
+			return
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "tb"
+			o = append(o, 0xa2, 0x74, 0x62)
+			o = msgp.AppendBool(o, z.TakesBase)
+		}
 	}
 	return
 }
@@ -5966,6 +6243,12 @@
 				err = msgp.WrapError(err, "Held")
 				return
 			}
+		case "tb":
+			z.TakesBase, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TakesBase")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5980,6 +6263,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *VoteReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + z.Held.Msgsize()
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + z.Held.Msgsize() + 3 + msgp.BoolSize
 	return
 }
