--- a/replica/member_change.go
+++ b/replica/member_change.go
@@ -15,7 +15,8 @@
 
 // Figures of membership changes.
 const (
-	// LearnerTimeout is how long a learner has to sync the newest version before it is given up.
+	// LearnerTimeout is how long a learner has to sync the newest version before it is given up, beyond
+	// what a large one takes on its way.
 	LearnerTimeout = 1_500_000
 	// LearnerResendInterval is how often a learner that lacks the newest version is sent it again.
 	LearnerResendInterval = 200_000
@@ -83,8 +84,8 @@
 		return g.committed.Seats, false
 	}
 	if !change.caughtUp(g.committed.Stamp) {
-		if t.Now-change.sentAt >= LearnerResendInterval {
-			g.sendToLearners(t, g.committed)
+		if t.Now-change.sentAt >= max(LearnerResendInterval, resendInterval(sizeOf(g.committed))) {
+			g.sendToLearners(t, g.committed, wire.Stamp{})
 		}
 		return g.committed.Seats, false
 	}
@@ -108,7 +109,7 @@
 			g.change = change
 			t.Note(0, "membership_change_begun", "part", g.part, "reason", string(change.reason), "removed", change.removed,
 				"learners", replicaIDs(change.learners))
-			g.sendToLearners(t, g.committed)
+			g.sendToLearners(t, g.committed, wire.Stamp{})
 			return
 		}
 	}
@@ -121,7 +122,7 @@
 	case change == nil:
 	case !g.isStillDue(t, change):
 		g.abandonChange(t, "no longer due")
-	case !change.caughtUp(g.committed.Stamp) && t.Now-change.begunAt > LearnerTimeout:
+	case !change.caughtUp(g.committed.Stamp) && t.Now-change.begunAt > LearnerTimeout+transferTime(g.committed):
 		for _, learner := range change.learners {
 			if change.synced[learner.ID] != g.committed.Stamp {
 				g.learnerFailedAt[learner.ID] = t.Now
@@ -149,15 +150,17 @@
 	g.change = nil
 }
 
-// sendToLearners sends a version to the learners that have not synced it.
-func (g *Group) sendToLearners(t *kernel.Turn, v wire.Stamped) {
+// sendToLearners sends a version to the learners that have not synced it. Its value is that of the
+// version base, if that is one.
+func (g *Group) sendToLearners(t *kernel.Turn, v wire.Stamped, base wire.Stamp) {
 	if g.change == nil {
 		return
 	}
 	g.change.sentAt = t.Now
 	for _, learner := range g.change.learners {
 		if g.change.synced[learner.ID] != v.Stamp {
-			g.s.sendReplica(t, learner, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v})
+			a := g.withBase(wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v}, learner.ID, base)
+			g.s.sendReplica(t, learner, wire.KindAccept, &a)
 		}
 	}
 }
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -19,6 +19,9 @@
 	Contact uint32 `msg:"c,omitempty"`
 	// Relayed has one where the sender was lately told so by another core.
 	Relayed uint32 `msg:"r,omitempty"`
+	// Partial tells that newer versions are left out: they are on their way already, or were
+	// too large for one reply.
+	Partial bool `msg:"pa,omitempty"`
 }
 
 // Owner tells which seat owns a part.
--- a/wire/calls_gen.go
+++ b/wire/calls_gen.go
@@ -1707,6 +1707,12 @@
 				err = msgp.WrapError(err, "Relayed")
 				return
 			}
+		case "pa":
+			z.Partial, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1721,8 +1727,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *PullReply) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Contact == 0 {
 		zb0001Len--
@@ -1732,6 +1738,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Partial == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1798,6 +1808,18 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "pa"
+			err = en.Append(0xa2, 0x70, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Partial)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
+		}
 	}
 	return
 }
@@ -1806,8 +1828,8 @@
 func (z *PullReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Contact == 0 {
 		zb0001Len--
@@ -1817,6 +1839,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Partial == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1852,6 +1878,11 @@
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendUint32(o, z.Relayed)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "pa"
+			o = append(o, 0xa2, 0x70, 0x61)
+			o = msgp.AppendBool(o, z.Partial)
+		}
 	}
 	return
 }
@@ -1924,6 +1955,12 @@
 				err = msgp.WrapError(err, "Relayed")
 				return
 			}
+		case "pa":
+			z.Partial, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1946,6 +1983,6 @@
 	for za0002 := range z.Owners {
 		s += z.Owners[za0002].Msgsize()
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 3 + msgp.BoolSize
 	return
 }
