--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -141,6 +141,8 @@
 		k.to(t, v.Plugin, in)
 	case Call:
 		k.to(t, v.Plugin, in)
+	case Abandoned:
+		k.to(t, v.Plugin, in)
 	default:
 		k.each(t, in)
 	}
--- a/lab/sim/traffic.go
+++ b/lab/sim/traffic.go
@@ -50,7 +50,7 @@
 	wire.KindEdit: "edit", wire.KindEditReply: "edit_reply", wire.KindHold: "hold", wire.KindHoldReply: "hold_reply",
 	wire.KindClaim: "claim", wire.KindClaimReply: "claim_reply", wire.KindSettle: "settle", wire.KindRebuild: "rebuild",
 	wire.KindRebuildReply: "rebuild_reply", wire.KindHandOver: "hand_over", wire.KindHanded: "handed", wire.KindSeen: "seen",
-	wire.KindSeenReply: "seen_reply", wire.KindNotice: "notice",
+	wire.KindSeenReply: "seen_reply", wire.KindNotice: "notice", wire.KindPiece: "piece", wire.KindPieceAck: "piece_ack",
 }
 
 // cpuSeconds is the processor time that this program has used so far.
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -8,6 +8,7 @@
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
+	"wallport/replica"
 	"wallport/wire"
 )
 
@@ -29,15 +30,17 @@
 	part    int
 	doing   bool
 	version wire.Stamped
+	// ledger is that of the newest version that a core holds; what the mesh brought has none.
+	ledger  []byte
 	picked  []wire.Seat
 	yes     map[string]bool
 	refused []string
 	top     uint64
 	// newest is the newest version that a core holds, and holder that core's replica. fetching is
-	// that the version was asked for.
-	newest   wire.Stamp
-	holder   string
-	fetching bool
+	// that the version was asked for, fetched that it came.
+	newest            wire.Stamp
+	holder            string
+	fetching, fetched bool
 	// dueAt is when the step under way ends.
 	dueAt int64
 }
@@ -91,15 +94,19 @@
 	if mesh.Newer(m.Held.Stamp, r.newest) {
 		r.newest, r.holder = m.Held.Stamp, m.From
 	}
-	if r.fetching && m.From == r.holder && mesh.Newer(m.Held.Stamp, r.version.Stamp) {
-		r.version, r.fetching = m.Held, false
+	if r.fetching && m.From == r.holder && m.Held.Stamp == r.newest {
+		r.fetching, r.fetched, r.ledger = false, true, m.Held.Ledger
+		if mesh.Newer(m.Held.Stamp, r.version.Stamp) {
+			r.version = m.Held
+		}
 		o.rebuildStep(t, id, r)
 	}
 }
 
-// fetch asks the core that holds the newest version for it; false where this node has it already.
+// fetch asks the core that holds the newest version for it; false where none is to be had or it came.
+// What the mesh brought may be newer, but has no ledger.
 func (o *Operate) fetch(t *kernel.Turn, id uint64, r *rebuilding) bool {
-	if !mesh.Newer(r.newest, r.version.Stamp) {
+	if r.fetched || r.newest.Term == 0 {
 		return false
 	}
 	r.fetching = true
@@ -112,6 +119,19 @@
 	return true
 }
 
+// fewestVoters is how many cores a group is rebuilt on at least.
+const fewestVoters = 3
+
+// rebuiltVoters picks the voters of a rebuilt group: as many as wanted, or else the greatest odd
+// number that there is, spread over the zones; none where there are too few cores.
+func rebuiltVoters(cores []wire.Seat, wanted int) []wire.Seat {
+	n := min(max(wanted, fewestVoters), (len(cores)-1)|1)
+	if n < fewestVoters {
+		return nil
+	}
+	return replica.PickVoters(cores, n)
+}
+
 // rebuildStep ends one of the steps.
 func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
 	end := func(code, text string) {
@@ -140,25 +160,23 @@
 	case o.fetch(t, id, r):
 		return
 	}
-	zones := map[string]bool{}
-	for pass := range 2 {
-		for _, c := range o.cores(t.Now) {
-			if len(r.picked) < 3 && r.yes[c.Seat] && (pass == 1) == zones[c.Zone] {
-				zones[c.Zone] = true
-				r.picked = append(r.picked, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
-			}
+	var agreed []wire.Seat
+	for _, c := range o.cores(t.Now) {
+		if r.yes[c.Seat] {
+			agreed = append(agreed, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
 		}
 	}
-	if len(r.picked) < 3 {
+	r.picked = rebuiltVoters(agreed, o.wantedVoters)
+	if len(r.picked) == 0 {
 		end("invalid", "needs three live cores with sound disks")
 		return
 	}
 	// A term past anything that the lost seats can have promised among few of them.
 	r.version.Stamp = wire.Stamp{Part: r.part, Term: max(r.top, r.version.Stamp.Term) + 1000, Seq: r.version.Stamp.Seq + 1}
-	r.version.Seats, r.version.Prev = r.picked, nil
+	r.version.Seats, r.version.Prev, r.version.Ledger = r.picked, nil, r.ledger
 	r.doing, r.yes = true, map[string]bool{}
 	for _, c := range r.picked {
 		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Stamped: r.version})
 	}
-	o.rebuildDue(t, id, r, AskedFor+int64(len(r.version.Body))*1_000_000/slowestHold)
+	o.rebuildDue(t, id, r, AskedFor+int64(len(r.version.Body)+len(r.version.Ledger))*1_000_000/slowestHold)
 }
--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -28,6 +28,12 @@
 // isLarge tells whether a body travels in pieces.
 func isLarge(size int) bool { return size > wire.WholeMost }
 
+// sizeOf is the size of a version without its envelope.
+func sizeOf(v wire.Stamped) int { return len(v.Body) + len(v.Ledger) }
+
+// transferTime is how long a version may be on its way for its size.
+func transferTime(size int) int64 { return int64(size) * 1_000_000 / SlowestTransfer }
+
 // resendInterval is how often a version that was not acknowledged is sent again.
 func resendInterval(size int) int64 {
 	if isLarge(size) {
@@ -42,7 +48,7 @@
 	if g.proposal == nil {
 		return false
 	}
-	return now-g.proposedAt > ProposalTimeout+int64(len(g.proposal.Body))*1_000_000/SlowestTransfer
+	return now-g.proposedAt > ProposalTimeout+transferTime(sizeOf(*g.proposal))
 }
 
 // queuedBytes is the size of the orders that wait for the next version.
@@ -54,7 +60,7 @@
 }
 
 // refuseTooLarge turns an order down whose outcome is larger than the product takes.
-func (g *Group) refuseTooLarge(t *kernel.Turn, w *pendingEdit, before, after []byte) {
+func (g *Group) refuseTooLarge(t *kernel.Turn, w *pendingEdit, before, after state.Value) {
 	if !w.taken {
 		return
 	}
@@ -67,7 +73,7 @@
 // catchUp sends the newest committed version to a replica whose heartbeat reply shows that it
 // lacks it. While another version is under way to it, a large one is not sent as well.
 func (g *Group) catchUp(t *kernel.Turn, r wire.BeatReply) {
-	size := len(g.committed.Body)
+	size := sizeOf(g.committed)
 	underWay := g.proposal != nil && (r.Held == g.proposal.Stamp || isLarge(size))
 	if !g.ready || underWay || !mesh.Newer(g.committed.Stamp, r.Held) {
 		return
--- a/replica/election.go
+++ b/replica/election.go
@@ -83,7 +83,7 @@
 		if !granted || v.Pre || !mesh.Newer(g.accepted.Stamp, v.Held) {
 			// Only who is given the term and holds an older version needs what is held; the others
 			// need to know how new it is.
-			r.Held.Body = nil
+			r.Held.Body, r.Held.Ledger = nil, nil
 		}
 		if v.From == g.self() {
 			g.voteReply(t, r)
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -23,6 +23,11 @@
 	if g.s.diskDamaged {
 		return
 	}
+	if g.s.stopping && !g.isVoter() && !contains(allVoters(a.Stamped), g.self()) {
+		// It would be gone before it could be a voter.
+		reply(t, wire.AcceptReply{Term: a.Term, Err: "leaving"})
+		return
+	}
 	if a.Term < g.votedTerm || a.Stamped.Stamp.Term > a.Term {
 		reply(t, wire.AcceptReply{Term: g.votedTerm})
 		return
@@ -44,7 +49,7 @@
 			reply(t, wire.AcceptReply{Term: a.Term, Stamp: v.Stamp, LacksBase: true})
 			return
 		}
-		v.Body = g.accepted.Body
+		v.Body, v.Ledger = g.accepted.Body, g.accepted.Ledger
 	}
 	g.pending = v.Stamp
 	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -16,6 +16,7 @@
 	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
 	g.quorumAt, g.heartbeatAt, g.leaderSince = t.Now, 0, t.Now
 	g.leases = map[string]*lease{}
+	g.change, g.learnerFailedAt, g.leavingAt = nil, map[string]int64{}, map[string]int64{}
 	for _, s := range allVoters(best) {
 		g.heardAt[s.ID] = t.Now
 	}
@@ -69,6 +70,7 @@
 		one := g.withBase(a, s.ID, base)
 		g.s.sendReplica(t, s, wire.KindAccept, &one)
 	}
+	g.sendToLearners(t, *g.proposal)
 }
 
 func (g *Group) acceptReply(t *kernel.Turn, r wire.AcceptReply) {
@@ -79,13 +81,18 @@
 		if r.Term > g.term {
 			g.votedTerm = max(g.votedTerm, r.Term)
 			g.stepDown(t, "fenced by a newer term")
-		} else if r.LacksBase {
+			return
+		}
+		if r.LacksBase {
 			g.sendBody(t, r)
+			return
 		}
+		g.handleLearnerReply(t, r)
 		return
 	}
 	g.heardAt[r.From] = t.Now
 	g.noteSynced(r)
+	g.handleLearnerReply(t, r)
 	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
 		return
 	}
@@ -114,7 +121,11 @@
 	if !mesh.Newer(v.Stamp, g.committed.Stamp) {
 		return
 	}
+	before := g.committed
 	g.committed = v
+	if g.role == leader {
+		g.endChange(t, before, v)
+	}
 	t.Emit(Committed{Stamped: v})
 }
 
@@ -143,7 +154,7 @@
 		g.transferTo(t, to)
 		return
 	}
-	if g.proposal != nil && t.Now-g.sentAt > resendInterval(len(g.proposal.Body)) {
+	if g.proposal != nil && t.Now-g.sentAt > resendInterval(sizeOf(*g.proposal)) {
 		g.sendProposal(t, wire.Stamp{})
 	}
 	g.proposeNext(t)
--- a/replica/rebuild.go
+++ b/replica/rebuild.go
@@ -16,7 +16,7 @@
 	reply := func(t *kernel.Turn, why string) {
 		held := g.accepted
 		if m.Brief || m.Do {
-			held.Body = nil
+			held.Body, held.Ledger = nil, nil
 		}
 		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Part: g.part, From: g.self(), OK: why == "", Why: why, Held: held})
 	}
--- a/replica/synced.go
+++ b/replica/synced.go
@@ -3,8 +3,11 @@
 package replica
 
 import (
+	"bytes"
+
 	"wallport/kernel"
 	"wallport/mesh"
+	"wallport/state"
 	"wallport/wire"
 )
 
@@ -43,11 +46,19 @@
 	}
 }
 
+// baseOf is the committed version, if a new one has its body and ledger: only the voters change.
+func (g *Group) baseOf(value state.Value) (base wire.Stamp) {
+	if bytes.Equal(value.Body, g.committed.Body) && bytes.Equal(value.Ledger, g.committed.Ledger) {
+		base = g.committed.Stamp
+	}
+	return base
+}
+
 // withBase leaves a large body out for a replica that holds it as another version.
 func (g *Group) withBase(a wire.Accept, id string, base wire.Stamp) wire.Accept {
 	held := g.synced[id]
-	if isLarge(len(a.Stamped.Body)) && base.Term > 0 && held.takesBase && held.stamp == base {
-		a.Base, a.Stamped.Body = base, nil
+	if isLarge(sizeOf(a.Stamped)) && base.Term > 0 && held.takesBase && held.stamp == base {
+		a.Base, a.Stamped.Body, a.Stamped.Ledger = base, nil, nil
 	}
 	return a
 }
--- a/segment/sender.go
+++ b/segment/sender.go
@@ -31,7 +31,7 @@
 	// QueueMost bounds the messages that wait for one destination, the one under way included.
 	QueueMost = 16
 	// QueueBytesMost bounds what the messages of all destinations hold.
-	QueueBytesMost = 8 * wire.MaxMessage
+	QueueBytesMost = 32 << 20
 )
 
 // Destination is an open connection, or the address of a direct one.
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -3656,6 +3656,159 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Leave) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "p":
+			z.Part, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "f":
+			z.From, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Leave) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 3
+	// write "to"
+	err = en.Append(0x83, 0xa2, 0x74, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.To)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
+	// write "p"
+	err = en.Append(0xa1, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Part)
+	if err != nil {
+		err = msgp.WrapError(err, "Part")
+		return
+	}
+	// write "f"
+	err = en.Append(0xa1, 0x66)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Leave) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "to"
+	o = append(o, 0x83, 0xa2, 0x74, 0x6f)
+	o = msgp.AppendString(o, z.To)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.From)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Leave) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "to":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Leave) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.From)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Links) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -5091,6 +5244,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "l":
+			z.Ledger, err = dc.ReadBytes(z.Ledger)
+			if err != nil {
+				err = msgp.WrapError(err, "Ledger")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -5104,138 +5263,166 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Stamped) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "st"
-	err = en.Append(0x84, 0xa2, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Stamp.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stamp.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Term")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Stamp.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Seq")
-		return
-	}
-	// write "se"
-	err = en.Append(0xa2, 0x73, 0x65)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Ledger == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Seats)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Seats")
 		return
 	}
-	for za0001 := range z.Seats {
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "st"
+		err = en.Append(0xa2, 0x73, 0x74)
+		if err != nil {
+			return
+		}
 		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
+		// write "p"
+		err = en.Append(0x83, 0xa1, 0x70)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Seats[za0001].ID)
+		err = en.WriteInt(z.Stamp.Part)
 		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "ID")
+			err = msgp.WrapError(err, "Stamp", "Part")
 			return
 		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
+		// write "t"
+		err = en.Append(0xa1, 0x74)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Seats[za0001].Zone)
+		err = en.WriteUint64(z.Stamp.Term)
 		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "Zone")
+			err = msgp.WrapError(err, "Stamp", "Term")
 			return
 		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
+		// write "s"
+		err = en.Append(0xa1, 0x73)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Seats[za0001].Addr)
+		err = en.WriteUint64(z.Stamp.Seq)
 		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "Addr")
+			err = msgp.WrapError(err, "Stamp", "Seq")
 			return
 		}
-	}
-	// write "pr"
-	err = en.Append(0xa2, 0x70, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Prev)))
-	if err != nil {
-		err = msgp.WrapError(err, "Prev")
-		return
-	}
-	for za0002 := range z.Prev {
-		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
+		// write "se"
+		err = en.Append(0xa2, 0x73, 0x65)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Prev[za0002].ID)
+		err = en.WriteArrayHeader(uint32(len(z.Seats)))
 		if err != nil {
-			err = msgp.WrapError(err, "Prev", za0002, "ID")
+			err = msgp.WrapError(err, "Seats")
 			return
 		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
+		for za0001 := range z.Seats {
+			// map header, size 3
+			// write "i"
+			err = en.Append(0x83, 0xa1, 0x69)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Seats[za0001].ID)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats", za0001, "ID")
+				return
+			}
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Seats[za0001].Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats", za0001, "Zone")
+				return
+			}
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Seats[za0001].Addr)
+			if err != nil {
+				err = msgp.WrapError(err, "Seats", za0001, "Addr")
+				return
+			}
+		}
+		// write "pr"
+		err = en.Append(0xa2, 0x70, 0x72)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Prev[za0002].Zone)
+		err = en.WriteArrayHeader(uint32(len(z.Prev)))
 		if err != nil {
-			err = msgp.WrapError(err, "Prev", za0002, "Zone")
+			err = msgp.WrapError(err, "Prev")
 			return
 		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
+		for za0002 := range z.Prev {
+			// map header, size 3
+			// write "i"
+			err = en.Append(0x83, 0xa1, 0x69)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Prev[za0002].ID)
+			if err != nil {
+				err = msgp.WrapError(err, "Prev", za0002, "ID")
+				return
+			}
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Prev[za0002].Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Prev", za0002, "Zone")
+				return
+			}
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Prev[za0002].Addr)
+			if err != nil {
+				err = msgp.WrapError(err, "Prev", za0002, "Addr")
+				return
+			}
+		}
+		// write "b"
+		err = en.Append(0xa1, 0x62)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Prev[za0002].Addr)
+		err = en.WriteBytes(z.Body)
 		if err != nil {
-			err = msgp.WrapError(err, "Prev", za0002, "Addr")
+			err = msgp.WrapError(err, "Body")
 			return
 		}
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "l"
+			err = en.Append(0xa1, 0x6c)
+			if err != nil {
+				return
+			}
+			err = en.WriteBytes(z.Ledger)
+			if err != nil {
+				err = msgp.WrapError(err, "Ledger")
+				return
+			}
+		}
 	}
 	return
 }
@@ -5243,52 +5430,70 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Stamped) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "st"
-	o = append(o, 0x84, 0xa2, 0x73, 0x74)
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Stamp.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Stamp.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Stamp.Seq)
-	// string "se"
-	o = append(o, 0xa2, 0x73, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
-	for za0001 := range z.Seats {
-		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Seats[za0001].ID)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Seats[za0001].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Seats[za0001].Addr)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Ledger == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// string "pr"
-	o = append(o, 0xa2, 0x70, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Prev)))
-	for za0002 := range z.Prev {
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "st"
+		o = append(o, 0xa2, 0x73, 0x74)
 		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Prev[za0002].ID)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Prev[za0002].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Prev[za0002].Addr)
+		// string "p"
+		o = append(o, 0x83, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Stamp.Part)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Stamp.Term)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Stamp.Seq)
+		// string "se"
+		o = append(o, 0xa2, 0x73, 0x65)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
+		for za0001 := range z.Seats {
+			// map header, size 3
+			// string "i"
+			o = append(o, 0x83, 0xa1, 0x69)
+			o = msgp.AppendString(o, z.Seats[za0001].ID)
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendString(o, z.Seats[za0001].Zone)
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendString(o, z.Seats[za0001].Addr)
+		}
+		// string "pr"
+		o = append(o, 0xa2, 0x70, 0x72)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Prev)))
+		for za0002 := range z.Prev {
+			// map header, size 3
+			// string "i"
+			o = append(o, 0x83, 0xa1, 0x69)
+			o = msgp.AppendString(o, z.Prev[za0002].ID)
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendString(o, z.Prev[za0002].Zone)
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendString(o, z.Prev[za0002].Addr)
+		}
+		// string "b"
+		o = append(o, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Body)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "l"
+			o = append(o, 0xa1, 0x6c)
+			o = msgp.AppendBytes(o, z.Ledger)
+		}
 	}
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
 	return
 }
 
@@ -5465,6 +5670,12 @@
 				err = msgp.WrapError(err, "Body")
 				return
 			}
+		case "l":
+			z.Ledger, bts, err = msgp.ReadBytesBytes(bts, z.Ledger)
+			if err != nil {
+				err = msgp.WrapError(err, "Ledger")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5487,7 +5698,7 @@
 	for za0002 := range z.Prev {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].ID) + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].Zone) + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].Addr)
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Body)
+	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BytesPrefixSize + len(z.Ledger)
 	return
 }
 
--- a/wire/pieces.go
+++ b/wire/pieces.go
@@ -10,9 +10,9 @@
 	WholeMost = 64 << 10
 	// PieceBytes is what one piece carries.
 	PieceBytes = 32 << 10
-	// MaxMessage bounds a message that travels in pieces: the largest body of a
-	// partition, and room for its envelope.
-	MaxMessage = 4<<20 + 256<<10
+	// MaxMessage bounds a message that travels in pieces: the largest body and ledger of
+	// a partition, and room for their envelope.
+	MaxMessage = 6 << 20
 )
 
 // Piece is one part of a message. Transfers of a process are numbered upwards.
