--- a/lab/sim/day_mishaps.go
+++ b/lab/sim/day_mishaps.go
@@ -59,7 +59,7 @@
 			o.open++
 			o.d.w.after(o.d.w.rnd.Int64N(30_000), func() {
 				o.open--
-				o.version(edit, v, func() {
+				o.version(edit, v, draft{}, func() {
 					if v.Acked != rules.Never {
 						acked++
 					}
@@ -79,9 +79,10 @@
 	if len(o.taken) == 0 {
 		return
 	}
-	edit := o.taken[o.d.w.rnd.IntN(len(o.taken))]
+	again := o.taken[o.d.w.rnd.IntN(len(o.taken))]
 	for range 2 {
-		o.carry(edit, func(code string, _ *machine) {
+		again.v.Repeats++
+		o.carry(again.edit, pin{}, nil, func(code string, _ *machine) {
 			o.d.w.Judge.Count("sent_again."+code, 1)
 			if code != "ok" {
 				o.d.w.Judge.Fail(pointSentAgain, o.d.w.now, "a change that was acknowledged was answered %s when it was sent again", code)
@@ -120,7 +121,7 @@
 		d.w.after(e.forUs, give)
 	}
 	d.w.after(e.forUs/2, func() {
-		d.oper.carry(wire.Edit{Op: "refill", Name: e.zone}, func(code string, _ *machine) {
+		d.oper.carry(wire.Edit{Op: "refill", Name: e.zone}, pin{}, nil, func(code string, _ *machine) {
 			d.w.Judge.Count("late_evacuate.taken_back."+code, 1)
 			d.w.after(e.forUs+settles, func() { d.zoneIsRestored(e.zone) })
 		})
--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -108,13 +108,15 @@
 
 // limitPull takes large versions out of a reply that are on their way to the node already, and
 // those that do not fit into one message: the next pull brings them.
-func (s *Host) limitPull(t *kernel.Turn, conn uint64, r *wire.PullReply) {
+func (s *Host) limitPull(now int64, conn uint64, r *wire.PullReply) {
 	room := wire.MaxMessage - wire.WholeMost
 	versions := r.Stamped
 	r.Stamped = nil
 	for _, v := range versions {
-		if room < len(v.Body) || isLarge(len(v.Body)) && !s.mayPull(t.Now, conn, v.Stamp) {
-			r.Partial = true
+		if room < len(v.Body) || isLarge(len(v.Body)) && !s.mayPull(now, conn, v.Stamp) {
+			// The asker does not have all that was acknowledged before the contact.
+			withheld := uint32(1) << v.Stamp.Part
+			r.Partial, r.Contact, r.Relayed = true, r.Contact&^withheld, r.Relayed&^withheld
 			continue
 		}
 		room -= len(v.Body)
--- /dev/null
+++ b/replica/contact.go
@@ -0,0 +1,151 @@
+// Contact with a majority: what a leader may still say, and what a core that is
+// asked for its state may call confirmed, rests on heartbeat rounds that a
+// majority answered, counted from when they were sent.
+package replica
+
+import (
+	"slices"
+
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/pulls"
+	"wallport/wire"
+)
+
+// Bounds of contact, in microseconds.
+const (
+	// ContactFor is how long after its sending a confirmed round stands for contact with a majority.
+	ContactFor = 1_000_000
+	// RelayedFor is how long after a core asked another one, that one's contact is passed on.
+	RelayedFor = 2_000_000
+	// clockOrigins is the range from which the origin of the clock is drawn that leaders are told.
+	clockOrigins = 1 << 60
+)
+
+// sentRound is a heartbeat round that no majority has answered yet.
+type sentRound struct {
+	round uint64
+	at    int64
+}
+
+// contact is what a replica knows of its group's contact with a majority.
+type contact struct {
+	// A leader's rounds on their way, oldest first, and when the newest was sent that a majority answered.
+	open        []sentRound
+	confirmedAt int64
+	// offsets lead from the leader's clock to that of each voter, or to a moment before it.
+	offsets map[string]int64
+	// provenAt is, at a follower, a moment of its own clock not later than the sending of a round that a
+	// majority answered; committed is the version that the leader had committed by then.
+	provenAt  int64
+	committed wire.Stamp
+}
+
+// lead begins a leader's account: nothing of its term is confirmed yet.
+func (c *contact) lead() {
+	c.open, c.confirmedAt, c.offsets = nil, 0, map[string]int64{}
+}
+
+// sent notes a round; those too old to prove anything are dropped.
+func (c *contact) sent(round uint64, now int64) {
+	c.open = slices.DeleteFunc(c.open, func(r sentRound) bool { return now-r.at > ContactFor })
+	c.open = append(c.open, sentRound{round, now})
+}
+
+// answered notes a voter's clock as its answer tells it.
+func (c *contact) answered(r wire.BeatReply, now int64) {
+	if r.Clock > 0 {
+		c.offsets[r.From] = r.Clock - now
+	}
+}
+
+// within tells whether a leader's newest confirmed round was sent at most d ago.
+func (c *contact) within(now, d int64) bool {
+	return c.confirmedAt > 0 && now-c.confirmedAt <= d
+}
+
+// proofFor is the proof of contact that a voter is sent with a heartbeat, on that voter's clock.
+func (c *contact) proofFor(id string) int64 {
+	offset, known := c.offsets[id]
+	if !known || c.confirmedAt == 0 {
+		return 0
+	}
+	return max(0, c.confirmedAt+offset)
+}
+
+// proven takes the proof of a leader's heartbeat. One on another clock, that of an earlier life of
+// this process, proves nothing.
+func (c *contact) proven(at, now int64, committed wire.Stamp) {
+	if at <= 0 || at > now {
+		return
+	}
+	c.provenAt = max(c.provenAt, at)
+	if mesh.Newer(committed, c.committed) {
+		c.committed = committed
+	}
+}
+
+// confirmRounds notes which of a leader's rounds a majority has answered.
+func (g *Group) confirmRounds() {
+	c := &g.contact
+	for len(c.open) > 0 && g.isConfirmed(c.open[0].round) {
+		c.confirmedAt = max(c.confirmedAt, c.open[0].at)
+		c.open = c.open[1:]
+	}
+}
+
+func (g *Group) isConfirmed(round uint64) bool {
+	return quorum(g.newestVersion(), func(id string) bool { return id == g.self() || g.confirmedRounds[id] >= round })
+}
+
+// inContact tells whether a version that is handed out holds all that was acknowledged until
+// shortly before, by this replica's own contact with a majority.
+func (g *Group) inContact(now int64, version wire.Stamp) bool {
+	if g.role == leader {
+		return g.ready && g.contact.within(now, ContactFor)
+	}
+	proven := g.contact.provenAt > 0 && now-g.contact.provenAt <= ContactFor
+	return proven && !mesh.Newer(g.contact.committed, version)
+}
+
+// followsLeader tells whether callers may be sent to the leader that this replica knows.
+func (g *Group) followsLeader(now int64) bool {
+	if g.role == leader {
+		return g.contact.within(now, ContactFor)
+	}
+	return now-g.leaderSeen < StepDownAfter
+}
+
+// tellContact tells who pulls whether the version that it has now is confirmed.
+func (g *Group) tellContact(now int64, version wire.Stamp, r *wire.PullReply) {
+	bit := uint32(1) << uint(g.part)
+	if g.inContact(now, version) {
+		r.Contact |= bit
+	}
+	if g.relayedAt > 0 && now-g.relayedAt <= RelayedFor {
+		r.Relayed |= bit
+	}
+}
+
+// relay notes the contact of another core that has answered this one's pull.
+func (s *Host) relay(v pulls.Pulled) {
+	for _, g := range s.groups {
+		if v.Contact&(1<<uint(g.part)) != 0 {
+			g.relayedAt = max(g.relayedAt, v.AskedAt)
+		}
+	}
+}
+
+// clock is this process's steady clock as leaders are told it. Its origin is another one at each
+// start, so that a proof for an earlier life is none for this one.
+func (s *Host) clock(now int64) int64 { return s.clockOrigin + now }
+
+// noteContact logs and counts when a leader loses its contact with a majority.
+func (g *Group) noteContact(t *kernel.Turn) {
+	lost := g.ready && !g.contact.within(t.Now, ContactFor)
+	if lost && !g.contactLost {
+		t.Counts.Add("part_contact_lost", 1)
+		t.Note(1, "leader_without_contact", "part", g.part, "term", g.term, "since_us", t.Now-g.contact.confirmedAt)
+	}
+	g.contactLost = lost
+}
--- /dev/null
+++ b/replica/contact_cluster_test.go
@@ -0,0 +1,209 @@
+// A small cluster of whole replicas on simulated time: their own code, a network
+// with delays and cuts that hold frames back, disks that take a while, freezes.
+package replica
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"wallport/diskfile"
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+const (
+	millisecond = int64(1_000)
+	second      = int64(1_000_000)
+)
+
+// event is something that happens at a moment; events of one moment keep their order.
+type event struct {
+	at, order int64
+	do        func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// member is one process of the cluster.
+type member struct {
+	name, addr string
+	kernel     *kernel.Kernel
+	host       *Host
+	files      map[string][]byte
+	life       int
+	startedAt  int64
+	frozen     bool
+	waiting    []func()
+}
+
+type cluster struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	now     int64
+	order   int64
+	queue   events
+	members []*member
+	conns   map[uint64]*connection
+	direct  map[string]uint64
+	nextID  uint64
+	// cut names the member that is cut off from the others; frames over the cut are held back.
+	cut  *member
+	held []func()
+}
+
+// newCluster starts members m0, m1 ... of which the first ones, an odd number, form one group.
+func newCluster(t *testing.T, seed uint64, size int) *cluster {
+	c := &cluster{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), conns: map[uint64]*connection{}, direct: map[string]uint64{}}
+	form := wire.Form{Formation: "f", Go: true}
+	for i := range size {
+		m := &member{name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1)}
+		if i < (size-1)|1 {
+			form.Seats = append(form.Seats, wire.Seat{ID: m.name, Addr: m.addr, Zone: fmt.Sprintf("z%d", i)})
+		}
+		c.members = append(c.members, m)
+	}
+	for _, m := range c.members {
+		m.files = map[string][]byte{"seat": diskfile.Pack([]byte(m.name))}
+		if contains(form.Seats, m.name) {
+			m.files["formation"] = diskfile.Pack(wire.Encode(&form))
+		}
+		c.start(m)
+	}
+	return c
+}
+
+func (c *cluster) start(m *member) {
+	e := env.Env{Mesh: m.addr, Zone: "z" + m.name[1:], BootstrapKnown: true}
+	e.Tolerance.Machines = (len(c.members) - 1) / 2
+	for _, other := range c.members {
+		e.Seeds = append(e.Seeds, other.addr)
+	}
+	files := map[string][]byte{}
+	for name, data := range m.files {
+		files[name] = bytes.Clone(data)
+	}
+	m.life++
+	m.frozen, m.waiting, m.startedAt = false, nil, c.now
+	m.kernel = kernel.New(kernel.Boot{Env: e, Role: "core", Seed: c.rnd.Uint64(), Key: kernel.KeyFrom(bytes.Repeat([]byte{m.name[1]}, 32)), Files: files})
+	m.host = kernel.Find[*Host](m.kernel)
+	c.step(m, kernel.Start{})
+}
+
+func (c *cluster) after(d int64, do func()) {
+	c.order++
+	heap.Push(&c.queue, event{c.now + max(d, 0), c.order, do})
+}
+
+// every does something again and again.
+func (c *cluster) every(d int64, do func()) {
+	do()
+	c.after(d, func() { c.every(d, do) })
+}
+
+// run lets time pass; look is called after each event.
+func (c *cluster) run(d int64, look func()) {
+	for end := c.now + d; ; {
+		if len(c.queue) == 0 || c.queue[0].at > end {
+			c.now = end
+			return
+		}
+		e := heap.Pop(&c.queue).(event)
+		c.now = e.at
+		e.do()
+		if look != nil {
+			look()
+		}
+	}
+}
+
+// feed has a member take an input in this life, once it is not frozen.
+func (c *cluster) feed(m *member, life int, in kernel.Input) {
+	if m.life != life {
+		return
+	}
+	if m.frozen {
+		m.waiting = append(m.waiting, func() { c.feed(m, life, in) })
+		return
+	}
+	c.step(m, in)
+}
+
+func (c *cluster) step(m *member, in kernel.Input) {
+	now, life := c.now-m.startedAt, m.life
+	out := m.kernel.Step(now, 1_700_000_000*second+c.now, in)
+	for _, v := range out.Timers {
+		c.after(v.At-now, func() { c.feed(m, life, kernel.Tick{Plugin: v.Plugin, Key: v.Key}) })
+	}
+	for _, w := range out.Writes {
+		c.write(m, w)
+	}
+	for _, s := range out.Sends {
+		c.send(m, s)
+	}
+}
+
+func (c *cluster) freeze(m *member) { m.frozen = true }
+
+func (c *cluster) thaw(m *member, gap int64) {
+	m.frozen = false
+	c.step(m, kernel.Thawed{Gap: gap})
+	waiting := m.waiting
+	m.waiting = nil
+	for _, f := range waiting {
+		f()
+	}
+}
+
+// restart ends a member's process and starts it again with its disk.
+func (c *cluster) restart(m *member) { c.start(m) }
+
+// leader is the member that leads a part and may take its edits, and follower some other one.
+func (c *cluster) leader(part int) *member {
+	for _, m := range c.members {
+		if m.host.Leads(part) && !m.frozen && m != c.cut {
+			return m
+		}
+	}
+	return nil
+}
+
+// settled runs until a part has a leader that was in office for a while.
+func (c *cluster) settled(part int) *member {
+	for range 100 {
+		c.run(100*millisecond, nil)
+		if m := c.leader(part); m != nil {
+			c.run(second, nil)
+			if c.leader(part) == m {
+				return m
+			}
+		}
+	}
+	c.t.Fatal("no leader was elected")
+	return nil
+}
+
+func (c *cluster) others(m *member) (out []*member) {
+	for _, v := range c.members {
+		if v != m {
+			out = append(out, v)
+		}
+	}
+	return out
+}
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -14,7 +14,8 @@
 	g.confirmedRounds, g.clockOffsets = map[string]uint64{}, map[string]int64{}
 	g.synced = map[string]syncedVersion{}
 	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
-	g.quorumAt, g.heartbeatAt, g.leaderSince = t.Now, 0, t.Now
+	g.heartbeatAt, g.leaderSince = 0, t.Now
+	g.contact.lead()
 	g.leases = map[string]*lease{}
 	g.change, g.learnerFailedAt, g.leavingAt = nil, map[string]int64{}, map[string]int64{}
 	for _, s := range allVoters(best) {
@@ -130,15 +131,12 @@
 }
 
 func (g *Group) ownerTick(t *kernel.Turn) {
-	ok := func(id string) bool { return id == g.self() || t.Now-g.heardAt[id] < StepDownAfter }
-	if quorum(g.newestVersion(), ok) {
-		g.quorumAt = t.Now
-	}
+	g.noteContact(t)
 	switch {
 	case g.isSuperseded(t, g.newestVersion()):
 		g.stepDown(t, "another group has committed a newer version")
 		return
-	case t.Now-g.quorumAt > StepDownAfter:
+	case t.Now-max(g.leaderSince, g.contact.confirmedAt) > StepDownAfter:
 		g.stepDown(t, "no majority answers")
 		return
 	case g.proposalIsOverdue(t.Now):
@@ -171,9 +169,12 @@
 func (g *Group) sendHeartbeats(t *kernel.Turn) {
 	g.heartbeatAt = t.Now
 	g.round++
+	g.contact.sent(g.round, t.Now)
+	g.confirmRounds()
 	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Round: g.round, Committed: g.committed.Stamp}
 	for _, s := range allVoters(g.newestVersion()) {
 		if s.ID != g.self() {
+			b.ContactAt = g.contact.proofFor(s.ID)
 			g.s.sendReplica(t, s, wire.KindBeat, &b)
 		}
 	}
@@ -194,6 +195,10 @@
 		}
 		return
 	}
+	if r.Term != g.term {
+		// It answers a heartbeat of an earlier term, held up on its way.
+		return
+	}
 	if t.Now-g.heardAt[r.From] > StepDownAfter || g.steadySince[r.From] == 0 {
 		g.steadySince[r.From] = t.Now
 	}
@@ -201,6 +206,8 @@
 	g.clockOffsets[r.From] = r.Wall - t.Now
 	g.confirmedRounds[r.From] = max(g.confirmedRounds[r.From], r.Round)
 	g.noticeRollback(t, r)
+	g.contact.answered(r, t.Now)
+	g.confirmRounds()
 	g.catchUp(t, r)
 	g.confirm(t)
 }
--- a/replica/narrow_links_test.go
+++ b/replica/narrow_links_test.go
@@ -25,28 +25,28 @@
 	clientConn = 1 << 40
 )
 
-type clusterEvent struct {
+type narrowEvent struct {
 	at, seq int64
 	run     func()
 }
 
-type clusterEvents []clusterEvent
+type narrowEvents []narrowEvent
 
-func (e clusterEvents) Len() int { return len(e) }
-func (e clusterEvents) Less(i, j int) bool {
+func (e narrowEvents) Len() int { return len(e) }
+func (e narrowEvents) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
 }
-func (e clusterEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *clusterEvents) Push(x any)   { *e = append(*e, x.(clusterEvent)) }
-func (e *clusterEvents) Pop() any {
+func (e narrowEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *narrowEvents) Push(x any)   { *e = append(*e, x.(narrowEvent)) }
+func (e *narrowEvents) Pop() any {
 	old := *e
 	x := old[len(old)-1]
 	*e = old[:len(old)-1]
 	return x
 }
 
-// member is one core of a cluster.
-type member struct {
+// narrowMember is one core of a cluster.
+type narrowMember struct {
 	id      string
 	k       *kernel.Kernel
 	host    *Host
@@ -58,13 +58,13 @@
 	replies map[uint64]wire.EditReply
 }
 
-// cluster joins cores "a", "b" and "c", whose addresses are their names.
-type cluster struct {
+// narrowCluster joins cores "a", "b" and "c", whose addresses are their names.
+type narrowCluster struct {
 	t       testing.TB
 	now     int64
 	seq     int64
-	events  clusterEvents
-	members map[string]*member
+	events  narrowEvents
+	members map[string]*narrowMember
 	conns   map[string]uint64    // by dialer and dialed
 	ends    map[uint64][2]string // of the open connections
 	// bytesPerSecond is what each core's link takes; 0 is any number.
@@ -72,27 +72,27 @@
 	nextEdit       uint64
 }
 
-func newCluster(t testing.TB, bytesPerSecond int64) *cluster {
-	c := &cluster{t: t, members: map[string]*member{}, conns: map[string]uint64{}, ends: map[uint64][2]string{}, bytesPerSecond: bytesPerSecond}
+func newNarrowCluster(t testing.TB, bytesPerSecond int64) *narrowCluster {
+	c := &narrowCluster{t: t, members: map[string]*narrowMember{}, conns: map[string]uint64{}, ends: map[uint64][2]string{}, bytesPerSecond: bytesPerSecond}
 	form := wire.Form{Formation: "f", Go: true}
 	for _, id := range []string{"a", "b", "c"} {
 		form.Seats = append(form.Seats, wire.Seat{ID: id, Addr: id, Zone: "z" + id})
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		files := map[string][]byte{"seat": diskfile.Pack([]byte(id)), "formation": diskfile.Pack(wire.Encode(&form))}
-		c.members[id] = &member{id: id, files: files}
+		c.members[id] = &narrowMember{id: id, files: files}
 		c.start(id)
 	}
 	return c
 }
 
-func (c *cluster) after(d int64, f func()) {
+func (c *narrowCluster) after(d int64, f func()) {
 	c.seq++
-	heap.Push(&c.events, clusterEvent{c.now + d, c.seq, f})
+	heap.Push(&c.events, narrowEvent{c.now + d, c.seq, f})
 }
 
 // start starts a core with the files that its disk holds.
-func (c *cluster) start(id string) {
+func (c *narrowCluster) start(id string) {
 	m := c.members[id]
 	m.up, m.replies, m.bytesIn = true, map[uint64]wire.EditReply{}, 0
 	m.life++
@@ -106,7 +106,7 @@
 }
 
 // stop ends a core as a loss of power does: what it has not written is gone.
-func (c *cluster) stop(id string) {
+func (c *narrowCluster) stop(id string) {
 	m := c.members[id]
 	m.up = false
 	m.life++
@@ -118,7 +118,7 @@
 	}
 }
 
-func (c *cluster) step(m *member, in kernel.Input) {
+func (c *narrowCluster) step(m *narrowMember, in kernel.Input) {
 	out := m.k.Step(c.now, c.now, in)
 	life := m.life
 	for _, timer := range out.Timers {
@@ -147,7 +147,7 @@
 }
 
 // send puts a frame on its connection, as the channels do: what is too large is dropped.
-func (c *cluster) send(m *member, s kernel.Send) {
+func (c *narrowCluster) send(m *narrowMember, s kernel.Send) {
 	if s.Chan == clientConn {
 		f, err := wire.Open(s.Data)
 		must.NoError(c.t, err)
@@ -183,7 +183,7 @@
 	})
 }
 
-func (c *cluster) connect(from, to string) uint64 {
+func (c *narrowCluster) connect(from, to string) uint64 {
 	key := from + ">" + to
 	if c.members[to] == nil || !c.members[to].up {
 		return 0
@@ -197,11 +197,11 @@
 }
 
 // run goes on until something holds, and tells how long that took; it fails after so long.
-func (c *cluster) run(most int64, what string, until func() bool) int64 {
+func (c *narrowCluster) run(most int64, what string, until func() bool) int64 {
 	c.t.Helper()
 	began := c.now
 	for !until() {
-		e := heap.Pop(&c.events).(clusterEvent)
+		e := heap.Pop(&c.events).(narrowEvent)
 		c.now = e.at
 		if c.now-began > most {
 			c.t.Fatalf("not within %d us: %s", most, what)
@@ -212,7 +212,7 @@
 }
 
 // leader is the core that leads the configuration and may take its edits.
-func (c *cluster) leader() *member {
+func (c *narrowCluster) leader() *narrowMember {
 	for _, id := range []string{"a", "b", "c"} {
 		if m := c.members[id]; m.up && m.host.Leads(state.Config) {
 			return m
@@ -221,13 +221,13 @@
 	return nil
 }
 
-func (c *cluster) lead() *member {
+func (c *narrowCluster) lead() *narrowMember {
 	c.run(20_000_000, "a leader", func() bool { return c.leader() != nil })
 	return c.leader()
 }
 
 // order sends an edit of the configuration to its leader and waits for the answer.
-func (c *cluster) order(e *routingpb.RoutingEdit, within int64) wire.EditReply {
+func (c *narrowCluster) order(e *routingpb.RoutingEdit, within int64) wire.EditReply {
 	c.t.Helper()
 	m := c.lead()
 	b, err := proto.Marshal(e)
--- a/replica/snapshot_test.go
+++ b/replica/snapshot_test.go
@@ -18,7 +18,7 @@
 const linkOf10Mbit = 10_000_000 / 8
 
 // follower is a core that does not lead the configuration.
-func (c *cluster) follower() *member {
+func (c *narrowCluster) follower() *narrowMember {
 	for _, id := range []string{"a", "b", "c"} {
 		if m := c.members[id]; m != c.lead() {
 			return m
@@ -28,15 +28,15 @@
 }
 
 // holds tells whether a core has committed a version that is at least as new.
-func (m *member) holds(at wire.Stamp) bool {
+func (m *narrowMember) holds(at wire.Stamp) bool {
 	g := m.host.groups[state.Config]
 	return g.committed.Stamp == at || g.committed.Stamp.Term > at.Term || g.committed.Stamp.Term == at.Term && g.committed.Stamp.Seq > at.Seq
 }
 
-func (m *member) committed() wire.Stamped { return m.host.groups[state.Config].committed }
+func (m *narrowMember) committed() wire.Stamped { return m.host.groups[state.Config].committed }
 
 // grow takes orders until the configuration has at least so many bytes, and gives its revision.
-func (c *cluster) grow(size int) (revision int64) {
+func (c *narrowCluster) grow(size int) (revision int64) {
 	c.t.Helper()
 	for i := 0; ; i++ {
 		have := len(c.lead().committed().Body)
@@ -50,7 +50,7 @@
 }
 
 // all waits until all cores that are up have committed what the leader has.
-func (c *cluster) all(within int64) int64 {
+func (c *narrowCluster) all(within int64) int64 {
 	c.t.Helper()
 	return c.run(within, "all hold the newest version", func() bool {
 		l := c.leader()
@@ -68,7 +68,7 @@
 
 // Two valid orders of 600 KB make a version that no frame of 1 MiB holds.
 func TestAVersionLargerThanAFrameIsTaken(t *testing.T) {
-	c := newCluster(t, linkOf10Mbit)
+	c := newNarrowCluster(t, linkOf10Mbit)
 	must.Eq(t, "ok", c.order(pools(0, 600_000, "p"), 10_000_000).Code)
 	must.Eq(t, "ok", c.order(pools(1, 600_000, "q"), 10_000_000).Code)
 	must.Eq(t, "ok", c.order(pools(2, 10, "r"), 10_000_000).Code)
@@ -80,7 +80,7 @@
 }
 
 func TestAnOrderThatMakesABodyTooLargeIsRefusedAndTheNextOneTaken(t *testing.T) {
-	c := newCluster(t, 0)
+	c := newNarrowCluster(t, 0)
 	revision := c.grow(state.MaxConfigBody - 300_000)
 	before := c.lead().committed().Stamp
 	reply := c.order(pools(revision, 400_000, "one-more"), 10_000_000)
@@ -142,7 +142,7 @@
 
 // What was committed before is served after a change of leader, in the new leader's own term.
 func TestTheNextLeaderHasRecommittedALargeVersion(t *testing.T) {
-	c := newCluster(t, linkOf10Mbit)
+	c := newNarrowCluster(t, linkOf10Mbit)
 	revision := c.grow(1_500_000)
 	c.all(20_000_000)
 	old := c.lead()
@@ -168,7 +168,7 @@
 
 // A replica that was away is named by the leader that goes: it must not lead with its old state.
 func TestANamedSuccessorThatLagsAdoptsTheNewestVersion(t *testing.T) {
-	c := newCluster(t, linkOf10Mbit)
+	c := newNarrowCluster(t, linkOf10Mbit)
 	c.grow(200_000)
 	c.all(20_000_000)
 	l := c.lead()
@@ -186,7 +186,7 @@
 }
 
 // pools are the pools of the configuration that the leader has committed.
-func (c *cluster) pools() []string {
+func (c *narrowCluster) pools() []string {
 	cfg, err := state.ReadConfig(c.lead().committed().Body)
 	must.NoError(c.t, err)
 	table, err := state.RoutingOf(cfg)
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -152,14 +152,13 @@
 // VoteReply grants or denies a term and shows the newest version held. The body is in it only
 // where the term is granted to a candidate that holds an older version.
 type VoteReply struct {
-	Part    int     `msg:"p"`
-	Term    uint64  `msg:"t"`
-	From    string  `msg:"f"`
-	Pre     bool    `msg:"e"`
-	Granted bool    `msg:"g"`
-	Held    Stamped `msg:"h"`
-	// TakesBase tells that the voter reads Accept.Base.
-	TakesBase bool `msg:"tb,omitempty"`
+	Part      int     `msg:"p"`
+	Term      uint64  `msg:"t"`
+	From      string  `msg:"f"`
+	Pre       bool    `msg:"e"`
+	Granted   bool    `msg:"g"`
+	Held      Stamped `msg:"h"`
+	TakesBase bool    `msg:"tb,omitempty"` // the voter reads Accept.Base
 }
 
 // Accept asks a seat to hold a version.
@@ -184,8 +183,7 @@
 	Err   string `msg:"e"`
 	// LacksBase asks for the version with its body.
 	LacksBase bool `msg:"lb,omitempty"`
-	// TakesBase tells that the replica reads Accept.Base.
-	TakesBase bool `msg:"tb,omitempty"`
+	TakesBase bool `msg:"tb,omitempty"` // the replica reads Accept.Base
 }
 
 // Beat is an owner's sign of life with the newest committed stamp.
@@ -198,6 +196,10 @@
 	Committed Stamp  `msg:"c"`
 	// Yield names the successor in a planned handover.
 	Yield string `msg:"y"`
+	// ContactAt proves that the leader is in contact with a majority: a moment, on the receiver's own
+	// clock as its answers told it (BeatReply.Clock), that is not later than the sending of the newest
+	// heartbeat round that a majority answered. 0 proves nothing.
+	ContactAt int64 `msg:"ca,omitempty"`
 }
 
 // BeatReply confirms the owner's term at a seat.
@@ -210,6 +212,8 @@
 	OK    bool   `msg:"ok"`
 	Wall  int64  `msg:"w"`
 	Sick  bool   `msg:"s"`
+	// Clock is the sender's steady clock, from an origin drawn anew at each start of its process.
+	Clock int64 `msg:"c,omitempty"`
 	// Instead is the seat that is now where the one that was meant used to be, and Zone is its zone.
 	Instead string `msg:"in,omitempty"`
 	Zone    string `msg:"z,omitempty"`
