--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -3,6 +3,7 @@
 package mesh
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -87,3 +88,24 @@
 	t.Logf("held after %d ms; %.1f copies crossed its link", took/1000, copies)
 	must.Less(t, 2.5, copies)
 }
+
+// Who sends a large version to three already leaves the fourth to those who have it soon.
+func TestALargeVersionIsSentToThreeAtOnce(t *testing.T) {
+	r := newRig(t)
+	at := wire.Stamp{Part: 0, Term: 1, Seq: 9}
+	r.m.k.Later(func(t *kernel.Turn) { r.m.AnnouncePart(t, wire.Stamped{Stamp: at, Body: make([]byte, 1<<20)}) })
+	r.feed(kernel.Tick{Plugin: "nobody"})
+	served := map[uint64]bool{}
+	for i := range uint64(5) {
+		conn := 20 + i
+		r.feed(kernel.ChannelUp{Chan: conn, Addr: fmt.Sprintf("10.0.1.%d:1", i), Peer: kernel.Fingerprint(key(byte(40 + i)).Public), Mesh: true})
+		want := wire.Notice{Type: "part", Stamp: at, Want: true}
+		for _, s := range r.feed(kernel.Received{Chan: conn, Data: wire.Seal(wire.KindNotice, 0, &want)}).Sends {
+			if wire.KindOf(s.Data) == wire.KindPiece {
+				served[s.Chan] = true
+			}
+		}
+		r.now += 1_000_000 // those that do not answer leave room for others
+	}
+	must.MapLen(t, LargeSendsMost, served)
+}
