--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -30,18 +30,17 @@
 	part    int
 	doing   bool
 	version wire.Stamped
+	// ledger is that of the newest version that a core holds; what the mesh brought has none.
+	ledger  []byte
 	picked  []wire.Seat
 	yes     map[string]bool
 	refused []string
 	top     uint64
 	// newest is the newest version that a core holds, and holder that core's replica. fetching is
 	// that the version was asked for, fetched that it came.
-	newest   wire.Stamp
-	holder   string
-	fetching bool
-	fetched  bool
-	// ledger is that of the fetched version; what the mesh brought has none.
-	ledger []byte
+	newest            wire.Stamp
+	holder            string
+	fetching, fetched bool
 	// dueAt is when the step under way ends.
 	dueAt int64
 }
@@ -95,7 +94,7 @@
 	if mesh.Newer(m.Held.Stamp, r.newest) {
 		r.newest, r.holder = m.Held.Stamp, m.From
 	}
-	if r.fetching && m.From == r.holder && !mesh.Newer(r.newest, m.Held.Stamp) {
+	if r.fetching && m.From == r.holder && m.Held.Stamp == r.newest {
 		r.fetching, r.fetched, r.ledger = false, true, m.Held.Ledger
 		if mesh.Newer(m.Held.Stamp, r.version.Stamp) {
 			r.version = m.Held
@@ -104,23 +103,10 @@
 	}
 }
 
-// fewestVoters is how many cores a group is rebuilt on at least.
-const fewestVoters = 3
-
-// rebuiltVoters picks the voters of a rebuilt group: as many as wanted, or else the greatest odd
-// number that there is, spread over the zones; none where there are too few cores.
-func rebuiltVoters(cores []wire.Seat, wanted int) []wire.Seat {
-	n := min(max(wanted, fewestVoters), (len(cores)-1)|1)
-	if n < fewestVoters {
-		return nil
-	}
-	return replica.PickVoters(cores, n)
-}
-
-// fetch asks the core that holds the newest version for it, and for its ledger, which the mesh
-// does not bring; false where it came, or no core holds any.
+// fetch asks the core that holds the newest version for it; false where none is to be had or it came.
+// What the mesh brought may be newer, but has no ledger.
 func (o *Operate) fetch(t *kernel.Turn, id uint64, r *rebuilding) bool {
-	if r.fetched || r.newest == (wire.Stamp{}) {
+	if r.fetched || r.newest.Term == 0 {
 		return false
 	}
 	r.fetching = true
@@ -133,6 +119,19 @@
 	return true
 }
 
+// fewestVoters is how many cores a group is rebuilt on at least.
+const fewestVoters = 3
+
+// rebuiltVoters picks the voters of a rebuilt group: as many as wanted, or else the greatest odd
+// number that there is, spread over the zones; none where there are too few cores.
+func rebuiltVoters(cores []wire.Seat, wanted int) []wire.Seat {
+	n := min(max(wanted, fewestVoters), (len(cores)-1)|1)
+	if n < fewestVoters {
+		return nil
+	}
+	return replica.PickVoters(cores, n)
+}
+
 // rebuildStep ends one of the steps.
 func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
 	end := func(code, text string) {
--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -31,6 +31,12 @@
 // isLarge tells whether a version of a size travels in pieces.
 func isLarge(size int) bool { return size > wire.WholeMost }
 
+// sizeOf is the size of a version without its envelope.
+func sizeOf(v wire.Stamped) int { return len(v.Body) + len(v.Ledger) }
+
+// transferTime is how long a version may be on its way for its size.
+func transferTime(size int) int64 { return int64(size) * 1_000_000 / SlowestTransfer }
+
 // resendInterval is how often a version that was not acknowledged is sent again.
 func resendInterval(size int) int64 {
 	if isLarge(size) {
@@ -45,7 +51,7 @@
 	if g.proposal == nil {
 		return false
 	}
-	return now-g.proposedAt > ProposalTimeout+transferTime(*g.proposal)
+	return now-g.proposedAt > ProposalTimeout+transferTime(sizeOf(*g.proposal))
 }
 
 // transferTime is how long a version may take on its way by its size.
@@ -60,7 +66,7 @@
 }
 
 // refuseTooLarge turns an order down whose outcome is larger than the product takes.
-func (g *Group) refuseTooLarge(t *kernel.Turn, w *pendingEdit, before, after []byte) {
+func (g *Group) refuseTooLarge(t *kernel.Turn, w *pendingEdit, before, after state.Value) {
 	if !w.taken {
 		return
 	}
@@ -108,13 +114,15 @@
 
 // limitPull takes large versions out of a reply that are on their way to the node already, and
 // those that do not fit into one message: the next pull brings them.
-func (s *Host) limitPull(t *kernel.Turn, conn uint64, r *wire.PullReply) {
+func (s *Host) limitPull(now int64, conn uint64, r *wire.PullReply) {
 	room := wire.MaxMessage - wire.WholeMost
 	versions := r.Stamped
 	r.Stamped = nil
 	for _, v := range versions {
-		if room < len(v.Body) || isLarge(len(v.Body)) && !s.mayPull(t.Now, conn, v.Stamp) {
-			r.Partial = true
+		if room < len(v.Body) || isLarge(len(v.Body)) && !s.mayPull(now, conn, v.Stamp) {
+			// The asker does not have all that was acknowledged before the contact.
+			withheld := uint32(1) << v.Stamp.Part
+			r.Partial, r.Contact, r.Relayed = true, r.Contact&^withheld, r.Relayed&^withheld
 			continue
 		}
 		room -= len(v.Body)
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -205,9 +205,9 @@
 	g.heardAt[r.From], g.diskProblem[r.From] = t.Now, r.Sick
 	g.clockOffsets[r.From] = r.Wall - t.Now
 	g.confirmedRounds[r.From] = max(g.confirmedRounds[r.From], r.Round)
+	g.noticeRollback(t, r)
 	g.contact.answered(r, t.Now)
 	g.confirmRounds()
-	g.noticeRollback(t, r)
 	g.catchUp(t, r)
 	g.confirm(t)
 }
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -4,8 +4,6 @@
 package replica
 
 import (
-	"bytes"
-
 	"wallport/kernel"
 	"wallport/state"
 	"wallport/wire"
@@ -62,7 +60,7 @@
 		w := &batch[i]
 		var after state.Value
 		after, w.reply, w.taken = g.s.judge(g.part)(value, stamp, &w.edit)
-		g.refuseTooLarge(t, w, value.Body, after.Body)
+		g.refuseTooLarge(t, w, value, after)
 		switch {
 		case w.taken:
 			value, changed = after, true
@@ -85,11 +83,7 @@
 	case changed:
 		g.proposedEdits = batch
 		t.Counts.Add("part_versions", 1)
-		var base wire.Stamp
-		if bytes.Equal(value.Body, g.committed.Body) && bytes.Equal(value.Ledger, g.committed.Ledger) {
-			base = g.committed.Stamp
-		}
-		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: value.Body, Ledger: value.Ledger}, base)
+		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: value.Body, Ledger: value.Ledger}, g.baseOf(value))
 	case len(batch) > 0:
 		g.awaitConfirmation(t, batch...)
 	}
--- a/replica/route.go
+++ b/replica/route.go
@@ -156,7 +156,7 @@
 			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.votedTerm, Seat: g.leader, Addr: g.s.addressOf(g.leader, t.Now)})
 		}
 	}
-	s.limitPull(t, ch, &r)
+	s.limitPull(t.Now, ch, &r)
 	t.Send(ch, wire.KindPullReply, id, &r)
 }
 
--- a/segment/sender_test.go
+++ b/segment/sender_test.go
@@ -31,6 +31,18 @@
 	must.Positive(t, len(s.Pump(RetryAfter/2)))
 }
 
+func TestFewBytesAreUnacknowledgedToOneDestination(t *testing.T) {
+	s := NewSender(0)
+	s.Enqueue(0, Message{To: Destination{Addr: "a"}, Data: message(1, 1<<20)})
+	total := 0
+	for range 3 {
+		for _, o := range s.Pump(0) {
+			total += len(o.Piece.Data)
+		}
+	}
+	must.Eq(t, DestinationWindow, total)
+}
+
 func TestARepeatedMessageIsSentOnceAndANewerOneWaitsForTheOneUnderWay(t *testing.T) {
 	x := newTransport(t, 1, way{})
 	to := Destination{Conn: 1}
--- a/state/limits.go
+++ b/state/limits.go
@@ -1,4 +1,4 @@
-// How large a partition's body may become. An order whose outcome is larger is refused
+// How large a partition's value may become. An order whose outcome is larger is refused
 // before it is proposed.
 package state
 
@@ -8,13 +8,15 @@
 	"wallport/wire"
 )
 
-// Bounds of a partition's body in bytes. A replica keeps three versions of each partition on its
-// disk, and a fourth while that is written: 4 × (4 + 4 × 1) MiB are 33.6 MB of the 64 MB that a
-// disk has, and with the ledgers and what the clock may add 46.7 MB. A node holds the configuration as it came, decoded and compiled, and its memory is
-// priced: 4 MiB are the most of which it holds a few copies.
+// Bounds of a partition's body and ledger in bytes. A replica keeps three versions of each partition
+// on its disk, and a fourth while that is written: 4 × (4 + 1.5 + 4 × 0.9) MiB are 38.2 MB of the
+// 64 MB that a disk has. A node holds the configuration as it came, decoded and compiled, and its
+// memory is priced: 4 MiB are the most of which it holds a few copies.
 const (
-	MaxConfigBody = 4 << 20
-	MaxIndexBody  = 1 << 20
+	MaxConfigBody   = 4 << 20
+	MaxConfigLedger = 3 << 19
+	MaxIndexBody    = 512 << 10
+	MaxIndexLedger  = 384 << 10
 	// ClockRoom is what the clock may add beyond that: the bookings that run, the lease holders.
 	ClockRoom = 128 << 10
 	// MaxConfigLedger and MaxIndexLedger are what the bounds of the entries of a ledger come to: the
@@ -39,16 +41,34 @@
 	return MaxIndexBody
 }
 
-// TooLarge refuses an order whose outcome is larger than the product takes. One that makes a
-// body smaller is always taken.
-func TooLarge(part int, before, after []byte) (wire.EditReply, bool) {
-	most := MaxBody(part)
-	if len(after) <= most || len(after) < len(before) {
-		return wire.EditReply{}, false
+// MaxLedger bounds its ledger.
+func MaxLedger(part int) int {
+	if part == Config {
+		return MaxConfigLedger
 	}
+	return MaxIndexLedger
+}
+
+// TooLarge refuses an order whose outcome is larger than the product takes. One that makes a
+// value smaller is always taken.
+func TooLarge(part int, before, after Value) (wire.EditReply, bool) {
 	place := "configuration"
 	if part != Config {
 		place = fmt.Sprintf("indexes of partition %d", part)
 	}
-	return invalid(place, fmt.Sprintf("would be %d bytes large with this order; the most is %d", len(after), most)), true
+	if exceeds(before.Body, after.Body, MaxBody(part)) {
+		return tooLarge(place, len(after.Body), MaxBody(part)), true
+	}
+	if exceeds(before.Ledger, after.Ledger, MaxLedger(part)) {
+		return tooLarge("history of the "+place, len(after.Ledger), MaxLedger(part)), true
+	}
+	return wire.EditReply{}, false
+}
+
+func exceeds(before, after []byte, most int) bool {
+	return len(after) > most && len(after) >= len(before)
+}
+
+func tooLarge(place string, size, most int) wire.EditReply {
+	return invalid(place, fmt.Sprintf("would be %d bytes large with this order; the most is %d", size, most))
 }
--- a/wire/calls_gen.go
+++ b/wire/calls_gen.go
@@ -1695,6 +1695,12 @@
 					return
 				}
 			}
+		case "pa":
+			z.Partial, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		case "c":
 			z.Contact, err = dc.ReadUint32()
 			if err != nil {
@@ -1707,12 +1713,6 @@
 				err = msgp.WrapError(err, "Relayed")
 				return
 			}
-		case "pa":
-			z.Partial, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Partial")
-				return
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1730,15 +1730,15 @@
 	zb0001Len := uint32(5)
 	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
-	if z.Contact == 0 {
+	if z.Partial == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Relayed == 0 {
+	if z.Contact == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Partial == false {
+	if z.Relayed == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
@@ -1785,38 +1785,38 @@
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// write "c"
-			err = en.Append(0xa1, 0x63)
+			// write "pa"
+			err = en.Append(0xa2, 0x70, 0x61)
 			if err != nil {
 				return
 			}
-			err = en.WriteUint32(z.Contact)
+			err = en.WriteBool(z.Partial)
 			if err != nil {
-				err = msgp.WrapError(err, "Contact")
+				err = msgp.WrapError(err, "Partial")
 				return
 			}
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// write "r"
-			err = en.Append(0xa1, 0x72)
+			// write "c"
+			err = en.Append(0xa1, 0x63)
 			if err != nil {
 				return
 			}
-			err = en.WriteUint32(z.Relayed)
+			err = en.WriteUint32(z.Contact)
 			if err != nil {
-				err = msgp.WrapError(err, "Relayed")
+				err = msgp.WrapError(err, "Contact")
 				return
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "pa"
-			err = en.Append(0xa2, 0x70, 0x61)
+			// write "r"
+			err = en.Append(0xa1, 0x72)
 			if err != nil {
 				return
 			}
-			err = en.WriteBool(z.Partial)
+			err = en.WriteUint32(z.Relayed)
 			if err != nil {
-				err = msgp.WrapError(err, "Partial")
+				err = msgp.WrapError(err, "Relayed")
 				return
 			}
 		}
@@ -1831,15 +1831,15 @@
 	zb0001Len := uint32(5)
 	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
-	if z.Contact == 0 {
+	if z.Partial == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Relayed == 0 {
+	if z.Contact == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Partial == false {
+	if z.Relayed == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
@@ -1869,20 +1869,20 @@
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "pa"
+			o = append(o, 0xa2, 0x70, 0x61)
+			o = msgp.AppendBool(o, z.Partial)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "c"
 			o = append(o, 0xa1, 0x63)
 			o = msgp.AppendUint32(o, z.Contact)
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "r"
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendUint32(o, z.Relayed)
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "pa"
-			o = append(o, 0xa2, 0x70, 0x61)
-			o = msgp.AppendBool(o, z.Partial)
-		}
 	}
 	return
 }
@@ -1943,6 +1943,12 @@
 					return
 				}
 			}
+		case "pa":
+			z.Partial, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		case "c":
 			z.Contact, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -1955,12 +1961,6 @@
 				err = msgp.WrapError(err, "Relayed")
 				return
 			}
-		case "pa":
-			z.Partial, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Partial")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1983,6 +1983,6 @@
 	for za0002 := range z.Owners {
 		s += z.Owners[za0002].Msgsize()
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size + 3 + msgp.BoolSize
+	s += 3 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -152,14 +152,13 @@
 // VoteReply grants or denies a term and shows the newest version held. The body is in it only
 // where the term is granted to a candidate that holds an older version.
 type VoteReply struct {
-	Part    int     `msg:"p"`
-	Term    uint64  `msg:"t"`
-	From    string  `msg:"f"`
-	Pre     bool    `msg:"e"`
-	Granted bool    `msg:"g"`
-	Held    Stamped `msg:"h"`
-	// TakesBase tells that the voter reads Accept.Base.
-	TakesBase bool `msg:"tb,omitempty"`
+	Part      int     `msg:"p"`
+	Term      uint64  `msg:"t"`
+	From      string  `msg:"f"`
+	Pre       bool    `msg:"e"`
+	Granted   bool    `msg:"g"`
+	Held      Stamped `msg:"h"`
+	TakesBase bool    `msg:"tb,omitempty"` // the voter reads Accept.Base
 }
 
 // Accept asks a seat to hold a version.
@@ -184,8 +183,7 @@
 	Err   string `msg:"e"`
 	// LacksBase asks for the version with its body.
 	LacksBase bool `msg:"lb,omitempty"`
-	// TakesBase tells that the replica reads Accept.Base.
-	TakesBase bool `msg:"tb,omitempty"`
+	TakesBase bool `msg:"tb,omitempty"` // the replica reads Accept.Base
 }
 
 // Beat is an owner's sign of life with the newest committed stamp.
--- a/wire/pieces.go
+++ b/wire/pieces.go
@@ -10,9 +10,9 @@
 	WholeMost = 64 << 10
 	// PieceBytes is what one piece carries.
 	PieceBytes = 32 << 10
-	// MaxMessage bounds a message that travels in pieces: the largest body of a
-	// partition, its ledger, and room for the envelope.
-	MaxMessage = 4<<20 + 2<<20
+	// MaxMessage bounds a message that travels in pieces: the largest body and ledger of
+	// a partition, and room for their envelope.
+	MaxMessage = 6 << 20
 )
 
 // Piece is one part of a message. Transfers of a process are numbered upwards.
