--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -25,10 +25,7 @@
 	pullsRemembered = 256
 )
 
-// sizeOf is about how many bytes a version has on its way to a replica.
-func sizeOf(v wire.Stamped) int { return len(v.Body) + len(v.Ledger) }
-
-// isLarge tells whether a version of a size travels in pieces.
+// isLarge tells whether a body travels in pieces.
 func isLarge(size int) bool { return size > wire.WholeMost }
 
 // sizeOf is the size of a version without its envelope.
@@ -54,9 +51,6 @@
 	return now-g.proposedAt > ProposalTimeout+transferTime(sizeOf(*g.proposal))
 }
 
-// transferTime is how long a version may take on its way by its size.
-func transferTime(v wire.Stamped) int64 { return int64(sizeOf(v)) * 1_000_000 / SlowestTransfer }
-
 // queuedBytes is the size of the orders that wait for the next version.
 func (g *Group) queuedBytes() (n int) {
 	for _, w := range g.queue {
--- a/replica/contact_cluster_test.go
+++ b/replica/contact_cluster_test.go
@@ -41,8 +41,8 @@
 	return last
 }
 
-// faultyMember is one process of the cluster.
-type faultyMember struct {
+// member is one process of the cluster.
+type member struct {
 	name, addr string
 	kernel     *kernel.Kernel
 	host       *Host
@@ -53,27 +53,27 @@
 	waiting    []func()
 }
 
-type faultyCluster struct {
+type cluster struct {
 	t       *testing.T
 	rnd     *rand.Rand
 	now     int64
 	order   int64
 	queue   events
-	members []*faultyMember
+	members []*member
 	conns   map[uint64]*connection
 	direct  map[string]uint64
 	nextID  uint64
 	// cut names the member that is cut off from the others; frames over the cut are held back.
-	cut  *faultyMember
+	cut  *member
 	held []func()
 }
 
-// newFaultyCluster starts members m0, m1 ... of which the first ones, an odd number, form one group.
-func newFaultyCluster(t *testing.T, seed uint64, size int) *faultyCluster {
-	c := &faultyCluster{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), conns: map[uint64]*connection{}, direct: map[string]uint64{}}
+// newCluster starts members m0, m1 ... of which the first ones, an odd number, form one group.
+func newCluster(t *testing.T, seed uint64, size int) *cluster {
+	c := &cluster{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), conns: map[uint64]*connection{}, direct: map[string]uint64{}}
 	form := wire.Form{Formation: "f", Go: true}
 	for i := range size {
-		m := &faultyMember{name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1)}
+		m := &member{name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1)}
 		if i < (size-1)|1 {
 			form.Seats = append(form.Seats, wire.Seat{ID: m.name, Addr: m.addr, Zone: fmt.Sprintf("z%d", i)})
 		}
@@ -89,7 +89,7 @@
 	return c
 }
 
-func (c *faultyCluster) start(m *faultyMember) {
+func (c *cluster) start(m *member) {
 	e := env.Env{Mesh: m.addr, Zone: "z" + m.name[1:], BootstrapKnown: true}
 	e.Tolerance.Machines = (len(c.members) - 1) / 2
 	for _, other := range c.members {
@@ -106,19 +106,19 @@
 	c.step(m, kernel.Start{})
 }
 
-func (c *faultyCluster) after(d int64, do func()) {
+func (c *cluster) after(d int64, do func()) {
 	c.order++
 	heap.Push(&c.queue, event{c.now + max(d, 0), c.order, do})
 }
 
 // every does something again and again.
-func (c *faultyCluster) every(d int64, do func()) {
+func (c *cluster) every(d int64, do func()) {
 	do()
 	c.after(d, func() { c.every(d, do) })
 }
 
 // run lets time pass; look is called after each event.
-func (c *faultyCluster) run(d int64, look func()) {
+func (c *cluster) run(d int64, look func()) {
 	for end := c.now + d; ; {
 		if len(c.queue) == 0 || c.queue[0].at > end {
 			c.now = end
@@ -134,7 +134,7 @@
 }
 
 // feed has a member take an input in this life, once it is not frozen.
-func (c *faultyCluster) feed(m *faultyMember, life int, in kernel.Input) {
+func (c *cluster) feed(m *member, life int, in kernel.Input) {
 	if m.life != life {
 		return
 	}
@@ -145,7 +145,7 @@
 	c.step(m, in)
 }
 
-func (c *faultyCluster) step(m *faultyMember, in kernel.Input) {
+func (c *cluster) step(m *member, in kernel.Input) {
 	now, life := c.now-m.startedAt, m.life
 	out := m.kernel.Step(now, 1_700_000_000*second+c.now, in)
 	for _, v := range out.Timers {
@@ -159,9 +159,9 @@
 	}
 }
 
-func (c *faultyCluster) freeze(m *faultyMember) { m.frozen = true }
+func (c *cluster) freeze(m *member) { m.frozen = true }
 
-func (c *faultyCluster) thaw(m *faultyMember, gap int64) {
+func (c *cluster) thaw(m *member, gap int64) {
 	m.frozen = false
 	c.step(m, kernel.Thawed{Gap: gap})
 	waiting := m.waiting
@@ -172,10 +172,10 @@
 }
 
 // restart ends a member's process and starts it again with its disk.
-func (c *faultyCluster) restart(m *faultyMember) { c.start(m) }
+func (c *cluster) restart(m *member) { c.start(m) }
 
 // leader is the member that leads a part and may take its edits, and follower some other one.
-func (c *faultyCluster) leader(part int) *faultyMember {
+func (c *cluster) leader(part int) *member {
 	for _, m := range c.members {
 		if m.host.Leads(part) && !m.frozen && m != c.cut {
 			return m
@@ -185,7 +185,7 @@
 }
 
 // settled runs until a part has a leader that was in office for a while.
-func (c *faultyCluster) settled(part int) *faultyMember {
+func (c *cluster) settled(part int) *member {
 	for range 100 {
 		c.run(100*millisecond, nil)
 		if m := c.leader(part); m != nil {
@@ -199,7 +199,7 @@
 	return nil
 }
 
-func (c *faultyCluster) others(m *faultyMember) (out []*faultyMember) {
+func (c *cluster) others(m *member) (out []*member) {
 	for _, v := range c.members {
 		if v != m {
 			out = append(out, v)
--- a/replica/contact_net_test.go
+++ b/replica/contact_net_test.go
@@ -13,14 +13,14 @@
 
 // connection leads frames both ways between a member, or the test, and a member.
 type connection struct {
-	ends [2]*faultyMember
+	ends [2]*member
 	// free is when the next frame may arrive at an end: frames keep their order.
 	free  [2]int64
 	lives [2]int
 	reply func(f wire.Frame)
 }
 
-func (c *faultyCluster) write(m *faultyMember, w kernel.Write) {
+func (c *cluster) write(m *member, w kernel.Write) {
 	life := m.life
 	c.after(millisecond+c.rnd.Int64N(5*millisecond), func() {
 		if m.life != life {
@@ -38,9 +38,9 @@
 }
 
 // connect opens a connection from a member, or from the test where that is nil, to a member.
-func (c *faultyCluster) connect(from, to *faultyMember) uint64 {
+func (c *cluster) connect(from, to *member) uint64 {
 	c.nextID++
-	conn := &connection{ends: [2]*faultyMember{from, to}, lives: [2]int{0, to.life}}
+	conn := &connection{ends: [2]*member{from, to}, lives: [2]int{0, to.life}}
 	if from != nil {
 		conn.lives[0] = from.life
 	}
@@ -48,7 +48,7 @@
 	return c.nextID
 }
 
-func (c *faultyCluster) send(m *faultyMember, s kernel.Send) {
+func (c *cluster) send(m *member, s kernel.Send) {
 	id := s.Chan
 	if s.Addr != "" {
 		key := fmt.Sprint(m.name, m.life, ">", s.Addr)
@@ -73,7 +73,7 @@
 	c.deliver(conn, id, side, s.Data)
 }
 
-func (c *faultyCluster) at(addr string) *faultyMember {
+func (c *cluster) at(addr string) *member {
 	for _, m := range c.members {
 		if m.addr == addr {
 			return m
@@ -82,7 +82,7 @@
 	return nil
 }
 
-func (c *faultyCluster) deliver(conn *connection, id uint64, side int, data []byte) {
+func (c *cluster) deliver(conn *connection, id uint64, side int, data []byte) {
 	to, from := conn.ends[side], conn.ends[1-side]
 	if to != nil && from != nil && (to == c.cut || from == c.cut) {
 		c.held = append(c.held, func() { c.deliver(conn, id, side, data) })
@@ -102,16 +102,16 @@
 }
 
 // ask sends a frame of the test to a member; reply gets whatever comes back on its connection.
-func (c *faultyCluster) ask(to *faultyMember, kind uint8, id uint64, m interface{ MarshalMsg([]byte) ([]byte, error) }, reply func(f wire.Frame)) {
+func (c *cluster) ask(to *member, kind uint8, id uint64, m interface{ MarshalMsg([]byte) ([]byte, error) }, reply func(f wire.Frame)) {
 	ch := c.connect(nil, to)
 	c.conns[ch].reply = reply
 	c.deliver(c.conns[ch], ch, 1, wire.Seal(kind, id, m))
 }
 
 // isolate cuts a member off from the others; heal lets the frames pass that were held back.
-func (c *faultyCluster) isolate(m *faultyMember) { c.cut = m }
+func (c *cluster) isolate(m *member) { c.cut = m }
 
-func (c *faultyCluster) heal() {
+func (c *cluster) heal() {
 	c.cut = nil
 	held := c.held
 	c.held = nil
--- a/replica/contact_test.go
+++ b/replica/contact_test.go
@@ -30,7 +30,7 @@
 
 // observer is the test's operators and nodes: they edit, read and pull, and judge what they are told.
 type observer struct {
-	c     *faultyCluster
+	c     *cluster
 	acks  []acknowledgement
 	edits int
 	// confirmed counts by member the pulls that told of contact, reads those that were answered.
@@ -41,7 +41,7 @@
 	cutAsked int
 }
 
-func newObserver(c *faultyCluster) *observer {
+func newObserver(c *cluster) *observer {
 	return &observer{c: c, confirmed: map[string]int{}, last: map[string]int64{}, reads: map[string]int{}}
 }
 
@@ -56,7 +56,7 @@
 }
 
 // edit has an operator give an order about a zone of its own at a member.
-func (o *observer) edit(to *faultyMember) {
+func (o *observer) edit(to *member) {
 	o.edits++
 	id := fmt.Sprint("edit-", o.edits)
 	cut := to == o.c.cut
@@ -73,7 +73,7 @@
 }
 
 // read asks a member for the state: what it answers holds all that was acknowledged before it was asked.
-func (o *observer) read(to *faultyMember) {
+func (o *observer) read(to *member) {
 	asked := o.c.now
 	o.c.ask(to, wire.KindEdit, 1, &wire.Edit{Op: "read"}, func(f wire.Frame) {
 		var r wire.EditReply
@@ -88,7 +88,7 @@
 }
 
 // pull asks a member for its state as a node does that has none.
-func (o *observer) pull(to *faultyMember) {
+func (o *observer) pull(to *member) {
 	asked := o.c.now
 	o.c.ask(to, wire.KindPull, 1, &wire.Pull{}, func(f wire.Frame) {
 		var r wire.PullReply
@@ -131,17 +131,17 @@
 // trouble is something that takes a member's contact away for a while.
 type trouble struct {
 	name       string
-	begin, end func(c *faultyCluster, m *faultyMember)
+	begin, end func(c *cluster, m *member)
 }
 
 func troubles() []trouble {
-	cut := func(c *faultyCluster, m *faultyMember) { c.isolate(m) }
-	heal := func(c *faultyCluster, _ *faultyMember) { c.heal() }
+	cut := func(c *cluster, m *member) { c.isolate(m) }
+	heal := func(c *cluster, _ *member) { c.heal() }
 	return []trouble{
 		{"cut", cut, heal},
-		{"frozen", func(c *faultyCluster, m *faultyMember) { c.freeze(m) }, func(c *faultyCluster, m *faultyMember) { c.thaw(m, 20*second) }},
-		{"cut and started again", func(c *faultyCluster, m *faultyMember) { c.isolate(m); c.restart(m) }, heal},
-		{"cut, then started again with the join", cut, func(c *faultyCluster, m *faultyMember) { c.restart(m); c.heal() }},
+		{"frozen", func(c *cluster, m *member) { c.freeze(m) }, func(c *cluster, m *member) { c.thaw(m, 20*second) }},
+		{"cut and started again", func(c *cluster, m *member) { c.isolate(m); c.restart(m) }, heal},
+		{"cut, then started again with the join", cut, func(c *cluster, m *member) { c.restart(m); c.heal() }},
 	}
 }
 
@@ -153,7 +153,7 @@
 			for _, who := range []string{"leader", "follower"} {
 				for seed := range *worlds {
 					t.Run(fmt.Sprint(v.name, " ", who, " of ", size, " seed ", seed), func(t *testing.T) {
-						c := newFaultyCluster(t, seed, size)
+						c := newCluster(t, seed, size)
 						m := c.settled(0)
 						if who == "follower" {
 							m = c.others(m)[0]
@@ -166,7 +166,7 @@
 	}
 }
 
-func playTrouble(c *faultyCluster, v trouble, m *faultyMember) {
+func playTrouble(c *cluster, v trouble, m *member) {
 	o := newObserver(c)
 	o.goOn()
 	c.run(2*second+c.rnd.Int64N(second), nil)
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -71,7 +71,7 @@
 		one := g.withBase(a, s.ID, base)
 		g.s.sendReplica(t, s, wire.KindAccept, &one)
 	}
-	g.sendToLearners(t, *g.proposal, base)
+	g.sendToLearners(t, *g.proposal)
 }
 
 func (g *Group) acceptReply(t *kernel.Turn, r wire.AcceptReply) {
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -18,10 +18,10 @@
 	until int64
 	given int
 	// to is the member that it asks: one that it takes for the leader.
-	to func() *faultyMember
+	to func() *member
 }
 
-func (h *holder) renew(c *faultyCluster) {
+func (h *holder) renew(c *cluster) {
 	c.after(renewEvery, func() { h.renew(c) })
 	to := h.to()
 	if to == nil {
@@ -41,20 +41,18 @@
 // TestOneHolderWhileALeaderIsCutOffOrFrozen has one process ask the old leader, as one does that is
 // cut off with it, and another one whoever leads now.
 func TestOneHolderWhileALeaderIsCutOffOrFrozen(t *testing.T) {
-	troubles := map[string]struct {
-		begin, end func(c *faultyCluster, m *faultyMember)
-	}{
-		"cut":    {func(c *faultyCluster, m *faultyMember) { c.isolate(m) }, func(c *faultyCluster, m *faultyMember) { c.heal() }},
-		"frozen": {func(c *faultyCluster, m *faultyMember) { c.freeze(m) }, func(c *faultyCluster, m *faultyMember) { c.thaw(m, 20*second) }},
+	troubles := map[string]struct{ begin, end func(c *cluster, m *member) }{
+		"cut":    {func(c *cluster, m *member) { c.isolate(m) }, func(c *cluster, m *member) { c.heal() }},
+		"frozen": {func(c *cluster, m *member) { c.freeze(m) }, func(c *cluster, m *member) { c.thaw(m, 20*second) }},
 	}
 	for name, trouble := range troubles {
 		for _, size := range []int{3, 5} {
 			for seed := range 6 * *worlds {
 				t.Run(fmt.Sprint(name, " ", size, " seed ", seed), func(t *testing.T) {
-					c := newFaultyCluster(t, seed, size)
+					c := newCluster(t, seed, size)
 					old := c.settled(0)
-					kept := &holder{name: "kept", to: func() *faultyMember { return old }}
-					other := &holder{name: "other", to: func() *faultyMember {
+					kept := &holder{name: "kept", to: func() *member { return old }}
+					other := &holder{name: "other", to: func() *member {
 						if m := c.leader(0); m != old {
 							return m
 						}
--- a/replica/member_change.go
+++ b/replica/member_change.go
@@ -15,8 +15,7 @@
 
 // Figures of membership changes.
 const (
-	// LearnerTimeout is how long a learner has to sync the newest version before it is given up, beyond
-	// what a large one takes on its way.
+	// LearnerTimeout is how long a learner has to sync the newest version before it is given up.
 	LearnerTimeout = 1_500_000
 	// LearnerResendInterval is how often a learner that lacks the newest version is sent it again.
 	LearnerResendInterval = 200_000
@@ -109,7 +108,7 @@
 			g.change = change
 			t.Note(0, "membership_change_begun", "part", g.part, "reason", string(change.reason), "removed", change.removed,
 				"learners", replicaIDs(change.learners))
-			g.sendToLearners(t, g.committed, wire.Stamp{})
+			g.sendToLearners(t, g.committed)
 			return
 		}
 	}
@@ -150,17 +149,15 @@
 	g.change = nil
 }
 
-// sendToLearners sends a version to the learners that have not synced it. Its value is that of the
-// version base, if that is one.
-func (g *Group) sendToLearners(t *kernel.Turn, v wire.Stamped, base wire.Stamp) {
+// sendToLearners sends a version to the learners that have not synced it.
+func (g *Group) sendToLearners(t *kernel.Turn, v wire.Stamped) {
 	if g.change == nil {
 		return
 	}
 	g.change.sentAt = t.Now
 	for _, learner := range g.change.learners {
 		if g.change.synced[learner.ID] != v.Stamp {
-			a := g.withBase(wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v}, learner.ID, base)
-			g.s.sendReplica(t, learner, wire.KindAccept, &a)
+			g.s.sendReplica(t, learner, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v})
 		}
 	}
 }
--- a/replica/synced.go
+++ b/replica/synced.go
@@ -1,5 +1,5 @@
-// What a leader knows of the versions that the other replicas hold: a version whose body and
-// ledger one of them has already is sent to it without.
+// What a leader knows of the versions that the other replicas hold: a version whose body
+// one of them has already is sent to it without.
 package replica
 
 import (
@@ -69,15 +69,10 @@
 		return
 	}
 	delete(g.synced, r.From)
-	receivers := allVoters(*g.proposal)
-	if g.change != nil {
-		receivers = append(receivers, g.change.learners...)
-	}
-	for _, receiver := range receivers {
-		if receiver.ID == r.From {
+	for _, voter := range allVoters(*g.proposal) {
+		if voter.ID == r.From {
 			a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.proposal}
-			g.s.sendReplica(t, receiver, wire.KindAccept, &a)
-			return
+			g.s.sendReplica(t, voter, wire.KindAccept, &a)
 		}
 	}
 }
--- a/state/limits.go
+++ b/state/limits.go
@@ -19,20 +19,8 @@
 	MaxIndexLedger  = 384 << 10
 	// ClockRoom is what the clock may add beyond that: the bookings that run, the lease holders.
 	ClockRoom = 128 << 10
-	// MaxConfigLedger and MaxIndexLedger are what the bounds of the entries of a ledger come to: the
-	// sheet in force, which is always kept, earlier ones, orders, edits and zones; or edits alone.
-	MaxConfigLedger = 1536 << 10
-	MaxIndexLedger  = 256 << 10
 )
 
-// MaxLedger is how large the ledger of a partition may become.
-func MaxLedger(part int) int {
-	if part == Config {
-		return MaxConfigLedger
-	}
-	return MaxIndexLedger
-}
-
 // MaxBody bounds the body of a partition.
 func MaxBody(part int) int {
 	if part == Config {
