A started node has its first version confirmed at once; a test that it asks all cores

The mutant 'a started node asks the cores in turn' had survived; a test with one core of three in contact catches it.

--- a/pulls/pulls.go
+++ b/pulls/pulls.go
@@ -104,20 +104,25 @@
 		p.replied(t, v)
 	case mesh.Stored:
 		if v.Entry.Type == "part" {
-			p.held(t.Now)
+			p.held(t)
 		}
 	}
 }
 
-// held notes that there is a new version of a part.
-func (p *Pulls) held(now int64) {
-	if p.contact.heldAt == 0 {
-		p.contact.heldAt = max(now, 1)
-	}
+// held notes that there is a new version of a part. The first one that the mesh brings to a process
+// that has just started is confirmed at once, if a core can be asked.
+func (p *Pulls) held(t *kernel.Turn) {
 	if !p.core {
 		stamps := p.stamps()
 		p.members.Update(func(s *wire.Member) { s.InForce = stamps })
 	}
+	if p.contact.heldAt > 0 {
+		return
+	}
+	p.contact.heldAt = max(t.Now, 1)
+	if len(p.sent) == 0 && p.fresh(t.Now) {
+		p.pull(t)
+	}
 }
 
 func (p *Pulls) replied(t *kernel.Turn, v kernel.Message) {
--- a/table/ready_test.go
+++ b/table/ready_test.go
@@ -157,6 +157,20 @@
 	}
 }
 
+// Of three cores one alone is in contact, as a follower that a leader is cut off with is not.
+func TestStartedNodeAsksAllCoresInTurn(t *testing.T) {
+	for _, inContact := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
+		cores := map[string]*fakeCore{}
+		for _, a := range []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"} {
+			cores[a] = &fakeCore{term: 3, revision: 7}
+		}
+		cores[inContact] = &fakeCore{term: 4, revision: 9, contact: 1}
+		n := startNode(t, cores)
+		must.Less(t, second, n.readyWithin(2*second))
+		must.Eq(t, 9, n.table.Now().Routing.Revision)
+	}
+}
+
 // A core that was slow to answer proves nothing: the answer may have been held up by a cut.
 func TestAnswerThatWasHeldUpConfirmsNothing(t *testing.T) {
 	late := &fakeCore{term: 3, revision: 7, contact: 1, delay: pulls.AnswerWithin + second}
