--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -1,209 +1,186 @@
-// A small cluster of whole replicas on simulated time: their own code, a network
-// with delays and cuts that hold frames back, disks that take a while, freezes.
+// A cluster of cores on simulated time, network and disks: the real state
+// machines, an operator who edits, and what must hold at every step.
 package replica
 
 import (
-	"bytes"
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 
-	"wallport/diskfile"
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
 	"wallport/env"
 	"wallport/kernel"
+	"wallport/routing"
+	"wallport/routingpb"
+	"wallport/state"
 	"wallport/wire"
 )
 
+// Figures of the simulated cluster, in microseconds.
 const (
-	millisecond = int64(1_000)
-	second      = int64(1_000_000)
+	simWallStart   = 1_700_000_000_000_000
+	simPullEvery   = 200_000
+	simEditEvery   = 100_000
+	simLatency     = 300
+	simSyncTime    = 2_000
+	operatorChanID = 1 << 40
 )
 
-// event is something that happens at a moment; events of one moment keep their order.
-type event struct {
+type simEvent struct {
 	at, order int64
-	do        func()
+	run       func()
 }
 
-type events []event
+type simEvents []simEvent
 
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
+func (e simEvents) Len() int { return len(e) }
+func (e simEvents) Less(i, j int) bool {
 	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
 }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
-func (e *events) Pop() any {
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
 	old := *e
 	last := old[len(old)-1]
 	*e = old[:len(old)-1]
 	return last
 }
 
-// member is one process of the cluster.
-type member struct {
-	name, addr string
-	kernel     *kernel.Kernel
-	host       *Host
-	files      map[string][]byte
-	life       int
-	startedAt  int64
-	frozen     bool
-	waiting    []func()
-}
-
-type cluster struct {
-	t       *testing.T
-	rnd     *rand.Rand
-	now     int64
-	order   int64
-	queue   events
-	members []*member
-	conns   map[uint64]*connection
-	direct  map[string]uint64
-	nextID  uint64
-	// cut names the member that is cut off from the others; frames over the cut are held back.
-	cut  *member
-	held []func()
-}
-
-// newCluster starts members m0, m1 ... of which the first ones, an odd number, form one group.
-func newCluster(t *testing.T, seed uint64, size int) *cluster {
-	c := &cluster{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), conns: map[uint64]*connection{}, direct: map[string]uint64{}}
-	form := wire.Form{Formation: "f", Go: true}
-	for i := range size {
-		m := &member{name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1)}
-		if i < (size-1)|1 {
-			form.Seats = append(form.Seats, wire.Seat{ID: m.name, Addr: m.addr, Zone: fmt.Sprintf("z%d", i)})
-		}
-		c.members = append(c.members, m)
+// simShape is how many cores there are, in which zones, and what must be borne.
+type simShape struct {
+	name      string
+	zones     []string
+	tolerance env.Tolerance
+}
+
+type simCluster struct {
+	t        *testing.T
+	shape    simShape
+	now      int64
+	order    int64
+	random   *rand.Rand
+	events   simEvents
+	machines []*simMachine
+	byAddr   map[string]*simMachine
+	links    map[uint64]*simLink
+	direct   map[string]*simLink
+	nextLink uint64
+	// acknowledged are the digests of the operator's orders that were answered "ok"; edits are those of the ids under way.
+	acknowledged []string
+	lastAck      int64
+	edits        map[uint64]string
+	nextEdit     uint64
+	newest       wire.Stamp
+	violations   []string
+	notes        []string
+}
+
+func newSimCluster(t *testing.T, shape simShape, seed uint64) *simCluster {
+	c := &simCluster{
+		t: t, shape: shape, random: rand.New(rand.NewPCG(seed, 1)), byAddr: map[string]*simMachine{},
+		links: map[uint64]*simLink{}, direct: map[string]*simLink{}, edits: map[uint64]string{},
 	}
-	for _, m := range c.members {
-		m.files = map[string][]byte{"seat": diskfile.Pack([]byte(m.name))}
-		if contains(form.Seats, m.name) {
-			m.files["formation"] = diskfile.Pack(wire.Encode(&form))
-		}
-		c.start(m)
+	for _, zone := range shape.zones {
+		c.addMachine(zone).first = true
 	}
+	for _, m := range c.machines {
+		m.start()
+	}
+	c.after(0, c.operate)
+	c.runUntil("the cluster is formed", 15_000_000, func() bool { return c.leader(0) != nil && len(c.acknowledged) > 0 })
 	return c
 }
 
-func (c *cluster) start(m *member) {
-	e := env.Env{Mesh: m.addr, Zone: "z" + m.name[1:], BootstrapKnown: true}
-	e.Tolerance.Machines = (len(c.members) - 1) / 2
-	for _, other := range c.members {
-		e.Seeds = append(e.Seeds, other.addr)
-	}
-	files := map[string][]byte{}
-	for name, data := range m.files {
-		files[name] = bytes.Clone(data)
-	}
-	m.life++
-	m.frozen, m.waiting, m.startedAt = false, nil, c.now
-	m.kernel = kernel.New(kernel.Boot{Env: e, Role: "core", Seed: c.rnd.Uint64(), Key: kernel.KeyFrom(bytes.Repeat([]byte{m.name[1]}, 32)), Files: files})
-	m.host = kernel.Find[*Host](m.kernel)
-	c.step(m, kernel.Start{})
+func (c *simCluster) addMachine(zone string) *simMachine {
+	m := &simMachine{cluster: c, zone: zone, addr: fmt.Sprintf("10.0.0.%d:1", len(c.machines)+1), disk: map[string][]byte{}}
+	c.machines = append(c.machines, m)
+	c.byAddr[m.addr] = m
+	return m
 }
 
-func (c *cluster) after(d int64, do func()) {
+func (c *simCluster) after(d int64, run func()) {
 	c.order++
-	heap.Push(&c.queue, event{c.now + max(d, 0), c.order, do})
+	heap.Push(&c.events, simEvent{at: c.now + max(d, 0), order: c.order, run: run})
 }
 
-// every does something again and again.
-func (c *cluster) every(d int64, do func()) {
-	do()
-	c.after(d, func() { c.every(d, do) })
+func (c *simCluster) run(d int64) {
+	end := c.now + d
+	for len(c.events) > 0 && c.events[0].at <= end {
+		event := heap.Pop(&c.events).(simEvent)
+		c.now = event.at
+		event.run()
+	}
+	c.now = end
 }
 
-// run lets time pass; look is called after each event.
-func (c *cluster) run(d int64, look func()) {
-	for end := c.now + d; ; {
-		if len(c.queue) == 0 || c.queue[0].at > end {
-			c.now = end
-			return
+// runUntil runs until something holds, and fails the test if that takes too long.
+func (c *simCluster) runUntil(what string, most int64, holds func() bool) (took int64) {
+	c.t.Helper()
+	for began := c.now; ; c.run(10_000) {
+		if holds() {
+			return c.now - began
 		}
-		e := heap.Pop(&c.queue).(event)
-		c.now = e.at
-		e.do()
-		if look != nil {
-			look()
+		if c.now-began > most {
+			c.fail(what)
 		}
 	}
 }
 
-// feed has a member take an input in this life, once it is not frozen.
-func (c *cluster) feed(m *member, life int, in kernel.Input) {
-	if m.life != life {
-		return
-	}
-	if m.frozen {
-		m.waiting = append(m.waiting, func() { c.feed(m, life, in) })
-		return
+func (c *simCluster) fail(what string) {
+	c.t.Helper()
+	for _, note := range c.notes {
+		c.t.Log(note)
 	}
-	c.step(m, in)
+	c.t.Fatalf("after %d us: %s", c.now, what)
 }
 
-func (c *cluster) step(m *member, in kernel.Input) {
-	now, life := c.now-m.startedAt, m.life
-	out := m.kernel.Step(now, 1_700_000_000*second+c.now, in)
-	for _, v := range out.Timers {
-		c.after(v.At-now, func() { c.feed(m, life, kernel.Tick{Plugin: v.Plugin, Key: v.Key}) })
-	}
-	for _, w := range out.Writes {
-		c.write(m, w)
-	}
-	for _, s := range out.Sends {
-		c.send(m, s)
-	}
-}
-
-func (c *cluster) freeze(m *member) { m.frozen = true }
-
-func (c *cluster) thaw(m *member, gap int64) {
-	m.frozen = false
-	c.step(m, kernel.Thawed{Gap: gap})
-	waiting := m.waiting
-	m.waiting = nil
-	for _, f := range waiting {
-		f()
-	}
+func (c *simCluster) note(text string) {
+	c.notes = append(c.notes, fmt.Sprintf("%9d %s", c.now, text))
 }
 
-// restart ends a member's process and starts it again with its disk.
-func (c *cluster) restart(m *member) { c.start(m) }
-
-// leader is the member that leads a part and may take its edits, and follower some other one.
-func (c *cluster) leader(part int) *member {
-	for _, m := range c.members {
-		if m.host.Leads(part) && !m.frozen && m != c.cut {
-			return m
+// leader is the machine whose process leads a partition with the highest term and may serve.
+func (c *simCluster) leader(part int) (best *simMachine) {
+	for _, m := range c.machines {
+		if m.up && m.host.Leads(part) && (best == nil || m.host.groups[part].term > best.host.groups[part].term) {
+			best = m
 		}
 	}
-	return nil
-}
-
-// settled runs until a part has a leader that was in office for a while.
-func (c *cluster) settled(part int) *member {
-	for range 100 {
-		c.run(100*millisecond, nil)
-		if m := c.leader(part); m != nil {
-			c.run(second, nil)
-			if c.leader(part) == m {
-				return m
-			}
-		}
+	return best
+}
+
+// operate sends one edit to the leader every while and looks at what every process has committed.
+func (c *simCluster) operate() {
+	c.after(simEditEvery, c.operate)
+	if leader := c.leader(0); leader != nil {
+		c.nextEdit++
+		edit := order(c.t, c.revision(leader), int64(c.nextEdit), int64(c.nextEdit))
+		var sent routingpb.RoutingEdit
+		must.NoError(c.t, proto.Unmarshal(edit.Body, &sent))
+		digest := routing.Digest(&sent)
+		c.edits[c.nextEdit] = string(digest[:])
+		leader.step(kernel.Received{Chan: operatorChanID, Data: wire.Seal(wire.KindEdit, c.nextEdit, &edit)})
 	}
-	c.t.Fatal("no leader was elected")
-	return nil
 }
 
-func (c *cluster) others(m *member) (out []*member) {
-	for _, v := range c.members {
-		if v != m {
-			out = append(out, v)
-		}
+// revision is that of the routing table that a leader has committed.
+func (c *simCluster) revision(leader *simMachine) int64 {
+	config, err := state.ReadConfig(leader.host.groups[0].committed.Body)
+	must.NoError(c.t, err)
+	table, err := state.RoutingOf(config)
+	must.NoError(c.t, err)
+	return table.GetRevision()
+}
+
+func (c *simCluster) answered(data []byte) {
+	f, err := wire.Open(data)
+	must.NoError(c.t, err)
+	var r wire.EditReply
+	if f.Kind != wire.KindEditReply || wire.Decode(f.Body, &r) != nil || r.Code != "ok" {
+		return
 	}
-	return out
+	c.acknowledged = append(c.acknowledged, c.edits[f.ID])
+	c.lastAck = c.now
 }
