Cores tell of how many parts they are in contact; a leader that is cut off sends operators on

part_in_contact_now counts the parts of which this process is in contact with a majority. A leader just elected was logged as one that had lost its contact before its first round was answered (seen in TestALeadersContactEndsByTheClockAlone: part_contact_lost 2, not 1); the loss now counts from its election.

TestLeaderThatIsCutOffSendsTheOperatorOn: a bad order, a good one and a read at a leader cut off for 0, 0.5 and 3 s are answered within 0.8 s, as shed or unknown. It passed at once: nothing had to be mended there.

--- /dev/null
+++ b/operate/cutoff_test.go
@@ -0,0 +1,57 @@
+// A control machine that led and is cut off: what it tells an operator, and by when.
+package operate
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/diskfile"
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/replica"
+	"wallport/wire"
+)
+
+// cutOffLeader is a core that was elected by "a" and has heard of nobody since.
+func cutOffLeader(t *testing.T) *node {
+	form := wire.Form{Formation: "f", Go: true, Seats: []wire.Seat{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}, {ID: "me", Addr: "10.0.0.1:1"}}}
+	files := map[string][]byte{"seat": diskfile.Pack([]byte("me")), "formation": diskfile.Pack(wire.Encode(&form))}
+	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1", Data: "disk"}, Role: "core", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32)), Files: files})
+	n := &node{t: t, k: k, now: 1_000_000, answers: map[uint64]any{}}
+	n.step(kernel.Start{})
+	n.coreTick()
+	n.now += 10_000_000
+	n.coreTick()
+	n.receive(wire.KindVoteReply, 0, &wire.VoteReply{Term: 1, From: "a", Pre: true, Granted: true})
+	n.synced("w1")
+	n.receive(wire.KindVoteReply, 0, &wire.VoteReply{Term: 1, From: "a", Granted: true})
+	n.receive(wire.KindAcceptReply, 0, &wire.AcceptReply{Term: 1, From: "a", Stamp: wire.Stamp{Term: 1, Seq: 1}, OK: true})
+	n.receive(wire.KindAcceptReply, 0, &wire.AcceptReply{Term: 1, From: "b", Stamp: wire.Stamp{Term: 1, Seq: 1}, OK: true})
+	return n
+}
+
+func (n *node) coreTick()         { n.step(kernel.Tick{Plugin: "seats", Key: "tick"}) }
+func (n *node) synced(key string) { n.step(kernel.Written{Plugin: "seats", Key: key}) }
+
+// It says neither yes nor no, and gives no configuration: the operator goes on within the second.
+func TestLeaderThatIsCutOffSendsTheOperatorOn(t *testing.T) {
+	const within = 800_000
+	for _, since := range []int64{0, 500_000, 3_000_000} {
+		n := cutOffLeader(t)
+		must.True(t, kernel.Find[*replica.Host](n.k).Leads(0))
+		for end := n.now + since; n.now < end; n.coreTick() {
+			n.pass(replica.TickInterval)
+		}
+		n.call(1, Carry{Edit: wire.Edit{Op: "nonsense"}, Wait: true, GiveUpUs: within})
+		n.call(2, Carry{Edit: wire.Edit{Op: "refill", Name: "z1"}, Wait: true, GiveUpUs: within})
+		n.call(3, ReadRouting{GiveUpUs: within})
+		for end := n.now + within; n.now < end; n.coreTick() {
+			n.pass(replica.TickInterval)
+		}
+		must.MapLen(t, 3, n.answers, must.Sprint("cut off for ", since))
+		must.SliceContains(t, []string{"shed", "unknown"}, n.code(1))
+		must.SliceContains(t, []string{"shed", "unknown"}, n.code(2))
+		must.Eq(t, Routing{Code: "shed"}, n.answers[3].(Routing))
+	}
+}
--- a/replica/contact.go
+++ b/replica/contact.go
@@ -142,10 +142,11 @@
 
 // noteContact logs and counts when a leader loses its contact with a majority.
 func (g *Group) noteContact(t *kernel.Turn) {
-	lost := g.ready && !g.contact.within(t.Now, ContactFor)
+	since := t.Now - max(g.leaderSince, g.contact.confirmedAt)
+	lost := g.ready && since > ContactFor
 	if lost && !g.contactLost {
 		t.Counts.Add("part_contact_lost", 1)
-		t.Note(1, "leader_without_contact", "part", g.part, "term", g.term, "since_us", t.Now-g.contact.confirmedAt)
+		t.Note(1, "leader_without_contact", "part", g.part, "term", g.term, "since_us", since)
 	}
 	g.contactLost = lost
 }
--- a/replica/contact_rules_test.go
+++ b/replica/contact_rules_test.go
@@ -32,6 +32,9 @@
 	c.tick()
 	c.answers(g, 0)
 	must.Eq(t, 1, c.pulled(t).Contact)
+	c.tick()
+	must.Eq(t, 1, c.k.Counts.Of("part_in_contact_now").Load())
+	must.Zero(t, c.k.Counts.Of("part_contact_lost").Load(), must.Sprint("a leader just elected has lost nothing"))
 	must.Len(t, 1, c.pulled(t).Owners)
 	c.now += ContactFor
 	must.Eq(t, 1, c.pulled(t).Contact)
@@ -41,6 +44,7 @@
 	must.Eq(t, leader, g.role, must.Sprint("it did not tick"))
 	c.tick()
 	must.Eq(t, follower, g.role)
+	must.Zero(t, c.k.Counts.Of("part_in_contact_now").Load())
 	must.Eq(t, 1, c.k.Counts.Of("part_contact_lost").Load())
 }
 
--- a/replica/route.go
+++ b/replica/route.go
@@ -47,14 +47,18 @@
 		s.bootstrapStep(t)
 		return
 	}
-	ledPartitions := int64(0)
+	ledPartitions, inContact := int64(0), int64(0)
 	for _, g := range s.groups {
 		g.tick(t)
 		if g.role == leader {
 			ledPartitions++
 		}
+		if g.inContact(t.Now, g.committed.Stamp) {
+			inContact++
+		}
 	}
 	t.Counts.Set("part_owned_now", ledPartitions)
+	t.Counts.Set("part_in_contact_now", inContact)
 }
 
 // thawed: a leader that did not run for a while cannot know that it still is one.
