Rename package claims to idempotency, with the standard names of its field

Homes of a key are its owners, to let in is to admit, an asking is an admission; the plug-in is the coordinator. Wire messages, counters, the callers' texts and table's fields keep their names.

--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -12,10 +12,10 @@
 	"go.uber.org/zap/zapcore"
 
 	// The plug-ins register themselves.
-	_ "wallport/claims"
 	_ "wallport/conditions"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/idempotency"
 	_ "wallport/listing"
 	_ "wallport/operate"
 	"wallport/platform"
--- /dev/null
+++ b/idempotency/admission.go
@@ -0,0 +1,201 @@
+// The side of the node that wants a key let in: it asks all owners, those that are
+// silent or unsure again while there is time, and decides.
+package idempotency
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"wallport/inquiry"
+	"wallport/kernel"
+	"wallport/table"
+	"wallport/wire"
+)
+
+type admission struct {
+	id      uint64
+	ask     Admit
+	owners  []table.Node
+	until   int64
+	replies map[string]ownerReply
+	tried   bool
+	// decideAt is set once a majority let the key in and only slower owners are waited for.
+	decideAt int64
+}
+
+// admit claims a key at its owners.
+func (c *Coordinator) admit(t *kernel.Turn, id uint64, a Admit) {
+	cp := c.snapshot()
+	if c.minority(cp, t.Now) {
+		t.Counts.Add("claims_minority", 1)
+		t.Answer(id, inquiry.Verdict{Code: "short", Why: "this node sees too few of the fleet to vouch for a key"})
+		return
+	}
+	c.next++
+	n := c.next
+	pending := &admission{id: id, ask: a, until: t.Now + min(a.Within, GiveUp), replies: map[string]ownerReply{}}
+	c.admissions[n] = pending
+	if !c.rosterUnknown(t.Now) {
+		pending.owners = Owners(a.Key, cp.Homes)
+		c.send(t, n, pending)
+	}
+	if c.admissions[n] != nil {
+		t.After(min(AskEvery, pending.until-t.Now), "idempotency", fmt.Sprint(n))
+	}
+}
+
+// rosterUnknown tells that this process has just started and cannot know yet who else is there: the
+// owners that it would ask were too few.
+func (c *Coordinator) rosterUnknown(now int64) bool {
+	if c.caught == 0 {
+		return now-c.began < SettleFor
+	}
+	return now-c.caught < RosterWait
+}
+
+// send asks every owner that has not let the key in yet.
+func (c *Coordinator) send(t *kernel.Turn, n uint64, pending *admission) {
+	m := wire.Claim{Key: pending.ask.Key, Index: pending.ask.Index, From: c.token(n), Sum: pending.ask.Sum}
+	for _, h := range pending.owners {
+		switch {
+		case c.admissions[n] == nil:
+			return
+		case pending.replies[h.Name].code == "in":
+		case h.Origin == c.mesh.Self():
+			c.replied(t, n, c.answerClaim(t, m))
+		default:
+			t.SendTo(h.Addr, wire.KindClaim, n, &m)
+		}
+	}
+}
+
+func (c *Coordinator) replied(t *kernel.Turn, n uint64, r wire.ClaimReply) {
+	pending := c.admissions[n]
+	if pending == nil || pending.ask.Key != r.Key {
+		return
+	}
+	for _, h := range pending.owners {
+		// By name: an owner that was started anew answers for its place, as one that is unsure.
+		if h.Name == r.Name || h.Origin == r.From {
+			pending.replies[h.Name] = ownerReply{code: r.Code, owners: r.Homes}
+		}
+	}
+	pending.tried = pending.tried || r.Tried
+	switch r.Code {
+	case "done", "running", "conflict":
+		c.end(t, n, inquiry.Verdict{Code: r.Code, Body: r.Body})
+		return
+	}
+	c.decide(t, n, pending)
+}
+
+// decide lets a key in that a majority of its owners let in. A caller's word that this
+// is its first try makes up for owners that cannot be sure.
+func (c *Coordinator) decide(t *kernel.Turn, n uint64, pending *admission) {
+	if len(pending.owners) == 0 {
+		return
+	}
+	enough := pending.majority(pending.ask.First)
+	switch {
+	case enough && len(pending.replies) == len(pending.owners):
+	case pending.decideAt > 0 && t.Now >= pending.decideAt:
+	case enough && pending.decideAt == 0:
+		pending.decideAt = t.Now + LastWait
+		t.After(LastWait, "idempotency", fmt.Sprint(n))
+		return
+	default:
+		return
+	}
+	c.end(t, n, inquiry.Verdict{Code: "in", Token: c.token(n), Repeat: pending.tried})
+}
+
+// retry is a claim's timer: it decides, asks again, or gives up.
+func (c *Coordinator) retry(t *kernel.Turn, n uint64) {
+	pending := c.admissions[n]
+	switch {
+	case pending == nil:
+		return
+	case pending.ask.Again:
+		// The owner is silent: what cannot be told from a first try is one.
+		delete(c.admissions, n)
+		t.Answer(pending.id, inquiry.Verdict{Code: "in"})
+		return
+	}
+	if !c.rosterUnknown(t.Now) {
+		pending.widen(Owners(pending.ask.Key, c.snapshot().Homes))
+	}
+	if c.decide(t, n, pending); c.admissions[n] == nil || pending.decideAt > t.Now {
+		return
+	}
+	if t.Now < pending.until {
+		t.Counts.Add("claims_asked_again", 1)
+		c.send(t, n, pending)
+		if c.admissions[n] != nil {
+			t.After(min(AskEvery, pending.until-t.Now), "idempotency", fmt.Sprint(n))
+		}
+		return
+	}
+	if pending.majority(true) {
+		// Those that would know have lost what they knew, and an earlier try may have run.
+		t.Counts.Add("claims_unknown", 1)
+		c.end(t, n, inquiry.Verdict{Code: "unknown"})
+		return
+	}
+	t.Counts.Add("claims_short", 1)
+	c.end(t, n, inquiry.Verdict{Code: "short", Why: fmt.Sprintf("%d of the key's %d home nodes answered", pending.agreed(), len(pending.owners))})
+}
+
+// widen adds owners that this node has learned of meanwhile. None is left out: it may hold the claim.
+func (a *admission) widen(owners []table.Node) {
+	for _, h := range owners {
+		if !slices.ContainsFunc(a.owners, func(o table.Node) bool { return o.Name == h.Name }) {
+			a.owners = append(a.owners, h)
+		}
+	}
+}
+
+// token names one claim, not its node: two claims of one key through one node
+// must not release each other.
+func (c *Coordinator) token(n uint64) string { return fmt.Sprintf("%s#%d", c.mesh.Self(), n) }
+
+func (c *Coordinator) end(t *kernel.Turn, n uint64, v inquiry.Verdict) {
+	pending := c.admissions[n]
+	delete(c.admissions, n)
+	t.Answer(pending.id, v)
+	switch v.Code {
+	case "in":
+	case "unknown":
+		// It stays unknown: what was not let in now must not be let in later either.
+		c.broadcast(t, pending.owners, wire.Settle{Key: pending.ask.Key, Code: "done"})
+	default:
+		c.broadcast(t, pending.owners, wire.Settle{Key: pending.ask.Key, Code: "released", Body: []byte(c.token(n))})
+	}
+}
+
+// tellOutcome settles a key that this node was let in with.
+func (c *Coordinator) tellOutcome(t *kernel.Turn, a Settle) {
+	m := wire.Settle{Key: a.Key, Code: a.Code}
+	switch {
+	case a.Code == "unseen":
+		c.unseen(t, a.Key)
+		return
+	case a.Code == "released":
+		m.Body, m.Tried = []byte(a.Token), a.Tried
+	default:
+		if b, err := json.Marshal(a.Outcome); err == nil {
+			m.Body = b
+		}
+	}
+	c.broadcast(t, Owners(a.Key, c.snapshot().Homes), m)
+}
+
+func (c *Coordinator) broadcast(t *kernel.Turn, owners []table.Node, m wire.Settle) {
+	for _, h := range owners {
+		if h.Origin == c.mesh.Self() {
+			c.settle(t, m)
+			continue
+		}
+		t.SendTo(h.Addr, wire.KindSettle, 0, &m)
+	}
+}
--- a/claims/epochs.go
+++ b/idempotency/epochs.go
@@ -1,10 +1,10 @@
-// What makes a home unsure of a key that it does not hold, and what makes it sure
+// What makes an owner unsure of a key that it does not hold, and what makes it sure
 // again. Each start, thaw, stay in a minority or change of the roster opens an epoch;
-// in it the home asks the others to hand over what it should have had. Whoever was
-// let in had a majority of the homes of then, so once as many of those have handed over
+// in it the owner asks the others to hand over what it should have had. Whoever was
+// let in had a majority of the owners of then, so once as many of those have handed over
 // as share one with every majority, not holding a key means that it was never let in. Where so many are lost
 // that no majority can, the epoch ends with the longest deadline and a grace.
-package claims
+package idempotency
 
 import (
 	"slices"
@@ -18,66 +18,66 @@
 type epoch struct {
 	n  uint64
 	at int64
-	// before is the roster that this process was not home in; nil where it may
+	// before is the roster that this process was not owner in; nil where it may
 	// have lost what it knew itself.
 	before []table.Node
 	heard  map[string]bool
-	// homes is the most homes that any of those counts.
-	homes int
-	whole bool
+	// owners is the most owners that any of those counts.
+	owners int
+	whole  bool
 }
 
-// needs is how many others must have handed over, of the homes of a key that this process knows of.
-// In an epoch in which it may have lost what it knew, others may count more homes than it does.
-func (e *epoch) needs(homes int) int {
+// needs is how many others must have handed over, of the owners of a key that this process knows of.
+// In an epoch in which it may have lost what it knew, others may count more owners than it does.
+func (e *epoch) needs(owners int) int {
 	if e.before == nil {
-		homes = max(homes, e.homes)
+		owners = max(owners, e.owners)
 	}
-	return others(homes)
+	return intersecting(owners)
 }
 
 // settled tells that every other node of a roster that had time to be known has handed over.
 func (e *epoch) settled(now int64) bool { return e.whole && now-e.at >= SettleFor }
 
-// forgot opens an epoch in which this process is sure of nothing.
-func (c *Claims) forgot(t *kernel.Turn) {
+// loseRecords opens an epoch in which this process is sure of nothing.
+func (c *Coordinator) loseRecords(t *kernel.Turn) {
 	c.epochs = []*epoch{c.epoch(t, nil)}
 }
 
-func (c *Claims) epoch(t *kernel.Turn, before []table.Node) *epoch {
+func (c *Coordinator) epoch(t *kernel.Turn, before []table.Node) *epoch {
 	c.next++
 	return &epoch{n: c.next, at: t.Now, before: before, heard: map[string]bool{}}
 }
 
 // uncertain is for how long an inquiry of before may still be under way.
-func (c *Claims) uncertain() int64 {
+func (c *Coordinator) uncertainFor() int64 {
 	if c.longest == 0 {
 		return UnsureNoSheet
 	}
 	return max(c.longest+Grace, UnsureLeast)
 }
 
-// knows tells whether not holding a key means that it was never let in.
-func (c *Claims) knows(key, index string, now int64) bool {
-	if len(c.roster) > 0 && !isHome(key, c.name(), c.roster) {
-		// Whoever takes this process for a home knows an older roster.
+// canVouch tells whether not holding a key means that it was never let in.
+func (c *Coordinator) canVouch(key, index string, now int64) bool {
+	if len(c.roster) > 0 && !isOwner(key, c.name(), c.roster) {
+		// Whoever takes this process for an owner knows an older roster.
 		return false
 	}
 	for _, e := range c.epochs {
-		if now-e.at >= c.uncertain() || e.settled(now) {
+		if now-e.at >= c.uncertainFor() || e.settled(now) {
 			continue
 		}
 		before := e.before
 		switch {
-		case before == nil && c.saw(index), before != nil && isHome(key, c.name(), before):
+		case before == nil && c.startedBefore(index), before != nil && isOwner(key, c.name(), before):
 			continue
 		case before == nil:
 			before = c.roster
 		case now-e.at < SettleFor:
-			// Others may not have the new roster yet and claim at the old homes.
+			// Others may not have the new roster yet and claim at the old owners.
 			return false
 		}
-		prev := Homes(key, before)
+		prev := Owners(key, before)
 		n := 0
 		for _, h := range prev {
 			if e.heard[h.Name] {
@@ -91,8 +91,8 @@
 	return true
 }
 
-// follow notices a changed roster, and asks for what is still to be handed over.
-func (c *Claims) follow(t *kernel.Turn) {
+// followRoster notices a changed roster, and asks for what is still to be handed over.
+func (c *Coordinator) followRoster(t *kernel.Turn) {
 	cp := c.snapshot()
 	if cp == nil {
 		return
@@ -101,7 +101,7 @@
 	small := c.minority(cp, t.Now)
 	if small {
 		// What the others let in meanwhile is not told here.
-		c.forgot(t)
+		c.loseRecords(t)
 		clear(c.first)
 	}
 	same := slices.EqualFunc(c.roster, cp.Homes, func(a, b table.Node) bool { return a.Name == b.Name && a.Zone == b.Zone })
@@ -109,9 +109,9 @@
 		c.epochs = append(c.epochs, c.epoch(t, c.roster))
 	}
 	c.roster = cp.Homes
-	c.epochs = slices.DeleteFunc(c.epochs, func(e *epoch) bool { return t.Now-e.at >= c.uncertain() })
+	c.epochs = slices.DeleteFunc(c.epochs, func(e *epoch) bool { return t.Now-e.at >= c.uncertainFor() })
 	if len(c.epochs) > epochsMost {
-		c.forgot(t)
+		c.loseRecords(t)
 	}
 	if cp.Sheet != nil {
 		c.askAll(t)
@@ -125,19 +125,19 @@
 }
 
 // Bounds on what a roster in flux costs: open epochs, beyond which this process takes itself
-// for one that is sure of nothing, and asks at a time in a fleet larger than a key's homes.
+// for one that is sure of nothing, and asks at a time in a fleet larger than a key's owners.
 const (
 	epochsMost = 8
 	asksMost   = 8
 )
 
 // askAll asks for what is still to be handed over. Where there is no sheet no key was ever let in.
-func (c *Claims) askAll(t *kernel.Turn) {
+func (c *Coordinator) askAll(t *kernel.Turn) {
 	asks := 0
 	for _, e := range c.epochs {
-		// In a fleet whose nodes are all homes of all keys so many are enough for every key.
+		// In a fleet whose nodes are all owners of all keys so many are enough for every key.
 		left := e.needs(len(c.roster))
-		if len(c.roster) > homesMost {
+		if len(c.roster) > ownersMost {
 			left = len(c.roster) - 1
 		}
 		for _, n := range c.roster {
@@ -151,7 +151,7 @@
 		from := t.Rand.IntN(max(1, len(c.roster)))
 		for i := range c.roster {
 			n := c.roster[(i+from)%len(c.roster)]
-			if n.Name != c.name() && !e.heard[n.Name] && n.Live && left > 0 && (asks < asksMost || len(c.roster) <= homesMost) {
+			if n.Name != c.name() && !e.heard[n.Name] && n.Live && left > 0 && (asks < asksMost || len(c.roster) <= ownersMost) {
 				left--
 				asks++
 				t.SendTo(n.Addr, wire.KindHandOver, 0, &wire.HandOver{N: e.n, Name: c.name(), Before: places(e.before), Now: places(c.roster)})
@@ -161,7 +161,7 @@
 }
 
 // learnDeadline keeps the longest time that an inquiry may take.
-func (c *Claims) learnDeadline(cp *table.Checkpoint, now int64) {
+func (c *Coordinator) learnDeadline(cp *table.Checkpoint, now int64) {
 	if cp.Sheet == nil {
 		return
 	}
@@ -175,7 +175,7 @@
 }
 
 // firstSeen keeps which indexes had a cut when a part was first seen.
-func (c *Claims) firstSeen(e *wire.Entry) {
+func (c *Coordinator) firstSeen(e *wire.Entry) {
 	part := e.Stamp.Part
 	if part == state.Config || c.first[part] != nil {
 		return
@@ -190,16 +190,16 @@
 	}
 }
 
-// saw tells that this process was there before the index had its first cut:
+// startedBefore tells that this process was there before the index had its first cut:
 // nothing of it can have run before this process began. So the first start of a
 // fleet needs no quarantine, and the start after a total loss has it.
-func (c *Claims) saw(index string) bool {
+func (c *Coordinator) startedBefore(index string) bool {
 	had := c.first[state.PartOf(index)]
 	return had != nil && !had[index]
 }
 
-// sawAll tells that nothing at all can have run before this process began.
-func (c *Claims) sawAll() bool {
+// startedBeforeAll tells that nothing at all can have run before this process began.
+func (c *Coordinator) startedBeforeAll() bool {
 	for _, had := range c.first {
 		if len(had) > 0 {
 			return false
--- a/claims/handover.go
+++ b/idempotency/handover.go
@@ -1,5 +1,5 @@
-// Handing over: what a node gives to one that became home of keys, or lost what it knew.
-package claims
+// Handing over: what a node gives to one that became owner of keys, or lost what it knew.
+package idempotency
 
 import (
 	"maps"
@@ -29,25 +29,25 @@
 // handedMost bounds one frame of records, in bytes of their bodies.
 const handedMost = 256 << 10
 
-// handOver gives a home what it should have had; a process that is itself not
-// sure of all that it lost, or does not count the asker among the homes yet, says nothing and
+// handOver gives an owner what it should have had; a process that is itself not
+// sure of all that it lost, or does not count the asker among the owners yet, says nothing and
 // is asked again: what it lets in afterwards by a smaller roster would be missing.
-func (c *Claims) handOver(t *kernel.Turn, ch uint64, m wire.HandOver) {
-	if slices.ContainsFunc(c.epochs, func(e *epoch) bool { return e.before == nil && !e.settled(t.Now) && !c.sawAll() }) {
+func (c *Coordinator) handOver(t *kernel.Turn, ch uint64, m wire.HandOver) {
+	if slices.ContainsFunc(c.epochs, func(e *epoch) bool { return e.before == nil && !e.settled(t.Now) && !c.startedBeforeAll() }) {
 		return
 	}
 	if !slices.ContainsFunc(c.roster, func(n table.Node) bool { return n.Name == m.Name }) {
 		return
 	}
 	before, now := nodes(m.Before), nodes(m.Now)
-	out := wire.Handed{N: m.N, Name: c.name(), Homes: c.countsHomes()}
+	out := wire.Handed{N: m.N, Name: c.name(), Homes: c.countsOwners()}
 	size := 0
 	var keys []string
-	if len(before) == 0 || len(before) > homesMost || !isHome("", m.Name, before) {
+	if len(before) == 0 || len(before) > ownersMost || !isOwner("", m.Name, before) {
 		keys = slices.Sorted(maps.Keys(c.records))
 	}
 	for _, key := range keys {
-		if !isHome(key, m.Name, now) || len(before) > 0 && isHome(key, m.Name, before) {
+		if !isOwner(key, m.Name, now) || len(before) > 0 && isOwner(key, m.Name, before) {
 			continue
 		}
 		rec := c.records[key]
@@ -66,14 +66,14 @@
 	t.Send(ch, wire.KindHanded, 0, &out)
 }
 
-func (c *Claims) handed(t *kernel.Turn, m wire.Handed) {
+func (c *Coordinator) handed(t *kernel.Turn, m wire.Handed) {
 	for _, s := range m.Records {
 		c.settle(t, s)
 	}
 	for _, e := range c.epochs {
 		if e.n == m.N && m.All {
 			e.heard[m.Name] = true
-			e.homes = max(e.homes, m.Homes)
+			e.owners = max(e.owners, m.Homes)
 		}
 	}
 }
--- a/claims/claims.go
+++ b/idempotency/idempotency.go
@@ -1,9 +1,9 @@
-// Package claims keeps inquiry keys in the memory of their home nodes, so that a
+// Package idempotency keeps inquiry keys in the memory of their owner nodes, so that a
 // correction or part fetch that a caller repeats through another node runs once. A
-// majority of a key's homes must let it in. A home that cannot be sure that it would
-// know of the key says so; it becomes sure once enough of those that were homes
+// majority of a key's owners must let it in. An owner that cannot be sure that it would
+// know of the key says so; it becomes sure once enough of those that were owners
 // before have handed over what they keep. docs/design/inquiry-keys.md has the reasons.
-package claims
+package idempotency
 
 import (
 	"fmt"
@@ -18,7 +18,7 @@
 
 // Figures of the claims.
 const (
-	// Grace is how long, beyond the sheet's longest deadline, a home that lost what
+	// Grace is how long, beyond the sheet's longest deadline, an owner that lost what
 	// it knew stays unsure, and a claim may go without an outcome.
 	Grace = 3_000_000
 	// UnsureLeast is the least of it: within it a caller repeats after everything was lost.
@@ -31,8 +31,8 @@
 	KeyLife     = 300_000_000
 	// RosterWait is how long after catching up its table has the whole roster.
 	RosterWait = 100_000
-	// LastWait is for homes that are slower than the majority; AskEvery is how soon
-	// homes that were silent or unsure are asked again.
+	// LastWait is for owners that are slower than the majority; AskEvery is how soon
+	// owners that were silent or unsure are asked again.
 	LastWait = 40_000
 	AskEvery = 80_000
 	GiveUp   = 900_000
@@ -42,9 +42,9 @@
 	CalmAt   = 1_000_000
 )
 
-// Ask is a Call to claim a key within a time. First is the caller's own word that
+// Admit is a Call to claim a key within a time. First is the caller's own word that
 // it never sent this key before.
-type Ask struct {
+type Admit struct {
 	Key    string
 	Index  string
 	Sum    uint64
@@ -54,8 +54,8 @@
 	Again bool
 }
 
-// Tell is a Call to settle a key; it has no answer.
-type Tell struct {
+// Settle is a Call to settle a key; it has no answer.
+type Settle struct {
 	Key     string
 	Code    string
 	Token   string
@@ -67,26 +67,26 @@
 	sum  uint64
 	from string
 	done bool
-	// unsure is that the home could not vouch for the key when it last answered the claim.
+	// unsure is that the owner could not vouch for the key when it last answered the claim.
 	unsure bool
 	body   []byte
 	at     int64
 }
 
-// Claims is the plug-in of a node.
-type Claims struct {
+// Coordinator is the plug-in of a node.
+type Coordinator struct {
 	mesh  *mesh.Mesh
 	table *table.Table
 	pulls *pulls.Pulls
 	// snapshot is the table's newest checkpoint.
-	snapshot func() *table.Checkpoint
-	records  map[string]*record
-	order    []string
-	asks     map[uint64]*asking
-	next     uint64
-	roster   []table.Node
-	epochs   []*epoch
-	longest  int64
+	snapshot   func() *table.Checkpoint
+	records    map[string]*record
+	order      []string
+	admissions map[uint64]*admission
+	next       uint64
+	roster     []table.Node
+	epochs     []*epoch
+	longest    int64
 	// began is when this process started, caught when it first had all that a peer has.
 	began, caught int64
 	// looked is when the roster was last looked at, dueAt when it will be next.
@@ -100,34 +100,34 @@
 func init() {
 	kernel.Register(kernel.Registration{Rank: 80, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		built := kernel.Find[*table.Table](k)
-		return &Claims{
+		return &Coordinator{
 			mesh: kernel.Find[*mesh.Mesh](k), table: built, pulls: kernel.Find[*pulls.Pulls](k), snapshot: built.Now,
-			records: map[string]*record{}, asks: map[uint64]*asking{}, seen: seenKeys{at: map[string]int64{}}, first: map[int]map[string]bool{},
+			records: map[string]*record{}, admissions: map[uint64]*admission{}, seen: seenKeys{at: map[string]int64{}}, first: map[int]map[string]bool{},
 		}
 	}})
 }
 
 // Name is the plug-in's name.
-func (c *Claims) Name() string { return "claims" }
+func (c *Coordinator) Name() string { return "idempotency" }
 
 // Kinds are the frames that it takes.
-func (c *Claims) Kinds() []uint8 {
+func (c *Coordinator) Kinds() []uint8 {
 	return []uint8{wire.KindClaim, wire.KindClaimReply, wire.KindSettle, wire.KindHandOver, wire.KindHanded, wire.KindSeen, wire.KindSeenReply}
 }
 
 // Step takes one input.
-func (c *Claims) Step(t *kernel.Turn, in kernel.Input) {
+func (c *Coordinator) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		c.began = t.Now
-		c.forgot(t)
+		c.loseRecords(t)
 		c.arm(t, FollowAt)
 	case mesh.CaughtUp:
 		if c.caught == 0 {
 			c.caught = t.Now
 		}
 	case kernel.Thawed:
-		c.forgot(t)
+		c.loseRecords(t)
 		clear(c.first)
 		c.arm(t, FollowAt)
 	case table.Built:
@@ -140,36 +140,36 @@
 		if v.Key == "roster" {
 			if t.Now >= c.dueAt {
 				c.dueAt = 0
-				c.follow(t)
+				c.followRoster(t)
 			}
 			return
 		}
 		var id uint64
 		if _, err := fmt.Sscan(v.Key, &id); err == nil {
-			c.again(t, id)
+			c.retry(t, id)
 		}
 	case kernel.Call:
 		switch a := v.Ask.(type) {
-		case Ask:
+		case Admit:
 			if a.Again {
 				c.askSeen(t, v.ID, a)
 				return
 			}
-			c.ask(t, v.ID, a)
-		case Tell:
-			c.tell(t, a)
+			c.admit(t, v.ID, a)
+		case Settle:
+			c.tellOutcome(t, a)
 		}
 	case kernel.Message:
 		c.message(t, v)
 	}
 }
 
-func (c *Claims) message(t *kernel.Turn, v kernel.Message) {
+func (c *Coordinator) message(t *kernel.Turn, v kernel.Message) {
 	switch v.Kind {
 	case wire.KindClaim:
 		var m wire.Claim
 		if wire.Decode(v.Body, &m) == nil {
-			r := c.claim(t, m)
+			r := c.answerClaim(t, m)
 			t.Send(v.Chan, wire.KindClaimReply, v.ID, &r)
 		}
 	case wire.KindClaimReply:
@@ -211,9 +211,9 @@
 }
 
 // arm has the roster looked at within a while; an earlier look takes the place of a later one.
-func (c *Claims) arm(t *kernel.Turn, within int64) {
+func (c *Coordinator) arm(t *kernel.Turn, within int64) {
 	if at := t.Now + within; c.dueAt == 0 || at < c.dueAt {
 		c.dueAt = at
-		t.After(within, "claims", "roster")
+		t.After(within, "idempotency", "roster")
 	}
 }
--- a/claims/model_node_test.go
+++ b/idempotency/model_node_test.go
@@ -1,6 +1,6 @@
 // The nodes of the model: each runs the package's own code, and sees of the fleet what the model
 // lets it see.
-package claims
+package idempotency
 
 import (
 	"fmt"
@@ -21,7 +21,7 @@
 	up    bool
 	// upAt is when its process started, downAt when its last one ended.
 	upAt, downAt int64
-	claims       *Claims
+	coordinator  *Coordinator
 	view         *table.Checkpoint
 	peak         int
 }
@@ -36,8 +36,8 @@
 	n.up, n.upAt = true, n.m.now
 	key := fmt.Sprintf("%-32s", fmt.Sprintf("%s/%d", n.name, n.count))
 	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: n.name, Name: n.name}, Role: "node", Seed: 1, Key: kernel.KeyFrom([]byte(key))})
-	n.claims = kernel.Find[*Claims](k)
-	n.claims.snapshot = func() *table.Checkpoint { return n.view }
+	n.coordinator = kernel.Find[*Coordinator](k)
+	n.coordinator.snapshot = func() *table.Checkpoint { return n.view }
 	n.peak = 0
 	n.look([]*modelNode{n})
 	n.step(kernel.Start{})
@@ -51,7 +51,7 @@
 
 func (n *modelNode) look(others []*modelNode) {
 	live := 0
-	var homes []table.Node
+	var owners []table.Node
 	for _, o := range others {
 		gone := !o.up && n.m.now-o.downAt > table.RosterFor
 		if gone && o != n {
@@ -61,11 +61,11 @@
 		if isLive {
 			live++
 		}
-		homes = append(homes, table.Node{Name: o.name, Addr: o.name, Origin: o.claims.mesh.Self(), Live: isLive})
+		owners = append(owners, table.Node{Name: o.name, Addr: o.name, Origin: o.coordinator.mesh.Self(), Live: isLive})
 	}
 	n.peak = max(n.peak, live)
 	n.view = &table.Checkpoint{
-		Homes: homes, Roster: homes, Peers: live, Divisor: n.peak,
+		Homes: owners, Roster: owners, Peers: live, Divisor: n.peak,
 		Sheet: &sheetpb.Sheet{Services: []*sheetpb.Service{{MaxDeadlineUs: 5 * second}}},
 	}
 }
@@ -73,7 +73,7 @@
 // step gives the node's process an input and carries out what it asks for.
 func (n *modelNode) step(in kernel.Input) {
 	t := &kernel.Turn{Now: n.m.now, Rand: n.m.rand, Counts: kernel.NewCounts()}
-	n.claims.Step(t, in)
+	n.coordinator.Step(t, in)
 	here := n.life()
 	for _, s := range t.Out.Sends {
 		n.m.send(here, s)
--- a/claims/model_test.go
+++ b/idempotency/model_test.go
@@ -1,7 +1,7 @@
 // A model of a fleet whose nodes see different rosters while some of them die and come back: the
 // package's own code on every node, over simulated time, messages late and lost with their node.
 // No key is let in twice.
-package claims
+package idempotency
 
 import (
 	"container/heap"
@@ -98,7 +98,7 @@
 		n.sees(m.nodes)
 		n.step(mesh.CaughtUp{})
 		// The first start of a fleet: nothing was let in before.
-		n.claims.epochs = nil
+		n.coordinator.epochs = nil
 	}
 	return m
 }
--- a/claims/home.go
+++ b/idempotency/owner.go
@@ -1,14 +1,14 @@
-// A home's side: what it answers to a claim, and what it keeps.
-package claims
+// An owner's side: what it answers to a claim, and what it keeps.
+package idempotency
 
 import (
 	"wallport/kernel"
 	"wallport/wire"
 )
 
-// claim is a home's answer.
-func (c *Claims) claim(t *kernel.Turn, m wire.Claim) wire.ClaimReply {
-	r := wire.ClaimReply{Key: m.Key, From: c.mesh.Self(), Name: c.name(), Homes: c.countsHomes()}
+// claim is an owner's answer.
+func (c *Coordinator) answerClaim(t *kernel.Turn, m wire.Claim) wire.ClaimReply {
+	r := wire.ClaimReply{Key: m.Key, From: c.mesh.Self(), Name: c.name(), Homes: c.countsOwners()}
 	rec := c.records[m.Key]
 	switch {
 	case rec == nil || !rec.done && rec.from == m.From:
@@ -17,7 +17,7 @@
 			c.keep(m.Key, rec)
 		}
 		r.Code, r.Tried = "in", c.seen.has(m.Key, t.Now)
-		if rec.unsure = !c.knows(m.Key, m.Index, t.Now); rec.unsure {
+		if rec.unsure = !c.canVouch(m.Key, m.Index, t.Now); rec.unsure {
 			t.Counts.Add("claims_unsure", 1)
 			r.Code = "unsure"
 		}
@@ -25,7 +25,7 @@
 		r.Code = "conflict"
 	case rec.done:
 		r.Code, r.Body = "done", rec.body
-	case t.Now-rec.at > c.uncertain():
+	case t.Now-rec.at > c.uncertainFor():
 		// Whoever ran it never told: its outcome stays unknown.
 		r.Code = "done"
 	default:
@@ -34,9 +34,9 @@
 	return r
 }
 
-func (c *Claims) name() string { return c.table.Self() }
+func (c *Coordinator) name() string { return c.table.Self() }
 
-func (c *Claims) settle(t *kernel.Turn, m wire.Settle) {
+func (c *Coordinator) settle(t *kernel.Turn, m wire.Settle) {
 	rec := c.records[m.Key]
 	switch m.Code {
 	case "released":
@@ -68,12 +68,12 @@
 // contested stands for the claim of a record that two claims may have been let in with.
 const contested = ""
 
-// countsHomes is how many homes a key has by what this process knows of the fleet.
-func (c *Claims) countsHomes() int {
-	return min(homesMost, max(len(c.roster), len(c.snapshot().Homes)))
+// countsOwners is how many owners a key has by what this process knows of the fleet.
+func (c *Coordinator) countsOwners() int {
+	return min(ownersMost, max(len(c.roster), len(c.snapshot().Homes)))
 }
 
-func (c *Claims) keep(key string, r *record) {
+func (c *Coordinator) keep(key string, r *record) {
 	c.records[key] = r
 	c.order = append(c.order, key)
 	for len(c.order) > RecordsMost {
@@ -82,7 +82,7 @@
 	}
 }
 
-func (c *Claims) prune(now int64) {
+func (c *Coordinator) prune(now int64) {
 	for len(c.order) > 0 {
 		r := c.records[c.order[0]]
 		if r != nil && now-r.at < KeyLife {
--- a/claims/homes.go
+++ b/idempotency/owners.go
@@ -1,6 +1,6 @@
-// Which nodes are home to a key: all of them in a fleet of eleven or fewer, in a larger
+// Which nodes own a key: all of them in a fleet of eleven or fewer, in a larger
 // one the eleven of the highest rendezvous weight, over as many zones as there are.
-package claims
+package idempotency
 
 import (
 	"cmp"
@@ -11,12 +11,12 @@
 	"wallport/table"
 )
 
-// homesMost is odd, and at least the size of the fleets of today: where all nodes are
-// homes, no half of a split fleet has a majority of a key's homes beside the other.
-const homesMost = 11
+// ownersMost is odd, and at least the size of the fleets of today: where all nodes are
+// owners, no half of a split fleet has a majority of a key's owners beside the other.
+const ownersMost = 11
 
-// Homes lists a key's home nodes, the weightiest first.
-func Homes(key string, roster []table.Node) []table.Node {
+// Owners lists a key's owner nodes, the weightiest first.
+func Owners(key string, roster []table.Node) []table.Node {
 	type ranked struct {
 		w uint64
 		n table.Node
@@ -34,8 +34,8 @@
 		all = append(all, ranked{x, n})
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.w, a.w) })
-	want := min(homesMost, len(all))
-	// In each round a zone gives one home: so no zone has more than it must.
+	want := min(ownersMost, len(all))
+	// In each round a zone gives one owner: so no zone has more than it must.
 	out := make([]table.Node, 0, want)
 	taken := make([]bool, len(all))
 	for len(out) < want {
@@ -51,22 +51,22 @@
 	return out
 }
 
-func isHome(key, name string, roster []table.Node) bool {
-	if len(roster) > homesMost {
-		roster = Homes(key, roster)
+func isOwner(key, name string, roster []table.Node) bool {
+	if len(roster) > ownersMost {
+		roster = Owners(key, roster)
 	}
 	return slices.ContainsFunc(roster, func(n table.Node) bool { return n.Name == name })
 }
 
-// quorum is how many of so many homes let a key in; others is how many of them share
-// at least one home with every quorum there can have been.
-func quorum(homes int) int { return homes/2 + 1 }
-func others(homes int) int { return homes - quorum(homes) + 1 }
+// quorum is how many of so many owners let a key in; others is how many of them share
+// at least one owner with every quorum there can have been.
+func quorum(owners int) int       { return owners/2 + 1 }
+func intersecting(owners int) int { return owners - quorum(owners) + 1 }
 
 // minority tells that this node is not on the side of a split that may go on letting
 // keys in: the one with more than half of the nodes. Of two equal halves it is the one
 // that hears the owner of the configuration, which a majority of the cores follows.
-func (c *Claims) minority(cp *table.Checkpoint, now int64) bool {
+func (c *Coordinator) minority(cp *table.Checkpoint, now int64) bool {
 	votes := 2 * cp.Peers
 	if c.pulls.HearsOwner(state.Config, now) {
 		votes++
--- a/claims/seen.go
+++ b/idempotency/repeats.go
@@ -1,8 +1,8 @@
 // Repeats of searches and reads: they may run again, but what they add to a pool's
 // traffic is paid from its budget of extra tries, through whichever node they come.
-// One home of the key tells whether it was sent before. It is asked for a moment
+// One owner of the key tells whether it was sent before. It is asked for a moment
 // only: where it does not answer, the inquiry counts as a first try.
-package claims
+package idempotency
 
 import (
 	"fmt"
@@ -52,10 +52,10 @@
 	}
 }
 
-// seenHome is the address of the live home that is asked, empty for this process
+// seenOwner is the address of the live owner that is asked, empty for this process
 // itself; ok is false where none is live.
-func (c *Claims) seenHome(key string) (addr string, ok bool) {
-	for _, h := range Homes(key, c.snapshot().Homes) {
+func (c *Coordinator) seenOwner(key string) (addr string, ok bool) {
+	for _, h := range Owners(key, c.snapshot().Homes) {
 		if h.Origin == c.mesh.Self() {
 			return "", true
 		}
@@ -67,33 +67,33 @@
 }
 
 // askSeen asks whether a search or read was sent before.
-func (c *Claims) askSeen(t *kernel.Turn, id uint64, a Ask) {
-	addr, ok := c.seenHome(a.Key)
+func (c *Coordinator) askSeen(t *kernel.Turn, id uint64, a Admit) {
+	addr, ok := c.seenOwner(a.Key)
 	if !ok || addr == "" {
 		t.Answer(id, inquiry.Verdict{Code: "in", Repeat: ok && c.seen.add(a.Key, t.Now)})
 		return
 	}
 	c.next++
-	c.asks[c.next] = &asking{id: id, ask: a}
+	c.admissions[c.next] = &admission{id: id, ask: a}
 	t.SendTo(addr, wire.KindSeen, c.next, &wire.Seen{Key: a.Key})
-	t.After(SeenWait, "claims", fmt.Sprint(c.next))
+	t.After(SeenWait, "idempotency", fmt.Sprint(c.next))
 }
 
-func (c *Claims) seenReply(t *kernel.Turn, n uint64, m wire.SeenReply) {
-	w := c.asks[n]
-	if w == nil || !w.ask.Again || w.ask.Key != m.Key {
+func (c *Coordinator) seenReply(t *kernel.Turn, n uint64, m wire.SeenReply) {
+	pending := c.admissions[n]
+	if pending == nil || !pending.ask.Again || pending.ask.Key != m.Key {
 		return
 	}
-	delete(c.asks, n)
+	delete(c.admissions, n)
 	if m.Before {
 		t.Counts.Add("repeats_seen", 1)
 	}
-	t.Answer(w.id, inquiry.Verdict{Code: "in", Repeat: m.Before})
+	t.Answer(pending.id, inquiry.Verdict{Code: "in", Repeat: m.Before})
 }
 
 // unseen takes a key back that came to nothing.
-func (c *Claims) unseen(t *kernel.Turn, key string) {
-	if addr, ok := c.seenHome(key); ok && addr != "" {
+func (c *Coordinator) unseen(t *kernel.Turn, key string) {
+	if addr, ok := c.seenOwner(key); ok && addr != "" {
 		t.SendTo(addr, wire.KindSeen, 0, &wire.Seen{Key: key, Forget: true})
 		return
 	}
--- a/claims/roster_test.go
+++ b/idempotency/roster_test.go
@@ -1,6 +1,6 @@
-// Nodes that see different rosters: what a small one lets in, and what a home that lost its
+// Nodes that see different rosters: what a small one lets in, and what an owner that lost its
 // records may vouch for.
-package claims
+package idempotency
 
 import (
 	"fmt"
@@ -18,7 +18,7 @@
 // node is one process under test that has just started, and its clock.
 type node struct {
 	k   *kernel.Kernel
-	c   *Claims
+	c   *Coordinator
 	now int64
 }
 
@@ -28,7 +28,7 @@
 func newNode(t *testing.T) *node {
 	t.Helper()
 	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1", Name: "a", Seeds: []string{"10.0.0.2:1"}}, Role: "node", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32))})
-	n := &node{k: k, c: kernel.Find[*Claims](k), now: 1_000_000}
+	n := &node{k: k, c: kernel.Find[*Coordinator](k), now: 1_000_000}
 	n.step(kernel.Start{})
 	n.step(kernel.Tick{Plugin: "table", Key: "build"})
 	must.Len(t, 1, n.c.table.Now().Homes)
@@ -55,15 +55,15 @@
 // self is the node under test as its roster has it.
 func (n *node) self() table.Node { return n.c.table.Now().Homes[0] }
 
-// ask begins a claim, by a caller's first try, at the node under test and other homes, and returns its number.
+// ask begins a claim, by a caller's first try, at the node under test and other owners, and returns its number.
 func (n *node) ask(t *testing.T, others []table.Node) uint64 {
 	t.Helper()
-	n.step(kernel.Call{Plugin: "claims", ID: 1, Ask: Ask{Key: "k", Sum: 5, First: true, Within: 5_000_000}})
-	must.MapLen(t, 1, n.c.asks)
-	for id, w := range n.c.asks {
-		w.homes = append([]table.Node{n.self()}, others...)
+	n.step(kernel.Call{Plugin: "idempotency", ID: 1, Ask: Admit{Key: "k", Sum: 5, First: true, Within: 5_000_000}})
+	must.MapLen(t, 1, n.c.admissions)
+	for id, w := range n.c.admissions {
+		w.owners = append([]table.Node{n.self()}, others...)
 		n.now += AskEvery
-		must.SliceEmpty(t, n.tick(id).Answers, must.Sprint("one of several homes let it in"))
+		must.SliceEmpty(t, n.tick(id).Answers, must.Sprint("one of several owners let it in"))
 		return id
 	}
 	return 0
@@ -71,7 +71,7 @@
 
 // tick is the timer of a claim.
 func (n *node) tick(id uint64) kernel.Out {
-	return n.step(kernel.Tick{Plugin: "claims", Key: fmt.Sprint(id)})
+	return n.step(kernel.Tick{Plugin: "idempotency", Key: fmt.Sprint(id)})
 }
 
 func verdict(t *testing.T, out kernel.Out) inquiry.Verdict {
@@ -82,40 +82,40 @@
 
 // A node that has just started may see two others of eight. What those two and itself let in
 // another node, that asks the other five, could let in too.
-func TestMajorityIsOfTheGreatestRosterAmongTheHomesThatLetIn(t *testing.T) {
+func TestMajorityIsOfTheGreatestRosterAmongTheOwnersThatLetIn(t *testing.T) {
 	for _, c := range []struct {
 		counted int
 		in      bool
 	}{{counted: 3, in: true}, {counted: 5, in: true}, {counted: 6, in: false}, {counted: 8, in: false}} {
 		t.Run(fmt.Sprint(c.counted), func(t *testing.T) {
 			n := newNode(t)
-			homes := otherNodes(2)
-			id := n.ask(t, homes)
-			n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: homes[0].Name, From: homes[0].Origin, Code: "in", Homes: c.counted})
-			out := n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: homes[1].Name, From: homes[1].Origin, Code: "in", Homes: c.counted})
+			owners := otherNodes(2)
+			id := n.ask(t, owners)
+			n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: owners[0].Name, From: owners[0].Origin, Code: "in", Homes: c.counted})
+			out := n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: owners[1].Name, From: owners[1].Origin, Code: "in", Homes: c.counted})
 			if c.in {
 				must.Eq(t, "in", verdict(t, out).Code)
 				return
 			}
-			must.SliceEmpty(t, out.Answers, must.Sprint("three of more homes are no majority"))
+			must.SliceEmpty(t, out.Answers, must.Sprint("three of more owners are no majority"))
 			n.now += GiveUp
 			must.Eq(t, "short", verdict(t, n.tick(id)).Code)
 		})
 	}
 }
 
-// Homes that see a larger roster are not needed where those that see a smaller one are a majority of it.
-func TestHomeWithALargerRosterDoesNotHoldUpAMajorityWithoutIt(t *testing.T) {
+// Owners that see a larger roster are not needed where those that see a smaller one are a majority of it.
+func TestOwnerWithALargerRosterDoesNotHoldUpAMajorityWithoutIt(t *testing.T) {
 	n := newNode(t)
-	homes := otherNodes(2)
-	id := n.ask(t, homes)
-	n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: homes[0].Name, From: homes[0].Origin, Code: "in", Homes: 9})
-	out := n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: homes[1].Name, From: homes[1].Origin, Code: "in", Homes: 3})
+	owners := otherNodes(2)
+	id := n.ask(t, owners)
+	n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: owners[0].Name, From: owners[0].Origin, Code: "in", Homes: 9})
+	out := n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: owners[1].Name, From: owners[1].Origin, Code: "in", Homes: 3})
 	must.Eq(t, "in", verdict(t, out).Code)
 }
 
-// A home says how many homes it counts.
-func TestHomeTellsHowManyHomesItCounts(t *testing.T) {
+// An owner says how many owners it counts.
+func TestOwnerTellsHowManyOwnersItCounts(t *testing.T) {
 	n := newNode(t)
 	n.c.roster = append([]table.Node{n.self()}, otherNodes(7)...)
 	out := n.receive(wire.KindClaim, 3, &wire.Claim{Key: "k", From: "p#1"})
@@ -128,8 +128,8 @@
 }
 
 // What is handed over to a node that the sender does not count yet would miss what it lets in
-// afterwards, as one of the fewer homes that it counts.
-func TestRecordsAreHandedOverOnlyToAHomeThatIsCounted(t *testing.T) {
+// afterwards, as one of the fewer owners that it counts.
+func TestRecordsAreHandedOverOnlyToAnOwnerThatIsCounted(t *testing.T) {
 	n := newNode(t)
 	n.c.epochs = nil
 	n.c.roster = append([]table.Node{n.self()}, otherNodes(2)...)
@@ -139,37 +139,37 @@
 	must.Len(t, 1, n.receive(wire.KindHandOver, 0, ask).Sends)
 }
 
-// A home that lost its records and sees two others of eight needs as many of them to hand over
+// An owner that lost its records and sees two others of eight needs as many of them to hand over
 // as share one with every majority of eight.
-func TestHomeIsSureOnlyOnceEnoughOfTheGreatestRosterHandedOver(t *testing.T) {
+func TestOwnerIsSureOnlyOnceEnoughOfTheGreatestRosterHandedOver(t *testing.T) {
 	n := newNode(t)
 	all := otherNodes(7)
 	n.c.roster = append([]table.Node{n.self()}, all[:2]...)
-	n.c.forgot(&kernel.Turn{Now: n.now})
+	n.c.loseRecords(&kernel.Turn{Now: n.now})
 	lost := n.c.epochs[0]
 	for i, o := range all[:4] {
-		must.False(t, n.c.knows("k", "index", n.now), must.Sprintf("%d of seven others", i))
+		must.False(t, n.c.canVouch("k", "index", n.now), must.Sprintf("%d of seven others", i))
 		if i == 2 {
 			n.c.roster = append([]table.Node{n.self()}, all...)
 		}
 		n.receive(wire.KindHanded, 0, &wire.Handed{N: lost.n, Name: o.Name, All: true, Homes: 8})
 	}
-	must.True(t, n.c.knows("k", "index", n.now), must.Sprint("four of seven others"))
+	must.True(t, n.c.canVouch("k", "index", n.now), must.Sprint("four of seven others"))
 }
 
-// A claim that came while the home could not vouch for the key hides none that was let in before.
-func TestRecordOfAnUnsureHomeHidesNoneThatIsHandedOver(t *testing.T) {
+// A claim that came while the owner could not vouch for the key hides none that was let in before.
+func TestRecordOfAnUnsureOwnerHidesNoneThatIsHandedOver(t *testing.T) {
 	n := newNode(t)
 	n.c.roster = append([]table.Node{n.self()}, otherNodes(2)...)
-	n.c.forgot(&kernel.Turn{Now: n.now})
+	n.c.loseRecords(&kernel.Turn{Now: n.now})
 	lost := n.c.epochs[0]
 	claim := wire.Claim{Key: "k", From: "later#1", Sum: 5}
-	must.Eq(t, "unsure", n.c.claim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
+	must.Eq(t, "unsure", n.c.answerClaim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
 	for _, o := range otherNodes(2) {
 		n.receive(wire.KindHanded, 0, &wire.Handed{N: lost.n, Name: o.Name, All: true, Records: []wire.Settle{{Key: "k", Code: "running", Status: 5, Body: []byte("earlier#1")}}})
 	}
-	must.Eq(t, "running", n.c.claim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
+	must.Eq(t, "running", n.c.answerClaim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
 	// The one's release is not the other's.
 	n.receive(wire.KindSettle, 0, &wire.Settle{Key: "k", Code: "released", Body: []byte("later#1")})
-	must.Eq(t, "running", n.c.claim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
+	must.Eq(t, "running", n.c.answerClaim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
 }
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -17,10 +17,10 @@
 	"go.uber.org/zap"
 
 	// The plug-ins register themselves.
-	_ "wallport/claims"
 	_ "wallport/conditions"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/idempotency"
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
--- a/lab/sim/front.go
+++ b/lab/sim/front.go
@@ -5,7 +5,7 @@
 import (
 	"slices"
 
-	"wallport/claims"
+	"wallport/idempotency"
 	"wallport/inquiry"
 )
 
@@ -85,7 +85,7 @@
 			}
 		})
 	case inquiry.Claim:
-		p.call("claims", claims.Ask{Key: v.Key, Index: v.Index, Sum: v.Sum, First: v.First, Within: v.Within, Again: v.Again}, func(ans any) {
+		p.call("idempotency", idempotency.Admit{Key: v.Key, Index: v.Index, Sum: v.Sum, First: v.First, Within: v.Within, Again: v.Again}, func(ans any) {
 			if s, in := inquiry.LateClaim(v.Key, ans.(inquiry.Verdict)); in && !f.runs[r] {
 				f.act(r, s)
 				return
@@ -93,7 +93,7 @@
 			f.step(r, inquiry.Claimed{Verdict: ans.(inquiry.Verdict)})
 		})
 	case inquiry.Settle:
-		p.call("claims", claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Tried: v.Tried, Outcome: v.Outcome}, nil)
+		p.call("idempotency", idempotency.Settle{Key: v.Key, Code: v.Code, Token: v.Token, Tried: v.Tried, Outcome: v.Outcome}, nil)
 	case inquiry.Finish:
 		delete(f.runs, r)
 		f.list = slices.DeleteFunc(f.list, func(o *run) bool { return o == r })
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -5,10 +5,10 @@
 import (
 	"fmt"
 
-	_ "wallport/claims"
 	_ "wallport/conditions"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/idempotency"
 	"wallport/inquiry"
 	"wallport/kernel"
 	_ "wallport/listing"
--- a/serve/run.go
+++ b/serve/run.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"wallport/claims"
+	"wallport/idempotency"
 	"wallport/inquiry"
 	"wallport/kernel"
 	"wallport/process"
@@ -103,7 +103,7 @@
 }
 
 func (r *run) settle(v inquiry.Settle) {
-	r.f.p.Post(kernel.Call{Plugin: "claims", Ask: claims.Tell{Key: v.Key, Code: v.Code, Token: v.Token, Tried: v.Tried, Outcome: v.Outcome}})
+	r.f.p.Post(kernel.Call{Plugin: "idempotency", Ask: idempotency.Settle{Key: v.Key, Code: v.Code, Token: v.Token, Tried: v.Tried, Outcome: v.Outcome}})
 }
 
 func (r *run) loop() inquiry.Outcome {
@@ -143,7 +143,7 @@
 func (r *run) claim(c inquiry.Claim) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	v, err := r.f.p.Call(ctx, "claims", claims.Ask{Key: c.Key, Index: c.Index, Sum: c.Sum, First: c.First, Within: c.Within, Again: c.Again})
+	v, err := r.f.p.Call(ctx, "idempotency", idempotency.Admit{Key: c.Key, Index: c.Index, Sum: c.Sum, First: c.First, Within: c.Within, Again: c.Again})
 	verdict, ok := v.(inquiry.Verdict)
 	if err != nil || !ok {
 		verdict = inquiry.Verdict{Code: "short"}
