Idempotency: a majority that was lost while slow owners are waited for admits nothing

Cause: once a majority had let a key in, the claim was decided 40 ms later without another look. An owner that restarts in between answers that it can't be sure, and owners learned of meanwhile ask for a larger majority. It is looked at again when it is decided. Seen failing before: TestMajorityThatIsLostWhileSlowOwnersAreWaitedForAdmitsNothing ('two of five: len 1').

--- a/idempotency/admission.go
+++ b/idempotency/admission.go
@@ -96,15 +96,16 @@
 	if len(pending.owners) == 0 {
 		return
 	}
-	enough := pending.majority(pending.ask.First)
 	switch {
-	case enough && len(pending.replies) == len(pending.owners):
-	case pending.decideAt > 0 && t.Now >= pending.decideAt:
-	case enough && pending.decideAt == 0:
+	case !pending.majority(pending.ask.First):
+		// An owner that let it in may have lost it since, or the roster have grown.
+		return
+	case len(pending.replies) == len(pending.owners):
+	case pending.decideAt == 0:
 		pending.decideAt = t.Now + LastWait
 		t.After(LastWait, "idempotency", fmt.Sprint(n))
 		return
-	default:
+	case t.Now < pending.decideAt:
 		return
 	}
 	c.end(t, n, inquiry.Verdict{Code: "in", Token: c.token(n), Repeat: pending.tried})
--- a/idempotency/roster_test.go
+++ b/idempotency/roster_test.go
@@ -114,6 +114,23 @@
 	must.Eq(t, "in", verdict(t, out).Code)
 }
 
+// An owner that let the claim in may have lost it before the claim is decided.
+func TestMajorityThatIsLostWhileSlowOwnersAreWaitedForAdmitsNothing(t *testing.T) {
+	n := newNode(t)
+	owners := otherNodes(4)
+	id := n.ask(t, owners)
+	n.c.admissions[id].ask.First = false
+	for _, o := range owners[:3] {
+		out := n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: o.Name, From: o.Origin, Code: "in"})
+		must.SliceEmpty(t, out.Answers)
+	}
+	must.Positive(t, n.c.admissions[id].decideAt, must.Sprint("three of five: the others are waited for"))
+	n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: owners[0].Name, From: "a new process", Code: "unsure"})
+	n.now += LastWait
+	must.SliceEmpty(t, n.tick(id).Answers, must.Sprint("two of five"))
+	must.Eq(t, "in", verdict(t, n.receive(wire.KindClaimReply, id, &wire.ClaimReply{Key: "k", Name: owners[3].Name, From: owners[3].Origin, Code: "in"})).Code)
+}
+
 // An owner says how many owners it counts.
 func TestOwnerTellsHowManyOwnersItCounts(t *testing.T) {
 	n := newNode(t)
