Serve: the test of net/http's repeats goes over a kept connection again

Cause: TestNoTransparentRetry's first answer was none, and since such an answer gives its connection up, the second request went on a new one, where net/http repeats nothing. The first answer is good now, and the test checks that both requests came over one connection.

--- a/serve/ask_test.go
+++ b/serve/ask_test.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -29,10 +31,17 @@
 // kept connection that the server closes after it has read the next message.
 func TestNoTransparentRetry(t *testing.T) {
 	var ran atomic.Int64
+	var peers sync.Map
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var m Message
+		json.NewDecoder(r.Body).Decode(&m)
 		io.ReadAll(r.Body)
+		peers.Store(r.RemoteAddr, true)
 		if ran.Add(1) == 1 {
-			w.Write([]byte("{}"))
+			// A good answer: after another kind the connection would not be used again.
+			body, _ := json.Marshal(inquiry.Sealed{Inquiry: m.Inquiry, Cut: m.Cut, Shard: m.Shard, Records: []inquiry.Record{{ID: m.Record}}})
+			w.Header().Set("Content-Digest", inquiry.Digest(body))
+			w.Write(body)
 			return
 		}
 		c, _, err := http.NewResponseController(w).Hijack()
@@ -43,9 +52,12 @@
 	defer srv.Close()
 	a := newAsker()
 	addr := srv.Listener.Addr().String()
-	must.Eq(t, inquiry.ReplyGarbage, a.ask(context.Background(), correction(addr)).Class)
+	must.Eq(t, inquiry.ReplyOK, a.ask(context.Background(), correction(addr)).Class)
 	must.Eq(t, inquiry.ReplyFailed, a.ask(context.Background(), correction(addr)).Class)
 	must.Eq(t, 2, ran.Load(), must.Sprint("the second was written exactly once"))
+	connections := 0
+	peers.Range(func(any, any) bool { connections++; return true })
+	must.Eq(t, 1, connections, must.Sprint("on the connection of the first"))
 }
 
 func TestNotWrittenOnlyWithoutAConnection(t *testing.T) {
