--- a/replica/follower.go
+++ b/replica/follower.go
@@ -90,7 +90,7 @@
 }
 
 func (g *Group) handleHeartbeat(t *kernel.Turn, ch, id uint64, b wire.Beat) {
-	r := wire.BeatReply{Part: g.part, Term: g.votedTerm, From: g.self(), Round: b.Round, Held: g.accepted.Stamp, Wall: t.Wall, Sick: g.s.diskProblem != ""}
+	r := wire.BeatReply{Part: g.part, Term: g.votedTerm, From: g.self(), Round: b.Round, Held: g.accepted.Stamp, Wall: t.Wall, Clock: g.s.clock(t.Now), Sick: g.s.diskProblem != ""}
 	if b.Term < g.votedTerm || g.s.diskDamaged {
 		t.Send(ch, wire.KindBeatReply, id, &r)
 		return
@@ -105,6 +105,7 @@
 	}
 	g.follow(t, b.From, b.Term)
 	g.votedTerm = b.Term
+	g.contact.proven(b.ContactAt-g.s.clockOrigin, t.Now, b.Committed)
 	r.OK, r.Term = true, b.Term
 	if b.Committed == g.accepted.Stamp {
 		g.commit(t, g.accepted)
--- a/replica/group.go
+++ b/replica/group.go
@@ -101,13 +101,16 @@
 	successors      map[string]wire.Seat
 	caughtUpAt      map[string]int64
 	clockOffsets    map[string]int64
-	quorumAt        int64
-	leaderSince     int64
-	clockAt         int64
-	ready           bool
-	transferring    bool
-	leases          map[string]*lease
-	leaseCount      uint64
+	contact         contact
+	relayedAt       int64
+	// contactLost is that a leader's loss of contact is logged.
+	contactLost  bool
+	leaderSince  int64
+	clockAt      int64
+	ready        bool
+	transferring bool
+	leases       map[string]*lease
+	leaseCount   uint64
 
 	// change is the change of membership whose learners are catching up, if there is one.
 	change          *memberChange
--- a/replica/leases.go
+++ b/replica/leases.go
@@ -1,6 +1,8 @@
-// Duties that one node does at a time: a leader leases them for a short while
-// and renews; a holder that gives one up names its successor. A new leader
-// leases nothing until every lease of its predecessor has run out.
+// Leases of the tasks that one node does at a time. A leader grants a lease for a short while from
+// the sending of the last heartbeat round that a majority answered: some voter of any later
+// leader's majority answered that round before it voted, so the lease ends before a later leader
+// has been in office for as long, and until then that one grants nothing. A holder counts a lease
+// from when it asked, and one that gives it up names its successor.
 package replica
 
 import (
@@ -10,7 +12,7 @@
 	"wallport/wire"
 )
 
-// HoldFor is how long a lease lasts.
+// LeaseDuration is how long a lease lasts at most.
 const LeaseDuration = 800_000
 
 type lease struct {
@@ -20,23 +22,19 @@
 }
 
 func (g *Group) renewLease(t *kernel.Turn, ch, id uint64, h wire.Hold) {
-	if g.role != leader || !g.ready || g.transferring {
+	until := g.contact.confirmedAt + LeaseDuration
+	if g.role != leader || !g.ready || g.transferring || until <= t.Now {
 		t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty})
 		return
 	}
 	gr := g.leases[h.Duty]
 	if gr == nil {
-		gr = &lease{until: t.Now + LeaseDuration}
+		// Whatever a predecessor granted has ended by then.
+		gr = &lease{until: g.leaderSince + LeaseDuration}
 		g.leases[h.Duty] = gr
 	}
 	if h.Drop {
-		if gr.holder == h.From {
-			g.leaseCount++
-			*gr = lease{until: t.Now, turn: g.term<<24 | g.leaseCount}
-			if h.Next != "" {
-				gr.holder, gr.until = h.Next, t.Now+LeaseDuration
-			}
-		}
+		g.dropLease(t, gr, h, until)
 		return
 	}
 	if t.Now >= gr.until && gr.holder != h.From {
@@ -44,11 +42,23 @@
 		gr.holder, gr.turn = h.From, g.term<<24|g.leaseCount
 	}
 	if gr.holder == h.From {
-		gr.until = t.Now + LeaseDuration
+		gr.until = max(gr.until, until)
 	}
 	t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty, Holder: gr.holder, For: gr.until - t.Now, Turn: gr.turn})
 }
 
+// dropLease ends a lease that its holder gives up. One that it got since is not meant.
+func (g *Group) dropLease(t *kernel.Turn, gr *lease, h wire.Hold, until int64) {
+	if gr.holder != h.From || h.Turn != 0 && h.Turn != gr.turn {
+		return
+	}
+	g.leaseCount++
+	*gr = lease{until: t.Now, turn: g.term<<24 | g.leaseCount}
+	if h.Next != "" {
+		gr.holder, gr.until = h.Next, until
+	}
+}
+
 func (g *Group) leaseHolders(t *kernel.Turn) map[string]string {
 	out := map[string]string{}
 	for d, gr := range g.leases {
--- a/replica/route.go
+++ b/replica/route.go
@@ -6,6 +6,7 @@
 
 	"wallport/kernel"
 	"wallport/mesh"
+	"wallport/pulls"
 	"wallport/wire"
 )
 
@@ -29,6 +30,8 @@
 		}
 	case kernel.Message:
 		s.message(t, v)
+	case pulls.Pulled:
+		s.relay(v)
 	case Committed:
 		s.mesh.AnnouncePart(t, v.Stamped)
 		if v.Stamped.Stamp.Part == 0 {
@@ -143,10 +146,11 @@
 			// A core that has no replica here hands on what the mesh brought it.
 			v = m
 		}
+		g.tellContact(t.Now, v.Stamp, &r)
 		if st, ok := have[g.part]; v.Stamp.Term > 0 && (!ok || mesh.Newer(v.Stamp, st)) {
 			r.Stamped = append(r.Stamped, wire.Stamped{Stamp: v.Stamp, Body: v.Body})
 		}
-		if g.leader != "" && (g.role == leader || t.Now-g.leaderSeen < StepDownAfter) {
+		if g.leader != "" && g.followsLeader(t.Now) {
 			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.votedTerm, Seat: g.leader, Addr: g.s.addressOf(g.leader, t.Now)})
 		}
 	}
--- a/table/table.go
+++ b/table/table.go
@@ -15,27 +15,34 @@
 	"wallport/wire"
 )
 
-// BuildWithin is how long a change other than a part's may wait for the next checkpoint.
-const BuildWithin = 25_000
+// BuildWithin is how long a change other than a part's may wait for the next checkpoint, and
+// BuildEvery the least time between two checkpoints that are built for such changes alone.
+const (
+	BuildWithin = 25_000
+	BuildEvery  = 100_000
+)
 
 // Table is the plug-in.
 type Table struct {
-	k       *kernel.Kernel
-	mesh    *mesh.Mesh
-	members *members.Members
-	usage   *usage.Usage
-	Gauges  *Gauges
-	now     atomic.Pointer[Checkpoint]
-	armed   bool
-	alive   uint64
-	config  config
-	listing wire.Listing
-	from    string
-	count   uint64
-	left    map[string]int64
-	births  map[string]birth
-	liveAt  map[string]int64
-	absent  map[string]int64
+	k        *kernel.Kernel
+	mesh     *mesh.Mesh
+	members  *members.Members
+	usage    *usage.Usage
+	pulls    *pulls.Pulls
+	Gauges   *Gauges
+	now      atomic.Pointer[Checkpoint]
+	armed    bool
+	builtAt  int64
+	alive    uint64
+	config   config
+	listing  wire.Listing
+	from     string
+	count    uint64
+	left     map[string]int64
+	births   map[string]birth
+	liveAt   map[string]int64
+	absent   map[string]int64
+	opinions opinions
 	// cuts are those that this node serves from.
 	cuts  map[string]wire.LiveCut
 	stale stale
@@ -56,7 +63,7 @@
 	kernel.Register(kernel.Registration{Rank: 60, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Table{
 			k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), usage: kernel.Find[*usage.Usage](k),
-			Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{}, cuts: map[string]wire.LiveCut{},
+			pulls: kernel.Find[*pulls.Pulls](k), Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{}, opinions: opinions{}, cuts: map[string]wire.LiveCut{},
 		}
 	}})
 }
@@ -74,8 +81,13 @@
 func (b *Table) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
+		t.After(pulls.UnconfirmedAfter, "table", awaitKey)
 		b.build(t)
 	case kernel.Tick:
+		if v.Key == awaitKey {
+			b.await(t)
+			return
+		}
 		b.armed = b.armed && v.Key != "build"
 		b.build(t)
 	case kernel.Thawed:
@@ -85,7 +97,7 @@
 	case mesh.CaughtUp:
 		b.heard(t, func(s *stale) { s.mesh = true })
 	case pulls.Pulled:
-		b.heard(t, func(s *stale) { s.pulled = true })
+		b.pulled(t, v)
 	case kernel.Stopping:
 		b.build(t)
 	case mesh.Pulse:
@@ -94,6 +106,7 @@
 		}
 	case mesh.Forgotten:
 		delete(b.liveAt, v.Origin)
+		b.opinions.forget(v.Origin)
 		b.soon(t)
 		b.inherit(t, v.Origin)
 	case mesh.Stored:
@@ -102,7 +115,10 @@
 			b.build(t)
 		case "listing":
 			b.list(t, v)
-		case "member", "opinion":
+		case "opinion":
+			b.opinions.take(v)
+			b.soon(t)
+		case "member":
 			b.soon(t)
 		}
 	}
@@ -112,7 +128,7 @@
 func (b *Table) soon(t *kernel.Turn) {
 	if !b.armed {
 		b.armed = true
-		t.After(BuildWithin, "table", "build")
+		t.After(max(BuildWithin, b.builtAt+BuildEvery-t.Now), "table", "build")
 	}
 }
 
@@ -126,6 +142,18 @@
 	}
 }
 
+// pulled notes that a core answered a pull: what a process serves from that has just started, or was
+// thawed, needs an answer of a core in contact with a majority.
+func (b *Table) pulled(t *kernel.Turn, v pulls.Pulled) {
+	if v.Confirmed == 0 {
+		return
+	}
+	b.heard(t, func(s *stale) { s.pulled = true })
+	if !b.now.Load().Whole {
+		b.build(t)
+	}
+}
+
 // list takes a reading of the platform's list, unless an older holder made it.
 func (b *Table) list(t *kernel.Turn, v mesh.Stored) {
 	var l wire.Listing
@@ -176,7 +204,7 @@
 	}
 	c.Roster = b.roster(t)
 	c.Homes = homes(c.Roster)
-	c.Peers = len(b.members.Live(t.Now, "node"))
+	c.Peers = b.members.Count(t.Now, "node")
 	c.Servers = b.judge(t, c)
 	if c.Sheet != nil {
 		for _, s := range c.Sheet.Services {
@@ -184,8 +212,10 @@
 		}
 	}
 	b.pools(c)
-	c.Whole = b.whole(c)
+	c.Whole = b.whole(t, c)
+	b.noteUnconfirmed(t, c)
 	b.now.Store(c)
+	b.builtAt = t.Now
 	t.Emit(Built{})
 }
 
