Process: one reading of the clocks an input; mesh: reach over pointers, looked at less often

Cause: each frame cost five readings of the clock, one setting of a timer and one of a deadline; each handshake a hybrid key exchange and tickets that nobody uses; links that came in a storm had reach worked out fifty times a second over maps of names.

Now: an input reads the clocks once (a freeze is noticed at that reading, before anything else, as before), the timer is set only where nothing waits, timers that are due run after the input that found them so; the handshake is X25519 without tickets; reach marks origins in place and runs at most every 60 ms for links that came, at once for the own ones.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -79,6 +79,8 @@
 	// turn counts the changes of who is reached.
 	turn       uint64
 	reachArmed bool
+	reachAt    int64
+	reachTurn  uint64
 	// old is that a process of the release before is there.
 	old bool
 	// caught is that this process has once had all that a peer had, since its start or thaw.
--- a/mesh/reach.go
+++ b/mesh/reach.go
@@ -15,6 +15,8 @@
 const (
 	// ReachWithin is how long links that came wait for others before they are looked at.
 	ReachWithin = 20_000
+	// ReachEvery is the least time between two lookings at links that came.
+	ReachEvery = 60_000
 	// SuspectFor is how long one that fell silent has to say that it is there.
 	SuspectFor = 1_000_000
 	// LinksMost bounds the links that one process may tell of.
@@ -26,6 +28,8 @@
 	row     *wire.Member
 	links   []string
 	reached bool
+	// foundAt is the turn of reaching in which it was found last.
+	foundAt uint64
 	// liveAt is when it was last known to be there.
 	liveAt int64
 	// suspect is the count that it must pass since it fell silent; 0 is that it did not.
@@ -41,38 +45,38 @@
 func (m *Mesh) reachSoon(t *kernel.Turn) {
 	if !m.reachArmed {
 		m.reachArmed = true
-		t.After(ReachWithin, "mesh", "reach")
+		t.After(max(ReachWithin, m.reachAt+ReachEvery-t.Now), "mesh", "reach")
 	}
 }
 
 // reach works out who is reached from here, and tells the process's other plug-ins if that changed.
 func (m *Mesh) reach(t *kernel.Turn) {
-	found := map[string]bool{m.self: true}
-	todo := make([]string, 0, len(m.links.now))
+	m.reachAt = t.Now
+	m.reachTurn++
+	todo := make([]*origin, 0, len(m.store.origins))
+	find := func(o *origin) {
+		if o != nil && o.foundAt != m.reachTurn {
+			o.foundAt = m.reachTurn
+			todo = append(todo, o)
+		}
+	}
+	m.store.origins[m.self].foundAt = m.reachTurn
 	for _, fp := range m.links.now {
-		found[fp] = true
-		todo = append(todo, fp)
+		find(m.store.origins[fp])
 	}
-	for len(todo) > 0 {
-		from := todo[0]
-		todo = todo[1:]
-		o := m.store.origins[from]
-		if o == nil {
-			continue
-		}
-		for _, fp := range o.links {
+	for at := 0; at < len(todo); at++ {
+		from := todo[at]
+		for _, fp := range from.links {
 			q := m.store.origins[fp]
-			if found[fp] || q == nil || !slices.Contains(q.links, from) || q.silent(t.Now) {
-				continue
+			if q != nil && q.foundAt != m.reachTurn && slices.Contains(q.links, from.fp) && !q.silent(t.Now) {
+				find(q)
 			}
-			found[fp] = true
-			todo = append(todo, fp)
 		}
 	}
 	changed, n := false, int64(0)
-	for fp, o := range m.store.origins {
+	for _, o := range m.store.origins {
 		was := o.reached
-		if o.reached = found[fp]; o.reached {
+		if o.reached = o.foundAt == m.reachTurn; o.reached {
 			n++
 			o.liveAt = t.Now
 		}
--- a/process/channel.go
+++ b/process/channel.go
@@ -121,7 +121,9 @@
 func (ch *channel) read() {
 	r := bufio.NewReaderSize(ch.conn, 32<<10)
 	for {
-		ch.conn.SetReadDeadline(time.Now().Add(readWithin))
+		if r.Buffered() == 0 {
+			ch.conn.SetReadDeadline(time.Now().Add(readWithin))
+		}
 		b, err := wire.ReadFrom(r)
 		if err != nil {
 			if errors.Is(err, wire.ErrOversize) {
--- a/process/channels.go
+++ b/process/channels.go
@@ -57,6 +57,8 @@
 			// Keys name processes here; there is no authority above them. The handshake
 			// still proves that the other side holds the key it shows.
 			InsecureSkipVerify: true, ClientAuth: tls.RequireAnyClientCert,
+			// Many handshakes come at once when many processes start: one key exchange, no tickets.
+			CurvePreferences: []tls.CurveID{tls.X25519}, SessionTicketsDisabled: true,
 		},
 	}
 	n := p.Kernel.Counts
--- a/process/loop.go
+++ b/process/loop.go
@@ -137,51 +137,8 @@
 
 type do struct{ f func(now int64) }
 
-func (p *Process) run() {
-	defer p.stopped.Done()
-	p.step(kernel.Start{})
-	wait := time.NewTimer(0)
-	for {
-		d := time.Hour
-		if len(p.timers) > 0 {
-			d = time.Duration(p.timers[0].At-p.Now()) * time.Microsecond
-		}
-		wait.Reset(max(d, 0))
-		select {
-		case in := <-p.inbox:
-			p.wake()
-			if f, ok := in.(do); ok {
-				f.f(p.Now())
-				continue
-			}
-			p.step(in)
-		case <-wait.C:
-			p.wake()
-			for len(p.timers) > 0 && p.timers[0].At <= p.Now() {
-				t := heap.Pop(&p.timers).(kernel.Timer)
-				p.step(kernel.Tick{Plugin: t.Plugin, Key: t.Key})
-			}
-		case <-p.stop:
-			return
-		}
-	}
-}
-
-// wake notices that the process did not run for a while, before anything else is done.
-func (p *Process) wake() {
-	now := p.Now()
-	if gap := now - p.lastRun.Load(); gap > FreezeGap {
-		p.thaws.Add(1)
-		p.Kernel.Counts.Add("thaws", 1)
-		p.Log.Warn("thawed", zap.Int64("gap_us", gap))
-		p.lastRun.Store(now)
-		p.step(kernel.Thawed{Gap: gap})
-	}
-	p.lastRun.Store(now)
-}
-
-func (p *Process) step(in kernel.Input) {
-	out := p.Kernel.Step(p.Now(), time.Now().UnixMicro(), in)
+func (p *Process) step(at clocks, in kernel.Input) {
+	out := p.Kernel.Step(at.now, at.wall, in)
 	for _, n := range out.Notes {
 		p.note(n)
 	}
@@ -234,16 +191,3 @@
 	p.channels.close()
 	p.disk.close()
 }
-
-type timerHeap []kernel.Timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].At < h[j].At }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timerHeap) Push(x any)        { *h = append(*h, x.(kernel.Timer)) }
-func (h *timerHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
-}
