Mesh: catching up asks again soon, not at once; rows told once at a start; tables copy no rows

A process that lacks something asked its peer again as soon as an answer came, as long as anything had come from that peer, be it by the flood, and in a flood that is always so. At the start each process told its row four times and, as long as it knew nobody, took itself for the first of its zone and built bridges.

Now: only what came by catching up has a peer asked again, 60 ms after the last asking; versions in force are told once in the first second and after that not more often than 15 ms for each member, 2 s at most; bridges wait 3 s where a link is there. The roster and who is live are read from the members in place.

Ruled out: nothing of a test was eased; TestLateProcessCatchesUp holds its 4 s.

--- a/members/members.go
+++ b/members/members.go
@@ -41,12 +41,15 @@
 }
 
 // tellEvery is the least time between two tellings of this process's row. Where only the versions
-// in force changed, it is that for each inForceShare members that there are, up to inForceMost:
+// in force changed it grows with the fleet, by inForceEach for each member up to inForceMost:
 // all members tell of a version at about the same time, each to all.
 const (
-	tellEvery    = 200_000
-	inForceShare = 16
-	inForceMost  = 1_000_000
+	tellEvery   = 200_000
+	inForceEach = 15_000
+	inForceMost = 2_000_000
+	// settleFor is how long after its start a process waits as long: it hears of several
+	// versions then, and does not know yet how many members there are.
+	settleFor = 1_000_000
 )
 
 // PeakFor is how long a larger fleet's size still divides what is shared out.
@@ -115,9 +118,9 @@
 	if !m.dirty {
 		return
 	}
-	at := m.told + m.pause()
+	at := m.told + m.pause(t.Now)
 	switch {
-	case m.told == 0 || at <= t.Now:
+	case at <= t.Now:
 		m.tell(t)
 	case m.due == 0 || at < m.due:
 		m.due = at
@@ -126,13 +129,16 @@
 }
 
 // pause is how long to wait between two tellings for what changed.
-func (m *Members) pause() int64 {
+func (m *Members) pause(now int64) int64 {
 	was, is := m.toldRow, m.self
 	was.InForce, is.InForce = nil, nil
 	if !bytes.Equal(wire.Encode(&was), wire.Encode(&is)) {
 		return tellEvery
 	}
-	return min(inForceMost, tellEvery*int64(max(1, len(m.rows)/inForceShare)))
+	if now-m.started < settleFor {
+		return settleFor
+	}
+	return min(inForceMost, max(tellEvery, inForceEach*int64(len(m.rows))))
 }
 
 // SelfRow is what this process tells of itself.
@@ -169,6 +175,13 @@
 	return m.order
 }
 
+// Each visits the members, by name. The rows are not to be changed.
+func (m *Members) Each(now int64, visit func(origin string, row *wire.Member, live bool)) {
+	for _, fp := range m.sorted() {
+		visit(fp, m.rows[fp], m.mesh.Live(fp, now))
+	}
+}
+
 // Live lists the live members of a role.
 func (m *Members) Live(now int64, role string) []Row {
 	var out []Row
--- a/mesh/digest.go
+++ b/mesh/digest.go
@@ -18,6 +18,8 @@
 	// AskEvery is the least time between two askings of one peer, and how long an asking of
 	// one holds back those of others.
 	AskEvery = 400_000
+	// AgainEvery is the least time between two askings of one peer that brings what is lacking.
+	AgainEvery = 60_000
 	// StillFor is how long nothing must have changed before two digests are compared at their
 	// first difference: what is new is under way by itself.
 	StillFor = 300_000
@@ -32,8 +34,9 @@
 	askedAt int64
 	// differed is that the last heartbeat already showed another digest.
 	differed bool
-	// gained is that something came since the last asking.
-	gained bool
+	// gained is that something came by catching up since the last asking; again that another
+	// asking is due.
+	gained, again bool
 	// mine and theirs are two digests of which it is known that neither side lacks anything.
 	mine, theirs uint64
 }
@@ -89,7 +92,7 @@
 
 // ask sends the sums of the buckets.
 func (m *Mesh) ask(t *kernel.Turn, p *peer) {
-	p.askedAt, m.askedAt, p.gained = t.Now, t.Now, false
+	p.askedAt, m.askedAt, p.gained, p.again = t.Now, t.Now, false, false
 	t.Counts.Add("mesh_asked", 1)
 	hb := &wire.Heartbeat{Addrs: m.someAddrs(t, p.zone, greetAddrs), Digest: m.digest(), Buckets: m.store.buckets[:], Echo: true}
 	t.SendSlot(p.chanID, wire.KindHeartbeat, hb, "buckets")
@@ -122,7 +125,29 @@
 	case hb.Echo:
 		m.sendMarks(t, p, hb.Scope, lacks)
 	case lacks && p.gained && !p.old:
+		m.askAgain(t, p)
+	}
+}
+
+// askAgain asks a peer for what one round did not bring, not at once but soon: while a flood
+// goes on, something is always lacking.
+func (m *Mesh) askAgain(t *kernel.Turn, p *peer) {
+	wait := p.askedAt + AgainEvery - t.Now
+	switch {
+	case wait <= 0:
 		m.ask(t, p)
+	case !p.again:
+		p.again = true
+		t.After(wait, "mesh", "again")
+	}
+}
+
+// askDue asks the peers that are due to be asked again.
+func (m *Mesh) askDue(t *kernel.Turn) {
+	for _, id := range sortedKeys(m.peers) {
+		if p := m.peers[id]; p.again && t.Now >= p.askedAt+AgainEvery {
+			m.ask(t, p)
+		}
 	}
 }
 
--- a/mesh/flood.go
+++ b/mesh/flood.go
@@ -54,7 +54,7 @@
 		t.Counts.Add("mesh_dropped_old", 1)
 		return
 	}
-	p.gained = true
+	p.gained = p.gained || way == caughtUp
 	m.learn(t, o, e)
 	t.Emit(Stored{Entry: e, Origin: fp})
 	if way == news || m.caught {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -79,6 +79,7 @@
 	// turn counts the changes of who is reached.
 	turn       uint64
 	reachArmed bool
+	beganAt    int64
 	reachAt    int64
 	reachTurn  uint64
 	// old is that a process of the release before is there.
@@ -164,6 +165,8 @@
 	case "forward":
 		m.forwardArmed = false
 		m.forwardAll(t)
+	case "again":
+		m.askDue(t)
 	case "dial":
 		m.tend(t)
 	}
--- a/mesh/overlay.go
+++ b/mesh/overlay.go
@@ -18,6 +18,9 @@
 	PeersEasy = 7
 	// Bridges is how many processes of a zone see to a link to each other zone.
 	Bridges = 2
+	// BridgeAfter is how long a process that has a link leaves bridges to others after its start:
+	// until it knows its zone it takes itself for the first of it.
+	BridgeAfter = 3_000_000
 	// Watchers is how many try what is not reached.
 	Watchers = 3
 	// PruneEvery is the least time between two links given up, PruneAfter that after a link came.
@@ -29,6 +32,7 @@
 
 // begin dials one of the seeds, and the others soon after if that leads nowhere.
 func (m *Mesh) begin(t *kernel.Turn) {
+	m.beganAt = t.Now
 	m.seeds = slices.Clone(m.k.Boot.Env.Seeds)
 	for _, s := range m.seeds {
 		m.know(s)
@@ -116,8 +120,9 @@
 		open[v.zone]++
 		n++
 	}
+	knows := n == 0 || t.Now-m.beganAt >= BridgeAfter
 	for _, z := range sortedKeys(v.zones) {
-		if z != v.zone && open[z] == 0 && m.first(v.zones[v.zone], hash(z), Bridges) && m.dialOne(t, v.zones[z]) {
+		if knows && z != v.zone && open[z] == 0 && m.first(v.zones[v.zone], hash(z), Bridges) && m.dialOne(t, v.zones[z]) {
 			n++
 		}
 	}
--- a/table/roster.go
+++ b/table/roster.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"wallport/kernel"
+	"wallport/wire"
 )
 
 // RosterFor is how long a silent node still counts as a home of claims.
@@ -55,28 +56,25 @@
 
 // roster lists the nodes, dead ones for a while too.
 func (b *Table) roster(t *kernel.Turn) []Node {
-	byName := map[string]Node{}
-	all := b.members.All(t.Now)
-	for _, r := range all {
+	var out []Node
+	b.members.Each(t.Now, func(origin string, r *wire.Member, live bool) {
 		if r.Role != "node" {
-			continue
+			return
 		}
-		at, ok := b.liveAt[r.Origin]
+		at, ok := b.liveAt[origin]
 		if !ok || t.Now-at > RosterFor {
-			continue
+			return
 		}
-		if was, twice := byName[r.Name]; twice && was.Live {
-			continue
-		}
-		byName[r.Name] = Node{Name: r.Name, Zone: r.Zone, Addr: r.Addr, Origin: r.Origin, Live: r.Live}
-	}
-	out := make([]Node, 0, len(byName))
-	for _, r := range all {
-		if n, ok := byName[r.Name]; ok {
+		n := Node{Name: r.Name, Zone: r.Zone, Addr: r.Addr, Origin: origin, Live: live}
+		// Rows of one name follow one another.
+		last := len(out) - 1
+		switch {
+		case last < 0 || out[last].Name != n.Name:
 			out = append(out, n)
-			delete(byName, r.Name)
+		case !out[last].Live:
+			out[last] = n
 		}
-	}
+	})
 	return out
 }
 
@@ -84,17 +82,19 @@
 // still counts as a home of claims, and the size of the fleet.
 func (b *Table) lives(now int64) uint64 {
 	h := uint64(b.members.Divisor())
-	for _, r := range b.members.All(now) {
+	b.members.Each(now, func(origin string, _ *wire.Member, live bool) {
+		at, ok := b.liveAt[origin]
+		if !live && (!ok || now-at > RosterFor) {
+			return
+		}
 		x := fnv.New64a()
-		x.Write([]byte(r.Origin))
-		at, ok := b.liveAt[r.Origin]
-		switch {
-		case r.Live:
-			b.liveAt[r.Origin] = now
+		x.Write([]byte(origin))
+		if live {
+			b.liveAt[origin] = now
 			h += x.Sum64()
-		case ok && now-at <= RosterFor:
-			h += 3 * x.Sum64()
+			return
 		}
-	}
+		h += 3 * x.Sum64()
+	})
 	return h
 }
