Histories of registers, checked for linearizability

Orders, reads and zone calls with begin, end and outcome go through porcupine, each register by itself. The search is bounded by its steps, not by time, so a verdict is the same on every machine; a search that is given up is an error of its own. Sound histories pass; 14 planted faults (two orders on one base or number acknowledged, stale reads, lost writes, acknowledged repeats refused, late zone calls) are each rejected, as tests.

--- /dev/null
+++ b/lab/history/history_test.go
@@ -0,0 +1,113 @@
+// Histories that must pass, and those with one planted fault each that must not.
+package history
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func change(id, base string, begin, end int64, outcome Outcome) Operation {
+	return Operation{Register: Configuration, Kind: Change, ID: id, Base: base, Begin: begin, End: end, Outcome: outcome}
+}
+
+func numbered(id, version, base string, begin, end int64, outcome Outcome) Operation {
+	return Operation{Register: Configuration, Kind: Change, ID: id, Version: version, Base: base, Begin: begin, End: end, Outcome: outcome}
+}
+
+func read(value string, begin, end int64) Operation {
+	return Operation{Register: Configuration, Kind: Read, Value: value, Begin: begin, End: end, Outcome: Accepted}
+}
+
+func drain(zone, to string, begin, end int64, outcome Outcome) Operation {
+	return Operation{Register: Zone(zone), Kind: Set, ID: to, Begin: begin, End: end, Outcome: outcome}
+}
+
+func drained(zone, value string, begin, end int64) Operation {
+	return Operation{Register: Zone(zone), Kind: Read, Value: value, Begin: begin, End: end, Outcome: Accepted}
+}
+
+func of(operations ...Operation) *History {
+	h := &History{}
+	for _, op := range operations {
+		h.Add(op)
+	}
+	return h
+}
+
+func TestSoundHistoriesPass(t *testing.T) {
+	for name, h := range map[string]*History{
+		"one after another":                of(change("a", "", 1, 2, Accepted), read("a", 3, 4), change("b", "a", 5, 6, Accepted), read("b", 7, 8)),
+		"of two on one base one loses":     of(change("a", "", 1, 5, Accepted), change("b", "", 1, 5, Refused), read("a", 6, 7)),
+		"a read beside a change sees old":  of(change("a", "", 1, 9, Accepted), read("", 2, 3)),
+		"a read beside a change sees new":  of(change("a", "", 1, 9, Accepted), read("a", 2, 3)),
+		"an unknown change that took":      of(change("a", "", 1, 2, Unknown), read("a", 3, 4), change("b", "a", 5, 6, Accepted)),
+		"an unknown change that did not":   of(change("a", "", 1, 2, Unknown), read("", 3, 4), change("b", "", 5, 6, Accepted)),
+		"an unknown change that took late": of(change("a", "", 1, 2, Unknown), read("", 3, 4), read("a", 5, 6)),
+		"a repeat of what was taken":       of(change("a", "", 1, 2, Accepted), change("b", "a", 3, 4, Accepted), change("a", "", 5, 6, Accepted), read("b", 7, 8)),
+		"refused, then valid":              of(change("b", "a", 1, 2, Refused), change("a", "", 3, 4, Accepted), change("b", "a", 5, 6, Accepted)),
+		"invalid on the current version":   of(Operation{Register: Configuration, Kind: Change, ID: "x", Invalid: true, Begin: 1, End: 2, Outcome: Refused}, read("", 3, 4)),
+		"a zone drained and restored":      of(drain("z", Drained, 1, 2, Accepted), drained("z", Drained, 3, 4), drain("z", Restored, 5, 6, Accepted), drained("z", Restored, 7, 8)),
+		"registers are judged apart":       of(change("a", "", 1, 2, Accepted), drain("z", Drained, 1, 2, Accepted), drained("y", Restored, 3, 4), read("a", 3, 4)),
+		"two orders of one number":         of(numbered("a", "1", "", 1, 5, Accepted), numbered("b", "1", "", 1, 5, Refused), numbered("c", "2", "1", 6, 7, Accepted)),
+		"a read without an answer":         of(Operation{Register: Configuration, Kind: Read, Begin: 1, Outcome: Unknown}),
+	} {
+		t.Run(name, func(t *testing.T) { must.SliceEmpty(t, h.Check()) })
+	}
+}
+
+func TestPlantedFaultsAreRejected(t *testing.T) {
+	for name, h := range map[string]*History{
+		"two orders on one base both acknowledged":   of(change("a", "", 1, 5, Accepted), change("b", "", 1, 5, Accepted)),
+		"two orders of one number both acknowledged": of(numbered("a", "1", "", 1, 5, Accepted), numbered("b", "1", "", 1, 5, Accepted)),
+		"a stale read":                               of(change("a", "", 1, 2, Accepted), change("b", "a", 3, 4, Accepted), read("a", 5, 6)),
+		"reads that go back":                         of(change("a", "", 1, 9, Accepted), read("a", 2, 3), read("", 4, 5)),
+		"a lost acknowledged write":                  of(change("a", "", 1, 2, Accepted), read("", 3, 4)),
+		"a lost acknowledged write, by a later base": of(change("a", "", 1, 2, Accepted), change("b", "", 3, 4, Accepted)),
+		"an acknowledged repeat refused":             of(change("a", "", 1, 2, Accepted), change("b", "a", 3, 4, Accepted), change("a", "", 5, 6, Refused)),
+		"a repeat refused while its order was taken": of(change("a", "", 1, 2, Unknown), read("a", 3, 4), change("a", "", 5, 6, Refused)),
+		"a refused order that took effect":           of(change("a", "", 1, 2, Accepted), change("b", "", 1, 2, Refused), read("b", 3, 4)),
+		"a proper order refused":                     of(change("a", "", 1, 2, Refused), read("", 3, 4)),
+		"an invalid order acknowledged":              of(Operation{Register: Configuration, Kind: Change, ID: "x", Invalid: true, Begin: 1, End: 2, Outcome: Accepted}),
+		"a repeat that is applied again":             of(change("a", "", 1, 2, Accepted), change("b", "a", 3, 4, Accepted), change("a", "", 5, 6, Accepted), read("a", 7, 8)),
+		"a late drain after an acknowledged restore": of(drain("z", Drained, 1, 2, Accepted), drain("z", Restored, 3, 4, Accepted), drained("z", Drained, 5, 6)),
+		"a lost drain":                               of(drain("z", Drained, 1, 2, Accepted), drained("z", Restored, 3, 4)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			errs := h.Check()
+			must.Len(t, 1, errs)
+			var found *NotLinearizable
+			must.True(t, errors.As(errs[0], &found), must.Sprint(errs[0]))
+		})
+	}
+}
+
+func TestASearchThatIsGivenUpIsSaidSo(t *testing.T) {
+	h := of(change("a", "", 1, 2, Accepted), read("a", 3, 4))
+	var undecided *Undecided
+	must.True(t, errors.As(checkRegister(Configuration, h.Operations, 1), &undecided))
+	must.Eq(t, 1, undecided.Steps)
+}
+
+// A day has some hundred changes; each is one of two on its base, and every tenth answer is lost.
+func TestALongHistoryIsDecided(t *testing.T) {
+	h := &History{}
+	last := ""
+	for i := range int64(600) {
+		at := i * 10
+		id := fmt.Sprintf("order-%d", i)
+		outcome := Accepted
+		if i%10 == 9 {
+			outcome = Unknown
+		}
+		h.Add(change(id, last, at, at+5, outcome))
+		h.Add(change(id+"-rival", last, at, at+6, Refused))
+		h.Add(read(id, at+7, at+8))
+		last = id
+	}
+	must.SliceEmpty(t, h.Check())
+	h.Add(read("order-3", 7_000, 7_001))
+	must.Len(t, 1, h.Check())
+}
--- /dev/null
+++ b/lab/history/register.go
@@ -0,0 +1,97 @@
+// The sequential specification of one register, for the linearizability checker.
+package history
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// value is the state of a register: the current value, its version, and which of the changes that
+// were sent more than once have been taken.
+type value struct {
+	current string
+	version string
+	taken   string
+}
+
+const separator = "\x00"
+
+func (v value) took(id string) bool { return strings.Contains(v.taken, separator+id+separator) }
+
+// register steps the specification and counts the steps against a limit.
+type register struct {
+	repeated map[string]bool
+	steps    int
+	limit    int
+}
+
+// newRegister notes which changes were sent more than once: only of those is it remembered
+// whether they were taken, so that equal states stay equal.
+func newRegister(operations []Operation, limit int) *register {
+	r := &register{repeated: map[string]bool{}, limit: limit}
+	sent := map[string]bool{}
+	for _, op := range operations {
+		if op.Kind == Change {
+			r.repeated[op.ID] = sent[op.ID]
+			sent[op.ID] = true
+		}
+	}
+	return r
+}
+
+func (r *register) model() porcupine.Model {
+	return porcupine.Model{
+		Init: func() any { return value{} },
+		Step: func(state, input, _ any) (bool, any) {
+			r.steps++
+			if r.steps > r.limit {
+				return false, state
+			}
+			return r.step(state.(value), input.(*Operation))
+		},
+	}
+}
+
+func (r *register) step(v value, op *Operation) (bool, any) {
+	switch op.Kind {
+	case Read:
+		return op.Value == v.current, v
+	case Set:
+		return op.Outcome != Refused, value{current: op.ID, version: op.ID, taken: v.taken}
+	default:
+		return r.change(v, op)
+	}
+}
+
+// change steps an order. One without a clear answer may be placed after everything else, so
+// that taking effect wherever it can covers both that it did and that it did not.
+func (r *register) change(v value, op *Operation) (bool, any) {
+	applies := !op.Invalid && op.Base == v.version && !v.took(op.ID)
+	switch {
+	case op.Outcome == Refused:
+		return !applies && !v.took(op.ID), v
+	case applies:
+		return true, r.apply(v, op)
+	case op.Outcome == Unknown:
+		return true, v
+	default:
+		return v.took(op.ID), v
+	}
+}
+
+func (r *register) apply(v value, op *Operation) value {
+	next := value{current: op.ID, version: op.ID, taken: v.taken}
+	if op.Version != "" {
+		next.version = op.Version
+	}
+	if !r.repeated[op.ID] {
+		return next
+	}
+	ids := strings.FieldsFunc(v.taken, func(c rune) bool { return c == 0 })
+	ids = append(ids, op.ID)
+	slices.Sort(ids)
+	next.taken = separator + strings.Join(ids, separator) + separator
+	return next
+}
