--- /dev/null
+++ b/lab/model/configs.go
@@ -0,0 +1,46 @@
+// The configurations that are explored.
+package model
+
+// change is an order that adds an item to a version.
+func change(name string, base, revision int64) Order {
+	return Order{Name: name, Kind: ChangeOrder, Base: base, Revision: revision}
+}
+
+func read(name string) Order { return Order{Name: name, Kind: ReadOrder} }
+
+// Configs are the configurations of the bounded exploration, by what they bring about.
+func Configs() []Config {
+	one := [][]Order{{change("a1", 0, 1)}}
+	two := [][]Order{{change("a1", 0, 1), change("a2", 1, 2)}}
+	rivals := [][]Order{{change("a1", 0, 1)}, {change("b1", 0, 1)}}
+	reader := [][]Order{{change("a1", 0, 1)}, {read("b-read"), read("b-again")}}
+	drains := [][]Order{{{Name: "a-drain", Kind: DrainOrder, Zone: "zone-1"}}, {read("b-read")}}
+	return []Config{
+		{Name: "election and a crash", Voters: 3, Operators: one, Budget: Budget{Elapses: 2, Crashes: 1, Calls: 1}},
+		{Name: "election and two crashes", Voters: 3, Operators: one, Budget: Budget{Elapses: 2, Crashes: 2}},
+		{Name: "election, late messages", Voters: 3, Operators: one, Budget: Budget{Elapses: 2, Holds: 1, Calls: 1}},
+		{Name: "rivals, late messages", Voters: 3, Settled: true, Operators: rivals, Budget: Budget{Elapses: 1, Holds: 1, Calls: 3}},
+		{Name: "rivals, lost and doubled", Voters: 3, Settled: true, Operators: rivals, Budget: Budget{Elapses: 1, Losses: 1, Doubles: 1, Calls: 2}},
+		{Name: "repeat after a crash", Voters: 3, Settled: true, Operators: two, Budget: Budget{Elapses: 1, Crashes: 1, Calls: 3}},
+		{Name: "leader cut off", Voters: 3, Settled: true, Operators: reader, Budget: Budget{Elapses: 2, Cuts: 1, Calls: 3}},
+		{Name: "leader frozen", Voters: 3, Settled: true, Operators: reader, Budget: Budget{Elapses: 2, Freezes: 1, Calls: 2}},
+		{Name: "a drain delayed", Voters: 3, Settled: true, Operators: drains, Budget: Budget{Elapses: 1, Delays: 1, Holds: 1, Calls: 2}},
+		{Name: "disk lost", Voters: 3, Settled: true, Operators: two, Budget: Budget{Elapses: 2, LostDisks: 1, Calls: 2}},
+		{Name: "replacement", Voters: 3, Standbys: 1, Settled: true, Operators: one, Budget: Budget{Elapses: 4, Cuts: 1, Announces: 1, Calls: 1}},
+		{Name: "planned stop", Voters: 3, Standbys: 1, Settled: true, Operators: two, Budget: Budget{Elapses: 2, Stops: 1, Announces: 1, Calls: 2}},
+	}
+}
+
+// Everything is the configuration of random walks: every fault, several times.
+func Everything(replicas int) Config {
+	return Config{
+		Name: "everything", Voters: 3, Standbys: max(0, replicas-3),
+		Operators: [][]Order{
+			{change("a1", 0, 1), change("a2", 1, 2), read("a-read"), change("a3", 2, 3)},
+			{change("b1", 0, 1), read("b-read"), {Name: "b-drain", Kind: DrainOrder, Zone: "zone-1"}, read("b-again")},
+		},
+		Budget: Budget{
+			Holds: AllInterleavings, Elapses: 60, Losses: 6, Doubles: 4, Delays: 6, Crashes: 4, LostDisks: 1, Cuts: 3, Freezes: 2, Announces: 8, Stops: 1, Calls: 24,
+		},
+	}
+}
--- /dev/null
+++ b/lab/model/explore.go
@@ -0,0 +1,119 @@
+// Exploring breadth first, so that the first violation is one of the shortest.
+package model
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// Bound is where an exploration ends: by the number of states, not by time, so that it is the
+// same on every machine.
+type Bound struct{ Depth, States int }
+
+// Report is what an exploration came to.
+type Report struct {
+	// States are those found, Transitions the actions tried, Depth the longest schedule of a state.
+	States, Transitions, Depth int
+	// Whole is that nothing was left out within the bound of the depth.
+	Whole bool
+	// Steps were run on the product's code, Replayed again to rebuild a process; Processes are the
+	// different states of single replicas.
+	Steps, Replayed, Processes int
+	Failure                    *Failure
+}
+
+// Failure is a violated invariant and the schedule that leads to it.
+type Failure struct {
+	Violation error
+	Schedule  []Action
+}
+
+func (f *Failure) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v\n", f.Violation)
+	for i, a := range f.Schedule {
+		fmt.Fprintf(&b, "%4d %v\n", i+1, a)
+	}
+	return b.String()
+}
+
+// Explore visits every state that the bound allows, each once.
+func (w *World) Explore(bound Bound) Report {
+	first, err := w.initial()
+	if err != nil {
+		return w.report(Report{Failure: &Failure{Violation: err}})
+	}
+	r := Report{States: 1, Whole: true}
+	seen := map[digest]bool{first.key(): true}
+	for frontier := []*system{first}; len(frontier) > 0 && r.Depth < bound.Depth; r.Depth++ {
+		var next []*system
+		for _, s := range frontier {
+			for _, a := range w.enabled(s) {
+				after, err := w.apply(s, a)
+				r.Transitions++
+				if err != nil {
+					r.Depth++
+					r.Failure = &Failure{Violation: err, Schedule: after.schedule()}
+					return w.report(r)
+				}
+				key := after.key()
+				if seen[key] {
+					continue
+				}
+				if r.States >= bound.States {
+					r.Whole = false
+					return w.report(r)
+				}
+				seen[key] = true
+				r.States++
+				next = append(next, after)
+			}
+		}
+		frontier = next
+	}
+	return w.report(r)
+}
+
+func (w *World) report(r Report) Report {
+	r.Steps, r.Replayed, r.Processes = w.runtime.Steps, w.runtime.Replayed, len(w.runtime.byState)
+	return r
+}
+
+// Replay plays a schedule, leaving out what is not enabled, and gives the violation, if any.
+func (w *World) Replay(schedule []Action) (*Failure, error) {
+	s, err := w.initial()
+	if err != nil {
+		return nil, err
+	}
+	for _, a := range schedule {
+		enabled, ok := w.find(s, a)
+		if !ok {
+			continue
+		}
+		next, err := w.apply(s, enabled)
+		if err != nil {
+			return &Failure{Violation: err, Schedule: next.schedule()}, nil
+		}
+		s = next
+	}
+	return nil, nil
+}
+
+func (w *World) find(s *system, a Action) (Action, bool) {
+	for _, b := range w.enabled(s) {
+		if a.same(b) {
+			return b, true
+		}
+	}
+	return Action{}, false
+}
+
+// invariantOf names the rule that a failure broke.
+func invariantOf(err error) Invariant {
+	var v *Violation
+	if errors.As(err, &v) {
+		return v.Invariant
+	}
+	return ""
+}
--- /dev/null
+++ b/lab/model/fingerprint.go
@@ -0,0 +1,121 @@
+// The fingerprint of a replica: a hash over every field of its state machine,
+// read by reflection, so that new fields count without a change here.
+package model
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"math"
+	"reflect"
+)
+
+type digest [16]byte
+
+func digestOf(b []byte) (d digest) {
+	sum := sha256.Sum256(b)
+	copy(d[:], sum[:])
+	return d
+}
+
+// walker flattens a value. Pointers into other packages are left out: the process itself, its
+// mesh and its table of members are the same for every state, or told by the caller. Functions
+// are left out as well: what a pending write will do is told by the input that asked for it.
+type walker struct {
+	home    string
+	out     []byte
+	visited map[uintptr]uint64
+}
+
+// fingerprint flattens the plug-in of a process.
+func fingerprint(plugin any) []byte {
+	v := reflect.ValueOf(plugin)
+	w := &walker{home: v.Type().Elem().PkgPath(), visited: map[uintptr]uint64{}, out: make([]byte, 0, 4096)}
+	w.walk(v)
+	return w.out
+}
+
+func (w *walker) number(n uint64) { w.out = binary.AppendUvarint(w.out, n) }
+
+func (w *walker) walk(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Bool:
+		w.number(uint64(boolInt(v.Bool())))
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		w.number(uint64(v.Int()))
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64, reflect.Uintptr:
+		w.number(v.Uint())
+	case reflect.Float32, reflect.Float64:
+		w.number(math.Float64bits(v.Float()))
+	case reflect.String:
+		w.number(uint64(v.Len()))
+		w.out = append(w.out, v.String()...)
+	case reflect.Pointer:
+		w.pointer(v)
+	case reflect.Interface:
+		w.number(uint64(boolInt(v.IsNil())))
+		if !v.IsNil() {
+			w.walk(v.Elem())
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			w.walk(v.Field(i))
+		}
+	case reflect.Slice, reflect.Array:
+		w.list(v)
+	case reflect.Map:
+		w.table(v)
+	}
+}
+
+func (w *walker) pointer(v reflect.Value) {
+	if v.IsNil() {
+		w.number(0)
+		return
+	}
+	elem := v.Type().Elem()
+	if elem.Kind() == reflect.Struct && elem.PkgPath() != w.home && !isMessage(elem.PkgPath()) {
+		w.number(1)
+		return
+	}
+	if n, ok := w.visited[v.Pointer()]; ok {
+		w.number(n)
+		return
+	}
+	w.visited[v.Pointer()] = uint64(len(w.visited)) + 2
+	w.number(1)
+	w.walk(v.Elem())
+}
+
+func (w *walker) list(v reflect.Value) {
+	w.number(uint64(v.Len()))
+	if v.Type().Elem().Kind() == reflect.Uint8 && v.Kind() == reflect.Slice {
+		w.out = append(w.out, v.Bytes()...)
+		return
+	}
+	for i := range v.Len() {
+		w.walk(v.Index(i))
+	}
+}
+
+// table adds up the hashes of the entries, so that their order does not matter.
+func (w *walker) table(v reflect.Value) {
+	w.number(uint64(v.Len()))
+	var sum digest
+	for entries := v.MapRange(); entries.Next(); {
+		one := &walker{home: w.home, visited: w.visited}
+		one.walk(entries.Key())
+		one.walk(entries.Value())
+		d := digestOf(one.out)
+		for i := range sum {
+			sum[i] ^= d[i]
+		}
+	}
+	w.out = append(w.out, sum[:]...)
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/lab/model/invariants.go
@@ -0,0 +1,234 @@
+// The invariants, checked in every state in which something they speak of changed.
+package model
+
+import (
+	"fmt"
+	"slices"
+
+	"wallport/lab/history"
+	"wallport/wire"
+)
+
+// Invariant names a rule that must hold in every state.
+type Invariant string
+
+// The invariants.
+const (
+	InvariantOneVersion    Invariant = "one version for each term and sequence"
+	InvariantOneLeader     Invariant = "one leader for each term"
+	InvariantDurableOrder  Invariant = "an acknowledged order is in every later committed version"
+	InvariantRefusedOrder  Invariant = "a refused order is in no committed version"
+	InvariantMajority      Invariant = "an acknowledged value is synced by a majority of the voters in force"
+	InvariantLinearizable  Invariant = "operators' histories are linearizable"
+	InvariantOneAnswer     Invariant = "an order is answered one way"
+	InvariantChain         Invariant = "a committed version carries on what those before it had"
+	InvariantReadable      Invariant = "a body can be read"
+	InvariantCommittedSame Invariant = "what is committed is what was proposed"
+)
+
+// Violation is an invariant that does not hold.
+type Violation struct {
+	Invariant Invariant
+	Text      string
+}
+
+func (v *Violation) Error() string { return string(v.Invariant) + ": " + v.Text }
+
+func violation(i Invariant, format string, args ...any) error {
+	return &Violation{Invariant: i, Text: fmt.Sprintf(format, args...)}
+}
+
+func versionText(v wire.Stamp) string { return fmt.Sprintf("%d.%d", v.Term, v.Seq) }
+
+// checkSent looks at what a replica sends: its claim to lead, and the version that it proposes.
+func (w *World) checkSent(s *system, f *frame) error {
+	if f.leader != "" {
+		switch other, known := s.record.leaders[f.term]; {
+		case !known:
+			s.record = s.record.leads(f.term, f.leader)
+		case other != f.leader:
+			return violation(InvariantOneLeader, "%s and %s both lead term %d", other, f.leader, f.term)
+		}
+	}
+	if f.version == nil {
+		return nil
+	}
+	return w.checkProposed(s, *f.version)
+}
+
+func (w *World) checkProposed(s *system, v wire.Stamped) error {
+	sum := versionDigest(v)
+	if w.versions[sum] == nil {
+		c, ok := contentsOf(v.Body)
+		if !ok {
+			return violation(InvariantReadable, "version %s has a body that cannot be read", versionText(v.Stamp))
+		}
+		w.versions[sum] = &knownVersion{Stamped: v, contents: c}
+	}
+	switch other, known := s.record.versions[v.Stamp]; {
+	case !known:
+		s.record = s.record.proposed(v.Stamp, sum)
+	case other != sum:
+		return violation(InvariantOneVersion, "version %s stands for two contents", versionText(v.Stamp))
+	}
+	return nil
+}
+
+// checkCommitted looks at a version that a replica takes for committed.
+func (w *World) checkCommitted(s *system, p *process) error {
+	if p.committed.Term == 0 || slices.Contains(s.record.committed, p.committed) {
+		return nil
+	}
+	c, ok := contentsOf(p.body)
+	if !ok {
+		return violation(InvariantReadable, "committed version %s has a body that cannot be read", versionText(p.committed))
+	}
+	if known := w.proposal(s, p.committed); known != nil && string(known.Body) != string(p.body) {
+		return violation(InvariantCommittedSame, "version %s", versionText(p.committed))
+	}
+	s.record = s.record.commits(p.committed)
+	for order, at := range s.record.acknowledged {
+		if err := w.checkCarried(order, at, p.committed, c); err != nil {
+			return err
+		}
+	}
+	for _, order := range s.record.refused {
+		if w.carries(c, order) {
+			return violation(InvariantRefusedOrder, "%s is in version %s", w.orders[order].Name, versionText(p.committed))
+		}
+	}
+	return w.checkChain(s)
+}
+
+func (w *World) proposal(s *system, v wire.Stamp) *knownVersion {
+	return w.versions[s.record.versions[v]]
+}
+
+// carries tells whether contents have an order; orders that later ones may undo are left to the histories.
+func (w *World) carries(c contents, number int) bool {
+	o := &w.orders[number]
+	if o.Kind == ChangeOrder {
+		return slices.Contains(c.orders, o.Name)
+	}
+	return o.Kind == DrainOrder && !w.restores[o.Zone] && slices.Contains(c.drained, o.Zone)
+}
+
+func (w *World) lasting(number int) bool {
+	o := &w.orders[number]
+	return o.Kind == ChangeOrder || o.Kind == DrainOrder && !w.restores[o.Zone]
+}
+
+func (w *World) checkCarried(order int, at, committed wire.Stamp, c contents) error {
+	if w.lasting(order) && !newer(at, committed) && !w.carries(c, order) {
+		return violation(InvariantDurableOrder, "%s was acknowledged at %s and is not in %s", w.orders[order].Name, versionText(at), versionText(committed))
+	}
+	return nil
+}
+
+// checkChain compares the committed versions in turn.
+func (w *World) checkChain(s *system) error {
+	var before *knownVersion
+	for _, at := range s.record.committed {
+		v := w.proposal(s, at)
+		if v == nil {
+			continue
+		}
+		if before != nil {
+			for _, name := range before.contents.orders {
+				if !slices.Contains(v.contents.orders, name) {
+					return violation(InvariantChain, "%s is in %s and not in %s", name, versionText(before.Stamp), versionText(at))
+				}
+			}
+		}
+		before = v
+	}
+	return nil
+}
+
+func (w *World) checkRefused(s *system, number int) error {
+	s.record = s.record.refuses(number)
+	for _, at := range s.record.committed {
+		if v := w.proposal(s, at); v != nil && w.carries(v.contents, number) {
+			return violation(InvariantRefusedOrder, "%s was refused and is in version %s", w.orders[number].Name, versionText(at))
+		}
+	}
+	return nil
+}
+
+func (w *World) checkAcknowledged(s *system, number int, r wire.EditReply) error {
+	s.record = s.record.acknowledges(number, r.Stamp)
+	v := w.proposal(s, r.Stamp)
+	if v == nil {
+		return violation(InvariantMajority, "%s was acknowledged at %s, which nobody proposed", w.orders[number].Name, versionText(r.Stamp))
+	}
+	if !w.syncedByMajority(s, v, v.Seats, number) || len(v.Prev) > 0 && !w.syncedByMajority(s, v, v.Prev, number) {
+		return violation(InvariantMajority, "%s was acknowledged at %s", w.orders[number].Name, versionText(r.Stamp))
+	}
+	for _, at := range s.record.committed {
+		if known := w.proposal(s, at); known != nil {
+			if err := w.checkCarried(number, r.Stamp, at, known.contents); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// syncedByMajority counts the voters whose disks have held the version, or a later one with the order.
+func (w *World) syncedByMajority(s *system, v *knownVersion, voters []wire.Seat, number int) bool {
+	n := 0
+	for _, voter := range voters {
+		at := s.record.synced[voter.ID]
+		known := w.proposal(s, at)
+		if known != nil && !newer(v.Stamp, at) && (w.carries(known.contents, number) || !w.lasting(number)) {
+			n++
+		}
+	}
+	return n > len(voters)/2
+}
+
+// checkHistory judges what operators saw so far; each history is judged once.
+func (w *World) checkHistory(s *system) error {
+	if err, known := w.histories[s.record.played]; known {
+		return err
+	}
+	h := &history.History{}
+	begins, ended := map[int]int64{}, map[int]bool{}
+	for i, e := range s.record.events {
+		if !e.end {
+			begins[e.order] = int64(i)
+			continue
+		}
+		ended[e.order] = true
+		w.addEnded(h, e, begins[e.order], int64(i))
+	}
+	for order, begin := range begins {
+		if !ended[order] && w.orders[order].Kind != ReadOrder {
+			op := w.changeOf(order)
+			op.Begin = begin
+			h.Add(op)
+		}
+	}
+	var err error
+	if errs := h.Check(); len(errs) > 0 {
+		err = violation(InvariantLinearizable, "%v", errs[0])
+	}
+	w.histories[s.record.played] = err
+	return err
+}
+
+func (w *World) addEnded(h *history.History, e event, begin, end int64) {
+	operations := []history.Operation{}
+	if e.reading != nil {
+		operations = w.readsOf(e.order, e.reading)
+	} else {
+		operations = append(operations, w.changeOf(e.order))
+	}
+	for _, op := range operations {
+		op.Begin, op.End, op.Outcome = begin, end, history.Refused
+		if e.accepted {
+			op.Outcome = history.Accepted
+		}
+		h.Add(op)
+	}
+}
--- /dev/null
+++ b/lab/model/operators.go
@@ -0,0 +1,205 @@
+// The operators: each has a list of orders, sends one at a time, to any
+// replica, and again while no clear answer came.
+package model
+
+import (
+	"fmt"
+	"slices"
+
+	"wallport/kernel"
+	"wallport/lab/history"
+	"wallport/wire"
+)
+
+// OrderKind is what an order does.
+type OrderKind uint8
+
+// Kinds of orders.
+const (
+	ChangeOrder OrderKind = iota
+	DrainOrder
+	RestoreOrder
+	ReadOrder
+)
+
+// Order is one call of an operator. A change adds an item named as the order is, so that it
+// is known again in every later version.
+type Order struct {
+	Name           string
+	Kind           OrderKind
+	Base, Revision int64
+	Zone           string
+}
+
+type callStatus uint8
+
+const (
+	callWaiting callStatus = iota
+	callOpen
+	callAccepted
+	callRefused
+)
+
+// call is how far an order has come; open has a bit for each replica that owes an answer.
+type call struct {
+	status callStatus
+	sent   int
+	open   uint8
+}
+
+func (c call) ended() bool { return c.status == callAccepted || c.status == callRefused }
+
+// callsPerOrder bounds how often one order is sent.
+const callsPerOrder = 3
+
+// clientConnection is the first of the operators' connections; below are those of replicas.
+const clientConnection = 1000
+
+func replicaConnection(replica int) uint64 { return uint64(100 + replica) }
+
+// callActions lists the calls that operators may make now: an operator's next order waits until
+// the one before is settled, and a change needs to have been acknowledged what it builds on.
+func (w *World) callActions(s *system, actions []Action) []Action {
+	if s.left.Calls == 0 {
+		return actions
+	}
+	number := 0
+	for _, orders := range w.operators {
+		for i := range orders {
+			c := s.calls[number+i]
+			if c.ended() {
+				if c.status == callRefused {
+					break
+				}
+				continue
+			}
+			if c.sent < callsPerOrder {
+				actions = w.callEach(s, number+i, actions)
+			}
+			break
+		}
+		number += len(orders)
+	}
+	return actions
+}
+
+func (w *World) callEach(s *system, number int, actions []Action) []Action {
+	for to := range w.voters {
+		if s.frozenAt[to] == 0 && s.calls[number].open&(1<<to) == 0 && w.matters(s, number, to) {
+			actions = append(actions, Action{Kind: Call, Replica: to, Argument: number, operatorsOrder: w.orders[number].Name})
+		}
+	}
+	return actions
+}
+
+// matters tells whether a call does more than to be declined at once by a replica that does not lead.
+func (w *World) matters(s *system, number, to int) bool {
+	e := w.runtime.step(s.processes[to], s.now, w.callInput(number, to))
+	if e.next != s.processes[to] || len(e.sends) != 1 {
+		return true
+	}
+	f := openFrame(e.sends[0].Data)
+	clear, _ := answerClear(f.answer)
+	return f.kind != frameAnswer || clear
+}
+
+func (w *World) callInput(number, to int) kernel.Input {
+	return kernel.Received{Chan: w.callConnection(number, to), Data: orderFrame(uint64(number)+1, &w.orders[number])}
+}
+
+// callConnection is that of an order to a replica: each call has one of its own.
+func (w *World) callConnection(number, replica int) uint64 {
+	return clientConnection + uint64(number*w.replicas+replica)
+}
+
+// answered takes a replica's answer to a call.
+func (w *World) answered(s *system, connection uint64, r wire.EditReply) error {
+	number, replica := int(connection-clientConnection)/w.replicas, int(connection-clientConnection)%w.replicas
+	order, c := &w.orders[number], &s.calls[number]
+	c.open &^= 1 << replica
+	clear, accepted := answerClear(r)
+	if !clear {
+		return nil
+	}
+	if order.Kind == ReadOrder {
+		return w.readAnswered(s, number, r)
+	}
+	if c.ended() {
+		if accepted != (c.status == callAccepted) {
+			return violation(InvariantOneAnswer, "order %s was answered both ways, last %s", order.Name, r.Code)
+		}
+		return nil
+	}
+	c.status = callRefused
+	if accepted {
+		c.status = callAccepted
+	}
+	s.record = s.record.ended(number, accepted, nil)
+	if !accepted {
+		return w.checkRefused(s, number)
+	}
+	return w.checkAcknowledged(s, number, r)
+}
+
+func (w *World) readAnswered(s *system, number int, r wire.EditReply) error {
+	c := &s.calls[number]
+	if c.ended() || r.Code != "ok" {
+		return nil
+	}
+	got, ok := contentsOf(r.Body)
+	if !ok {
+		return violation(InvariantReadable, "a read returned a body that cannot be read")
+	}
+	c.status = callAccepted
+	s.record = s.record.ended(number, true, &reading{configuration: w.valueOf(got), drained: got.drained})
+	return nil
+}
+
+// valueOf names the configuration that a read returned by the order that made it.
+func (w *World) valueOf(c contents) string {
+	for _, o := range w.orders {
+		if o.Kind == ChangeOrder && o.Revision == c.revision && slices.Contains(c.orders, o.Name) {
+			return o.Name
+		}
+	}
+	if c.revision == 0 {
+		return ""
+	}
+	return fmt.Sprint("unknown revision ", c.revision)
+}
+
+// changeOf is an order other than a read as the history checker sees it.
+func (w *World) changeOf(number int) history.Operation {
+	o := &w.orders[number]
+	op := history.Operation{Register: history.Configuration, Client: w.operatorOf[number], ID: o.Name}
+	switch o.Kind {
+	case ChangeOrder:
+		op.Kind, op.Version, op.Base = history.Change, fmt.Sprint(o.Revision), versionName(o.Base)
+	case DrainOrder:
+		op.Register, op.Kind, op.ID = history.Zone(o.Zone), history.Set, history.Drained
+	case RestoreOrder:
+		op.Register, op.Kind, op.ID = history.Zone(o.Zone), history.Set, history.Restored
+	}
+	return op
+}
+
+// readsOf is a read as the history checker sees it: one of each register.
+func (w *World) readsOf(number int, got *reading) []history.Operation {
+	read := history.Operation{Register: history.Configuration, Client: w.operatorOf[number], Kind: history.Read, Value: got.configuration}
+	all := []history.Operation{read}
+	for _, zone := range w.zones {
+		read.Register, read.Value = history.Zone(zone), history.Restored
+		if slices.Contains(got.drained, zone) {
+			read.Value = history.Drained
+		}
+		all = append(all, read)
+	}
+	return all
+}
+
+func versionName(revision int64) string {
+	if revision == 0 {
+		return ""
+	}
+	return fmt.Sprint(revision)
+}
--- /dev/null
+++ b/lab/model/process.go
@@ -0,0 +1,225 @@
+// Replica processes as values. A process is a history of inputs since its
+// start; two histories that lead to the same fingerprint, pending writes and
+// timers are one process. What an input does to a process is run once, on the
+// product's own code, and remembered: processes are deterministic and share
+// nothing, so a state of the whole system is a tuple of processes.
+package model
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// pendingWrite is a file that a process asked for and that is not synced yet.
+type pendingWrite struct {
+	key, file string
+	data      []byte
+	// cause is the input that asked for it, with its time.
+	cause digest
+}
+
+type timer struct {
+	at          int64
+	plugin, key string
+}
+
+// process is one state of one replica.
+type process struct {
+	id        int32
+	replica   int
+	life      int
+	parent    *process
+	at        int64
+	input     kernel.Input
+	files     map[string][]byte
+	writes    []pendingWrite
+	timers    []timer
+	committed wire.Stamp
+	// body is of the committed version.
+	body []byte
+}
+
+// effects is what a step asked for.
+type effects struct {
+	next  *process
+	sends []kernel.Send
+	// removes are files to be removed; nothing waits for that.
+	removes []string
+}
+
+type stepKey struct {
+	process int32
+	at      int64
+	input   digest
+}
+
+// runtime runs processes and remembers their steps.
+type runtime struct {
+	byState map[digest]*process
+	steps   map[stepKey]*effects
+	starts  map[digest]*effects
+	live    map[int32]*kernel.Kernel
+	order   []int32
+	// Steps counts those run on the product's code, Replayed those run again to rebuild a process.
+	Steps, Replayed int
+	// merged, if set, is told of every two histories that were taken for one process.
+	merged func(known, other *process)
+}
+
+// liveMost bounds the processes that are kept running.
+const liveMost = 512
+
+func newRuntime() *runtime {
+	return &runtime{
+		byState: map[digest]*process{}, steps: map[stepKey]*effects{}, starts: map[digest]*effects{}, live: map[int32]*kernel.Kernel{},
+	}
+}
+
+// start boots a replica on the files of its disk.
+func (r *runtime) start(replica, life int, at int64, files map[string][]byte) *effects {
+	key := digestOf(append(filesBytes(files), fmt.Sprint(replica, life, at)...))
+	if e := r.starts[key]; e != nil {
+		return e
+	}
+	p := &process{replica: replica, life: life, at: at, input: kernel.Start{}, files: files}
+	k := bootKernel(replica, files)
+	e := r.run(p, k, nil)
+	r.starts[key] = e
+	return e
+}
+
+// step feeds a process one input.
+func (r *runtime) step(p *process, at int64, input kernel.Input) *effects {
+	key := stepKey{p.id, at, inputDigest(input)}
+	if e := r.steps[key]; e != nil {
+		return e
+	}
+	k := r.wake(p)
+	next := &process{replica: p.replica, life: p.life, parent: p, at: at, input: input, writes: p.writes, timers: p.timers}
+	e := r.run(next, k, p)
+	r.steps[key] = e
+	return e
+}
+
+// wake gives the running process, replayed from its start if it is not running any more.
+func (r *runtime) wake(p *process) *kernel.Kernel {
+	if k := r.live[p.id]; k != nil {
+		delete(r.live, p.id)
+		return k
+	}
+	var history []*process
+	for q := p; q != nil; q = q.parent {
+		history = append(history, q)
+	}
+	first := history[len(history)-1]
+	k := bootKernel(first.replica, first.files)
+	for _, q := range slices.Backward(history) {
+		r.Replayed++
+		fixRandom(k, q.replica, q.life)
+		k.Step(q.at, epoch+q.at, q.input)
+	}
+	return k
+}
+
+// run steps a kernel by the input of next and finds which process it is now.
+func (r *runtime) run(next *process, k *kernel.Kernel, before *process) *effects {
+	r.Steps++
+	fixRandom(k, next.replica, next.life)
+	out := k.Step(next.at, epoch+next.at, next.input)
+	next.writes = nextWrites(next, out)
+	next.timers = nextTimers(next, out)
+	if v, ok := committedOf(k); ok {
+		next.committed, next.body = v.Stamp, v.Body
+	}
+	state := digestOf(next.bytes(fingerprint(replicaOf(k))))
+	known := r.byState[state]
+	if known == nil {
+		next.id = int32(len(r.byState))
+		r.byState[state] = next
+		known = next
+	} else if r.merged != nil {
+		r.merged(known, next)
+	}
+	r.keep(known.id, k)
+	e := &effects{next: known, sends: out.Sends}
+	for _, wr := range out.Writes {
+		if wr.Plugin == pluginName && wr.Data == nil {
+			e.removes = append(e.removes, wr.File)
+		}
+	}
+	return e
+}
+
+// keep holds a kernel for the next step, and lets the oldest go.
+func (r *runtime) keep(id int32, k *kernel.Kernel) {
+	if r.live[id] != nil {
+		return
+	}
+	r.live[id] = k
+	r.order = append(r.order, id)
+	if len(r.order) > liveMost {
+		delete(r.live, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+func nextWrites(next *process, out kernel.Out) []pendingWrite {
+	writes := slices.Clone(next.writes)
+	if v, ok := next.input.(kernel.Written); ok {
+		writes = slices.DeleteFunc(writes, func(w pendingWrite) bool { return w.key == v.Key && v.Key != "" })
+	}
+	cause := digestOf(append(inputBytes(next.input), fmt.Sprint(next.at)...))
+	for _, w := range out.Writes {
+		if w.Plugin == pluginName && w.Data != nil {
+			writes = append(writes, pendingWrite{key: w.Key, file: w.File, data: w.Data, cause: cause})
+		}
+	}
+	return writes
+}
+
+// nextTimers takes the timer that fired out, and adds those that were asked for.
+func nextTimers(next *process, out kernel.Out) []timer {
+	timers := slices.Clone(next.timers)
+	if v, ok := next.input.(kernel.Tick); ok {
+		if i := slices.IndexFunc(timers, func(t timer) bool { return t.plugin == v.Plugin && t.key == v.Key }); i >= 0 {
+			timers = slices.Delete(timers, i, i+1)
+		}
+	}
+	for _, t := range out.Timers {
+		if t.Plugin == pluginName {
+			timers = append(timers, timer{t.At, t.Plugin, t.Key})
+		}
+	}
+	slices.SortFunc(timers, func(a, b timer) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.key, b.key)) })
+	return timers
+}
+
+// bytes is all that a process's future depends on.
+func (p *process) bytes(fingerprint []byte) []byte {
+	b := append(fingerprint, byte(p.replica), byte(p.life))
+	for _, w := range p.writes {
+		b = append(b, w.key...)
+		b = append(b, w.file...)
+		b = append(b, w.cause[:]...)
+		b = append(b, w.data...)
+	}
+	for _, t := range p.timers {
+		b = appendNumber(b, t.at)
+		b = append(b, t.key...)
+	}
+	b = appendNumber(b, int64(p.committed.Term))
+	return appendNumber(b, int64(p.committed.Seq))
+}
+
+func inputBytes(input kernel.Input) []byte {
+	if v, ok := input.(kernel.Received); ok {
+		return append(appendNumber([]byte("received"), int64(v.Chan)), v.Data...)
+	}
+	return fmt.Appendf(nil, "%T%v", input, input)
+}
+
+func inputDigest(input kernel.Input) digest { return digestOf(inputBytes(input)) }
--- /dev/null
+++ b/lab/model/product.go
@@ -0,0 +1,237 @@
+// What the checker knows of the product: which package holds the replicated
+// state machine, its messages, files and orders. Nothing else here names them.
+package model
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/tinylib/msgp/msgp"
+	"google.golang.org/protobuf/proto"
+
+	"wallport/diskfile"
+	"wallport/env"
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/replica"
+	"wallport/routingpb"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// pluginName is the plug-in under test; inputs go to it alone.
+const pluginName = "seats"
+
+// epoch is the time of day at the steady clock's zero.
+const epoch = int64(1_700_000_000_000_000)
+
+func isMessage(pkg string) bool { return pkg == "wallport/wire" }
+
+// bootKernel makes a replica's process on the files of its disk.
+func bootKernel(replica int, files map[string][]byte) *kernel.Kernel {
+	e := env.Env{
+		Name: replicaName(replica), Zone: fmt.Sprintf("zone-%d", replica+1), Mesh: replicaAddress(replica), Data: "disk",
+		BootstrapKnown: true, Tolerance: env.Tolerance{Machines: 1},
+	}
+	return kernel.New(kernel.Boot{Env: e, Role: "core", Seed: uint64(replica), Key: kernel.KeyFrom(make([]byte, 32)), Files: files})
+}
+
+// replicaOf is the state machine of a process.
+func replicaOf(k *kernel.Kernel) any { return kernel.Find[*replica.Host](k) }
+
+// fixRandom has the next step draw the same numbers whatever was drawn before: two histories
+// that lead to the same state must not differ by their luck.
+func fixRandom(k *kernel.Kernel, replica, life int) {
+	k.Rand = rand.New(rand.NewPCG(uint64(replica), uint64(life)))
+}
+
+// committedOf is the newest version that a process knows to be committed.
+func committedOf(k *kernel.Kernel) (wire.Stamped, bool) {
+	return kernel.Find[*mesh.Mesh](k).Part(state.Config)
+}
+
+func replicaName(replica int) string    { return string(rune('a' + replica)) }
+func replicaAddress(replica int) string { return fmt.Sprintf("10.0.0.%d:1", replica+1) }
+
+func memberOf(replica int) wire.Seat {
+	return wire.Seat{ID: replicaName(replica), Zone: fmt.Sprintf("zone-%d", replica+1), Addr: replicaAddress(replica)}
+}
+
+// formedDisk is the disk of a voter of a group that has just been formed.
+func formedDisk(replica, voters int) map[string][]byte {
+	form := wire.Form{Formation: "f", Go: true, By: memberOf(0)}
+	for i := range voters {
+		form.Seats = append(form.Seats, memberOf(i))
+	}
+	files := standbyDisk(replica)
+	files["formation"] = diskfile.Pack(wire.Encode(&form))
+	return files
+}
+
+// standbyDisk is the disk of a process that has an identity and no vote.
+func standbyDisk(replica int) map[string][]byte {
+	return map[string][]byte{"seat": diskfile.Pack([]byte(replicaName(replica)))}
+}
+
+// versionIn reads the version that a file holds.
+func versionIn(file string, data []byte) (wire.Stamped, bool) {
+	var v wire.Stamped
+	if !strings.HasPrefix(file, fmt.Sprintf("part-%d.stamp-", state.Config)) {
+		return v, false
+	}
+	content, err := diskfile.Unpack(data)
+	if err != nil || wire.Decode(content, &v) != nil {
+		return v, false
+	}
+	return v, true
+}
+
+// identityIn reads the identity that a disk holds.
+func identityIn(files map[string][]byte) string {
+	content, err := diskfile.Unpack(files["seat"])
+	if err != nil {
+		return ""
+	}
+	return string(content)
+}
+
+// versionDigest is over all that a version must be the same in: body and members.
+func versionDigest(v wire.Stamped) digest { return digestOf(wire.Encode(&v)) }
+
+// frameKind classifies a frame between processes.
+type frameKind uint8
+
+const (
+	frameIgnored frameKind = iota
+	frameReplica
+	frameAnswer
+)
+
+// frame is what the checker reads of a message.
+type frame struct {
+	kind frameKind
+	// leader and term are set where only a leader of the term sends it.
+	leader string
+	term   uint64
+	// version is set where the message proposes one.
+	version *wire.Stamped
+	id      uint64
+	answer  wire.EditReply
+	text    string
+}
+
+// openFrame reads a message; those of other partitions are ignored.
+func openFrame(data []byte) (f frame) {
+	opened, err := wire.Open(data)
+	if err != nil {
+		return f
+	}
+	f.id = opened.ID
+	f.text = fmt.Sprintf("kind %d", opened.Kind)
+	switch opened.Kind {
+	case wire.KindEditReply:
+		if wire.Decode(opened.Body, &f.answer) == nil {
+			f.kind = frameAnswer
+		}
+		return f
+	case wire.KindPull, wire.KindPullReply, wire.KindHeartbeat, wire.KindGossip, wire.KindNotice:
+		return f
+	case wire.KindAccept:
+		var m wire.Accept
+		if wire.Decode(opened.Body, &m) == nil && m.Part == state.Config {
+			f.kind, f.leader, f.term, f.version = frameReplica, m.From, m.Term, &m.Stamped
+			f.text = fmt.Sprintf("append %d.%d", m.Stamped.Stamp.Term, m.Stamped.Stamp.Seq)
+		}
+		return f
+	case wire.KindBeat:
+		var m wire.Beat
+		if wire.Decode(opened.Body, &m) == nil && m.Part == state.Config {
+			f.kind, f.leader, f.term = frameReplica, m.From, m.Term
+			f.text = fmt.Sprintf("heartbeat term %d", m.Term)
+		}
+		return f
+	}
+	if partitionOf(opened.Body) == state.Config {
+		f.kind = frameReplica
+	}
+	return f
+}
+
+// partitionOf reads the partition that a message is about, without its type.
+func partitionOf(body []byte) int {
+	v, _, err := msgp.ReadMapStrIntfBytes(body, nil)
+	if err != nil {
+		return -1
+	}
+	n, _ := v["p"].(int64)
+	return int(n)
+}
+
+// announceFrame is the message by which a process without a vote makes itself known.
+func announceFrame(replica int, identity string) []byte {
+	return wire.Seal(wire.KindPull, 1, &wire.Pull{Addr: replicaAddress(replica), Seat: identity, Zone: fmt.Sprintf("zone-%d", replica+1)})
+}
+
+// orderFrame is an operator's call.
+func orderFrame(id uint64, o *Order) []byte {
+	e := wire.Edit{Part: state.Config, EditID: o.Name, By: "operator"}
+	switch o.Kind {
+	case ChangeOrder:
+		edit := &routingpb.RoutingEdit{Base: o.Base, Revision: o.Revision, Upsert: &routingpb.RoutingTable{Pools: []*routingpb.Pool{{Name: o.Name}}}}
+		e.Op = "routing"
+		e.Body, _ = proto.MarshalOptions{Deterministic: true}.Marshal(edit)
+	case DrainOrder:
+		e.Op, e.Name = "empty", o.Zone
+	case RestoreOrder:
+		e.Op, e.Name = "refill", o.Zone
+	case ReadOrder:
+		e.Op = "read"
+	}
+	return wire.Seal(wire.KindEdit, id, &e)
+}
+
+// answerClear tells whether an answer settles a call, and whether it acknowledges it.
+func answerClear(r wire.EditReply) (clear, accepted bool) {
+	switch r.Code {
+	case "ok":
+		return true, true
+	case "lost_race", "invalid", "conflict":
+		return true, false
+	default:
+		return false, false
+	}
+}
+
+// contents are the orders that a version's body carries: the pools by the names of their
+// orders, the revision in force, and the drained zones.
+type contents struct {
+	revision int64
+	orders   []string
+	drained  []string
+}
+
+func contentsOf(body []byte) (c contents, ok bool) {
+	config, err := state.ReadConfig(body)
+	if err != nil {
+		return c, false
+	}
+	table, err := state.RoutingOf(config)
+	if err != nil {
+		return c, false
+	}
+	c.revision = table.GetRevision()
+	for _, p := range table.GetPools() {
+		c.orders = append(c.orders, p.Name)
+	}
+	slices.Sort(c.orders)
+	c.drained = config.Emptied
+	return c, true
+}
+
+// newer tells whether version a comes after b.
+func newer(a, b wire.Stamp) bool { return mesh.Newer(a, b) }
+
+func appendNumber(b []byte, n int64) []byte { return binary.AppendVarint(b, n) }
--- /dev/null
+++ b/lab/model/record.go
@@ -0,0 +1,141 @@
+// The record of a schedule: what invariants over more than one state need to
+// know. It is part of a state's key, and is never changed in place.
+package model
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"wallport/wire"
+)
+
+// reading is what a read returned.
+type reading struct {
+	configuration string
+	drained       []string
+}
+
+// event is a begin or an end of an order, in the order in which operators saw them.
+type event struct {
+	order    int
+	end      bool
+	accepted bool
+	reading  *reading
+}
+
+type record struct {
+	// leaders are the replicas that led, by term; versions are those proposed.
+	leaders  map[uint64]string
+	versions map[wire.Stamp]digest
+	// committed are the versions that some replica took for committed.
+	committed []wire.Stamp
+	// synced is the newest version that each identity's disk has ever held.
+	synced map[string]wire.Stamp
+	// acknowledged has the version of each acknowledged order.
+	acknowledged map[int]wire.Stamp
+	refused      []int
+	events       []event
+	sum, played  digest
+}
+
+func newRecord() *record {
+	r := &record{
+		leaders: map[uint64]string{}, versions: map[wire.Stamp]digest{}, synced: map[string]wire.Stamp{}, acknowledged: map[int]wire.Stamp{},
+	}
+	r.seal()
+	return r
+}
+
+func compareVersions(a, b wire.Stamp) int {
+	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Seq, b.Seq))
+}
+
+// seal computes the record's digests anew.
+func (r *record) seal() {
+	r.played = digestOf(eventBytes(r.events))
+	b := slices.Clone(r.played[:])
+	for _, term := range slices.Sorted(maps.Keys(r.leaders)) {
+		b = fmt.Appendf(b, "%d=%s,", term, r.leaders[term])
+	}
+	for _, v := range slices.SortedFunc(maps.Keys(r.versions), compareVersions) {
+		sum := r.versions[v]
+		b = appendNumber(appendNumber(b, int64(v.Term)), int64(v.Seq))
+		b = append(b, sum[:]...)
+	}
+	for _, v := range r.committed {
+		b = appendNumber(appendNumber(b, int64(v.Term)), int64(v.Seq))
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.synced)) {
+		b = fmt.Appendf(b, "%s=%d.%d,", id, r.synced[id].Term, r.synced[id].Seq)
+	}
+	for _, order := range slices.Sorted(maps.Keys(r.acknowledged)) {
+		b = fmt.Appendf(b, "%d=%d.%d,", order, r.acknowledged[order].Term, r.acknowledged[order].Seq)
+	}
+	b = fmt.Appendf(b, "%v", r.refused)
+	r.sum = digestOf(b)
+}
+
+func eventBytes(events []event) (b []byte) {
+	for _, e := range events {
+		b = append(b, byte(e.order), byte(boolInt(e.end)), byte(boolInt(e.accepted)))
+		if e.reading != nil {
+			b = fmt.Appendf(b, "%v", *e.reading)
+		}
+	}
+	return b
+}
+
+func (r *record) change(f func(c *record)) *record {
+	c := *r
+	f(&c)
+	c.seal()
+	return &c
+}
+
+func (r *record) began(order int) *record {
+	return r.change(func(c *record) { c.events = append(slices.Clip(c.events), event{order: order}) })
+}
+
+func (r *record) ended(order int, accepted bool, got *reading) *record {
+	return r.change(func(c *record) {
+		c.events = append(slices.Clip(c.events), event{order: order, end: true, accepted: accepted, reading: got})
+	})
+}
+
+func (r *record) leads(term uint64, leader string) *record {
+	return r.change(func(c *record) { c.leaders = withEntry(c.leaders, term, leader) })
+}
+
+func (r *record) proposed(v wire.Stamp, sum digest) *record {
+	return r.change(func(c *record) { c.versions = withEntry(c.versions, v, sum) })
+}
+
+func (r *record) commits(v wire.Stamp) *record {
+	return r.change(func(c *record) {
+		c.committed = append(slices.Clone(c.committed), v)
+		slices.SortFunc(c.committed, compareVersions)
+	})
+}
+
+func (r *record) syncs(identity string, v wire.Stamp) *record {
+	return r.change(func(c *record) { c.synced = withEntry(c.synced, identity, v) })
+}
+
+func (r *record) acknowledges(order int, v wire.Stamp) *record {
+	return r.change(func(c *record) { c.acknowledged = withEntry(c.acknowledged, order, v) })
+}
+
+func (r *record) refuses(order int) *record {
+	return r.change(func(c *record) {
+		c.refused = append(slices.Clone(c.refused), order)
+		slices.Sort(c.refused)
+	})
+}
+
+func withEntry[K comparable, V any](m map[K]V, key K, value V) map[K]V {
+	c := maps.Clone(m)
+	c[key] = value
+	return c
+}
--- /dev/null
+++ b/lab/model/system.go
@@ -0,0 +1,153 @@
+// Package model explores the control state's consensus code: it drives the
+// product's own replicas, a process for each, through the interleavings of
+// messages, syncs, crashes, lost disks, freezes and operators' calls up to a
+// stated bound, and checks its invariants in every state. Beyond the bound it
+// walks at random and shrinks a failing schedule.
+package model
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"maps"
+	"slices"
+)
+
+// Budget bounds how often each kind of fault and choice may come in one schedule.
+type Budget struct {
+	Elapses, Losses, Doubles, Delays, Crashes, LostDisks, Cuts, Freezes, Announces, Stops, Calls int
+	// Holds is how often a source may be put off, or AllInterleavings.
+	Holds int
+}
+
+// message is a frame on its way; connection is what the receiver answers on.
+type message struct {
+	connection uint64
+	data       []byte
+	digest     digest
+	frame      frame
+}
+
+// disk is what is synced of one machine, and how often it was lost.
+type disk struct {
+	files map[string][]byte
+	life  int
+	sum   digest
+}
+
+func newDisk(files map[string][]byte, life int) *disk {
+	return &disk{files: files, life: life, sum: digestOf(append(filesBytes(files), byte(life)))}
+}
+
+// with is the disk after one write.
+func (d *disk) with(w pendingWrite) *disk {
+	files := maps.Clone(d.files)
+	files[w.file] = w.data
+	return newDisk(files, d.life)
+}
+
+// without is the disk after files were removed.
+func (d *disk) without(names []string) *disk {
+	files := maps.Clone(d.files)
+	for _, name := range names {
+		delete(files, name)
+	}
+	return newDisk(files, d.life)
+}
+
+func filesBytes(files map[string][]byte) []byte {
+	var b []byte
+	for _, name := range slices.Sorted(maps.Keys(files)) {
+		b = append(b, name...)
+		b = appendNumber(b, int64(len(files[name])))
+		b = append(b, files[name]...)
+	}
+	return b
+}
+
+// link is one step of a schedule, from the newest back to the first.
+type link struct {
+	before *link
+	action Action
+}
+
+// everyReplica is that the last step was one of all replicas, or of none.
+const everyReplica = -1
+
+// system is one state of the whole system; states share what they have in common.
+type system struct {
+	now       int64
+	processes []*process
+	disks     []*disk
+	// frozenAt is the time of a freeze, or 0.
+	frozenAt []int64
+	// queues hold the messages from one replica to another, in order: index from*n+to.
+	queues [][]*message
+	calls  []call
+	// held has a bit for each source that is put off.
+	held uint64
+	// cut has a bit for each replica that is cut off.
+	cut uint64
+	// touched is the replica of the last step, or everyReplica.
+	touched int
+	left    Budget
+	record  *record
+	path    *link
+	depth   int
+}
+
+func (s *system) clone() *system {
+	c := *s
+	c.processes = slices.Clone(s.processes)
+	c.disks = slices.Clone(s.disks)
+	c.frozenAt = slices.Clone(s.frozenAt)
+	c.queues = slices.Clone(s.queues)
+	c.calls = slices.Clone(s.calls)
+	c.depth++
+	return &c
+}
+
+// key is the canonical hash of a state: equal states have equal futures.
+func (s *system) key() digest {
+	h := sha256.New()
+	var b []byte
+	b = appendNumber(b, s.now)
+	for i, p := range s.processes {
+		b = appendNumber(b, int64(p.id))
+		b = append(b, s.disks[i].sum[:]...)
+		b = appendNumber(b, s.frozenAt[i])
+	}
+	for _, q := range s.queues {
+		b = appendNumber(b, int64(len(q)))
+		for _, m := range q {
+			b = append(b, m.digest[:]...)
+		}
+	}
+	for _, c := range s.calls {
+		b = append(b, byte(c.status), byte(c.sent))
+		b = appendNumber(b, int64(c.open))
+	}
+	b = append(binary.AppendUvarint(binary.AppendUvarint(b, s.held), s.cut), byte(s.touched))
+	h.Write(b)
+	binary.Write(h, binary.LittleEndian, s.left.counts())
+	h.Write(s.record.sum[:])
+	var d digest
+	copy(d[:], h.Sum(nil))
+	return d
+}
+
+func (b Budget) counts() []int32 {
+	return []int32{
+		int32(b.Elapses), int32(b.Losses), int32(b.Doubles), int32(b.Delays), int32(b.Crashes), int32(b.LostDisks),
+		int32(b.Cuts), int32(b.Freezes), int32(b.Announces), int32(b.Stops), int32(b.Calls), int32(b.Holds),
+	}
+}
+
+// schedule is the list of actions that led to a state.
+func (s *system) schedule() []Action {
+	var actions []Action
+	for l := s.path; l != nil; l = l.before {
+		actions = append(actions, l.action)
+	}
+	slices.Reverse(actions)
+	return actions
+}
--- /dev/null
+++ b/lab/model/walk.go
@@ -0,0 +1,114 @@
+// Random walks beyond the bound of the exploration, and the shrinking of a
+// schedule that fails.
+package model
+
+import "math/rand/v2"
+
+// weights make a walk go on: progress is likelier than faults.
+var weights = map[ActionKind]int{
+	Deliver: 60, Sync: 60, Elapse: 14, Call: 10, Announce: 4, Thaw: 4, Lose: 2, Double: 2, Delay: 4, Crash: 2, LoseDisk: 1, Cut: 2, Rejoin: 4, Hold: 2, Release: 4, Freeze: 2, Stop: 1,
+}
+
+// WalkReport is what a number of walks came to.
+type WalkReport struct {
+	Walks, Steps, Longest int
+	// Seed is that of the walk that failed.
+	Seed    uint64
+	Failure *Failure
+}
+
+// Walk plays one random schedule of so many actions.
+func (w *World) Walk(seed uint64, length int) (steps int, f *Failure, err error) {
+	rnd := rand.New(rand.NewPCG(seed, 0x6d6f64656c))
+	s, err := w.initial()
+	if err != nil {
+		return 0, nil, err
+	}
+	for steps = range length {
+		actions := w.enabled(s)
+		if len(actions) == 0 {
+			return steps, nil, nil
+		}
+		next, err := w.apply(s, draw(rnd, actions))
+		if err != nil {
+			return steps + 1, &Failure{Violation: err, Schedule: next.schedule()}, nil
+		}
+		s = next
+	}
+	return length, nil, nil
+}
+
+// draw picks an action: first a kind, by its weight, then one of that kind.
+func draw(rnd *rand.Rand, actions []Action) Action {
+	kinds := map[ActionKind][]Action{}
+	total := 0
+	for _, a := range actions {
+		if kinds[a.Kind] == nil {
+			total += weights[a.Kind]
+		}
+		kinds[a.Kind] = append(kinds[a.Kind], a)
+	}
+	n := rnd.IntN(total)
+	for kind := Deliver; kind <= Release; kind++ {
+		if of := kinds[kind]; of != nil {
+			if n -= weights[kind]; n < 0 {
+				return of[rnd.IntN(len(of))]
+			}
+		}
+	}
+	return actions[0]
+}
+
+// Walks plays schedules of seeds in turn until one fails, and shrinks that one.
+func (c Config) Walks(first uint64, walks, length int) (WalkReport, error) {
+	var r WalkReport
+	var w *World
+	for i := range walks {
+		// A world remembers every process it has met: a new one now and then bounds the memory.
+		if i%walksPerWorld == 0 {
+			w = NewWorld(c)
+		}
+		seed := first + uint64(i)
+		steps, f, err := w.Walk(seed, length)
+		if err != nil {
+			return r, err
+		}
+		r.Walks++
+		r.Steps += steps
+		r.Longest = max(r.Longest, steps)
+		if f != nil {
+			r.Seed, r.Failure = seed, w.Shrink(f)
+			return r, nil
+		}
+	}
+	return r, nil
+}
+
+const walksPerWorld = 50
+
+// Shrink leaves actions out of a failing schedule for as long as the same invariant breaks.
+func (w *World) Shrink(f *Failure) *Failure {
+	best := f
+	for size := len(best.Schedule) / 2; size > 0; {
+		smaller := w.without(best, size)
+		if smaller != nil {
+			best = smaller
+			size = min(size, len(best.Schedule))
+			continue
+		}
+		size /= 2
+	}
+	return best
+}
+
+// without tries to leave out one run of actions, and gives the failure that remains.
+func (w *World) without(f *Failure, size int) *Failure {
+	for from := 0; from+size <= len(f.Schedule); from += size {
+		rest := append(append([]Action(nil), f.Schedule[:from]...), f.Schedule[from+size:]...)
+		got, err := w.Replay(rest)
+		if err == nil && got != nil && invariantOf(got.Violation) == invariantOf(f.Violation) && len(got.Schedule) < len(f.Schedule) {
+			return got
+		}
+	}
+	return nil
+}
--- a/replica/host.go
+++ b/replica/host.go
@@ -82,8 +82,8 @@
 
 // Load reads the disk as it was at the start of the process.
 func (s *Host) load(t *kernel.Turn) {
-	for name, raw := range s.k.Boot.Files {
-		b, err := diskfile.Unpack(raw)
+	for _, name := range sortedKeys(s.k.Boot.Files) {
+		b, err := diskfile.Unpack(s.k.Boot.Files[name])
 		if f, ok := err.(diskfile.ErrFuture); ok {
 			s.diskDamaged, s.futureFormat = true, f.Error()
 			continue
