The model's sources take turns; crashes keep or lose waiting requests; preludes

Now sources take turns, a departure from which costs a hold; a request that waits for a new connection may reach the next life of a replica that crashed, as it may in the product.

--- a/lab/model/action.go
+++ b/lab/model/action.go
@@ -19,7 +19,10 @@
 	// Elapse lets time pass, Argument is how much in microseconds, and runs the timers of those that run.
 	Elapse
 	// Crash kills Replica and starts it again, with the first Argument of its pending writes synced.
+	// Answers on its connections are lost; requests that wait for a new connection reach its next
+	// life, or are lost as well in CrashAlone.
 	Crash
+	CrashAlone
 	// LoseDisk does so with an empty disk.
 	LoseDisk
 	// Cut cuts Replica off from all others. Rejoin ends that: with Argument 0 what waited is
@@ -50,7 +53,7 @@
 }
 
 var actionNames = []string{
-	"deliver", "lose", "double", "delay", "sync", "elapse", "crash", "lose disk", "cut", "rejoin", "freeze", "thaw", "announce", "stop", "call", "hold", "release",
+	"deliver", "lose", "double", "delay", "sync", "elapse", "crash", "crash losing requests of", "lose disk", "cut", "rejoin", "freeze", "thaw", "announce", "stop", "call", "hold", "release",
 }
 
 func (a Action) String() string {
@@ -60,7 +63,7 @@
 		return fmt.Sprintf("%s %s->%s %s", name, replica, replicaName(a.Peer), a.description)
 	case Elapse:
 		return fmt.Sprintf("%s %d ms", name, a.Argument/1000)
-	case Crash:
+	case Crash, CrashAlone:
 		return fmt.Sprintf("%s %s with %d pending writes synced", name, replica, a.Argument)
 	case Call:
 		return fmt.Sprintf("%s %s %s", name, replica, a.operatorsOrder)
--- a/lab/model/system.go
+++ b/lab/model/system.go
@@ -22,9 +22,11 @@
 // message is a frame on its way; connection is what the receiver answers on.
 type message struct {
 	connection uint64
-	data       []byte
-	digest     digest
-	frame      frame
+	// request is that it was sent to an address, over whatever connection there is.
+	request bool
+	data    []byte
+	digest  digest
+	frame   frame
 }
 
 // disk is what is synced of one machine, and how often it was lost.
@@ -83,6 +85,8 @@
 	// queues hold the messages from one replica to another, in order: index from*n+to.
 	queues [][]*message
 	calls  []call
+	// order has the sources that have something to do, in the order in which they take turns.
+	order []uint8
 	// held has a bit for each source that is put off.
 	held uint64
 	// cut has a bit for each replica that is cut off.
@@ -102,6 +106,7 @@
 	c.frozenAt = slices.Clone(s.frozenAt)
 	c.queues = slices.Clone(s.queues)
 	c.calls = slices.Clone(s.calls)
+	c.order = slices.Clone(s.order)
 	c.depth++
 	return &c
 }
@@ -127,7 +132,7 @@
 		b = appendNumber(b, int64(c.open))
 	}
 	b = append(binary.AppendUvarint(binary.AppendUvarint(b, s.held), s.cut), byte(s.touched))
-	h.Write(b)
+	h.Write(append(b, s.order...))
 	binary.Write(h, binary.LittleEndian, s.left.counts())
 	h.Write(s.record.sum[:])
 	var d digest
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -19,6 +19,8 @@
 	Settled bool
 	// Away are replicas that are cut off at the start.
 	Away []int
+	// Prelude are actions before the exploration, each followed by all that it leads to.
+	Prelude []Action
 	// Operators are the orders of each operator, in turn.
 	Operators [][]Order
 	// Spans are the times that may pass at once, in microseconds.
@@ -113,10 +115,19 @@
 			return nil, err
 		}
 	}
-	s.left, s.path, s.depth = w.Budget, nil, 0
 	for _, i := range w.Away {
 		s.cut |= 1 << i
 	}
+	for _, a := range w.Prelude {
+		next, err := w.apply(s, a)
+		if err != nil {
+			return nil, err
+		}
+		if s, err = w.drain(next); err != nil {
+			return nil, err
+		}
+	}
+	s.left, s.path, s.depth = w.Budget, nil, 0
 	return s, nil
 }
 
@@ -193,7 +204,7 @@
 	if err := w.checkSent(s, &f); err != nil {
 		return err
 	}
-	m := w.message(replicaConnection(from), send.Data, f)
+	m := w.message(replicaConnection(from), send, f)
 	queue := from*w.replicas + to
 	s.queues[queue] = append(slices.Clip(s.queues[queue]), m)
 	return nil
@@ -208,12 +219,14 @@
 	return -1
 }
 
-func (w *World) message(connection uint64, data []byte, f frame) *message {
-	sum := digestOf(append(appendNumber(nil, int64(connection)), data...))
+func (w *World) message(connection uint64, send kernel.Send, f frame) *message {
+	request := send.Addr != ""
+	b := append(appendNumber(nil, int64(connection)), byte(boolInt(request)))
+	sum := digestOf(append(b, send.Data...))
 	if m := w.messages[sum]; m != nil {
 		return m
 	}
-	m := &message{connection: connection, data: data, digest: sum, frame: f}
+	m := &message{connection: connection, request: request, data: send.Data, digest: sum, frame: f}
 	w.messages[sum] = m
 	return m
 }
