--- a/lab/model/enabled.go
+++ b/lab/model/enabled.go
@@ -104,7 +104,7 @@
 
 // sourceActions lists what may happen to the first write or message of a source.
 func (w *World) sourceActions(s *system, source int, actions []Action) []Action {
-	if s.left.Holds > 0 {
+	if s.left.Holds > 0 && (source < w.replicas || !w.SlowDisks) {
 		actions = append(actions, Action{Kind: Hold, Argument: source, description: w.sourceName(source)})
 	}
 	if source < w.replicas {
@@ -130,7 +130,7 @@
 }
 
 func (w *World) faultActions(s *system, i int, actions []Action) []Action {
-	if s.frozenAt[i] != 0 {
+	if s.frozenAt[i] != 0 || len(w.Faulty) > 0 && !slices.Contains(w.Faulty, i) {
 		return actions
 	}
 	if s.left.Crashes > 0 {
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -19,6 +19,10 @@
 	Settled bool
 	// Away are replicas that are cut off at the start.
 	Away []int
+	// Faulty are the replicas that crash, freeze, are cut off and so on; none stands for all.
+	Faulty []int
+	// SlowDisks has holds put disks off alone, not messages.
+	SlowDisks bool
 	// Prelude are actions before the exploration, each followed by all that it leads to.
 	Prelude []Action
 	// Operators are the orders of each operator, in turn.
@@ -97,13 +101,16 @@
 		}
 	}
 	if w.Settled {
-		return w.settle(s)
+		var err error
+		if s, err = w.elect(s); err != nil {
+			return nil, err
+		}
 	}
-	return s, nil
+	return w.play(s)
 }
 
-// settle lets the first replica be elected, with nothing lost and nothing late.
-func (w *World) settle(s *system) (*system, error) {
+// elect lets the first replica be elected, with nothing lost and nothing late.
+func (w *World) elect(s *system) (*system, error) {
 	const until = 4
 	for range until {
 		s.left.Elapses++
@@ -115,6 +122,11 @@
 			return nil, err
 		}
 	}
+	return s, nil
+}
+
+// play runs the prelude, with as much of everything as it takes, and leaves the budget whole.
+func (w *World) play(s *system) (*system, error) {
 	for _, i := range w.Away {
 		s.cut |= 1 << i
 	}
--- /dev/null
+++ b/lab/rules/histories.go
@@ -0,0 +1,103 @@
+// The rule on histories: what operators were answered fits one order of their
+// calls, for the configuration and for each zone. It is no rule of the users'
+// pages by that name, but what CONFIG, LOST and EVAC rest on.
+package rules
+
+import (
+	"fmt"
+	"slices"
+
+	"wallport/lab/history"
+)
+
+// History is the name of the rule.
+const History = "HISTORY"
+
+func histories(j *Journal) {
+	h := j.OperatorsHistory()
+	for range h.Operations {
+		j.tested(History)
+	}
+	for _, err := range h.Check() {
+		j.fail(History, j.End, "%v", err)
+	}
+}
+
+// OperatorsHistory is what operators did and learned.
+func (j *Journal) OperatorsHistory() *history.History {
+	h := &history.History{}
+	for i, v := range j.Versions {
+		op := history.Operation{
+			Register: history.Configuration, Client: i, Kind: history.Change, ID: versionID(i, v), Version: fmt.Sprint(v.Revision), Invalid: v.Invalid,
+		}
+		if v.Base > 0 {
+			op.Base = fmt.Sprint(v.Base)
+		}
+		h.Add(between(op, v.Sent, v.Acked, v.Refused))
+	}
+	for _, r := range j.Confirmed {
+		j.addReading(h, r)
+	}
+	for i, o := range j.Orders {
+		op := history.Operation{Register: history.Zone(o.Zone), Client: i, Kind: history.Set, ID: history.Drained}
+		h.Add(between(op, o.Sent, o.Acked, Never))
+		if o.Back != Never {
+			op.ID = history.Restored
+			h.Add(between(op, o.Back, o.BackAcked, Never))
+		}
+	}
+	return h
+}
+
+func versionID(i int, v *Version) string {
+	return fmt.Sprintf("revision %d, sent as number %d", v.Revision, i)
+}
+
+// between sets when an operation began, and when and how it ended.
+func between(op history.Operation, sent, acked, refused int64) history.Operation {
+	op.Begin = sent
+	switch {
+	case acked != Never:
+		op.End, op.Outcome = acked, history.Accepted
+	case refused != Never:
+		op.End, op.Outcome = refused, history.Refused
+	}
+	return op
+}
+
+// addReading adds a read of the configuration and of every zone that was ever drained.
+func (j *Journal) addReading(h *history.History, r ConfirmedReading) {
+	op := history.Operation{Register: history.Configuration, Kind: history.Read, Begin: r.Sent, End: r.At, Outcome: history.Accepted}
+	op.Value = j.valueOf(r)
+	h.Add(op)
+	for _, zone := range j.zonesOf(r) {
+		op.Register, op.Value = history.Zone(zone), history.Restored
+		if slices.Contains(r.Drained, zone) {
+			op.Value = history.Drained
+		}
+		h.Add(op)
+	}
+}
+
+// zonesOf are the zones that were ever drained, and those that a reading shows to be.
+func (j *Journal) zonesOf(r ConfirmedReading) []string {
+	zones := slices.Clone(r.Drained)
+	for _, o := range j.Orders {
+		zones = append(zones, o.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// valueOf names the version that a reading shows: one under its number with its content.
+func (j *Journal) valueOf(r ConfirmedReading) string {
+	if r.Table.GetRevision() == 0 {
+		return ""
+	}
+	for i, v := range j.Versions {
+		if v.Revision == r.Table.Revision && v.may(r.At) && alike(v.Table, r.Table) {
+			return versionID(i, v)
+		}
+	}
+	return fmt.Sprintf("revision %d as nobody sent it", r.Table.Revision)
+}
--- a/lab/rules/journal.go
+++ b/lab/rules/journal.go
@@ -122,6 +122,13 @@
 	Table *routingpb.RoutingTable
 }
 
+// ConfirmedReading is a read that a majority confirmed between Sent and At.
+type ConfirmedReading struct {
+	Sent, At int64
+	Table    *routingpb.RoutingTable
+	Drained  []string
+}
+
 // Closing is the fault at the end of a day: Last is when it struck, Back when the machines ran again.
 type Closing struct{ At, Back int64 }
 
@@ -136,7 +143,9 @@
 	Backends []*Backend
 	InForce  []InForce
 	ReadBack []Reading
-	Closing  *Closing
+	// Confirmed are the readings that histories are judged by.
+	Confirmed []ConfirmedReading
+	Closing   *Closing
 	// Emptied are the zones that the nodes hold to be evacuated at the end, by machine.
 	Emptied map[string][]string
 	End     int64
--- a/lab/rules/judge.go
+++ b/lab/rules/judge.go
@@ -21,7 +21,7 @@
 	}
 	for _, rule := range []func(*Journal){
 		mixed, unasked, twice, refused, denied, route, drain, lost,
-		configHandled, configInForce, configOrder, configRead, budget, failback, evac, recovered, acks,
+		configHandled, configInForce, configOrder, configRead, budget, failback, evac, recovered, acks, histories,
 	} {
 		rule(j)
 	}
--- a/lab/sim/day_configs.go
+++ b/lab/sim/day_configs.go
@@ -99,6 +99,7 @@
 		})
 	})
 	o.d.w.at(o.d.end()-4_000_000, o.readBack)
+	o.d.w.after(confirmedReadUs, o.readConfirmed)
 }
 
 func withoutRevision(t *routingpb.RoutingTable) *routingpb.RoutingTable {
--- /dev/null
+++ b/lab/sim/day_reads.go
@@ -0,0 +1,53 @@
+// Confirmed reads of a day: every now and then somebody reads the configuration
+// and the drained zones through some core, for the histories.
+package sim
+
+import (
+	"wallport/lab/rules"
+	"wallport/operate"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// confirmedReadUs is how often it is read; the first read is as late.
+const confirmedReadUs = 2_000_000
+
+// readConfirmed reads once and again a while after the answer. A read without one is given up
+// by itself, and the next one begins.
+func (o *orders) readConfirmed() {
+	d := o.d
+	d.w.after(confirmedReadUs, o.readConfirmed)
+	list := d.cores()
+	if len(list) == 0 {
+		return
+	}
+	m := list[d.w.rnd.IntN(len(list))]
+	p := m.core
+	if m.dark || !p.up {
+		return
+	}
+	sent := d.w.now
+	ask := operate.Carry{Edit: wire.Edit{Part: state.Config, Op: "read"}, GiveUpUs: answerUs}
+	p.feed(func() {
+		p.call("operate", ask, func(v any) { o.confirmed(sent, v.(operate.Result).Reply) })
+	})
+}
+
+func (o *orders) confirmed(sent int64, r wire.EditReply) {
+	d := o.d
+	if r.Code != "ok" {
+		return
+	}
+	config, err := state.ReadConfig(r.Body)
+	if err != nil {
+		d.w.Judge.Fail(rules.History, d.w.now, "a body that was read cannot be: %v", err)
+		return
+	}
+	table, err := state.RoutingOf(config)
+	if err != nil {
+		d.w.Judge.Fail(rules.History, d.w.now, "a table that was read cannot be: %v", err)
+		return
+	}
+	d.w.Judge.Count("confirmed_reads", 1)
+	d.journal.Confirmed = append(d.journal.Confirmed, rules.ConfirmedReading{Sent: sent, At: d.w.now, Table: table, Drained: config.Emptied})
+}
