--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -18,10 +18,10 @@
 	"wallport/env"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	_ "wallport/replica"
 	"wallport/platform"
 	"wallport/process"
 	_ "wallport/pulls"
+	_ "wallport/replica"
 	"wallport/serve"
 	_ "wallport/table"
 	_ "wallport/usage"
@@ -103,6 +103,8 @@
 	}
 	select {
 	case <-signals:
+		s.Drain()
+		leaveGroups(p)
 		s.Stop()
 		p.Stop()
 		log.Info("stopped")
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -8,6 +8,7 @@
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
+	"wallport/replica"
 	"wallport/wire"
 )
 
@@ -21,10 +22,13 @@
 	part    int
 	doing   bool
 	version wire.Stamped
-	picked  []wire.Seat
-	yes     map[string]bool
-	refused []string
-	top     uint64
+	// ledger is that of the newest version that a core holds; what the mesh brought has none.
+	ledger   []byte
+	ledgerAt wire.Stamp
+	picked   []wire.Seat
+	yes      map[string]bool
+	refused  []string
+	top      uint64
 }
 
 func (o *Operate) rebuild(t *kernel.Turn, id uint64, part int) {
@@ -60,11 +64,27 @@
 		return
 	}
 	r.yes[m.From] = true
+	if r.ledger == nil || mesh.Newer(m.Held.Stamp, r.ledgerAt) {
+		r.ledger, r.ledgerAt = m.Held.Ledger, m.Held.Stamp
+	}
 	if !r.doing && mesh.Newer(m.Held.Stamp, r.version.Stamp) {
 		r.version = m.Held
 	}
 }
 
+// fewestVoters is how many cores a group is rebuilt on at least.
+const fewestVoters = 3
+
+// rebuiltVoters picks the voters of a rebuilt group: as many as wanted, or else the greatest odd
+// number that there is, spread over the zones; none where there are too few cores.
+func rebuiltVoters(cores []wire.Seat, wanted int) []wire.Seat {
+	n := min(max(wanted, fewestVoters), (len(cores)-1)|1)
+	if n < fewestVoters {
+		return nil
+	}
+	return replica.PickVoters(cores, n)
+}
+
 // rebuildStep ends one of the two steps.
 func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
 	end := func(code, text string) {
@@ -87,22 +107,20 @@
 		end("invalid", fmt.Sprint(r.refused))
 		return
 	}
-	zones := map[string]bool{}
-	for pass := range 2 {
-		for _, c := range o.cores(t.Now) {
-			if len(r.picked) < 3 && r.yes[c.Seat] && (pass == 1) == zones[c.Zone] {
-				zones[c.Zone] = true
-				r.picked = append(r.picked, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
-			}
+	var agreed []wire.Seat
+	for _, c := range o.cores(t.Now) {
+		if r.yes[c.Seat] {
+			agreed = append(agreed, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
 		}
 	}
-	if len(r.picked) < 3 {
+	r.picked = rebuiltVoters(agreed, o.wantedVoters)
+	if len(r.picked) == 0 {
 		end("invalid", "needs three live cores with sound disks")
 		return
 	}
 	// A term past anything that the lost seats can have promised among few of them.
 	r.version.Stamp = wire.Stamp{Part: r.part, Term: max(r.top, r.version.Stamp.Term) + 1000, Seq: r.version.Stamp.Seq + 1}
-	r.version.Seats, r.version.Prev = r.picked, nil
+	r.version.Seats, r.version.Prev, r.version.Ledger = r.picked, nil, r.ledger
 	r.doing, r.yes = true, map[string]bool{}
 	for _, c := range r.picked {
 		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Stamped: r.version})
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -31,6 +31,7 @@
 	KindSeen
 	KindSeenReply
 	KindNotice
+	KindLeave
 )
 
 // Hello opens a mesh channel.
@@ -122,6 +123,8 @@
 	Seats []Seat `msg:"se"`
 	Prev  []Seat `msg:"pr"`
 	Body  []byte `msg:"b"`
+	// Ledger goes with the body from replica to replica; whoever only reads the body gets none.
+	Ledger []byte `msg:"l,omitempty"`
 }
 
 // Seat is one place in a part's group.
@@ -198,6 +201,13 @@
 	Zone    string `msg:"z,omitempty"`
 }
 
+// Leave is a stopping voter's request to the leader to be moved out of the group.
+type Leave struct {
+	To   string `msg:"to"`
+	Part int    `msg:"p"`
+	From string `msg:"f"`
+}
+
 // Form asks an empty seat's consent to a formation, or tells that all gave it.
 type Form struct {
 	Formation string `msg:"f"`
