--- a/lab/model/configs.go
+++ b/lab/model/configs.go
@@ -29,6 +29,8 @@
 	// In silent, the standby makes itself known while a voter is away, nearly long enough to be replaced.
 	pass := Action{Kind: Elapse, Argument: quietSpan}
 	silent := []Action{pass, pass, pass, {Kind: Announce, Replica: 3, Peer: 0}}
+	// In behind, the first order is committed without the second replica, which then has to lead.
+	behind := []Action{{Kind: Call, Replica: 0}, {Kind: Cut, Replica: 0}, {Kind: Rejoin, Replica: 1, Argument: messagesLost}}
 	return []Config{
 		{Name: "election and a crash", Voters: 3, Operators: one, Spans: []int{rivalSpan}, Budget: Budget{Elapses: 2, Crashes: 1, Holds: 1}},
 		{Name: "election and two crashes", Voters: 3, Operators: one, Spans: both, Budget: Budget{Elapses: 2, Crashes: 2}},
@@ -40,6 +42,7 @@
 		{Name: "repeat after a crash", Voters: 3, Settled: true, Operators: two, Spans: election, Budget: Budget{Elapses: 2, Crashes: 1, Calls: 3}},
 		{Name: "leader cut off", Voters: 3, Settled: true, Operators: reader, Spans: election, Budget: Budget{Elapses: 2, Cuts: 1, Calls: 2}},
 		{Name: "leader back with old messages", Voters: 3, Settled: true, Operators: one, Spans: election, Faulty: []int{0}, Budget: Budget{Elapses: 1, Cuts: 1, Holds: 1, Calls: 1}},
+		{Name: "new leader with an older version", Voters: 3, Settled: true, Away: []int{1}, Prelude: behind, Operators: reader, Spans: election, Budget: Budget{Elapses: 1, Holds: 1, Calls: 2}},
 		{Name: "leader frozen", Voters: 3, Settled: true, Operators: reader, Spans: election, Budget: Budget{Elapses: 2, Freezes: 1, Calls: 2}},
 		{Name: "a drain delayed", Voters: 3, Settled: true, Operators: drains, Spans: both, Budget: Budget{Elapses: 1, Delays: 1, Holds: 1, Calls: 2}},
 		{Name: "disk lost", Voters: 3, Settled: true, Operators: two, Spans: both, Budget: Budget{Elapses: 2, LostDisks: 1, Calls: 2}},
