--- /dev/null
+++ b/lab/check/histories.go
@@ -0,0 +1,81 @@
+// The history of the sheet's orders as a register, for the linearizability
+// checker: in the simulator and on real processes alike.
+package check
+
+import (
+	"fmt"
+
+	"wallport/lab/history"
+	"wallport/wire"
+)
+
+// NotLinearizable is the point that no order of the operators' calls explains their answers.
+const NotLinearizable = "not_linearizable"
+
+// History is what operators asked of the sheet and were answered.
+func (j *Judge) History() *history.History {
+	s := &j.sheets
+	seenAt := map[int64]wire.Stamp{}
+	for at, mark := range s.marks {
+		seenAt[mark] = at
+	}
+	h := &history.History{}
+	for i, mark := range s.order {
+		t := s.tries[mark]
+		outcome, took := outcomeOf(t.Code)
+		if !took {
+			continue
+		}
+		at := t.Stamp
+		if outcome == history.Unknown {
+			at = seenAt[mark]
+		}
+		h.Add(history.Operation{
+			Register: "sheet", Client: i, Kind: history.Change, ID: fmt.Sprint("edit ", mark), Version: versionText(at), Base: versionText(t.Base),
+			Invalid: t.Invalid, Begin: t.Began, End: t.Ended, Outcome: outcome,
+		})
+	}
+	return h
+}
+
+// outcomeOf classifies an answer; possible is false where the order certainly never reached a leader.
+func outcomeOf(code string) (outcome history.Outcome, possible bool) {
+	switch code {
+	case "ok":
+		return history.Accepted, true
+	case "lost_race", "invalid", "conflict":
+		return history.Refused, true
+	case "shed":
+		return history.Unknown, false
+	default:
+		return history.Unknown, true
+	}
+}
+
+func versionText(at wire.Stamp) string {
+	if at.Term == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d.%d", at.Term, at.Seq)
+}
+
+// linearizable judges the history.
+func (j *Judge) linearizable() {
+	h := j.History()
+	for range h.Operations {
+		j.tested(NotLinearizable)
+	}
+	for _, err := range h.Check() {
+		j.Fail(NotLinearizable, j.lastAnswer(), "%v", err)
+	}
+}
+
+// lastAnswer is when the last clear answer came.
+func (j *Judge) lastAnswer() (at int64) {
+	for _, t := range j.sheets.tries {
+		if t.Code == "ok" {
+			at = max(at, t.Ended)
+		}
+	}
+	return at
+}
--- a/lab/check/sheets.go
+++ b/lab/check/sheets.go
@@ -126,6 +126,7 @@
 
 // Chain checks the whole history at the end: real-time order and the chain of bases.
 func (j *Judge) Chain() {
+	j.linearizable()
 	s := &j.sheets
 	for i, a := range s.order {
 		ta := s.tries[a]
