--- a/lab/model/configs.go
+++ b/lab/model/configs.go
@@ -8,7 +8,7 @@
 	quietSpan     = 480_000
 	electionSpan  = 560_000
 	// rivalSpan, twice from the start, has two of three stand for leader.
-	rivalSpan = 240_000
+	rivalSpan = 270_000
 )
 
 // change is an order that adds an item to a version.
@@ -29,13 +29,15 @@
 	// In silent, the standby makes itself known while a voter is away, nearly long enough to be replaced.
 	pass := Action{Kind: Elapse, Argument: quietSpan}
 	silent := []Action{pass, pass, pass, {Kind: Announce, Replica: 3, Peer: 0}}
+	// In replaced, the first replica is cut off for long enough that another one leads.
+	replaced := []Action{{Kind: Cut, Replica: 0}, {Kind: Elapse, Argument: electionSpan}}
 	// In behind, the first order is committed without the second replica, which then has to lead.
 	behind := []Action{{Kind: Call, Replica: 0}, {Kind: Cut, Replica: 0}, {Kind: Rejoin, Replica: 1, Argument: messagesLost}}
 	return []Config{
 		{Name: "election and a crash", Voters: 3, Operators: one, Spans: []int{rivalSpan}, Budget: Budget{Elapses: 2, Crashes: 1, Holds: 1}},
 		{Name: "election and two crashes", Voters: 3, Operators: one, Spans: both, Budget: Budget{Elapses: 2, Crashes: 2}},
 		{Name: "election, late messages", Voters: 3, Operators: one, Spans: both, Budget: Budget{Elapses: 2, Holds: 1, Calls: 1}},
-		{Name: "two candidates, late messages", Voters: 3, Operators: one, Spans: []int{rivalSpan}, Budget: Budget{Elapses: 2, Holds: 2}},
+		{Name: "two candidates, late messages", Voters: 3, Operators: one, Spans: []int{rivalSpan}, Budget: Budget{Elapses: 2, Holds: 3}},
 		{Name: "leader lost with a slow disk", Voters: 3, Operators: one, Spans: []int{heartbeatSpan}, Faulty: []int{0}, SlowDisks: true, Budget: Budget{Elapses: 4, Holds: 1, Crashes: 1, Calls: 1}},
 		{Name: "rivals, late messages", Voters: 3, Settled: true, Operators: rivals, Spans: both, Budget: Budget{Elapses: 1, Holds: 1, Calls: 3}},
 		{Name: "rivals, lost and doubled", Voters: 3, Settled: true, Operators: rivals, Spans: both, Budget: Budget{Elapses: 1, Losses: 1, Doubles: 1, Calls: 2}},
@@ -43,6 +45,7 @@
 		{Name: "leader cut off", Voters: 3, Settled: true, Operators: reader, Spans: election, Budget: Budget{Elapses: 2, Cuts: 1, Calls: 2}},
 		{Name: "leader back with old messages", Voters: 3, Settled: true, Operators: one, Spans: election, Faulty: []int{0}, Budget: Budget{Elapses: 1, Cuts: 1, Holds: 1, Calls: 1}},
 		{Name: "new leader with an older version", Voters: 3, Settled: true, Away: []int{1}, Prelude: behind, Operators: reader, Spans: election, Budget: Budget{Elapses: 1, Holds: 1, Calls: 2}},
+		{Name: "order to a leader cut off", Voters: 3, Settled: true, Prelude: replaced, Operators: two, Spans: election, Budget: Budget{Holds: 1, Calls: 4}},
 		{Name: "leader frozen", Voters: 3, Settled: true, Operators: reader, Spans: election, Budget: Budget{Elapses: 2, Freezes: 1, Calls: 2}},
 		{Name: "a drain delayed", Voters: 3, Settled: true, Operators: drains, Spans: both, Budget: Budget{Elapses: 1, Delays: 1, Holds: 1, Calls: 2}},
 		{Name: "disk lost", Voters: 3, Settled: true, Operators: two, Spans: both, Budget: Budget{Elapses: 2, LostDisks: 1, Calls: 2}},
