--- a/lab/model/apply.go
+++ b/lab/model/apply.go
@@ -67,7 +67,7 @@
 		return w.crash(s, i, a.Argument, a.Kind == CrashAlone)
 	case LoseDisk:
 		s.left.LostDisks--
-		s.disks[i] = newDisk(map[string][]byte{}, s.disks[i].life+1)
+		s.disks[i] = newDisk(map[string][]byte{})
 		return w.restart(s, i, false)
 	case Cut:
 		s.left.Cuts--
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -83,7 +83,8 @@
 		if checked%mergeSample != 0 {
 			return
 		}
-		must.Eq(t, w.after(known), w.after(other))
+		at := max(known.at, other.at)
+		must.Eq(t, w.after(known, at), w.after(other, at))
 	}
 	w.Explore(Bound{Depth: everySchedule, States: statesMost})
 	must.Greater(t, 10*mergeSample, checked)
@@ -92,10 +93,9 @@
 // mergeSample is that one merge in so many is checked.
 const mergeSample = 10
 
-// after runs a process anew from its history, and then on through writes and time.
-func (w *World) after(p *process) (prints []digest) {
+// after runs a process anew from its history, and then on, from a time, through writes and timers.
+func (w *World) after(p *process, at int64) (prints []digest) {
 	k := newRuntime().wake(p)
-	at := p.at
 	feed := func(input kernel.Input) {
 		fixRandom(k, p.replica, p.life)
 		out := k.Step(at, epoch+at, input)
--- a/lab/model/process.go
+++ b/lab/model/process.go
@@ -29,8 +29,9 @@
 
 // process is one state of one replica.
 type process struct {
-	id        int32
-	replica   int
+	id      int32
+	replica int
+	// life is which start of the replica it is: what it draws at random differs between them.
 	life      int
 	parent    *process
 	at        int64
@@ -135,7 +136,7 @@
 	if v, ok := committedOf(k); ok {
 		next.committed, next.body = v.Stamp, v.Body
 	}
-	state := digestOf(next.bytes(fingerprint(replicaOf(k))))
+	state := digestOf(next.bytes(stateOf(k)))
 	known := r.byState[state]
 	if known == nil {
 		next.id = int32(len(r.byState))
--- a/lab/model/product.go
+++ b/lab/model/product.go
@@ -14,6 +14,7 @@
 	"wallport/diskfile"
 	"wallport/env"
 	"wallport/kernel"
+	"wallport/members"
 	"wallport/mesh"
 	"wallport/replica"
 	"wallport/routingpb"
@@ -41,6 +42,12 @@
 // replicaOf is the state machine of a process.
 func replicaOf(k *kernel.Kernel) any { return kernel.Find[*replica.Host](k) }
 
+// stateOf flattens all of a process that its replica reads: the state machine itself and the table
+// of members, whose rows it looks up.
+func stateOf(k *kernel.Kernel) []byte {
+	return append(fingerprint(replicaOf(k)), fingerprint(kernel.Find[*members.Members](k))...)
+}
+
 // fixRandom has the next step draw the same numbers whatever was drawn before: two histories
 // that lead to the same state must not differ by their luck.
 func fixRandom(k *kernel.Kernel, replica, life int) {
--- a/lab/model/system.go
+++ b/lab/model/system.go
@@ -29,22 +29,21 @@
 	frame   frame
 }
 
-// disk is what is synced of one machine, and how often it was lost.
+// disk is what is synced of one machine.
 type disk struct {
 	files map[string][]byte
-	life  int
 	sum   digest
 }
 
-func newDisk(files map[string][]byte, life int) *disk {
-	return &disk{files: files, life: life, sum: digestOf(append(filesBytes(files), byte(life)))}
+func newDisk(files map[string][]byte) *disk {
+	return &disk{files: files, sum: digestOf(filesBytes(files))}
 }
 
 // with is the disk after one write.
 func (d *disk) with(w pendingWrite) *disk {
 	files := maps.Clone(d.files)
 	files[w.file] = w.data
-	return newDisk(files, d.life)
+	return newDisk(files)
 }
 
 // without is the disk after files were removed.
@@ -53,7 +52,7 @@
 	for _, name := range names {
 		delete(files, name)
 	}
-	return newDisk(files, d.life)
+	return newDisk(files)
 }
 
 func filesBytes(files map[string][]byte) []byte {
@@ -80,6 +79,8 @@
 	now       int64
 	processes []*process
 	disks     []*disk
+	// starts counts the starts of each replica's process.
+	starts []int
 	// frozenAt is the time of a freeze, or 0.
 	frozenAt []int64
 	// queues hold the messages from one replica to another, in order: index from*n+to.
@@ -103,6 +104,7 @@
 	c := *s
 	c.processes = slices.Clone(s.processes)
 	c.disks = slices.Clone(s.disks)
+	c.starts = slices.Clone(s.starts)
 	c.frozenAt = slices.Clone(s.frozenAt)
 	c.queues = slices.Clone(s.queues)
 	c.calls = slices.Clone(s.calls)
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -87,7 +87,7 @@
 func (w *World) initial() (*system, error) {
 	n := w.replicas
 	s := &system{
-		now: begin, processes: make([]*process, n), disks: make([]*disk, n), frozenAt: make([]int64, n),
+		now: begin, processes: make([]*process, n), disks: make([]*disk, n), starts: make([]int, n), frozenAt: make([]int64, n),
 		queues: make([][]*message, n*n), calls: make([]call, len(w.orders)), left: w.Budget, record: newRecord(),
 	}
 	for i := range n {
@@ -95,7 +95,7 @@
 		if i < w.voters {
 			files = formedDisk(i, w.voters)
 		}
-		s.disks[i] = newDisk(files, 0)
+		s.disks[i] = newDisk(files)
 		if err := w.boot(s, i); err != nil {
 			return nil, err
 		}
@@ -171,7 +171,8 @@
 
 // boot starts a replica's process on its disk.
 func (w *World) boot(s *system, i int) error {
-	return w.settleStep(s, i, w.runtime.start(i, s.disks[i].life, s.now, s.disks[i].files))
+	s.starts[i]++
+	return w.settleStep(s, i, w.runtime.start(i, s.starts[i], s.now, s.disks[i].files))
 }
 
 // feed gives a replica one input.
--- a/members/members.go
+++ b/members/members.go
@@ -4,6 +4,9 @@
 package members
 
 import (
+	"bytes"
+	"cmp"
+	"maps"
 	"slices"
 
 	"wallport/kernel"
@@ -20,20 +23,31 @@
 
 // Members is the plug-in.
 type Members struct {
-	k       *kernel.Kernel
-	mesh    *mesh.Mesh
-	self    wire.Member
-	told    int64
+	k    *kernel.Kernel
+	mesh *mesh.Mesh
+	self wire.Member
+	told int64
+	// toldRow is what was told then.
+	toldRow wire.Member
 	dirty   bool
-	armed   bool
-	rows    map[string]*wire.Member
+	// due is when the row is told next, 0 where nothing waits.
+	due  int64
+	rows map[string]*wire.Member
+	// order is the origins of the rows, by name; nil where a row came or went since.
+	order   []string
 	peak    int
 	peakAt  int64
 	started int64
 }
 
-// tellEvery is the least time between two tellings of this process's row.
-const tellEvery = 200_000
+// tellEvery is the least time between two tellings of this process's row. Where only the versions
+// in force changed, it is that for each inForceShare members that there are, up to inForceMost:
+// all members tell of a version at about the same time, each to all.
+const (
+	tellEvery    = 200_000
+	inForceShare = 16
+	inForceMost  = 1_000_000
+)
 
 // PeakFor is how long a larger fleet's size still divides what is shared out.
 const PeakFor = 600_000_000
@@ -62,8 +76,8 @@
 		m.dirty = true
 		m.tell(t)
 	case kernel.Tick:
-		m.armed = false
-		m.tell(t)
+		m.due = 0
+		m.soon(t)
 	case kernel.Stopping:
 		m.Update(func(s *wire.Member) { s.Draining = true })
 		m.tell(t)
@@ -71,7 +85,7 @@
 		if v.Entry.Type == "member" {
 			row := new(wire.Member)
 			if wire.Decode(v.Entry.Body, row) == nil {
-				m.rows[v.Origin] = row
+				m.rows[v.Origin], m.order = row, nil
 			}
 		}
 	case mesh.Forgotten:
@@ -80,8 +94,9 @@
 			m.peak--
 		}
 		delete(m.rows, v.Origin)
+		m.order = nil
 	case mesh.Pulse:
-		n := len(m.Live(t.Now, "node"))
+		n := m.Count(t.Now, "node")
 		if n >= m.peak || t.Now-m.peakAt > PeakFor {
 			m.peak, m.peakAt = n, t.Now
 		}
@@ -91,22 +106,33 @@
 // Update changes what this process tells of itself; it is told soon after.
 func (m *Members) Update(f func(s *wire.Member)) {
 	f(&m.self)
-	if !m.dirty {
-		m.dirty = true
-		m.k.Later(m.soon)
-	}
+	m.dirty = true
+	m.k.Later(m.soon)
 }
 
 // soon tells what changed, at once if nothing was told of late.
 func (m *Members) soon(t *kernel.Turn) {
-	if wait := m.told + tellEvery - t.Now; wait > 0 && m.dirty {
-		if !m.armed {
-			m.armed = true
-			t.After(wait, "members", "tell")
-		}
+	if !m.dirty {
 		return
 	}
-	m.tell(t)
+	at := m.told + m.pause()
+	switch {
+	case m.told == 0 || at <= t.Now:
+		m.tell(t)
+	case m.due == 0 || at < m.due:
+		m.due = at
+		t.After(at-t.Now, "members", "tell")
+	}
+}
+
+// pause is how long to wait between two tellings for what changed.
+func (m *Members) pause() int64 {
+	was, is := m.toldRow, m.self
+	was.InForce, is.InForce = nil, nil
+	if !bytes.Equal(wire.Encode(&was), wire.Encode(&is)) {
+		return tellEvery
+	}
+	return min(inForceMost, tellEvery*int64(max(1, len(m.rows)/inForceShare)))
 }
 
 // SelfRow is what this process tells of itself.
@@ -116,47 +142,59 @@
 	if !m.dirty {
 		return
 	}
-	m.dirty, m.told = false, t.Now
+	m.dirty, m.told, m.toldRow = false, t.Now, m.self
 	m.mesh.Announce(t, "member", m.mesh.Self(), wire.Encode(&m.self), false)
 }
 
 // All lists the members, by name.
 func (m *Members) All(now int64) []Row {
 	out := make([]Row, 0, len(m.rows))
-	for fp, r := range m.rows {
-		out = append(out, Row{Member: *r, Origin: fp, Live: m.mesh.Live(fp, now)})
+	for _, fp := range m.sorted() {
+		out = append(out, m.row(fp, now))
 	}
-	slices.SortFunc(out, func(a, b Row) int {
-		if a.Name != b.Name {
-			if a.Name < b.Name {
-				return -1
-			}
-			return 1
-		}
-		if a.Origin < b.Origin {
-			return -1
-		}
-		return 1
-	})
 	return out
 }
 
+func (m *Members) row(origin string, now int64) Row {
+	return Row{Member: *m.rows[origin], Origin: origin, Live: m.mesh.Live(origin, now)}
+}
+
+// sorted lists the origins of all rows, by name; they are sorted only where a row changed.
+func (m *Members) sorted() []string {
+	if m.order == nil {
+		m.order = slices.SortedFunc(maps.Keys(m.rows), func(a, b string) int {
+			return cmp.Or(cmp.Compare(m.rows[a].Name, m.rows[b].Name), cmp.Compare(a, b))
+		})
+	}
+	return m.order
+}
+
 // Live lists the live members of a role.
 func (m *Members) Live(now int64, role string) []Row {
 	var out []Row
-	for _, r := range m.All(now) {
-		if r.Live && r.Role == role {
-			out = append(out, r)
+	for _, fp := range m.sorted() {
+		if m.rows[fp].Role == role && m.mesh.Live(fp, now) {
+			out = append(out, m.row(fp, now))
 		}
 	}
 	return out
 }
 
+// Count is how many members of a role are live.
+func (m *Members) Count(now int64, role string) (n int) {
+	for fp, r := range m.rows {
+		if r.Role == role && m.mesh.Live(fp, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // Seat finds the live core that has a seat's disk.
 func (m *Members) Seat(id string, now int64) (Row, bool) {
-	for _, r := range m.All(now) {
-		if r.Seat == id && r.Live {
-			return r, true
+	for _, fp := range m.sorted() {
+		if m.rows[fp].Seat == id && m.mesh.Live(fp, now) {
+			return m.row(fp, now), true
 		}
 	}
 	return Row{}, false
--- /dev/null
+++ b/replica/contact_net_test.go
@@ -0,0 +1,121 @@
+// The network and the disks of the test cluster: delays, cuts that hold frames
+// back, writes that take a while.
+package replica
+
+import (
+	"fmt"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// connection leads frames both ways between a member, or the test, and a member.
+type connection struct {
+	ends [2]*member
+	// free is when the next frame may arrive at an end: frames keep their order.
+	free  [2]int64
+	lives [2]int
+	reply func(f wire.Frame)
+}
+
+func (c *cluster) write(m *member, w kernel.Write) {
+	life := m.life
+	c.after(millisecond+c.rnd.Int64N(5*millisecond), func() {
+		if m.life != life {
+			return
+		}
+		if w.Data == nil {
+			delete(m.files, w.File)
+			return
+		}
+		m.files[w.File] = w.Data
+		if w.Key != "" {
+			c.feed(m, life, kernel.Written{Plugin: w.Plugin, Key: w.Key})
+		}
+	})
+}
+
+// connect opens a connection from a member, or from the test where that is nil, to a member.
+func (c *cluster) connect(from, to *member) uint64 {
+	c.nextID++
+	conn := &connection{ends: [2]*member{from, to}, lives: [2]int{0, to.life}}
+	if from != nil {
+		conn.lives[0] = from.life
+	}
+	c.conns[c.nextID] = conn
+	return c.nextID
+}
+
+func (c *cluster) send(m *member, s kernel.Send) {
+	id := s.Chan
+	if s.Addr != "" {
+		key := fmt.Sprint(m.name, m.life, ">", s.Addr)
+		to := c.at(s.Addr)
+		if to == nil {
+			return
+		}
+		conn := c.conns[c.direct[key]]
+		if conn == nil || conn.lives[1] != to.life {
+			c.direct[key] = c.connect(m, to)
+		}
+		id = c.direct[key]
+	}
+	conn := c.conns[id]
+	if conn == nil {
+		return
+	}
+	side := 1
+	if conn.ends[1] == m {
+		side = 0
+	}
+	c.deliver(conn, id, side, s.Data)
+}
+
+func (c *cluster) at(addr string) *member {
+	for _, m := range c.members {
+		if m.addr == addr {
+			return m
+		}
+	}
+	return nil
+}
+
+func (c *cluster) deliver(conn *connection, id uint64, side int, data []byte) {
+	to, from := conn.ends[side], conn.ends[1-side]
+	if to != nil && from != nil && (to == c.cut || from == c.cut) {
+		c.held = append(c.held, func() { c.deliver(conn, id, side, data) })
+		return
+	}
+	at := max(c.now+150+c.rnd.Int64N(2*millisecond), conn.free[side]+1)
+	conn.free[side] = at
+	c.after(at-c.now, func() {
+		if to == nil {
+			f, err := wire.Open(data)
+			must.NoError(c.t, err)
+			conn.reply(f)
+			return
+		}
+		c.feed(to, conn.lives[side], kernel.Received{Chan: id, Data: data})
+	})
+}
+
+// ask sends a frame of the test to a member; reply gets whatever comes back on its connection.
+func (c *cluster) ask(to *member, kind uint8, id uint64, m interface{ MarshalMsg([]byte) ([]byte, error) }, reply func(f wire.Frame)) {
+	ch := c.connect(nil, to)
+	c.conns[ch].reply = reply
+	c.deliver(c.conns[ch], ch, 1, wire.Seal(kind, id, m))
+}
+
+// isolate cuts a member off from the others; heal lets the frames pass that were held back.
+func (c *cluster) isolate(m *member) { c.cut = m }
+
+func (c *cluster) heal() {
+	c.cut = nil
+	held := c.held
+	c.held = nil
+	for _, f := range held {
+		f()
+	}
+}
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -13,7 +13,8 @@
 	g.ready, g.transferring = false, g.s.stopping
 	g.confirmedRounds, g.clockOffsets = map[string]uint64{}, map[string]int64{}
 	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
-	g.quorumAt, g.heartbeatAt, g.leaderSince = t.Now, 0, t.Now
+	g.heartbeatAt, g.leaderSince = 0, t.Now
+	g.contact.lead()
 	g.leases = map[string]*lease{}
 	g.change, g.learnerFailedAt, g.leavingAt = nil, map[string]int64{}, map[string]int64{}
 	for _, s := range allVoters(best) {
@@ -119,15 +120,12 @@
 }
 
 func (g *Group) ownerTick(t *kernel.Turn) {
-	ok := func(id string) bool { return id == g.self() || t.Now-g.heardAt[id] < StepDownAfter }
-	if quorum(g.newestVersion(), ok) {
-		g.quorumAt = t.Now
-	}
+	g.noteContact(t)
 	switch {
 	case g.isSuperseded(t, g.newestVersion()):
 		g.stepDown(t, "another group has committed a newer version")
 		return
-	case t.Now-g.quorumAt > StepDownAfter:
+	case t.Now-max(g.leaderSince, g.contact.confirmedAt) > StepDownAfter:
 		g.stepDown(t, "no majority answers")
 		return
 	case (g.s.diskProblem != "" || g.transferring) && g.proposal == nil && g.bestSuccessor(t) != "":
@@ -157,9 +155,12 @@
 func (g *Group) sendHeartbeats(t *kernel.Turn) {
 	g.heartbeatAt = t.Now
 	g.round++
+	g.contact.sent(g.round, t.Now)
+	g.confirmRounds()
 	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Round: g.round, Committed: g.committed.Stamp}
 	for _, s := range allVoters(g.newestVersion()) {
 		if s.ID != g.self() {
+			b.ContactAt = g.contact.proofFor(s.ID)
 			g.s.sendReplica(t, s, wire.KindBeat, &b)
 		}
 	}
@@ -180,12 +181,18 @@
 		}
 		return
 	}
+	if r.Term != g.term {
+		// It answers a heartbeat of an earlier term, held up on its way.
+		return
+	}
 	if t.Now-g.heardAt[r.From] > StepDownAfter || g.steadySince[r.From] == 0 {
 		g.steadySince[r.From] = t.Now
 	}
 	g.heardAt[r.From], g.diskProblem[r.From] = t.Now, r.Sick
 	g.clockOffsets[r.From] = r.Wall - t.Now
 	g.confirmedRounds[r.From] = max(g.confirmedRounds[r.From], r.Round)
+	g.contact.answered(r, t.Now)
+	g.confirmRounds()
 	if g.ready && mesh.Newer(g.committed.Stamp, r.Held) && (g.proposal == nil || r.Held != g.proposal.Stamp) &&
 		(g.caughtUpAt[r.From] == 0 || t.Now-g.caughtUpAt[r.From] >= CatchUpInterval) {
 		g.caughtUpAt[r.From] = t.Now
