--- a/replica/leader.go
+++ b/replica/leader.go
@@ -12,6 +12,7 @@
 	g.role, g.leader, g.leaderAddress = leader, g.self(), g.s.k.Boot.Env.Mesh
 	g.ready, g.transferring = false, g.s.stopping
 	g.confirmedRounds, g.clockOffsets = map[string]uint64{}, map[string]int64{}
+	g.synced = map[string]syncedVersion{}
 	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
 	g.heartbeatAt, g.leaderSince = 0, t.Now
 	g.contact.lead()
@@ -24,7 +25,8 @@
 	t.Counts.Add("part_owned", 1)
 	v := best
 	v.Stamp = wire.Stamp{Part: g.part, Term: g.term, Seq: best.Stamp.Seq + 1}
-	g.propose(t, v)
+	g.noteHeld(g.replies)
+	g.propose(t, v, best.Stamp)
 	g.ownerTick(t)
 }
 
@@ -46,13 +48,16 @@
 	g.scheduleElection(t)
 }
 
-func (g *Group) propose(t *kernel.Turn, v wire.Stamped) {
-	g.proposal, g.sentAt = &v, t.Now
+// propose has the voters hold a version. Its body is that of the version base, if that is one:
+// who holds that already needs not be sent it.
+func (g *Group) propose(t *kernel.Turn, v wire.Stamped, base wire.Stamp) {
+	g.proposal, g.proposedAt = &v, t.Now
 	g.acks = map[string]bool{}
-	g.resend(t)
+	g.sendProposal(t, base)
 }
 
-func (g *Group) resend(t *kernel.Turn) {
+// sendProposal sends the version under way to those who have not synced it yet.
+func (g *Group) sendProposal(t *kernel.Turn, base wire.Stamp) {
 	g.sentAt = t.Now
 	a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.proposal}
 	for _, s := range allVoters(*g.proposal) {
@@ -63,7 +68,8 @@
 			g.accept(t, 0, 0, a)
 			continue
 		}
-		g.s.sendReplica(t, s, wire.KindAccept, &a)
+		one := g.withBase(a, s.ID, base)
+		g.s.sendReplica(t, s, wire.KindAccept, &one)
 	}
 	g.sendToLearners(t, *g.proposal)
 }
@@ -78,10 +84,15 @@
 			g.stepDown(t, "fenced by a newer term")
 			return
 		}
+		if r.LacksBase {
+			g.sendBody(t, r)
+			return
+		}
 		g.handleLearnerReply(t, r)
 		return
 	}
 	g.heardAt[r.From] = t.Now
+	g.noteSynced(r)
 	g.handleLearnerReply(t, r)
 	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
 		return
@@ -128,6 +139,9 @@
 	case t.Now-max(g.leaderSince, g.contact.confirmedAt) > StepDownAfter:
 		g.stepDown(t, "no majority answers")
 		return
+	case g.proposalIsOverdue(t.Now):
+		g.stepDown(t, "the version under way was not taken in time")
+		return
 	case (g.s.diskProblem != "" || g.transferring) && g.proposal == nil && g.bestSuccessor(t) != "":
 		g.transferLeadership(t)
 		return
@@ -138,8 +152,8 @@
 		g.transferTo(t, to)
 		return
 	}
-	if g.proposal != nil && t.Now-g.sentAt > 2*HeartbeatInterval {
-		g.resend(t)
+	if g.proposal != nil && t.Now-g.sentAt > resendInterval(sizeOf(*g.proposal)) {
+		g.sendProposal(t, wire.Stamp{})
 	}
 	g.proposeNext(t)
 }
@@ -166,7 +180,7 @@
 	}
 }
 
-func (g *Group) handleHeartbeatReply(t *kernel.Turn, ch uint64, r wire.BeatReply) {
+func (g *Group) handleHeartbeatReply(t *kernel.Turn, r wire.BeatReply) {
 	if g.role != leader {
 		return
 	}
@@ -191,13 +205,9 @@
 	g.heardAt[r.From], g.diskProblem[r.From] = t.Now, r.Sick
 	g.clockOffsets[r.From] = r.Wall - t.Now
 	g.confirmedRounds[r.From] = max(g.confirmedRounds[r.From], r.Round)
+	g.noticeRollback(t, r)
 	g.contact.answered(r, t.Now)
 	g.confirmRounds()
-	if g.ready && mesh.Newer(g.committed.Stamp, r.Held) && (g.proposal == nil || r.Held != g.proposal.Stamp) &&
-		(g.caughtUpAt[r.From] == 0 || t.Now-g.caughtUpAt[r.From] >= CatchUpInterval) {
-		g.caughtUpAt[r.From] = t.Now
-		t.Counts.Add("part_handed_over", 1)
-		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: r.From, Part: g.part, Term: g.term, From: g.self(), Stamped: g.committed})
-	}
+	g.catchUp(t, r)
 	g.confirm(t)
 }
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -15,7 +15,7 @@
 		g.answer(t, ch, id, wire.EditReply{Code: "not_owner", Addr: g.leaderAddress})
 		return
 	}
-	if len(g.queue)+len(g.unconfirmed) >= MaxQueued {
+	if len(g.queue)+len(g.unconfirmed) >= MaxQueued || g.queuedBytes()+len(e.Body) > MaxQueuedBytes {
 		g.answer(t, ch, id, wire.EditReply{Code: "shed"})
 		return
 	}
@@ -60,6 +60,7 @@
 		w := &batch[i]
 		var after state.Value
 		after, w.reply, w.taken = g.s.judge(g.part)(value, stamp, &w.edit)
+		g.refuseTooLarge(t, w, value, after)
 		switch {
 		case w.taken:
 			value, changed = after, true
@@ -72,7 +73,7 @@
 	}
 	g.clockAt = t.Now
 	if wall, known := g.agreedTime(t); known {
-		if after, due := g.s.clockwork(g.part)(value.Body, stamp, wall, g.leaseHolders(t)); due {
+		if after, due := g.s.clockwork(g.part)(value.Body, stamp, wall, g.leaseHolders(t)); due && len(after) <= state.MaxBody(g.part)+state.ClockRoom {
 			value.Body, changed = after, true
 		}
 	} else {
@@ -82,7 +83,7 @@
 	case changed:
 		g.proposedEdits = batch
 		t.Counts.Add("part_versions", 1)
-		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: value.Body, Ledger: value.Ledger})
+		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: value.Body, Ledger: value.Ledger}, g.baseOf(value))
 	case len(batch) > 0:
 		g.awaitConfirmation(t, batch...)
 	}
