--- /dev/null
+++ b/lab/model/configs.go
@@ -0,0 +1,87 @@
+// The configurations that are explored.
+package model
+
+// Spans of time: one in which a leader sends heartbeats, one that the first in turn to stand for
+// leader does not wait out, and one that it does.
+const (
+	heartbeatSpan = 160_000
+	quietSpan     = 480_000
+	electionSpan  = 560_000
+	// rivalSpan, twice from the start, has two of three stand for leader.
+	rivalSpan = 270_000
+)
+
+// change is an order that adds an item to a version.
+func change(name string, base, revision int64) Order {
+	return Order{Name: name, Kind: ChangeOrder, Base: base, Revision: revision}
+}
+
+func read(name string) Order { return Order{Name: name, Kind: ReadOrder} }
+
+// Configs are the configurations of the bounded exploration, by what they bring about.
+func Configs() []Config {
+	one := [][]Order{{change("a1", 0, 1)}}
+	two := [][]Order{{change("a1", 0, 1), change("a2", 1, 2)}}
+	rivals := [][]Order{{change("a1", 0, 1)}, {change("b1", 0, 1)}}
+	reader := [][]Order{{change("a1", 0, 1)}, {read("b-read"), read("b-again")}}
+	drains := [][]Order{{{Name: "a-drain", Kind: DrainOrder, Zone: "zone-1"}}, {read("b-read")}}
+	election, both, quiet := []int{electionSpan}, []int{heartbeatSpan, electionSpan}, []int{quietSpan}
+	// In silent, the standby makes itself known while a voter is away, nearly long enough to be replaced.
+	pass := Action{Kind: Elapse, Argument: quietSpan}
+	silent := []Action{pass, pass, pass, {Kind: Announce, Replica: 3, Peer: 0}}
+	// In replaced, the first replica is cut off for long enough that another one leads.
+	replaced := []Action{{Kind: Cut, Replica: 0}, {Kind: Elapse, Argument: electionSpan}}
+	// In behind, the first order is committed without the second replica, which then has to lead.
+	behind := []Action{{Kind: Call, Replica: 0}, {Kind: Cut, Replica: 0}, {Kind: Rejoin, Replica: 1, Argument: messagesLost}}
+	return []Config{
+		{Name: "election and a crash", Voters: 3, Operators: one, Spans: []int{rivalSpan}, Budget: Budget{Elapses: 2, Crashes: 1, Holds: 1}},
+		{Name: "election and two crashes", Voters: 3, Operators: one, Spans: both, Budget: Budget{Elapses: 2, Crashes: 2}},
+		{Name: "election, late messages", Voters: 3, Operators: one, Spans: both, Budget: Budget{Elapses: 2, Holds: 1, Calls: 1}},
+		{Name: "two candidates, late messages", Voters: 3, Operators: one, Spans: []int{rivalSpan}, Budget: Budget{Elapses: 2, Holds: 3}},
+		{Name: "leader lost with a slow disk", Voters: 3, Operators: one, Spans: []int{heartbeatSpan}, Faulty: []int{0}, SlowDisks: true, Budget: Budget{Elapses: 4, Holds: 1, Crashes: 1, Calls: 1}},
+		{Name: "rivals, late messages", Voters: 3, Settled: true, Operators: rivals, Spans: both, Budget: Budget{Elapses: 1, Holds: 1, Calls: 3}},
+		{Name: "rivals, lost and doubled", Voters: 3, Settled: true, Operators: rivals, Spans: both, Budget: Budget{Elapses: 1, Losses: 1, Doubles: 1, Calls: 2}},
+		{Name: "repeat after a crash", Voters: 3, Settled: true, Operators: two, Spans: election, Budget: Budget{Elapses: 2, Crashes: 1, Calls: 3}},
+		{Name: "leader cut off", Voters: 3, Settled: true, Operators: reader, Spans: election, Budget: Budget{Elapses: 2, Cuts: 1, Calls: 2}},
+		{Name: "leader back with old messages", Voters: 3, Settled: true, Operators: one, Spans: election, Faulty: []int{0}, Budget: Budget{Elapses: 1, Cuts: 1, Holds: 1, Calls: 1}},
+		{Name: "new leader with an older version", Voters: 3, Settled: true, Away: []int{1}, Prelude: behind, Operators: reader, Spans: election, Budget: Budget{Elapses: 1, Holds: 1, Calls: 2}},
+		{Name: "order to a leader cut off", Voters: 3, Settled: true, Prelude: replaced, Operators: two, Spans: election, Budget: Budget{Holds: 1, Calls: 4}},
+		{Name: "leader frozen", Voters: 3, Settled: true, Operators: reader, Spans: election, Budget: Budget{Elapses: 2, Freezes: 1, Calls: 2}},
+		{Name: "a drain delayed", Voters: 3, Settled: true, Operators: drains, Spans: both, Budget: Budget{Elapses: 1, Delays: 1, Holds: 1, Calls: 2}},
+		{Name: "disk lost", Voters: 3, Settled: true, Operators: two, Spans: both, Budget: Budget{Elapses: 2, LostDisks: 1, Calls: 2}},
+		{Name: "replacement", Voters: 3, Standbys: 1, Settled: true, Away: []int{2}, Prelude: silent, Operators: one, Spans: quiet, Budget: Budget{Elapses: 2, Cuts: 1, Calls: 1}},
+		{Name: "replacement and a crash", Voters: 3, Standbys: 1, Settled: true, Away: []int{2}, Prelude: silent, Operators: one, Spans: quiet, Budget: Budget{Elapses: 2, Crashes: 1, Calls: 1}},
+		{Name: "replacement, late messages", Voters: 3, Standbys: 1, Settled: true, Away: []int{2}, Prelude: silent, Operators: one, Spans: quiet, Budget: Budget{Elapses: 2, Holds: 1, Calls: 1}},
+		{Name: "planned stop", Voters: 3, Standbys: 1, Settled: true, Operators: two, Spans: election, Budget: Budget{Elapses: 2, Stops: 1, Announces: 1, Calls: 2}},
+	}
+}
+
+// Deeper gives a configuration more of every fault and choice that it has, so that its
+// exploration takes long.
+func (c Config) Deeper(by int) Config {
+	b := &c.Budget
+	for _, n := range []*int{
+		&b.Elapses, &b.Losses, &b.Doubles, &b.Delays, &b.Crashes, &b.LostDisks, &b.Cuts, &b.Freezes, &b.Announces, &b.Stops, &b.Calls, &b.Holds,
+	} {
+		if *n > 0 {
+			*n += by
+		}
+	}
+	// More than one lost disk is more than a group of three bears.
+	b.LostDisks = min(b.LostDisks, 1)
+	return c
+}
+
+// Everything is the configuration of random walks: every fault, several times.
+func Everything(replicas int) Config {
+	return Config{
+		Name: "everything", Voters: 3, Standbys: max(0, replicas-3), Spans: []int{heartbeatSpan, quietSpan, electionSpan},
+		Operators: [][]Order{
+			{change("a1", 0, 1), change("a2", 1, 2), read("a-read"), change("a3", 2, 3)},
+			{change("b1", 0, 1), read("b-read"), {Name: "b-drain", Kind: DrainOrder, Zone: "zone-1"}, read("b-again")},
+		},
+		Budget: Budget{
+			Holds: AllInterleavings, Elapses: 60, Losses: 6, Doubles: 4, Delays: 6, Crashes: 4, LostDisks: 1, Cuts: 3, Freezes: 2, Announces: 8, Stops: 1, Calls: 24,
+		},
+	}
+}
