--- a/replica/member_change.go
+++ b/replica/member_change.go
@@ -83,7 +83,7 @@
 		return g.committed.Seats, false
 	}
 	if !change.caughtUp(g.committed.Stamp) {
-		if t.Now-change.sentAt >= LearnerResendInterval {
+		if t.Now-change.sentAt >= g.learnerResendInterval() {
 			g.sendToLearners(t, g.committed)
 		}
 		return g.committed.Seats, false
@@ -121,7 +121,7 @@
 	case change == nil:
 	case !g.isStillDue(t, change):
 		g.abandonChange(t, "no longer due")
-	case !change.caughtUp(g.committed.Stamp) && t.Now-change.begunAt > LearnerTimeout:
+	case !change.caughtUp(g.committed.Stamp) && t.Now-change.begunAt > LearnerTimeout+transferTime(sizeOf(g.committed)):
 		for _, learner := range change.learners {
 			if change.synced[learner.ID] != g.committed.Stamp {
 				g.learnerFailedAt[learner.ID] = t.Now
@@ -162,6 +162,15 @@
 	}
 }
 
+// learnerResendInterval is how often a learner is sent the newest version again: a large one is
+// still on its way after the usual time.
+func (g *Group) learnerResendInterval() int64 {
+	if size := sizeOf(g.committed); isLarge(size) {
+		return resendInterval(size)
+	}
+	return LearnerResendInterval
+}
+
 // handleLearnerReply takes note of what a learner has synced, or that it will not.
 func (g *Group) handleLearnerReply(t *kernel.Turn, r wire.AcceptReply) {
 	change := g.change
--- a/replica/route.go
+++ b/replica/route.go
@@ -2,6 +2,8 @@
 package replica
 
 import (
+	"fmt"
+
 	"github.com/tinylib/msgp/msgp"
 
 	"wallport/kernel"
@@ -47,14 +49,18 @@
 		s.bootstrapStep(t)
 		return
 	}
-	ledPartitions := int64(0)
+	ledPartitions, inContact := int64(0), int64(0)
 	for _, g := range s.groups {
 		g.tick(t)
 		if g.role == leader {
 			ledPartitions++
 		}
+		if g.inContact(t.Now, g.committed.Stamp) {
+			inContact++
+		}
 	}
 	t.Counts.Set("part_owned_now", ledPartitions)
+	t.Counts.Set("part_in_contact_now", inContact)
 }
 
 // thawed: a leader that did not run for a while cannot know that it still is one.
@@ -106,7 +112,7 @@
 	case wire.KindBeat:
 		decode(t, v, func(m wire.Beat) { to(m.To, m.Part, func(g *Group) { g.handleHeartbeat(t, v.Chan, v.ID, m) }) })
 	case wire.KindBeatReply:
-		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.handleHeartbeatReply(t, v.Chan, m) }) })
+		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.handleHeartbeatReply(t, m) }) })
 	case wire.KindForm:
 		decode(t, v, func(m wire.Form) { s.handleForm(t, v.Chan, m) })
 	case wire.KindFormReply:
@@ -154,6 +160,7 @@
 			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.votedTerm, Seat: g.leader, Addr: g.s.addressOf(g.leader, t.Now)})
 		}
 	}
+	s.limitPull(t.Now, ch, &r)
 	t.Send(ch, wire.KindPullReply, id, &r)
 }
 
@@ -173,5 +180,10 @@
 		addr = a
 	}
 	t.Counts.Add("part_messages", 1)
+	if accept, ok := m.(*wire.Accept); ok {
+		// A replica that is slow or away needs the newest version only.
+		t.SendSlotTo(addr, kind, m, fmt.Sprintf("version %d", accept.Part))
+		return
+	}
 	t.SendTo(addr, kind, 0, m)
 }
