--- a/mesh/digest.go
+++ b/mesh/digest.go
@@ -18,11 +18,15 @@
 	// AskEvery is the least time between two askings of one peer, and how long an asking of
 	// one holds back those of others.
 	AskEvery = 400_000
+	// AgainEvery is the least time between two askings of one peer that brings what is lacking.
+	AgainEvery = 60_000
 	// StillFor is how long nothing must have changed before two digests are compared at their
 	// first difference: what is new is under way by itself.
 	StillFor = 300_000
 	// PushMost bounds what is sent on one frame of marks, in bytes.
 	PushMost = 96 << 10
+	// AskReceiving takes the place of AskEvery while a large message comes in: that may be what differs.
+	AskReceiving = 4_000_000
 	// ServeMost bounds it for all peers together, in bytes a second.
 	ServeMost = 512 << 10
 )
@@ -32,8 +36,9 @@
 	askedAt int64
 	// differed is that the last heartbeat already showed another digest.
 	differed bool
-	// gained is that something came since the last asking.
-	gained bool
+	// gained is that something came by catching up since the last asking; again that another
+	// asking is due.
+	gained, again bool
 	// mine and theirs are two digests of which it is known that neither side lacks anything.
 	mine, theirs uint64
 }
@@ -82,6 +87,7 @@
 	case p.mine == m.digest() && p.theirs == theirs:
 	case first && t.Now-m.changedAt < StillFor:
 	case t.Now-p.askedAt < AskEvery || t.Now-m.askedAt < AskEvery:
+	case m.k.Receiving() && t.Now-m.askedAt < AskReceiving:
 	default:
 		m.ask(t, p)
 	}
@@ -89,7 +95,7 @@
 
 // ask sends the sums of the buckets.
 func (m *Mesh) ask(t *kernel.Turn, p *peer) {
-	p.askedAt, m.askedAt, p.gained = t.Now, t.Now, false
+	p.askedAt, m.askedAt, p.gained, p.again = t.Now, t.Now, false, false
 	t.Counts.Add("mesh_asked", 1)
 	hb := &wire.Heartbeat{Addrs: m.someAddrs(t, p.zone, greetAddrs), Digest: m.digest(), Buckets: m.store.buckets[:], Echo: true}
 	t.SendSlot(p.chanID, wire.KindHeartbeat, hb, "buckets")
@@ -122,7 +128,29 @@
 	case hb.Echo:
 		m.sendMarks(t, p, hb.Scope, lacks)
 	case lacks && p.gained && !p.old:
+		m.askAgain(t, p)
+	}
+}
+
+// askAgain asks a peer for what one round did not bring, not at once but soon: while a flood
+// goes on, something is always lacking.
+func (m *Mesh) askAgain(t *kernel.Turn, p *peer) {
+	wait := p.askedAt + AgainEvery - t.Now
+	switch {
+	case wait <= 0:
 		m.ask(t, p)
+	case !p.again:
+		p.again = true
+		t.After(wait, "mesh", "again")
+	}
+}
+
+// askDue asks the peers that are due to be asked again.
+func (m *Mesh) askDue(t *kernel.Turn) {
+	for _, id := range sortedKeys(m.peers) {
+		if p := m.peers[id]; p.again && t.Now >= p.askedAt+AgainEvery {
+			m.ask(t, p)
+		}
 	}
 }
 
@@ -158,7 +186,8 @@
 	return out
 }
 
-// pushParts sends the versions that the other side lacks.
+// pushParts sends the versions that the other side lacks. Of a large one it is told, and asks for it
+// unless another already sends it.
 func (m *Mesh) pushParts(t *kernel.Turn, p *peer, theirs []wire.Stamp) (sent int) {
 	stamps := map[int]wire.Stamp{}
 	for _, s := range theirs {
@@ -167,6 +196,10 @@
 	for _, part := range sortedKeys(m.store.parts) {
 		e := m.store.parts[part]
 		if s, ok := stamps[part]; !ok || Newer(e.Stamp, s) {
+			if isLarge(e) {
+				m.notify(t, p.chanID, e)
+				continue
+			}
 			t.Counts.Add("mesh_caught_up", 1)
 			sent += m.send(t, p.chanID, e, caughtUp)
 		}
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -14,6 +14,9 @@
 type PullReply struct {
 	Stamped []Stamped `msg:"v"`
 	Owners  []Owner   `msg:"o"`
+	// Partial tells that newer versions are left out: they are on their way already, or were
+	// too large for one reply.
+	Partial bool `msg:"pa,omitempty"`
 	// Contact has a bit for each part of which the sender is, itself, in contact with a majority, and
 	// of which the asker now has whatever was acknowledged before that contact.
 	Contact uint32 `msg:"c,omitempty"`
