The linter is clean; the proof page names the mutants of every list

Removed are fields, types and functions that nothing used, 14 findings in lab/sim, lab/rules and a test's observer.

--- a/lab/rules/touch.go
+++ b/lab/rules/touch.go
@@ -80,12 +80,6 @@
 	return !t.Of(machine).Hit(at-contact, at) && !t.Unsettled.Hit(at-contact, at)
 }
 
-// throughout tells that a machine was in touch all the time from a to b.
-func (j *Journal) throughout(machine string, a, b int64) bool {
-	c := j.Bounds.ContactUs
-	return !j.Touch.Of(machine).Hit(a-c, b) && !j.Touch.Unsettled.Hit(a-c, b)
-}
-
 // bound is how long after an acknowledgement at `acked` a machine may take at `at`: the bound itself where
 // it is in touch, more while the core is unsettled, and any time (false) where it is in trouble itself.
 func (j *Journal) bound(machine string, acked, at, bound int64) (int64, bool) {
--- a/lab/sim/callers.go
+++ b/lab/sim/callers.go
@@ -27,7 +27,6 @@
 	sends   map[string]int
 	refused map[string]bool
 	open    int
-	begun   bool
 	until   int64
 }
 
--- a/lab/sim/day.go
+++ b/lab/sim/day.go
@@ -10,9 +10,7 @@
 	"math"
 
 	"wallport/env"
-	"wallport/kernel"
 	"wallport/lab/rules"
-	"wallport/operate"
 )
 
 // leadUs is from the start of the machines to the begin of the traffic.
@@ -38,9 +36,6 @@
 	gates    map[*proc]*gate
 	clients  clients
 	oper     orders
-	closing  closingFault
-	troubles troubles
-	over     bool
 }
 
 func newDay(w *World, name string) *day {
@@ -183,9 +178,6 @@
 	return max(1, int64(float64(mean)*x))
 }
 
-// operates tells whether a process takes operators' calls.
-func operates(p *proc) bool { return kernel.Find[*operate.Operate](p.kernel) != nil }
-
 // work is what one request of a kind takes at a backend.
 func (d *day) work(k *kindShape) int64 {
 	us := d.spread(k.workUs, 0.45)
--- a/lab/sim/day_machines.go
+++ b/lab/sim/day_machines.go
@@ -20,9 +20,6 @@
 	dark, gone bool
 	stops      bool
 	skew       int64
-	// listens tells that the node has opened its clients' port in this life.
-	listens int
-	shutAt  int64
 }
 
 type shownCores struct {
--- a/lab/sim/day_orders.go
+++ b/lab/sim/day_orders.go
@@ -31,8 +31,6 @@
 	queue    []func()
 	open     int
 	nextIdle int
-	// gone are names of idle routes that were removed.
-	gone []string
 	// armed wait for the next acknowledgement.
 	armed []func(m *machine)
 	// last is the machine that acknowledged last.
--- a/lab/sim/day_sites.go
+++ b/lab/sim/day_sites.go
@@ -11,15 +11,14 @@
 
 // poolShape is a service: one pool, or one for each of its shards.
 type poolShape struct {
-	name           string
-	shards         int
-	perZone        []int
-	slots, queue   int
-	connections    int64
-	pauseUs        int64
-	rampPerS       float64
-	later          bool
-	speedsApartPct int
+	name         string
+	shards       int
+	perZone      []int
+	slots, queue int
+	connections  int64
+	pauseUs      int64
+	rampPerS     float64
+	later        bool
 }
 
 // kindShape is a kind of requests.
--- a/lab/sim/day_touch.go
+++ b/lab/sim/day_touch.go
@@ -1,8 +1,6 @@
 // Who can hear whom on a day, and what troubles the machines have.
 package sim
 
-import "strings"
-
 // cut tells whether nothing gets from one process to another.
 func (d *day) cut(a, b string) bool {
 	p, q := d.w.procs[a], d.w.procs[b]
@@ -69,15 +67,6 @@
 	}
 }
 
-func (d *day) match(pattern string) (out []*machine) {
-	for _, m := range d.machines {
-		if m.name == pattern || pattern == "*" || strings.TrimPrefix(pattern, "zone:") == m.zone {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // listCores keeps the operator's list of the core machines that run, as it lags.
 func (d *day) listCores() {
 	var now []*machine
--- a/lab/sim/day_troubles.go
+++ b/lab/sim/day_troubles.go
@@ -3,8 +3,6 @@
 
 import "slices"
 
-type troubles struct{}
-
 // victims draws the backends that a trouble meets: a share of one service's, of all services' (across), or
 // all of one pool (all). One at least stays well in each pool unless all are meant.
 func (d *day) victims(e *entry, share float64) []*life {
--- a/lab/sim/day_turns.go
+++ b/lab/sim/day_turns.go
@@ -107,8 +107,6 @@
 	d.look()
 }
 
-type closingFault struct{}
-
 // close is the fault at a day's end, right after one more change was acknowledged.
 func (d *day) close() {
 	o := &d.oper
--- a/replica/contact_test.go
+++ b/replica/contact_test.go
@@ -37,8 +37,6 @@
 	confirmed map[string]int
 	last      map[string]int64
 	reads     map[string]int
-	// cutAsked counts what a member that is cut off was asked meanwhile.
-	cutAsked int
 }
 
 func newObserver(c *cluster) *observer {
--- a/tools/pages/pages_test.go
+++ b/tools/pages/pages_test.go
@@ -38,8 +38,10 @@
 	}
 	files("scenario", "scenarios/*.txt")
 	files("fleet", "lab/fleet/scripts/*.txt")
-	for _, list := range []string{"mutants.txt", "answers.txt", "orders.txt", "snapshots.txt"} {
-		for _, m := range regexp.MustCompile(`(?m)^guard: (.+)$`).FindAllStringSubmatch(read(t, "tools/mutate/"+list), -1) {
+	lists, err := filepath.Glob(root + "tools/mutate/*.txt")
+	must.NoError(t, err)
+	for _, list := range lists {
+		for _, m := range regexp.MustCompile(`(?m)^guard: (.+)$`).FindAllStringSubmatch(read(t, "tools/mutate/"+filepath.Base(list)), -1) {
 			out["mutant/"+m[1]] = true
 		}
 	}
@@ -50,7 +52,7 @@
 		}
 	}
 	tests := regexp.MustCompile(`(?m)^func ((?:Test|Fuzz)\w+)\(`)
-	err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+	err = filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
 			return err
 		}
