Grown fleets: versions in force are told seldom, idle connections stay in the zone

Now: in a fleet of more than 32 a row in which only the versions in force changed waits 0.1 s for each member, 10 s at most; the first after a pause goes at once. A process that has seven links dials no more in its zone while it has one there.

--- a/members/members.go
+++ b/members/members.go
@@ -41,12 +41,13 @@
 }
 
 // tellEvery is the least time between two tellings of this process's row. Where only the versions
-// in force changed it grows with the fleet, by inForceEach for each member up to inForceMost:
-// all members tell of a version at about the same time, each to all.
+// in force changed and there are more than inForceFew members, it is inForceEach for each of
+// them, up to inForceMost: all tell of a version at about the same time, each to all.
 const (
 	tellEvery   = 200_000
-	inForceEach = 15_000
-	inForceMost = 2_000_000
+	inForceFew  = 32
+	inForceEach = 100_000
+	inForceMost = 10_000_000
 	// settleFor is how long after its start a process waits as long: it hears of several
 	// versions then, and does not know yet how many members there are.
 	settleFor = 1_000_000
@@ -138,7 +139,10 @@
 	if now-m.started < settleFor {
 		return settleFor
 	}
-	return min(inForceMost, max(tellEvery, inForceEach*int64(len(m.rows))))
+	if len(m.rows) <= inForceFew {
+		return tellEvery
+	}
+	return min(inForceMost, inForceEach*int64(len(m.rows)))
 }
 
 // SelfRow is what this process tells of itself.
--- a/mesh/overlay.go
+++ b/mesh/overlay.go
@@ -116,7 +116,7 @@
 			}
 		}
 	}
-	for open[v.zone] < ZonePeers && m.dialOne(t, v.zones[v.zone]) {
+	for open[v.zone] < ZonePeers && (n < PeersEasy || open[v.zone] == 0) && m.dialOne(t, v.zones[v.zone]) {
 		open[v.zone]++
 		n++
 	}
--- a/table/pools.go
+++ b/table/pools.go
@@ -32,8 +32,14 @@
 			p.Servers = append(p.Servers, s)
 		}
 	}
+	h := holder{name: b.Self(), zone: c.Zone, nodes: c.Divisor}
+	for _, n := range c.Roster {
+		if n.Zone == c.Zone {
+			h.zoned++
+		}
+	}
 	for _, p := range c.Pools {
-		p.reside(b.Self(), c.Divisor)
+		p.reside(h)
 	}
 }
 
--- a/table/residents.go
+++ b/table/residents.go
@@ -1,7 +1,7 @@
 // Which backends this node keeps idle connections to. Where a pool allows each backend fewer
-// connections than there are nodes, every node keeps them to a few backends only, chosen by
-// rendezvous, and closes those to the others after use: a backend's connections are then
-// for requests under way and not filled with idle ones, beyond which it resets.
+// connections than there are nodes, every node keeps them to a few backends of its own zone only,
+// chosen by rendezvous, and closes those to the others after use: a backend's connections are
+// then for requests under way and not filled with idle ones, beyond which it resets.
 package table
 
 import (
@@ -13,23 +13,33 @@
 // idleShare is how many thousandths of a backend's connections may be idle, fleet-wide.
 const idleShare = 600
 
-// keptIdle is to how many of a pool's backends each node keeps connections.
-func keptIdle(connections int64, backends, nodes int) int {
-	if connections <= 0 || int64(nodes)*1000 <= connections*idleShare {
-		return backends
-	}
-	return int(connections * idleShare / 1000 * int64(backends) / int64(max(1, nodes)))
+// scarce tells that the idle connections of all nodes would be too many for a backend.
+func scarce(connections int64, nodes int) bool {
+	return connections > 0 && int64(nodes)*1000 > connections*idleShare
+}
+
+// holder is a node as it holds connections: all nodes of its zone share its zone's backends.
+type holder struct {
+	name, zone string
+	// nodes counts all nodes, zoned those of the zone.
+	nodes, zoned int
 }
 
 // reside marks the backends of a pool whose connections are closed after use.
-func (p *Pool) reside(self string, nodes int) {
-	kept := keptIdle(p.MaxConnections, len(p.Servers), nodes)
-	if kept >= len(p.Servers) {
+func (p *Pool) reside(h holder) {
+	if !scarce(p.MaxConnections, h.nodes) {
 		return
 	}
 	ranked := make([]rankedServer, 0, len(p.Servers))
 	for _, server := range p.Servers {
-		ranked = append(ranked, rankedServer{rendezvous(self, server.ID), server})
+		server.CloseAfterUse = server.Zone != h.zone
+		if !server.CloseAfterUse {
+			ranked = append(ranked, rankedServer{rendezvous(h.name, server.ID), server})
+		}
+	}
+	kept := int(p.MaxConnections*idleShare/1000) * len(ranked) / max(1, h.zoned)
+	if kept >= len(ranked) {
+		return
 	}
 	slices.SortFunc(ranked, func(a, b rankedServer) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.server.ID, b.server.ID))
