--- a/lab/draw/kinds.go
+++ b/lab/draw/kinds.go
@@ -34,18 +34,27 @@
 	return func(d *drawing) string { return fmt.Sprintf("for=%.1fs", d.f(least, most)) }
 }
 
-// draw makes the entry's line.
+// inTurn makes the entry's line with the way, and with what follows, whose turn it is.
+func (k *dayKind) inTurn(d *drawing, turn uint64) string {
+	return k.with(d, int(turn), int(turn))
+}
+
+// draw makes the entry's line with a way by chance.
 func (k *dayKind) draw(d *drawing) string {
+	return k.with(d, d.n(max(1, len(k.ways))), d.n(len(follows)))
+}
+
+func (k *dayKind) with(d *drawing, way, follow int) string {
 	line := k.name
 	if k.line != nil {
 		line += " " + k.line(d)
 	}
 	var how []string
 	if len(k.ways) > 0 {
-		how = append(how, k.ways[d.n(len(k.ways))])
+		how = append(how, k.ways[way%len(k.ways)])
 	}
 	if k.follows {
-		how = append(how, follows[d.n(len(follows))])
+		how = append(how, follows[follow%len(follows)])
 	}
 	how = slices.DeleteFunc(how, func(s string) bool { return s == "" })
 	if len(how) > 0 {
