--- a/wire/messages.go
+++ b/wire/messages.go
@@ -32,6 +32,8 @@
 	KindSeenReply
 	KindNotice
 	KindLeave
+	KindPiece
+	KindPieceAck
 )
 
 // Hello opens a mesh channel.
@@ -143,16 +145,20 @@
 	Pre  bool   `msg:"e"`
 	// Named is set when the outgoing owner named this successor.
 	Named bool `msg:"n"`
+	// Held is the newest version that the candidate holds; a voter with a newer one says so.
+	Held Stamp `msg:"h"`
 }
 
-// VoteReply grants or denies a term and shows the newest version held.
+// VoteReply grants or denies a term and shows the newest version held. The body is in it only
+// where the term is granted to a candidate that holds an older version.
 type VoteReply struct {
-	Part    int     `msg:"p"`
-	Term    uint64  `msg:"t"`
-	From    string  `msg:"f"`
-	Pre     bool    `msg:"e"`
-	Granted bool    `msg:"g"`
-	Held    Stamped `msg:"h"`
+	Part      int     `msg:"p"`
+	Term      uint64  `msg:"t"`
+	From      string  `msg:"f"`
+	Pre       bool    `msg:"e"`
+	Granted   bool    `msg:"g"`
+	Held      Stamped `msg:"h"`
+	TakesBase bool    `msg:"tb,omitempty"` // the voter reads Accept.Base
 }
 
 // Accept asks a seat to hold a version.
@@ -162,6 +168,9 @@
 	Term    uint64  `msg:"t"`
 	From    string  `msg:"f"`
 	Stamped Stamped `msg:"v"`
+	// Base, where it is set, is the version whose body this one has: the replica holds it, and
+	// the body is left out.
+	Base Stamp `msg:"b"`
 }
 
 // AcceptReply says that a version is synced, or which term stands against it.
@@ -172,6 +181,9 @@
 	Stamp Stamp  `msg:"st"`
 	OK    bool   `msg:"ok"`
 	Err   string `msg:"e"`
+	// LacksBase asks for the version with its body.
+	LacksBase bool `msg:"lb,omitempty"`
+	TakesBase bool `msg:"tb,omitempty"` // the replica reads Accept.Base
 }
 
 // Beat is an owner's sign of life with the newest committed stamp.
