Rename package pulls to configsync

Names only: the plug-in is configsync.Sync, and its owners are leaders. Its registered name, timers, counters and log events, which operators watch, are as before.

--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -13,6 +13,7 @@
 
 	// The plug-ins register themselves.
 	_ "wallport/conditions"
+	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
 	_ "wallport/idempotency"
@@ -20,7 +21,6 @@
 	_ "wallport/operate"
 	"wallport/platform"
 	"wallport/process"
-	_ "wallport/pulls"
 	_ "wallport/replica"
 	"wallport/serve"
 	_ "wallport/table"
--- a/pulls/choice_test.go
+++ b/configsync/choice_test.go
@@ -1,5 +1,5 @@
 // Which core is asked: mostly one of the own zone, seldom one that is silent.
-package pulls
+package configsync
 
 import (
 	"math/rand/v2"
@@ -12,15 +12,15 @@
 	"wallport/kernel"
 )
 
-func puller() *Pulls {
-	return &Pulls{
+func puller() *Sync {
+	return &Sync{
 		liveAt: map[string]int64{}, zones: map[string]string{}, asked: map[string]int64{}, sent: map[uint64]sentPull{}, contact: contact{without: map[string]bool{}},
 		place: env.Env{Mesh: "10.0.0.1:1", Zone: "z1"},
 	}
 }
 
 // tries counts by zone which cores a thousand pulls go to.
-func (p *Pulls) tries(now int64) (byZone, byCore map[string]int) {
+func (p *Sync) tries(now int64) (byZone, byCore map[string]int) {
 	t := &kernel.Turn{Now: now, Rand: rand.New(rand.NewPCG(1, 1))}
 	byZone, byCore = map[string]int{}, map[string]int{}
 	var all []string
--- a/pulls/contact.go
+++ b/configsync/contact.go
@@ -1,7 +1,7 @@
 // Which of what this process holds is confirmed: answered by a core that was in
 // contact with a majority. A process that has just started serves nothing else,
 // unless no core that it reaches has such contact for a stated while.
-package pulls
+package configsync
 
 import (
 	"slices"
@@ -45,28 +45,28 @@
 
 // Confirmed tells whether a part may be served: a core in contact with a majority has answered since
 // this process started, or none that it reaches has such contact. Once true it stays true.
-func (p *Pulls) Confirmed(part int, now int64) bool {
+func (p *Sync) Confirmed(part int, now int64) bool {
 	return p.contact.confirmed&partBit(part) != 0 || p.waitedLong(now)
 }
 
 // InContact tells whether a core in contact with a majority for the configuration has answered since the start.
-func (p *Pulls) InContact() bool { return p.contact.confirmed&partBit(state.Config) != 0 }
+func (p *Sync) InContact() bool { return p.contact.confirmed&partBit(state.Config) != 0 }
 
 // waitedLong tells that confirmed state need not be waited for any longer.
-func (p *Pulls) waitedLong(now int64) bool {
+func (p *Sync) waitedLong(now int64) bool {
 	held := p.contact.heldAt
 	until := max(held+UnconfirmedAfter, p.contact.knownAt+AskedFor)
 	return held > 0 && now >= min(until, held+UnconfirmedMost)
 }
 
 // fresh tells that this process has just started and looks for a core in contact with a majority.
-func (p *Pulls) fresh(now int64) bool {
+func (p *Sync) fresh(now int64) bool {
 	return !p.InContact() && !p.waitedLong(now)
 }
 
 // several picks the cores that a process asks that has just started: all in turn, those of the own
 // zone first.
-func (p *Pulls) several(cores []string) []string {
+func (p *Sync) several(cores []string) []string {
 	order := slices.SortedFunc(slices.Values(cores), p.rank)
 	most := FreshCores
 	if p.contact.next == 0 {
@@ -81,7 +81,7 @@
 }
 
 // answered takes note of the contact that a core's answer tells of, and passes it on.
-func (p *Pulls) answered(t *kernel.Turn, asked sentPull, r *wire.PullReply) {
+func (p *Sync) answered(t *kernel.Turn, asked sentPull, r *wire.PullReply) {
 	contact := r.Contact | r.Relayed
 	if t.Now-asked.at > AnswerWithin {
 		t.Counts.Add("pulls_answered_late", 1)
--- a/pulls/cores.go
+++ b/configsync/cores.go
@@ -1,7 +1,7 @@
 // Which cores are known, and which of them are asked: mostly some of the own
 // zone, now and then one of another, and none that does not answer while
 // another does.
-package pulls
+package configsync
 
 import (
 	"cmp"
@@ -28,7 +28,7 @@
 // cores are those that were live of late. Where the mesh itself is cut they
 // fade from it one by one, so the last known ones are kept while none is live.
 // Before the mesh has told of any, or while nothing is confirmed, the seeds are asked, too: they tell of cores.
-func (p *Pulls) cores(now int64) []string {
+func (p *Sync) cores(now int64) []string {
 	self := p.place.Mesh
 	live := p.members.Live(now, "core")
 	for _, r := range live {
@@ -61,7 +61,7 @@
 	return out
 }
 
-func (p *Pulls) forget(addr string) {
+func (p *Sync) forget(addr string) {
 	delete(p.liveAt, addr)
 	delete(p.zones, addr)
 	delete(p.asked, addr)
@@ -69,7 +69,7 @@
 }
 
 // bound forgets the cores that were live longest ago beyond so many, and of equals those asked last.
-func (p *Pulls) bound() {
+func (p *Sync) bound() {
 	for len(p.known) > knownMost {
 		last := slices.MinFunc(p.known, func(a, b string) int {
 			return cmp.Or(cmp.Compare(p.liveAt[a], p.liveAt[b]), p.rank(b, a))
@@ -81,7 +81,7 @@
 
 // rank orders cores: those of the own zone first, then by a hash with the own address, so that
 // the nodes spread over them.
-func (p *Pulls) rank(a, b string) int {
+func (p *Sync) rank(a, b string) int {
 	far := func(a string) int {
 		if p.zones[a] == p.place.Zone {
 			return 0
@@ -97,7 +97,7 @@
 }
 
 // choose picks the one core to ask now.
-func (p *Pulls) choose(t *kernel.Turn, cores []string) []string {
+func (p *Sync) choose(t *kernel.Turn, cores []string) []string {
 	if len(cores) == 0 {
 		return nil
 	}
--- a/pulls/pulls.go
+++ b/configsync/sync.go
@@ -1,8 +1,8 @@
-// Package pulls asks the cores about twice a second for newer versions of the
+// Package configsync asks the cores about twice a second for newer versions of the
 // parts, besides what the mesh floods, so that a change is in force in time
 // when either way is cut. It also learns who owns which part, and tells the
 // cores of a core.
-package pulls
+package configsync
 
 import (
 	"wallport/env"
@@ -34,8 +34,8 @@
 	at   int64
 }
 
-// Pulls is the plug-in of a node, and of a core, which may have no seat and then hears no owner otherwise.
-type Pulls struct {
+// Sync is the plug-in of a node, and of a core, which may have no seat and then hears no owner otherwise.
+type Sync struct {
 	mesh    *mesh.Mesh
 	members *members.Members
 	owners  [state.Parts]wire.Owner
@@ -62,7 +62,7 @@
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 40, Roles: []string{"node", "core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Pulls{
+		return &Sync{
 			mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), liveAt: map[string]int64{},
 			zones: map[string]string{}, place: k.Boot.Env, core: k.Boot.Role == "core", asked: map[string]int64{}, sent: map[uint64]sentPull{},
 			contact: contact{without: map[string]bool{}},
@@ -71,24 +71,24 @@
 }
 
 // Name is the plug-in's name.
-func (p *Pulls) Name() string { return "pulls" }
+func (p *Sync) Name() string { return "pulls" }
 
 // Kinds are the frames that it takes.
-func (p *Pulls) Kinds() []uint8 { return []uint8{wire.KindPullReply} }
+func (p *Sync) Kinds() []uint8 { return []uint8{wire.KindPullReply} }
 
-// Owner is the address of the core that owns a part, as last heard.
-func (p *Pulls) Owner(part int) string { return p.owners[part].Addr }
+// Leader is the address of the core that owns a part, as last heard.
+func (p *Sync) Leader(part int) string { return p.owners[part].Addr }
 
 // ownerFor is how long after a core's word the owner counts as heard.
 const ownerFor = 2_000_000
 
-// HearsOwner tells whether a core that this node reaches follows an owner of the part.
-func (p *Pulls) HearsOwner(part int, now int64) bool {
+// HearsLeader tells whether a core that this node reaches follows an owner of the part.
+func (p *Sync) HearsLeader(part int, now int64) bool {
 	return p.ownerAt[part] > 0 && now-p.ownerAt[part] < ownerFor
 }
 
 // Step takes one input.
-func (p *Pulls) Step(t *kernel.Turn, in kernel.Input) {
+func (p *Sync) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		t.After(t.Rand.Int64N(p.every(t.Now)), "pulls", "pull")
@@ -111,7 +111,7 @@
 
 // held notes that there is a new version of a part. The first one that the mesh brings to a process
 // that has just started is confirmed at once, if a core can be asked.
-func (p *Pulls) held(t *kernel.Turn) {
+func (p *Sync) held(t *kernel.Turn) {
 	if !p.core {
 		stamps := p.stamps()
 		p.members.Update(func(s *wire.Member) { s.InForce = stamps })
@@ -125,7 +125,7 @@
 	}
 }
 
-func (p *Pulls) replied(t *kernel.Turn, v kernel.Message) {
+func (p *Sync) replied(t *kernel.Turn, v kernel.Message) {
 	var r wire.PullReply
 	if wire.Decode(v.Body, &r) != nil {
 		t.Counts.Add("frames_malformed", 1)
@@ -149,7 +149,7 @@
 	}
 }
 
-func (p *Pulls) stamps() []wire.Stamp {
+func (p *Sync) stamps() []wire.Stamp {
 	var out []wire.Stamp
 	for part := range state.Parts {
 		if v, ok := p.mesh.Part(part); ok {
@@ -160,12 +160,12 @@
 }
 
 // empty tells that this is a core that has heard of no version: it may have a fleet to form, or to find.
-func (p *Pulls) empty() bool {
+func (p *Sync) empty() bool {
 	_, ok := p.mesh.Part(state.Config)
 	return !ok && p.core
 }
 
-func (p *Pulls) every(now int64) int64 {
+func (p *Sync) every(now int64) int64 {
 	switch {
 	case p.empty():
 		return EmptyEvery
@@ -175,7 +175,7 @@
 	return Every
 }
 
-func (p *Pulls) pull(t *kernel.Turn) {
+func (p *Sync) pull(t *kernel.Turn) {
 	req := wire.Pull{Have: p.stamps()}
 	if p.core {
 		self := p.members.SelfRow()
--- a/pulls/pulls_test.go
+++ b/configsync/sync_test.go
@@ -1,5 +1,5 @@
 // The addresses of cores that are kept where the mesh itself is cut.
-package pulls
+package configsync
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 )
 
 func TestTooManyCoresDropTheOldestAlone(t *testing.T) {
-	p := &Pulls{liveAt: map[string]int64{}}
+	p := &Sync{liveAt: map[string]int64{}}
 	for i := range knownMost + 3 {
 		a := fmt.Sprintf("core-%02d", i)
 		p.known, p.liveAt[a] = append(p.known, a), int64(i)
@@ -23,7 +23,7 @@
 // State that nobody confirmed is not served before a core was asked that has just become known.
 func TestCoreJustHeardOfIsAskedBeforeUnconfirmedStateIsServed(t *testing.T) {
 	const held = int64(1_000_000)
-	p := &Pulls{contact: contact{heldAt: held}}
+	p := &Sync{contact: contact{heldAt: held}}
 	must.False(t, p.Confirmed(0, held+UnconfirmedAfter-1))
 	must.True(t, p.Confirmed(0, held+UnconfirmedAfter))
 	p.contact.knownAt = held + UnconfirmedAfter - 1
@@ -31,5 +31,5 @@
 	must.True(t, p.Confirmed(0, p.contact.knownAt+AskedFor))
 	p.contact.knownAt = held + UnconfirmedMost - 1
 	must.True(t, p.Confirmed(0, held+UnconfirmedMost), must.Sprint("it ends"))
-	must.False(t, (&Pulls{}).Confirmed(0, 1<<40), must.Sprint("there is nothing to serve"))
+	must.False(t, (&Sync{}).Confirmed(0, 1<<40), must.Sprint("there is nothing to serve"))
 }
--- a/cutmove/cutmove.go
+++ b/cutmove/cutmove.go
@@ -5,10 +5,10 @@
 package cutmove
 
 import (
+	"wallport/configsync"
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/state"
 	"wallport/table"
 	"wallport/wire"
@@ -23,19 +23,19 @@
 
 // CutMove is the plug-in of a node.
 type CutMove struct {
-	mesh    *mesh.Mesh
-	members *members.Members
-	pulls   *pulls.Pulls
-	table   *table.Table
-	rank    int
-	armed   bool
+	mesh       *mesh.Mesh
+	members    *members.Members
+	configSync *configsync.Sync
+	table      *table.Table
+	rank       int
+	armed      bool
 }
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 90, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &CutMove{
 			mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k),
-			pulls: kernel.Find[*pulls.Pulls](k), table: kernel.Find[*table.Table](k),
+			configSync: kernel.Find[*configsync.Sync](k), table: kernel.Find[*table.Table](k),
 		}
 	}})
 }
@@ -94,7 +94,7 @@
 			continue
 		}
 		part := state.PartOf(name)
-		addr := c.pulls.Owner(part)
+		addr := c.configSync.Leader(part)
 		if addr == "" {
 			continue
 		}
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -8,10 +8,10 @@
 import (
 	"fmt"
 
+	"wallport/configsync"
 	"wallport/inquiry"
 	"wallport/kernel"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/table"
 	"wallport/wire"
 )
@@ -75,9 +75,9 @@
 
 // Coordinator is the plug-in of a node.
 type Coordinator struct {
-	mesh  *mesh.Mesh
-	table *table.Table
-	pulls *pulls.Pulls
+	mesh       *mesh.Mesh
+	table      *table.Table
+	configSync *configsync.Sync
 	// snapshot is the table's newest checkpoint.
 	snapshot   func() *table.Checkpoint
 	records    map[string]*record
@@ -101,7 +101,7 @@
 	kernel.Register(kernel.Registration{Rank: 80, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		built := kernel.Find[*table.Table](k)
 		return &Coordinator{
-			mesh: kernel.Find[*mesh.Mesh](k), table: built, pulls: kernel.Find[*pulls.Pulls](k), snapshot: built.Now,
+			mesh: kernel.Find[*mesh.Mesh](k), table: built, configSync: kernel.Find[*configsync.Sync](k), snapshot: built.Now,
 			records: map[string]*record{}, admissions: map[uint64]*admission{}, seen: seenKeys{at: map[string]int64{}}, first: map[int]map[string]bool{},
 		}
 	}})
--- a/idempotency/owners.go
+++ b/idempotency/owners.go
@@ -68,7 +68,7 @@
 // that hears the owner of the configuration, which a majority of the cores follows.
 func (c *Coordinator) minority(cp *table.Checkpoint, now int64) bool {
 	votes := 2 * cp.Peers
-	if c.pulls.HearsOwner(state.Config, now) {
+	if c.configSync.HearsLeader(state.Config, now) {
 		votes++
 	}
 	return votes <= cp.Divisor && cp.Divisor > 1
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -16,6 +16,7 @@
 
 	// The plug-ins register themselves.
 	_ "wallport/conditions"
+	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
 	_ "wallport/idempotency"
@@ -23,7 +24,6 @@
 	_ "wallport/listing"
 	_ "wallport/operate"
 	"wallport/process"
-	_ "wallport/pulls"
 	_ "wallport/replica"
 	"wallport/table"
 	_ "wallport/usage"
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	_ "wallport/conditions"
+	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
 	_ "wallport/idempotency"
@@ -13,7 +14,6 @@
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	_ "wallport/pulls"
 	"wallport/replica"
 	"wallport/table"
 	"wallport/usage"
--- a/listing/lease.go
+++ b/listing/lease.go
@@ -32,7 +32,7 @@
 // drop gives the duty up to the next node by rank, if this node has it and there is another.
 func (p *Lister) drop(t *kernel.Turn) bool {
 	part := state.PartOf(Duty)
-	addr := p.pulls.Owner(part)
+	addr := p.configSync.Leader(part)
 	if addr == "" || t.Now >= p.until {
 		return false
 	}
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -8,10 +8,10 @@
 	"encoding/json"
 	"net/http"
 
+	"wallport/configsync"
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/state"
 	"wallport/wire"
 )
@@ -35,11 +35,11 @@
 
 // Lister is the plug-in of a node.
 type Lister struct {
-	k       *kernel.Kernel
-	mesh    *mesh.Mesh
-	members *members.Members
-	pulls   *pulls.Pulls
-	until   int64
+	k          *kernel.Kernel
+	mesh       *mesh.Mesh
+	members    *members.Members
+	configSync *configsync.Sync
+	until      int64
 	// lease is the turn of the duty as it was granted to this node last; asked is when each ask was
 	// sent that a grant may still answer, by its id.
 	lease   uint64
@@ -65,7 +65,7 @@
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 50, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Lister{calls: 1, blank: true, asked: map[uint64]int64{}, polled: -TellEvery, k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), pulls: kernel.Find[*pulls.Pulls](k)}
+		return &Lister{calls: 1, blank: true, asked: map[uint64]int64{}, polled: -TellEvery, k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), configSync: kernel.Find[*configsync.Sync](k)}
 	}})
 }
 
@@ -157,7 +157,7 @@
 // ask renews the duty, or asks for it: the more nodes there are, the more rarely each does.
 func (p *Lister) ask(t *kernel.Turn) {
 	part := state.PartOf(Duty)
-	addr := p.pulls.Owner(part)
+	addr := p.configSync.Leader(part)
 	if addr == "" || t.Now < p.idleTo || t.Now >= p.until && t.Now < p.askAt || p.members.SelfRow().Draining {
 		return
 	}
--- a/operate/carrying.go
+++ b/operate/carrying.go
@@ -80,7 +80,7 @@
 		addr = o.seats.Leader(part, t.Now)
 	}
 	if addr == "" {
-		addr = o.pulls.Owner(part)
+		addr = o.configSync.Leader(part)
 	}
 	if addr != "" && c.tries%2 == 0 {
 		return addr
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -6,10 +6,10 @@
 import (
 	"fmt"
 
+	"wallport/configsync"
 	"wallport/kernel"
 	"wallport/members"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/replica"
 	"wallport/state"
 	"wallport/wire"
@@ -46,11 +46,11 @@
 
 // Operate is the plug-in of a node, and of a core, which operators may reach as well.
 type Operate struct {
-	mesh    *mesh.Mesh
-	pulls   *pulls.Pulls
-	seats   *replica.Host
-	members *members.Members
-	calls   map[uint64]*call
+	mesh       *mesh.Mesh
+	configSync *configsync.Sync
+	seats      *replica.Host
+	members    *members.Members
+	calls      map[uint64]*call
 	// zones are the zones that the settings name, with their regions; empty where they name none.
 	zones map[string]string
 
@@ -62,7 +62,7 @@
 func init() {
 	kernel.Register(kernel.Registration{Rank: 50, Roles: []string{"node", "core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Operate{
-			mesh: kernel.Find[*mesh.Mesh](k), pulls: kernel.Find[*pulls.Pulls](k), seats: kernel.Find[*replica.Host](k),
+			mesh: kernel.Find[*mesh.Mesh](k), configSync: kernel.Find[*configsync.Sync](k), seats: kernel.Find[*replica.Host](k),
 			zones: k.Boot.Env.Regions, members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
 			wantedVoters: k.Boot.Env.Seats(),
 		}
--- a/replica/contact.go
+++ b/replica/contact.go
@@ -6,9 +6,9 @@
 import (
 	"slices"
 
+	"wallport/configsync"
 	"wallport/kernel"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/wire"
 )
 
@@ -128,7 +128,7 @@
 }
 
 // relay notes the contact of another core that has answered this one's pull.
-func (s *Host) relay(v pulls.Pulled) {
+func (s *Host) relay(v configsync.Pulled) {
 	for _, g := range s.groups {
 		if v.Contact&(1<<uint(g.part)) != 0 {
 			g.relayedAt = max(g.relayedAt, v.AskedAt)
--- a/replica/route.go
+++ b/replica/route.go
@@ -6,9 +6,9 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"wallport/configsync"
 	"wallport/kernel"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/wire"
 )
 
@@ -32,7 +32,7 @@
 		}
 	case kernel.Message:
 		s.message(t, v)
-	case pulls.Pulled:
+	case configsync.Pulled:
 		s.relay(v)
 	case Committed:
 		s.mesh.AnnouncePart(t, v.Stamped)
--- a/table/configured.go
+++ b/table/configured.go
@@ -38,7 +38,7 @@
 	if was := b.now.Load(); was != nil && was.Whole {
 		return true
 	}
-	if !b.pulls.Confirmed(state.Config, t.Now) {
+	if !b.configSync.Confirmed(state.Config, t.Now) {
 		return false
 	}
 	if c.Routing != nil && len(b.listing.Servers) > 0 {
@@ -50,7 +50,7 @@
 	cut := false
 	for name, x := range c.Indexes {
 		part := state.PartOf(name)
-		if _, ok := b.mesh.Part(part); !ok || !b.pulls.Confirmed(part, t.Now) {
+		if _, ok := b.mesh.Part(part); !ok || !b.configSync.Confirmed(part, t.Now) {
 			return false
 		}
 		cut = cut || x.Cut.Name != ""
@@ -59,11 +59,11 @@
 	return cut
 }
 
-// await has the table built once state that no majority confirmed may be served from; see pulls.UnconfirmedAfter.
+// await has the table built once state that no majority confirmed may be served from; see configsync.UnconfirmedAfter.
 func (b *Table) await(t *kernel.Turn) {
 	switch {
 	case b.now.Load().Whole:
-	case b.pulls.Confirmed(state.Config, t.Now):
+	case b.configSync.Confirmed(state.Config, t.Now):
 		b.build(t)
 	default:
 		t.After(awaitEvery, "table", awaitKey)
@@ -72,7 +72,7 @@
 
 // noteUnconfirmed tells that this process begins to serve from state that no majority confirmed.
 func (b *Table) noteUnconfirmed(t *kernel.Turn, c *Checkpoint) {
-	if was := b.now.Load(); !c.Whole || was != nil && was.Whole || b.pulls.InContact() {
+	if was := b.now.Load(); !c.Whole || was != nil && was.Whole || b.configSync.InContact() {
 		return
 	}
 	t.Counts.Add("table_unconfirmed", 1)
--- a/table/ready_test.go
+++ b/table/ready_test.go
@@ -12,9 +12,9 @@
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/proto"
 
+	"wallport/configsync"
 	"wallport/env"
 	"wallport/kernel"
-	"wallport/pulls"
 	"wallport/routingpb"
 	"wallport/wire"
 )
@@ -136,7 +136,7 @@
 func TestStartedNodeServesConfirmedStateAtOnce(t *testing.T) {
 	core := &fakeCore{term: 3, revision: 7, contact: 1}
 	n := startNode(t, map[string]*fakeCore{"10.0.0.1:1": core, "10.0.0.2:1": core, "10.0.0.3:1": core})
-	must.Less(t, pulls.FreshEvery+second/4, n.readyWithin(second))
+	must.Less(t, configsync.FreshEvery+second/4, n.readyWithin(second))
 	must.Zero(t, n.kernel.Counts.Of("table_unconfirmed").Load())
 }
 
@@ -173,9 +173,9 @@
 
 // A core that was slow to answer proves nothing: the answer may have been held up by a cut.
 func TestAnswerThatWasHeldUpConfirmsNothing(t *testing.T) {
-	late := &fakeCore{term: 3, revision: 7, contact: 1, delay: pulls.AnswerWithin + second}
+	late := &fakeCore{term: 3, revision: 7, contact: 1, delay: configsync.AnswerWithin + second}
 	n := startNode(t, map[string]*fakeCore{"10.0.0.1:1": late, "10.0.0.2:1": {silent: true}, "10.0.0.3:1": {silent: true}})
-	must.Greater(t, pulls.AnswerWithin+second+pulls.UnconfirmedAfter-second, n.readyWithin(30*second))
+	must.Greater(t, configsync.AnswerWithin+second+configsync.UnconfirmedAfter-second, n.readyWithin(30*second))
 	must.Eq(t, 1, n.kernel.Counts.Of("table_unconfirmed").Load())
 }
 
@@ -185,7 +185,7 @@
 	old := &fakeCore{term: 3, revision: 7}
 	n := startNode(t, map[string]*fakeCore{"10.0.0.1:1": old, "10.0.0.2:1": {silent: true}, "10.0.0.3:1": {silent: true}})
 	took := n.readyWithin(20 * second)
-	must.Between(t, pulls.UnconfirmedAfter, took, pulls.UnconfirmedAfter+second)
+	must.Between(t, configsync.UnconfirmedAfter, took, configsync.UnconfirmedAfter+second)
 	must.Eq(t, 1, n.kernel.Counts.Of("table_unconfirmed").Load())
 	asked := old.asked
 	n.run(10 * second)
@@ -199,7 +199,7 @@
 	n := startNode(t, cores)
 	must.Greater(t, 4*second, n.readyWithin(4*second))
 	better.silent = false
-	must.Less(t, pulls.UnconfirmedAfter-4*second, n.readyWithin(4*second))
+	must.Less(t, configsync.UnconfirmedAfter-4*second, n.readyWithin(4*second))
 	must.Eq(t, 9, n.table.Now().Routing.Revision)
 	must.Zero(t, n.kernel.Counts.Of("table_unconfirmed").Load())
 }
--- a/table/table.go
+++ b/table/table.go
@@ -6,11 +6,11 @@
 import (
 	"sync/atomic"
 
+	"wallport/configsync"
 	"wallport/kernel"
 	"wallport/listing"
 	"wallport/members"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/usage"
 	"wallport/wire"
 )
@@ -24,25 +24,25 @@
 
 // Table is the plug-in.
 type Table struct {
-	k        *kernel.Kernel
-	mesh     *mesh.Mesh
-	members  *members.Members
-	usage    *usage.Usage
-	pulls    *pulls.Pulls
-	Gauges   *Gauges
-	now      atomic.Pointer[Checkpoint]
-	armed    bool
-	builtAt  int64
-	alive    uint64
-	config   config
-	listing  wire.Listing
-	from     string
-	count    uint64
-	left     map[string]int64
-	births   map[string]birth
-	liveAt   map[string]int64
-	absent   map[string]int64
-	opinions opinions
+	k          *kernel.Kernel
+	mesh       *mesh.Mesh
+	members    *members.Members
+	usage      *usage.Usage
+	configSync *configsync.Sync
+	Gauges     *Gauges
+	now        atomic.Pointer[Checkpoint]
+	armed      bool
+	builtAt    int64
+	alive      uint64
+	config     config
+	listing    wire.Listing
+	from       string
+	count      uint64
+	left       map[string]int64
+	births     map[string]birth
+	liveAt     map[string]int64
+	absent     map[string]int64
+	opinions   opinions
 	// cuts are those that this node serves from.
 	cuts  map[string]wire.LiveCut
 	stale stale
@@ -63,7 +63,7 @@
 	kernel.Register(kernel.Registration{Rank: 60, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Table{
 			k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k), usage: kernel.Find[*usage.Usage](k),
-			pulls: kernel.Find[*pulls.Pulls](k), Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{}, opinions: opinions{}, cuts: map[string]wire.LiveCut{},
+			configSync: kernel.Find[*configsync.Sync](k), Gauges: &Gauges{}, left: map[string]int64{}, births: map[string]birth{}, liveAt: map[string]int64{}, absent: map[string]int64{}, opinions: opinions{}, cuts: map[string]wire.LiveCut{},
 		}
 	}})
 }
@@ -81,7 +81,7 @@
 func (b *Table) Step(t *kernel.Turn, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
-		t.After(pulls.UnconfirmedAfter, "table", awaitKey)
+		t.After(configsync.UnconfirmedAfter, "table", awaitKey)
 		b.build(t)
 	case kernel.Tick:
 		if v.Key == awaitKey {
@@ -96,7 +96,7 @@
 		t.After(StaleMost, "table", "stale")
 	case mesh.CaughtUp:
 		b.heard(t, func(s *stale) { s.mesh = true })
-	case pulls.Pulled:
+	case configsync.Pulled:
 		b.pulled(t, v)
 	case kernel.Stopping:
 		b.build(t)
@@ -144,7 +144,7 @@
 
 // pulled notes that a core answered a pull: what a process serves from that has just started, or was
 // thawed, needs an answer of a core in contact with a majority.
-func (b *Table) pulled(t *kernel.Turn, v pulls.Pulled) {
+func (b *Table) pulled(t *kernel.Turn, v configsync.Pulled) {
 	if v.Confirmed == 0 {
 		return
 	}
