--- a/lab/sim/day_orders.go
+++ b/lab/sim/day_orders.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -190,6 +191,10 @@
 // evacuate asks that nothing more be sent to a zone, or takes that back.
 func (o *orders) evacuate(zone string, on bool) {
 	d := o.d
+	if !slices.ContainsFunc(d.site.zones, func(z zoneShape) bool { return z.name == zone }) {
+		d.w.Judge.Count("evacuations.of_no_zone", 1)
+		return
+	}
 	if on {
 		if v := o.zones[zone]; v != nil && v.Back == rules.Never {
 			return
--- a/tools/pages/pages_test.go
+++ b/tools/pages/pages_test.go
@@ -38,7 +38,7 @@
 	}
 	files("scenario", "scenarios/*.txt")
 	files("fleet", "lab/fleet/scripts/*.txt")
-	for _, list := range []string{"mutants.txt", "orders.txt", "snapshots.txt"} {
+	for _, list := range []string{"mutants.txt", "answers.txt", "days.txt", "orders.txt", "snapshots.txt"} {
 		for _, m := range regexp.MustCompile(`(?m)^guard: (.+)$`).FindAllStringSubmatch(read(t, "tools/mutate/"+list), -1) {
 			out["mutant/"+m[1]] = true
 		}
