--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -12,15 +12,15 @@
 	"go.uber.org/zap/zapcore"
 
 	// The plug-ins register themselves.
-	_ "wallport/claims"
 	_ "wallport/conditions"
+	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/idempotency"
 	_ "wallport/listing"
 	_ "wallport/operate"
 	"wallport/platform"
 	"wallport/process"
-	_ "wallport/pulls"
 	_ "wallport/replica"
 	"wallport/serve"
 	_ "wallport/table"
