--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -10,7 +10,7 @@
 )
 
 // statesMost bounds each configuration; all of them end within it.
-const statesMost = 60_000
+const statesMost = 100_000
 
 // everySchedule is a depth that no bounded configuration reaches.
 const everySchedule = 1_000
