--- a/lab/sim/day_orders.go
+++ b/lab/sim/day_orders.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -31,8 +32,6 @@
 	queue    []func()
 	open     int
 	nextIdle int
-	// gone are names of idle routes that were removed.
-	gone []string
 	// armed wait for the next acknowledgement.
 	armed []func(m *machine)
 	// last is the machine that acknowledged last.
@@ -190,6 +189,10 @@
 // evacuate asks that nothing more be sent to a zone, or takes that back.
 func (o *orders) evacuate(zone string, on bool) {
 	d := o.d
+	if !slices.ContainsFunc(d.site.zones, func(z zoneShape) bool { return z.name == zone }) {
+		d.w.Judge.Count("evacuations.of_no_zone", 1)
+		return
+	}
 	if on {
 		if v := o.zones[zone]; v != nil && v.Back == rules.Never {
 			return
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -5,15 +5,15 @@
 import (
 	"fmt"
 
-	_ "wallport/claims"
 	_ "wallport/conditions"
+	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/idempotency"
 	"wallport/inquiry"
 	"wallport/kernel"
 	_ "wallport/listing"
 	_ "wallport/operate"
-	_ "wallport/pulls"
 	"wallport/replica"
 	"wallport/table"
 	"wallport/usage"
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -75,10 +75,13 @@
 	lastSeed int64
 	seeds    []string
 	links    links
-	wants    map[wire.Notice]int64
+	wants    map[wire.Notice]want
 	// turn counts the changes of who is reached.
 	turn       uint64
 	reachArmed bool
+	beganAt    int64
+	reachAt    int64
+	reachTurn  uint64
 	// old is that a process of the release before is there.
 	old bool
 	// caught is that this process has once had all that a peer had, since its start or thaw.
@@ -105,7 +108,7 @@
 	m := &Mesh{
 		k: k, self: kernel.Fingerprint(k.Boot.Key.Public), addr: k.Boot.Env.Mesh,
 		peers: map[uint64]*peer{}, store: newStore(), seen: newSeenSet(), dials: map[string]*dial{},
-		wants: map[wire.Notice]int64{}, links: links{lost: map[string]uint64{}, ended: map[string]ended{}}, served: ServeMost,
+		wants: map[wire.Notice]want{}, links: links{lost: map[string]uint64{}, ended: map[string]ended{}}, served: ServeMost,
 	}
 	self := m.store.origin(m.self, 0)
 	self.beat, self.key, self.sig = 1, k.Boot.Key.Public, ed25519.Sign(k.Boot.Key.Private, beatText(1))
@@ -162,6 +165,8 @@
 	case "forward":
 		m.forwardArmed = false
 		m.forwardAll(t)
+	case "again":
+		m.askDue(t)
 	case "dial":
 		m.tend(t)
 	}
--- a/replica/contact.go
+++ b/replica/contact.go
@@ -6,9 +6,9 @@
 import (
 	"slices"
 
+	"wallport/configsync"
 	"wallport/kernel"
 	"wallport/mesh"
-	"wallport/pulls"
 	"wallport/wire"
 )
 
@@ -128,7 +128,7 @@
 }
 
 // relay notes the contact of another core that has answered this one's pull.
-func (s *Host) relay(v pulls.Pulled) {
+func (s *Host) relay(v configsync.Pulled) {
 	for _, g := range s.groups {
 		if v.Contact&(1<<uint(g.part)) != 0 {
 			g.relayedAt = max(g.relayedAt, v.AskedAt)
@@ -142,10 +142,11 @@
 
 // noteContact logs and counts when a leader loses its contact with a majority.
 func (g *Group) noteContact(t *kernel.Turn) {
-	lost := g.ready && !g.contact.within(t.Now, ContactFor)
+	since := t.Now - max(g.leaderSince, g.contact.confirmedAt)
+	lost := g.ready && since > ContactFor
 	if lost && !g.contactLost {
 		t.Counts.Add("part_contact_lost", 1)
-		t.Note(1, "leader_without_contact", "part", g.part, "term", g.term, "since_us", t.Now-g.contact.confirmedAt)
+		t.Note(1, "leader_without_contact", "part", g.part, "term", g.term, "since_us", since)
 	}
 	g.contactLost = lost
 }
--- /dev/null
+++ b/state/limits.go
@@ -0,0 +1,62 @@
+// How large a partition's value may become. An order whose outcome is larger is refused
+// before it is proposed.
+package state
+
+import (
+	"fmt"
+
+	"wallport/wire"
+)
+
+// Bounds of a partition's body and ledger in bytes. A replica keeps three versions of each partition
+// on its disk, and a fourth while that is written: 4 × (4 + 1.5 + 4 × 0.9) MiB are 38.2 MB of the
+// 64 MB that a disk has. A node holds the configuration as it came, decoded and compiled, and its
+// memory is priced: 4 MiB are the most of which it holds a few copies.
+const (
+	MaxConfigBody   = 4 << 20
+	MaxConfigLedger = 3 << 19
+	MaxIndexBody    = 512 << 10
+	MaxIndexLedger  = 384 << 10
+	// ClockRoom is what the clock may add beyond that: the bookings that run, the lease holders.
+	ClockRoom = 128 << 10
+)
+
+// MaxBody bounds the body of a partition.
+func MaxBody(part int) int {
+	if part == Config {
+		return MaxConfigBody
+	}
+	return MaxIndexBody
+}
+
+// MaxLedger bounds its ledger.
+func MaxLedger(part int) int {
+	if part == Config {
+		return MaxConfigLedger
+	}
+	return MaxIndexLedger
+}
+
+// TooLarge refuses an order whose outcome is larger than the product takes. One that makes a
+// value smaller is always taken.
+func TooLarge(part int, before, after Value) (wire.EditReply, bool) {
+	place := "configuration"
+	if part != Config {
+		place = fmt.Sprintf("indexes of partition %d", part)
+	}
+	if exceeds(before.Body, after.Body, MaxBody(part)) {
+		return tooLarge(place, len(after.Body), MaxBody(part)), true
+	}
+	if exceeds(before.Ledger, after.Ledger, MaxLedger(part)) {
+		return tooLarge("history of the "+place, len(after.Ledger), MaxLedger(part)), true
+	}
+	return wire.EditReply{}, false
+}
+
+func exceeds(before, after []byte, most int) bool {
+	return len(after) > most && len(after) >= len(before)
+}
+
+func tooLarge(place string, size, most int) wire.EditReply {
+	return invalid(place, fmt.Sprintf("would be %d bytes large with this order; the most is %d", size, most))
+}
--- a/wire/calls_gen.go
+++ b/wire/calls_gen.go
@@ -1695,6 +1695,12 @@
 					return
 				}
 			}
+		case "pa":
+			z.Partial, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		case "c":
 			z.Contact, err = dc.ReadUint32()
 			if err != nil {
@@ -1721,17 +1727,21 @@
 // EncodeMsg implements msgp.Encodable
 func (z *PullReply) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
-	if z.Contact == 0 {
+	if z.Partial == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Relayed == 0 {
+	if z.Contact == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Relayed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1775,6 +1785,18 @@
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "pa"
+			err = en.Append(0xa2, 0x70, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Partial)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// write "c"
 			err = en.Append(0xa1, 0x63)
 			if err != nil {
@@ -1786,7 +1808,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// write "r"
 			err = en.Append(0xa1, 0x72)
 			if err != nil {
@@ -1806,17 +1828,21 @@
 func (z *PullReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
-	if z.Contact == 0 {
+	if z.Partial == false {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
-	if z.Relayed == 0 {
+	if z.Contact == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Relayed == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1843,11 +1869,16 @@
 			}
 		}
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "pa"
+			o = append(o, 0xa2, 0x70, 0x61)
+			o = msgp.AppendBool(o, z.Partial)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "c"
 			o = append(o, 0xa1, 0x63)
 			o = msgp.AppendUint32(o, z.Contact)
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "r"
 			o = append(o, 0xa1, 0x72)
 			o = msgp.AppendUint32(o, z.Relayed)
@@ -1912,6 +1943,12 @@
 					return
 				}
 			}
+		case "pa":
+			z.Partial, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partial")
+				return
+			}
 		case "c":
 			z.Contact, bts, err = msgp.ReadUint32Bytes(bts)
 			if err != nil {
@@ -1946,6 +1983,6 @@
 	for za0002 := range z.Owners {
 		s += z.Owners[za0002].Msgsize()
 	}
-	s += 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
+	s += 3 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
 }
