Histories know of calls about zones that were given up on their way

A call without an answer may be taken at any time after it was sent, or never; one that was acknowledged has its moment. The new test has a planted fault for each.

--- a/lab/rules/histories.go
+++ b/lab/rules/histories.go
@@ -46,6 +46,13 @@
 			h.Add(between(op, o.Back, o.BackAcked, Never))
 		}
 	}
+	for i, call := range j.ZoneCalls {
+		op := history.Operation{Register: history.Zone(call.Zone), Client: i, Kind: history.Set, ID: history.Restored}
+		if call.Drains {
+			op.ID = history.Drained
+		}
+		h.Add(between(op, call.Sent, call.Acked, Never))
+	}
 	return h
 }
 
@@ -85,6 +92,9 @@
 	for _, o := range j.Orders {
 		zones = append(zones, o.Zone)
 	}
+	for _, call := range j.ZoneCalls {
+		zones = append(zones, call.Zone)
+	}
 	slices.Sort(zones)
 	return slices.Compact(zones)
 }
--- a/lab/rules/histories_test.go
+++ b/lab/rules/histories_test.go
@@ -47,3 +47,31 @@
 		})
 	}
 }
+
+// A call about a zone that was given up may have been taken; once the zone was taken back, it has not.
+func TestZoneCallsThatWereGivenUp(t *testing.T) {
+	given := &ZoneCall{Zone: "z2", Drains: true, Sent: 30 * second, Acked: Never}
+	back := &ZoneCall{Zone: "z2", Sent: 44 * second, Acked: 45 * second}
+	for _, c := range []struct {
+		name   string
+		calls  []*ZoneCall
+		reads  []int
+		broken bool
+	}{
+		{"taken", []*ZoneCall{given}, []int{1, 2}, false},
+		{"not given", nil, []int{1, 2}, true},
+		{"taken and taken back", []*ZoneCall{given, back}, []int{1}, false},
+		{"before it was given", []*ZoneCall{given}, []int{0, 1, 2}, true},
+		{"taken back, and drained by an acknowledged call before", []*ZoneCall{{Zone: "z2", Drains: true, Sent: 30 * second, Acked: 31 * second}, back}, []int{1, 2}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := read()
+			j.ZoneCalls = c.calls
+			for _, i := range c.reads {
+				j.Confirmed[i].Drained = append(j.Confirmed[i].Drained, "z2")
+			}
+			j.Judge()
+			must.Eq(t, c.broken, j.Broken[History] > 0, must.Sprint(j.Findings))
+		})
+	}
+}
--- a/lab/rules/journal.go
+++ b/lab/rules/journal.go
@@ -137,6 +137,14 @@
 	Taken, BackTaken int64
 }
 
+// ZoneCall is an operator's call about a zone that is no planned evacuation: one that is given up on
+// its way, or the one that takes the zone back. Acked is Never where its outcome is not known.
+type ZoneCall struct {
+	Zone        string
+	Drains      bool
+	Sent, Acked int64
+}
+
 // InForce is what a node had in force at a moment; Life counts the starts of its process.
 type InForce struct {
 	Machine  string
@@ -170,9 +178,11 @@
 	Arrivals []*Arrival
 	Versions []*Version
 	Orders   []*Order
-	Backends []*Backend
-	InForce  []InForce
-	ReadBack []Reading
+	// ZoneCalls are further calls about zones.
+	ZoneCalls []*ZoneCall
+	Backends  []*Backend
+	InForce   []InForce
+	ReadBack  []Reading
 	// Confirmed are the readings that histories are judged by.
 	Confirmed []ConfirmedReading
 	Closing   *Closing
--- a/lab/sim/day_mishaps.go
+++ b/lab/sim/day_mishaps.go
@@ -97,6 +97,8 @@
 func (d *day) lateEvacuate(e *entry) {
 	list := d.cores()
 	m := list[d.w.rnd.IntN(len(list))]
+	// Nobody hears what becomes of it.
+	d.journal.ZoneCalls = append(d.journal.ZoneCalls, &rules.ZoneCall{Zone: e.zone, Drains: true, Sent: d.w.now, Acked: rules.Never})
 	give := func() {
 		p := m.core
 		if !p.runs() {
@@ -121,8 +123,13 @@
 		d.w.after(e.forUs, give)
 	}
 	d.w.after(e.forUs/2, func() {
+		back := &rules.ZoneCall{Zone: e.zone, Sent: d.w.now, Acked: rules.Never}
+		d.journal.ZoneCalls = append(d.journal.ZoneCalls, back)
 		d.oper.carry(wire.Edit{Op: "refill", Name: e.zone}, pin{}, nil, func(code string, _ *machine) {
 			d.w.Judge.Count("late_evacuate.taken_back."+code, 1)
+			if code == "ok" {
+				back.Acked = d.w.now
+			}
 			d.w.after(e.forUs+settles, func() { d.zoneIsRestored(e.zone) })
 		})
 	})
