Tests of replicas: one queue of events for the three simulated clusters

Cause: parts written side by side brought the same heap three times. The clusters themselves still differ (freezes, narrow links, changes of machines); to make one of them is left.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -3,7 +3,6 @@
 package replica
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -29,26 +28,6 @@
 	operatorChanID = 1 << 40
 )
 
-type simEvent struct {
-	at, order int64
-	run       func()
-}
-
-type simEvents []simEvent
-
-func (e simEvents) Len() int { return len(e) }
-func (e simEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)   { *e = append(*e, x.(simEvent)) }
-func (e *simEvents) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // simShape is how many cores there are, in which zones, and what must be borne.
 type simShape struct {
 	name      string
@@ -62,7 +41,7 @@
 	now      int64
 	order    int64
 	random   *rand.Rand
-	events   simEvents
+	events   eventQueue
 	machines []*simMachine
 	byAddr   map[string]*simMachine
 	links    map[uint64]*simLink
@@ -103,15 +82,15 @@
 
 func (c *simCluster) after(d int64, run func()) {
 	c.order++
-	heap.Push(&c.events, simEvent{at: c.now + max(d, 0), order: c.order, run: run})
+	c.events.add(event{at: c.now + max(d, 0), order: c.order, do: run})
 }
 
 func (c *simCluster) run(d int64) {
 	end := c.now + d
 	for len(c.events) > 0 && c.events[0].at <= end {
-		event := heap.Pop(&c.events).(simEvent)
-		c.now = event.at
-		event.run()
+		e := c.events.next()
+		c.now = e.at
+		e.do()
 	}
 	c.now = end
 }
--- a/replica/contact_cluster_test.go
+++ b/replica/contact_cluster_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -20,27 +19,6 @@
 	second      = int64(1_000_000)
 )
 
-// event is something that happens at a moment; events of one moment keep their order.
-type event struct {
-	at, order int64
-	do        func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 // member is one process of the cluster.
 type member struct {
 	name, addr string
@@ -58,7 +36,7 @@
 	rnd     *rand.Rand
 	now     int64
 	order   int64
-	queue   events
+	queue   eventQueue
 	members []*member
 	conns   map[uint64]*connection
 	direct  map[string]uint64
@@ -108,7 +86,7 @@
 
 func (c *cluster) after(d int64, do func()) {
 	c.order++
-	heap.Push(&c.queue, event{c.now + max(d, 0), c.order, do})
+	c.queue.add(event{c.now + max(d, 0), c.order, do})
 }
 
 // every does something again and again.
@@ -124,7 +102,7 @@
 			c.now = end
 			return
 		}
-		e := heap.Pop(&c.queue).(event)
+		e := c.queue.next()
 		c.now = e.at
 		e.do()
 		if look != nil {
--- a/replica/narrow_links_test.go
+++ b/replica/narrow_links_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"container/heap"
 	"fmt"
 	"testing"
 
@@ -25,26 +24,6 @@
 	clientConn = 1 << 40
 )
 
-type narrowEvent struct {
-	at, seq int64
-	run     func()
-}
-
-type narrowEvents []narrowEvent
-
-func (e narrowEvents) Len() int { return len(e) }
-func (e narrowEvents) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e narrowEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *narrowEvents) Push(x any)   { *e = append(*e, x.(narrowEvent)) }
-func (e *narrowEvents) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // narrowMember is one core of a cluster.
 type narrowMember struct {
 	id      string
@@ -63,7 +42,7 @@
 	t       testing.TB
 	now     int64
 	seq     int64
-	events  narrowEvents
+	events  eventQueue
 	members map[string]*narrowMember
 	conns   map[string]uint64    // by dialer and dialed
 	ends    map[uint64][2]string // of the open connections
@@ -88,7 +67,7 @@
 
 func (c *narrowCluster) after(d int64, f func()) {
 	c.seq++
-	heap.Push(&c.events, narrowEvent{c.now + d, c.seq, f})
+	c.events.add(event{c.now + d, c.seq, f})
 }
 
 // start starts a core with the files that its disk holds.
@@ -201,12 +180,12 @@
 	c.t.Helper()
 	began := c.now
 	for !until() {
-		e := heap.Pop(&c.events).(narrowEvent)
+		e := c.events.next()
 		c.now = e.at
 		if c.now-began > most {
 			c.t.Fatalf("not within %d us: %s", most, what)
 		}
-		e.run()
+		e.do()
 	}
 	return c.now - began
 }
