Gateway tests: how the stand-in backend serves is set under its lock

Cause: a test changed it while a handler of the request before could still read it; the race run of the whole check saw it once, in the case of a reset, where no bytes come back to order the two. The product was not part of it. Four race runs of the package pass since.

--- a/gateway/once_test.go
+++ b/gateway/once_test.go
@@ -123,7 +123,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newOnceWorld(t)
-			w.serve = c.serve
+			w.serves(c.serve)
 			client := w.dial()
 			client.send(post(c.path, "a"))
 			resp, _ := client.answer("POST")
@@ -135,7 +135,7 @@
 			}
 			must.Eq(t, 1, w.times("a"), must.Sprint("to one backend, once"))
 			// Its connection is not used again, and the next is served as if nothing had been.
-			w.serve = func(rw http.ResponseWriter, _ *http.Request) { io.WriteString(rw, "right") }
+			w.serves(func(rw http.ResponseWriter, _ *http.Request) { io.WriteString(rw, "right") })
 			client.send(post(long, "b"))
 			resp, body := client.answer("POST")
 			must.Eq(t, 200, resp.StatusCode, must.Sprint(body))
@@ -156,7 +156,7 @@
 		client.send(post("/a", fmt.Sprint("saved-", i)))
 		client.answer("POST")
 	}
-	w.serve = rawAnswer(promise, true)
+	w.serves(rawAnswer(promise, true))
 	client.send(post("/a", "a"))
 	resp, _ := client.answer("POST")
 	must.Eq(t, 503, resp.StatusCode)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -92,6 +92,20 @@
 	told   chan forward.Event
 }
 
+
+// serves has the backend serve in another way from now on.
+func (w *world) serves(serve func(http.ResponseWriter, *http.Request)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.serve = serve
+}
+
+func (w *world) serving() func(http.ResponseWriter, *http.Request) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.serve
+}
+
 func newWorld(t *testing.T, change func(w *world, c *Config)) *world {
 	w := &world{t: t, step: passOn, events: map[string][]forward.Event{}, told: make(chan forward.Event, 1000), counts: kernel.NewCounts()}
 	w.serve = func(rw http.ResponseWriter, r *http.Request) { io.WriteString(rw, "hello") }
@@ -102,7 +116,7 @@
 		w.mu.Unlock()
 		rw.Header().Set("Try-Id", r.Header.Get("Try-Id"))
 		rw.Header().Set("Stamp", "s."+r.Header.Get("Try-Id"))
-		w.serve(rw, r)
+		w.serving()(rw, r)
 	}))
 	t.Cleanup(b.Close)
 	w.server = table.Server{Server: wire.Server{ID: "i-1", Addr: b.Listener.Addr().String()}}
