--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -92,7 +92,6 @@
 	told   chan forward.Event
 }
 
-
 // serves has the backend serve in another way from now on.
 func (w *world) serves(serve func(http.ResponseWriter, *http.Request)) {
 	w.mu.Lock()
--- /dev/null
+++ b/replica/pull_large_test.go
@@ -0,0 +1,82 @@
+// What a core that is asked for its state hands out of a large version, and of one that it
+// withholds.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// A large version is in the answer to one pull, not to each one while it is under way.
+func TestALargeVersionIsPulledOnce(t *testing.T) {
+	c := newCore(t, nil)
+	large := func(part, size int) {
+		c.s.groups[part].committed = wire.Stamped{Stamp: wire.Stamp{Part: part, Term: 1, Seq: 1}, Body: make([]byte, size)}
+	}
+	large(0, 4<<20)
+	large(1, 2<<20)
+	large(2, 100)
+	pull := func() (parts []int, partial bool) {
+		r := wire.PullReply{}
+		must.NoError(t, wire.Decode(receivedWhole(t, c, wire.KindPull, &wire.Pull{}), &r))
+		for _, v := range r.Stamped {
+			parts = append(parts, v.Stamp.Part)
+		}
+		return parts, r.Partial
+	}
+	parts, partial := pull()
+	must.Eq(t, []int{0, 2}, parts, must.Sprint("two large ones do not fit into one message"))
+	must.True(t, partial)
+	parts, partial = pull()
+	must.Eq(t, []int{1, 2}, parts)
+	must.True(t, partial)
+	c.now += PullAgainAfter
+	parts, _ = pull()
+	must.Eq(t, []int{0, 2}, parts)
+}
+
+// What is withheld is not confirmed: a process that starts must not take its older state for the newest.
+func TestAWithheldVersionIsNotConfirmed(t *testing.T) {
+	c := newCore(t, nil)
+	v := wire.Stamped{Stamp: wire.Stamp{Part: 1, Term: 1, Seq: 1}, Body: make([]byte, wire.WholeMost+1)}
+	for range 2 {
+		r := wire.PullReply{Stamped: []wire.Stamped{v}, Contact: 0b111, Relayed: 0b110}
+		c.s.limitPull(c.now, 7, &r)
+		if len(r.Stamped) == 1 {
+			must.Eq(t, 0b111, r.Contact)
+			continue
+		}
+		must.Eq(t, 0b101, r.Contact)
+		must.Eq(t, 0b100, r.Relayed)
+	}
+}
+
+// receivedWhole has a core answer a message, and puts the answer's pieces together.
+func receivedWhole(t *testing.T, c *core, kind uint8, m interface{ MarshalMsg([]byte) ([]byte, error) }) []byte {
+	t.Helper()
+	out := c.send(kind, m)
+	var whole []byte
+	for len(out.Sends) > 0 {
+		var next kernel.Out
+		for _, s := range out.Sends {
+			f, err := wire.Open(s.Data)
+			must.NoError(t, err)
+			if f.Kind != wire.KindPiece {
+				return f.Body
+			}
+			var p wire.Piece
+			must.NoError(t, wire.Decode(f.Body, &p))
+			whole = append(whole, p.Data...)
+			ack := wire.PieceAck{Transfer: p.Transfer, Next: len(whole)}
+			next.Sends = append(next.Sends, c.send(wire.KindPieceAck, &ack).Sends...)
+		}
+		out = next
+	}
+	f, err := wire.OpenMessage(whole)
+	must.NoError(t, err)
+	return f.Body
+}
