--- a/cmd/wallport/admin.go
+++ b/cmd/wallport/admin.go
@@ -25,7 +25,7 @@
 
 func (r remote) client() *operator.Client {
 	c := client.NewClient("http", r.Addr, &http.Client{Timeout: 15 * time.Second}, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
-	return operator.NewClient(c.Sheet(), c.PutSheet(), c.CheckSheet(), c.History(), c.ReturnSheet(), c.EditSheet(), c.Zone(), c.Cut(), c.Rebuild(), c.Members(), c.Servers(), c.Explain())
+	return operator.NewClient(c.Sheet(), c.PutSheet(), c.CheckSheet(), c.History(), c.ReturnSheet(), c.EditSheet(), c.Zone(), c.Cut(), c.Rebuild(), c.Members(), c.Replicas(), c.Servers(), c.Explain())
 }
 
 func (r remote) token() *string {
@@ -98,7 +98,7 @@
 	Booking bookingCmd `command:"booking" description:"add or remove a booking"`
 	Zone    zoneCmd    `command:"zone" description:"empty or refill a zone"`
 	Cut     cutCmd     `command:"cut" description:"move an index to another cut"`
-	Members membersCmd `command:"members" description:"list processes and the stamp each has in force"`
+	Members membersCmd `command:"members" description:"list processes with the stamp each has in force, and the replicas of the control state with contact, term, version and lag"`
 	Rebuild rebuildCmd `command:"rebuild" description:"make a part's group anew after a majority of its disks is gone for good"`
 	Servers serversCmd `command:"servers" description:"list back ends and the verdict on each"`
 }
--- a/cmd/wallport/fleet.go
+++ b/cmd/wallport/fleet.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wallport/gen/operator"
+	"wallport/operate"
 )
 
 type bookingCmd struct {
@@ -102,6 +103,7 @@
 	return taken(c.client().Rebuild(context.Background(), &operator.RebuildPayload{Token: c.token(), By: opt(c.By), Part: c.Args.Part}))
 }
 
+// membersCmd lists the processes, and then the replicas of the control state.
 type membersCmd struct{ remote }
 
 func (c *membersCmd) Execute([]string) error {
@@ -114,6 +116,27 @@
 	for _, m := range list {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%s\t%s\t%s\n", m.Name, m.Role, m.Zone, m.Live, is(m.Draining), word(m.Sick), m.InForce, m.Addr)
 	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	return c.replicas()
+}
+
+// replicas prints what each core tells of its replicas, partition by partition.
+func (c *membersCmd) replicas() error {
+	list, err := c.client().Replicas(context.Background(), &operator.ReplicasPayload{Token: c.token()})
+	if err != nil {
+		return told(err)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "\nPART\tCORE\tSTATE\tCONTACT\tTERM\tVERSION\tBEHIND\tVOTERS\tCHANGE")
+	for _, r := range list {
+		if r.State == operate.StateSilent {
+			fmt.Fprintf(w, "%d\t%s\t%s\t-\t-\t-\t-\t-\t-\n", r.Part, r.Core, r.State)
+			continue
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%t\t%d\t%s\t%d\t%d\t%s\n", r.Part, r.Core, r.State, r.Contact, r.Term, r.Version, r.Behind, r.Voters, word(&r.Change))
+	}
 	return w.Flush()
 }
 
--- a/gen/http/cli/wallport/cli.go
+++ b/gen/http/cli/wallport/cli.go
@@ -25,13 +25,13 @@
 func UsageCommands() []string {
 	return []string{
 		"caller (search|read|correct|part)",
-		"operator (sheet|put-sheet|check-sheet|history|return-sheet|edit-sheet|zone|cut|rebuild|members|servers|explain)",
+		"operator (sheet|put-sheet|check-sheet|history|return-sheet|edit-sheet|zone|cut|rebuild|members|replicas|servers|explain)",
 	}
 }
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller search --body '{\n      \"deadline_us\": 35979390,\n      \"limit\": 234,\n      \"query\": \"2ve\"\n   }' --index \"e8d\" --key \"yex\"" + "\n" +
+	return os.Args[0] + " " + "caller search --body '{\n      \"deadline_us\": 10252118,\n      \"limit\": 919,\n      \"query\": \"65x\"\n   }' --index \"xxf\" --key \"3bs\"" + "\n" +
 		os.Args[0] + " " + "operator sheet --token \"Ducimus perferendis expedita optio rerum et praesentium.\"" + "\n" +
 		""
 }
@@ -131,6 +131,9 @@
 		operatorMembersFlags     = flag.NewFlagSet("members", flag.ExitOnError)
 		operatorMembersTokenFlag = operatorMembersFlags.String("token", "", "")
 
+		operatorReplicasFlags     = flag.NewFlagSet("replicas", flag.ExitOnError)
+		operatorReplicasTokenFlag = operatorReplicasFlags.String("token", "", "")
+
 		operatorServersFlags     = flag.NewFlagSet("servers", flag.ExitOnError)
 		operatorServersTokenFlag = operatorServersFlags.String("token", "", "")
 
@@ -155,6 +158,7 @@
 	operatorCutFlags.Usage = operatorCutUsage
 	operatorRebuildFlags.Usage = operatorRebuildUsage
 	operatorMembersFlags.Usage = operatorMembersUsage
+	operatorReplicasFlags.Usage = operatorReplicasUsage
 	operatorServersFlags.Usage = operatorServersUsage
 	operatorExplainFlags.Usage = operatorExplainUsage
 
@@ -240,6 +244,9 @@
 			case "members":
 				epf = operatorMembersFlags
 
+			case "replicas":
+				epf = operatorReplicasFlags
+
 			case "servers":
 				epf = operatorServersFlags
 
@@ -317,6 +324,9 @@
 			case "members":
 				endpoint = c.Members()
 				data, err = operatorc.BuildMembersPayload(*operatorMembersTokenFlag)
+			case "replicas":
+				endpoint = c.Replicas()
+				data, err = operatorc.BuildReplicasPayload(*operatorReplicasTokenFlag)
 			case "servers":
 				endpoint = c.Servers()
 				data, err = operatorc.BuildServersPayload(*operatorServersTokenFlag)
@@ -365,7 +375,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller search --body '{\n      \"deadline_us\": 35979390,\n      \"limit\": 234,\n      \"query\": \"2ve\"\n   }' --index \"e8d\" --key \"yex\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller search --body '{\n      \"deadline_us\": 10252118,\n      \"limit\": 919,\n      \"query\": \"65x\"\n   }' --index \"xxf\" --key \"3bs\"")
 }
 
 func callerReadUsage() {
@@ -389,7 +399,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller read --index \"7r1\" --id \"aow\" --deadline-us 6279696 --key \"xnc\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller read --index \"om1\" --id \"8ku\" --deadline-us 19218691 --key \"7le\"")
 }
 
 func callerCorrectUsage() {
@@ -415,7 +425,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"jno\",\n      \"deadline_us\": 32643627\n   }' --index \"tvm\" --id \"wic\" --key \"5mz\" --first-try true")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller correct --body '{\n      \"body\": \"nu9\",\n      \"deadline_us\": 30240138\n   }' --index \"f5d\" --id \"bba\" --key \"15z\" --first-try true")
 }
 
 func callerPartUsage() {
@@ -461,6 +471,7 @@
 	fmt.Fprintln(os.Stderr, `    cut: Cut implements cut.`)
 	fmt.Fprintln(os.Stderr, `    rebuild: Rebuild implements rebuild.`)
 	fmt.Fprintln(os.Stderr, `    members: Members implements members.`)
+	fmt.Fprintln(os.Stderr, `    replicas: The state of each partition's replicas, asked of every live core`)
 	fmt.Fprintln(os.Stderr, `    servers: Servers implements servers.`)
 	fmt.Fprintln(os.Stderr, `    explain: Explain implements explain.`)
 	fmt.Fprintln(os.Stderr)
@@ -697,6 +708,24 @@
 	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator members --token \"Omnis ipsam est.\"")
 }
 
+func operatorReplicasUsage() {
+	// Header with flags
+	fmt.Fprintf(os.Stderr, "%s [flags] operator replicas", os.Args[0])
+	fmt.Fprint(os.Stderr, " -token STRING")
+	fmt.Fprintln(os.Stderr)
+
+	// Description
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, `The state of each partition's replicas, asked of every live core`)
+
+	// Flags list
+	fmt.Fprintln(os.Stderr, `    -token STRING: `)
+
+	fmt.Fprintln(os.Stderr)
+	fmt.Fprintln(os.Stderr, "Example:")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator replicas --token \"Dolorem repudiandae eaque dignissimos temporibus quia.\"")
+}
+
 func operatorServersUsage() {
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] operator servers", os.Args[0])
@@ -712,7 +741,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Dolorem repudiandae eaque dignissimos temporibus quia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator servers --token \"Voluptas laboriosam.\"")
 }
 
 func operatorExplainUsage() {
@@ -732,5 +761,5 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Odio hic eos aut sit sed corporis.\" --token \"Ducimus consequatur commodi voluptas.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Voluptatem quos qui et odio iste incidunt.\" --token \"Sit qui dolores officia.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -477,6 +477,21 @@
 	return v, nil
 }
 
+// BuildReplicasPayload builds the payload for the operator replicas endpoint
+// from CLI flags.
+func BuildReplicasPayload(operatorReplicasToken string) (*operator.ReplicasPayload, error) {
+	var token *string
+	{
+		if operatorReplicasToken != "" {
+			token = &operatorReplicasToken
+		}
+	}
+	v := &operator.ReplicasPayload{}
+	v.Token = token
+
+	return v, nil
+}
+
 // BuildServersPayload builds the payload for the operator servers endpoint
 // from CLI flags.
 func BuildServersPayload(operatorServersToken string) (*operator.ServersPayload, error) {
--- a/gen/http/operator/client/client.go
+++ b/gen/http/operator/client/client.go
@@ -54,6 +54,10 @@
 	// endpoint.
 	MembersDoer goahttp.Doer
 
+	// Replicas Doer is the HTTP client used to make requests to the replicas
+	// endpoint.
+	ReplicasDoer goahttp.Doer
+
 	// Servers Doer is the HTTP client used to make requests to the servers
 	// endpoint.
 	ServersDoer goahttp.Doer
@@ -92,6 +96,7 @@
 		CutDoer:             doer,
 		RebuildDoer:         doer,
 		MembersDoer:         doer,
+		ReplicasDoer:        doer,
 		ServersDoer:         doer,
 		ExplainDoer:         doer,
 		RestoreResponseBody: restoreBody,
@@ -342,6 +347,30 @@
 	}
 }
 
+// Replicas returns an endpoint that makes HTTP requests to the operator
+// service replicas server.
+func (c *Client) Replicas() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeReplicasRequest(c.encoder)
+		decodeResponse = DecodeReplicasResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildReplicasRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.ReplicasDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operator", "replicas", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Servers returns an endpoint that makes HTTP requests to the operator service
 // servers server.
 func (c *Client) Servers() goa.Endpoint {
--- a/gen/http/operator/client/encode_decode.go
+++ b/gen/http/operator/client/encode_decode.go
@@ -3290,6 +3290,325 @@
 	}
 }
 
+// BuildReplicasRequest instantiates a HTTP request object with method and path
+// set to call the "operator" service "replicas" endpoint
+func (c *Client) BuildReplicasRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: ReplicasOperatorPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operator", "replicas", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeReplicasRequest returns an encoder for requests sent to the operator
+// replicas server.
+func EncodeReplicasRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operator.ReplicasPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operator", "replicas", "*operator.ReplicasPayload", v)
+		}
+		if p.Token != nil {
+			head := *p.Token
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeReplicasResponse returns a decoder for responses returned by the
+// operator replicas endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeReplicasResponse may return the following errors:
+//   - "malformed" (type *operator.Failure): http.StatusBadRequest
+//   - "unknown" (type *operator.Failure): http.StatusNotFound
+//   - "oversize" (type *operator.Failure): http.StatusRequestEntityTooLarge
+//   - "over_ceiling" (type *operator.Failure): http.StatusTooManyRequests
+//   - "shed" (type *operator.Failure): http.StatusServiceUnavailable
+//   - "given_up" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "outcome_unknown" (type *operator.Failure): http.StatusGatewayTimeout
+//   - "conflict" (type *operator.Failure): http.StatusConflict
+//   - "lost_race" (type *operator.Failure): http.StatusPreconditionFailed
+//   - "forbidden" (type *operator.Failure): http.StatusUnauthorized
+//   - "out_of_scope" (type *operator.Failure): http.StatusForbidden
+//   - error: internal error
+func DecodeReplicasResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body []*ReplicaStatusResponse
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			for _, e := range body {
+				if e != nil {
+					if err2 := ValidateReplicaStatusResponse(e); err2 != nil {
+						err = goa.MergeErrors(err, err2)
+					}
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			res := NewReplicasReplicaStatusOK(body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body ReplicasMalformedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasMalformedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasMalformed(&body)
+		case http.StatusNotFound:
+			var (
+				body ReplicasUnknownResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasUnknownResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasUnknown(&body)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body ReplicasOversizeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasOversizeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasOversize(&body)
+		case http.StatusTooManyRequests:
+			var (
+				body ReplicasOverCeilingResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasOverCeilingResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasOverCeiling(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			var (
+				body ReplicasShedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasShedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasShed(&body, retryAfter)
+		case http.StatusGatewayTimeout:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "given_up":
+				var (
+					body ReplicasGivenUpResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+				}
+				err = ValidateReplicasGivenUpResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "replicas", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "replicas", err)
+				}
+				return nil, NewReplicasGivenUp(&body, retryAfter)
+			case "outcome_unknown":
+				var (
+					body ReplicasOutcomeUnknownResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+				}
+				err = ValidateReplicasOutcomeUnknownResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operator", "replicas", err)
+				}
+				return nil, NewReplicasOutcomeUnknown(&body)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operator", "replicas", resp.StatusCode, string(body))
+			}
+		case http.StatusConflict:
+			var (
+				body ReplicasConflictResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasConflictResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasConflict(&body, retryAfter)
+		case http.StatusPreconditionFailed:
+			var (
+				body ReplicasLostRaceResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasLostRaceResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasLostRace(&body)
+		case http.StatusUnauthorized:
+			var (
+				body ReplicasForbiddenResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasForbiddenResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasForbidden(&body)
+		case http.StatusForbidden:
+			var (
+				body ReplicasOutOfScopeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operator", "replicas", err)
+			}
+			err = ValidateReplicasOutOfScopeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operator", "replicas", err)
+			}
+			return nil, NewReplicasOutOfScope(&body)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operator", "replicas", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildServersRequest instantiates a HTTP request object with method and path
 // set to call the "operator" service "servers" endpoint
 func (c *Client) BuildServersRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -4006,6 +4325,28 @@
 	return res
 }
 
+// unmarshalReplicaStatusResponseToOperatorReplicaStatus builds a value of type
+// *operator.ReplicaStatus from a value of type *ReplicaStatusResponse.
+func unmarshalReplicaStatusResponseToOperatorReplicaStatus(v *ReplicaStatusResponse) *operator.ReplicaStatus {
+	res := &operator.ReplicaStatus{
+		Core:    *v.Core,
+		Zone:    *v.Zone,
+		Part:    *v.Part,
+		State:   *v.State,
+		Contact: *v.Contact,
+		Term:    *v.Term,
+		Version: *v.Version,
+		Held:    *v.Held,
+		Behind:  *v.Behind,
+		Voters:  *v.Voters,
+		Leader:  *v.Leader,
+		Change:  *v.Change,
+		Leaving: *v.Leaving,
+	}
+
+	return res
+}
+
 // unmarshalServerStatusResponseToOperatorServerStatus builds a value of type
 // *operator.ServerStatus from a value of type *ServerStatusResponse.
 func unmarshalServerStatusResponseToOperatorServerStatus(v *ServerStatusResponse) *operator.ServerStatus {
--- a/gen/http/operator/client/paths.go
+++ b/gen/http/operator/client/paths.go
@@ -61,6 +61,11 @@
 	return "/v1/members"
 }
 
+// ReplicasOperatorPath returns the URL path to the operator service replicas HTTP endpoint.
+func ReplicasOperatorPath() string {
+	return "/v1/replicas"
+}
+
 // ServersOperatorPath returns the URL path to the operator service servers HTTP endpoint.
 func ServersOperatorPath() string {
 	return "/v1/servers"
--- a/gen/http/operator/client/types.go
+++ b/gen/http/operator/client/types.go
@@ -2109,6 +2109,207 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ReplicasMalformedResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "malformed" error.
+type ReplicasMalformedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasUnknownResponseBody is the type of the "operator" service "replicas"
+// endpoint HTTP response body for the "unknown" error.
+type ReplicasUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOversizeResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "oversize" error.
+type ReplicasOversizeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOverCeilingResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "over_ceiling" error.
+type ReplicasOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasShedResponseBody is the type of the "operator" service "replicas"
+// endpoint HTTP response body for the "shed" error.
+type ReplicasShedResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasGivenUpResponseBody is the type of the "operator" service "replicas"
+// endpoint HTTP response body for the "given_up" error.
+type ReplicasGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOutcomeUnknownResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "outcome_unknown" error.
+type ReplicasOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasConflictResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "conflict" error.
+type ReplicasConflictResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasLostRaceResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "lost_race" error.
+type ReplicasLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasForbiddenResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "forbidden" error.
+type ReplicasForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOutOfScopeResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "out_of_scope" error.
+type ReplicasOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name *string `form:"name,omitempty" json:"name,omitempty" xml:"name,omitempty"`
+	// What happened, in words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the inquiry ran: no, or unknown
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ServersMalformedResponseBody is the type of the "operator" service "servers"
 // endpoint HTTP response body for the "malformed" error.
 type ServersMalformedResponseBody struct {
@@ -2556,6 +2757,37 @@
 	InForce *string `form:"in_force,omitempty" json:"in_force,omitempty" xml:"in_force,omitempty"`
 }
 
+// ReplicaStatusResponse is used to define fields on response body types.
+type ReplicaStatusResponse struct {
+	// Name of the core
+	Core *string `form:"core,omitempty" json:"core,omitempty" xml:"core,omitempty"`
+	Zone *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
+	// Partition: 0 is the configuration, the others are those of the indexes
+	Part *int `form:"part,omitempty" json:"part,omitempty" xml:"part,omitempty"`
+	// leader, new_leader, candidate, follower, standby, damaged, or silent where
+	// the core did not answer in time
+	State *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
+	// Whether it is in contact with a majority
+	Contact *bool `form:"contact,omitempty" json:"contact,omitempty" xml:"contact,omitempty"`
+	// Newest term that it voted in or led
+	Term *uint64 `form:"term,omitempty" json:"term,omitempty" xml:"term,omitempty"`
+	// Newest version that it knows to be committed
+	Version *string `form:"version,omitempty" json:"version,omitempty" xml:"version,omitempty"`
+	// Newest version on its disk
+	Held *string `form:"held,omitempty" json:"held,omitempty" xml:"held,omitempty"`
+	// By how many versions it is behind the newest that any core knows to be
+	// committed
+	Behind *uint64 `form:"behind,omitempty" json:"behind,omitempty" xml:"behind,omitempty"`
+	// Replicas with a vote on the newest version that it holds
+	Voters *int `form:"voters,omitempty" json:"voters,omitempty" xml:"voters,omitempty"`
+	// Mesh address of the leader that it follows
+	Leader *string `form:"leader,omitempty" json:"leader,omitempty" xml:"leader,omitempty"`
+	// Reason of the change of members that its leader has under way
+	Change *string `form:"change,omitempty" json:"change,omitempty" xml:"change,omitempty"`
+	// Whether it is being moved out, since its process is to end
+	Leaving *bool `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
+}
+
 // ServerStatusResponse is used to define fields on response body types.
 type ServerStatusResponse struct {
 	ID      *string `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
@@ -5449,24 +5681,24 @@
 	return v
 }
 
-// NewServersServerStatusOK builds a "operator" service "servers" endpoint
+// NewReplicasReplicaStatusOK builds a "operator" service "replicas" endpoint
 // result from a HTTP "OK" response.
-func NewServersServerStatusOK(body []*ServerStatusResponse) []*operator.ServerStatus {
-	v := make([]*operator.ServerStatus, len(body))
+func NewReplicasReplicaStatusOK(body []*ReplicaStatusResponse) []*operator.ReplicaStatus {
+	v := make([]*operator.ReplicaStatus, len(body))
 	for i, val := range body {
 		if val == nil {
 			v[i] = nil
 			continue
 		}
-		v[i] = unmarshalServerStatusResponseToOperatorServerStatus(val)
+		v[i] = unmarshalReplicaStatusResponseToOperatorReplicaStatus(val)
 	}
 
 	return v
 }
 
-// NewServersMalformed builds a operator service servers endpoint malformed
+// NewReplicasMalformed builds a operator service replicas endpoint malformed
 // error.
-func NewServersMalformed(body *ServersMalformedResponseBody) *operator.Failure {
+func NewReplicasMalformed(body *ReplicasMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5489,8 +5721,8 @@
 	return v
 }
 
-// NewServersUnknown builds a operator service servers endpoint unknown error.
-func NewServersUnknown(body *ServersUnknownResponseBody) *operator.Failure {
+// NewReplicasUnknown builds a operator service replicas endpoint unknown error.
+func NewReplicasUnknown(body *ReplicasUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5513,8 +5745,9 @@
 	return v
 }
 
-// NewServersOversize builds a operator service servers endpoint oversize error.
-func NewServersOversize(body *ServersOversizeResponseBody) *operator.Failure {
+// NewReplicasOversize builds a operator service replicas endpoint oversize
+// error.
+func NewReplicasOversize(body *ReplicasOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5537,9 +5770,9 @@
 	return v
 }
 
-// NewServersOverCeiling builds a operator service servers endpoint
+// NewReplicasOverCeiling builds a operator service replicas endpoint
 // over_ceiling error.
-func NewServersOverCeiling(body *ServersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+func NewReplicasOverCeiling(body *ReplicasOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5562,8 +5795,8 @@
 	return v
 }
 
-// NewServersShed builds a operator service servers endpoint shed error.
-func NewServersShed(body *ServersShedResponseBody, retryAfter *int) *operator.Failure {
+// NewReplicasShed builds a operator service replicas endpoint shed error.
+func NewReplicasShed(body *ReplicasShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5586,8 +5819,9 @@
 	return v
 }
 
-// NewServersGivenUp builds a operator service servers endpoint given_up error.
-func NewServersGivenUp(body *ServersGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewReplicasGivenUp builds a operator service replicas endpoint given_up
+// error.
+func NewReplicasGivenUp(body *ReplicasGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5610,9 +5844,9 @@
 	return v
 }
 
-// NewServersOutcomeUnknown builds a operator service servers endpoint
+// NewReplicasOutcomeUnknown builds a operator service replicas endpoint
 // outcome_unknown error.
-func NewServersOutcomeUnknown(body *ServersOutcomeUnknownResponseBody) *operator.Failure {
+func NewReplicasOutcomeUnknown(body *ReplicasOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5635,8 +5869,9 @@
 	return v
 }
 
-// NewServersConflict builds a operator service servers endpoint conflict error.
-func NewServersConflict(body *ServersConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewReplicasConflict builds a operator service replicas endpoint conflict
+// error.
+func NewReplicasConflict(body *ReplicasConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5659,9 +5894,9 @@
 	return v
 }
 
-// NewServersLostRace builds a operator service servers endpoint lost_race
+// NewReplicasLostRace builds a operator service replicas endpoint lost_race
 // error.
-func NewServersLostRace(body *ServersLostRaceResponseBody) *operator.Failure {
+func NewReplicasLostRace(body *ReplicasLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5684,9 +5919,9 @@
 	return v
 }
 
-// NewServersForbidden builds a operator service servers endpoint forbidden
+// NewReplicasForbidden builds a operator service replicas endpoint forbidden
 // error.
-func NewServersForbidden(body *ServersForbiddenResponseBody) *operator.Failure {
+func NewReplicasForbidden(body *ReplicasForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5709,9 +5944,9 @@
 	return v
 }
 
-// NewServersOutOfScope builds a operator service servers endpoint out_of_scope
-// error.
-func NewServersOutOfScope(body *ServersOutOfScopeResponseBody) *operator.Failure {
+// NewReplicasOutOfScope builds a operator service replicas endpoint
+// out_of_scope error.
+func NewReplicasOutOfScope(body *ReplicasOutOfScopeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5734,9 +5969,24 @@
 	return v
 }
 
-// NewExplainMalformed builds a operator service explain endpoint malformed
+// NewServersServerStatusOK builds a "operator" service "servers" endpoint
+// result from a HTTP "OK" response.
+func NewServersServerStatusOK(body []*ServerStatusResponse) []*operator.ServerStatus {
+	v := make([]*operator.ServerStatus, len(body))
+	for i, val := range body {
+		if val == nil {
+			v[i] = nil
+			continue
+		}
+		v[i] = unmarshalServerStatusResponseToOperatorServerStatus(val)
+	}
+
+	return v
+}
+
+// NewServersMalformed builds a operator service servers endpoint malformed
 // error.
-func NewExplainMalformed(body *ExplainMalformedResponseBody) *operator.Failure {
+func NewServersMalformed(body *ServersMalformedResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5759,8 +6009,8 @@
 	return v
 }
 
-// NewExplainUnknown builds a operator service explain endpoint unknown error.
-func NewExplainUnknown(body *ExplainUnknownResponseBody) *operator.Failure {
+// NewServersUnknown builds a operator service servers endpoint unknown error.
+func NewServersUnknown(body *ServersUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5783,8 +6033,8 @@
 	return v
 }
 
-// NewExplainOversize builds a operator service explain endpoint oversize error.
-func NewExplainOversize(body *ExplainOversizeResponseBody) *operator.Failure {
+// NewServersOversize builds a operator service servers endpoint oversize error.
+func NewServersOversize(body *ServersOversizeResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5807,9 +6057,9 @@
 	return v
 }
 
-// NewExplainOverCeiling builds a operator service explain endpoint
+// NewServersOverCeiling builds a operator service servers endpoint
 // over_ceiling error.
-func NewExplainOverCeiling(body *ExplainOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+func NewServersOverCeiling(body *ServersOverCeilingResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5832,8 +6082,8 @@
 	return v
 }
 
-// NewExplainShed builds a operator service explain endpoint shed error.
-func NewExplainShed(body *ExplainShedResponseBody, retryAfter *int) *operator.Failure {
+// NewServersShed builds a operator service servers endpoint shed error.
+func NewServersShed(body *ServersShedResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5856,8 +6106,8 @@
 	return v
 }
 
-// NewExplainGivenUp builds a operator service explain endpoint given_up error.
-func NewExplainGivenUp(body *ExplainGivenUpResponseBody, retryAfter *int) *operator.Failure {
+// NewServersGivenUp builds a operator service servers endpoint given_up error.
+func NewServersGivenUp(body *ServersGivenUpResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5880,9 +6130,9 @@
 	return v
 }
 
-// NewExplainOutcomeUnknown builds a operator service explain endpoint
+// NewServersOutcomeUnknown builds a operator service servers endpoint
 // outcome_unknown error.
-func NewExplainOutcomeUnknown(body *ExplainOutcomeUnknownResponseBody) *operator.Failure {
+func NewServersOutcomeUnknown(body *ServersOutcomeUnknownResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5905,8 +6155,8 @@
 	return v
 }
 
-// NewExplainConflict builds a operator service explain endpoint conflict error.
-func NewExplainConflict(body *ExplainConflictResponseBody, retryAfter *int) *operator.Failure {
+// NewServersConflict builds a operator service servers endpoint conflict error.
+func NewServersConflict(body *ServersConflictResponseBody, retryAfter *int) *operator.Failure {
 	v := &operator.Failure{
 		Name:    *body.Name,
 		Message: *body.Message,
@@ -5929,9 +6179,9 @@
 	return v
 }
 
-// NewExplainLostRace builds a operator service explain endpoint lost_race
+// NewServersLostRace builds a operator service servers endpoint lost_race
 // error.
-func NewExplainLostRace(body *ExplainLostRaceResponseBody) *operator.Failure {
+func NewServersLostRace(body *ServersLostRaceResponseBody) *operator.Failure {
 	v := &operator.Failure{
 		Name:       *body.Name,
 		Message:    *body.Message,
@@ -5954,7 +6204,277 @@
 	return v
 }
 
-// NewExplainForbidden builds a operator service explain endpoint forbidden
+// NewServersForbidden builds a operator service servers endpoint forbidden
+// error.
+func NewServersForbidden(body *ServersForbiddenResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewServersOutOfScope builds a operator service servers endpoint out_of_scope
+// error.
+func NewServersOutOfScope(body *ServersOutOfScopeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewExplainMalformed builds a operator service explain endpoint malformed
+// error.
+func NewExplainMalformed(body *ExplainMalformedResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewExplainUnknown builds a operator service explain endpoint unknown error.
+func NewExplainUnknown(body *ExplainUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewExplainOversize builds a operator service explain endpoint oversize error.
+func NewExplainOversize(body *ExplainOversizeResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewExplainOverCeiling builds a operator service explain endpoint
+// over_ceiling error.
+func NewExplainOverCeiling(body *ExplainOverCeilingResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExplainShed builds a operator service explain endpoint shed error.
+func NewExplainShed(body *ExplainShedResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExplainGivenUp builds a operator service explain endpoint given_up error.
+func NewExplainGivenUp(body *ExplainGivenUpResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExplainOutcomeUnknown builds a operator service explain endpoint
+// outcome_unknown error.
+func NewExplainOutcomeUnknown(body *ExplainOutcomeUnknownResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewExplainConflict builds a operator service explain endpoint conflict error.
+func NewExplainConflict(body *ExplainConflictResponseBody, retryAfter *int) *operator.Failure {
+	v := &operator.Failure{
+		Name:    *body.Name,
+		Message: *body.Message,
+		Ran:     *body.Ran,
+		Inquiry: body.Inquiry,
+		Stamp:   body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewExplainLostRace builds a operator service explain endpoint lost_race
+// error.
+func NewExplainLostRace(body *ExplainLostRaceResponseBody) *operator.Failure {
+	v := &operator.Failure{
+		Name:       *body.Name,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Inquiry:    body.Inquiry,
+		RetryAfter: body.RetryAfter,
+		Stamp:      body.Stamp,
+	}
+	if body.Findings != nil {
+		v.Findings = make([]*operator.Finding, len(body.Findings))
+		for i, val := range body.Findings {
+			if val == nil {
+				v.Findings[i] = nil
+				continue
+			}
+			v.Findings[i] = unmarshalFindingResponseBodyToOperatorFinding(val)
+		}
+	}
+
+	return v
+}
+
+// NewExplainForbidden builds a operator service explain endpoint forbidden
 // error.
 func NewExplainForbidden(body *ExplainForbiddenResponseBody) *operator.Failure {
 	v := &operator.Failure{
@@ -6045,67 +6565,364 @@
 	return
 }
 
-// ValidateEditSheetResponseBody runs the validations defined on
-// edit_sheet_response_body
-func ValidateEditSheetResponseBody(body *EditSheetResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidateEditSheetResponseBody runs the validations defined on
+// edit_sheet_response_body
+func ValidateEditSheetResponseBody(body *EditSheetResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateZoneResponseBody runs the validations defined on ZoneResponseBody
+func ValidateZoneResponseBody(body *ZoneResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateCutResponseBody runs the validations defined on CutResponseBody
+func ValidateCutResponseBody(body *CutResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateRebuildResponseBody runs the validations defined on
+// RebuildResponseBody
+func ValidateRebuildResponseBody(body *RebuildResponseBody) (err error) {
+	if body.Stamp == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	if body.Laggards == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	}
+	return
+}
+
+// ValidateSheetMalformedResponseBody runs the validations defined on
+// sheet_malformed_response_body
+func ValidateSheetMalformedResponseBody(body *SheetMalformedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetUnknownResponseBody runs the validations defined on
+// sheet_unknown_response_body
+func ValidateSheetUnknownResponseBody(body *SheetUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetOversizeResponseBody runs the validations defined on
+// sheet_oversize_response_body
+func ValidateSheetOversizeResponseBody(body *SheetOversizeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetOverCeilingResponseBody runs the validations defined on
+// sheet_over_ceiling_response_body
+func ValidateSheetOverCeilingResponseBody(body *SheetOverCeilingResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetShedResponseBody runs the validations defined on
+// sheet_shed_response_body
+func ValidateSheetShedResponseBody(body *SheetShedResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetGivenUpResponseBody runs the validations defined on
+// sheet_given_up_response_body
+func ValidateSheetGivenUpResponseBody(body *SheetGivenUpResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetOutcomeUnknownResponseBody runs the validations defined on
+// sheet_outcome_unknown_response_body
+func ValidateSheetOutcomeUnknownResponseBody(body *SheetOutcomeUnknownResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateSheetConflictResponseBody runs the validations defined on
+// sheet_conflict_response_body
+func ValidateSheetConflictResponseBody(body *SheetConflictResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateZoneResponseBody runs the validations defined on ZoneResponseBody
-func ValidateZoneResponseBody(body *ZoneResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidateSheetLostRaceResponseBody runs the validations defined on
+// sheet_lost_race_response_body
+func ValidateSheetLostRaceResponseBody(body *SheetLostRaceResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateCutResponseBody runs the validations defined on CutResponseBody
-func ValidateCutResponseBody(body *CutResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidateSheetForbiddenResponseBody runs the validations defined on
+// sheet_forbidden_response_body
+func ValidateSheetForbiddenResponseBody(body *SheetForbiddenResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateRebuildResponseBody runs the validations defined on
-// RebuildResponseBody
-func ValidateRebuildResponseBody(body *RebuildResponseBody) (err error) {
-	if body.Stamp == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("stamp", "body"))
+// ValidateSheetOutOfScopeResponseBody runs the validations defined on
+// sheet_out_of_scope_response_body
+func ValidateSheetOutOfScopeResponseBody(body *SheetOutOfScopeResponseBody) (err error) {
+	if body.Name == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Laggards == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("laggards", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown"}))
+		}
+	}
+	for _, e := range body.Findings {
+		if e != nil {
+			if err2 := ValidateFindingResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
 	return
 }
 
-// ValidateSheetMalformedResponseBody runs the validations defined on
-// sheet_malformed_response_body
-func ValidateSheetMalformedResponseBody(body *SheetMalformedResponseBody) (err error) {
+// ValidatePutSheetMalformedResponseBody runs the validations defined on
+// put_sheet_malformed_response_body
+func ValidatePutSheetMalformedResponseBody(body *PutSheetMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6130,9 +6947,9 @@
 	return
 }
 
-// ValidateSheetUnknownResponseBody runs the validations defined on
-// sheet_unknown_response_body
-func ValidateSheetUnknownResponseBody(body *SheetUnknownResponseBody) (err error) {
+// ValidatePutSheetUnknownResponseBody runs the validations defined on
+// put_sheet_unknown_response_body
+func ValidatePutSheetUnknownResponseBody(body *PutSheetUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6157,9 +6974,9 @@
 	return
 }
 
-// ValidateSheetOversizeResponseBody runs the validations defined on
-// sheet_oversize_response_body
-func ValidateSheetOversizeResponseBody(body *SheetOversizeResponseBody) (err error) {
+// ValidatePutSheetOversizeResponseBody runs the validations defined on
+// put_sheet_oversize_response_body
+func ValidatePutSheetOversizeResponseBody(body *PutSheetOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6184,9 +7001,9 @@
 	return
 }
 
-// ValidateSheetOverCeilingResponseBody runs the validations defined on
-// sheet_over_ceiling_response_body
-func ValidateSheetOverCeilingResponseBody(body *SheetOverCeilingResponseBody) (err error) {
+// ValidatePutSheetOverCeilingResponseBody runs the validations defined on
+// put_sheet_over_ceiling_response_body
+func ValidatePutSheetOverCeilingResponseBody(body *PutSheetOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6211,9 +7028,9 @@
 	return
 }
 
-// ValidateSheetShedResponseBody runs the validations defined on
-// sheet_shed_response_body
-func ValidateSheetShedResponseBody(body *SheetShedResponseBody) (err error) {
+// ValidatePutSheetShedResponseBody runs the validations defined on
+// put_sheet_shed_response_body
+func ValidatePutSheetShedResponseBody(body *PutSheetShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6238,9 +7055,9 @@
 	return
 }
 
-// ValidateSheetGivenUpResponseBody runs the validations defined on
-// sheet_given_up_response_body
-func ValidateSheetGivenUpResponseBody(body *SheetGivenUpResponseBody) (err error) {
+// ValidatePutSheetGivenUpResponseBody runs the validations defined on
+// put_sheet_given_up_response_body
+func ValidatePutSheetGivenUpResponseBody(body *PutSheetGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6265,9 +7082,9 @@
 	return
 }
 
-// ValidateSheetOutcomeUnknownResponseBody runs the validations defined on
-// sheet_outcome_unknown_response_body
-func ValidateSheetOutcomeUnknownResponseBody(body *SheetOutcomeUnknownResponseBody) (err error) {
+// ValidatePutSheetOutcomeUnknownResponseBody runs the validations defined on
+// put_sheet_outcome_unknown_response_body
+func ValidatePutSheetOutcomeUnknownResponseBody(body *PutSheetOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6292,9 +7109,9 @@
 	return
 }
 
-// ValidateSheetConflictResponseBody runs the validations defined on
-// sheet_conflict_response_body
-func ValidateSheetConflictResponseBody(body *SheetConflictResponseBody) (err error) {
+// ValidatePutSheetConflictResponseBody runs the validations defined on
+// put_sheet_conflict_response_body
+func ValidatePutSheetConflictResponseBody(body *PutSheetConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6319,9 +7136,9 @@
 	return
 }
 
-// ValidateSheetLostRaceResponseBody runs the validations defined on
-// sheet_lost_race_response_body
-func ValidateSheetLostRaceResponseBody(body *SheetLostRaceResponseBody) (err error) {
+// ValidatePutSheetLostRaceResponseBody runs the validations defined on
+// put_sheet_lost_race_response_body
+func ValidatePutSheetLostRaceResponseBody(body *PutSheetLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6346,9 +7163,9 @@
 	return
 }
 
-// ValidateSheetForbiddenResponseBody runs the validations defined on
-// sheet_forbidden_response_body
-func ValidateSheetForbiddenResponseBody(body *SheetForbiddenResponseBody) (err error) {
+// ValidatePutSheetForbiddenResponseBody runs the validations defined on
+// put_sheet_forbidden_response_body
+func ValidatePutSheetForbiddenResponseBody(body *PutSheetForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6373,9 +7190,9 @@
 	return
 }
 
-// ValidateSheetOutOfScopeResponseBody runs the validations defined on
-// sheet_out_of_scope_response_body
-func ValidateSheetOutOfScopeResponseBody(body *SheetOutOfScopeResponseBody) (err error) {
+// ValidatePutSheetOutOfScopeResponseBody runs the validations defined on
+// put_sheet_out_of_scope_response_body
+func ValidatePutSheetOutOfScopeResponseBody(body *PutSheetOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6400,9 +7217,9 @@
 	return
 }
 
-// ValidatePutSheetMalformedResponseBody runs the validations defined on
-// put_sheet_malformed_response_body
-func ValidatePutSheetMalformedResponseBody(body *PutSheetMalformedResponseBody) (err error) {
+// ValidateCheckSheetMalformedResponseBody runs the validations defined on
+// check_sheet_malformed_response_body
+func ValidateCheckSheetMalformedResponseBody(body *CheckSheetMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6427,9 +7244,9 @@
 	return
 }
 
-// ValidatePutSheetUnknownResponseBody runs the validations defined on
-// put_sheet_unknown_response_body
-func ValidatePutSheetUnknownResponseBody(body *PutSheetUnknownResponseBody) (err error) {
+// ValidateCheckSheetUnknownResponseBody runs the validations defined on
+// check_sheet_unknown_response_body
+func ValidateCheckSheetUnknownResponseBody(body *CheckSheetUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6454,9 +7271,9 @@
 	return
 }
 
-// ValidatePutSheetOversizeResponseBody runs the validations defined on
-// put_sheet_oversize_response_body
-func ValidatePutSheetOversizeResponseBody(body *PutSheetOversizeResponseBody) (err error) {
+// ValidateCheckSheetOversizeResponseBody runs the validations defined on
+// check_sheet_oversize_response_body
+func ValidateCheckSheetOversizeResponseBody(body *CheckSheetOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6481,9 +7298,9 @@
 	return
 }
 
-// ValidatePutSheetOverCeilingResponseBody runs the validations defined on
-// put_sheet_over_ceiling_response_body
-func ValidatePutSheetOverCeilingResponseBody(body *PutSheetOverCeilingResponseBody) (err error) {
+// ValidateCheckSheetOverCeilingResponseBody runs the validations defined on
+// check_sheet_over_ceiling_response_body
+func ValidateCheckSheetOverCeilingResponseBody(body *CheckSheetOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6508,9 +7325,9 @@
 	return
 }
 
-// ValidatePutSheetShedResponseBody runs the validations defined on
-// put_sheet_shed_response_body
-func ValidatePutSheetShedResponseBody(body *PutSheetShedResponseBody) (err error) {
+// ValidateCheckSheetShedResponseBody runs the validations defined on
+// check_sheet_shed_response_body
+func ValidateCheckSheetShedResponseBody(body *CheckSheetShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6535,9 +7352,9 @@
 	return
 }
 
-// ValidatePutSheetGivenUpResponseBody runs the validations defined on
-// put_sheet_given_up_response_body
-func ValidatePutSheetGivenUpResponseBody(body *PutSheetGivenUpResponseBody) (err error) {
+// ValidateCheckSheetGivenUpResponseBody runs the validations defined on
+// check_sheet_given_up_response_body
+func ValidateCheckSheetGivenUpResponseBody(body *CheckSheetGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6562,9 +7379,9 @@
 	return
 }
 
-// ValidatePutSheetOutcomeUnknownResponseBody runs the validations defined on
-// put_sheet_outcome_unknown_response_body
-func ValidatePutSheetOutcomeUnknownResponseBody(body *PutSheetOutcomeUnknownResponseBody) (err error) {
+// ValidateCheckSheetOutcomeUnknownResponseBody runs the validations defined on
+// check_sheet_outcome_unknown_response_body
+func ValidateCheckSheetOutcomeUnknownResponseBody(body *CheckSheetOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6589,9 +7406,9 @@
 	return
 }
 
-// ValidatePutSheetConflictResponseBody runs the validations defined on
-// put_sheet_conflict_response_body
-func ValidatePutSheetConflictResponseBody(body *PutSheetConflictResponseBody) (err error) {
+// ValidateCheckSheetConflictResponseBody runs the validations defined on
+// check_sheet_conflict_response_body
+func ValidateCheckSheetConflictResponseBody(body *CheckSheetConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6616,9 +7433,9 @@
 	return
 }
 
-// ValidatePutSheetLostRaceResponseBody runs the validations defined on
-// put_sheet_lost_race_response_body
-func ValidatePutSheetLostRaceResponseBody(body *PutSheetLostRaceResponseBody) (err error) {
+// ValidateCheckSheetLostRaceResponseBody runs the validations defined on
+// check_sheet_lost_race_response_body
+func ValidateCheckSheetLostRaceResponseBody(body *CheckSheetLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6643,9 +7460,9 @@
 	return
 }
 
-// ValidatePutSheetForbiddenResponseBody runs the validations defined on
-// put_sheet_forbidden_response_body
-func ValidatePutSheetForbiddenResponseBody(body *PutSheetForbiddenResponseBody) (err error) {
+// ValidateCheckSheetForbiddenResponseBody runs the validations defined on
+// check_sheet_forbidden_response_body
+func ValidateCheckSheetForbiddenResponseBody(body *CheckSheetForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6670,9 +7487,9 @@
 	return
 }
 
-// ValidatePutSheetOutOfScopeResponseBody runs the validations defined on
-// put_sheet_out_of_scope_response_body
-func ValidatePutSheetOutOfScopeResponseBody(body *PutSheetOutOfScopeResponseBody) (err error) {
+// ValidateCheckSheetOutOfScopeResponseBody runs the validations defined on
+// check_sheet_out_of_scope_response_body
+func ValidateCheckSheetOutOfScopeResponseBody(body *CheckSheetOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6695,11 +7512,11 @@
 		}
 	}
 	return
-}
-
-// ValidateCheckSheetMalformedResponseBody runs the validations defined on
-// check_sheet_malformed_response_body
-func ValidateCheckSheetMalformedResponseBody(body *CheckSheetMalformedResponseBody) (err error) {
+}
+
+// ValidateHistoryMalformedResponseBody runs the validations defined on
+// history_malformed_response_body
+func ValidateHistoryMalformedResponseBody(body *HistoryMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6724,9 +7541,9 @@
 	return
 }
 
-// ValidateCheckSheetUnknownResponseBody runs the validations defined on
-// check_sheet_unknown_response_body
-func ValidateCheckSheetUnknownResponseBody(body *CheckSheetUnknownResponseBody) (err error) {
+// ValidateHistoryUnknownResponseBody runs the validations defined on
+// history_unknown_response_body
+func ValidateHistoryUnknownResponseBody(body *HistoryUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6751,9 +7568,9 @@
 	return
 }
 
-// ValidateCheckSheetOversizeResponseBody runs the validations defined on
-// check_sheet_oversize_response_body
-func ValidateCheckSheetOversizeResponseBody(body *CheckSheetOversizeResponseBody) (err error) {
+// ValidateHistoryOversizeResponseBody runs the validations defined on
+// history_oversize_response_body
+func ValidateHistoryOversizeResponseBody(body *HistoryOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6778,9 +7595,9 @@
 	return
 }
 
-// ValidateCheckSheetOverCeilingResponseBody runs the validations defined on
-// check_sheet_over_ceiling_response_body
-func ValidateCheckSheetOverCeilingResponseBody(body *CheckSheetOverCeilingResponseBody) (err error) {
+// ValidateHistoryOverCeilingResponseBody runs the validations defined on
+// history_over_ceiling_response_body
+func ValidateHistoryOverCeilingResponseBody(body *HistoryOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6805,9 +7622,9 @@
 	return
 }
 
-// ValidateCheckSheetShedResponseBody runs the validations defined on
-// check_sheet_shed_response_body
-func ValidateCheckSheetShedResponseBody(body *CheckSheetShedResponseBody) (err error) {
+// ValidateHistoryShedResponseBody runs the validations defined on
+// history_shed_response_body
+func ValidateHistoryShedResponseBody(body *HistoryShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6832,9 +7649,9 @@
 	return
 }
 
-// ValidateCheckSheetGivenUpResponseBody runs the validations defined on
-// check_sheet_given_up_response_body
-func ValidateCheckSheetGivenUpResponseBody(body *CheckSheetGivenUpResponseBody) (err error) {
+// ValidateHistoryGivenUpResponseBody runs the validations defined on
+// history_given_up_response_body
+func ValidateHistoryGivenUpResponseBody(body *HistoryGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6859,9 +7676,9 @@
 	return
 }
 
-// ValidateCheckSheetOutcomeUnknownResponseBody runs the validations defined on
-// check_sheet_outcome_unknown_response_body
-func ValidateCheckSheetOutcomeUnknownResponseBody(body *CheckSheetOutcomeUnknownResponseBody) (err error) {
+// ValidateHistoryOutcomeUnknownResponseBody runs the validations defined on
+// history_outcome_unknown_response_body
+func ValidateHistoryOutcomeUnknownResponseBody(body *HistoryOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6886,9 +7703,9 @@
 	return
 }
 
-// ValidateCheckSheetConflictResponseBody runs the validations defined on
-// check_sheet_conflict_response_body
-func ValidateCheckSheetConflictResponseBody(body *CheckSheetConflictResponseBody) (err error) {
+// ValidateHistoryConflictResponseBody runs the validations defined on
+// history_conflict_response_body
+func ValidateHistoryConflictResponseBody(body *HistoryConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6913,9 +7730,9 @@
 	return
 }
 
-// ValidateCheckSheetLostRaceResponseBody runs the validations defined on
-// check_sheet_lost_race_response_body
-func ValidateCheckSheetLostRaceResponseBody(body *CheckSheetLostRaceResponseBody) (err error) {
+// ValidateHistoryLostRaceResponseBody runs the validations defined on
+// history_lost_race_response_body
+func ValidateHistoryLostRaceResponseBody(body *HistoryLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6940,9 +7757,9 @@
 	return
 }
 
-// ValidateCheckSheetForbiddenResponseBody runs the validations defined on
-// check_sheet_forbidden_response_body
-func ValidateCheckSheetForbiddenResponseBody(body *CheckSheetForbiddenResponseBody) (err error) {
+// ValidateHistoryForbiddenResponseBody runs the validations defined on
+// history_forbidden_response_body
+func ValidateHistoryForbiddenResponseBody(body *HistoryForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6967,9 +7784,9 @@
 	return
 }
 
-// ValidateCheckSheetOutOfScopeResponseBody runs the validations defined on
-// check_sheet_out_of_scope_response_body
-func ValidateCheckSheetOutOfScopeResponseBody(body *CheckSheetOutOfScopeResponseBody) (err error) {
+// ValidateHistoryOutOfScopeResponseBody runs the validations defined on
+// history_out_of_scope_response_body
+func ValidateHistoryOutOfScopeResponseBody(body *HistoryOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -6994,9 +7811,9 @@
 	return
 }
 
-// ValidateHistoryMalformedResponseBody runs the validations defined on
-// history_malformed_response_body
-func ValidateHistoryMalformedResponseBody(body *HistoryMalformedResponseBody) (err error) {
+// ValidateReturnSheetMalformedResponseBody runs the validations defined on
+// return_sheet_malformed_response_body
+func ValidateReturnSheetMalformedResponseBody(body *ReturnSheetMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7021,9 +7838,9 @@
 	return
 }
 
-// ValidateHistoryUnknownResponseBody runs the validations defined on
-// history_unknown_response_body
-func ValidateHistoryUnknownResponseBody(body *HistoryUnknownResponseBody) (err error) {
+// ValidateReturnSheetUnknownResponseBody runs the validations defined on
+// return_sheet_unknown_response_body
+func ValidateReturnSheetUnknownResponseBody(body *ReturnSheetUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7048,9 +7865,9 @@
 	return
 }
 
-// ValidateHistoryOversizeResponseBody runs the validations defined on
-// history_oversize_response_body
-func ValidateHistoryOversizeResponseBody(body *HistoryOversizeResponseBody) (err error) {
+// ValidateReturnSheetOversizeResponseBody runs the validations defined on
+// return_sheet_oversize_response_body
+func ValidateReturnSheetOversizeResponseBody(body *ReturnSheetOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7075,9 +7892,9 @@
 	return
 }
 
-// ValidateHistoryOverCeilingResponseBody runs the validations defined on
-// history_over_ceiling_response_body
-func ValidateHistoryOverCeilingResponseBody(body *HistoryOverCeilingResponseBody) (err error) {
+// ValidateReturnSheetOverCeilingResponseBody runs the validations defined on
+// return_sheet_over_ceiling_response_body
+func ValidateReturnSheetOverCeilingResponseBody(body *ReturnSheetOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7102,9 +7919,9 @@
 	return
 }
 
-// ValidateHistoryShedResponseBody runs the validations defined on
-// history_shed_response_body
-func ValidateHistoryShedResponseBody(body *HistoryShedResponseBody) (err error) {
+// ValidateReturnSheetShedResponseBody runs the validations defined on
+// return_sheet_shed_response_body
+func ValidateReturnSheetShedResponseBody(body *ReturnSheetShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7129,9 +7946,9 @@
 	return
 }
 
-// ValidateHistoryGivenUpResponseBody runs the validations defined on
-// history_given_up_response_body
-func ValidateHistoryGivenUpResponseBody(body *HistoryGivenUpResponseBody) (err error) {
+// ValidateReturnSheetGivenUpResponseBody runs the validations defined on
+// return_sheet_given_up_response_body
+func ValidateReturnSheetGivenUpResponseBody(body *ReturnSheetGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7156,9 +7973,9 @@
 	return
 }
 
-// ValidateHistoryOutcomeUnknownResponseBody runs the validations defined on
-// history_outcome_unknown_response_body
-func ValidateHistoryOutcomeUnknownResponseBody(body *HistoryOutcomeUnknownResponseBody) (err error) {
+// ValidateReturnSheetOutcomeUnknownResponseBody runs the validations defined
+// on return_sheet_outcome_unknown_response_body
+func ValidateReturnSheetOutcomeUnknownResponseBody(body *ReturnSheetOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7183,9 +8000,9 @@
 	return
 }
 
-// ValidateHistoryConflictResponseBody runs the validations defined on
-// history_conflict_response_body
-func ValidateHistoryConflictResponseBody(body *HistoryConflictResponseBody) (err error) {
+// ValidateReturnSheetConflictResponseBody runs the validations defined on
+// return_sheet_conflict_response_body
+func ValidateReturnSheetConflictResponseBody(body *ReturnSheetConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7210,9 +8027,9 @@
 	return
 }
 
-// ValidateHistoryLostRaceResponseBody runs the validations defined on
-// history_lost_race_response_body
-func ValidateHistoryLostRaceResponseBody(body *HistoryLostRaceResponseBody) (err error) {
+// ValidateReturnSheetLostRaceResponseBody runs the validations defined on
+// return_sheet_lost_race_response_body
+func ValidateReturnSheetLostRaceResponseBody(body *ReturnSheetLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7237,9 +8054,9 @@
 	return
 }
 
-// ValidateHistoryForbiddenResponseBody runs the validations defined on
-// history_forbidden_response_body
-func ValidateHistoryForbiddenResponseBody(body *HistoryForbiddenResponseBody) (err error) {
+// ValidateReturnSheetForbiddenResponseBody runs the validations defined on
+// return_sheet_forbidden_response_body
+func ValidateReturnSheetForbiddenResponseBody(body *ReturnSheetForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7264,9 +8081,9 @@
 	return
 }
 
-// ValidateHistoryOutOfScopeResponseBody runs the validations defined on
-// history_out_of_scope_response_body
-func ValidateHistoryOutOfScopeResponseBody(body *HistoryOutOfScopeResponseBody) (err error) {
+// ValidateReturnSheetOutOfScopeResponseBody runs the validations defined on
+// return_sheet_out_of_scope_response_body
+func ValidateReturnSheetOutOfScopeResponseBody(body *ReturnSheetOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7291,9 +8108,9 @@
 	return
 }
 
-// ValidateReturnSheetMalformedResponseBody runs the validations defined on
-// return_sheet_malformed_response_body
-func ValidateReturnSheetMalformedResponseBody(body *ReturnSheetMalformedResponseBody) (err error) {
+// ValidateEditSheetMalformedResponseBody runs the validations defined on
+// edit_sheet_malformed_response_body
+func ValidateEditSheetMalformedResponseBody(body *EditSheetMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7318,9 +8135,9 @@
 	return
 }
 
-// ValidateReturnSheetUnknownResponseBody runs the validations defined on
-// return_sheet_unknown_response_body
-func ValidateReturnSheetUnknownResponseBody(body *ReturnSheetUnknownResponseBody) (err error) {
+// ValidateEditSheetUnknownResponseBody runs the validations defined on
+// edit_sheet_unknown_response_body
+func ValidateEditSheetUnknownResponseBody(body *EditSheetUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7345,9 +8162,9 @@
 	return
 }
 
-// ValidateReturnSheetOversizeResponseBody runs the validations defined on
-// return_sheet_oversize_response_body
-func ValidateReturnSheetOversizeResponseBody(body *ReturnSheetOversizeResponseBody) (err error) {
+// ValidateEditSheetOversizeResponseBody runs the validations defined on
+// edit_sheet_oversize_response_body
+func ValidateEditSheetOversizeResponseBody(body *EditSheetOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7372,9 +8189,9 @@
 	return
 }
 
-// ValidateReturnSheetOverCeilingResponseBody runs the validations defined on
-// return_sheet_over_ceiling_response_body
-func ValidateReturnSheetOverCeilingResponseBody(body *ReturnSheetOverCeilingResponseBody) (err error) {
+// ValidateEditSheetOverCeilingResponseBody runs the validations defined on
+// edit_sheet_over_ceiling_response_body
+func ValidateEditSheetOverCeilingResponseBody(body *EditSheetOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7399,9 +8216,9 @@
 	return
 }
 
-// ValidateReturnSheetShedResponseBody runs the validations defined on
-// return_sheet_shed_response_body
-func ValidateReturnSheetShedResponseBody(body *ReturnSheetShedResponseBody) (err error) {
+// ValidateEditSheetShedResponseBody runs the validations defined on
+// edit_sheet_shed_response_body
+func ValidateEditSheetShedResponseBody(body *EditSheetShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7426,9 +8243,9 @@
 	return
 }
 
-// ValidateReturnSheetGivenUpResponseBody runs the validations defined on
-// return_sheet_given_up_response_body
-func ValidateReturnSheetGivenUpResponseBody(body *ReturnSheetGivenUpResponseBody) (err error) {
+// ValidateEditSheetGivenUpResponseBody runs the validations defined on
+// edit_sheet_given_up_response_body
+func ValidateEditSheetGivenUpResponseBody(body *EditSheetGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7453,9 +8270,9 @@
 	return
 }
 
-// ValidateReturnSheetOutcomeUnknownResponseBody runs the validations defined
-// on return_sheet_outcome_unknown_response_body
-func ValidateReturnSheetOutcomeUnknownResponseBody(body *ReturnSheetOutcomeUnknownResponseBody) (err error) {
+// ValidateEditSheetOutcomeUnknownResponseBody runs the validations defined on
+// edit_sheet_outcome_unknown_response_body
+func ValidateEditSheetOutcomeUnknownResponseBody(body *EditSheetOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7480,9 +8297,9 @@
 	return
 }
 
-// ValidateReturnSheetConflictResponseBody runs the validations defined on
-// return_sheet_conflict_response_body
-func ValidateReturnSheetConflictResponseBody(body *ReturnSheetConflictResponseBody) (err error) {
+// ValidateEditSheetConflictResponseBody runs the validations defined on
+// edit_sheet_conflict_response_body
+func ValidateEditSheetConflictResponseBody(body *EditSheetConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7507,9 +8324,9 @@
 	return
 }
 
-// ValidateReturnSheetLostRaceResponseBody runs the validations defined on
-// return_sheet_lost_race_response_body
-func ValidateReturnSheetLostRaceResponseBody(body *ReturnSheetLostRaceResponseBody) (err error) {
+// ValidateEditSheetLostRaceResponseBody runs the validations defined on
+// edit_sheet_lost_race_response_body
+func ValidateEditSheetLostRaceResponseBody(body *EditSheetLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7534,9 +8351,9 @@
 	return
 }
 
-// ValidateReturnSheetForbiddenResponseBody runs the validations defined on
-// return_sheet_forbidden_response_body
-func ValidateReturnSheetForbiddenResponseBody(body *ReturnSheetForbiddenResponseBody) (err error) {
+// ValidateEditSheetForbiddenResponseBody runs the validations defined on
+// edit_sheet_forbidden_response_body
+func ValidateEditSheetForbiddenResponseBody(body *EditSheetForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7561,9 +8378,9 @@
 	return
 }
 
-// ValidateReturnSheetOutOfScopeResponseBody runs the validations defined on
-// return_sheet_out_of_scope_response_body
-func ValidateReturnSheetOutOfScopeResponseBody(body *ReturnSheetOutOfScopeResponseBody) (err error) {
+// ValidateEditSheetOutOfScopeResponseBody runs the validations defined on
+// edit_sheet_out_of_scope_response_body
+func ValidateEditSheetOutOfScopeResponseBody(body *EditSheetOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7588,9 +8405,9 @@
 	return
 }
 
-// ValidateEditSheetMalformedResponseBody runs the validations defined on
-// edit_sheet_malformed_response_body
-func ValidateEditSheetMalformedResponseBody(body *EditSheetMalformedResponseBody) (err error) {
+// ValidateZoneMalformedResponseBody runs the validations defined on
+// zone_malformed_response_body
+func ValidateZoneMalformedResponseBody(body *ZoneMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7615,9 +8432,9 @@
 	return
 }
 
-// ValidateEditSheetUnknownResponseBody runs the validations defined on
-// edit_sheet_unknown_response_body
-func ValidateEditSheetUnknownResponseBody(body *EditSheetUnknownResponseBody) (err error) {
+// ValidateZoneUnknownResponseBody runs the validations defined on
+// zone_unknown_response_body
+func ValidateZoneUnknownResponseBody(body *ZoneUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7642,9 +8459,9 @@
 	return
 }
 
-// ValidateEditSheetOversizeResponseBody runs the validations defined on
-// edit_sheet_oversize_response_body
-func ValidateEditSheetOversizeResponseBody(body *EditSheetOversizeResponseBody) (err error) {
+// ValidateZoneOversizeResponseBody runs the validations defined on
+// zone_oversize_response_body
+func ValidateZoneOversizeResponseBody(body *ZoneOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7669,9 +8486,9 @@
 	return
 }
 
-// ValidateEditSheetOverCeilingResponseBody runs the validations defined on
-// edit_sheet_over_ceiling_response_body
-func ValidateEditSheetOverCeilingResponseBody(body *EditSheetOverCeilingResponseBody) (err error) {
+// ValidateZoneOverCeilingResponseBody runs the validations defined on
+// zone_over_ceiling_response_body
+func ValidateZoneOverCeilingResponseBody(body *ZoneOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7696,9 +8513,9 @@
 	return
 }
 
-// ValidateEditSheetShedResponseBody runs the validations defined on
-// edit_sheet_shed_response_body
-func ValidateEditSheetShedResponseBody(body *EditSheetShedResponseBody) (err error) {
+// ValidateZoneShedResponseBody runs the validations defined on
+// zone_shed_response_body
+func ValidateZoneShedResponseBody(body *ZoneShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7723,9 +8540,9 @@
 	return
 }
 
-// ValidateEditSheetGivenUpResponseBody runs the validations defined on
-// edit_sheet_given_up_response_body
-func ValidateEditSheetGivenUpResponseBody(body *EditSheetGivenUpResponseBody) (err error) {
+// ValidateZoneGivenUpResponseBody runs the validations defined on
+// zone_given_up_response_body
+func ValidateZoneGivenUpResponseBody(body *ZoneGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7750,9 +8567,9 @@
 	return
 }
 
-// ValidateEditSheetOutcomeUnknownResponseBody runs the validations defined on
-// edit_sheet_outcome_unknown_response_body
-func ValidateEditSheetOutcomeUnknownResponseBody(body *EditSheetOutcomeUnknownResponseBody) (err error) {
+// ValidateZoneOutcomeUnknownResponseBody runs the validations defined on
+// zone_outcome_unknown_response_body
+func ValidateZoneOutcomeUnknownResponseBody(body *ZoneOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7777,9 +8594,9 @@
 	return
 }
 
-// ValidateEditSheetConflictResponseBody runs the validations defined on
-// edit_sheet_conflict_response_body
-func ValidateEditSheetConflictResponseBody(body *EditSheetConflictResponseBody) (err error) {
+// ValidateZoneConflictResponseBody runs the validations defined on
+// zone_conflict_response_body
+func ValidateZoneConflictResponseBody(body *ZoneConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7804,9 +8621,9 @@
 	return
 }
 
-// ValidateEditSheetLostRaceResponseBody runs the validations defined on
-// edit_sheet_lost_race_response_body
-func ValidateEditSheetLostRaceResponseBody(body *EditSheetLostRaceResponseBody) (err error) {
+// ValidateZoneLostRaceResponseBody runs the validations defined on
+// zone_lost_race_response_body
+func ValidateZoneLostRaceResponseBody(body *ZoneLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7831,9 +8648,9 @@
 	return
 }
 
-// ValidateEditSheetForbiddenResponseBody runs the validations defined on
-// edit_sheet_forbidden_response_body
-func ValidateEditSheetForbiddenResponseBody(body *EditSheetForbiddenResponseBody) (err error) {
+// ValidateZoneForbiddenResponseBody runs the validations defined on
+// zone_forbidden_response_body
+func ValidateZoneForbiddenResponseBody(body *ZoneForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7858,9 +8675,9 @@
 	return
 }
 
-// ValidateEditSheetOutOfScopeResponseBody runs the validations defined on
-// edit_sheet_out_of_scope_response_body
-func ValidateEditSheetOutOfScopeResponseBody(body *EditSheetOutOfScopeResponseBody) (err error) {
+// ValidateZoneOutOfScopeResponseBody runs the validations defined on
+// zone_out_of_scope_response_body
+func ValidateZoneOutOfScopeResponseBody(body *ZoneOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7885,9 +8702,9 @@
 	return
 }
 
-// ValidateZoneMalformedResponseBody runs the validations defined on
-// zone_malformed_response_body
-func ValidateZoneMalformedResponseBody(body *ZoneMalformedResponseBody) (err error) {
+// ValidateCutMalformedResponseBody runs the validations defined on
+// cut_malformed_response_body
+func ValidateCutMalformedResponseBody(body *CutMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7912,9 +8729,9 @@
 	return
 }
 
-// ValidateZoneUnknownResponseBody runs the validations defined on
-// zone_unknown_response_body
-func ValidateZoneUnknownResponseBody(body *ZoneUnknownResponseBody) (err error) {
+// ValidateCutUnknownResponseBody runs the validations defined on
+// cut_unknown_response_body
+func ValidateCutUnknownResponseBody(body *CutUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7939,9 +8756,9 @@
 	return
 }
 
-// ValidateZoneOversizeResponseBody runs the validations defined on
-// zone_oversize_response_body
-func ValidateZoneOversizeResponseBody(body *ZoneOversizeResponseBody) (err error) {
+// ValidateCutOversizeResponseBody runs the validations defined on
+// cut_oversize_response_body
+func ValidateCutOversizeResponseBody(body *CutOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7966,9 +8783,9 @@
 	return
 }
 
-// ValidateZoneOverCeilingResponseBody runs the validations defined on
-// zone_over_ceiling_response_body
-func ValidateZoneOverCeilingResponseBody(body *ZoneOverCeilingResponseBody) (err error) {
+// ValidateCutOverCeilingResponseBody runs the validations defined on
+// cut_over_ceiling_response_body
+func ValidateCutOverCeilingResponseBody(body *CutOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -7993,9 +8810,9 @@
 	return
 }
 
-// ValidateZoneShedResponseBody runs the validations defined on
-// zone_shed_response_body
-func ValidateZoneShedResponseBody(body *ZoneShedResponseBody) (err error) {
+// ValidateCutShedResponseBody runs the validations defined on
+// cut_shed_response_body
+func ValidateCutShedResponseBody(body *CutShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8020,9 +8837,9 @@
 	return
 }
 
-// ValidateZoneGivenUpResponseBody runs the validations defined on
-// zone_given_up_response_body
-func ValidateZoneGivenUpResponseBody(body *ZoneGivenUpResponseBody) (err error) {
+// ValidateCutGivenUpResponseBody runs the validations defined on
+// cut_given_up_response_body
+func ValidateCutGivenUpResponseBody(body *CutGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8047,9 +8864,9 @@
 	return
 }
 
-// ValidateZoneOutcomeUnknownResponseBody runs the validations defined on
-// zone_outcome_unknown_response_body
-func ValidateZoneOutcomeUnknownResponseBody(body *ZoneOutcomeUnknownResponseBody) (err error) {
+// ValidateCutOutcomeUnknownResponseBody runs the validations defined on
+// cut_outcome_unknown_response_body
+func ValidateCutOutcomeUnknownResponseBody(body *CutOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8074,9 +8891,9 @@
 	return
 }
 
-// ValidateZoneConflictResponseBody runs the validations defined on
-// zone_conflict_response_body
-func ValidateZoneConflictResponseBody(body *ZoneConflictResponseBody) (err error) {
+// ValidateCutConflictResponseBody runs the validations defined on
+// cut_conflict_response_body
+func ValidateCutConflictResponseBody(body *CutConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8101,9 +8918,9 @@
 	return
 }
 
-// ValidateZoneLostRaceResponseBody runs the validations defined on
-// zone_lost_race_response_body
-func ValidateZoneLostRaceResponseBody(body *ZoneLostRaceResponseBody) (err error) {
+// ValidateCutLostRaceResponseBody runs the validations defined on
+// cut_lost_race_response_body
+func ValidateCutLostRaceResponseBody(body *CutLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8128,9 +8945,9 @@
 	return
 }
 
-// ValidateZoneForbiddenResponseBody runs the validations defined on
-// zone_forbidden_response_body
-func ValidateZoneForbiddenResponseBody(body *ZoneForbiddenResponseBody) (err error) {
+// ValidateCutForbiddenResponseBody runs the validations defined on
+// cut_forbidden_response_body
+func ValidateCutForbiddenResponseBody(body *CutForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8155,9 +8972,9 @@
 	return
 }
 
-// ValidateZoneOutOfScopeResponseBody runs the validations defined on
-// zone_out_of_scope_response_body
-func ValidateZoneOutOfScopeResponseBody(body *ZoneOutOfScopeResponseBody) (err error) {
+// ValidateCutOutOfScopeResponseBody runs the validations defined on
+// cut_out_of_scope_response_body
+func ValidateCutOutOfScopeResponseBody(body *CutOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8182,9 +8999,9 @@
 	return
 }
 
-// ValidateCutMalformedResponseBody runs the validations defined on
-// cut_malformed_response_body
-func ValidateCutMalformedResponseBody(body *CutMalformedResponseBody) (err error) {
+// ValidateRebuildMalformedResponseBody runs the validations defined on
+// rebuild_malformed_response_body
+func ValidateRebuildMalformedResponseBody(body *RebuildMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8209,9 +9026,9 @@
 	return
 }
 
-// ValidateCutUnknownResponseBody runs the validations defined on
-// cut_unknown_response_body
-func ValidateCutUnknownResponseBody(body *CutUnknownResponseBody) (err error) {
+// ValidateRebuildUnknownResponseBody runs the validations defined on
+// rebuild_unknown_response_body
+func ValidateRebuildUnknownResponseBody(body *RebuildUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8236,9 +9053,9 @@
 	return
 }
 
-// ValidateCutOversizeResponseBody runs the validations defined on
-// cut_oversize_response_body
-func ValidateCutOversizeResponseBody(body *CutOversizeResponseBody) (err error) {
+// ValidateRebuildOversizeResponseBody runs the validations defined on
+// rebuild_oversize_response_body
+func ValidateRebuildOversizeResponseBody(body *RebuildOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8263,9 +9080,9 @@
 	return
 }
 
-// ValidateCutOverCeilingResponseBody runs the validations defined on
-// cut_over_ceiling_response_body
-func ValidateCutOverCeilingResponseBody(body *CutOverCeilingResponseBody) (err error) {
+// ValidateRebuildOverCeilingResponseBody runs the validations defined on
+// rebuild_over_ceiling_response_body
+func ValidateRebuildOverCeilingResponseBody(body *RebuildOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8290,9 +9107,9 @@
 	return
 }
 
-// ValidateCutShedResponseBody runs the validations defined on
-// cut_shed_response_body
-func ValidateCutShedResponseBody(body *CutShedResponseBody) (err error) {
+// ValidateRebuildShedResponseBody runs the validations defined on
+// rebuild_shed_response_body
+func ValidateRebuildShedResponseBody(body *RebuildShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8317,9 +9134,9 @@
 	return
 }
 
-// ValidateCutGivenUpResponseBody runs the validations defined on
-// cut_given_up_response_body
-func ValidateCutGivenUpResponseBody(body *CutGivenUpResponseBody) (err error) {
+// ValidateRebuildGivenUpResponseBody runs the validations defined on
+// rebuild_given_up_response_body
+func ValidateRebuildGivenUpResponseBody(body *RebuildGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8344,9 +9161,9 @@
 	return
 }
 
-// ValidateCutOutcomeUnknownResponseBody runs the validations defined on
-// cut_outcome_unknown_response_body
-func ValidateCutOutcomeUnknownResponseBody(body *CutOutcomeUnknownResponseBody) (err error) {
+// ValidateRebuildOutcomeUnknownResponseBody runs the validations defined on
+// rebuild_outcome_unknown_response_body
+func ValidateRebuildOutcomeUnknownResponseBody(body *RebuildOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8371,9 +9188,9 @@
 	return
 }
 
-// ValidateCutConflictResponseBody runs the validations defined on
-// cut_conflict_response_body
-func ValidateCutConflictResponseBody(body *CutConflictResponseBody) (err error) {
+// ValidateRebuildConflictResponseBody runs the validations defined on
+// rebuild_conflict_response_body
+func ValidateRebuildConflictResponseBody(body *RebuildConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8398,9 +9215,9 @@
 	return
 }
 
-// ValidateCutLostRaceResponseBody runs the validations defined on
-// cut_lost_race_response_body
-func ValidateCutLostRaceResponseBody(body *CutLostRaceResponseBody) (err error) {
+// ValidateRebuildLostRaceResponseBody runs the validations defined on
+// rebuild_lost_race_response_body
+func ValidateRebuildLostRaceResponseBody(body *RebuildLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8425,9 +9242,9 @@
 	return
 }
 
-// ValidateCutForbiddenResponseBody runs the validations defined on
-// cut_forbidden_response_body
-func ValidateCutForbiddenResponseBody(body *CutForbiddenResponseBody) (err error) {
+// ValidateRebuildForbiddenResponseBody runs the validations defined on
+// rebuild_forbidden_response_body
+func ValidateRebuildForbiddenResponseBody(body *RebuildForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8452,9 +9269,9 @@
 	return
 }
 
-// ValidateCutOutOfScopeResponseBody runs the validations defined on
-// cut_out_of_scope_response_body
-func ValidateCutOutOfScopeResponseBody(body *CutOutOfScopeResponseBody) (err error) {
+// ValidateRebuildOutOfScopeResponseBody runs the validations defined on
+// rebuild_out_of_scope_response_body
+func ValidateRebuildOutOfScopeResponseBody(body *RebuildOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8479,9 +9296,9 @@
 	return
 }
 
-// ValidateRebuildMalformedResponseBody runs the validations defined on
-// rebuild_malformed_response_body
-func ValidateRebuildMalformedResponseBody(body *RebuildMalformedResponseBody) (err error) {
+// ValidateMembersMalformedResponseBody runs the validations defined on
+// members_malformed_response_body
+func ValidateMembersMalformedResponseBody(body *MembersMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8506,9 +9323,9 @@
 	return
 }
 
-// ValidateRebuildUnknownResponseBody runs the validations defined on
-// rebuild_unknown_response_body
-func ValidateRebuildUnknownResponseBody(body *RebuildUnknownResponseBody) (err error) {
+// ValidateMembersUnknownResponseBody runs the validations defined on
+// members_unknown_response_body
+func ValidateMembersUnknownResponseBody(body *MembersUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8533,9 +9350,9 @@
 	return
 }
 
-// ValidateRebuildOversizeResponseBody runs the validations defined on
-// rebuild_oversize_response_body
-func ValidateRebuildOversizeResponseBody(body *RebuildOversizeResponseBody) (err error) {
+// ValidateMembersOversizeResponseBody runs the validations defined on
+// members_oversize_response_body
+func ValidateMembersOversizeResponseBody(body *MembersOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8560,9 +9377,9 @@
 	return
 }
 
-// ValidateRebuildOverCeilingResponseBody runs the validations defined on
-// rebuild_over_ceiling_response_body
-func ValidateRebuildOverCeilingResponseBody(body *RebuildOverCeilingResponseBody) (err error) {
+// ValidateMembersOverCeilingResponseBody runs the validations defined on
+// members_over_ceiling_response_body
+func ValidateMembersOverCeilingResponseBody(body *MembersOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8587,9 +9404,9 @@
 	return
 }
 
-// ValidateRebuildShedResponseBody runs the validations defined on
-// rebuild_shed_response_body
-func ValidateRebuildShedResponseBody(body *RebuildShedResponseBody) (err error) {
+// ValidateMembersShedResponseBody runs the validations defined on
+// members_shed_response_body
+func ValidateMembersShedResponseBody(body *MembersShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8614,9 +9431,9 @@
 	return
 }
 
-// ValidateRebuildGivenUpResponseBody runs the validations defined on
-// rebuild_given_up_response_body
-func ValidateRebuildGivenUpResponseBody(body *RebuildGivenUpResponseBody) (err error) {
+// ValidateMembersGivenUpResponseBody runs the validations defined on
+// members_given_up_response_body
+func ValidateMembersGivenUpResponseBody(body *MembersGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8641,9 +9458,9 @@
 	return
 }
 
-// ValidateRebuildOutcomeUnknownResponseBody runs the validations defined on
-// rebuild_outcome_unknown_response_body
-func ValidateRebuildOutcomeUnknownResponseBody(body *RebuildOutcomeUnknownResponseBody) (err error) {
+// ValidateMembersOutcomeUnknownResponseBody runs the validations defined on
+// members_outcome_unknown_response_body
+func ValidateMembersOutcomeUnknownResponseBody(body *MembersOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8668,9 +9485,9 @@
 	return
 }
 
-// ValidateRebuildConflictResponseBody runs the validations defined on
-// rebuild_conflict_response_body
-func ValidateRebuildConflictResponseBody(body *RebuildConflictResponseBody) (err error) {
+// ValidateMembersConflictResponseBody runs the validations defined on
+// members_conflict_response_body
+func ValidateMembersConflictResponseBody(body *MembersConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8695,9 +9512,9 @@
 	return
 }
 
-// ValidateRebuildLostRaceResponseBody runs the validations defined on
-// rebuild_lost_race_response_body
-func ValidateRebuildLostRaceResponseBody(body *RebuildLostRaceResponseBody) (err error) {
+// ValidateMembersLostRaceResponseBody runs the validations defined on
+// members_lost_race_response_body
+func ValidateMembersLostRaceResponseBody(body *MembersLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8722,9 +9539,9 @@
 	return
 }
 
-// ValidateRebuildForbiddenResponseBody runs the validations defined on
-// rebuild_forbidden_response_body
-func ValidateRebuildForbiddenResponseBody(body *RebuildForbiddenResponseBody) (err error) {
+// ValidateMembersForbiddenResponseBody runs the validations defined on
+// members_forbidden_response_body
+func ValidateMembersForbiddenResponseBody(body *MembersForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8749,9 +9566,9 @@
 	return
 }
 
-// ValidateRebuildOutOfScopeResponseBody runs the validations defined on
-// rebuild_out_of_scope_response_body
-func ValidateRebuildOutOfScopeResponseBody(body *RebuildOutOfScopeResponseBody) (err error) {
+// ValidateMembersOutOfScopeResponseBody runs the validations defined on
+// members_out_of_scope_response_body
+func ValidateMembersOutOfScopeResponseBody(body *MembersOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8776,9 +9593,9 @@
 	return
 }
 
-// ValidateMembersMalformedResponseBody runs the validations defined on
-// members_malformed_response_body
-func ValidateMembersMalformedResponseBody(body *MembersMalformedResponseBody) (err error) {
+// ValidateReplicasMalformedResponseBody runs the validations defined on
+// replicas_malformed_response_body
+func ValidateReplicasMalformedResponseBody(body *ReplicasMalformedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8803,9 +9620,9 @@
 	return
 }
 
-// ValidateMembersUnknownResponseBody runs the validations defined on
-// members_unknown_response_body
-func ValidateMembersUnknownResponseBody(body *MembersUnknownResponseBody) (err error) {
+// ValidateReplicasUnknownResponseBody runs the validations defined on
+// replicas_unknown_response_body
+func ValidateReplicasUnknownResponseBody(body *ReplicasUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8830,9 +9647,9 @@
 	return
 }
 
-// ValidateMembersOversizeResponseBody runs the validations defined on
-// members_oversize_response_body
-func ValidateMembersOversizeResponseBody(body *MembersOversizeResponseBody) (err error) {
+// ValidateReplicasOversizeResponseBody runs the validations defined on
+// replicas_oversize_response_body
+func ValidateReplicasOversizeResponseBody(body *ReplicasOversizeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8857,9 +9674,9 @@
 	return
 }
 
-// ValidateMembersOverCeilingResponseBody runs the validations defined on
-// members_over_ceiling_response_body
-func ValidateMembersOverCeilingResponseBody(body *MembersOverCeilingResponseBody) (err error) {
+// ValidateReplicasOverCeilingResponseBody runs the validations defined on
+// replicas_over_ceiling_response_body
+func ValidateReplicasOverCeilingResponseBody(body *ReplicasOverCeilingResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8884,9 +9701,9 @@
 	return
 }
 
-// ValidateMembersShedResponseBody runs the validations defined on
-// members_shed_response_body
-func ValidateMembersShedResponseBody(body *MembersShedResponseBody) (err error) {
+// ValidateReplicasShedResponseBody runs the validations defined on
+// replicas_shed_response_body
+func ValidateReplicasShedResponseBody(body *ReplicasShedResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8911,9 +9728,9 @@
 	return
 }
 
-// ValidateMembersGivenUpResponseBody runs the validations defined on
-// members_given_up_response_body
-func ValidateMembersGivenUpResponseBody(body *MembersGivenUpResponseBody) (err error) {
+// ValidateReplicasGivenUpResponseBody runs the validations defined on
+// replicas_given_up_response_body
+func ValidateReplicasGivenUpResponseBody(body *ReplicasGivenUpResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8938,9 +9755,9 @@
 	return
 }
 
-// ValidateMembersOutcomeUnknownResponseBody runs the validations defined on
-// members_outcome_unknown_response_body
-func ValidateMembersOutcomeUnknownResponseBody(body *MembersOutcomeUnknownResponseBody) (err error) {
+// ValidateReplicasOutcomeUnknownResponseBody runs the validations defined on
+// replicas_outcome_unknown_response_body
+func ValidateReplicasOutcomeUnknownResponseBody(body *ReplicasOutcomeUnknownResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8965,9 +9782,9 @@
 	return
 }
 
-// ValidateMembersConflictResponseBody runs the validations defined on
-// members_conflict_response_body
-func ValidateMembersConflictResponseBody(body *MembersConflictResponseBody) (err error) {
+// ValidateReplicasConflictResponseBody runs the validations defined on
+// replicas_conflict_response_body
+func ValidateReplicasConflictResponseBody(body *ReplicasConflictResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -8992,9 +9809,9 @@
 	return
 }
 
-// ValidateMembersLostRaceResponseBody runs the validations defined on
-// members_lost_race_response_body
-func ValidateMembersLostRaceResponseBody(body *MembersLostRaceResponseBody) (err error) {
+// ValidateReplicasLostRaceResponseBody runs the validations defined on
+// replicas_lost_race_response_body
+func ValidateReplicasLostRaceResponseBody(body *ReplicasLostRaceResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -9019,9 +9836,9 @@
 	return
 }
 
-// ValidateMembersForbiddenResponseBody runs the validations defined on
-// members_forbidden_response_body
-func ValidateMembersForbiddenResponseBody(body *MembersForbiddenResponseBody) (err error) {
+// ValidateReplicasForbiddenResponseBody runs the validations defined on
+// replicas_forbidden_response_body
+func ValidateReplicasForbiddenResponseBody(body *ReplicasForbiddenResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -9046,9 +9863,9 @@
 	return
 }
 
-// ValidateMembersOutOfScopeResponseBody runs the validations defined on
-// members_out_of_scope_response_body
-func ValidateMembersOutOfScopeResponseBody(body *MembersOutOfScopeResponseBody) (err error) {
+// ValidateReplicasOutOfScopeResponseBody runs the validations defined on
+// replicas_out_of_scope_response_body
+func ValidateReplicasOutOfScopeResponseBody(body *ReplicasOutOfScopeResponseBody) (err error) {
 	if body.Name == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("name", "body"))
 	}
@@ -9741,6 +10558,51 @@
 	return
 }
 
+// ValidateReplicaStatusResponse runs the validations defined on
+// ReplicaStatusResponse
+func ValidateReplicaStatusResponse(body *ReplicaStatusResponse) (err error) {
+	if body.Core == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("core", "body"))
+	}
+	if body.Zone == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("zone", "body"))
+	}
+	if body.Part == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("part", "body"))
+	}
+	if body.State == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("state", "body"))
+	}
+	if body.Contact == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("contact", "body"))
+	}
+	if body.Term == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
+	}
+	if body.Version == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("version", "body"))
+	}
+	if body.Held == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("held", "body"))
+	}
+	if body.Behind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("behind", "body"))
+	}
+	if body.Voters == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("voters", "body"))
+	}
+	if body.Leader == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("leader", "body"))
+	}
+	if body.Change == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("change", "body"))
+	}
+	if body.Leaving == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("leaving", "body"))
+	}
+	return
+}
+
 // ValidateServerStatusResponse runs the validations defined on
 // ServerStatusResponse
 func ValidateServerStatusResponse(body *ServerStatusResponse) (err error) {
--- a/gen/http/operator/server/encode_decode.go
+++ b/gen/http/operator/server/encode_decode.go
@@ -2372,6 +2372,215 @@
 	}
 }
 
+// EncodeReplicasResponse returns an encoder for responses returned by the
+// operator replicas endpoint.
+func EncodeReplicasResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.([]*operator.ReplicaStatus)
+		enc := encoder(ctx, w)
+		body := NewReplicasResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeReplicasRequest returns a decoder for requests sent to the operator
+// replicas endpoint.
+func DecodeReplicasRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operator.ReplicasPayload, error) {
+	return func(r *http.Request) (*operator.ReplicasPayload, error) {
+		var payload *operator.ReplicasPayload
+		var (
+			token *string
+		)
+		tokenRaw := r.Header.Get("Authorization")
+		if tokenRaw != "" {
+			token = &tokenRaw
+		}
+		payload = NewReplicasPayload(token)
+
+		return payload, nil
+	}
+}
+
+// EncodeReplicasError returns an encoder for errors returned by the replicas
+// operator endpoint.
+func EncodeReplicasError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "malformed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasMalformedResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "oversize":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasOversizeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "over_ceiling":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasOverCeilingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "shed":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasShedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "given_up":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasGivenUpResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "outcome_unknown":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasOutcomeUnknownResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "lost_race":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasLostRaceResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return enc.Encode(body)
+		case "forbidden":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasForbiddenResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "out_of_scope":
+			var res *operator.Failure
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewReplicasOutOfScopeResponseBody(res)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusForbidden)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeServersResponse returns an encoder for responses returned by the
 // operator servers endpoint.
 func EncodeServersResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -2861,6 +3070,28 @@
 	return res
 }
 
+// marshalOperatorReplicaStatusToReplicaStatusResponse builds a value of type
+// *ReplicaStatusResponse from a value of type *operator.ReplicaStatus.
+func marshalOperatorReplicaStatusToReplicaStatusResponse(v *operator.ReplicaStatus) *ReplicaStatusResponse {
+	res := &ReplicaStatusResponse{
+		Core:    v.Core,
+		Zone:    v.Zone,
+		Part:    v.Part,
+		State:   v.State,
+		Contact: v.Contact,
+		Term:    v.Term,
+		Version: v.Version,
+		Held:    v.Held,
+		Behind:  v.Behind,
+		Voters:  v.Voters,
+		Leader:  v.Leader,
+		Change:  v.Change,
+		Leaving: v.Leaving,
+	}
+
+	return res
+}
+
 // marshalOperatorServerStatusToServerStatusResponse builds a value of type
 // *ServerStatusResponse from a value of type *operator.ServerStatus.
 func marshalOperatorServerStatusToServerStatusResponse(v *operator.ServerStatus) *ServerStatusResponse {
--- a/gen/http/operator/server/server.go
+++ b/gen/http/operator/server/server.go
@@ -29,6 +29,7 @@
 	Cut         http.Handler
 	Rebuild     http.Handler
 	Members     http.Handler
+	Replicas    http.Handler
 	Servers     http.Handler
 	Explain     http.Handler
 }
@@ -70,6 +71,7 @@
 			{"Cut", "POST", "/v1/indexes/{index}/cut"},
 			{"Rebuild", "POST", "/v1/parts/{part}/rebuild"},
 			{"Members", "GET", "/v1/members"},
+			{"Replicas", "GET", "/v1/replicas"},
 			{"Servers", "GET", "/v1/servers"},
 			{"Explain", "GET", "/v1/explain/{id}"},
 		},
@@ -83,6 +85,7 @@
 		Cut:         NewCutHandler(e.Cut, mux, decoder, encoder, errhandler, formatter),
 		Rebuild:     NewRebuildHandler(e.Rebuild, mux, decoder, encoder, errhandler, formatter),
 		Members:     NewMembersHandler(e.Members, mux, decoder, encoder, errhandler, formatter),
+		Replicas:    NewReplicasHandler(e.Replicas, mux, decoder, encoder, errhandler, formatter),
 		Servers:     NewServersHandler(e.Servers, mux, decoder, encoder, errhandler, formatter),
 		Explain:     NewExplainHandler(e.Explain, mux, decoder, encoder, errhandler, formatter),
 	}
@@ -103,6 +106,7 @@
 	s.Cut = m(s.Cut)
 	s.Rebuild = m(s.Rebuild)
 	s.Members = m(s.Members)
+	s.Replicas = m(s.Replicas)
 	s.Servers = m(s.Servers)
 	s.Explain = m(s.Explain)
 }
@@ -122,6 +126,7 @@
 	MountCutHandler(mux, h.Cut)
 	MountRebuildHandler(mux, h.Rebuild)
 	MountMembersHandler(mux, h.Members)
+	MountReplicasHandler(mux, h.Replicas)
 	MountServersHandler(mux, h.Servers)
 	MountExplainHandler(mux, h.Explain)
 }
@@ -661,6 +666,59 @@
 	})
 }
 
+// MountReplicasHandler configures the mux to serve the "operator" service
+// "replicas" endpoint.
+func MountReplicasHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/v1/replicas", f)
+}
+
+// NewReplicasHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operator" service "replicas" endpoint.
+func NewReplicasHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeReplicasRequest(mux, decoder)
+		encodeResponse = EncodeReplicasResponse(encoder)
+		encodeError    = EncodeReplicasError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "replicas")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operator")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountServersHandler configures the mux to serve the "operator" service
 // "servers" endpoint.
 func MountServersHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/operator/server/types.go
+++ b/gen/http/operator/server/types.go
@@ -112,6 +112,10 @@
 // HTTP response body.
 type MembersResponseBody []*StatusResponse
 
+// ReplicasResponseBody is the type of the "operator" service "replicas"
+// endpoint HTTP response body.
+type ReplicasResponseBody []*ReplicaStatusResponse
+
 // ServersResponseBody is the type of the "operator" service "servers" endpoint
 // HTTP response body.
 type ServersResponseBody []*ServerStatusResponse
@@ -2126,6 +2130,207 @@
 	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
 }
 
+// ReplicasMalformedResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "malformed" error.
+type ReplicasMalformedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasUnknownResponseBody is the type of the "operator" service "replicas"
+// endpoint HTTP response body for the "unknown" error.
+type ReplicasUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOversizeResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "oversize" error.
+type ReplicasOversizeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOverCeilingResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "over_ceiling" error.
+type ReplicasOverCeilingResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasShedResponseBody is the type of the "operator" service "replicas"
+// endpoint HTTP response body for the "shed" error.
+type ReplicasShedResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasGivenUpResponseBody is the type of the "operator" service "replicas"
+// endpoint HTTP response body for the "given_up" error.
+type ReplicasGivenUpResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOutcomeUnknownResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "outcome_unknown" error.
+type ReplicasOutcomeUnknownResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasConflictResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "conflict" error.
+type ReplicasConflictResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasLostRaceResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "lost_race" error.
+type ReplicasLostRaceResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasForbiddenResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "forbidden" error.
+type ReplicasForbiddenResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
+// ReplicasOutOfScopeResponseBody is the type of the "operator" service
+// "replicas" endpoint HTTP response body for the "out_of_scope" error.
+type ReplicasOutOfScopeResponseBody struct {
+	// Stable code of the fault
+	Name string `form:"name" json:"name" xml:"name"`
+	// What happened, in words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the inquiry ran: no, or unknown
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Id to explain the inquiry by
+	Inquiry *string `form:"inquiry,omitempty" json:"inquiry,omitempty" xml:"inquiry,omitempty"`
+	// Seconds after which a retry makes sense
+	RetryAfter *int `form:"retry_after,omitempty" json:"retry_after,omitempty" xml:"retry_after,omitempty"`
+	// Every fault found, with its place
+	Findings []*FindingResponseBody `form:"findings,omitempty" json:"findings,omitempty" xml:"findings,omitempty"`
+	// Stamp in force, where an edit lost against it
+	Stamp *string `form:"stamp,omitempty" json:"stamp,omitempty" xml:"stamp,omitempty"`
+}
+
 // ServersMalformedResponseBody is the type of the "operator" service "servers"
 // endpoint HTTP response body for the "malformed" error.
 type ServersMalformedResponseBody struct {
@@ -2565,6 +2770,37 @@
 	InForce string `form:"in_force" json:"in_force" xml:"in_force"`
 }
 
+// ReplicaStatusResponse is used to define fields on response body types.
+type ReplicaStatusResponse struct {
+	// Name of the core
+	Core string `form:"core" json:"core" xml:"core"`
+	Zone string `form:"zone" json:"zone" xml:"zone"`
+	// Partition: 0 is the configuration, the others are those of the indexes
+	Part int `form:"part" json:"part" xml:"part"`
+	// leader, new_leader, candidate, follower, standby, damaged, or silent where
+	// the core did not answer in time
+	State string `form:"state" json:"state" xml:"state"`
+	// Whether it is in contact with a majority
+	Contact bool `form:"contact" json:"contact" xml:"contact"`
+	// Newest term that it voted in or led
+	Term uint64 `form:"term" json:"term" xml:"term"`
+	// Newest version that it knows to be committed
+	Version string `form:"version" json:"version" xml:"version"`
+	// Newest version on its disk
+	Held string `form:"held" json:"held" xml:"held"`
+	// By how many versions it is behind the newest that any core knows to be
+	// committed
+	Behind uint64 `form:"behind" json:"behind" xml:"behind"`
+	// Replicas with a vote on the newest version that it holds
+	Voters int `form:"voters" json:"voters" xml:"voters"`
+	// Mesh address of the leader that it follows
+	Leader string `form:"leader" json:"leader" xml:"leader"`
+	// Reason of the change of members that its leader has under way
+	Change string `form:"change" json:"change" xml:"change"`
+	// Whether it is being moved out, since its process is to end
+	Leaving bool `form:"leaving" json:"leaving" xml:"leaving"`
+}
+
 // ServerStatusResponse is used to define fields on response body types.
 type ServerStatusResponse struct {
 	ID      string `form:"id" json:"id" xml:"id"`
@@ -2746,6 +2982,20 @@
 	return body
 }
 
+// NewReplicasResponseBody builds the HTTP response body from the result of the
+// "replicas" endpoint of the "operator" service.
+func NewReplicasResponseBody(res []*operator.ReplicaStatus) ReplicasResponseBody {
+	body := make([]*ReplicaStatusResponse, len(res))
+	for i, val := range res {
+		if val == nil {
+			body[i] = nil
+			continue
+		}
+		body[i] = marshalOperatorReplicaStatusToReplicaStatusResponse(val)
+	}
+	return body
+}
+
 // NewServersResponseBody builds the HTTP response body from the result of the
 // "servers" endpoint of the "operator" service.
 func NewServersResponseBody(res []*operator.ServerStatus) ServersResponseBody {
@@ -5360,6 +5610,266 @@
 	return body
 }
 
+// NewReplicasMalformedResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasMalformedResponseBody(res *operator.Failure) *ReplicasMalformedResponseBody {
+	body := &ReplicasMalformedResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasUnknownResponseBody builds the HTTP response body from the result
+// of the "replicas" endpoint of the "operator" service.
+func NewReplicasUnknownResponseBody(res *operator.Failure) *ReplicasUnknownResponseBody {
+	body := &ReplicasUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasOversizeResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasOversizeResponseBody(res *operator.Failure) *ReplicasOversizeResponseBody {
+	body := &ReplicasOversizeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasOverCeilingResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasOverCeilingResponseBody(res *operator.Failure) *ReplicasOverCeilingResponseBody {
+	body := &ReplicasOverCeilingResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasShedResponseBody builds the HTTP response body from the result of
+// the "replicas" endpoint of the "operator" service.
+func NewReplicasShedResponseBody(res *operator.Failure) *ReplicasShedResponseBody {
+	body := &ReplicasShedResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasGivenUpResponseBody builds the HTTP response body from the result
+// of the "replicas" endpoint of the "operator" service.
+func NewReplicasGivenUpResponseBody(res *operator.Failure) *ReplicasGivenUpResponseBody {
+	body := &ReplicasGivenUpResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasOutcomeUnknownResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasOutcomeUnknownResponseBody(res *operator.Failure) *ReplicasOutcomeUnknownResponseBody {
+	body := &ReplicasOutcomeUnknownResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasConflictResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasConflictResponseBody(res *operator.Failure) *ReplicasConflictResponseBody {
+	body := &ReplicasConflictResponseBody{
+		Name:    res.Name,
+		Message: res.Message,
+		Ran:     res.Ran,
+		Inquiry: res.Inquiry,
+		Stamp:   res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasLostRaceResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasLostRaceResponseBody(res *operator.Failure) *ReplicasLostRaceResponseBody {
+	body := &ReplicasLostRaceResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasForbiddenResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasForbiddenResponseBody(res *operator.Failure) *ReplicasForbiddenResponseBody {
+	body := &ReplicasForbiddenResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
+// NewReplicasOutOfScopeResponseBody builds the HTTP response body from the
+// result of the "replicas" endpoint of the "operator" service.
+func NewReplicasOutOfScopeResponseBody(res *operator.Failure) *ReplicasOutOfScopeResponseBody {
+	body := &ReplicasOutOfScopeResponseBody{
+		Name:       res.Name,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Inquiry:    res.Inquiry,
+		RetryAfter: res.RetryAfter,
+		Stamp:      res.Stamp,
+	}
+	if res.Findings != nil {
+		body.Findings = make([]*FindingResponseBody, len(res.Findings))
+		for i, val := range res.Findings {
+			if val == nil {
+				body.Findings[i] = nil
+				continue
+			}
+			body.Findings[i] = marshalOperatorFindingToFindingResponseBody(val)
+		}
+	}
+	return body
+}
+
 // NewServersMalformedResponseBody builds the HTTP response body from the
 // result of the "servers" endpoint of the "operator" service.
 func NewServersMalformedResponseBody(res *operator.Failure) *ServersMalformedResponseBody {
@@ -5999,6 +6509,14 @@
 	return v
 }
 
+// NewReplicasPayload builds a operator service replicas endpoint payload.
+func NewReplicasPayload(token *string) *operator.ReplicasPayload {
+	v := &operator.ReplicasPayload{}
+	v.Token = token
+
+	return v
+}
+
 // NewServersPayload builds a operator service servers endpoint payload.
 func NewServersPayload(token *string) *operator.ServersPayload {
 	v := &operator.ServersPayload{}
--- a/gen/operator/client.go
+++ b/gen/operator/client.go
@@ -25,12 +25,13 @@
 	CutEndpoint         goa.Endpoint
 	RebuildEndpoint     goa.Endpoint
 	MembersEndpoint     goa.Endpoint
+	ReplicasEndpoint    goa.Endpoint
 	ServersEndpoint     goa.Endpoint
 	ExplainEndpoint     goa.Endpoint
 }
 
 // NewClient initializes a "operator" service client given the endpoints.
-func NewClient(sheet, putSheet, checkSheet, history, returnSheet, editSheet, zone, cut, rebuild, members, servers, explain goa.Endpoint) *Client {
+func NewClient(sheet, putSheet, checkSheet, history, returnSheet, editSheet, zone, cut, rebuild, members, replicas, servers, explain goa.Endpoint) *Client {
 	return &Client{
 		SheetEndpoint:       sheet,
 		PutSheetEndpoint:    putSheet,
@@ -42,6 +43,7 @@
 		CutEndpoint:         cut,
 		RebuildEndpoint:     rebuild,
 		MembersEndpoint:     members,
+		ReplicasEndpoint:    replicas,
 		ServersEndpoint:     servers,
 		ExplainEndpoint:     explain,
 	}
@@ -277,6 +279,29 @@
 	return ires.([]*Status), nil
 }
 
+// Replicas calls the "replicas" endpoint of the "operator" service.
+// Replicas may return the following errors:
+//   - "malformed" (type *Failure): The inquiry is malformed
+//   - "unknown" (type *Failure): No such index, record or id
+//   - "oversize" (type *Failure): The inquiry is too large
+//   - "over_ceiling" (type *Failure): The kind's ceiling is reached
+//   - "shed" (type *Failure): Nothing could take the inquiry; it did not run
+//   - "given_up" (type *Failure): No answer in time; it may be retried
+//   - "outcome_unknown" (type *Failure): Written to a server, and no proof of what became of it
+//   - "conflict" (type *Failure): The inquiry key was used for another inquiry
+//   - "lost_race" (type *Failure): Another edit came first
+//   - "forbidden" (type *Failure): The operator token is missing or wrong
+//   - "out_of_scope" (type *Failure): The operator token does not allow this
+//   - error: internal error
+func (c *Client) Replicas(ctx context.Context, p *ReplicasPayload) (res []*ReplicaStatus, err error) {
+	var ires any
+	ires, err = c.ReplicasEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.([]*ReplicaStatus), nil
+}
+
 // Servers calls the "servers" endpoint of the "operator" service.
 // Servers may return the following errors:
 //   - "malformed" (type *Failure): The inquiry is malformed
--- a/gen/operator/endpoints.go
+++ b/gen/operator/endpoints.go
@@ -25,6 +25,7 @@
 	Cut         goa.Endpoint
 	Rebuild     goa.Endpoint
 	Members     goa.Endpoint
+	Replicas    goa.Endpoint
 	Servers     goa.Endpoint
 	Explain     goa.Endpoint
 }
@@ -42,6 +43,7 @@
 		Cut:         NewCutEndpoint(s),
 		Rebuild:     NewRebuildEndpoint(s),
 		Members:     NewMembersEndpoint(s),
+		Replicas:    NewReplicasEndpoint(s),
 		Servers:     NewServersEndpoint(s),
 		Explain:     NewExplainEndpoint(s),
 	}
@@ -59,6 +61,7 @@
 	e.Cut = m(e.Cut)
 	e.Rebuild = m(e.Rebuild)
 	e.Members = m(e.Members)
+	e.Replicas = m(e.Replicas)
 	e.Servers = m(e.Servers)
 	e.Explain = m(e.Explain)
 }
@@ -153,6 +156,15 @@
 	}
 }
 
+// NewReplicasEndpoint returns an endpoint function that calls the method
+// "replicas" of service "operator".
+func NewReplicasEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*ReplicasPayload)
+		return s.Replicas(ctx, p)
+	}
+}
+
 // NewServersEndpoint returns an endpoint function that calls the method
 // "servers" of service "operator".
 func NewServersEndpoint(s Service) goa.Endpoint {
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -33,6 +33,8 @@
 	Rebuild(context.Context, *RebuildPayload) (res *Taken, err error)
 	// Members implements members.
 	Members(context.Context, *MembersPayload) (res []*Status, err error)
+	// The state of each partition's replicas, asked of every live core
+	Replicas(context.Context, *ReplicasPayload) (res []*ReplicaStatus, err error)
 	// Servers implements servers.
 	Servers(context.Context, *ServersPayload) (res []*ServerStatus, err error)
 	// Explain implements explain.
@@ -53,7 +55,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [12]string{"sheet", "put_sheet", "check_sheet", "history", "return_sheet", "edit_sheet", "zone", "cut", "rebuild", "members", "servers", "explain"}
+var MethodNames = [13]string{"sheet", "put_sheet", "check_sheet", "history", "return_sheet", "edit_sheet", "zone", "cut", "rebuild", "members", "replicas", "servers", "explain"}
 
 // CheckSheetPayload is the payload type of the operator service check_sheet
 // method.
@@ -157,6 +159,41 @@
 	Part  int
 }
 
+type ReplicaStatus struct {
+	// Name of the core
+	Core string
+	Zone string
+	// Partition: 0 is the configuration, the others are those of the indexes
+	Part int
+	// leader, new_leader, candidate, follower, standby, damaged, or silent where
+	// the core did not answer in time
+	State string
+	// Whether it is in contact with a majority
+	Contact bool
+	// Newest term that it voted in or led
+	Term uint64
+	// Newest version that it knows to be committed
+	Version string
+	// Newest version on its disk
+	Held string
+	// By how many versions it is behind the newest that any core knows to be
+	// committed
+	Behind uint64
+	// Replicas with a vote on the newest version that it holds
+	Voters int
+	// Mesh address of the leader that it follows
+	Leader string
+	// Reason of the change of members that its leader has under way
+	Change string
+	// Whether it is being moved out, since its process is to end
+	Leaving bool
+}
+
+// ReplicasPayload is the payload type of the operator service replicas method.
+type ReplicasPayload struct {
+	Token *string
+}
+
 // ReturnSheetPayload is the payload type of the operator service return_sheet
 // method.
 type ReturnSheetPayload struct {
--- a/lab/sim/traffic.go
+++ b/lab/sim/traffic.go
@@ -51,6 +51,7 @@
 	wire.KindClaim: "claim", wire.KindClaimReply: "claim_reply", wire.KindSettle: "settle", wire.KindRebuild: "rebuild",
 	wire.KindRebuildReply: "rebuild_reply", wire.KindHandOver: "hand_over", wire.KindHanded: "handed", wire.KindSeen: "seen",
 	wire.KindSeenReply: "seen_reply", wire.KindNotice: "notice", wire.KindPiece: "piece", wire.KindPieceAck: "piece_ack",
+	wire.KindStatusRequest: "status_request", wire.KindStatusReply: "status_reply",
 }
 
 // cpuSeconds is the processor time that this program has used so far.
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -54,7 +54,8 @@
 	// zones are the zones that the settings name, with their regions; empty where they name none.
 	zones map[string]string
 
-	rebuilds map[uint64]*rebuilding
+	rebuilds    map[uint64]*rebuilding
+	statusReads map[uint64]*statusRead
 	// wantedVoters is how many voters a group should have.
 	wantedVoters int
 }
@@ -64,6 +65,7 @@
 		return &Operate{
 			mesh: kernel.Find[*mesh.Mesh](k), configSync: kernel.Find[*configsync.Sync](k), seats: kernel.Find[*replica.Host](k),
 			zones: k.Boot.Env.Regions, members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
+			statusReads:  map[uint64]*statusRead{},
 			wantedVoters: k.Boot.Env.Seats(),
 		}
 	}})
@@ -73,7 +75,9 @@
 func (o *Operate) Name() string { return "operate" }
 
 // Kinds are the frames that it takes.
-func (o *Operate) Kinds() []uint8 { return []uint8{wire.KindEditReply, wire.KindRebuildReply} }
+func (o *Operate) Kinds() []uint8 {
+	return []uint8{wire.KindEditReply, wire.KindRebuildReply, wire.KindStatusReply}
+}
 
 // Step takes one input.
 func (o *Operate) Step(t *kernel.Turn, in kernel.Input) {
@@ -83,6 +87,7 @@
 	case kernel.Abandoned:
 		// What is under way may be taken; nothing more is sent for it.
 		delete(o.calls, v.ID)
+		delete(o.statusReads, v.ID)
 	case kernel.Tick:
 		var id uint64
 		if _, err := fmt.Sscan(v.Key, &id); err != nil {
@@ -92,20 +97,34 @@
 			o.rebuildTick(t, id, r)
 			return
 		}
+		if read := o.statusReads[id]; read != nil {
+			o.endStatus(t, id, read)
+			return
+		}
 		o.try(t, id)
 	case replica.Replied:
 		o.replied(t, v.ID, v.Reply)
 	case kernel.Message:
-		if v.Kind == wire.KindRebuildReply {
-			var m wire.RebuildReply
-			if wire.Decode(v.Body, &m) == nil {
-				o.rebuildReplied(t, v.ID, m)
-			}
-			return
+		o.message(t, v)
+	}
+}
+
+func (o *Operate) message(t *kernel.Turn, v kernel.Message) {
+	switch v.Kind {
+	case wire.KindRebuildReply:
+		var reply wire.RebuildReply
+		if wire.Decode(v.Body, &reply) == nil {
+			o.rebuildReplied(t, v.ID, reply)
 		}
-		var r wire.EditReply
-		if wire.Decode(v.Body, &r) == nil {
-			o.replied(t, v.ID, r)
+	case wire.KindStatusReply:
+		var reply wire.StatusReply
+		if wire.Decode(v.Body, &reply) == nil {
+			o.statusReplied(t, v.ID, reply)
+		}
+	default:
+		var reply wire.EditReply
+		if wire.Decode(v.Body, &reply) == nil {
+			o.replied(t, v.ID, reply)
 		}
 	}
 }
@@ -116,6 +135,9 @@
 	case Rebuild:
 		o.rebuild(t, v.ID, ask.Part)
 		return
+	case ReadStatus:
+		o.readStatus(t, v.ID)
+		return
 	case ReadRouting:
 		c.outcome = routingOutcome
 		c.req = Carry{Edit: wire.Edit{Part: state.Config, Op: wire.OpRead}, GiveUpUs: ask.GiveUpUs}
--- /dev/null
+++ b/operate/status.go
@@ -0,0 +1,102 @@
+// The state of the control state's groups, as every known core tells it: asked for when an operator
+// wants to know, so that it costs nothing otherwise.
+package operate
+
+import (
+	"fmt"
+
+	"wallport/kernel"
+	"wallport/members"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// StatusWithin is how long the cores have to tell the state of their replicas, in microseconds.
+const StatusWithin = 700_000
+
+// StateSilent is the state of the replicas of a core that did not answer in time; the other states
+// are the cores' own.
+const StateSilent = "silent"
+
+// ReadStatus asks for the state of every known core's replicas, also of those that are silent.
+type ReadStatus struct{}
+
+// Status answers ReadStatus, with one entry for each core, by name.
+type Status struct{ Cores []CoreStatus }
+
+// CoreStatus is what one core told. Replicas is empty where it did not answer in time.
+type CoreStatus struct {
+	Name, Zone, Addr string
+	Answered         bool
+	Replicas         []wire.ReplicaStatus
+}
+
+// statusRead is such a question on its way.
+type statusRead struct {
+	asked []members.Row
+	// told is what the cores told, by their mesh addresses.
+	told map[string][]wire.ReplicaStatus
+}
+
+// readStatus asks every known core, this process itself without a message.
+func (o *Operate) readStatus(t *kernel.Turn, id uint64) {
+	read := &statusRead{told: map[string][]wire.ReplicaStatus{}}
+	for _, row := range o.members.All(t.Now) {
+		if row.Role == "core" {
+			read.asked = append(read.asked, row)
+		}
+	}
+	o.statusReads[id] = read
+	for _, core := range read.asked {
+		if o.seats != nil && core.Addr == o.members.SelfRow().Addr {
+			read.told[core.Addr] = o.seats.Status(t.Now).Replicas
+			continue
+		}
+		t.SendTo(core.Addr, wire.KindStatusRequest, id, &wire.StatusRequest{})
+	}
+	t.After(StatusWithin, "operate", fmt.Sprint(id))
+	o.endStatusIfWhole(t, id, read)
+}
+
+// statusReplied takes note of one core's answer.
+func (o *Operate) statusReplied(t *kernel.Turn, id uint64, reply wire.StatusReply) {
+	read := o.statusReads[id]
+	if read == nil {
+		return
+	}
+	read.told[reply.Addr] = reply.Replicas
+	o.endStatusIfWhole(t, id, read)
+}
+
+func (o *Operate) endStatusIfWhole(t *kernel.Turn, id uint64, read *statusRead) {
+	for _, core := range read.asked {
+		if _, told := read.told[core.Addr]; !told {
+			return
+		}
+	}
+	o.endStatus(t, id, read)
+}
+
+// endStatus answers with what was told so far.
+func (o *Operate) endStatus(t *kernel.Turn, id uint64, read *statusRead) {
+	delete(o.statusReads, id)
+	status := Status{Cores: make([]CoreStatus, 0, len(read.asked))}
+	for _, core := range read.asked {
+		replicas, told := read.told[core.Addr]
+		status.Cores = append(status.Cores, CoreStatus{Name: core.Name, Zone: core.Zone, Addr: core.Addr, Answered: told, Replicas: replicas})
+	}
+	t.Answer(id, status)
+}
+
+// Newest gives the newest version of each partition that any core knows to be committed.
+func (s Status) Newest() map[int]wire.Stamp {
+	newest := map[int]wire.Stamp{}
+	for _, core := range s.Cores {
+		for _, replica := range core.Replicas {
+			if mesh.Newer(replica.Committed, newest[replica.Part]) {
+				newest[replica.Part] = replica.Committed
+			}
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/operate/status_test.go
@@ -0,0 +1,86 @@
+// The state of the groups as an operator is shown it: whoever tells it in time is in it, and a core
+// that is silent is named as such and holds nothing up for long.
+package operate
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/kernel"
+	"wallport/mesh"
+	"wallport/wire"
+)
+
+// hears has the node hear of cores, by their names.
+func (n *node) hears(cores ...string) {
+	for _, name := range cores {
+		row := wire.Member{Name: name, Role: "core", Zone: "z-" + name, Addr: name + ":1"}
+		n.step(mesh.Stored{Origin: name, Entry: &wire.Entry{Type: "member", Body: wire.Encode(&row)}})
+	}
+}
+
+// tells has a core answer with one replica at a version.
+func (n *node) tells(id uint64, name string, seq uint64) {
+	n.receive(wire.KindStatusReply, id, &wire.StatusReply{
+		Addr: name + ":1", Replicas: []wire.ReplicaStatus{{State: "follower", Committed: wire.Stamp{Term: 4, Seq: seq}}},
+	})
+}
+
+func (n *node) status(id uint64) (Status, bool) {
+	status, answered := n.answers[id].(Status)
+	return status, answered
+}
+
+func TestStatusIsAnsweredOnceAllCoresHaveTold(t *testing.T) {
+	n := newNode(t)
+	n.hears("b", "a")
+	n.call(1, ReadStatus{})
+	n.tells(1, "b", 9)
+	_, answered := n.status(1)
+	must.False(t, answered)
+	n.tells(1, "a", 7)
+	status, answered := n.status(1)
+	must.True(t, answered)
+	must.Len(t, 2, status.Cores)
+	must.Eq(t, "a", status.Cores[0].Name)
+	must.Eq(t, "z-b", status.Cores[1].Zone)
+	must.Eq(t, wire.Stamp{Term: 4, Seq: 9}, status.Newest()[0])
+}
+
+func TestASilentCoreIsNamedInTime(t *testing.T) {
+	n := newNode(t)
+	n.hears("a", "b")
+	n.call(1, ReadStatus{})
+	n.tells(1, "a", 7)
+	n.pass(StatusWithin - 1)
+	_, answered := n.status(1)
+	must.False(t, answered)
+	n.pass(1)
+	status, answered := n.status(1)
+	must.True(t, answered)
+	must.True(t, status.Cores[0].Answered)
+	must.False(t, status.Cores[1].Answered)
+	n.tells(1, "b", 8)
+	again, _ := n.status(1)
+	must.Eq(t, status, again, must.Sprint("an answer that comes late changes nothing"))
+}
+
+func TestStatusOfAFleetWithoutCoresIsEmptyAtOnce(t *testing.T) {
+	n := newNode(t)
+	n.call(1, ReadStatus{})
+	status, answered := n.status(1)
+	must.True(t, answered)
+	must.SliceEmpty(t, status.Cores)
+}
+
+func TestNobodyIsAnsweredWhoseCallIsOver(t *testing.T) {
+	n := newNode(t)
+	n.hears("a")
+	n.call(1, ReadStatus{})
+	n.step(kernel.Abandoned{Plugin: "operate", ID: 1})
+	n.tells(1, "a", 7)
+	n.pass(StatusWithin)
+	_, answered := n.status(1)
+	must.False(t, answered)
+}
--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -94,7 +94,7 @@
 		t.Counts.Add("snapshot_bytes_sent", int64(size))
 		t.Note(0, "snapshot_sent", "part", g.part, "to", r.From, "had_term", r.Held.Term, "had_seq", r.Held.Seq,
 			"term", g.committed.Stamp.Term, "seq", g.committed.Stamp.Seq, "bytes", size)
-		g.s.sendReplica(t, voter, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: g.committed})
+		g.sendVersion(t, voter, g.committed)
 	}
 }
 
--- a/replica/host.go
+++ b/replica/host.go
@@ -74,6 +74,7 @@
 	return []uint8{
 		wire.KindVote, wire.KindVoteReply, wire.KindAccept, wire.KindAcceptReply, wire.KindBeat, wire.KindBeatReply,
 		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold, wire.KindRebuild, wire.KindLeave,
+		wire.KindStatusRequest,
 	}
 }
 
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -56,10 +56,21 @@
 	g.sendProposal(t, base)
 }
 
+// acceptFor is the message that brings a version to a replica, in this leader's term.
+func (g *Group) acceptFor(v wire.Stamped) wire.Accept {
+	return wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v}
+}
+
+// sendVersion brings a version, whole, to a replica.
+func (g *Group) sendVersion(t *kernel.Turn, to wire.Seat, v wire.Stamped) {
+	a := g.acceptFor(v)
+	g.s.sendReplica(t, to, wire.KindAccept, &a)
+}
+
 // sendProposal sends the version under way to those who have not synced it yet.
 func (g *Group) sendProposal(t *kernel.Turn, base wire.Stamp) {
 	g.sentAt = t.Now
-	a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.proposal}
+	a := g.acceptFor(*g.proposal)
 	for _, s := range allVoters(*g.proposal) {
 		if g.acks[s.ID] {
 			continue
--- a/replica/leaving.go
+++ b/replica/leaving.go
@@ -52,7 +52,9 @@
 		return
 	}
 	if !contains(allVoters(g.newestVersion()), m.From) {
-		t.Send(ch, wire.KindAccept, 0, &wire.Accept{To: m.From, Part: g.part, Term: g.term, From: g.self(), Stamped: g.committed})
+		a := g.acceptFor(g.committed)
+		a.To = m.From
+		t.Send(ch, wire.KindAccept, 0, &a)
 		return
 	}
 	g.leavingAt[m.From] = t.Now
--- a/replica/member_change.go
+++ b/replica/member_change.go
@@ -157,7 +157,7 @@
 	g.change.sentAt = t.Now
 	for _, learner := range g.change.learners {
 		if g.change.synced[learner.ID] != v.Stamp {
-			g.s.sendReplica(t, learner, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v})
+			g.sendVersion(t, learner, v)
 		}
 	}
 }
@@ -211,7 +211,7 @@
 	t.Note(0, "membership_change_ended", "part", g.part, "term", now.Stamp.Term, "seq", now.Stamp.Seq, "voters", replicaIDs(now.Seats))
 	for _, voter := range allVoters(before) {
 		if !contains(now.Seats, voter.ID) {
-			g.s.sendReplica(t, voter, wire.KindAccept, &wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: now})
+			g.sendVersion(t, voter, now)
 		}
 	}
 }
--- a/replica/route.go
+++ b/replica/route.go
@@ -125,6 +125,8 @@
 		decode(t, v, func(m wire.Rebuild) { g(m.Part, func(g *Group) { g.rebuild(t, v.Chan, v.ID, m) }) })
 	case wire.KindLeave:
 		decode(t, v, func(m wire.Leave) { to(m.To, m.Part, func(g *Group) { g.handleLeave(t, v.Chan, m) }) })
+	case wire.KindStatusRequest:
+		s.sendStatus(t, v)
 	case wire.KindHold:
 		decode(t, v, func(m wire.Hold) { g(m.Part, func(g *Group) { g.renewLease(t, v.Chan, v.ID, m) }) })
 	}
--- /dev/null
+++ b/replica/status.go
@@ -0,0 +1,75 @@
+// What an operator is shown of the replicas: their contact with a majority, their
+// versions, and the change of members that is under way.
+package replica
+
+import (
+	"wallport/kernel"
+	"wallport/wire"
+)
+
+// States of a replica, as operators are shown them.
+const (
+	stateLeader    = "leader"
+	stateNewLeader = "new_leader"
+	stateCandidate = "candidate"
+	stateFollower  = "follower"
+	stateStandby   = "standby"
+	stateDamaged   = "damaged"
+)
+
+// changeSettling stands for a change of members that waits for its last version.
+const changeSettling = "settling"
+
+// Status is the state of this process's replicas.
+func (s *Host) Status(now int64) *wire.StatusReply {
+	reply := &wire.StatusReply{Addr: s.k.Boot.Env.Mesh}
+	for _, g := range s.groups {
+		reply.Replicas = append(reply.Replicas, g.status(now))
+	}
+	return reply
+}
+
+// sendStatus answers a question for it.
+func (s *Host) sendStatus(t *kernel.Turn, v kernel.Message) {
+	t.Send(v.Chan, wire.KindStatusReply, v.ID, s.Status(t.Now))
+}
+
+func (g *Group) status(now int64) wire.ReplicaStatus {
+	status := wire.ReplicaStatus{
+		Part: g.part, State: g.stateName(), Term: max(g.term, g.votedTerm), Leader: g.s.Leader(g.part, now),
+		Contact: g.inContact(now, g.committed.Stamp), Committed: g.committed.Stamp, Held: g.accepted.Stamp,
+		Voters: len(allVoters(g.accepted)), Leaving: g.s.stopping && g.isVoter(),
+	}
+	if g.role == leader {
+		status.Change = g.changeUnderWay()
+	}
+	return status
+}
+
+func (g *Group) stateName() string {
+	switch {
+	case g.s.diskDamaged:
+		return stateDamaged
+	case !g.isVoter():
+		return stateStandby
+	case g.role == leader && g.ready:
+		return stateLeader
+	case g.role == leader:
+		return stateNewLeader
+	case g.role == follower:
+		return stateFollower
+	}
+	return stateCandidate
+}
+
+// changeUnderWay is the reason of the change of members whose learners are catching up, or that a
+// change is proposed or committed and waits to be settled; empty where there is none.
+func (g *Group) changeUnderWay() string {
+	switch {
+	case g.change != nil:
+		return string(g.change.reason)
+	case isJoint(g.newestVersion()):
+		return changeSettling
+	}
+	return ""
+}
--- /dev/null
+++ b/replica/status_test.go
@@ -0,0 +1,63 @@
+// What an operator is shown of a replica.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/diskfile"
+	"wallport/wire"
+)
+
+// shown is the state of partition 0 as the core tells it.
+func (c *core) shown(t *testing.T) wire.ReplicaStatus {
+	t.Helper()
+	reply := sent[wire.StatusReply](t, c.send(wire.KindStatusRequest, &wire.StatusRequest{}), wire.KindStatusReply)[0]
+	must.Eq(t, "10.0.0.1:1", reply.Addr)
+	must.Len(t, Parts, reply.Replicas)
+	return reply.Replicas[0]
+}
+
+func TestStatusFollowsALeadersContact(t *testing.T) {
+	c := newCore(t, nil)
+	must.Eq(t, stateFollower, c.shown(t).State)
+	must.False(t, c.shown(t).Contact)
+	g := owns(t, c)
+	c.now += HeartbeatInterval
+	c.tick()
+	c.answers(g, 0)
+	s := c.shown(t)
+	must.Eq(t, stateLeader, s.State)
+	must.True(t, s.Contact)
+	must.Eq(t, g.term, s.Term)
+	must.Eq(t, g.committed.Stamp, s.Committed)
+	must.Eq(t, 3, s.Voters)
+	c.now += ContactFor + 1
+	must.False(t, c.shown(t).Contact)
+	must.Eq(t, stateLeader, c.shown(t).State, must.Sprint("it did not tick yet"))
+	c.tick()
+	must.Eq(t, stateFollower, c.shown(t).State)
+}
+
+func TestStatusTellsOfAChangeUnderWay(t *testing.T) {
+	c := newCore(t, nil)
+	g := owns(t, c)
+	must.Eq(t, "", c.shown(t).Change)
+	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"})
+	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
+	must.Eq(t, string(reasonLeaving), c.shown(t).Change)
+	c.learns(t, g, "d")
+	must.Eq(t, changeSettling, c.shown(t).Change, must.Sprint("the joint version is under way"))
+	must.Eq(t, 3, c.shown(t).Voters, must.Sprint("of the version on its disk, which the joint one is not yet"))
+}
+
+func TestStatusOfAStandbyAndOfADamagedDisk(t *testing.T) {
+	v := version(7, 3)
+	v.Seats = seats("a", "b", "c")
+	standby := newCore(t, map[string][]byte{versionFile(v.Stamp): diskfile.Pack(wire.Encode(&v))})
+	must.Eq(t, stateStandby, standby.shown(t).State)
+	must.Eq(t, v.Stamp, standby.shown(t).Held)
+	damaged := newCore(t, map[string][]byte{voteFile(0): []byte("torn")})
+	must.Eq(t, stateDamaged, damaged.shown(t).State)
+}
--- a/replica/synced.go
+++ b/replica/synced.go
@@ -71,8 +71,7 @@
 	delete(g.synced, r.From)
 	for _, voter := range allVoters(*g.proposal) {
 		if voter.ID == r.From {
-			a := wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: *g.proposal}
-			g.s.sendReplica(t, voter, wire.KindAccept, &a)
+			g.sendVersion(t, voter, *g.proposal)
 		}
 	}
 }
--- /dev/null
+++ b/serve/status.go
@@ -0,0 +1,62 @@
+// The operators' view of the replicas of the control state.
+package serve
+
+import (
+	"context"
+
+	"wallport/gen/operator"
+	"wallport/operate"
+	"wallport/sheet"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// Replicas asks every known core for the state of its replicas.
+func (a operatorAPI) Replicas(ctx context.Context, p *operator.ReplicasPayload) ([]*operator.ReplicaStatus, error) {
+	if err := a.allowed(p.Token); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	v, err := a.f.p.Call(ctx, "operate", operate.ReadStatus{})
+	status, known := v.(operate.Status)
+	if err != nil || !known {
+		return nil, fail("shed", "the cores were not asked in time")
+	}
+	return replicaRows(status), nil
+}
+
+// replicaRows orders what the cores told by partition.
+func replicaRows(status operate.Status) []*operator.ReplicaStatus {
+	newest := status.Newest()
+	rows := []*operator.ReplicaStatus{}
+	for part := range state.Parts {
+		for _, core := range status.Cores {
+			if row := replicaRow(core, part, newest[part]); row != nil {
+				rows = append(rows, row)
+			}
+		}
+	}
+	return rows
+}
+
+// replicaRow is a core's row for a partition; nil where it answered and has none.
+func replicaRow(core operate.CoreStatus, part int, newest wire.Stamp) *operator.ReplicaStatus {
+	row := &operator.ReplicaStatus{Core: core.Name, Zone: core.Zone, Part: part, State: operate.StateSilent}
+	if !core.Answered {
+		return row
+	}
+	for _, r := range core.Replicas {
+		if r.Part != part {
+			continue
+		}
+		row.State, row.Contact, row.Term, row.Leader = r.State, r.Contact, r.Term, r.Leader
+		row.Version, row.Held = sheet.StampText(r.Committed), sheet.StampText(r.Held)
+		row.Voters, row.Change, row.Leaving = r.Voters, r.Change, r.Leaving
+		if newest.Seq > r.Committed.Seq {
+			row.Behind = newest.Seq - r.Committed.Seq
+		}
+		return row
+	}
+	return nil
+}
--- a/smoke/scopes_test.go
+++ b/smoke/scopes_test.go
@@ -26,6 +26,7 @@
 		{"POST", "/v1/sheet/check", `{"rows":[]}`, [4]int{200, 200, 200, 200}},
 		{"GET", "/v1/sheet/history", "", [4]int{200, 200, 200, 200}},
 		{"GET", "/v1/members", "", [4]int{200, 200, 200, 200}},
+		{"GET", "/v1/replicas", "", [4]int{200, 200, 200, 200}},
 		{"GET", "/v1/servers", "", [4]int{200, 200, 200, 200}},
 		{"GET", "/v1/explain/node-0-ffffff", "", [4]int{404, 404, 404, 404}},
 		{"PATCH", "/v1/sheet", rows, [4]int{403, 200, 403, 200}},
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -16,6 +16,7 @@
 //go:generate go tool msgp -tests=false -file bodies.go -o bodies_gen.go
 //go:generate go tool msgp -tests=false -file pieces.go -o pieces_gen.go
 //go:generate go tool msgp -tests=false -file ledger.go -o ledger_gen.go
+//go:generate go tool msgp -tests=false -file status.go -o status_gen.go
 
 // MaxFrame bounds a frame in bytes.
 const MaxFrame = 1 << 20
--- a/wire/messages.go
+++ b/wire/messages.go
@@ -34,6 +34,8 @@
 	KindLeave
 	KindPiece
 	KindPieceAck
+	KindStatusRequest
+	KindStatusReply
 )
 
 // Hello opens a mesh channel.
