Cuts on real processes: relays, a source address for the mesh, reads and zones in histories

Ruled out: firewall rules and namespaces (nothing on the machine is to be changed). Planted faults in reads and zones are found (lab/check).

--- a/env/env.go
+++ b/env/env.go
@@ -17,7 +17,8 @@
 	File          string   `long:"env-file" description:"file of key=value lines, the keys being these flags' names"`
 	Name          string   `long:"name" description:"name in logs and tables; made from the mesh address when absent"`
 	Zone          string   `long:"zone" description:"zone of this machine"`
-	Mesh          string   `long:"mesh" description:"IP:port of the mesh"`
+	Mesh          string   `long:"mesh" description:"IP:port of the mesh, as other processes reach it"`
+	MeshListen    string   `long:"mesh-listen" description:"IP:port to listen on for the mesh, where it is not the one that others reach; connections to others leave from its IP"`
 	Caller        string   `long:"caller" description:"IP:port of the caller API (node only)"`
 	Operator      string   `long:"operator" description:"IP:port of the operator API, conditions and metrics"`
 	Seeds         []string `long:"seed" description:"mesh IP:port of another process; three at most"`
@@ -54,6 +55,24 @@
 	Ramp          Ramp    `no-flag:"true"`
 }
 
+// ListenAddress is where the mesh listens.
+func (e Env) ListenAddress() string {
+	if e.MeshListen != "" {
+		return e.MeshListen
+	}
+	return e.Mesh
+}
+
+// SourceIP is the IP from which connections to other processes leave; not valid where the system
+// is to choose it.
+func (e Env) SourceIP() netip.Addr {
+	listen, err := netip.ParseAddrPort(e.MeshListen)
+	if err != nil || listen.Addr().IsUnspecified() {
+		return netip.Addr{}
+	}
+	return listen.Addr()
+}
+
 // Finding is one fault with its place.
 type Finding struct{ Place, Text string }
 
@@ -84,7 +103,7 @@
 
 func (e *Env) fields() map[string]*string {
 	return map[string]*string{
-		"name": &e.Name, "zone": &e.Zone, "mesh": &e.Mesh, "caller": &e.Caller, "operator": &e.Operator,
+		"name": &e.Name, "zone": &e.Zone, "mesh": &e.Mesh, "mesh-listen": &e.MeshListen, "caller": &e.Caller, "operator": &e.Operator,
 		"data": &e.Data, "platform": &e.Platform, "operator-token": &e.Token, "operator-tokens": &e.Tokens, "fleet-secret": &e.Fleet, "fleet-secret-too": &e.FleetToo,
 	}
 }
@@ -151,6 +170,11 @@
 			out = append(out, Finding{k, "not an IP:port: " + v})
 		}
 	}
+	if e.MeshListen != "" {
+		if _, err := netip.ParseAddrPort(e.MeshListen); err != nil {
+			out = append(out, Finding{"mesh-listen", "not an IP:port: " + e.MeshListen})
+		}
+	}
 	if e.Zone == "" {
 		out = append(out, Finding{"zone", "is needed"})
 	}
--- a/env/env_test.go
+++ b/env/env_test.go
@@ -41,3 +41,19 @@
 	_, found = load(t, "node", "", Env{File: "gone", LogLevel: "loud"})
 	must.Positive(t, len(found))
 }
+
+func TestTheMeshMayListenElsewhere(t *testing.T) {
+	e, found := load(t, "node", good, Env{})
+	must.SliceEmpty(t, found)
+	must.Eq(t, "10.0.0.1:4001", e.ListenAddress())
+	must.False(t, e.SourceIP().IsValid(), must.Sprint("the system chooses"))
+	e, found = load(t, "node", good+"mesh-listen=192.168.7.1:4002\n", Env{})
+	must.SliceEmpty(t, found)
+	must.Eq(t, "192.168.7.1:4002", e.ListenAddress())
+	must.Eq(t, "192.168.7.1", e.SourceIP().String())
+	e, _ = load(t, "node", good+"mesh-listen=0.0.0.0:4001\n", Env{})
+	must.Eq(t, "0.0.0.0:4001", e.ListenAddress())
+	must.False(t, e.SourceIP().IsValid())
+	_, found = load(t, "node", good+"mesh-listen=here\n", Env{})
+	must.Eq(t, Findings{{"mesh-listen", "not an IP:port: here"}}, found)
+}
--- a/lab/check/check.go
+++ b/lab/check/check.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"sort"
+
+	"wallport/lab/history"
 )
 
 // Points name what must never happen, in the order of the brief.
@@ -56,11 +58,13 @@
 	// Timely is since when a majority of the disk machines also agrees on the time.
 	Timely int64
 
-	ran      map[string]int
-	refused  map[string]int64
-	left     map[string]int64
-	emptied  map[string]int64
-	sheets   sheets
+	ran     map[string]int
+	refused map[string]int64
+	left    map[string]int64
+	emptied map[string]int64
+	sheets  sheets
+	// others are the operations of histories that are not edits of the sheet.
+	others   []history.Operation
 	firsts   map[string]map[int64]int64
 	extras   map[string]map[int64]int64
 	cold     map[string]*coldCount
--- a/lab/check/histories.go
+++ b/lab/check/histories.go
@@ -21,7 +21,7 @@
 	}
 	h := &history.History{}
 	if s.first.Term > 0 {
-		h.Add(history.Operation{Register: "sheet", Kind: history.Change, ID: "the first sheet", Version: versionText(s.first), End: 1, Outcome: history.Accepted})
+		h.Add(history.Operation{Register: "sheet", Kind: history.Change, ID: firstSheet, Version: versionText(s.first), End: 1, Outcome: history.Accepted})
 	}
 	for i, mark := range s.order {
 		t := s.tries[mark]
@@ -34,13 +34,63 @@
 			at = seenAt[mark]
 		}
 		h.Add(history.Operation{
-			Register: "sheet", Client: i, Kind: history.Change, ID: fmt.Sprint("edit ", mark), Version: versionText(at), Base: versionText(t.Base),
+			Register: "sheet", Client: i, Kind: history.Change, ID: editName(mark), Version: versionText(at), Base: versionText(t.Base),
 			Invalid: t.Invalid, Begin: t.Began, End: t.Ended, Outcome: outcome,
 		})
 	}
+	for _, op := range j.others {
+		h.Add(op)
+	}
 	return h
 }
 
+// SheetRead notes a read of the newest sheet that a majority confirmed: the mark of the sheet and
+// the version that brought it.
+func (j *Judge) SheetRead(client int, at wire.Stamp, mark, began, ended int64) {
+	s := &j.sheets
+	value := firstSheet
+	if s.tries[mark] != nil {
+		value = editName(mark)
+	}
+	if other, known := s.marks[at]; known && other != mark {
+		j.Fail(SheetLoser, ended, "a read found %d at %v where others have %d", mark, at, other)
+	}
+	s.marks[at] = mark
+	j.others = append(j.others, history.Operation{
+		Register: "sheet", Client: client, Kind: history.Read, Begin: began, End: ended, Outcome: history.Accepted, Value: value,
+	})
+}
+
+// ZoneSet notes an order that drains or restores a zone, with the code of its answer.
+func (j *Judge) ZoneSet(client int, zone string, drained bool, code string, began, ended int64) {
+	outcome, possible := outcomeOf(code)
+	if !possible {
+		return
+	}
+	j.others = append(j.others, history.Operation{
+		Register: history.Zone(zone), Client: client, Kind: history.Set, ID: zoneState(drained), Begin: began, End: ended, Outcome: outcome,
+	})
+}
+
+// ZoneRead notes what a zone was found to be, by one that held all that was acknowledged before the read.
+func (j *Judge) ZoneRead(client int, zone string, drained bool, began, ended int64) {
+	j.others = append(j.others, history.Operation{
+		Register: history.Zone(zone), Client: client, Kind: history.Read, Begin: began, End: ended, Outcome: history.Accepted, Value: zoneState(drained),
+	})
+}
+
+func zoneState(drained bool) string {
+	if drained {
+		return history.Drained
+	}
+	return history.Restored
+}
+
+// firstSheet names the sheet that was in force before the first edit.
+const firstSheet = "the first sheet"
+
+func editName(mark int64) string { return fmt.Sprint("edit ", mark) }
+
 // BeganWith tells the version of the sheet that was in force before the first try; later words change nothing.
 func (j *Judge) BeganWith(at wire.Stamp) {
 	if j.sheets.first.Term == 0 {
--- a/lab/check/histories_test.go
+++ b/lab/check/histories_test.go
@@ -52,3 +52,40 @@
 		})
 	}
 }
+
+func TestReadsAndZonesInOrderPass(t *testing.T) {
+	j := edits(Try{Mark: 1, Stamp: at(2), Began: 1, Ended: 4, Code: "ok"}, Try{Mark: 2, Base: at(2), Began: 5, Ended: 6, Code: "unknown"})
+	j.SheetRead(9, at(2), 1, 3, 5)
+	j.SheetRead(9, at(5), 2, 7, 8)
+	j.ZoneSet(1, "z1", true, "ok", 1, 3)
+	j.ZoneSet(2, "z1", false, "unknown", 2, 5)
+	j.ZoneSet(3, "z1", false, "shed", 2, 5)
+	j.ZoneRead(4, "z1", true, 4, 5)
+	j.ZoneRead(4, "z1", false, 6, 7)
+	j.linearizable()
+	must.SliceEmpty(t, j.Violations)
+}
+
+func TestReadsAndZonesWithAPlantedFaultAreFound(t *testing.T) {
+	for name, plant := range map[string]func(j *Judge){
+		"an old sheet is read":     func(j *Judge) { j.SheetRead(9, at(2), 1, 7, 8) },
+		"a later one, then before": func(j *Judge) { j.SheetRead(9, at(5), 2, 4, 5); j.SheetRead(8, at(2), 1, 6, 7) },
+		"an acknowledged drain is gone": func(j *Judge) {
+			j.ZoneSet(1, "z1", true, "ok", 1, 3)
+			j.ZoneRead(4, "z1", false, 4, 5)
+		},
+		"an order acts after a later one was acknowledged": func(j *Judge) {
+			j.ZoneSet(1, "z1", true, "ok", 1, 2)
+			j.ZoneSet(1, "z1", false, "ok", 3, 4)
+			j.ZoneRead(4, "z1", true, 5, 6)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := edits(Try{Mark: 1, Stamp: at(2), Began: 1, Ended: 2, Code: "ok"}, Try{Mark: 2, Base: at(2), Stamp: at(5), Began: 3, Ended: 6, Code: "ok"})
+			plant(j)
+			j.linearizable()
+			must.Positive(t, len(j.Violations))
+			must.Eq(t, NotLinearizable, j.Violations[len(j.Violations)-1].Point)
+		})
+	}
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -31,6 +31,8 @@
 	// Tokens is a file of tokens with scopes for the nodes.
 	Tokens string
 	Secret string
+	// Relays puts a relay before each daemon's mesh address, so that daemons can be cut off.
+	Relays bool
 }
 
 // Proc is one process of the fleet.
@@ -61,23 +63,31 @@
 	left      map[string]int64
 	gone      map[string]bool
 	operators *operators
+	network   *network
+	// zonesOrdered are the zones that a scenario's operators drain and restore.
+	zonesOrdered []string
+	// started is how many daemons were given an own address.
+	started int
 }
 
 // New makes an empty fleet.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, left: map[string]int64{}, gone: map[string]bool{},
+		o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, left: map[string]int64{}, gone: map[string]bool{}, network: newNetwork(),
 		client: &http.Client{Timeout: 12 * time.Second},
 	}
 	f.operators = newOperators(f)
 	return f
 }
 
-// ports takes free loopback addresses, all held until all are known.
-func ports(n int) ([]string, error) {
+// commonIP is the loopback address of whatever has no address of its own.
+const commonIP = "127.0.0.1"
+
+// ports takes free ports of a loopback address, all held until all are known.
+func ports(ip string, n int) ([]string, error) {
 	var out []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, err
 		}
@@ -112,7 +122,7 @@
 // Up starts everything and returns once every node is ready for callers.
 func (f *Fleet) Up(ctx context.Context) error {
 	s := f.o.Shape
-	addrs, err := ports(1 + 2*s.Cores + 3*s.Nodes + s.PerShard*s.Shards)
+	addrs, err := ports(commonIP, 1+2*s.Cores+3*s.Nodes+s.PerShard*s.Shards)
 	if err != nil {
 		return err
 	}
@@ -157,6 +167,16 @@
 		bin = f.o.Before
 	}
 	args := []string{filepath.Join(bin, "wallport"), role, "--name", name, "--zone", zone, "--mesh", mesh, "--operator", oper}
+	if f.o.Relays {
+		listens, err := f.ownAddress()
+		if err != nil {
+			return err
+		}
+		if err := f.network.relay(name, mesh, listens); err != nil {
+			return err
+		}
+		args = append(args, "--mesh-listen", listens)
+	}
 	for _, s := range f.seeds {
 		args = append(args, "--seed", s)
 	}
@@ -176,12 +196,25 @@
 	return f.Start(p)
 }
 
+// ownAddress is a free port of a loopback address that no other daemon has.
+func (f *Fleet) ownAddress() (string, error) {
+	f.mu.Lock()
+	f.started++
+	ip := fmt.Sprintf("127.1.%d.%d", f.started/250, 1+f.started%250)
+	f.mu.Unlock()
+	free, err := ports(ip, 1)
+	if err != nil {
+		return "", err
+	}
+	return free[0], nil
+}
+
 // Backends starts n servers of a cut.
 func (f *Fleet) Backends(cut string, shards, n int, addrs []string) error {
 	s := f.o.Shape
 	if len(addrs) < n {
 		var err error
-		if addrs, err = ports(n); err != nil {
+		if addrs, err = ports(commonIP, n); err != nil {
 			return err
 		}
 	}
--- a/lab/fleet/operators.go
+++ b/lab/fleet/operators.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// mark is the ramp by which a sheet is known; 0 where there is none.
+func (s sheetNow) mark() (mark int64) {
+	if len(s.Sheet.Services) > 0 {
+		fmt.Sscan(fmt.Sprint(s.Sheet.Services[0]["ramp_us"]), &mark)
+	}
+	return mark
+}
+
 // read is the sheet in force at a node, as an operator reads it.
 func (o *operators) read(node string) (s sheetNow, err error) {
 	req, err := http.NewRequest(http.MethodGet, "http://"+o.f.Opers[node]+"/v1/sheet", nil)
@@ -134,11 +142,7 @@
 	if resp.StatusCode == http.StatusOK {
 		return "ok", stamp
 	}
-	code := map[string]string{"lost_race": "lost_race", "malformed": "invalid", "outcome_unknown": "unknown", "shed": "shed"}[got.Name]
-	if code == "" {
-		code = "open"
-	}
-	return code, stamp
+	return codeOf(got.Name), stamp
 }
 
 func (o *operators) tell(f func(j *check.Judge)) {
@@ -175,9 +179,7 @@
 		o.up[node] = o.now()
 	}
 	stamp, _ := sheet.ParseStamp(0, s.Stamp)
-	var mark int64
-	fmt.Sscan(fmt.Sprint(s.Sheet.Services[0]["ramp_us"]), &mark)
-	j.InForce(node, stamp, mark, asked, o.up[node])
+	j.InForce(node, stamp, s.mark(), asked, o.up[node])
 }
 
 // served tells the judge of recovery what callers got, second by second from a moment on.
--- /dev/null
+++ b/lab/fleet/registers.go
@@ -0,0 +1,139 @@
+// Operators' reads and orders about zones on a real fleet, for the history that is judged
+// with the edits of the sheet.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wallport/lab/check"
+	"wallport/sheet"
+)
+
+// Operators other than those that edit the sheet, as clients of the history.
+const (
+	readingClient = 1_000_000
+	zoneClient    = 2_000_000
+)
+
+// readInterval is the time between two confirmed reads.
+const readInterval = 500 * time.Millisecond
+
+// call sends one request of an operator and reads a JSON answer; the code is as check's judges know it.
+func (o *operators) call(method, node, path string, into any) string {
+	ctx, cancel := context.WithTimeout(context.Background(), o.f.client.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.f.Opers[node]+path, nil)
+	if err != nil {
+		return "open"
+	}
+	req.Header.Set("Authorization", "Bearer "+o.f.o.Token)
+	resp, err := o.f.client.Do(req)
+	if err != nil {
+		return "open"
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusOK {
+		if json.NewDecoder(resp.Body).Decode(into) != nil {
+			return "open"
+		}
+		return "ok"
+	}
+	var refused struct{ Name string }
+	json.NewDecoder(resp.Body).Decode(&refused)
+	return codeOf(refused.Name)
+}
+
+// codeOf is how the judges name an answer that is not a 200; "open" where it tells nothing.
+func codeOf(name string) string {
+	code, known := map[string]string{"lost_race": "lost_race", "malformed": "invalid", "outcome_unknown": "unknown", "shed": "shed"}[name]
+	if !known {
+		return "open"
+	}
+	return code
+}
+
+// reads asks one node after another for the newest sheet, confirmed by a majority, until the context ends.
+func (o *operators) reads(ctx context.Context) {
+	o.wait.Go(func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			o.readNewest(fmt.Sprintf("node-%d", i%o.f.o.Shape.Nodes))
+			time.Sleep(readInterval)
+		}
+	})
+}
+
+// readNewest reads the history of the sheet, whose last entry is the newest.
+func (o *operators) readNewest(node string) {
+	var past []sheetNow
+	began := o.now()
+	code := o.call(http.MethodGet, node, "/v1/sheet/history", &past)
+	ended := o.now()
+	o.tell(func(j *check.Judge) { j.Count("reads."+code, 1) })
+	if code != "ok" || len(past) == 0 {
+		return
+	}
+	newest := past[len(past)-1]
+	stamp, _ := sheet.ParseStamp(0, newest.Stamp)
+	o.tell(func(j *check.Judge) { j.SheetRead(readingClient, stamp, newest.mark(), began, ended) })
+}
+
+// zones has operators drain and restore a zone by turns, two at a time through different nodes.
+func (o *operators) zones(ctx context.Context, zone string, n int, gap time.Duration) {
+	o.wait.Go(func() {
+		for i := range n {
+			if ctx.Err() != nil {
+				return
+			}
+			o.wait.Go(func() { o.setZone(zoneClient+i, fmt.Sprintf("node-%d", i%o.f.o.Shape.Nodes), zone, i%2 == 0) })
+			time.Sleep(gap)
+		}
+	})
+}
+
+func (o *operators) setZone(client int, node, zone string, drained bool) {
+	action := "refill"
+	if drained {
+		action = "empty"
+	}
+	var taken struct{ Stamp string }
+	began := o.now()
+	code := o.call(http.MethodPost, node, "/v1/zones/"+zone+"/"+action, &taken)
+	ended := o.now()
+	o.tell(func(j *check.Judge) {
+		j.ZoneSet(client, zone, drained, code, began, ended)
+		j.Count("zones."+code, 1)
+	})
+}
+
+// readZone reads what a zone is at a node that has everything in force that was acknowledged
+// before: the acknowledgement of an edit that changes nothing names the version to wait for.
+func (o *operators) readZone(ctx context.Context, zone string) error {
+	began := o.now()
+	var taken struct {
+		InForce  int `json:"in_force"`
+		Laggards []string
+	}
+	return poll(ctx, "the state of "+zone, func() error {
+		if code := o.call(http.MethodPost, "node-0", "/v1/zones/"+unusedZone+"/refill", &taken); code != "ok" || len(taken.Laggards) > 0 {
+			return fmt.Errorf("%s, not in force at %v", code, taken.Laggards)
+		}
+		var servers []struct{ Zone, Verdict string }
+		if code := o.call(http.MethodGet, "node-0", "/v1/servers", &servers); code != "ok" {
+			return fmt.Errorf("servers: %s", code)
+		}
+		drained := false
+		for _, s := range servers {
+			drained = drained || s.Zone == zone && s.Verdict == "emptied"
+		}
+		ended := o.now()
+		o.tell(func(j *check.Judge) { j.ZoneRead(readingClient, zone, drained, began, ended) })
+		return nil
+	})
+}
+
+// unusedZone has no backends; an order to restore it makes a version and changes nothing.
+const unusedZone = "no-zone"
--- /dev/null
+++ b/lab/fleet/relay_test.go
@@ -0,0 +1,101 @@
+// What a relay passes on, and when.
+package fleet
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// peer is a process behind a relay, with an address of its own.
+type peer struct {
+	name, ip, announced string
+	listener            net.Listener
+}
+
+func newPeer(t *testing.T, n *network, name, ip string) *peer {
+	t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	must.NoError(t, err)
+	announced, err := ports(commonIP, 1)
+	must.NoError(t, err)
+	must.NoError(t, n.relay(name, announced[0], l.Addr().String()))
+	t.Cleanup(func() { l.Close(); n.end() })
+	return &peer{name, ip, announced[0], l}
+}
+
+// writes connects to another peer's announced address and writes a byte.
+func (p *peer) writes(t *testing.T, to *peer, b byte) net.Conn {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(p.ip)}}
+	conn, err := d.Dial("tcp", to.announced)
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	_, err = conn.Write([]byte{b})
+	must.NoError(t, err)
+	return conn
+}
+
+// reads accepts a connection and reads a byte of it.
+func (p *peer) reads(t *testing.T) (net.Conn, byte) {
+	t.Helper()
+	conn, err := p.listener.Accept()
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn, readByte(t, conn)
+}
+
+func readByte(t *testing.T, conn net.Conn) byte {
+	t.Helper()
+	b := make([]byte, 1)
+	_, err := io.ReadFull(conn, b)
+	must.NoError(t, err)
+	return b[0]
+}
+
+func TestNewConnectionsOfAPairThatIsCutWaitForTheJoin(t *testing.T) {
+	n := newNetwork()
+	a, b, c := newPeer(t, n, "a", "127.1.9.1"), newPeer(t, n, "b", "127.1.9.2"), newPeer(t, n, "c", "127.1.9.3")
+	n.set([]string{"a"}, []string{"b"}, true)
+	a.writes(t, b, 'a')
+	c.writes(t, b, 'c')
+	_, first := b.reads(t)
+	must.Eq(t, 'c', first, must.Sprint("only the one that is not cut off arrives"))
+	n.set([]string{"b"}, []string{"a"}, false)
+	_, second := b.reads(t)
+	must.Eq(t, 'a', second)
+}
+
+func TestWhatIsSentDuringACutArrivesWithTheJoin(t *testing.T) {
+	n := newNetwork()
+	a, b, c := newPeer(t, n, "a", "127.1.9.4"), newPeer(t, n, "b", "127.1.9.5"), newPeer(t, n, "c", "127.1.9.6")
+	fromA := a.writes(t, b, '1')
+	atB, first := b.reads(t)
+	must.Eq(t, '1', first)
+	n.set([]string{"a", "b"}, []string{"a", "b"}, true)
+	_, err := fromA.Write([]byte{'2'})
+	must.NoError(t, err)
+	_, err = atB.Write([]byte{'3'})
+	must.NoError(t, err)
+	// A third one comes and goes meanwhile, both ways.
+	fromC := c.writes(t, b, 'c')
+	toC, _ := b.reads(t)
+	_, err = toC.Write([]byte{'d'})
+	must.NoError(t, err)
+	must.Eq(t, 'd', readByte(t, fromC))
+	n.set([]string{"a"}, []string{"b"}, false)
+	must.Eq(t, '2', readByte(t, atB))
+	must.Eq(t, '3', readByte(t, fromA))
+}
+
+func TestTheEndOfAConnectionIsPassedOn(t *testing.T) {
+	n := newNetwork()
+	a, b := newPeer(t, n, "a", "127.1.9.7"), newPeer(t, n, "b", "127.1.9.8")
+	fromA := a.writes(t, b, '1')
+	atB, _ := b.reads(t)
+	must.NoError(t, fromA.Close())
+	_, err := atB.Read(make([]byte, 1))
+	must.Error(t, err)
+}
--- a/lab/fleet/replace.go
+++ b/lab/fleet/replace.go
@@ -19,7 +19,7 @@
 	f.gone[old] = true
 	zone := f.procs[old].zone
 	f.mu.Unlock()
-	addrs, err := ports(2)
+	addrs, err := ports(commonIP, 2)
 	if err != nil {
 		return err
 	}
--- a/lab/fleet/run.go
+++ b/lab/fleet/run.go
@@ -23,6 +23,9 @@
 	UpWithin time.Duration
 }
 
+// zonesReadWithin is how long it may take, at the end, until every node has in force what was acknowledged.
+const zonesReadWithin = 30 * time.Second
+
 // Result is what a run came to.
 type Result struct {
 	Shape      string           `json:"shape"`
@@ -36,6 +39,7 @@
 
 // Run does it all; the fleet is ended at the end whatever came of it.
 func Run(ctx context.Context, o RunOptions) (*Result, error) {
+	o.Relays = o.Script.Uses("cut-off")
 	f := New(o.Options)
 	defer f.Down()
 	began := time.Now()
@@ -54,6 +58,7 @@
 		from := f.operators.now()
 		watched, enough := context.WithCancel(ctx)
 		f.operators.watch(watched)
+		f.operators.reads(watched)
 		go func() { played <- f.Play(ctx, o.Script) }()
 		r.Callers = caller.New(caller.Config{
 			Platform: f.Platform, Index: o.Shape.Index, Rate: o.Rate, Seconds: o.Seconds, Repeat: o.Repeat, Seed: o.Seed,
@@ -65,6 +70,9 @@
 		if err := <-played; err != nil {
 			return nil, err
 		}
+		if err := f.readZones(ctx); err != nil {
+			return nil, err
+		}
 	}
 	f.judge(r)
 	r.Counts["inquiries_read"] = f.Metric("inquiries_read") + f.stoppedRead() - before
@@ -74,6 +82,18 @@
 	return r, nil
 }
 
+// readZones reads at the end what the zones are about which orders were given.
+func (f *Fleet) readZones(ctx context.Context) error {
+	within, cancel := context.WithTimeout(ctx, zonesReadWithin)
+	defer cancel()
+	for _, zone := range f.zonesOrdered {
+		if err := f.operators.readZone(within, zone); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) announce() {
 	fmt.Fprintf(f.o.Log, "platform=%s logs=%s\n", f.Platform, f.o.Dir)
 	for _, n := range f.Nodes {
--- a/lab/fleet/signals.go
+++ b/lab/fleet/signals.go
@@ -35,6 +35,7 @@
 
 // Down ends every process.
 func (f *Fleet) Down() {
+	f.network.end()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.procs {
--- a/lab/fleet/verbs.go
+++ b/lab/fleet/verbs.go
@@ -71,6 +71,12 @@
 	case "fault":
 		us, _ := strconv.ParseInt(arg(2), 10, 64)
 		return f.post("http://"+f.addr(arg(0))+"/lab/fault", backend.Fault{Mode: arg(1), Us: us})
+	case "cut-off", "join":
+		if len(st.Args) < 2 {
+			return fmt.Errorf("%s takes a name and the names that it is cut off from", st.Verb)
+		}
+		f.network.set(f.match(st.Args[:1]), f.match(st.Args[1:]), st.Verb == "cut-off")
+		return nil
 	case "leave":
 		f.mark(st.Args, "leaving")
 		return f.tellPlatform(ctx)
@@ -89,6 +95,12 @@
 		gap, _ := time.ParseDuration(arg(1))
 		f.operators.edits(ctx, n, gap, st.Verb == "race")
 		return nil
+	case "zone-orders":
+		n, _ := strconv.Atoi(arg(1))
+		gap, _ := time.ParseDuration(arg(2))
+		f.zonesOrdered = append(f.zonesOrdered, arg(0))
+		f.operators.zones(ctx, arg(0), n, gap)
+		return nil
 	case "seeds":
 		// From now on processes that start are given other seeds.
 		f.mu.Lock()
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -38,6 +38,11 @@
 	Expects []Expect
 }
 
+// Uses tells whether a step has a verb; a script that is absent has none.
+func (s *Script) Uses(verb string) bool {
+	return s != nil && slices.ContainsFunc(s.Steps, func(step Step) bool { return step.Verb == verb })
+}
+
 // Load reads a file; every fault is reported with its line.
 func Load(path string) (*Script, error) {
 	b, err := os.ReadFile(path)
--- a/process/channels.go
+++ b/process/channels.go
@@ -63,7 +63,7 @@
 	}
 	n := p.Kernel.Counts
 	c.in, c.bytesIn, c.out, c.bytesOut = n.Of("frames_in"), n.Of("frame_bytes_in"), n.Of("frames_out"), n.Of("frame_bytes_out")
-	addr := p.Kernel.Boot.Env.Mesh
+	addr := p.Kernel.Boot.Env.ListenAddress()
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, oops.In("mesh").With("address", addr).Wrapf(err, "cannot listen")
--- a/process/dial.go
+++ b/process/dial.go
@@ -11,8 +11,7 @@
 )
 
 func (c *channels) dial(addr string, mesh bool) (*channel, error) {
-	d := net.Dialer{Timeout: dialWithin}
-	conn, err := d.Dial("tcp", addr)
+	conn, err := c.dialer().Dial("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -20,6 +19,15 @@
 	return c.greet(tls.Client(conn, c.conf), addr, mesh)
 }
 
+// dialer opens connections that leave from the address that the mesh listens on, if that is set.
+func (c *channels) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: dialWithin}
+	if ip := c.p.Kernel.Boot.Env.SourceIP(); ip.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: ip.AsSlice()}
+	}
+	return d
+}
+
 func (c *channels) dialMesh(addr string) {
 	go func() {
 		if _, err := c.dial(addr, true); err != nil {
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -57,6 +58,43 @@
 	until(t, "both have one peer", func() bool { return a.peers() == 1 && b.peers() == 1 })
 }
 
+func TestProcessesMeetWhereTheMeshListensElsewhere(t *testing.T) {
+	behind := free(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	announced := listener.Addr().String()
+	a := start(t, env.Env{Mesh: announced, MeshListen: behind, Fleet: "s"})
+	callers := make(chan string, 8)
+	go forwardTo(listener, behind, callers)
+	t.Cleanup(func() { listener.Close() })
+	b := start(t, env.Env{Mesh: free(t), MeshListen: "127.0.0.2:0", Fleet: "s", Seeds: []string{announced}})
+	until(t, "both have one peer", func() bool { return a.peers() == 1 && b.peers() == 1 })
+	host, _, err := net.SplitHostPort(<-callers)
+	must.NoError(t, err)
+	must.Eq(t, "127.0.0.2", host, must.Sprint("connections leave from the address that the mesh listens on"))
+}
+
+// forwardTo passes connections on to an address and tells from where they came.
+func forwardTo(l net.Listener, to string, callers chan<- string) {
+	for {
+		from, err := l.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case callers <- from.RemoteAddr().String():
+		default:
+		}
+		behind, err := net.Dial("tcp", to)
+		if err != nil {
+			from.Close()
+			continue
+		}
+		go func() { io.Copy(behind, from); behind.Close() }()
+		go func() { io.Copy(from, behind); from.Close() }()
+	}
+}
+
 func TestAnotherFleetsSecretIsKeptOut(t *testing.T) {
 	a := start(t, env.Env{Mesh: free(t), Fleet: "s"})
 	b := start(t, env.Env{Mesh: free(t), Fleet: "other", Seeds: []string{a.Kernel.Boot.Env.Mesh}})
