Gateway: TestEarlyAsk no longer asks which of two asks a loaded machine takes up first

Cause: the test was wrong. It wanted the first ask to enter the backend's handler before the early one, 20 ms later by the wall clock; each has a connection and a goroutine of its own, and in a race run beside other load they were taken up the other way round (1 failure in that whole run). Ruled out: an answer of the wrong ask (the body is still compared) and an early ask before its time (the chart asks it on Due alone). Now: both must be at work before either is answered, in any order; what the client gets and that the first one runs out are checked as before.

--- a/gateway/run_test.go
+++ b/gateway/run_test.go
@@ -77,8 +77,9 @@
 		}
 		c := w.dial()
 		c.send(get("a"))
-		must.Eq(t, "/first", <-h.enter)
-		must.Eq(t, "/second", <-h.enter)
+		// Both are at work before either is answered. Which one the backend's own goroutines take
+		// up first is up to the machine: each comes on a connection of its own.
+		must.SliceContainsAll(t, []string{"/first", "/second"}, []string{<-h.enter, <-h.enter})
 		h.leave["/second"] <- true
 		resp, body := c.answer("GET")
 		must.Eq(t, 200, resp.StatusCode)
