--- a/configsync/contact.go
+++ b/configsync/contact.go
@@ -41,16 +41,16 @@
 	next int
 }
 
-func partBit(part int) uint32 { return 1 << uint(part) }
+func partitionBit(partition int) uint32 { return 1 << uint(partition) }
 
-// Confirmed tells whether a part may be served: a core in contact with a majority has answered since
+// Confirmed tells whether a partition may be served: a core in contact with a majority has answered since
 // this process started, or none that it reaches has such contact. Once true it stays true.
-func (p *Sync) Confirmed(part int, now int64) bool {
-	return p.contact.confirmed&partBit(part) != 0 || p.waitedLong(now)
+func (p *Sync) Confirmed(partition int, now int64) bool {
+	return p.contact.confirmed&partitionBit(partition) != 0 || p.waitedLong(now)
 }
 
 // InContact tells whether a core in contact with a majority for the configuration has answered since the start.
-func (p *Sync) InContact() bool { return p.contact.confirmed&partBit(state.Config) != 0 }
+func (p *Sync) InContact() bool { return p.contact.confirmed&partitionBit(state.Config) != 0 }
 
 // waitedLong tells that confirmed state need not be waited for any longer.
 func (p *Sync) waitedLong(now int64) bool {
@@ -88,7 +88,7 @@
 		r.Contact, contact = 0, 0
 	}
 	delete(p.contact.without, asked.addr)
-	if contact&partBit(state.Config) == 0 {
+	if contact&partitionBit(state.Config) == 0 {
 		p.contact.without[asked.addr] = true
 		t.Counts.Add("pulls_without_contact", 1)
 	}
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -1,6 +1,6 @@
 // Package configsync asks the cores about twice a second for newer versions of the
-// parts, besides what the mesh floods, so that a change is in force in time
-// when either way is cut. It also learns who owns which part, and tells the
+// partitions, besides what the mesh floods, so that a change is in force in time
+// when either way is cut. It also learns who leads which partition, and tells the
 // cores of a core.
 package configsync
 
@@ -34,12 +34,12 @@
 	at   int64
 }
 
-// Sync is the plug-in of a node, and of a core, which may have no seat and then hears no owner otherwise.
+// Sync is the plug-in of a node, and of a core, which may have no replica and then hears no leader otherwise.
 type Sync struct {
 	mesh    *mesh.Mesh
 	members *members.Members
-	owners  [state.Parts]wire.Owner
-	ownerAt [state.Parts]int64
+	leaders [state.Partitions]wire.Leader
+	ownerAt [state.Partitions]int64
 	turn    int
 	known   []string
 	liveAt  map[string]int64
@@ -76,15 +76,15 @@
 // Kinds are the frames that it takes.
 func (p *Sync) Kinds() []uint8 { return []uint8{wire.KindPullReply} }
 
-// Leader is the address of the core that owns a part, as last heard.
-func (p *Sync) Leader(part int) string { return p.owners[part].Addr }
+// Leader is the address of the core that leads a partition, as last heard.
+func (p *Sync) Leader(partition int) string { return p.leaders[partition].Addr }
 
-// ownerFor is how long after a core's word the owner counts as heard.
-const ownerFor = 2_000_000
+// leaderFor is how long after a core's word the leader counts as heard.
+const leaderFor = 2_000_000
 
-// HearsLeader tells whether a core that this node reaches follows an owner of the part.
-func (p *Sync) HearsLeader(part int, now int64) bool {
-	return p.ownerAt[part] > 0 && now-p.ownerAt[part] < ownerFor
+// HearsLeader tells whether a core that this node reaches follows a leader of the partition.
+func (p *Sync) HearsLeader(partition int, now int64) bool {
+	return p.ownerAt[partition] > 0 && now-p.ownerAt[partition] < leaderFor
 }
 
 // Step takes one input.
@@ -109,7 +109,7 @@
 	}
 }
 
-// held notes that there is a new version of a part. The first one that the mesh brings to a process
+// held notes that there is a new version of a partition. The first one that the mesh brings to a process
 // that has just started is confirmed at once, if a core can be asked.
 func (p *Sync) held(t *kernel.Turn) {
 	if !p.core {
@@ -136,24 +136,24 @@
 		delete(p.asked, asked.addr)
 		delete(p.sent, v.ID)
 	}
-	for _, ver := range r.Stamped {
-		p.mesh.HoldPart(t, ver)
+	for _, ver := range r.Versions {
+		p.mesh.HoldVersion(t, ver)
 	}
 	if open {
 		p.answered(t, asked, &r)
 	}
-	for _, o := range r.Owners {
-		if o.Part >= 0 && o.Part < state.Parts && o.Term >= p.owners[o.Part].Term && o.Addr != "" {
-			p.owners[o.Part], p.ownerAt[o.Part] = o, t.Now
+	for _, o := range r.Leaders {
+		if o.Partition >= 0 && o.Partition < state.Partitions && o.Term >= p.leaders[o.Partition].Term && o.Addr != "" {
+			p.leaders[o.Partition], p.ownerAt[o.Partition] = o, t.Now
 		}
 	}
 }
 
-func (p *Sync) stamps() []wire.Stamp {
-	var out []wire.Stamp
-	for part := range state.Parts {
-		if v, ok := p.mesh.Part(part); ok {
-			out = append(out, v.Stamp)
+func (p *Sync) stamps() []wire.Version {
+	var out []wire.Version
+	for partition := range state.Partitions {
+		if v, ok := p.mesh.Partition(partition); ok {
+			out = append(out, v.Version)
 		}
 	}
 	return out
@@ -161,7 +161,7 @@
 
 // empty tells that this is a core that has heard of no version: it may have a fleet to form, or to find.
 func (p *Sync) empty() bool {
-	_, ok := p.mesh.Part(state.Config)
+	_, ok := p.mesh.Partition(state.Config)
 	return !ok && p.core
 }
 
@@ -181,7 +181,7 @@
 		self := p.members.SelfRow()
 		req.Addr, req.Zone = self.Addr, self.Zone
 		if self.Sick == "" && !self.Draining {
-			req.Seat = self.Seat
+			req.Replica = self.Replica
 		}
 	}
 	cores := p.cores(t.Now)
--- a/cutmove/cutmove.go
+++ b/cutmove/cutmove.go
@@ -1,7 +1,7 @@
 // Package cutmove flips an index to its next cut once every new shard has
 // enough warm servers. Any node may ask for the flip and they take turns; the
-// flip is an edit that names the move it ends and is judged by the owner of
-// the index's part, so that a second one, or a late one, changes nothing.
+// flip is an edit that names the move it ends and is judged by the leader of
+// the index's partition, so that a second one, or a late one, changes nothing.
 package cutmove
 
 import (
@@ -74,7 +74,7 @@
 
 // look asks for the flip of every move that is ready. The first live node by
 // name does it, and the others after it in turn where nothing came of it; the
-// edit is judged by the part's owner, so that two who try flip once.
+// edit is judged by the partition's leader, so that two who try flip once.
 func (c *CutMove) look(t *kernel.Turn) {
 	cp := c.table.Now()
 	if cp == nil || cp.Sheet == nil || cp.Drains {
@@ -93,14 +93,14 @@
 		if x.Cut.Next == "" || !Ready(x, t.Now) {
 			continue
 		}
-		part := state.PartOf(name)
-		addr := c.configSync.Leader(part)
+		partition := state.PartitionOf(name)
+		addr := c.configSync.Leader(partition)
 		if addr == "" {
 			continue
 		}
 		t.Counts.Add("cut_flips_asked", 1)
 		t.Note(0, "cut_flip", "index", name, "from", x.Cut.Name, "to", x.Cut.Next)
-		t.SendTo(addr, wire.KindEdit, 0, &wire.Edit{Part: part, Op: "flip", Name: name, Body: wire.Encode(&x.Cut)})
+		t.SendTo(addr, wire.KindEdit, 0, &wire.Edit{Partition: partition, Op: "flip", Name: name, Body: wire.Encode(&x.Cut)})
 	}
 }
 
--- a/idempotency/epochs.go
+++ b/idempotency/epochs.go
@@ -176,7 +176,7 @@
 
 // firstSeen keeps which indexes had a cut when a part was first seen.
 func (c *Coordinator) firstSeen(e *wire.Entry) {
-	part := e.Stamp.Part
+	part := e.Version.Partition
 	if part == state.Config || c.first[part] != nil {
 		return
 	}
@@ -194,7 +194,7 @@
 // nothing of it can have run before this process began. So the first start of a
 // fleet needs no quarantine, and the start after a total loss has it.
 func (c *Coordinator) startedBefore(index string) bool {
-	had := c.first[state.PartOf(index)]
+	had := c.first[state.PartitionOf(index)]
 	return had != nil && !had[index]
 }
 
@@ -205,5 +205,5 @@
 			return false
 		}
 	}
-	return len(c.first) == state.Parts-1
+	return len(c.first) == state.Partitions-1
 }
--- a/inquiry/chart_test.go
+++ b/inquiry/chart_test.go
@@ -25,7 +25,7 @@
 		}
 		x.Shards = append(x.Shards, list)
 	}
-	return &table.Checkpoint{Whole: true, Zone: "z0", Divisor: 1, Peers: 1, Stamp: wire.Stamp{Term: 1, Seq: 1}, Indexes: map[string]*table.Index{"a": x}}
+	return &table.Checkpoint{Whole: true, Zone: "z0", Divisor: 1, Peers: 1, Version: wire.Version{Term: 1, Seq: 1}, Indexes: map[string]*table.Index{"a": x}}
 }
 
 func desk(cp *table.Checkpoint) *Desk {
--- a/kernel/pieces_test.go
+++ b/kernel/pieces_test.go
@@ -16,7 +16,7 @@
 type recorder struct{ got []Message }
 
 func (*recorder) Name() string   { return "recorder" }
-func (*recorder) Kinds() []uint8 { return []uint8{wire.KindEdit, wire.KindBeat} }
+func (*recorder) Kinds() []uint8 { return []uint8{wire.KindEdit, wire.KindLeaderHeartbeat} }
 func (r *recorder) Step(_ *Turn, in Input) {
 	if m, ok := in.(Message); ok {
 		r.got = append(r.got, m)
@@ -31,7 +31,7 @@
 
 func newRecording() (*Kernel, *recorder) {
 	k, r := New(Boot{}), &recorder{}
-	k.plugins, k.byKind[wire.KindEdit], k.byKind[wire.KindBeat] = append(k.plugins, r), r, r
+	k.plugins, k.byKind[wire.KindEdit], k.byKind[wire.KindLeaderHeartbeat] = append(k.plugins, r), r, r
 	return k, r
 }
 
@@ -75,10 +75,10 @@
 		size += len(s.Data)
 	}
 	must.LessEq(t, 2*wire.PieceBytes+512, size, must.Sprint("what a heartbeat may have to wait for"))
-	beat := a.sendNow(0, wire.KindBeat, &wire.Beat{})
+	beat := a.sendNow(0, wire.KindLeaderHeartbeat, &wire.LeaderHeartbeat{})
 	exchange(t, 0, a, b, beat)
 	must.Len(t, 1, got.got)
-	must.Eq(t, wire.KindBeat, got.got[0].Kind)
+	must.Eq(t, wire.KindLeaderHeartbeat, got.got[0].Kind)
 	exchange(t, 0, a, b, large)
 	must.Len(t, 2, got.got)
 }
--- a/lab/check/first_test.go
+++ b/lab/check/first_test.go
@@ -13,10 +13,10 @@
 	for _, began := range []bool{true, false} {
 		j := New()
 		if began {
-			j.BeganWith(wire.Stamp{Term: 1, Seq: 2})
-			j.BeganWith(wire.Stamp{Term: 1, Seq: 9})
+			j.BeganWith(wire.Version{Term: 1, Seq: 2})
+			j.BeganWith(wire.Version{Term: 1, Seq: 9})
 		}
-		j.Tried(Try{Mark: 7, Base: wire.Stamp{Term: 1, Seq: 2}, Stamp: wire.Stamp{Term: 1, Seq: 3}, Began: 10, Ended: 20, Code: "ok"})
+		j.Tried(Try{Mark: 7, Base: wire.Version{Term: 1, Seq: 2}, Stamp: wire.Version{Term: 1, Seq: 3}, Began: 10, Ended: 20, Code: "ok"})
 		must.Eq(t, began, len(j.History().Check()) == 0, must.Sprint("began ", began))
 	}
 }
--- a/lab/check/histories.go
+++ b/lab/check/histories.go
@@ -15,7 +15,7 @@
 // History is what operators asked of the sheet and were answered.
 func (j *Judge) History() *history.History {
 	s := &j.sheets
-	seenAt := map[int64]wire.Stamp{}
+	seenAt := map[int64]wire.Version{}
 	for at, mark := range s.marks {
 		seenAt[mark] = at
 	}
@@ -46,7 +46,7 @@
 
 // SheetRead notes a read of the newest sheet that a majority confirmed: the mark of the sheet and
 // the version that brought it.
-func (j *Judge) SheetRead(client int, at wire.Stamp, mark, began, ended int64) {
+func (j *Judge) SheetRead(client int, at wire.Version, mark, began, ended int64) {
 	s := &j.sheets
 	value := firstSheet
 	if s.tries[mark] != nil {
@@ -92,7 +92,7 @@
 func editName(mark int64) string { return fmt.Sprint("edit ", mark) }
 
 // BeganWith tells the version of the sheet that was in force before the first try; later words change nothing.
-func (j *Judge) BeganWith(at wire.Stamp) {
+func (j *Judge) BeganWith(at wire.Version) {
 	if j.sheets.first.Term == 0 {
 		j.sheets.first = at
 	}
@@ -112,7 +112,7 @@
 	}
 }
 
-func versionText(at wire.Stamp) string {
+func versionText(at wire.Version) string {
 	if at.Term == 0 {
 		return ""
 	}
--- a/lab/check/histories_test.go
+++ b/lab/check/histories_test.go
@@ -9,7 +9,7 @@
 	"wallport/wire"
 )
 
-func at(seq uint64) wire.Stamp { return wire.Stamp{Term: 1, Seq: seq} }
+func at(seq uint64) wire.Version { return wire.Version{Term: 1, Seq: seq} }
 
 // edits is a judge that was told of some edits.
 func edits(all ...Try) *Judge {
--- a/lab/check/sheets.go
+++ b/lab/check/sheets.go
@@ -9,18 +9,18 @@
 // Try is one edit of the sheet by an operator.
 type Try struct {
 	Mark   int64
-	Base   wire.Stamp
+	Base   wire.Version
 	Began  int64
 	Ended  int64
 	Code   string
-	Stamp  wire.Stamp
+	Stamp  wire.Version
 	EditID string
 	// Invalid edits must never be accepted.
 	Invalid bool
 }
 
 type seen struct {
-	stamp wire.Stamp
+	stamp wire.Version
 	at    int64
 }
 
@@ -30,16 +30,16 @@
 	acked []seen
 	node  map[string]seen
 	// first is the version that was in force before any try, where the history does not begin with one.
-	first  wire.Stamp
-	marks  map[wire.Stamp]int64
-	byBase map[wire.Stamp]int64
+	first  wire.Version
+	marks  map[wire.Version]int64
+	byBase map[wire.Version]int64
 }
 
 func newSheets() sheets {
-	return sheets{tries: map[int64]*Try{}, node: map[string]seen{}, marks: map[wire.Stamp]int64{}, byBase: map[wire.Stamp]int64{}}
+	return sheets{tries: map[int64]*Try{}, node: map[string]seen{}, marks: map[wire.Version]int64{}, byBase: map[wire.Version]int64{}}
 }
 
-func newer(a, b wire.Stamp) bool { return a.Term > b.Term || a.Term == b.Term && a.Seq > b.Seq }
+func newer(a, b wire.Version) bool { return a.Term > b.Term || a.Term == b.Term && a.Seq > b.Seq }
 
 // Tried notes the beginning of an edit. Marks are unique to an edit id.
 func (j *Judge) Tried(t Try) {
@@ -87,7 +87,7 @@
 
 // InForce notes what a node has in force at a moment. Reachable nodes must
 // have what was acknowledged in time; since is from when the node could.
-func (j *Judge) InForce(node string, sheetAt wire.Stamp, mark int64, at, since int64) {
+func (j *Judge) InForce(node string, sheetAt wire.Version, mark int64, at, since int64) {
 	s := &j.sheets
 	if was := s.node[node]; newer(was.stamp, sheetAt) {
 		j.Fail(SheetBack, at, "%s fell back from %v to %v", node, was.stamp, sheetAt)
--- a/lab/fleet/operators.go
+++ b/lab/fleet/operators.go
@@ -84,7 +84,7 @@
 	o.wait.Go(func() {
 		base, err := o.read("node-1")
 		if err == nil {
-			first, _ := sheet.ParseStamp(0, base.Stamp)
+			first, _ := sheet.ParseVersion(0, base.Stamp)
 			o.tell(func(j *check.Judge) { j.BeganWith(first) })
 		}
 		for i := range n {
@@ -112,7 +112,7 @@
 	body.Services = slices.Clone(body.Services)
 	body.Services[0] = maps.Clone(body.Services[0])
 	body.Services[0]["ramp_us"] = mark
-	stamp, _ := sheet.ParseStamp(0, base.Stamp)
+	stamp, _ := sheet.ParseVersion(0, base.Stamp)
 	t := check.Try{Mark: mark, Base: stamp, Began: o.now(), Ended: 1 << 62, Code: "open"}
 	o.tell(func(j *check.Judge) { j.Tried(t) })
 	code, taken := o.send(node, body, base.Stamp)
@@ -121,24 +121,24 @@
 }
 
 // send puts a sheet and tells what came of it, "open" where no answer came.
-func (o *operators) send(node string, body any, base string) (string, wire.Stamp) {
+func (o *operators) send(node string, body any, base string) (string, wire.Version) {
 	b, _ := json.Marshal(body)
 	req, err := http.NewRequest(http.MethodPut, "http://"+o.f.Opers[node]+"/v1/sheet", strings.NewReader(string(b)))
 	if err != nil {
-		return "open", wire.Stamp{}
+		return "open", wire.Version{}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Authorization", "Bearer "+o.f.o.Token)
 	req.Header.Set("If-Match", base)
 	resp, err := o.f.client.Do(req)
 	if err != nil {
-		return "open", wire.Stamp{}
+		return "open", wire.Version{}
 	}
 	defer resp.Body.Close()
 	raw, _ := io.ReadAll(resp.Body)
 	var got struct{ Stamp, Name string }
 	json.Unmarshal(raw, &got)
-	stamp, _ := sheet.ParseStamp(0, got.Stamp)
+	stamp, _ := sheet.ParseVersion(0, got.Stamp)
 	if resp.StatusCode == http.StatusOK {
 		return "ok", stamp
 	}
@@ -178,7 +178,7 @@
 	if o.up[node] == 0 {
 		o.up[node] = o.now()
 	}
-	stamp, _ := sheet.ParseStamp(0, s.Stamp)
+	stamp, _ := sheet.ParseVersion(0, s.Stamp)
 	j.InForce(node, stamp, s.mark(), asked, o.up[node])
 }
 
--- a/lab/fleet/registers.go
+++ b/lab/fleet/registers.go
@@ -77,7 +77,7 @@
 		return
 	}
 	newest := past[len(past)-1]
-	stamp, _ := sheet.ParseStamp(0, newest.Stamp)
+	stamp, _ := sheet.ParseVersion(0, newest.Stamp)
 	o.tell(func(j *check.Judge) { j.SheetRead(readingClient, stamp, newest.mark(), began, ended) })
 }
 
--- a/lab/model/apply.go
+++ b/lab/model/apply.go
@@ -139,8 +139,8 @@
 	s.disks[i] = s.disks[i].with(wr)
 	v, ok := versionIn(wr.file, wr.data)
 	identity := identityIn(s.disks[i].files)
-	if ok && newer(v.Stamp, s.record.synced[identity]) {
-		s.record = s.record.syncs(identity, v.Stamp)
+	if ok && newer(v.Version, s.record.synced[identity]) {
+		s.record = s.record.syncs(identity, v.Version)
 	}
 	return nil
 }
--- a/lab/model/frames.go
+++ b/lab/model/frames.go
@@ -26,7 +26,7 @@
 	leader string
 	term   uint64
 	// version is set where the message proposes one.
-	version *wire.Stamped
+	version *wire.Versioned
 	id      uint64
 	answer  wire.EditReply
 	text    string
@@ -50,14 +50,14 @@
 		return f
 	case wire.KindAccept:
 		var m wire.Accept
-		if wire.Decode(opened.Body, &m) == nil && m.Part == state.Config {
-			f.kind, f.leader, f.term, f.version = frameReplica, m.From, m.Term, &m.Stamped
-			f.text = fmt.Sprintf("append %d.%d", m.Stamped.Stamp.Term, m.Stamped.Stamp.Seq)
+		if wire.Decode(opened.Body, &m) == nil && m.Partition == state.Config {
+			f.kind, f.leader, f.term, f.version = frameReplica, m.From, m.Term, &m.Versioned
+			f.text = fmt.Sprintf("append %d.%d", m.Versioned.Version.Term, m.Versioned.Version.Seq)
 		}
 		return f
-	case wire.KindBeat:
-		var m wire.Beat
-		if wire.Decode(opened.Body, &m) == nil && m.Part == state.Config {
+	case wire.KindLeaderHeartbeat:
+		var m wire.LeaderHeartbeat
+		if wire.Decode(opened.Body, &m) == nil && m.Partition == state.Config {
 			f.kind, f.leader, f.term = frameReplica, m.From, m.Term
 			f.text = fmt.Sprintf("heartbeat term %d", m.Term)
 		}
@@ -77,7 +77,7 @@
 		return "vote"
 	case wire.KindAcceptReply:
 		return "append reply"
-	case wire.KindBeatReply:
+	case wire.KindLeaderHeartbeatReply:
 		return "heartbeat reply"
 	default:
 		return fmt.Sprintf("kind %d", kind)
--- a/lab/model/invariants.go
+++ b/lab/model/invariants.go
@@ -38,7 +38,7 @@
 	return &Violation{Invariant: i, Text: fmt.Sprintf(format, args...)}
 }
 
-func versionText(v wire.Stamp) string { return fmt.Sprintf("%d.%d", v.Term, v.Seq) }
+func versionText(v wire.Version) string { return fmt.Sprintf("%d.%d", v.Term, v.Seq) }
 
 // checkSent looks at what a replica sends: its claim to lead, and the version that it proposes.
 func (w *World) checkSent(s *system, f *frame) error {
@@ -57,23 +57,23 @@
 	return w.checkProposed(s, *f.version)
 }
 
-func (w *World) checkProposed(s *system, v wire.Stamped) error {
+func (w *World) checkProposed(s *system, v wire.Versioned) error {
 	sum := versionDigest(v)
 	if w.versions[sum] == nil {
 		c, ok := contentsOf(v.Body)
 		if !ok {
-			return violation(InvariantReadable, "version %s has a body that cannot be read", versionText(v.Stamp))
+			return violation(InvariantReadable, "version %s has a body that cannot be read", versionText(v.Version))
 		}
-		w.versions[sum] = &knownVersion{Stamped: v, contents: c}
-		if len(v.Prev) > 0 && !sameVoters(v.Prev, v.Seats) {
+		w.versions[sum] = &knownVersion{Versioned: v, contents: c}
+		if len(v.PreviousVoters) > 0 && !sameVoters(v.PreviousVoters, v.Voters) {
 			w.Seen.MemberChanges++
 		}
 	}
-	switch other, known := s.record.versions[v.Stamp]; {
+	switch other, known := s.record.versions[v.Version]; {
 	case !known:
-		s.record = s.record.proposed(v.Stamp, sum)
+		s.record = s.record.proposed(v.Version, sum)
 	case other != sum:
-		return violation(InvariantOneVersion, "version %s stands for two contents", versionText(v.Stamp))
+		return violation(InvariantOneVersion, "version %s stands for two contents", versionText(v.Version))
 	}
 	return nil
 }
@@ -105,7 +105,7 @@
 	return w.checkChain(s)
 }
 
-func (w *World) proposal(s *system, v wire.Stamp) *knownVersion {
+func (w *World) proposal(s *system, v wire.Version) *knownVersion {
 	return w.versions[s.record.versions[v]]
 }
 
@@ -123,7 +123,7 @@
 	return o.Kind == ChangeOrder || o.Kind == DrainOrder && !w.restores[o.Zone]
 }
 
-func (w *World) checkCarried(order int, at, committed wire.Stamp, c contents) error {
+func (w *World) checkCarried(order int, at, committed wire.Version, c contents) error {
 	if w.lasting(order) && !newer(at, committed) && !w.carries(c, order) {
 		return violation(InvariantDurableOrder, "%s was acknowledged at %s and is not in %s", w.orders[order].Name, versionText(at), versionText(committed))
 	}
@@ -141,7 +141,7 @@
 		if before != nil {
 			for _, name := range before.contents.orders {
 				if !slices.Contains(v.contents.orders, name) {
-					return violation(InvariantChain, "%s is in %s and not in %s", name, versionText(before.Stamp), versionText(at))
+					return violation(InvariantChain, "%s is in %s and not in %s", name, versionText(before.Version), versionText(at))
 				}
 			}
 		}
@@ -162,18 +162,18 @@
 }
 
 func (w *World) checkAcknowledged(s *system, number int, r wire.EditReply) error {
-	s.record = s.record.acknowledges(number, r.Stamp)
+	s.record = s.record.acknowledges(number, r.Version)
 	w.Seen.Acknowledged++
-	v := w.proposal(s, r.Stamp)
+	v := w.proposal(s, r.Version)
 	if v == nil {
-		return violation(InvariantMajority, "%s was acknowledged at %s, which nobody proposed", w.orders[number].Name, versionText(r.Stamp))
+		return violation(InvariantMajority, "%s was acknowledged at %s, which nobody proposed", w.orders[number].Name, versionText(r.Version))
 	}
-	if !w.syncedByMajority(s, v, v.Seats, number) || len(v.Prev) > 0 && !w.syncedByMajority(s, v, v.Prev, number) {
-		return violation(InvariantMajority, "%s was acknowledged at %s", w.orders[number].Name, versionText(r.Stamp))
+	if !w.syncedByMajority(s, v, v.Voters, number) || len(v.PreviousVoters) > 0 && !w.syncedByMajority(s, v, v.PreviousVoters, number) {
+		return violation(InvariantMajority, "%s was acknowledged at %s", w.orders[number].Name, versionText(r.Version))
 	}
 	for _, at := range s.record.committed {
 		if known := w.proposal(s, at); known != nil {
-			if err := w.checkCarried(number, r.Stamp, at, known.contents); err != nil {
+			if err := w.checkCarried(number, r.Version, at, known.contents); err != nil {
 				return err
 			}
 		}
@@ -182,20 +182,20 @@
 }
 
 // syncedByMajority counts the voters whose disks have held the version, or a later one with the order.
-func (w *World) syncedByMajority(s *system, v *knownVersion, voters []wire.Seat, number int) bool {
+func (w *World) syncedByMajority(s *system, v *knownVersion, voters []wire.Replica, number int) bool {
 	n := 0
 	for _, voter := range voters {
 		at := s.record.synced[voter.ID]
 		known := w.proposal(s, at)
-		if known != nil && !newer(v.Stamp, at) && (w.carries(known.contents, number) || !w.lasting(number)) {
+		if known != nil && !newer(v.Version, at) && (w.carries(known.contents, number) || !w.lasting(number)) {
 			n++
 		}
 	}
 	return n > len(voters)/2
 }
 
-func sameVoters(a, b []wire.Seat) bool {
-	return slices.EqualFunc(a, b, func(a, b wire.Seat) bool { return a.ID == b.ID })
+func sameVoters(a, b []wire.Replica) bool {
+	return slices.EqualFunc(a, b, func(a, b wire.Replica) bool { return a.ID == b.ID })
 }
 
 // checkHistory judges what operators saw so far; each history is judged once.
--- a/lab/model/process.go
+++ b/lab/model/process.go
@@ -39,7 +39,7 @@
 	files     map[string][]byte
 	writes    []pendingWrite
 	timers    []timer
-	committed wire.Stamp
+	committed wire.Version
 	// body is of the committed version.
 	body []byte
 }
@@ -134,7 +134,7 @@
 	next.writes = nextWrites(next, out)
 	next.timers = nextTimers(next, out)
 	if v, ok := committedOf(k); ok {
-		next.committed, next.body = v.Stamp, v.Body
+		next.committed, next.body = v.Version, v.Body
 	}
 	state := digestOf(next.bytes(stateOf(k)))
 	known := r.byState[state]
--- a/lab/model/product.go
+++ b/lab/model/product.go
@@ -55,22 +55,22 @@
 }
 
 // committedOf is the newest version that a process knows to be committed.
-func committedOf(k *kernel.Kernel) (wire.Stamped, bool) {
-	return kernel.Find[*mesh.Mesh](k).Part(state.Config)
+func committedOf(k *kernel.Kernel) (wire.Versioned, bool) {
+	return kernel.Find[*mesh.Mesh](k).Partition(state.Config)
 }
 
 func replicaName(replica int) string    { return string(rune('a' + replica)) }
 func replicaAddress(replica int) string { return fmt.Sprintf("10.0.0.%d:1", replica+1) }
 
-func memberOf(replica int) wire.Seat {
-	return wire.Seat{ID: replicaName(replica), Zone: fmt.Sprintf("zone-%d", replica+1), Addr: replicaAddress(replica)}
+func memberOf(replica int) wire.Replica {
+	return wire.Replica{ID: replicaName(replica), Zone: fmt.Sprintf("zone-%d", replica+1), Addr: replicaAddress(replica)}
 }
 
 // formedDisk is the disk of a voter of a group that has just been formed.
 func formedDisk(replica, voters int) map[string][]byte {
-	form := wire.Form{Formation: "f", Go: true, By: memberOf(0)}
+	form := wire.Bootstrap{Formation: "f", Go: true, By: memberOf(0)}
 	for i := range voters {
-		form.Seats = append(form.Seats, memberOf(i))
+		form.Voters = append(form.Voters, memberOf(i))
 	}
 	files := standbyDisk(replica)
 	files["formation"] = diskfile.Pack(wire.Encode(&form))
@@ -83,8 +83,8 @@
 }
 
 // versionIn reads the version that a file holds.
-func versionIn(file string, data []byte) (wire.Stamped, bool) {
-	var v wire.Stamped
+func versionIn(file string, data []byte) (wire.Versioned, bool) {
+	var v wire.Versioned
 	if !strings.HasPrefix(file, fmt.Sprintf("part-%d.stamp-", state.Config)) {
 		return v, false
 	}
@@ -105,16 +105,16 @@
 }
 
 // versionDigest is over all that a version must be the same in: body and members.
-func versionDigest(v wire.Stamped) digest { return digestOf(wire.Encode(&v)) }
+func versionDigest(v wire.Versioned) digest { return digestOf(wire.Encode(&v)) }
 
 // announceFrame is the message by which a process without a vote makes itself known.
 func announceFrame(replica int, identity string) []byte {
-	return wire.Seal(wire.KindPull, 1, &wire.Pull{Addr: replicaAddress(replica), Seat: identity, Zone: fmt.Sprintf("zone-%d", replica+1)})
+	return wire.Seal(wire.KindPull, 1, &wire.Pull{Addr: replicaAddress(replica), Replica: identity, Zone: fmt.Sprintf("zone-%d", replica+1)})
 }
 
 // orderFrame is an operator's call.
 func orderFrame(id uint64, o *Order) []byte {
-	e := wire.Edit{Part: state.Config, EditID: o.Name, By: "operator"}
+	e := wire.Edit{Partition: state.Config, EditID: o.Name, By: "operator"}
 	switch o.Kind {
 	case ChangeOrder:
 		edit := &routingpb.RoutingEdit{Base: o.Base, Revision: o.Revision, Upsert: &routingpb.RoutingTable{Pools: []*routingpb.Pool{{Name: o.Name}}}}
@@ -169,6 +169,6 @@
 }
 
 // newer tells whether version a comes after b.
-func newer(a, b wire.Stamp) bool { return mesh.Newer(a, b) }
+func newer(a, b wire.Version) bool { return mesh.Newer(a, b) }
 
 func appendNumber(b []byte, n int64) []byte { return binary.AppendVarint(b, n) }
--- a/lab/model/record.go
+++ b/lab/model/record.go
@@ -28,13 +28,13 @@
 type record struct {
 	// leaders are the replicas that led, by term; versions are those proposed.
 	leaders  map[uint64]string
-	versions map[wire.Stamp]digest
+	versions map[wire.Version]digest
 	// committed are the versions that some replica took for committed.
-	committed []wire.Stamp
+	committed []wire.Version
 	// synced is the newest version that each identity's disk has ever held.
-	synced map[string]wire.Stamp
+	synced map[string]wire.Version
 	// acknowledged has the version of each acknowledged order.
-	acknowledged map[int]wire.Stamp
+	acknowledged map[int]wire.Version
 	refused      []int
 	events       []event
 	sum, played  digest
@@ -42,13 +42,13 @@
 
 func newRecord() *record {
 	r := &record{
-		leaders: map[uint64]string{}, versions: map[wire.Stamp]digest{}, synced: map[string]wire.Stamp{}, acknowledged: map[int]wire.Stamp{},
+		leaders: map[uint64]string{}, versions: map[wire.Version]digest{}, synced: map[string]wire.Version{}, acknowledged: map[int]wire.Version{},
 	}
 	r.seal()
 	return r
 }
 
-func compareVersions(a, b wire.Stamp) int {
+func compareVersions(a, b wire.Version) int {
 	return cmp.Or(cmp.Compare(a.Term, b.Term), cmp.Compare(a.Seq, b.Seq))
 }
 
@@ -108,22 +108,22 @@
 	return r.change(func(c *record) { c.leaders = withEntry(c.leaders, term, leader) })
 }
 
-func (r *record) proposed(v wire.Stamp, sum digest) *record {
+func (r *record) proposed(v wire.Version, sum digest) *record {
 	return r.change(func(c *record) { c.versions = withEntry(c.versions, v, sum) })
 }
 
-func (r *record) commits(v wire.Stamp) *record {
+func (r *record) commits(v wire.Version) *record {
 	return r.change(func(c *record) {
 		c.committed = append(slices.Clone(c.committed), v)
 		slices.SortFunc(c.committed, compareVersions)
 	})
 }
 
-func (r *record) syncs(identity string, v wire.Stamp) *record {
+func (r *record) syncs(identity string, v wire.Version) *record {
 	return r.change(func(c *record) { c.synced = withEntry(c.synced, identity, v) })
 }
 
-func (r *record) acknowledges(order int, v wire.Stamp) *record {
+func (r *record) acknowledges(order int, v wire.Version) *record {
 	return r.change(func(c *record) { c.acknowledged = withEntry(c.acknowledged, order, v) })
 }
 
--- a/lab/model/world.go
+++ b/lab/model/world.go
@@ -33,7 +33,7 @@
 }
 
 type knownVersion struct {
-	wire.Stamped
+	wire.Versioned
 	contents contents
 }
 
--- a/lab/scale/hollow_test.go
+++ b/lab/scale/hollow_test.go
@@ -51,7 +51,7 @@
 }
 
 // allHave tells that all nodes have a change in force.
-func (h *Hollow) allHave(s wire.Stamp) bool {
+func (h *Hollow) allHave(s wire.Version) bool {
 	for _, n := range h.nodes {
 		if cp := n.table.Now(); !n.ended.Load() && (cp == nil || cp.Config.SheetAt != s) {
 			return false
@@ -122,7 +122,7 @@
 }
 
 func TestTimesOfChanges(t *testing.T) {
-	at := func(seq uint64) wire.Stamp { return wire.Stamp{Term: 1, Seq: seq} }
+	at := func(seq uint64) wire.Version { return wire.Version{Term: 1, Seq: seq} }
 	edits := []Edited{{SentUs: 100, AtUs: 110, Stamp: at(2)}, {SentUs: 200, AtUs: 220, Stamp: at(3)}}
 	seen := []Seen{
 		{AtUs: 50, Node: "a", Stamp: at(1)}, {AtUs: 105, Node: "a", Stamp: at(2)}, {AtUs: 230, Node: "a", Stamp: at(3)},
--- a/lab/scale/watch.go
+++ b/lab/scale/watch.go
@@ -19,7 +19,7 @@
 type Seen struct {
 	AtUs  int64
 	Node  string
-	Stamp wire.Stamp
+	Stamp wire.Version
 	About string `json:",omitempty"`
 	Live  bool   `json:",omitempty"`
 }
@@ -28,7 +28,7 @@
 // acknowledgement by the owner of the part.
 type Edited struct {
 	Code         string
-	Stamp        wire.Stamp
+	Stamp        wire.Version
 	SentUs, AtUs int64
 }
 
@@ -141,7 +141,7 @@
 		if err := json.Unmarshal(a.Body, &cut); err != nil {
 			return Told{Err: err.Error()}
 		}
-		e = wire.Edit{Part: state.PartOf(a.Name), Op: "cut", Name: a.Name, Body: wire.Encode(&wire.LiveCut{Next: cut.Name, NextShards: cut.Shards})}
+		e = wire.Edit{Partition: state.PartitionOf(a.Name), Op: "cut", Name: a.Name, Body: wire.Encode(&wire.LiveCut{Next: cut.Name, NextShards: cut.Shards})}
 	} else if cp := n.table.Now(); cp != nil {
 		e.Base = cp.Config.SheetAt
 	}
@@ -153,6 +153,6 @@
 		return Told{Err: err.Error()}
 	}
 	reply := v.(operate.Result).Reply
-	r.AtUs, r.Code, r.Stamp = wallUs(), reply.Code, reply.Stamp
+	r.AtUs, r.Code, r.Stamp = wallUs(), reply.Code, reply.Version
 	return Told{Edited: &r}
 }
--- a/lab/sim/behind.go
+++ b/lab/sim/behind.go
@@ -9,9 +9,9 @@
 
 // countBehind counts, over all partitions, the voters that lack the newest committed version.
 func (w *World) countBehind() {
-	for part := range state.Parts {
-		var newest wire.Stamp
-		var voters []wire.Seat
+	for part := range state.Partitions {
+		var newest wire.Version
+		var voters []wire.Replica
 		for _, name := range w.names {
 			if p := w.procs[name]; p.seats != nil && p.up && mesh.Newer(p.seats.CommittedVersion(part), newest) {
 				newest, voters = p.seats.CommittedVersion(part), p.seats.VotersOf(part)
--- a/lab/sim/bookings.go
+++ b/lab/sim/bookings.go
@@ -55,7 +55,7 @@
 // rebuild is an operator's word to make a part's group anew; -1 means all.
 func (o *operators) rebuild(part int) {
 	if part < 0 {
-		for p := range state.Parts {
+		for p := range state.Partitions {
 			o.rebuild(p)
 		}
 		return
@@ -65,7 +65,7 @@
 		return
 	}
 	p.feed(func() {
-		p.call("operate", operate.Rebuild{Part: part}, func(v any) {
+		p.call("operate", operate.Rebuild{Partition: part}, func(v any) {
 			r := v.(operate.Result).Reply
 			o.w.note(fmt.Sprint("rebuild ", part, " ", r.Code, " ", r.Findings))
 			o.w.Judge.Count("rebuilds."+r.Code, 1)
--- a/lab/sim/day_reads.go
+++ b/lab/sim/day_reads.go
@@ -27,7 +27,7 @@
 		return
 	}
 	sent := d.w.now
-	ask := operate.Carry{Edit: wire.Edit{Part: state.Config, Op: "read"}, GiveUpUs: answerUs}
+	ask := operate.Carry{Edit: wire.Edit{Partition: state.Config, Op: "read"}, GiveUpUs: answerUs}
 	p.feed(func() {
 		p.call("operate", ask, func(v any) { o.confirmed(sent, v.(operate.Result).Reply) })
 	})
--- a/lab/sim/healing.go
+++ b/lab/sim/healing.go
@@ -44,7 +44,7 @@
 	}
 	live := map[string]bool{}
 	owners := map[int]int{}
-	var newest wire.Stamp
+	var newest wire.Version
 	for _, name := range w.names {
 		p := w.procs[name]
 		switch {
@@ -53,7 +53,7 @@
 			fail("%s does not run", name)
 		case p.role == "core":
 			live[p.seats.ReplicaID()] = true
-			for part := range state.Parts {
+			for part := range state.Partitions {
 				if p.seats.Leads(part) {
 					owners[part]++
 				}
@@ -72,7 +72,7 @@
 		if p.role != "core" || !p.runs() {
 			continue
 		}
-		for part := range state.Parts {
+		for part := range state.Partitions {
 			if !p.seats.Leads(part) {
 				continue
 			}
@@ -89,14 +89,14 @@
 			}
 		}
 	}
-	for part := range state.Parts {
+	for part := range state.Partitions {
 		if owners[part] != 1 {
 			fail("part %d has %d owners", part, owners[part])
 		}
 	}
 }
 
-func (w *World) spread(seats []wire.Seat) int {
+func (w *World) spread(seats []wire.Replica) int {
 	zones := map[string]bool{}
 	for _, s := range seats {
 		zones[s.Zone] = true
--- a/lab/sim/operators.go
+++ b/lab/sim/operators.go
@@ -77,7 +77,7 @@
 func (o *operators) first() {
 	o.w.after(100_000, func() {
 		p := o.via()
-		if p == nil || p.table.Now() == nil || p.table.Now().Stamp.Term == 0 {
+		if p == nil || p.table.Now() == nil || p.table.Now().Version.Term == 0 {
 			o.first()
 			return
 		}
@@ -122,8 +122,8 @@
 	p.feed(func() {
 		p.call("operate", operate.Carry{Edit: e}, func(v any) {
 			r := v.(operate.Result).Reply
-			t.Ended, t.Code, t.Stamp = w.now, r.Code, r.Stamp
-			w.note(fmt.Sprintf("edit %d %s %v", mark, r.Code, r.Stamp))
+			t.Ended, t.Code, t.Stamp = w.now, r.Code, r.Version
+			w.note(fmt.Sprintf("edit %d %s %v", mark, r.Code, r.Version))
 			w.Judge.Retried(t)
 			w.Judge.Count("edits."+r.Code, 1)
 			if done != nil {
@@ -135,7 +135,7 @@
 
 // reading is a sheet as an operator read it from some node.
 type reading struct {
-	stamp wire.Stamp
+	stamp wire.Version
 	sheet *sheetpb.Sheet
 }
 
@@ -231,7 +231,7 @@
 	w.cuts[name] = shards
 	o.cutCall[index]++
 	mine := o.cutCall[index]
-	e := wire.Edit{Part: state.PartOf(index), Op: "cut", Name: index, Body: wire.Encode(&wire.LiveCut{Next: name, NextShards: shards})}
+	e := wire.Edit{Partition: state.PartitionOf(index), Op: "cut", Name: index, Body: wire.Encode(&wire.LiveCut{Next: name, NextShards: shards})}
 	o.insist(func() wire.Edit { return e }, func(code string) bool {
 		w.note("cut " + name + " " + code)
 		w.Judge.Count("cuts."+code, 1)
--- a/lab/sim/scale.go
+++ b/lab/sim/scale.go
@@ -90,7 +90,7 @@
 
 // watch waits until all nodes agree on the newest sheet.
 func (w *World) watch(began int64, done func(us int64)) {
-	var newest wire.Stamp
+	var newest wire.Version
 	all := true
 	for _, name := range w.names {
 		if p := w.procs[name]; p.role == "node" && p.table.Now() != nil {
@@ -119,7 +119,7 @@
 	n.bytes += int64(len(data))
 	if f, err := wire.Open(data); err == nil && f.Kind == wire.KindGossip {
 		var e wire.Entry
-		if wire.Decode(f.Body, &e) == nil && e.Type == "part" && e.Stamp.Part == 0 {
+		if wire.Decode(f.Body, &e) == nil && e.Type == "part" && e.Version.Partition == 0 {
 			n.parts++
 		}
 	}
--- a/lab/sim/world.go
+++ b/lab/sim/world.go
@@ -183,7 +183,7 @@
 			continue
 		}
 		cp := p.table.Now()
-		if cp == nil || cp.Stamp.Term == 0 {
+		if cp == nil || cp.Version.Term == 0 {
 			continue
 		}
 		since := w.reachableSince(p)
@@ -226,7 +226,7 @@
 		}
 		if p.seats != nil && p.up {
 			n := int64(0)
-			for part := range state.Parts {
+			for part := range state.Partitions {
 				if p.seats.Leads(part) {
 					n++
 				}
@@ -238,9 +238,9 @@
 	}
 }
 
-func (w *World) stampOf(p *proc) wire.Stamp {
+func (w *World) stampOf(p *proc) wire.Version {
 	if cp := p.table.Now(); cp != nil {
-		return cp.Stamp
+		return cp.Version
 	}
-	return wire.Stamp{}
+	return wire.Version{}
 }
--- a/listing/lease.go
+++ b/listing/lease.go
@@ -13,14 +13,14 @@
 
 // granted takes a grant. It lasts from when it was asked for: how long the answer took to come,
 // and whether this process stood still meanwhile, is not known.
-func (p *Lister) granted(id uint64, r wire.HoldReply) {
+func (p *Lister) granted(id uint64, r wire.LeaseReply) {
 	at, open := p.asked[id]
 	delete(p.asked, id)
-	if !open || r.Duty != Duty || r.Holder != p.mesh.Self() {
+	if !open || r.Task != Duty || r.Holder != p.mesh.Self() {
 		return
 	}
 	p.until = max(p.until, at+r.For)
-	p.lease, p.turn = max(p.lease, r.Turn), max(p.turn, r.Turn)
+	p.lease, p.turn = max(p.lease, r.LeaseID), max(p.turn, r.LeaseID)
 }
 
 // release ends what this node holds of the duty: a grant that is still on its way is not taken.
@@ -31,14 +31,14 @@
 
 // drop gives the duty up to the next node by rank, if this node has it and there is another.
 func (p *Lister) drop(t *kernel.Turn) bool {
-	part := state.PartOf(Duty)
-	addr := p.configSync.Leader(part)
+	partition := state.PartitionOf(Duty)
+	addr := p.configSync.Leader(partition)
 	if addr == "" || t.Now >= p.until {
 		return false
 	}
 	for _, r := range p.members.Live(t.Now, "node") {
 		if r.Origin != p.mesh.Self() && !r.Draining {
-			t.SendTo(addr, wire.KindHold, 0, &wire.Hold{Part: part, Duty: Duty, From: p.mesh.Self(), Drop: true, Next: r.Origin, Turn: p.lease})
+			t.SendTo(addr, wire.KindLeaseRequest, 0, &wire.LeaseRequest{Partition: partition, Task: Duty, From: p.mesh.Self(), Release: true, Next: r.Origin, LeaseID: p.lease})
 			p.release()
 			return true
 		}
--- a/listing/lease_test.go
+++ b/listing/lease_test.go
@@ -20,8 +20,8 @@
 }
 
 func (r *rig) grant(id uint64) {
-	granted := &wire.HoldReply{Duty: Duty, Holder: r.l.mesh.Self(), For: 800_000, Turn: 3}
-	r.feed(kernel.Received{Data: wire.Seal(wire.KindHoldReply, id, granted)})
+	granted := &wire.LeaseReply{Task: Duty, Holder: r.l.mesh.Self(), For: 800_000, LeaseID: 3}
+	r.feed(kernel.Received{Data: wire.Seal(wire.KindLeaseReply, id, granted)})
 }
 
 func TestLeaseCountsFromWhenItWasAskedFor(t *testing.T) {
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -1,6 +1,6 @@
 // Package listing reads the platform's list of backends. One node does it at
-// a time, within the fleet's call allowance, by a hold that the owner of the
-// duty's part grants; where no core can be reached, the nodes take turns by
+// a time, within the fleet's call allowance, by a lease that the leader of the
+// duty's partition grants; where no core can be reached, the nodes take turns by
 // rank. An empty or failing answer proves nothing.
 package listing
 
@@ -73,7 +73,7 @@
 func (p *Lister) Name() string { return "listing" }
 
 // Kinds are the frames that it takes.
-func (p *Lister) Kinds() []uint8 { return []uint8{wire.KindHoldReply} }
+func (p *Lister) Kinds() []uint8 { return []uint8{wire.KindLeaseReply} }
 
 // Step takes one input.
 func (p *Lister) Step(t *kernel.Turn, in kernel.Input) {
@@ -93,7 +93,7 @@
 		t.After(RenewEvery, "listing", "renew")
 		p.renew(t)
 	case kernel.Message:
-		var r wire.HoldReply
+		var r wire.LeaseReply
 		if wire.Decode(v.Body, &r) != nil {
 			return
 		}
@@ -156,8 +156,8 @@
 
 // ask renews the duty, or asks for it: the more nodes there are, the more rarely each does.
 func (p *Lister) ask(t *kernel.Turn) {
-	part := state.PartOf(Duty)
-	addr := p.configSync.Leader(part)
+	partition := state.PartitionOf(Duty)
+	addr := p.configSync.Leader(partition)
 	if addr == "" || t.Now < p.idleTo || t.Now >= p.until && t.Now < p.askAt || p.members.SelfRow().Draining {
 		return
 	}
@@ -168,7 +168,7 @@
 	p.nextAsk++
 	p.asked[p.nextAsk] = t.Now
 	delete(p.asked, p.nextAsk-asksMost)
-	t.SendTo(addr, wire.KindHold, p.nextAsk, &wire.Hold{Part: part, Duty: Duty, From: p.mesh.Self()})
+	t.SendTo(addr, wire.KindLeaseRequest, p.nextAsk, &wire.LeaseRequest{Partition: partition, Task: Duty, From: p.mesh.Self()})
 }
 
 // orphaned tells that nobody's reading was heard of for so long that it is this node's turn
--- a/listing/listing_test.go
+++ b/listing/listing_test.go
@@ -19,7 +19,7 @@
 
 const second = int64(1_000_000)
 
-// rig runs one node's kernel; the test plays the owner, the platform and the other nodes.
+// rig runs one node's kernel; the test plays the leader, the platform and the other nodes.
 type rig struct {
 	t       *testing.T
 	k       *kernel.Kernel
@@ -27,8 +27,8 @@
 	now     int64
 	timers  []kernel.Timer
 	fetches []int64
-	holds   []wire.Hold
-	// status and list are the platform's answer; owner grants the duty to asks.
+	holds   []wire.LeaseRequest
+	// status and list are the platform's answer; leader grants the duty to asks.
 	status int
 	list   wire.Listing
 	grants bool
@@ -68,14 +68,14 @@
 			r.peer.mail = append(r.peer.mail, s.Data)
 			continue
 		}
-		var h wire.Hold
-		if f.Kind != wire.KindHold || wire.Decode(f.Body, &h) != nil {
+		var h wire.LeaseRequest
+		if f.Kind != wire.KindLeaseRequest || wire.Decode(f.Body, &h) != nil {
 			continue
 		}
 		r.holds = append(r.holds, h)
-		if r.grants && !h.Drop {
-			granted := &wire.HoldReply{Duty: Duty, Holder: r.l.mesh.Self(), For: 800_000, Turn: 3}
-			r.feed(kernel.Received{Data: wire.Seal(wire.KindHoldReply, f.ID, granted)})
+		if r.grants && !h.Release {
+			granted := &wire.LeaseReply{Task: Duty, Holder: r.l.mesh.Self(), For: 800_000, LeaseID: 3}
+			r.feed(kernel.Received{Data: wire.Seal(wire.KindLeaseReply, f.ID, granted)})
 		}
 	}
 }
@@ -84,9 +84,9 @@
 	r.feed(kernel.Received{Data: wire.Seal(kind, 0, m)})
 }
 
-// owned makes the node know an owner of the duty's part.
+// owned makes the node know a leader of the duty's partition.
 func (r *rig) owned() {
-	r.message(wire.KindPullReply, &wire.PullReply{Owners: []wire.Owner{{Part: state.PartOf(Duty), Term: 1, Seat: "s", Addr: "10.0.0.9:1"}}})
+	r.message(wire.KindPullReply, &wire.PullReply{Leaders: []wire.Leader{{Partition: state.PartitionOf(Duty), Term: 1, Replica: "s", Addr: "10.0.0.9:1"}}})
 }
 
 // meet opens a mesh channel between two nodes.
@@ -180,7 +180,7 @@
 		r.run(2 * second)
 		drops := 0
 		for _, h := range r.holds {
-			if h.Drop {
+			if h.Release {
 				drops++
 			}
 		}
--- a/members/members.go
+++ b/members/members.go
@@ -207,10 +207,10 @@
 	return n
 }
 
-// Seat finds the live core that has a seat's disk.
-func (m *Members) Seat(id string, now int64) (Row, bool) {
+// Replica finds the live core that has a replica's disk.
+func (m *Members) Replica(id string, now int64) (Row, bool) {
 	for _, fp := range m.sorted() {
-		if m.rows[fp].Seat == id && m.mesh.Live(fp, now) {
+		if m.rows[fp].Replica == id && m.mesh.Live(fp, now) {
 			return m.row(fp, now), true
 		}
 	}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -56,7 +56,7 @@
 }
 
 func version(seq uint64) func(*wire.Member) {
-	return func(m *wire.Member) { m.InForce = []wire.Stamp{{Seq: seq}} }
+	return func(m *wire.Member) { m.InForce = []wire.Version{{Seq: seq}} }
 }
 
 func TestVersionsInForceAreToldTogether(t *testing.T) {
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -18,25 +18,25 @@
 	m.flood(t, e, 0)
 }
 
-// AnnouncePart floods a committed version of a part; any process may do so.
-func (m *Mesh) AnnouncePart(t *kernel.Turn, v wire.Stamped) {
-	if e := m.takePart(t, v); e != nil {
+// AnnounceVersion floods a committed version of a partition; any process may do so.
+func (m *Mesh) AnnounceVersion(t *kernel.Turn, v wire.Versioned) {
+	if e := m.takeVersion(t, v); e != nil {
 		m.flood(t, e, 0)
 	}
 }
 
-// HoldPart takes a version that came another way; heartbeats hand it on.
-func (m *Mesh) HoldPart(t *kernel.Turn, v wire.Stamped) { m.takePart(t, v) }
+// HoldVersion takes a version that came another way; heartbeats hand it on.
+func (m *Mesh) HoldVersion(t *kernel.Turn, v wire.Versioned) { m.takeVersion(t, v) }
 
-func (m *Mesh) takePart(t *kernel.Turn, v wire.Stamped) *wire.Entry {
-	if held, ok := m.store.parts[v.Stamp.Part]; ok && !Newer(v.Stamp, held.Stamp) {
+func (m *Mesh) takeVersion(t *kernel.Turn, v wire.Versioned) *wire.Entry {
+	if held, ok := m.store.parts[v.Version.Partition]; ok && !Newer(v.Version, held.Version) {
 		return nil
 	}
 	m.count++
-	e := &wire.Entry{Type: "part", Origin: m.k.Boot.Key.Public, Count: m.count, At: t.Wall, Stamp: v.Stamp, Body: v.Body}
+	e := &wire.Entry{Type: "part", Origin: m.k.Boot.Key.Public, Count: m.count, At: t.Wall, Version: v.Version, Body: v.Body}
 	sign(e, m.k.Boot.Key)
 	m.seen.add(seenKey(e), t.Now)
-	m.store.putPart(e)
+	m.store.putVersion(e)
 	m.changedAt = t.Now
 	t.Emit(Stored{Entry: e, Origin: m.self, Own: true})
 	return e
--- a/mesh/digest.go
+++ b/mesh/digest.go
@@ -11,7 +11,7 @@
 
 // Figures of catching up.
 const (
-	// Buckets of origins; the bit beyond them stands for the parts.
+	// Buckets of origins; the bit beyond them stands for the partitions.
 	Buckets   = 63
 	partsBit  = 1 << Buckets
 	wholeMask = ^uint64(0)
@@ -115,7 +115,7 @@
 			left -= m.catchUp(t, p, m.store.origins[fp], theirs[fp], left)
 		}
 	}
-	left -= m.pushParts(t, p, hb.Parts)
+	left -= m.pushParts(t, p, hb.Partitions)
 	m.served -= was - left
 	lacks := m.lacks(hb)
 	if !lacks {
@@ -155,7 +155,7 @@
 }
 
 func (m *Mesh) sendMarks(t *kernel.Turn, p *peer, scope uint64, echo bool) {
-	hb := &wire.Heartbeat{Digest: m.digest(), Scope: scope, Echo: echo, Parts: m.stamps()}
+	hb := &wire.Heartbeat{Digest: m.digest(), Scope: scope, Echo: echo, Partitions: m.stamps()}
 	for _, fp := range sortedKeys(m.store.origins) {
 		if o := m.store.origins[fp]; scope&bucketBit(fp) != 0 && o.max > 0 {
 			hb.Marks = append(hb.Marks, wire.Mark{Origin: fp, Max: o.max, Sum: o.sum})
@@ -178,24 +178,24 @@
 	return max(0, m.served)
 }
 
-func (m *Mesh) stamps() []wire.Stamp {
-	out := make([]wire.Stamp, 0, len(m.store.parts))
-	for _, part := range sortedKeys(m.store.parts) {
-		out = append(out, m.store.parts[part].Stamp)
+func (m *Mesh) stamps() []wire.Version {
+	out := make([]wire.Version, 0, len(m.store.parts))
+	for _, partition := range sortedKeys(m.store.parts) {
+		out = append(out, m.store.parts[partition].Version)
 	}
 	return out
 }
 
 // pushParts sends the versions that the other side lacks. Of a large one it is told, and asks for it
 // unless another already sends it.
-func (m *Mesh) pushParts(t *kernel.Turn, p *peer, theirs []wire.Stamp) (sent int) {
-	stamps := map[int]wire.Stamp{}
+func (m *Mesh) pushParts(t *kernel.Turn, p *peer, theirs []wire.Version) (sent int) {
+	stamps := map[int]wire.Version{}
 	for _, s := range theirs {
-		stamps[s.Part] = s
+		stamps[s.Partition] = s
 	}
-	for _, part := range sortedKeys(m.store.parts) {
-		e := m.store.parts[part]
-		if s, ok := stamps[part]; !ok || Newer(e.Stamp, s) {
+	for _, partition := range sortedKeys(m.store.parts) {
+		e := m.store.parts[partition]
+		if s, ok := stamps[partition]; !ok || Newer(e.Version, s) {
 			if isLarge(e) {
 				m.notify(t, p.chanID, e)
 				continue
@@ -221,8 +221,8 @@
 			return true
 		}
 	}
-	for _, s := range hb.Parts {
-		if e, ok := m.store.parts[s.Part]; !ok || Newer(s, e.Stamp) {
+	for _, s := range hb.Partitions {
+		if e, ok := m.store.parts[s.Partition]; !ok || Newer(s, e.Version) {
 			return true
 		}
 	}
--- a/mesh/flood.go
+++ b/mesh/flood.go
@@ -84,7 +84,7 @@
 	if e.Type != "part" {
 		return m.store.put(e, fp, t.Now)
 	}
-	return m.store.putPart(e)
+	return m.store.putVersion(e)
 }
 
 func (m *Mesh) flood(t *kernel.Turn, e *wire.Entry, except uint64) {
@@ -114,7 +114,7 @@
 
 func slot(e *wire.Entry) string {
 	if e.Type == "part" {
-		return "part\x00" + string(rune(e.Stamp.Part))
+		return "part\x00" + string(rune(e.Version.Partition))
 	}
 	return entryKey(e) + "\x00" + string(e.Origin)
 }
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -81,7 +81,7 @@
 
 // marks is a heartbeat as the release before sends it.
 func (m *Mesh) marks() *wire.Heartbeat {
-	hb := &wire.Heartbeat{Addrs: m.knownAddrs(), Parts: m.stamps(), Digest: m.digest(), Scope: wholeMask}
+	hb := &wire.Heartbeat{Addrs: m.knownAddrs(), Partitions: m.stamps(), Digest: m.digest(), Scope: wholeMask}
 	for _, fp := range sortedKeys(m.store.origins) {
 		o := m.store.origins[fp]
 		if o.beat == 0 {
--- a/mesh/large_test.go
+++ b/mesh/large_test.go
@@ -22,8 +22,8 @@
 }
 
 // commit has a process flood a version of a partition.
-func (f *fleet) commit(p *process, v wire.Stamped) {
-	p.k.Later(func(t *kernel.Turn) { p.m.AnnouncePart(t, v) })
+func (f *fleet) commit(p *process, v wire.Versioned) {
+	p.k.Later(func(t *kernel.Turn) { p.m.AnnounceVersion(t, v) })
 	f.step(p, kernel.Tick{Plugin: "nobody"})
 }
 
@@ -45,9 +45,9 @@
 }
 
 // holders counts those that hold a version.
-func (f *fleet) holders(at wire.Stamp) (n int) {
+func (f *fleet) holders(at wire.Version) (n int) {
 	for _, p := range f.procs {
-		if v, ok := p.m.Part(at.Part); ok && v.Stamp == at {
+		if v, ok := p.m.Partition(at.Partition); ok && v.Version == at {
 			n++
 		}
 	}
@@ -58,9 +58,9 @@
 	const processes, size = 18, 2 << 20
 	f := settled(t, processes, 3, 6)
 	f.bytesPerSecond = 10_000_000 / 8
-	at := wire.Stamp{Part: 0, Term: 1, Seq: 9}
+	at := wire.Version{Partition: 0, Term: 1, Seq: 9}
 	before := f.bytesIn()
-	f.commit(f.procs[0], wire.Stamped{Stamp: at, Body: make([]byte, size)})
+	f.commit(f.procs[0], wire.Versioned{Version: at, Body: make([]byte, size)})
 	took := f.until(60_000_000, func() bool {
 		must.True(t, f.met(), must.Sprint("nobody is taken for lost"))
 		return f.holders(at) == processes
@@ -74,8 +74,8 @@
 	const processes, size = 12, 1 << 20
 	f := settled(t, processes, 3, 7)
 	f.bytesPerSecond = 10_000_000 / 8
-	at := wire.Stamp{Part: 0, Term: 1, Seq: 9}
-	f.commit(f.procs[0], wire.Stamped{Stamp: at, Body: make([]byte, size)})
+	at := wire.Version{Partition: 0, Term: 1, Seq: 9}
+	f.commit(f.procs[0], wire.Versioned{Version: at, Body: make([]byte, size)})
 	f.until(60_000_000, func() bool { return f.holders(at) == processes })
 	late := f.procs[processes-1]
 	f.kill(late)
@@ -92,14 +92,14 @@
 // Who sends a large version to three already leaves the fourth to those who have it soon.
 func TestALargeVersionIsSentToThreeAtOnce(t *testing.T) {
 	r := newRig(t)
-	at := wire.Stamp{Part: 0, Term: 1, Seq: 9}
-	r.m.k.Later(func(t *kernel.Turn) { r.m.AnnouncePart(t, wire.Stamped{Stamp: at, Body: make([]byte, 1<<20)}) })
+	at := wire.Version{Partition: 0, Term: 1, Seq: 9}
+	r.m.k.Later(func(t *kernel.Turn) { r.m.AnnounceVersion(t, wire.Versioned{Version: at, Body: make([]byte, 1<<20)}) })
 	r.feed(kernel.Tick{Plugin: "nobody"})
 	served := map[uint64]bool{}
 	for i := range uint64(5) {
 		conn := 20 + i
 		r.feed(kernel.ChannelUp{Chan: conn, Addr: fmt.Sprintf("10.0.1.%d:1", i), Peer: kernel.Fingerprint(key(byte(40 + i)).Public), Mesh: true})
-		want := wire.Notice{Type: "part", Stamp: at, Want: true}
+		want := wire.Notice{Type: "part", Version: at, Want: true}
 		for _, s := range r.feed(kernel.Received{Chan: conn, Data: wire.Seal(wire.KindNotice, 0, &want)}).Sends {
 			if wire.KindOf(s.Data) == wire.KindPiece {
 				served[s.Chan] = true
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -197,13 +197,13 @@
 // Peers counts the open mesh channels.
 func (m *Mesh) Peers() int { return len(m.peers) }
 
-// Part gives the newest version of a part that the mesh has brought.
-func (m *Mesh) Part(part int) (wire.Stamped, bool) {
-	e, ok := m.store.parts[part]
+// Partition gives the newest version of a partition that the mesh has brought.
+func (m *Mesh) Partition(partition int) (wire.Versioned, bool) {
+	e, ok := m.store.parts[partition]
 	if !ok {
-		return wire.Stamped{}, false
+		return wire.Versioned{}, false
 	}
-	return wire.Stamped{Stamp: e.Stamp, Body: e.Body}, true
+	return wire.Versioned{Version: e.Version, Body: e.Body}, true
 }
 
 // Each visits the held entries of a type.
@@ -218,7 +218,7 @@
 	}
 }
 
-// Newer tells whether stamp a comes after b.
-func Newer(a, b wire.Stamp) bool {
+// Newer tells whether version a comes after b.
+func Newer(a, b wire.Version) bool {
 	return a.Term > b.Term || a.Term == b.Term && a.Seq > b.Seq
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -91,7 +91,7 @@
 		}, "mesh_dropped_old"},
 		"an older stamp of a part, from any origin": {func(r *rig) *wire.Entry {
 			for _, seq := range []uint64{5, 4} {
-				e := &wire.Entry{Type: "part", Origin: key(byte(seq)).Public, Stamp: wire.Stamp{Term: 2, Seq: seq}}
+				e := &wire.Entry{Type: "part", Origin: key(byte(seq)).Public, Version: wire.Version{Term: 2, Seq: seq}}
 				sign(e, key(byte(seq)))
 				if seq == 4 {
 					return e
--- a/mesh/notice.go
+++ b/mesh/notice.go
@@ -37,10 +37,10 @@
 	t.SendSlot(ch, wire.KindNotice, &n, "notice\x00"+slot(e))
 }
 
-// noticeOf names an entry. A part's version is the same whoever tells of it.
+// noticeOf names an entry. A partition's version is the same whoever tells of it.
 func noticeOf(e *wire.Entry) wire.Notice {
 	if e.Type == "part" {
-		return wire.Notice{Type: e.Type, Stamp: e.Stamp}
+		return wire.Notice{Type: e.Type, Version: e.Version}
 	}
 	return wire.Notice{Type: e.Type, ID: e.ID, Origin: kernel.Fingerprint(e.Origin), Count: e.Count}
 }
@@ -74,7 +74,7 @@
 // held is the entry of a notice, or a newer one; nil where this process lacks it.
 func (m *Mesh) held(n wire.Notice) *wire.Entry {
 	if n.Type == "part" {
-		if e := m.store.parts[n.Stamp.Part]; e != nil && !Newer(n.Stamp, e.Stamp) {
+		if e := m.store.parts[n.Version.Partition]; e != nil && !Newer(n.Version, e.Version) {
 			return e
 		}
 		return nil
--- a/mesh/seen.go
+++ b/mesh/seen.go
@@ -32,9 +32,9 @@
 	for i := range 8 {
 		b[i] = byte(e.At >> (8 * i))
 		b[8+i] = byte(e.Count >> (8 * i))
-		b[16+i] = byte(e.Stamp.Term >> (8 * i))
-		b[24+i] = byte(e.Stamp.Seq >> (8 * i))
-		b[32+i] = byte(e.Stamp.Part >> (8 * i))
+		b[16+i] = byte(e.Version.Term >> (8 * i))
+		b[24+i] = byte(e.Version.Seq >> (8 * i))
+		b[32+i] = byte(e.Version.Partition >> (8 * i))
 	}
 	h.Write(b[:])
 	return h.Sum64()
--- a/mesh/store.go
+++ b/mesh/store.go
@@ -1,5 +1,5 @@
 // What the mesh holds: per origin the newest entry of each id, with the sums
-// by which two processes see at a glance whether they hold the same; per part
+// by which two processes see at a glance whether they hold the same; per partition
 // the newest committed version. All of it is bounded.
 package mesh
 
@@ -46,7 +46,7 @@
 	origins map[string]*origin
 	parts   map[int]*wire.Entry
 	buried  map[string]grave
-	// buckets sum up the origins, a bucket by hash of the fingerprint each; stamps the parts.
+	// buckets sum up the origins, a bucket by hash of the fingerprint each; versions the partitions.
 	buckets [Buckets]uint64
 	stamps  uint64
 }
@@ -137,21 +137,21 @@
 
 func nonzero(x uint64) uint64 { return min(x, 1) }
 
-// putPart takes a newer version of a part in.
-func (s *store) putPart(e *wire.Entry) bool {
-	held, ok := s.parts[e.Stamp.Part]
-	if ok && !Newer(e.Stamp, held.Stamp) {
+// putVersion takes a newer version of a partition in.
+func (s *store) putVersion(e *wire.Entry) bool {
+	held, ok := s.parts[e.Version.Partition]
+	if ok && !Newer(e.Version, held.Version) {
 		return false
 	}
 	if ok {
-		s.stamps ^= stampHash(held.Stamp)
+		s.stamps ^= stampHash(held.Version)
 	}
-	s.stamps ^= stampHash(e.Stamp)
-	s.parts[e.Stamp.Part] = e
+	s.stamps ^= stampHash(e.Version)
+	s.parts[e.Version.Partition] = e
 	return true
 }
 
-func stampHash(st wire.Stamp) uint64 { return mix(mix(st.Term^uint64(st.Part)<<56) ^ st.Seq) }
+func stampHash(st wire.Version) uint64 { return mix(mix(st.Term^uint64(st.Partition)<<56) ^ st.Seq) }
 
 // prune drops what an origin took back long ago.
 func (o *origin) prune(now int64) {
--- a/operate/binding.go
+++ b/operate/binding.go
@@ -18,7 +18,7 @@
 }
 
 func (c *call) readVersion() wire.Edit {
-	return wire.Edit{Part: c.req.Edit.Part, Op: wire.OpZoneVersion, Name: c.req.Edit.Name}
+	return wire.Edit{Partition: c.req.Edit.Partition, Op: wire.OpZoneVersion, Name: c.req.Edit.Name}
 }
 
 // versionReplied binds the order and sends it.
@@ -31,13 +31,13 @@
 	case "not_owner":
 		o.handOn(t, id, c, r.Addr)
 	case wire.CodeVersion:
-		c.bound, c.req.Edit.Base = true, r.Stamp
+		c.bound, c.req.Edit.Base = true, r.Version
 		o.handOn(t, id, c, r.Addr)
 	case "invalid":
 		// A leader of a release before 3 has no versions, and takes the order without one. A later
 		// leader refuses it then, unless no order about the zone was ever taken.
-		c.bound, c.req.Edit.Base = true, wire.Stamp{}
-		o.handOn(t, id, c, o.owner(t, c))
+		c.bound, c.req.Edit.Base = true, wire.Version{}
+		o.handOn(t, id, c, o.leaderAddress(t, c))
 	}
 }
 
@@ -48,7 +48,7 @@
 		return
 	}
 	c.bound = false
-	if addr := o.owner(t, c); addr != "" {
+	if addr := o.leaderAddress(t, c); addr != "" {
 		o.send(t, id, c, addr)
 	}
 }
--- a/operate/binding_test.go
+++ b/operate/binding_test.go
@@ -15,7 +15,7 @@
 func drain() wire.Edit { return wire.Edit{Op: "empty", Name: "z1"} }
 
 func version(seq uint64) wire.EditReply {
-	return wire.EditReply{Code: wire.CodeVersion, Stamp: wire.Stamp{Term: 3, Seq: seq}, Addr: "owner"}
+	return wire.EditReply{Code: wire.CodeVersion, Version: wire.Version{Term: 3, Seq: seq}, Addr: "owner"}
 }
 
 func (n *node) last() sentEdit { return n.frames[len(n.frames)-1] }
@@ -28,7 +28,7 @@
 	n.reply(read.id, version(7))
 	order := n.last()
 	must.Eq(t, "empty z1", order.edit.Op+" "+order.edit.Name)
-	must.Eq(t, wire.Stamp{Term: 3, Seq: 7}, order.edit.Base)
+	must.Eq(t, wire.Version{Term: 3, Seq: 7}, order.edit.Base)
 	n.reply(order.id, wire.EditReply{Code: "ok"})
 	must.Eq(t, "ok", n.code(1))
 }
@@ -85,7 +85,7 @@
 	n.call(1, Carry{Edit: drain(), GiveUpUs: 800_000})
 	n.reply(n.last().id, wire.EditReply{Code: "invalid"})
 	must.Eq(t, "empty z1", n.last().edit.Op+" "+n.last().edit.Name)
-	must.Eq(t, wire.Stamp{}, n.last().edit.Base)
+	must.Eq(t, wire.Version{}, n.last().edit.Base)
 }
 
 // A reply to the question says nothing of the order, which another core may take meanwhile.
--- a/operate/carrying.go
+++ b/operate/carrying.go
@@ -1,5 +1,5 @@
-// A call on its way: sent to the part's owner as it is known, sent again while
-// nobody has answered, handed on by those who know a newer owner, and waited
+// A call on its way: sent to the partition's leader as it is known, sent again while
+// nobody has answered, handed on by those who know a newer leader, and waited
 // for until the nodes have it in force.
 package operate
 
@@ -36,7 +36,7 @@
 		o.answer(t, id, c, Result{Reply: wire.EditReply{Code: code}})
 		return
 	}
-	if addr := o.owner(t, c); addr != "" {
+	if addr := o.leaderAddress(t, c); addr != "" {
 		o.send(t, id, c, addr)
 	}
 	c.tries++
@@ -55,8 +55,8 @@
 	} else {
 		c.open++
 	}
-	if o.seats != nil && addr == o.members.SelfRow().Addr {
-		o.seats.Edit(t, id, edit)
+	if o.host != nil && addr == o.members.SelfRow().Addr {
+		o.host.Edit(t, id, edit)
 		return
 	}
 	t.SendTo(addr, wire.KindEdit, id, &edit)
@@ -71,16 +71,16 @@
 	o.send(t, id, c, addr)
 }
 
-// owner is where to send a call next: to the part's owner as last heard, and every other time to
-// some live core, which knows a newer one once an owner is gone.
-func (o *Operate) owner(t *kernel.Turn, c *call) string {
-	part := c.req.Edit.Part
+// leader is where to send a call next: to the partition's leader as last heard, and every other time to
+// some live core, which knows a newer one once a leader is gone.
+func (o *Operate) leaderAddress(t *kernel.Turn, c *call) string {
+	partition := c.req.Edit.Partition
 	addr := ""
-	if o.seats != nil {
-		addr = o.seats.Leader(part, t.Now)
+	if o.host != nil {
+		addr = o.host.Leader(partition, t.Now)
 	}
 	if addr == "" {
-		addr = o.configSync.Leader(part)
+		addr = o.configSync.Leader(partition)
 	}
 	if addr != "" && c.tries%2 == 0 {
 		return addr
@@ -124,13 +124,13 @@
 	o.watch(t, id, c)
 }
 
-// watch waits until every live node reports the stamp, or long enough.
+// watch waits until every live node reports the version, or long enough.
 func (o *Operate) watch(t *kernel.Turn, id uint64, c *call) {
 	res := Result{Reply: *c.reply}
 	for _, n := range o.members.Live(t.Now, "node") {
 		in := false
 		for _, s := range n.InForce {
-			in = in || s.Part == c.reply.Stamp.Part && !mesh.Newer(c.reply.Stamp, s)
+			in = in || s.Partition == c.reply.Version.Partition && !mesh.Newer(c.reply.Version, s)
 		}
 		if in {
 			res.InForce++
--- a/operate/cutoff_test.go
+++ b/operate/cutoff_test.go
@@ -15,7 +15,7 @@
 
 // cutOffLeader is a core that was elected by "a" and has heard of nobody since.
 func cutOffLeader(t *testing.T) *node {
-	form := wire.Form{Formation: "f", Go: true, Seats: []wire.Seat{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}, {ID: "me", Addr: "10.0.0.1:1"}}}
+	form := wire.Bootstrap{Formation: "f", Go: true, Voters: []wire.Replica{{ID: "a", Addr: "a"}, {ID: "b", Addr: "b"}, {ID: "me", Addr: "10.0.0.1:1"}}}
 	files := map[string][]byte{"seat": diskfile.Pack([]byte("me")), "formation": diskfile.Pack(wire.Encode(&form))}
 	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1", Data: "disk"}, Role: "core", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32)), Files: files})
 	n := &node{t: t, k: k, now: 1_000_000, answers: map[uint64]any{}}
@@ -26,8 +26,8 @@
 	n.receive(wire.KindVoteReply, 0, &wire.VoteReply{Term: 1, From: "a", Pre: true, Granted: true})
 	n.synced("w1")
 	n.receive(wire.KindVoteReply, 0, &wire.VoteReply{Term: 1, From: "a", Granted: true})
-	n.receive(wire.KindAcceptReply, 0, &wire.AcceptReply{Term: 1, From: "a", Stamp: wire.Stamp{Term: 1, Seq: 1}, OK: true})
-	n.receive(wire.KindAcceptReply, 0, &wire.AcceptReply{Term: 1, From: "b", Stamp: wire.Stamp{Term: 1, Seq: 1}, OK: true})
+	n.receive(wire.KindAcceptReply, 0, &wire.AcceptReply{Term: 1, From: "a", Version: wire.Version{Term: 1, Seq: 1}, OK: true})
+	n.receive(wire.KindAcceptReply, 0, &wire.AcceptReply{Term: 1, From: "b", Version: wire.Version{Term: 1, Seq: 1}, OK: true})
 	return n
 }
 
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -1,5 +1,5 @@
 // Package operate carries an operator's change from the node that took it to
-// the owner of the part, and waits a bounded while for the fleet to have it in
+// the leader of the partition, and waits a bounded while for the fleet to have it in
 // force. When the outcome cannot be known it says so, never 'refused'.
 package operate
 
@@ -25,7 +25,7 @@
 	hopsMost   = 16
 )
 
-// Carry is an edit to carry to the owner of its part.
+// Carry is an edit to carry to the leader of its partition.
 type Carry struct {
 	Edit wire.Edit
 	// Wait asks to wait, once the edit is committed, until every live node reports it in force.
@@ -37,7 +37,7 @@
 }
 
 // Result is what came of it. Reply.Code is "ok", "lost_race", "invalid", "conflict", "shed" where
-// certainly no owner took the edit, or "unknown".
+// certainly no leader took the edit, or "unknown".
 type Result struct {
 	Reply    wire.EditReply
 	InForce  int
@@ -48,7 +48,7 @@
 type Operate struct {
 	mesh       *mesh.Mesh
 	configSync *configsync.Sync
-	seats      *replica.Host
+	host       *replica.Host
 	members    *members.Members
 	calls      map[uint64]*call
 	// zones are the zones that the settings name, with their regions; empty where they name none.
@@ -63,10 +63,10 @@
 func init() {
 	kernel.Register(kernel.Registration{Rank: 50, Roles: []string{"node", "core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		return &Operate{
-			mesh: kernel.Find[*mesh.Mesh](k), configSync: kernel.Find[*configsync.Sync](k), seats: kernel.Find[*replica.Host](k),
+			mesh: kernel.Find[*mesh.Mesh](k), configSync: kernel.Find[*configsync.Sync](k), host: kernel.Find[*replica.Host](k),
 			zones: k.Boot.Env.Regions, members: kernel.Find[*members.Members](k), calls: map[uint64]*call{}, rebuilds: map[uint64]*rebuilding{},
 			statusReads:  map[uint64]*statusRead{},
-			wantedVoters: k.Boot.Env.Seats(),
+			wantedVoters: k.Boot.Env.Voters(),
 		}
 	}})
 }
@@ -133,17 +133,17 @@
 	c := &call{began: t.Now}
 	switch ask := v.Ask.(type) {
 	case Rebuild:
-		o.rebuild(t, v.ID, ask.Part)
+		o.rebuild(t, v.ID, ask.Partition)
 		return
 	case ReadStatus:
 		o.readStatus(t, v.ID)
 		return
 	case ReadRouting:
 		c.outcome = routingOutcome
-		c.req = Carry{Edit: wire.Edit{Part: state.Config, Op: wire.OpRead}, GiveUpUs: ask.GiveUpUs}
+		c.req = Carry{Edit: wire.Edit{Partition: state.Config, Op: wire.OpRead}, GiveUpUs: ask.GiveUpUs}
 	case ReadHistory:
 		c.outcome = historyOutcome
-		c.req = Carry{Edit: wire.Edit{Part: state.Config, Op: wire.OpHistory}}
+		c.req = Carry{Edit: wire.Edit{Partition: state.Config, Op: wire.OpHistory}}
 	case Carry:
 		if ask.Edit.Op == "empty" && ask.Edit.Name != "" && !o.knowsZone(ask.Edit.Name, t.Now) {
 			t.Answer(v.ID, unknownZone(ask.Edit.Name))
--- a/operate/operate_test.go
+++ b/operate/operate_test.go
@@ -29,12 +29,12 @@
 	edit wire.Edit
 }
 
-// newNode is a node that has heard from a core that "owner" owns part 0.
+// newNode is a node that has heard from a core that "owner" leads partition 0.
 func newNode(t *testing.T) *node {
 	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1", Zone: "z1"}, Role: "node", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32))})
 	n := &node{t: t, k: k, now: 1_000_000, answers: map[uint64]any{}}
 	n.step(kernel.Start{})
-	n.receive(wire.KindPullReply, 0, &wire.PullReply{Owners: []wire.Owner{{Part: 0, Term: 3, Seat: "s", Addr: "owner"}}})
+	n.receive(wire.KindPullReply, 0, &wire.PullReply{Leaders: []wire.Leader{{Partition: 0, Term: 3, Replica: "s", Addr: "owner"}}})
 	return n
 }
 
@@ -137,7 +137,7 @@
 	n.call(1, Carry{Edit: edit(), GiveUpUs: 800_000})
 	n.reply(1, wire.EditReply{Code: "not_owner", Addr: "other"})
 	must.Eq(t, []string{"owner", "other"}, n.edits)
-	n.reply(1, wire.EditReply{Code: "ok", Stamp: wire.Stamp{Term: 3, Seq: 1}})
+	n.reply(1, wire.EditReply{Code: "ok", Version: wire.Version{Term: 3, Seq: 1}})
 	must.Eq(t, "ok", n.code(1))
 	// Two that name each other do not keep an edit going round for ever.
 	n.call(2, Carry{Edit: edit()})
@@ -159,7 +159,7 @@
 }
 
 func TestWaitForTheNodesIsBounded(t *testing.T) {
-	at := wire.Stamp{Term: 9, Seq: 1}
+	at := wire.Version{Term: 9, Seq: 1}
 	for _, v := range []struct {
 		wait, giveUp, replied, ends int64
 	}{{300_000, 900_000, 0, 300_000}, {300_000, 900_000, 800_000, 900_000}, {0, 0, 0, ForceWait}} {
@@ -167,7 +167,7 @@
 		// This node itself does not have that version in force.
 		n.call(1, Carry{Edit: edit(), Wait: true, WaitUs: v.wait, GiveUpUs: v.giveUp})
 		n.pass(v.replied)
-		n.reply(1, wire.EditReply{Code: "ok", Stamp: at})
+		n.reply(1, wire.EditReply{Code: "ok", Version: at})
 		n.pass(v.ends - v.replied - 1)
 		must.Eq(t, "", n.code(1))
 		n.pass(1)
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -1,4 +1,4 @@
-// The node's side of rebuilding a part's group: ask every live core which version it
+// The node's side of rebuilding a partition's group: ask every live core which version it
 // holds, fetch the newest one where this node lacks it, and have three cores hold it.
 package operate
 
@@ -12,8 +12,8 @@
 	"wallport/wire"
 )
 
-// Rebuild is an operator's word to make a part's group anew.
-type Rebuild struct{ Part int }
+// Rebuild is an operator's word to make a partition's group anew.
+type Rebuild struct{ Partition int }
 
 // Figures of rebuilding.
 const (
@@ -27,32 +27,32 @@
 )
 
 type rebuilding struct {
-	part    int
-	doing   bool
-	version wire.Stamped
+	partition int
+	doing     bool
+	version   wire.Versioned
 	// ledger is that of the newest version that a core holds; what the mesh brought has none.
 	ledger  []byte
-	picked  []wire.Seat
+	picked  []wire.Replica
 	yes     map[string]bool
 	refused []string
 	top     uint64
 	// newest is the newest version that a core holds, and holder that core's replica. fetching is
 	// that the version was asked for, fetched that it came.
-	newest            wire.Stamp
+	newest            wire.Version
 	holder            string
 	fetching, fetched bool
 	// dueAt is when the step under way ends.
 	dueAt int64
 }
 
-func (o *Operate) rebuild(t *kernel.Turn, id uint64, part int) {
-	r := &rebuilding{part: part, yes: map[string]bool{}}
-	if v, ok := o.mesh.Part(part); ok {
+func (o *Operate) rebuild(t *kernel.Turn, id uint64, partition int) {
+	r := &rebuilding{partition: partition, yes: map[string]bool{}}
+	if v, ok := o.mesh.Partition(partition); ok {
 		r.version = v
 	}
 	o.rebuilds[id] = r
 	for _, c := range o.cores(t.Now) {
-		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: part, Brief: true})
+		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Partition: partition, Brief: true})
 	}
 	o.rebuildDue(t, id, r, AskedFor)
 }
@@ -73,7 +73,7 @@
 func (o *Operate) cores(now int64) []members.Row {
 	var out []members.Row
 	for _, c := range o.members.Live(now, "core") {
-		if c.Seat != "" && c.Sick == "" && !c.Draining {
+		if c.Replica != "" && c.Sick == "" && !c.Draining {
 			out = append(out, c)
 		}
 	}
@@ -82,21 +82,21 @@
 
 func (o *Operate) rebuildReplied(t *kernel.Turn, id uint64, m wire.RebuildReply) {
 	r := o.rebuilds[id]
-	if r == nil || m.Part != r.part {
+	if r == nil || m.Partition != r.partition {
 		return
 	}
-	r.top = max(r.top, m.Held.Stamp.Term)
+	r.top = max(r.top, m.Held.Version.Term)
 	if !m.OK {
 		r.refused = append(r.refused, m.From+": "+m.Why)
 		return
 	}
 	r.yes[m.From] = true
-	if mesh.Newer(m.Held.Stamp, r.newest) {
-		r.newest, r.holder = m.Held.Stamp, m.From
+	if mesh.Newer(m.Held.Version, r.newest) {
+		r.newest, r.holder = m.Held.Version, m.From
 	}
-	if r.fetching && m.From == r.holder && m.Held.Stamp == r.newest {
+	if r.fetching && m.From == r.holder && m.Held.Version == r.newest {
 		r.fetching, r.fetched, r.ledger = false, true, m.Held.Ledger
-		if mesh.Newer(m.Held.Stamp, r.version.Stamp) {
+		if mesh.Newer(m.Held.Version, r.version.Version) {
 			r.version = m.Held
 		}
 		o.rebuildStep(t, id, r)
@@ -111,8 +111,8 @@
 	}
 	r.fetching = true
 	for _, c := range o.cores(t.Now) {
-		if c.Seat == r.holder {
-			t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part})
+		if c.Replica == r.holder {
+			t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Partition: r.partition})
 		}
 	}
 	o.rebuildDue(t, id, r, FetchFor)
@@ -124,7 +124,7 @@
 
 // rebuiltVoters picks the voters of a rebuilt group: as many as wanted, or else the greatest odd
 // number that there is, spread over the zones; none where there are too few cores.
-func rebuiltVoters(cores []wire.Seat, wanted int) []wire.Seat {
+func rebuiltVoters(cores []wire.Replica, wanted int) []wire.Replica {
 	n := min(max(wanted, fewestVoters), (len(cores)-1)|1)
 	if n < fewestVoters {
 		return nil
@@ -136,9 +136,9 @@
 func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
 	end := func(code, text string) {
 		delete(o.rebuilds, id)
-		reply := wire.EditReply{Code: code, Stamp: r.version.Stamp}
+		reply := wire.EditReply{Code: code, Version: r.version.Version}
 		if text != "" {
-			reply.Findings = []wire.Finding{{Place: fmt.Sprintf("part %d", r.part), Text: text}}
+			reply.Findings = []wire.Finding{{Place: fmt.Sprintf("part %d", r.partition), Text: text}}
 		}
 		t.Answer(id, Result{Reply: reply})
 	}
@@ -160,10 +160,10 @@
 	case o.fetch(t, id, r):
 		return
 	}
-	var agreed []wire.Seat
+	var agreed []wire.Replica
 	for _, c := range o.cores(t.Now) {
-		if r.yes[c.Seat] {
-			agreed = append(agreed, wire.Seat{ID: c.Seat, Zone: c.Zone, Addr: c.Addr})
+		if r.yes[c.Replica] {
+			agreed = append(agreed, wire.Replica{ID: c.Replica, Zone: c.Zone, Addr: c.Addr})
 		}
 	}
 	r.picked = rebuiltVoters(agreed, o.wantedVoters)
@@ -171,12 +171,12 @@
 		end("invalid", "needs three live cores with sound disks")
 		return
 	}
-	// A term past anything that the lost seats can have promised among few of them.
-	r.version.Stamp = wire.Stamp{Part: r.part, Term: max(r.top, r.version.Stamp.Term) + 1000, Seq: r.version.Stamp.Seq + 1}
-	r.version.Seats, r.version.Prev, r.version.Ledger = r.picked, nil, r.ledger
+	// A term past anything that the lost replicas can have promised among few of them.
+	r.version.Version = wire.Version{Partition: r.partition, Term: max(r.top, r.version.Version.Term) + 1000, Seq: r.version.Version.Seq + 1}
+	r.version.Voters, r.version.PreviousVoters, r.version.Ledger = r.picked, nil, r.ledger
 	r.doing, r.yes = true, map[string]bool{}
 	for _, c := range r.picked {
-		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Part: r.part, Do: true, Stamped: r.version})
+		t.SendTo(c.Addr, wire.KindRebuild, id, &wire.Rebuild{Partition: r.partition, Do: true, Versioned: r.version})
 	}
 	o.rebuildDue(t, id, r, AskedFor+int64(len(r.version.Body)+len(r.version.Ledger))*1_000_000/slowestHold)
 }
--- a/operate/rebuild_fetch_test.go
+++ b/operate/rebuild_fetch_test.go
@@ -12,7 +12,7 @@
 )
 
 func held(from string, seq uint64, body string) wire.RebuildReply {
-	v := wire.Stamped{Stamp: wire.Stamp{Term: 2, Seq: seq}}
+	v := wire.Versioned{Version: wire.Version{Term: 2, Seq: seq}}
 	if body != "" {
 		v.Body = []byte(body)
 	}
@@ -22,12 +22,12 @@
 func TestTheNewestVersionIsFetchedBeforeAnyCoreHoldsIt(t *testing.T) {
 	n := newNode(t)
 	o := kernel.Find[*Operate](n.k)
-	n.call(1, Rebuild{Part: 0})
+	n.call(1, Rebuild{Partition: 0})
 	r := o.rebuilds[1]
 	for _, m := range []wire.RebuildReply{held("s1", 7, ""), held("s2", 9, ""), held("s3", 8, "")} {
 		n.receive(wire.KindRebuildReply, 1, &m)
 	}
-	must.Eq(t, wire.Stamp{}, r.version.Stamp, must.Sprint("a version without its body is none"))
+	must.Eq(t, wire.Version{}, r.version.Version, must.Sprint("a version without its body is none"))
 	n.pass(AskedFor)
 	must.True(t, r.fetching)
 	must.Eq(t, "s2", r.holder)
@@ -44,7 +44,7 @@
 func TestARebuildingWhoseNewestVersionDoesNotArriveChangesNothing(t *testing.T) {
 	n := newNode(t)
 	o := kernel.Find[*Operate](n.k)
-	n.call(1, Rebuild{Part: 0})
+	n.call(1, Rebuild{Partition: 0})
 	r := o.rebuilds[1]
 	newest := held("s2", 9, "")
 	n.receive(wire.KindRebuildReply, 1, &newest)
@@ -60,7 +60,7 @@
 func TestATimerOfAnEarlierStepEndsNoLaterOne(t *testing.T) {
 	n := newNode(t)
 	o := kernel.Find[*Operate](n.k)
-	n.call(1, Rebuild{Part: 0})
+	n.call(1, Rebuild{Partition: 0})
 	o.rebuilds[1].doing, o.rebuilds[1].dueAt = true, n.now+2*AskedFor
 	n.pass(AskedFor)
 	must.Eq(t, "", n.code(1))
--- a/operate/rebuild_test.go
+++ b/operate/rebuild_test.go
@@ -12,16 +12,16 @@
 	"wallport/wire"
 )
 
-func liveCores(zones ...string) (out []wire.Seat) {
+func liveCores(zones ...string) (out []wire.Replica) {
 	for i, zone := range zones {
-		out = append(out, wire.Seat{ID: fmt.Sprint("s", i), Zone: zone, Addr: fmt.Sprintf("10.0.0.%d:1", i)})
+		out = append(out, wire.Replica{ID: fmt.Sprint("s", i), Zone: zone, Addr: fmt.Sprintf("10.0.0.%d:1", i)})
 	}
 	return out
 }
 
 func TestRebuiltGroupHasAsManyVotersAsAreWanted(t *testing.T) {
 	for _, v := range []struct {
-		cores  []wire.Seat
+		cores  []wire.Replica
 		wanted int
 		voters int
 	}{
--- a/operate/status.go
+++ b/operate/status.go
@@ -48,8 +48,8 @@
 	}
 	o.statusReads[id] = read
 	for _, core := range read.asked {
-		if o.seats != nil && core.Addr == o.members.SelfRow().Addr {
-			read.told[core.Addr] = o.seats.Status(t.Now).Replicas
+		if o.host != nil && core.Addr == o.members.SelfRow().Addr {
+			read.told[core.Addr] = o.host.Status(t.Now).Replicas
 			continue
 		}
 		t.SendTo(core.Addr, wire.KindStatusRequest, id, &wire.StatusRequest{})
@@ -89,12 +89,12 @@
 }
 
 // Newest gives the newest version of each partition that any core knows to be committed.
-func (s Status) Newest() map[int]wire.Stamp {
-	newest := map[int]wire.Stamp{}
+func (s Status) Newest() map[int]wire.Version {
+	newest := map[int]wire.Version{}
 	for _, core := range s.Cores {
 		for _, replica := range core.Replicas {
-			if mesh.Newer(replica.Committed, newest[replica.Part]) {
-				newest[replica.Part] = replica.Committed
+			if mesh.Newer(replica.Committed, newest[replica.Partition]) {
+				newest[replica.Partition] = replica.Committed
 			}
 		}
 	}
--- a/operate/status_test.go
+++ b/operate/status_test.go
@@ -23,7 +23,7 @@
 // tells has a core answer with one replica at a version.
 func (n *node) tells(id uint64, name string, seq uint64) {
 	n.receive(wire.KindStatusReply, id, &wire.StatusReply{
-		Addr: name + ":1", Replicas: []wire.ReplicaStatus{{State: "follower", Committed: wire.Stamp{Term: 4, Seq: seq}}},
+		Addr: name + ":1", Replicas: []wire.ReplicaStatus{{State: "follower", Committed: wire.Version{Term: 4, Seq: seq}}},
 	})
 }
 
@@ -45,7 +45,7 @@
 	must.Len(t, 2, status.Cores)
 	must.Eq(t, "a", status.Cores[0].Name)
 	must.Eq(t, "z-b", status.Cores[1].Zone)
-	must.Eq(t, wire.Stamp{Term: 4, Seq: 9}, status.Newest()[0])
+	must.Eq(t, wire.Version{Term: 4, Seq: 9}, status.Newest()[0])
 }
 
 func TestASilentCoreIsNamedInTime(t *testing.T) {
--- a/replica/bootstrap.go
+++ b/replica/bootstrap.go
@@ -30,8 +30,8 @@
 	}
 	// A node that still has a version in force knows of a formed fleet as well:
 	// its group is rebuilt by an operator's word or not at all.
-	for part := range Parts {
-		if v, ok := s.mesh.Part(part); ok && v.Stamp.Term > 0 {
+	for partition := range Partitions {
+		if v, ok := s.mesh.Partition(partition); ok && v.Version.Term > 0 {
 			s.joinFleet(t)
 			return
 		}
@@ -76,14 +76,14 @@
 // planFormation proposes a formation, if this core is the one to do so and enough others are known.
 func (s *Host) planFormation(t *kernel.Turn) {
 	cores := s.standbys(t.Now)
-	cores = slices.DeleteFunc(cores, func(c wire.Seat) bool { return s.refused[c.ID] })
-	slices.SortFunc(cores, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
+	cores = slices.DeleteFunc(cores, func(c wire.Replica) bool { return s.refused[c.ID] })
+	slices.SortFunc(cores, func(a, b wire.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	seats, ok := s.chooseFormation(t, cores)
 	if !ok {
 		return
 	}
-	f := wire.Form{Formation: fmt.Sprintf("%016x", t.Rand.Uint64()), Seats: seats}
-	f.By = wire.Seat{ID: s.replicaID, Zone: s.k.Boot.Env.Zone, Addr: s.k.Boot.Env.Mesh}
+	f := wire.Bootstrap{Formation: fmt.Sprintf("%016x", t.Rand.Uint64()), Voters: seats}
+	f.By = wire.Replica{ID: s.replicaID, Zone: s.k.Boot.Env.Zone, Addr: s.k.Boot.Env.Mesh}
 	s.plannedAt = t.Now
 	t.Note(0, "formation_planned", "formation", f.Formation, "seats", len(seats))
 	s.consent(t, f, func(t *kernel.Turn, ok bool) {
@@ -94,13 +94,13 @@
 }
 
 // consent syncs that this disk consents to a formation; an empty one takes the consent back.
-func (s *Host) consent(t *kernel.Turn, f wire.Form, done func(t *kernel.Turn, ok bool)) {
+func (s *Host) consent(t *kernel.Turn, f wire.Bootstrap, done func(t *kernel.Turn, ok bool)) {
 	s.formation, s.consents, s.synced = f, map[string]bool{}, false
 	s.save(t, "formation", wire.Encode(&f), func(t *kernel.Turn, err string) {
 		if s.formation.Formation == f.Formation {
 			s.synced = err == ""
 			if err != "" {
-				s.formation = wire.Form{}
+				s.formation = wire.Bootstrap{}
 			}
 		}
 		done(t, err == "")
@@ -109,12 +109,12 @@
 
 func (s *Host) propose(t *kernel.Turn) {
 	s.proposedAt = t.Now
-	for _, member := range s.formation.Seats {
+	for _, member := range s.formation.Voters {
 		if member.ID != s.replicaID {
-			s.sendReplica(t, member, wire.KindForm, &s.formation)
+			s.sendReplica(t, member, wire.KindBootstrap, &s.formation)
 			continue
 		}
-		s.handleFormReply(t, wire.FormReply{Formation: s.formation.Formation, From: s.replicaID, OK: true})
+		s.handleFormReply(t, wire.BootstrapReply{Formation: s.formation.Formation, From: s.replicaID, OK: true})
 	}
 }
 
@@ -123,55 +123,55 @@
 func (s *Host) withdraw(t *kernel.Turn) {
 	was := s.formation
 	t.Note(1, "formation_withdrawn", "formation", was.Formation)
-	s.consent(t, wire.Form{}, func(t *kernel.Turn, ok bool) {
+	s.consent(t, wire.Bootstrap{}, func(t *kernel.Turn, ok bool) {
 		if !ok {
 			return
 		}
 		was.Withdrawn = true
-		for _, member := range was.Seats {
+		for _, member := range was.Voters {
 			if member.ID != s.replicaID {
-				s.sendReplica(t, member, wire.KindForm, &was)
+				s.sendReplica(t, member, wire.KindBootstrap, &was)
 			}
 		}
 	})
 }
 
-func (s *Host) handleForm(t *kernel.Turn, ch uint64, f wire.Form) {
-	reply := func(t *kernel.Turn, r wire.FormReply) {
+func (s *Host) handleForm(t *kernel.Turn, ch uint64, f wire.Bootstrap) {
+	reply := func(t *kernel.Turn, r wire.BootstrapReply) {
 		r.Formation, r.From = f.Formation, s.replicaID
-		t.Send(ch, wire.KindFormReply, 0, &r)
+		t.Send(ch, wire.KindBootstrapReply, 0, &r)
 	}
 	e := &s.k.Boot.Env
-	mine, in := s.formation, contains(f.Seats, s.replicaID)
+	mine, in := s.formation, contains(f.Voters, s.replicaID)
 	switch {
 	case s.replicaID == "" || s.diskDamaged:
 	case f.Withdrawn:
 		if mine.Formation == f.Formation && mine.By.ID != s.replicaID && !s.bootstrapped && !s.completing {
-			s.consent(t, wire.Form{}, func(*kernel.Turn, bool) {})
+			s.consent(t, wire.Bootstrap{}, func(*kernel.Turn, bool) {})
 		}
 	case f.Go:
 		if f.Formation == mine.Formation {
 			s.complete(t)
 		}
 	case s.bootstrapped:
-		reply(t, wire.FormReply{Formed: true})
+		reply(t, wire.BootstrapReply{Formed: true})
 	case mine.Formation == f.Formation:
 		if s.synced {
-			reply(t, wire.FormReply{OK: true})
+			reply(t, wire.BootstrapReply{OK: true})
 		}
 	case mine.Formation != "" && mine.By.ID == s.replicaID && f.By.ID < s.replicaID && !s.completing:
 		// Of two proposals the one of the lesser replica goes on; that replica asks again soon.
 		s.withdraw(t)
 	case mine.Formation != "":
-		reply(t, wire.FormReply{By: mine.By})
+		reply(t, wire.BootstrapReply{By: mine.By})
 	case e.BootstrapKnown && !e.Bootstrap:
-		reply(t, wire.FormReply{Never: true})
+		reply(t, wire.BootstrapReply{Never: true})
 	case in && s.diskProblem == "":
-		s.consent(t, f, func(t *kernel.Turn, ok bool) { reply(t, wire.FormReply{OK: ok}) })
+		s.consent(t, f, func(t *kernel.Turn, ok bool) { reply(t, wire.BootstrapReply{OK: ok}) })
 	}
 }
 
-func (s *Host) handleFormReply(t *kernel.Turn, r wire.FormReply) {
+func (s *Host) handleFormReply(t *kernel.Turn, r wire.BootstrapReply) {
 	f := s.formation
 	if s.bootstrapped || f.Formation == "" || r.Formation != f.Formation || f.By.ID != s.replicaID || s.completing {
 		return
@@ -179,7 +179,7 @@
 	switch {
 	case r.OK:
 		s.consents[r.From] = true
-		if !slices.ContainsFunc(f.Seats, func(seat wire.Seat) bool { return !s.consents[seat.ID] }) {
+		if !slices.ContainsFunc(f.Voters, func(seat wire.Replica) bool { return !s.consents[seat.ID] }) {
 			s.complete(t)
 		}
 	case r.Formed:
@@ -190,16 +190,16 @@
 	case r.By.ID != "" && r.By.ID < s.replicaID:
 		s.withdraw(t)
 	case r.By.ID != "":
-		s.sendReplica(t, r.By, wire.KindForm, &f)
+		s.sendReplica(t, r.By, wire.KindBootstrap, &f)
 	}
 }
 
 // adoptFormation gives every partition that holds nothing yet the formation's replicas.
 func (s *Host) adoptFormation() {
 	for _, g := range s.groups {
-		if len(g.accepted.Seats) == 0 {
-			g.accepted.Seats = s.formation.Seats
-			g.accepted.Stamp.Part = g.part
+		if len(g.accepted.Voters) == 0 {
+			g.accepted.Voters = s.formation.Voters
+			g.accepted.Version.Partition = g.partition
 		}
 	}
 }
@@ -221,9 +221,9 @@
 		s.adoptFormation()
 		t.Note(0, "fleet_formed", "formation", f.Formation, "seat", s.replicaID)
 		s.publishMember()
-		for _, member := range f.Seats {
+		for _, member := range f.Voters {
 			if f.By.ID == s.replicaID && member.ID != s.replicaID {
-				s.sendReplica(t, member, wire.KindForm, &f)
+				s.sendReplica(t, member, wire.KindBootstrap, &f)
 			}
 		}
 	})
--- a/replica/bootstrap_choice.go
+++ b/replica/bootstrap_choice.go
@@ -24,7 +24,7 @@
 )
 
 // chooseFormation gives the replicas of the formation that this core should propose now, if any.
-func (s *Host) chooseFormation(t *kernel.Turn, cores []wire.Seat) ([]wire.Seat, bool) {
+func (s *Host) chooseFormation(t *kernel.Turn, cores []wire.Replica) ([]wire.Replica, bool) {
 	e, want := &s.k.Boot.Env, s.wantedVoters()
 	if !e.BootstrapKnown {
 		return PickVoters(cores, want), len(cores) >= want && cores[0].ID == s.replicaID
@@ -46,7 +46,7 @@
 
 // proposer is the core at the least seed address. All have the same seeds when a fleet starts,
 // but for themselves: a core that is not given as many as there can be is one of them.
-func (s *Host) proposer(cores []wire.Seat) string {
+func (s *Host) proposer(cores []wire.Replica) string {
 	seeds := s.k.Boot.Env.Seeds
 	if len(seeds) < maxSeeds {
 		seeds = append(slices.Clone(seeds), s.k.Boot.Env.Mesh)
@@ -62,8 +62,8 @@
 }
 
 // PickVoters chooses replicas, spread over the zones.
-func PickVoters(cores []wire.Seat, n int) []wire.Seat {
-	var seats []wire.Seat
+func PickVoters(cores []wire.Replica, n int) []wire.Replica {
+	var seats []wire.Replica
 	for range min(n, len(cores)) {
 		c, _ := leastUsedZone(cores, seats, "")
 		seats = append(seats, c)
@@ -72,8 +72,8 @@
 }
 
 // survivesZoneLoss tells whether the loss of any one zone leaves a majority of the replicas.
-func survivesZoneLoss(seats []wire.Seat, zones int) bool {
-	return zones == 0 || !slices.ContainsFunc(seats, func(s wire.Seat) bool {
+func survivesZoneLoss(seats []wire.Replica, zones int) bool {
+	return zones == 0 || !slices.ContainsFunc(seats, func(s wire.Replica) bool {
 		return 2*countInZone(seats, s.Zone, "") >= len(seats)
 	})
 }
--- a/replica/bootstrap_test.go
+++ b/replica/bootstrap_test.go
@@ -29,8 +29,8 @@
 	return c
 }
 
-func proposal(id, by string, seatIDs ...string) *wire.Form {
-	return &wire.Form{Formation: id, Seats: seats(seatIDs...), By: wire.Seat{ID: by, Addr: "10.0.0.1:1"}}
+func proposal(id, by string, seatIDs ...string) *wire.Bootstrap {
+	return &wire.Bootstrap{Formation: id, Voters: seats(seatIDs...), By: wire.Replica{ID: by, Addr: "10.0.0.1:1"}}
 }
 
 // sent gives the frames of a kind in an output.
@@ -51,31 +51,31 @@
 	return all
 }
 
-func formReplies(t *testing.T, out kernel.Out) []wire.FormReply {
-	return sent[wire.FormReply](t, out, wire.KindFormReply)
+func formReplies(t *testing.T, out kernel.Out) []wire.BootstrapReply {
+	return sent[wire.BootstrapReply](t, out, wire.KindBootstrapReply)
 }
 
 func TestConsentIsSyncedBeforeItIsGivenAndGivenToOne(t *testing.T) {
 	c := emptyCore(t, nil)
 	f1, f2 := proposal("f1", "a", "a", "b", "m"), proposal("f2", "n", "n", "o", "m")
-	out := c.send(wire.KindForm, f1)
+	out := c.send(wire.KindBootstrap, f1)
 	must.SliceEmpty(t, formReplies(t, out))
-	must.SliceEmpty(t, formReplies(t, c.send(wire.KindForm, f1)), must.Sprint("asked again, still not synced"))
+	must.SliceEmpty(t, formReplies(t, c.send(wire.KindBootstrap, f1)), must.Sprint("asked again, still not synced"))
 	must.True(t, formReplies(t, c.sync(out))[0].OK)
-	must.True(t, formReplies(t, c.send(wire.KindForm, f1))[0].OK)
-	r := formReplies(t, c.send(wire.KindForm, f2))[0]
+	must.True(t, formReplies(t, c.send(wire.KindBootstrap, f1))[0].OK)
+	r := formReplies(t, c.send(wire.KindBootstrap, f2))[0]
 	must.False(t, r.OK)
 	must.Eq(t, "a", r.By.ID)
 	// Once the replica that proposed it has given it up, the consent is free again.
 	f1.Withdrawn = true
-	c.sync(c.send(wire.KindForm, f1))
-	must.True(t, formReplies(t, c.sync(c.send(wire.KindForm, f2)))[0].OK)
+	c.sync(c.send(wire.KindBootstrap, f1))
+	must.True(t, formReplies(t, c.sync(c.send(wire.KindBootstrap, f2)))[0].OK)
 }
 
 func TestFailedConsentIsNotGiven(t *testing.T) {
 	c := emptyCore(t, nil)
 	f1 := proposal("f1", "a", "a", "b", "m")
-	out := c.send(wire.KindForm, f1)
+	out := c.send(wire.KindBootstrap, f1)
 	r := formReplies(t, c.feed(kernel.Written{Plugin: "seats", Key: out.Writes[0].Key, Err: "no space left on device"}))
 	must.False(t, r[0].OK)
 	must.Eq(t, "", c.s.formation.Formation)
@@ -83,7 +83,7 @@
 
 func TestEmptyDiskInAFleetThatExistsNeitherFormsNorConsents(t *testing.T) {
 	c := emptyCore(t, func(e *env.Env) { e.Bootstrap = false })
-	out := c.send(wire.KindForm, proposal("f1", "a", "a", "b", "m"))
+	out := c.send(wire.KindBootstrap, proposal("f1", "a", "a", "b", "m"))
 	must.SliceEmpty(t, out.Writes)
 	must.True(t, formReplies(t, out)[0].Never)
 	others(c, 3)
@@ -94,7 +94,7 @@
 func others(c *core, n int) {
 	for i := range n {
 		a := string(rune('1' + i))
-		c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0." + a + ":1", Seat: "s" + a, Zone: "z" + a})
+		c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0." + a + ":1", Replica: "s" + a, Zone: "z" + a})
 	}
 }
 
@@ -104,16 +104,16 @@
 	must.Eq(t, "", c.s.formation.Formation, must.Sprint("nobody else is known yet"))
 	others(c, 3)
 	out := c.tick()
-	must.Len(t, 3, c.s.formation.Seats)
-	must.SliceEmpty(t, sent[wire.Form](t, out, wire.KindForm), must.Sprint("not before its own consent is synced"))
+	must.Len(t, 3, c.s.formation.Voters)
+	must.SliceEmpty(t, sent[wire.Bootstrap](t, out, wire.KindBootstrap), must.Sprint("not before its own consent is synced"))
 	out = c.sync(out)
-	must.Len(t, 2, sent[wire.Form](t, out, wire.KindForm))
-	for _, member := range c.s.formation.Seats {
-		out = c.send(wire.KindFormReply, &wire.FormReply{Formation: c.s.formation.Formation, From: member.ID, OK: true})
+	must.Len(t, 2, sent[wire.Bootstrap](t, out, wire.KindBootstrap))
+	for _, member := range c.s.formation.Voters {
+		out = c.send(wire.KindBootstrapReply, &wire.BootstrapReply{Formation: c.s.formation.Formation, From: member.ID, OK: true})
 	}
 	must.False(t, c.s.bootstrapped)
-	must.SliceEmpty(t, sent[wire.Form](t, out, wire.KindForm), must.Sprint("not before it is synced that it is complete"))
-	gone := sent[wire.Form](t, c.sync(out), wire.KindForm)
+	must.SliceEmpty(t, sent[wire.Bootstrap](t, out, wire.KindBootstrap), must.Sprint("not before it is synced that it is complete"))
+	gone := sent[wire.Bootstrap](t, c.sync(out), wire.KindBootstrap)
 	must.True(t, c.s.bootstrapped)
 	must.Len(t, 2, gone)
 	must.True(t, gone[0].Go)
@@ -137,7 +137,7 @@
 	must.SliceEmpty(t, c.tick().Writes, must.Sprint("one seed is not heard"))
 	others(c, 3)
 	c.tick()
-	must.Len(t, 3, c.s.formation.Seats, must.Sprint("five are wanted, four there: three"))
+	must.Len(t, 3, c.s.formation.Voters, must.Sprint("five are wanted, four there: three"))
 }
 
 func TestOfTwoProposalsThatOfTheLesserSeatGoesOn(t *testing.T) {
@@ -145,16 +145,16 @@
 	others(c, 3)
 	out := c.sync(c.tick())
 	mine := c.s.formation
-	must.Len(t, 2, sent[wire.Form](t, out, wire.KindForm))
-	must.SliceEmpty(t, c.send(wire.KindForm, proposal("f2", "z", "z", "s1", "s2")).Writes, must.Sprint("z is not less than m"))
-	out = c.send(wire.KindForm, proposal("f3", "a", "a", "s1", "s2"))
-	must.SliceEmpty(t, sent[wire.Form](t, out, wire.KindForm), must.Sprint("nobody is freed before the withdrawal is synced"))
+	must.Len(t, 2, sent[wire.Bootstrap](t, out, wire.KindBootstrap))
+	must.SliceEmpty(t, c.send(wire.KindBootstrap, proposal("f2", "z", "z", "s1", "s2")).Writes, must.Sprint("z is not less than m"))
+	out = c.send(wire.KindBootstrap, proposal("f3", "a", "a", "s1", "s2"))
+	must.SliceEmpty(t, sent[wire.Bootstrap](t, out, wire.KindBootstrap), must.Sprint("nobody is freed before the withdrawal is synced"))
 	// A late consent changes nothing any more.
-	for _, member := range mine.Seats {
-		c.send(wire.KindFormReply, &wire.FormReply{Formation: mine.Formation, From: member.ID, OK: true})
+	for _, member := range mine.Voters {
+		c.send(wire.KindBootstrapReply, &wire.BootstrapReply{Formation: mine.Formation, From: member.ID, OK: true})
 	}
 	must.False(t, c.s.completing)
-	freed := sent[wire.Form](t, c.sync(out), wire.KindForm)
+	freed := sent[wire.Bootstrap](t, c.sync(out), wire.KindBootstrap)
 	must.Len(t, 2, freed)
 	must.True(t, freed[0].Withdrawn && freed[0].Formation == mine.Formation)
 }
@@ -164,12 +164,12 @@
 	others(c, 3)
 	c.sync(c.tick())
 	f := c.s.formation
-	i := slices.IndexFunc(f.Seats, func(s wire.Seat) bool { return s.ID != "m" })
-	c.sync(c.send(wire.KindFormReply, &wire.FormReply{Formation: f.Formation, From: f.Seats[i].ID, Never: true}))
+	i := slices.IndexFunc(f.Voters, func(s wire.Replica) bool { return s.ID != "m" })
+	c.sync(c.send(wire.KindBootstrapReply, &wire.BootstrapReply{Formation: f.Formation, From: f.Voters[i].ID, Never: true}))
 	c.tick()
 	must.NotEq(t, f.Formation, c.s.formation.Formation)
-	must.Len(t, 3, c.s.formation.Seats)
-	must.False(t, contains(c.s.formation.Seats, f.Seats[i].ID))
+	must.Len(t, 3, c.s.formation.Voters)
+	must.False(t, contains(c.s.formation.Voters, f.Voters[i].ID))
 }
 
 func TestCoreWithoutADiskHoldsNoSeatAndHandsOn(t *testing.T) {
@@ -178,8 +178,8 @@
 	must.SliceEmpty(t, c.feed(kernel.Start{}).Writes)
 	must.Eq(t, "", c.s.ReplicaID())
 	must.Eq(t, map[uint64]string{1: "not_owner"}, replies(t, c.edit(1, wire.Edit{Op: "read"})))
-	c.s.mesh.AnnouncePart(&kernel.Turn{Now: c.now, Counts: c.k.Counts}, version(3, 1))
+	c.s.mesh.AnnounceVersion(&kernel.Turn{Now: c.now, Counts: c.k.Counts}, version(3, 1))
 	got := sent[wire.PullReply](t, c.send(wire.KindPull, &wire.Pull{}), wire.KindPullReply)
-	must.Len(t, 1, got[0].Stamped)
-	must.Eq(t, uint64(3), got[0].Stamped[0].Stamp.Term)
+	must.Len(t, 1, got[0].Versions)
+	must.Eq(t, uint64(3), got[0].Versions[0].Version.Term)
 }
--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -29,7 +29,7 @@
 func isLarge(size int) bool { return size > wire.WholeMost }
 
 // sizeOf is the size of a version without its envelope.
-func sizeOf(v wire.Stamped) int { return len(v.Body) + len(v.Ledger) }
+func sizeOf(v wire.Versioned) int { return len(v.Body) + len(v.Ledger) }
 
 // transferTime is how long a version may be on its way for its size.
 func transferTime(size int) int64 { return int64(size) * 1_000_000 / SlowestTransfer }
@@ -64,7 +64,7 @@
 	if !w.taken {
 		return
 	}
-	if reply, tooLarge := state.TooLarge(g.part, before, after); tooLarge {
+	if reply, tooLarge := state.TooLarge(g.partition, before, after); tooLarge {
 		w.reply, w.taken = reply, false
 		t.Counts.Add("orders_too_large", 1)
 	}
@@ -72,10 +72,10 @@
 
 // catchUp sends the newest committed version to a replica whose heartbeat reply shows that it
 // lacks it. While another version is under way to it, a large one is not sent as well.
-func (g *Group) catchUp(t *kernel.Turn, r wire.BeatReply) {
+func (g *Group) catchUp(t *kernel.Turn, r wire.LeaderHeartbeatReply) {
 	size := sizeOf(g.committed)
-	underWay := g.proposal != nil && (r.Held == g.proposal.Stamp || isLarge(size))
-	if !g.ready || underWay || !mesh.Newer(g.committed.Stamp, r.Held) {
+	underWay := g.proposal != nil && (r.Held == g.proposal.Version || isLarge(size))
+	if !g.ready || underWay || !mesh.Newer(g.committed.Version, r.Held) {
 		return
 	}
 	interval := int64(CatchUpInterval)
@@ -92,8 +92,8 @@
 		g.caughtUpAt[r.From] = t.Now
 		t.Counts.Add("part_handed_over", 1)
 		t.Counts.Add("snapshot_bytes_sent", int64(size))
-		t.Note(0, "snapshot_sent", "part", g.part, "to", r.From, "had_term", r.Held.Term, "had_seq", r.Held.Seq,
-			"term", g.committed.Stamp.Term, "seq", g.committed.Stamp.Seq, "bytes", size)
+		t.Note(0, "snapshot_sent", "part", g.partition, "to", r.From, "had_term", r.Held.Term, "had_seq", r.Held.Seq,
+			"term", g.committed.Version.Term, "seq", g.committed.Version.Seq, "bytes", size)
 		g.sendVersion(t, voter, g.committed)
 	}
 }
@@ -102,7 +102,7 @@
 type sentVersions map[int]sentVersion
 
 type sentVersion struct {
-	stamp wire.Stamp
+	stamp wire.Version
 	at    int64
 }
 
@@ -110,22 +110,22 @@
 // those that do not fit into one message: the next pull brings them.
 func (s *Host) limitPull(now int64, conn uint64, r *wire.PullReply) {
 	room := wire.MaxMessage - wire.WholeMost
-	versions := r.Stamped
-	r.Stamped = nil
+	versions := r.Versions
+	r.Versions = nil
 	for _, v := range versions {
-		if room < len(v.Body) || isLarge(len(v.Body)) && !s.mayPull(now, conn, v.Stamp) {
+		if room < len(v.Body) || isLarge(len(v.Body)) && !s.mayPull(now, conn, v.Version) {
 			// The asker does not have all that was acknowledged before the contact.
-			withheld := uint32(1) << v.Stamp.Part
+			withheld := uint32(1) << v.Version.Partition
 			r.Partial, r.Contact, r.Relayed = true, r.Contact&^withheld, r.Relayed&^withheld
 			continue
 		}
 		room -= len(v.Body)
-		r.Stamped = append(r.Stamped, v)
+		r.Versions = append(r.Versions, v)
 	}
 }
 
 // mayPull tells whether a large version is not on its way on a connection, and notes that it is now.
-func (s *Host) mayPull(now int64, conn uint64, stamp wire.Stamp) bool {
+func (s *Host) mayPull(now int64, conn uint64, stamp wire.Version) bool {
 	if len(s.pullsSent) >= pullsRemembered || s.pullsSent == nil {
 		s.pullsSent = map[uint64]sentVersions{}
 	}
@@ -134,9 +134,9 @@
 		sent = sentVersions{}
 		s.pullsSent[conn] = sent
 	}
-	if was := sent[stamp.Part]; was.stamp == stamp && now-was.at < PullAgainAfter {
+	if was := sent[stamp.Partition]; was.stamp == stamp && now-was.at < PullAgainAfter {
 		return false
 	}
-	sent[stamp.Part] = sentVersion{stamp, now}
+	sent[stamp.Partition] = sentVersion{stamp, now}
 	return true
 }
--- a/replica/catch_up_test.go
+++ b/replica/catch_up_test.go
@@ -45,10 +45,10 @@
 		away.files = map[string][]byte{}
 	}
 	c.bytesPerSecond = linkOf10Mbit
-	want := c.lead().committed().Stamp
+	want := c.lead().committed().Version
 	c.start(away.id)
 	us := c.run(wholeWithin(size), "the replica is whole again", func() bool { return away.holds(want) })
-	return caughtUp{us, away.bytesIn, int64(len(c.lead().committed().Body)), c.lead().committed().Stamp.Term - want.Term}
+	return caughtUp{us, away.bytesIn, int64(len(c.lead().committed().Body)), c.lead().committed().Version.Term - want.Term}
 }
 
 // settle waits until the core that should lead the configuration does, and all hold the same; it
@@ -102,10 +102,10 @@
 	c := newNarrowCluster(t, linkOf10Mbit)
 	revision := c.grow(3_000_000)
 	away := c.settle()
-	l, term := c.lead(), c.lead().committed().Stamp.Term
+	l, term := c.lead(), c.lead().committed().Version.Term
 	c.stop(away.id)
 	must.Eq(t, "ok", c.order(pools(revision, 100, "changed"), 60_000_000).Code)
-	want := l.committed().Stamp
+	want := l.committed().Version
 	back := c.now + 3_000_000
 	c.run(4_000_000, "it is away for a while", func() bool { return c.now >= back })
 	c.start(away.id)
@@ -120,7 +120,7 @@
 	t.Logf("the longest wait for a heartbeat was %d ms", worst/1000)
 	must.Less(t, ElectionTimeout, worst)
 	must.Eq(t, l, c.leader())
-	must.Eq(t, term, l.committed().Stamp.Term)
+	must.Eq(t, term, l.committed().Version.Term)
 }
 
 // A member that is away while versions follow each other is brought the newest one only.
@@ -130,34 +130,34 @@
 	must.NotNil(t, g)
 	c.now += LargeInterval
 	g.committed.Body = make([]byte, wire.WholeMost+1)
-	beat := wire.BeatReply{Term: g.term, From: "b", Round: g.round, OK: true}
+	beat := wire.LeaderHeartbeatReply{Term: g.term, From: "b", Round: g.round, OK: true}
 	count := func() int64 { return c.k.Counts.Of("part_handed_over").Load() }
-	c.send(wire.KindBeatReply, &beat)
+	c.send(wire.KindLeaderHeartbeatReply, &beat)
 	must.Eq(t, 1, count())
 	for range 5 {
 		c.now += CatchUpInterval / 2
-		c.send(wire.KindBeatReply, &beat)
+		c.send(wire.KindLeaderHeartbeatReply, &beat)
 	}
 	must.Eq(t, 1, count(), must.Sprint("a large one is on its way"))
-	g.proposal = &wire.Stamped{Stamp: wire.Stamp{Term: g.term, Seq: 99}, Seats: g.committed.Seats}
+	g.proposal = &wire.Versioned{Version: wire.Version{Term: g.term, Seq: 99}, Voters: g.committed.Voters}
 	c.now += 2 * LargeInterval
-	c.send(wire.KindBeatReply, &beat)
+	c.send(wire.KindLeaderHeartbeatReply, &beat)
 	must.Eq(t, 1, count(), must.Sprint("the one that is proposed takes its place"))
 }
 
 func TestADiskThatWasPutBackIsNoticed(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	beat := wire.BeatReply{Term: g.term, From: "b", Round: g.round, Held: wire.Stamp{}, OK: true}
-	g.synced["b"] = syncedVersion{stamp: g.committed.Stamp, round: g.round}
-	c.send(wire.KindBeatReply, &beat)
+	beat := wire.LeaderHeartbeatReply{Term: g.term, From: "b", Round: g.round, Held: wire.Version{}, OK: true}
+	g.synced["b"] = syncedVersion{stamp: g.committed.Version, round: g.round}
+	c.send(wire.KindLeaderHeartbeatReply, &beat)
 	must.Eq(t, 0, c.k.Counts.Of("replicas_rolled_back").Load(), must.Sprint("sent before the acknowledgement"))
 	beat.Round++
-	c.send(wire.KindBeatReply, &beat)
+	c.send(wire.KindLeaderHeartbeatReply, &beat)
 	must.Eq(t, 1, c.k.Counts.Of("replicas_rolled_back").Load())
-	beat.Held = g.committed.Stamp
-	g.synced["b"] = syncedVersion{stamp: g.committed.Stamp, round: g.round}
-	c.send(wire.KindBeatReply, &beat)
+	beat.Held = g.committed.Version
+	g.synced["b"] = syncedVersion{stamp: g.committed.Version, round: g.round}
+	c.send(wire.KindLeaderHeartbeatReply, &beat)
 	must.Eq(t, 1, c.k.Counts.Of("replicas_rolled_back").Load())
 }
 
--- a/replica/cluster_checks_test.go
+++ b/replica/cluster_checks_test.go
@@ -19,10 +19,10 @@
 		}
 	}
 	g := m.host.groups[0]
-	if !mesh.Newer(g.committed.Stamp, c.newest) {
+	if !mesh.Newer(g.committed.Version, c.newest) {
 		return
 	}
-	c.newest = g.committed.Stamp
+	c.newest = g.committed.Version
 	ledger, err := state.ReadLedger(g.committed.Ledger)
 	if err != nil {
 		c.violations = append(c.violations, "a committed ledger cannot be decoded")
@@ -34,7 +34,7 @@
 	}
 	for _, name := range c.acknowledged {
 		if !taken[name] {
-			c.violations = append(c.violations, fmt.Sprintf("%d us: the order with digest %x was acknowledged and is not in version %v of %s", c.now, name, g.committed.Stamp, m.addr))
+			c.violations = append(c.violations, fmt.Sprintf("%d us: the order with digest %x was acknowledged and is not in version %v of %s", c.now, name, g.committed.Version, m.addr))
 			return
 		}
 	}
@@ -42,28 +42,28 @@
 
 // checkNewcomers: who gets a vote holds the version before that on its disk.
 func (c *simCluster) checkNewcomers(g *Group) {
-	oldest := g.committed.Stamp
-	oldest.Part = g.part
-	for _, voter := range g.proposal.Seats {
-		if contains(g.proposal.Prev, voter.ID) {
+	oldest := g.committed.Version
+	oldest.Partition = g.partition
+	for _, voter := range g.proposal.Voters {
+		if contains(g.proposal.PreviousVoters, voter.ID) {
 			continue
 		}
 		if !slices.ContainsFunc(c.machines, func(m *simMachine) bool { return m.holds(voter.ID, oldest) }) {
-			c.violations = append(c.violations, fmt.Sprintf("%d us: partition %d gives %s a vote before it holds %v", c.now, g.part, voter.ID, g.committed.Stamp))
+			c.violations = append(c.violations, fmt.Sprintf("%d us: partition %d gives %s a vote before it holds %v", c.now, g.partition, voter.ID, g.committed.Version))
 		}
 	}
 }
 
 // holds tells whether this disk is that of a replica and has a version that is no older than another.
-func (m *simMachine) holds(replicaID string, oldest wire.Stamp) bool {
+func (m *simMachine) holds(replicaID string, oldest wire.Version) bool {
 	id, err := diskfile.Unpack(m.disk["seat"])
 	if err != nil || string(id) != replicaID {
 		return false
 	}
 	for name := range m.disk {
-		var held wire.Stamp
-		_, err := fmt.Sscanf(name, "part-%d.stamp-%d-%d", &held.Part, &held.Term, &held.Seq)
-		if err == nil && held.Part == oldest.Part && !mesh.Newer(oldest, held) {
+		var held wire.Version
+		_, err := fmt.Sscanf(name, "part-%d.stamp-%d-%d", &held.Partition, &held.Term, &held.Seq)
+		if err == nil && held.Partition == oldest.Partition && !mesh.Newer(oldest, held) {
 			return true
 		}
 	}
@@ -88,12 +88,12 @@
 }
 
 // voters lists the machines that vote in a partition, by the newest committed version.
-func (c *simCluster) voters(part int) (out []*simMachine) {
-	leader := c.leader(part)
+func (c *simCluster) voters(partition int) (out []*simMachine) {
+	leader := c.leader(partition)
 	if leader == nil {
 		return nil
 	}
-	for _, voter := range leader.host.groups[part].committed.Seats {
+	for _, voter := range leader.host.groups[partition].committed.Voters {
 		for _, m := range c.machines {
 			if m.up && m.host.replicaID == voter.ID {
 				out = append(out, m)
--- a/replica/cluster_machine_test.go
+++ b/replica/cluster_machine_test.go
@@ -116,7 +116,7 @@
 	m.later(simPullEvery, m.pull)
 	pull := wire.Pull{Addr: m.addr, Zone: m.zone}
 	if m.host.diskProblem == "" && !m.stopping {
-		pull.Seat = m.host.replicaID
+		pull.Replica = m.host.replicaID
 	}
 	for _, other := range m.cluster.machines {
 		if other != m {
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -52,7 +52,7 @@
 	lastAck      int64
 	edits        map[uint64]string
 	nextEdit     uint64
-	newest       wire.Stamp
+	newest       wire.Version
 	violations   []string
 	notes        []string
 }
@@ -121,9 +121,9 @@
 }
 
 // leader is the machine whose process leads a partition with the highest term and may serve.
-func (c *simCluster) leader(part int) (best *simMachine) {
+func (c *simCluster) leader(partition int) (best *simMachine) {
 	for _, m := range c.machines {
-		if m.up && m.host.Leads(part) && (best == nil || m.host.groups[part].term > best.host.groups[part].term) {
+		if m.up && m.host.Leads(partition) && (best == nil || m.host.groups[partition].term > best.host.groups[partition].term) {
 			best = m
 		}
 	}
--- a/replica/contact.go
+++ b/replica/contact.go
@@ -38,7 +38,7 @@
 	// provenAt is, at a follower, a moment of its own clock not later than the sending of a round that a
 	// majority answered; committed is the version that the leader had committed by then.
 	provenAt  int64
-	committed wire.Stamp
+	committed wire.Version
 }
 
 // lead begins a leader's account: nothing of its term is confirmed yet.
@@ -53,7 +53,7 @@
 }
 
 // answered notes a voter's clock as its answer tells it.
-func (c *contact) answered(r wire.BeatReply, now int64) {
+func (c *contact) answered(r wire.LeaderHeartbeatReply, now int64) {
 	if r.Clock > 0 {
 		c.offsets[r.From] = r.Clock - now
 	}
@@ -75,7 +75,7 @@
 
 // proven takes the proof of a leader's heartbeat. One on another clock, that of an earlier life of
 // this process, proves nothing.
-func (c *contact) proven(at, now int64, committed wire.Stamp) {
+func (c *contact) proven(at, now int64, committed wire.Version) {
 	if at <= 0 || at > now {
 		return
 	}
@@ -100,7 +100,7 @@
 
 // inContact tells whether a version that is handed out holds all that was acknowledged until
 // shortly before, by this replica's own contact with a majority.
-func (g *Group) inContact(now int64, version wire.Stamp) bool {
+func (g *Group) inContact(now int64, version wire.Version) bool {
 	if g.role == leader {
 		return g.ready && g.contact.within(now, ContactFor)
 	}
@@ -117,8 +117,8 @@
 }
 
 // tellContact tells who pulls whether the version that it has now is confirmed.
-func (g *Group) tellContact(now int64, version wire.Stamp, r *wire.PullReply) {
-	bit := uint32(1) << uint(g.part)
+func (g *Group) tellContact(now int64, version wire.Version, r *wire.PullReply) {
+	bit := uint32(1) << uint(g.partition)
 	if g.inContact(now, version) {
 		r.Contact |= bit
 	}
@@ -130,7 +130,7 @@
 // relay notes the contact of another core that has answered this one's pull.
 func (s *Host) relay(v configsync.Pulled) {
 	for _, g := range s.groups {
-		if v.Contact&(1<<uint(g.part)) != 0 {
+		if v.Contact&(1<<uint(g.partition)) != 0 {
 			g.relayedAt = max(g.relayedAt, v.AskedAt)
 		}
 	}
@@ -146,7 +146,7 @@
 	lost := g.ready && since > ContactFor
 	if lost && !g.contactLost {
 		t.Counts.Add("part_contact_lost", 1)
-		t.Note(1, "leader_without_contact", "part", g.part, "term", g.term, "since_us", since)
+		t.Note(1, "leader_without_contact", "part", g.partition, "term", g.term, "since_us", since)
 	}
 	g.contactLost = lost
 }
--- a/replica/contact_cluster_test.go
+++ b/replica/contact_cluster_test.go
@@ -49,17 +49,17 @@
 // newCluster starts members m0, m1 ... of which the first ones, an odd number, form one group.
 func newCluster(t *testing.T, seed uint64, size int) *cluster {
 	c := &cluster{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), conns: map[uint64]*connection{}, direct: map[string]uint64{}}
-	form := wire.Form{Formation: "f", Go: true}
+	form := wire.Bootstrap{Formation: "f", Go: true}
 	for i := range size {
 		m := &member{name: fmt.Sprintf("m%d", i), addr: fmt.Sprintf("10.0.0.%d:1", i+1)}
 		if i < (size-1)|1 {
-			form.Seats = append(form.Seats, wire.Seat{ID: m.name, Addr: m.addr, Zone: fmt.Sprintf("z%d", i)})
+			form.Voters = append(form.Voters, wire.Replica{ID: m.name, Addr: m.addr, Zone: fmt.Sprintf("z%d", i)})
 		}
 		c.members = append(c.members, m)
 	}
 	for _, m := range c.members {
 		m.files = map[string][]byte{"seat": diskfile.Pack([]byte(m.name))}
-		if contains(form.Seats, m.name) {
+		if contains(form.Voters, m.name) {
 			m.files["formation"] = diskfile.Pack(wire.Encode(&form))
 		}
 		c.start(m)
@@ -152,23 +152,23 @@
 // restart ends a member's process and starts it again with its disk.
 func (c *cluster) restart(m *member) { c.start(m) }
 
-// leader is the member that leads a part and may take its edits, and follower some other one.
-func (c *cluster) leader(part int) *member {
+// leader is the member that leads a partition and may take its edits, and follower some other one.
+func (c *cluster) leader(partition int) *member {
 	for _, m := range c.members {
-		if m.host.Leads(part) && !m.frozen && m != c.cut {
+		if m.host.Leads(partition) && !m.frozen && m != c.cut {
 			return m
 		}
 	}
 	return nil
 }
 
-// settled runs until a part has a leader that was in office for a while.
-func (c *cluster) settled(part int) *member {
+// settled runs until a partition has a leader that was in office for a while.
+func (c *cluster) settled(partition int) *member {
 	for range 100 {
 		c.run(100*millisecond, nil)
-		if m := c.leader(part); m != nil {
+		if m := c.leader(partition); m != nil {
 			c.run(second, nil)
-			if c.leader(part) == m {
+			if c.leader(partition) == m {
 				return m
 			}
 		}
--- a/replica/contact_rules_test.go
+++ b/replica/contact_rules_test.go
@@ -19,7 +19,7 @@
 
 // answers has one of the two other voters answer the newest round.
 func (c *core) answers(g *Group, clock int64) kernel.Out {
-	return c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Stamp, OK: true, Clock: clock})
+	return c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Version, OK: true, Clock: clock})
 }
 
 // A process that was held up for less than a freeze is told of has not ticked: what it answers is
@@ -35,12 +35,12 @@
 	c.tick()
 	must.Eq(t, 1, c.k.Counts.Of("part_in_contact_now").Load())
 	must.Zero(t, c.k.Counts.Of("part_contact_lost").Load(), must.Sprint("a leader just elected has lost nothing"))
-	must.Len(t, 1, c.pulled(t).Owners)
+	must.Len(t, 1, c.pulled(t).Leaders)
 	c.now += ContactFor
 	must.Eq(t, 1, c.pulled(t).Contact)
 	c.now++
 	must.Zero(t, c.pulled(t).Contact)
-	must.SliceEmpty(t, c.pulled(t).Owners, must.Sprint("nobody is sent to a leader without contact"))
+	must.SliceEmpty(t, c.pulled(t).Leaders, must.Sprint("nobody is sent to a leader without contact"))
 	must.Eq(t, leader, g.role, must.Sprint("it did not tick"))
 	c.tick()
 	must.Eq(t, follower, g.role)
@@ -67,39 +67,39 @@
 	c.now += HeartbeatInterval
 	c.tick()
 	c.edit(1, wire.Edit{Op: "read"})
-	reply := wire.BeatReply{Term: g.term - 1, From: "a", Round: g.round + 9, Held: g.accepted.Stamp, OK: true}
-	must.MapEmpty(t, replies(t, c.send(wire.KindBeatReply, &reply)))
+	reply := wire.LeaderHeartbeatReply{Term: g.term - 1, From: "a", Round: g.round + 9, Held: g.accepted.Version, OK: true}
+	must.MapEmpty(t, replies(t, c.send(wire.KindLeaderHeartbeatReply, &reply)))
 	must.Zero(t, c.pulled(t).Contact)
 	must.Eq(t, map[uint64]string{1: "ok"}, replies(t, c.answers(g, 0)))
 }
 
 // heartbeat has the core follow "a" and gives its answer.
-func (c *core) heartbeat(t *testing.T, contactAt int64, committed wire.Stamp) wire.BeatReply {
+func (c *core) heartbeat(t *testing.T, contactAt int64, committed wire.Version) wire.LeaderHeartbeatReply {
 	t.Helper()
-	beat := wire.Beat{Term: 5, From: "a", Round: 1, ContactAt: contactAt, Committed: committed}
-	return sent[wire.BeatReply](t, c.send(wire.KindBeat, &beat), wire.KindBeatReply)[0]
+	beat := wire.LeaderHeartbeat{Term: 5, From: "a", Round: 1, ContactAt: contactAt, Committed: committed}
+	return sent[wire.LeaderHeartbeatReply](t, c.send(wire.KindLeaderHeartbeat, &beat), wire.KindLeaderHeartbeatReply)[0]
 }
 
 // A heartbeat proves contact at a moment of the follower's own clock, however long it was on its way.
 func TestAFollowersContactEndsByItsOwnClock(t *testing.T) {
 	v := version(5, 1)
 	c := newCore(t, nil)
-	c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: v}))
-	clock := c.heartbeat(t, 0, v.Stamp).Clock
+	c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: v}))
+	clock := c.heartbeat(t, 0, v.Version).Clock
 	must.Zero(t, c.pulled(t).Contact, must.Sprint("its leader has no contact"))
-	c.heartbeat(t, clock, v.Stamp)
+	c.heartbeat(t, clock, v.Version)
 	must.Eq(t, 1, c.pulled(t).Contact)
 	c.now += ContactFor + 1
 	must.Zero(t, c.pulled(t).Contact)
-	c.heartbeat(t, clock, v.Stamp)
+	c.heartbeat(t, clock, v.Version)
 	must.Zero(t, c.pulled(t).Contact, must.Sprint("held up on its way"))
-	now := c.heartbeat(t, clock+ContactFor, v.Stamp).Clock
+	now := c.heartbeat(t, clock+ContactFor, v.Version).Clock
 	must.Eq(t, 1, c.pulled(t).Contact)
 	// A version that it is told to be committed and lacks is not confirmed by it.
-	c.heartbeat(t, now, wire.Stamp{Term: 5, Seq: 2})
+	c.heartbeat(t, now, wire.Version{Term: 5, Seq: 2})
 	must.Zero(t, c.pulled(t).Contact)
-	c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 2)}))
-	c.heartbeat(t, now, wire.Stamp{Term: 5, Seq: 2})
+	c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: version(5, 2)}))
+	c.heartbeat(t, now, wire.Version{Term: 5, Seq: 2})
 	must.Eq(t, 1, c.pulled(t).Contact)
 }
 
@@ -109,10 +109,10 @@
 	first, again := newCore(t, nil), newCore(t, nil)
 	again.s.clockOrigin = first.s.clockOrigin / 2
 	for _, c := range []*core{first, again} {
-		c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: v}))
+		c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: v}))
 	}
-	clock := first.heartbeat(t, 0, v.Stamp).Clock
-	again.heartbeat(t, clock, v.Stamp)
+	clock := first.heartbeat(t, 0, v.Version).Clock
+	again.heartbeat(t, clock, v.Version)
 	must.Zero(t, again.pulled(t).Contact)
 	must.Between(t, 1, first.s.clockOrigin, clockOrigins)
 	other := kernel.New(kernel.Boot{Env: env.Env{Mesh: "10.0.0.1:1"}, Role: "core", Seed: 2, Key: kernel.KeyFrom(make([]byte, 32))})
@@ -130,7 +130,7 @@
 	c.now += 20_000
 	c.answers(g, 7_000_000)
 	c.now += HeartbeatInterval
-	beats := sent[wire.Beat](t, c.tick(), wire.KindBeat)
+	beats := sent[wire.LeaderHeartbeat](t, c.tick(), wire.KindLeaderHeartbeat)
 	must.Len(t, 2, beats)
 	for _, b := range beats {
 		if b.To == "a" {
--- a/replica/contact_test.go
+++ b/replica/contact_test.go
@@ -25,7 +25,7 @@
 // acknowledgement is a version that an operator was told of, and when.
 type acknowledgement struct {
 	at    int64
-	stamp wire.Stamp
+	stamp wire.Version
 }
 
 // observer is the test's operators and nodes: they edit, read and pull, and judge what they are told.
@@ -44,7 +44,7 @@
 }
 
 // newestBy is the newest version that was acknowledged by a moment.
-func (o *observer) newestBy(at int64) (newest wire.Stamp) {
+func (o *observer) newestBy(at int64) (newest wire.Version) {
 	for _, a := range o.acks {
 		if a.at <= at && mesh.Newer(a.stamp, newest) {
 			newest = a.stamp
@@ -65,7 +65,7 @@
 			must.SliceContains(o.c.t, []string{"not_owner", "unknown", "shed"}, r.Code, must.Sprint("from the member that is cut off"))
 		}
 		if r.Code == "ok" {
-			o.acks = append(o.acks, acknowledgement{o.c.now, r.Stamp})
+			o.acks = append(o.acks, acknowledgement{o.c.now, r.Version})
 		}
 	})
 }
@@ -80,8 +80,8 @@
 			return
 		}
 		o.reads[to.name]++
-		must.False(o.c.t, mesh.Newer(o.newestBy(asked), r.Stamp), must.Sprintf(
-			"%s was asked at %d ms and answered %v; %v was acknowledged", to.name, asked/1000, r.Stamp, o.newestBy(asked)))
+		must.False(o.c.t, mesh.Newer(o.newestBy(asked), r.Version), must.Sprintf(
+			"%s was asked at %d ms and answered %v; %v was acknowledged", to.name, asked/1000, r.Version, o.newestBy(asked)))
 	})
 }
 
@@ -91,10 +91,10 @@
 	o.c.ask(to, wire.KindPull, 1, &wire.Pull{}, func(f wire.Frame) {
 		var r wire.PullReply
 		must.NoError(o.c.t, wire.Decode(f.Body, &r))
-		var got wire.Stamp
-		for _, v := range r.Stamped {
-			if v.Stamp.Part == 0 {
-				got = v.Stamp
+		var got wire.Version
+		for _, v := range r.Versions {
+			if v.Version.Partition == 0 {
+				got = v.Version
 			}
 		}
 		by := asked - ContactFor
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -26,10 +26,10 @@
 func TestSickSeatIsNoSuccessor(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Stamp, OK: true, Sick: true})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Version, OK: true, DiskProblem: true})
 	c.now++
 	must.Eq(t, "", g.bestSuccessor(&kernel.Turn{Now: c.now}))
-	c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "b", Round: g.round, Held: g.accepted.Stamp, OK: true})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "b", Round: g.round, Held: g.accepted.Version, OK: true})
 	must.Eq(t, "b", g.bestSuccessor(&kernel.Turn{Now: c.now}))
 }
 
@@ -51,7 +51,7 @@
 
 func TestFullDiskIsTriedAgainAndWellOnceThereIsRoom(t *testing.T) {
 	c := newCore(t, nil)
-	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)})
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: version(5, 1)})
 	c.feed(kernel.Written{Plugin: "seats", Key: out.Writes[0].Key, Err: "no space left on device"})
 	must.NotEq(t, "", c.s.diskProblem)
 	c.now += DiskProbeInterval
@@ -61,7 +61,7 @@
 	c.sync(out)
 	must.Eq(t, "", c.s.diskProblem)
 	// What it missed is brought again, and taken.
-	must.True(t, accepted(t, c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)}))).OK)
+	must.True(t, accepted(t, c.sync(c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: version(5, 1)}))).OK)
 }
 
 func TestNoSeatBeforeItsNameIsSynced(t *testing.T) {
@@ -86,7 +86,7 @@
 	n := 0
 	for range 20 {
 		c.now += 100_000
-		out := c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "b", Round: g.round, OK: true})
+		out := c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "b", Round: g.round, OK: true})
 		n += len(sent[wire.Accept](t, out, wire.KindAccept))
 	}
 	must.Eq(t, 4, n)
--- a/replica/election.go
+++ b/replica/election.go
@@ -18,9 +18,9 @@
 		after = ElectionTimeoutAtStart
 	}
 	seats := allVoters(g.accepted)
-	slices.SortFunc(seats, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(seats, func(a, b wire.Replica) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range seats {
-		switch seats[(i+g.part)%len(seats)].ID {
+		switch seats[(i+g.partition)%len(seats)].ID {
 		case g.self():
 			g.electionAt = t.Now + after + rank*ElectionStagger + t.Rand.Int64N(ElectionJitter)
 			return
@@ -36,7 +36,7 @@
 // after a loss of everything there is none to wait for, and where there is one the other replicas,
 // who hear it, deny the first question, which binds nobody.
 func (g *Group) justStarted(t *kernel.Turn) bool {
-	return g.s.k.Boot.Env.BootstrapKnown && g.leader == "" && g.role != leader && t.Now-g.s.started < StartPeriod
+	return g.host.k.Boot.Env.BootstrapKnown && g.leader == "" && g.role != leader && t.Now-g.host.started < StartPeriod
 }
 
 // startElection begins a try: first whether a term would be given, then for the term.
@@ -50,12 +50,12 @@
 		return
 	}
 	for _, s := range allVoters(g.accepted) {
-		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Pre: true, Held: g.accepted.Stamp}
+		v := wire.Vote{Partition: g.partition, Term: g.term, From: g.self(), Pre: true, Held: g.accepted.Version}
 		if s.ID == g.self() {
-			g.voteReply(t, wire.VoteReply{Part: g.part, Term: g.term, From: s.ID, Pre: true, Granted: true, Held: g.accepted})
+			g.voteReply(t, wire.VoteReply{Partition: g.partition, Term: g.term, From: s.ID, Pre: true, Granted: true, Held: g.accepted})
 			continue
 		}
-		g.s.sendReplica(t, s, wire.KindVote, &v)
+		g.host.sendReplica(t, s, wire.KindVote, &v)
 	}
 }
 
@@ -64,23 +64,23 @@
 	g.replies = map[string]wire.VoteReply{}
 	t.Counts.Add("part_elections", 1)
 	for _, s := range allVoters(g.accepted) {
-		v := wire.Vote{Part: g.part, Term: g.term, From: g.self(), Named: named, Held: g.accepted.Stamp}
+		v := wire.Vote{Partition: g.partition, Term: g.term, From: g.self(), Named: named, Held: g.accepted.Version}
 		if s.ID == g.self() {
 			g.vote(t, 0, 0, v)
 			continue
 		}
-		g.s.sendReplica(t, s, wire.KindVote, &v)
+		g.host.sendReplica(t, s, wire.KindVote, &v)
 	}
 }
 
 // vote answers a request for a term, after the vote is synced.
 func (g *Group) vote(t *kernel.Turn, ch, id uint64, v wire.Vote) {
 	reply := func(t *kernel.Turn, granted bool) {
-		r := wire.VoteReply{Part: g.part, Term: v.Term, From: g.self(), Pre: v.Pre, Granted: granted, Held: g.accepted, TakesBase: true}
+		r := wire.VoteReply{Partition: g.partition, Term: v.Term, From: g.self(), Pre: v.Pre, Granted: granted, Held: g.accepted, TakesBase: true}
 		if !granted {
 			r.Term = g.votedTerm
 		}
-		if !granted || v.Pre || !mesh.Newer(g.accepted.Stamp, v.Held) {
+		if !granted || v.Pre || !mesh.Newer(g.accepted.Version, v.Held) {
 			// Only who is given the term and holds an older version needs what is held; the others
 			// need to know how new it is.
 			r.Held.Body, r.Held.Ledger = nil, nil
@@ -91,13 +91,13 @@
 		}
 		t.Send(ch, wire.KindVoteReply, id, &r)
 	}
-	if g.s.diskDamaged {
+	if g.host.diskDamaged {
 		return
 	}
 	fresh := v.Term > g.votedTerm || v.Term == g.votedTerm && g.votedFor == v.From
 	if v.Pre {
 		quiet := g.role != leader && t.Now-g.leaderSeen > ElectionTimeout/2
-		reply(t, v.Term > g.votedTerm && quiet && !g.outranks(v) && (g.s.diskProblem == "" || g.s.diskProblem == "slow"))
+		reply(t, v.Term > g.votedTerm && quiet && !g.outranks(v) && (g.host.diskProblem == "" || g.host.diskProblem == "slow"))
 		return
 	}
 	if !fresh {
@@ -109,7 +109,7 @@
 	}
 	g.votedTerm, g.votedFor = v.Term, v.From
 	g.scheduleElection(t)
-	g.s.save(t, voteFile(g.part), wire.Encode(&wire.Vote{Term: v.Term, From: v.From}), func(t *kernel.Turn, err string) {
+	g.host.save(t, voteFile(g.partition), wire.Encode(&wire.Vote{Term: v.Term, From: v.From}), func(t *kernel.Turn, err string) {
 		if err == "" && g.votedTerm == v.Term && g.votedFor == v.From {
 			reply(t, true)
 		}
@@ -119,7 +119,7 @@
 // outranks tells that this replica should lead rather than the candidate: it holds a newer version,
 // which the candidate would have to be sent first, and it can stand itself.
 func (g *Group) outranks(v wire.Vote) bool {
-	return mesh.Newer(g.accepted.Stamp, v.Held) && g.isVoter() && !g.s.stopping
+	return mesh.Newer(g.accepted.Version, v.Held) && g.isVoter() && !g.host.stopping
 }
 
 func (g *Group) voteReply(t *kernel.Turn, r wire.VoteReply) {
@@ -131,7 +131,7 @@
 			g.role = follower
 			g.votedTerm = max(g.votedTerm, r.Term)
 		}
-		if mesh.Newer(r.Held.Stamp, g.accepted.Stamp) && !contains(allVoters(r.Held), g.self()) {
+		if mesh.Newer(r.Held.Version, g.accepted.Version) && !contains(allVoters(r.Held), g.self()) {
 			// Most likely this replica was replaced meanwhile: it need not ask again at once.
 			g.electionAt = t.Now + ReplaceAfter
 		}
@@ -143,7 +143,7 @@
 	g.replies[r.From] = r
 	best := g.accepted
 	for _, v := range g.replies {
-		if mesh.Newer(v.Held.Stamp, best.Stamp) {
+		if mesh.Newer(v.Held.Version, best.Version) {
 			best = v.Held
 		}
 	}
@@ -155,7 +155,7 @@
 		return
 	}
 	if _, synced := g.replies[g.self()]; !synced {
-		// Killed now, it would ask for the same term again and give one stamp to two versions.
+		// Killed now, it would ask for the same term again and give one number to two versions.
 		return
 	}
 	if g.isSuperseded(t, best) {
--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -12,7 +12,7 @@
 )
 
 // A leader that others elected before its own vote was synced would, killed and started again,
-// ask for the same term and give one stamp to two versions.
+// ask for the same term and give one number to two versions.
 func TestNoOwnerBeforeItsOwnPromiseIsSynced(t *testing.T) {
 	c := newCore(t, nil)
 	g := c.s.groups[0]
@@ -34,7 +34,7 @@
 		c := newCore(t, nil)
 		c.s.replicaID = me
 		g := c.s.groups[1]
-		g.accepted.Seats = seats("a", "b", "c")
+		g.accepted.Voters = seats("a", "b", "c")
 		g.leader = "c"
 		out := &kernel.Turn{Now: 0, Rand: c.k.Rand, Counts: c.k.Counts}
 		g.scheduleElection(out)
@@ -48,7 +48,7 @@
 func TestOwnerAdoptsTheHighestVersionThatWasFound(t *testing.T) {
 	mine, theirs := version(3, 1), version(4, 7)
 	theirs.Body = wire.Encode(&wire.ConfigBody{Emptied: []string{"z9"}})
-	c := newCore(t, map[string][]byte{versionFile(mine.Stamp): diskfile.Pack(wire.Encode(&mine))})
+	c := newCore(t, map[string][]byte{versionFile(mine.Version): diskfile.Pack(wire.Encode(&mine))})
 	g := c.s.groups[0]
 	c.tick()
 	c.now += 10_000_000
@@ -58,7 +58,7 @@
 	c.sync(out)
 	must.Eq(t, leader, g.role)
 	must.NotNil(t, g.proposal)
-	must.Eq(t, wire.Stamp{Term: g.term, Seq: 8}, g.proposal.Stamp)
+	must.Eq(t, wire.Version{Term: g.term, Seq: 8}, g.proposal.Version)
 	must.Eq(t, theirs.Body, g.proposal.Body)
 }
 
@@ -77,7 +77,7 @@
 		k := newCore(t, nil)
 		k.k.Boot.Env.BootstrapKnown = c.known
 		g := k.s.groups[0]
-		g.accepted.Seats = seats("a", "b", k.s.replicaID)
+		g.accepted.Voters = seats("a", "b", k.s.replicaID)
 		g.leader = c.leader
 		g.scheduleElection(&kernel.Turn{Now: c.now + k.s.started, Rand: k.k.Rand, Counts: k.k.Counts})
 		must.Between(t, c.at, g.electionAt-k.s.started, c.to, must.Sprint(c))
--- a/replica/fence_test.go
+++ b/replica/fence_test.go
@@ -21,7 +21,7 @@
 
 // newCore is a formed core with replica "me" beside "a" and "b".
 func newCore(t *testing.T, more map[string][]byte) *core {
-	form := wire.Form{Formation: "f", Go: true, Seats: seats("a", "b", "me")}
+	form := wire.Bootstrap{Formation: "f", Go: true, Voters: seats("a", "b", "me")}
 	files := map[string][]byte{"seat": diskfile.Pack([]byte("me")), "formation": diskfile.Pack(wire.Encode(&form))}
 	for k, v := range more {
 		files[k] = v
@@ -59,8 +59,8 @@
 	return r
 }
 
-func version(term, seq uint64) wire.Stamped {
-	return wire.Stamped{Stamp: wire.Stamp{Part: 0, Term: term, Seq: seq}, Seats: seats("a", "b", "me"), Body: []byte{0x80}}
+func version(term, seq uint64) wire.Versioned {
+	return wire.Versioned{Version: wire.Version{Partition: 0, Term: term, Seq: seq}, Voters: seats("a", "b", "me"), Body: []byte{0x80}}
 }
 
 func TestPromiseFencesOlderTerms(t *testing.T) {
@@ -68,12 +68,12 @@
 	out := c.send(wire.KindVote, &wire.Vote{Term: 5, From: "a"})
 	must.SliceEmpty(t, out.Sends, must.Sprint("no vote before it is synced"))
 	must.Len(t, 1, c.sync(out).Sends)
-	out = c.send(wire.KindAccept, &wire.Accept{Term: 4, From: "b", Stamped: version(4, 9)})
+	out = c.send(wire.KindAccept, &wire.Accept{Term: 4, From: "b", Versioned: version(4, 9)})
 	must.SliceEmpty(t, out.Writes)
 	r := accepted(t, out)
 	must.False(t, r.OK)
 	must.Eq(t, uint64(5), r.Term)
-	out = c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)})
+	out = c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: version(5, 1)})
 	must.SliceEmpty(t, out.Sends, must.Sprint("no yes before it is synced"))
 	must.True(t, accepted(t, c.sync(out)).OK)
 }
@@ -81,7 +81,7 @@
 func TestPromiseOutlivesARestart(t *testing.T) {
 	promise := diskfile.Pack(wire.Encode(&wire.Vote{Term: 7, From: "a"}))
 	c := newCore(t, map[string][]byte{voteFile(0): promise})
-	must.False(t, accepted(t, c.send(wire.KindAccept, &wire.Accept{Term: 6, From: "b", Stamped: version(6, 1)})).OK)
+	must.False(t, accepted(t, c.send(wire.KindAccept, &wire.Accept{Term: 6, From: "b", Versioned: version(6, 1)})).OK)
 	out := c.send(wire.KindVote, &wire.Vote{Term: 7, From: "b"})
 	must.SliceEmpty(t, out.Writes, must.Sprint("a term is given once"))
 }
@@ -90,9 +90,9 @@
 	v1, v2 := version(3, 1), version(3, 2)
 	whole := diskfile.Pack(wire.Encode(&v2))
 	c := newCore(t, map[string][]byte{
-		versionFile(v1.Stamp): diskfile.Pack(wire.Encode(&v1)), versionFile(v2.Stamp): whole[:len(whole)-3],
+		versionFile(v1.Version): diskfile.Pack(wire.Encode(&v1)), versionFile(v2.Version): whole[:len(whole)-3],
 	})
-	must.Eq(t, v1.Stamp, c.s.groups[0].accepted.Stamp)
+	must.Eq(t, v1.Version, c.s.groups[0].accepted.Version)
 	must.False(t, c.s.diskDamaged)
 	must.Eq(t, uint64(3), c.s.groups[0].votedTerm)
 }
@@ -107,28 +107,28 @@
 			must.True(t, c.s.diskDamaged)
 			must.Eq(t, "damaged", c.s.diskProblem)
 			must.SliceEmpty(t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a"}).Writes)
-			must.SliceEmpty(t, c.send(wire.KindAccept, &wire.Accept{Term: 9, From: "a", Stamped: version(9, 1)}).Writes)
+			must.SliceEmpty(t, c.send(wire.KindAccept, &wire.Accept{Term: 9, From: "a", Versioned: version(9, 1)}).Writes)
 		})
 	}
 }
 
 func TestFailedWriteIsNotAcknowledged(t *testing.T) {
 	c := newCore(t, nil)
-	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: version(5, 1)})
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: version(5, 1)})
 	must.Len(t, 1, out.Writes)
 	r := accepted(t, c.feed(kernel.Written{Plugin: "seats", Key: out.Writes[0].Key, Err: "no space left on device"}))
 	must.False(t, r.OK)
-	must.Eq(t, wire.Stamp{}, c.s.groups[0].accepted.Stamp)
+	must.Eq(t, wire.Version{}, c.s.groups[0].accepted.Version)
 	must.Eq(t, "no space left on device", c.s.diskProblem)
 }
 
 // A machine whose disk was lost is another replica at the old one's address.
 func TestWhatIsMeantForAnotherSeatIsNotTaken(t *testing.T) {
 	c := newCore(t, nil)
-	out := c.send(wire.KindAccept, &wire.Accept{To: "lost", Term: 5, From: "a", Stamped: version(5, 1)})
+	out := c.send(wire.KindAccept, &wire.Accept{To: "lost", Term: 5, From: "a", Versioned: version(5, 1)})
 	must.SliceEmpty(t, out.Writes)
-	must.SliceEmpty(t, c.send(wire.KindBeat, &wire.Beat{To: "lost", Term: 5, From: "a"}).Sends)
+	must.SliceEmpty(t, c.send(wire.KindLeaderHeartbeat, &wire.LeaderHeartbeat{To: "lost", Term: 5, From: "a"}).Sends)
 	must.SliceEmpty(t, c.send(wire.KindVote, &wire.Vote{To: "lost", Term: 5, From: "a"}).Writes)
 	must.Eq(t, 3, c.k.Counts.Of("part_misdirected").Load())
-	must.Len(t, 1, c.send(wire.KindAccept, &wire.Accept{To: "me", Term: 5, From: "a", Stamped: version(5, 1)}).Writes)
+	must.Len(t, 1, c.send(wire.KindAccept, &wire.Accept{To: "me", Term: 5, From: "a", Versioned: version(5, 1)}).Writes)
 }
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -13,22 +13,22 @@
 // accept syncs a version and says so, unless a newer term was voted.
 func (g *Group) accept(t *kernel.Turn, ch, id uint64, a wire.Accept) {
 	reply := func(t *kernel.Turn, r wire.AcceptReply) {
-		r.Part, r.From, r.TakesBase = g.part, g.self(), true
+		r.Partition, r.From, r.TakesBase = g.partition, g.self(), true
 		if a.From == g.self() {
 			g.acceptReply(t, r)
 			return
 		}
 		t.Send(ch, wire.KindAcceptReply, id, &r)
 	}
-	if g.s.diskDamaged {
+	if g.host.diskDamaged {
 		return
 	}
-	if g.s.stopping && !g.isVoter() && !contains(allVoters(a.Stamped), g.self()) {
+	if g.host.stopping && !g.isVoter() && !contains(allVoters(a.Versioned), g.self()) {
 		// It would be gone before it could be a voter.
 		reply(t, wire.AcceptReply{Term: a.Term, Err: "leaving"})
 		return
 	}
-	if a.Term < g.votedTerm || a.Stamped.Stamp.Term > a.Term {
+	if a.Term < g.votedTerm || a.Versioned.Version.Term > a.Term {
 		reply(t, wire.AcceptReply{Term: g.votedTerm})
 		return
 	}
@@ -36,41 +36,41 @@
 		g.follow(t, a.From, a.Term)
 	}
 	g.votedTerm = a.Term
-	v := a.Stamped
-	if v.Stamp == g.accepted.Stamp {
-		reply(t, wire.AcceptReply{OK: true, Term: a.Term, Stamp: v.Stamp})
+	v := a.Versioned
+	if v.Version == g.accepted.Version {
+		reply(t, wire.AcceptReply{OK: true, Term: a.Term, Version: v.Version})
 		return
 	}
-	if !mesh.Newer(v.Stamp, g.accepted.Stamp) || !mesh.Newer(v.Stamp, g.pending) {
+	if !mesh.Newer(v.Version, g.accepted.Version) || !mesh.Newer(v.Version, g.pending) {
 		return
 	}
-	if a.Base != (wire.Stamp{}) {
-		if a.Base != g.accepted.Stamp {
-			reply(t, wire.AcceptReply{Term: a.Term, Stamp: v.Stamp, LacksBase: true})
+	if a.Base != (wire.Version{}) {
+		if a.Base != g.accepted.Version {
+			reply(t, wire.AcceptReply{Term: a.Term, Version: v.Version, LacksBase: true})
 			return
 		}
 		v.Body, v.Ledger = g.accepted.Body, g.accepted.Ledger
 	}
-	g.pending = v.Stamp
-	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
+	g.pending = v.Version
+	g.host.save(t, versionFile(v.Version), wire.Encode(&v), func(t *kernel.Turn, err string) {
 		if err != "" {
-			if g.pending == v.Stamp {
-				g.pending = g.accepted.Stamp
+			if g.pending == v.Version {
+				g.pending = g.accepted.Version
 			}
 			reply(t, wire.AcceptReply{Term: a.Term, Err: err})
 			return
 		}
-		if mesh.Newer(v.Stamp, g.accepted.Stamp) {
+		if mesh.Newer(v.Version, g.accepted.Version) {
 			g.accepted = v
 		}
-		g.versionFiles = append(g.versionFiles, v.Stamp)
+		g.versionFiles = append(g.versionFiles, v.Version)
 		g.removeOldVersions(t)
-		reply(t, wire.AcceptReply{OK: true, Term: a.Term, Stamp: v.Stamp})
+		reply(t, wire.AcceptReply{OK: true, Term: a.Term, Version: v.Version})
 	})
 }
 
 func (g *Group) removeOldVersions(t *kernel.Turn) {
-	slices.SortFunc(g.versionFiles, func(a, b wire.Stamp) int {
+	slices.SortFunc(g.versionFiles, func(a, b wire.Version) int {
 		if mesh.Newer(a, b) {
 			return -1
 		}
@@ -79,7 +79,7 @@
 	for len(g.versionFiles) > VersionsKept {
 		last := g.versionFiles[len(g.versionFiles)-1]
 		g.versionFiles = g.versionFiles[:len(g.versionFiles)-1]
-		g.s.remove(t, versionFile(last))
+		g.host.remove(t, versionFile(last))
 	}
 }
 
@@ -90,32 +90,32 @@
 	}
 	if g.leader != from {
 		g.leader = from
-		g.leaderAddress = g.s.addressOf(from, t.Now)
+		g.leaderAddress = g.host.addressOf(from, t.Now)
 	}
 	g.leaderSeen = t.Now
 	g.scheduleElection(t)
 }
 
-func (g *Group) handleHeartbeat(t *kernel.Turn, ch, id uint64, b wire.Beat) {
-	r := wire.BeatReply{Part: g.part, Term: g.votedTerm, From: g.self(), Round: b.Round, Held: g.accepted.Stamp, Wall: t.Wall, Clock: g.s.clock(t.Now), Sick: g.s.diskProblem != ""}
-	if b.Term < g.votedTerm || g.s.diskDamaged {
-		t.Send(ch, wire.KindBeatReply, id, &r)
+func (g *Group) handleHeartbeat(t *kernel.Turn, ch, id uint64, b wire.LeaderHeartbeat) {
+	r := wire.LeaderHeartbeatReply{Partition: g.partition, Term: g.votedTerm, From: g.self(), Round: b.Round, Held: g.accepted.Version, Wall: t.Wall, Clock: g.host.clock(t.Now), DiskProblem: g.host.diskProblem != ""}
+	if b.Term < g.votedTerm || g.host.diskDamaged {
+		t.Send(ch, wire.KindLeaderHeartbeatReply, id, &r)
 		return
 	}
-	if b.Yield != "" {
+	if b.TransferTo != "" {
 		g.leaderSeen, g.leader, g.leaderAddress = 0, "", ""
 		g.votedTerm = max(g.votedTerm, b.Term)
-		if b.Yield == g.self() && g.isVoter() && g.s.diskProblem == "" && !g.s.stopping {
+		if b.TransferTo == g.self() && g.isVoter() && g.host.diskProblem == "" && !g.host.stopping {
 			g.startElection(t, true)
 		}
 		return
 	}
 	g.follow(t, b.From, b.Term)
 	g.votedTerm = b.Term
-	g.contact.proven(b.ContactAt-g.s.clockOrigin, t.Now, b.Committed)
+	g.contact.proven(b.ContactAt-g.host.clockOrigin, t.Now, b.Committed)
 	r.OK, r.Term = true, b.Term
-	if b.Committed == g.accepted.Stamp {
+	if b.Committed == g.accepted.Version {
 		g.commit(t, g.accepted)
 	}
-	t.Send(ch, wire.KindBeatReply, id, &r)
+	t.Send(ch, wire.KindLeaderHeartbeatReply, id, &r)
 }
--- a/replica/group.go
+++ b/replica/group.go
@@ -53,10 +53,10 @@
 )
 
 // Committed is emitted in a replica's process when it knows a version to be committed.
-type Committed struct{ Stamped wire.Stamped }
+type Committed struct{ Version wire.Versioned }
 
 type pendingEdit struct {
-	ch    uint64
+	conn  uint64
 	id    uint64
 	edit  wire.Edit
 	reply wire.EditReply
@@ -67,16 +67,16 @@
 
 // Group is one replica's side of one partition.
 type Group struct {
-	part int
-	s    *Host
+	partition int
+	host      *Host
 
 	votedTerm    uint64
 	votedFor     string
-	accepted     wire.Stamped
-	pending      wire.Stamp
-	versionFiles []wire.Stamp
+	accepted     wire.Versioned
+	pending      wire.Version
+	versionFiles []wire.Version
 
-	committed wire.Stamped
+	committed wire.Versioned
 
 	role          role
 	leader        string
@@ -87,7 +87,7 @@
 	term            uint64
 	replies         map[string]wire.VoteReply
 	acks            map[string]bool
-	proposal        *wire.Stamped
+	proposal        *wire.Versioned
 	sentAt          int64
 	proposedAt      int64
 	queue           []pendingEdit
@@ -99,7 +99,7 @@
 	heardAt         map[string]int64
 	steadySince     map[string]int64
 	diskProblem     map[string]bool
-	successors      map[string]wire.Seat
+	successors      map[string]wire.Replica
 	caughtUpAt      map[string]int64
 	synced          map[string]syncedVersion
 	clockOffsets    map[string]int64
@@ -122,11 +122,11 @@
 	leaveSentAt int64
 }
 
-func newGroup(s *Host, part int) *Group {
-	return &Group{part: part, s: s, leases: map[string]*lease{}, heardAt: map[string]int64{}}
+func newGroup(s *Host, partition int) *Group {
+	return &Group{partition: partition, host: s, leases: map[string]*lease{}, heardAt: map[string]int64{}}
 }
 
-func (g *Group) self() string { return g.s.replicaID }
+func (g *Group) self() string { return g.host.replicaID }
 
 func (g *Group) isVoter() bool { return contains(allVoters(g.accepted), g.self()) }
 
@@ -135,10 +135,10 @@
 		return
 	}
 	if g.role == leader {
-		g.ownerTick(t)
+		g.leaderTick(t)
 		return
 	}
-	if g.s.stopping {
+	if g.host.stopping {
 		g.requestLeave(t)
 		return
 	}
@@ -146,11 +146,11 @@
 		g.scheduleElection(t)
 	}
 	at := g.electionAt
-	if g.s.diskProblem != "" {
+	if g.host.diskProblem != "" {
 		// A healthy replica goes first; where there is none, a slow leader is better than none.
 		at += 2 * ElectionTimeout
 	}
-	if t.Now >= at && t.Now-g.s.started >= g.s.listenPeriod() {
+	if t.Now >= at && t.Now-g.host.started >= g.host.listenPeriod() {
 		g.startElection(t, false)
 	}
 }
--- a/replica/host.go
+++ b/replica/host.go
@@ -30,7 +30,7 @@
 	pullsSent    map[uint64]sentVersions
 	stopping     bool
 
-	formation    wire.Form
+	formation    wire.Bootstrap
 	bootstrapped bool
 	consents     map[string]bool
 	refused      map[string]bool
@@ -59,7 +59,7 @@
 			writes: map[string]func(*kernel.Turn, string){}, writeSince: map[string]int64{}, consents: map[string]bool{},
 			refused: map[string]bool{}, pullers: map[string]puller{},
 		}
-		for p := range Parts {
+		for p := range Partitions {
 			s.groups = append(s.groups, newGroup(s, p))
 		}
 		return s
@@ -72,16 +72,16 @@
 // Kinds are the frames that it takes.
 func (s *Host) Kinds() []uint8 {
 	return []uint8{
-		wire.KindVote, wire.KindVoteReply, wire.KindAccept, wire.KindAcceptReply, wire.KindBeat, wire.KindBeatReply,
-		wire.KindForm, wire.KindFormReply, wire.KindPull, wire.KindEdit, wire.KindHold, wire.KindRebuild, wire.KindLeave,
+		wire.KindVote, wire.KindVoteReply, wire.KindAccept, wire.KindAcceptReply, wire.KindLeaderHeartbeat, wire.KindLeaderHeartbeatReply,
+		wire.KindBootstrap, wire.KindBootstrapReply, wire.KindPull, wire.KindEdit, wire.KindLeaseRequest, wire.KindRebuild, wire.KindLeave,
 		wire.KindStatusRequest,
 	}
 }
 
-func voteFile(part int) string { return fmt.Sprintf("part-%d.promise", part) }
+func voteFile(partition int) string { return fmt.Sprintf("part-%d.promise", partition) }
 
-func versionFile(s wire.Stamp) string {
-	return fmt.Sprintf("part-%d.stamp-%012d-%012d", s.Part, s.Term, s.Seq)
+func versionFile(s wire.Version) string {
+	return fmt.Sprintf("part-%d.stamp-%012d-%012d", s.Partition, s.Term, s.Seq)
 }
 
 // Load reads the disk as it was at the start of the process.
@@ -106,36 +106,36 @@
 		case name == "formation":
 			s.diskDamaged = wire.Decode(b, &s.formation) != nil || s.diskDamaged
 			s.bootstrapped, s.synced = s.formation.Go, true
-			if len(s.formation.Seats) > 0 && s.formation.By.ID == "" {
+			if len(s.formation.Voters) > 0 && s.formation.By.ID == "" {
 				// Releases before 2 did not write down who proposed: it was the first.
-				s.formation.By = s.formation.Seats[0]
+				s.formation.By = s.formation.Voters[0]
 			}
 		case isStamped:
-			var v wire.Stamped
-			if wire.Decode(b, &v) != nil || v.Stamp.Part < 0 || v.Stamp.Part >= Parts {
+			var v wire.Versioned
+			if wire.Decode(b, &v) != nil || v.Version.Partition < 0 || v.Version.Partition >= Partitions {
 				s.diskDamaged = true
 				continue
 			}
-			g := s.groups[v.Stamp.Part]
-			g.versionFiles = append(g.versionFiles, v.Stamp)
-			if mesh.Newer(v.Stamp, g.accepted.Stamp) {
+			g := s.groups[v.Version.Partition]
+			g.versionFiles = append(g.versionFiles, v.Version)
+			if mesh.Newer(v.Version, g.accepted.Version) {
 				g.accepted = v
 			}
 		case strings.HasSuffix(name, ".promise"):
-			var part int
+			var partition int
 			var v wire.Vote
-			if _, err := fmt.Sscanf(name, "part-%d.promise", &part); err != nil || part < 0 || part >= Parts || wire.Decode(b, &v) != nil {
+			if _, err := fmt.Sscanf(name, "part-%d.promise", &partition); err != nil || partition < 0 || partition >= Partitions || wire.Decode(b, &v) != nil {
 				s.diskDamaged = true
 				continue
 			}
-			s.groups[part].votedTerm, s.groups[part].votedFor = v.Term, v.From
+			s.groups[partition].votedTerm, s.groups[partition].votedFor = v.Term, v.From
 		}
 	}
 	for _, g := range s.groups {
-		if g.accepted.Stamp.Term > g.votedTerm {
-			g.votedTerm, g.votedFor = g.accepted.Stamp.Term, ""
+		if g.accepted.Version.Term > g.votedTerm {
+			g.votedTerm, g.votedFor = g.accepted.Version.Term, ""
 		}
-		s.bootstrapped = s.bootstrapped || g.accepted.Stamp.Term > 0
+		s.bootstrapped = s.bootstrapped || g.accepted.Version.Term > 0
 	}
 	if s.formation.Go {
 		s.adoptFormation()
@@ -146,7 +146,7 @@
 }
 
 // wantedVoters is how many replicas a partition's group should have.
-func (s *Host) wantedVoters() int { return s.k.Boot.Env.Seats() }
+func (s *Host) wantedVoters() int { return s.k.Boot.Env.Voters() }
 
 // listenPeriod is how long a process that just started does not stand for leader.
 func (s *Host) listenPeriod() int64 {
@@ -178,7 +178,7 @@
 }
 
 func (s *Host) publishMember() {
-	s.members.Update(func(m *wire.Member) { m.Seat, m.Formed, m.Sick = s.replicaID, s.bootstrapped, s.diskProblem })
+	s.members.Update(func(m *wire.Member) { m.Replica, m.Formed, m.Sick = s.replicaID, s.bootstrapped, s.diskProblem })
 }
 
 // addressOf is where a replica's disk is now, as the mesh tells it.
--- a/replica/known_cores.go
+++ b/replica/known_cores.go
@@ -18,7 +18,7 @@
 
 // puller is a core that pulled here; its replica is empty while its disk could not take partition.
 type puller struct {
-	member wire.Seat
+	member wire.Replica
 	at     int64
 }
 
@@ -32,7 +32,7 @@
 
 func (s *Host) row(id string, now int64) (members.Row, bool) {
 	for _, r := range s.rows(now) {
-		if r.Seat == id && id != "" {
+		if r.Replica == id && id != "" {
 			return r, true
 		}
 	}
@@ -54,14 +54,14 @@
 			return
 		}
 	}
-	s.pullers[p.Addr] = puller{member: wire.Seat{ID: p.Seat, Zone: p.Zone, Addr: p.Addr}, at: t.Now}
+	s.pullers[p.Addr] = puller{member: wire.Replica{ID: p.Replica, Zone: p.Zone, Addr: p.Addr}, at: t.Now}
 }
 
 // standbys lists the cores whose disks are well, this one included, as replicas that they could have.
-func (s *Host) standbys(now int64) []wire.Seat {
-	var out []wire.Seat
+func (s *Host) standbys(now int64) []wire.Replica {
+	var out []wire.Replica
 	if s.replicaID != "" && s.diskProblem == "" && !s.stopping {
-		out = append(out, wire.Seat{ID: s.replicaID, Zone: s.k.Boot.Env.Zone, Addr: s.k.Boot.Env.Mesh})
+		out = append(out, wire.Replica{ID: s.replicaID, Zone: s.k.Boot.Env.Zone, Addr: s.k.Boot.Env.Mesh})
 	}
 	told := map[string]bool{s.k.Boot.Env.Mesh: true}
 	for _, a := range sortedKeys(s.pullers) {
@@ -74,8 +74,8 @@
 	}
 	for _, r := range s.rows(now) {
 		// What a core says itself goes before what the mesh still tells of it.
-		if r.Seat != "" && r.Sick == "" && !r.Draining && !told[r.Addr] {
-			out = append(out, wire.Seat{ID: r.Seat, Zone: r.Zone, Addr: r.Addr})
+		if r.Replica != "" && r.Sick == "" && !r.Draining && !told[r.Addr] {
+			out = append(out, wire.Replica{ID: r.Replica, Zone: r.Zone, Addr: r.Addr})
 		}
 	}
 	return out
@@ -95,7 +95,7 @@
 }
 
 // countInZone counts the replicas in a zone, but for one that is to leave it.
-func countInZone(seats []wire.Seat, zone, leaves string) int {
+func countInZone(seats []wire.Replica, zone, leaves string) int {
 	n := 0
 	for _, s := range seats {
 		if s.Zone == zone && s.ID != leaves {
@@ -106,8 +106,8 @@
 }
 
 // leastUsedZone picks of some cores one that is not among the replicas yet, of the zone that has fewest.
-func leastUsedZone(cores, seats []wire.Seat, leaves string) (wire.Seat, bool) {
-	var best wire.Seat
+func leastUsedZone(cores, seats []wire.Replica, leaves string) (wire.Replica, bool) {
+	var best wire.Replica
 	least := -1
 	for _, c := range cores {
 		if n := countInZone(seats, c.Zone, leaves); !contains(seats, c.ID) && (least < 0 || n < least) {
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -8,12 +8,12 @@
 	"wallport/wire"
 )
 
-func (g *Group) becomeLeader(t *kernel.Turn, best wire.Stamped) {
-	g.role, g.leader, g.leaderAddress = leader, g.self(), g.s.k.Boot.Env.Mesh
-	g.ready, g.transferring = false, g.s.stopping
+func (g *Group) becomeLeader(t *kernel.Turn, best wire.Versioned) {
+	g.role, g.leader, g.leaderAddress = leader, g.self(), g.host.k.Boot.Env.Mesh
+	g.ready, g.transferring = false, g.host.stopping
 	g.confirmedRounds, g.clockOffsets = map[string]uint64{}, map[string]int64{}
 	g.synced = map[string]syncedVersion{}
-	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Seat{}, map[string]int64{}, map[string]int64{}
+	g.diskProblem, g.successors, g.caughtUpAt, g.steadySince = map[string]bool{}, map[string]wire.Replica{}, map[string]int64{}, map[string]int64{}
 	g.heartbeatAt, g.leaderSince = 0, t.Now
 	g.contact.lead()
 	g.leases = map[string]*lease{}
@@ -21,24 +21,24 @@
 	for _, s := range allVoters(best) {
 		g.heardAt[s.ID] = t.Now
 	}
-	t.Note(0, "part_owner", "part", g.part, "term", g.term, "adopts_term", best.Stamp.Term, "adopts_seq", best.Stamp.Seq)
+	t.Note(0, "part_owner", "part", g.partition, "term", g.term, "adopts_term", best.Version.Term, "adopts_seq", best.Version.Seq)
 	t.Counts.Add("part_owned", 1)
 	v := best
-	v.Stamp = wire.Stamp{Part: g.part, Term: g.term, Seq: best.Stamp.Seq + 1}
+	v.Version = wire.Version{Partition: g.partition, Term: g.term, Seq: best.Version.Seq + 1}
 	g.noteHeld(g.replies)
-	g.propose(t, v, best.Stamp)
-	g.ownerTick(t)
+	g.propose(t, v, best.Version)
+	g.leaderTick(t)
 }
 
 // stepDown ends leadership or candidature. What was in flight has an unknown outcome.
 func (g *Group) stepDown(t *kernel.Turn, why string) {
 	if g.role == leader {
-		t.Note(1, "part_retired", "part", g.part, "term", g.term, "why", why)
+		t.Note(1, "part_retired", "part", g.partition, "term", g.term, "why", why)
 		for _, w := range g.proposedEdits {
-			g.answer(t, w.ch, w.id, wire.EditReply{Code: "unknown"})
+			g.answer(t, w.conn, w.id, wire.EditReply{Code: "unknown"})
 		}
 		for _, w := range append(g.queue, g.unconfirmed...) {
-			g.answer(t, w.ch, w.id, wire.EditReply{Code: "not_owner"})
+			g.answer(t, w.conn, w.id, wire.EditReply{Code: "not_owner"})
 		}
 		g.leader, g.leaderAddress = "", ""
 	}
@@ -50,25 +50,25 @@
 
 // propose has the voters hold a version. Its body is that of the version base, if that is one:
 // who holds that already needs not be sent it.
-func (g *Group) propose(t *kernel.Turn, v wire.Stamped, base wire.Stamp) {
+func (g *Group) propose(t *kernel.Turn, v wire.Versioned, base wire.Version) {
 	g.proposal, g.proposedAt = &v, t.Now
 	g.acks = map[string]bool{}
 	g.sendProposal(t, base)
 }
 
 // acceptFor is the message that brings a version to a replica, in this leader's term.
-func (g *Group) acceptFor(v wire.Stamped) wire.Accept {
-	return wire.Accept{Part: g.part, Term: g.term, From: g.self(), Stamped: v}
+func (g *Group) acceptFor(v wire.Versioned) wire.Accept {
+	return wire.Accept{Partition: g.partition, Term: g.term, From: g.self(), Versioned: v}
 }
 
 // sendVersion brings a version, whole, to a replica.
-func (g *Group) sendVersion(t *kernel.Turn, to wire.Seat, v wire.Stamped) {
+func (g *Group) sendVersion(t *kernel.Turn, to wire.Replica, v wire.Versioned) {
 	a := g.acceptFor(v)
-	g.s.sendReplica(t, to, wire.KindAccept, &a)
+	g.host.sendReplica(t, to, wire.KindAccept, &a)
 }
 
 // sendProposal sends the version under way to those who have not synced it yet.
-func (g *Group) sendProposal(t *kernel.Turn, base wire.Stamp) {
+func (g *Group) sendProposal(t *kernel.Turn, base wire.Version) {
 	g.sentAt = t.Now
 	a := g.acceptFor(*g.proposal)
 	for _, s := range allVoters(*g.proposal) {
@@ -80,7 +80,7 @@
 			continue
 		}
 		one := g.withBase(a, s.ID, base)
-		g.s.sendReplica(t, s, wire.KindAccept, &one)
+		g.host.sendReplica(t, s, wire.KindAccept, &one)
 	}
 	g.sendToLearners(t, *g.proposal)
 }
@@ -105,7 +105,7 @@
 	g.heardAt[r.From] = t.Now
 	g.noteSynced(r)
 	g.handleLearnerReply(t, r)
-	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
+	if g.proposal == nil || r.Version != g.proposal.Version {
 		return
 	}
 	g.acks[r.From] = true
@@ -120,17 +120,17 @@
 	g.commit(t, v)
 	for _, w := range done {
 		if w.taken {
-			w.reply.Stamp = v.Stamp
+			w.reply.Version = v.Version
 		}
-		g.answer(t, w.ch, w.id, w.reply)
+		g.answer(t, w.conn, w.id, w.reply)
 	}
 	g.sendHeartbeats(t)
 	g.proposeNext(t)
 }
 
 // commit takes note that a version is committed.
-func (g *Group) commit(t *kernel.Turn, v wire.Stamped) {
-	if !mesh.Newer(v.Stamp, g.committed.Stamp) {
+func (g *Group) commit(t *kernel.Turn, v wire.Versioned) {
+	if !mesh.Newer(v.Version, g.committed.Version) {
 		return
 	}
 	before := g.committed
@@ -138,10 +138,10 @@
 	if g.role == leader {
 		g.endChange(t, before, v)
 	}
-	t.Emit(Committed{Stamped: v})
+	t.Emit(Committed{Version: v})
 }
 
-func (g *Group) ownerTick(t *kernel.Turn) {
+func (g *Group) leaderTick(t *kernel.Turn) {
 	g.noteContact(t)
 	switch {
 	case g.isSuperseded(t, g.newestVersion()):
@@ -153,7 +153,7 @@
 	case g.proposalIsOverdue(t.Now):
 		g.stepDown(t, "the version under way was not taken in time")
 		return
-	case (g.s.diskProblem != "" || g.transferring) && g.proposal == nil && g.bestSuccessor(t) != "":
+	case (g.host.diskProblem != "" || g.transferring) && g.proposal == nil && g.bestSuccessor(t) != "":
 		g.transferLeadership(t)
 		return
 	case t.Now-g.heartbeatAt >= HeartbeatInterval:
@@ -164,13 +164,13 @@
 		return
 	}
 	if g.proposal != nil && t.Now-g.sentAt > resendInterval(sizeOf(*g.proposal)) {
-		g.sendProposal(t, wire.Stamp{})
+		g.sendProposal(t, wire.Version{})
 	}
 	g.proposeNext(t)
 }
 
 // newestVersion is the version whose replicas a leader must hear from.
-func (g *Group) newestVersion() wire.Stamped {
+func (g *Group) newestVersion() wire.Versioned {
 	if g.proposal != nil {
 		return *g.proposal
 	}
@@ -182,21 +182,21 @@
 	g.round++
 	g.contact.sent(g.round, t.Now)
 	g.confirmRounds()
-	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Round: g.round, Committed: g.committed.Stamp}
+	b := wire.LeaderHeartbeat{Partition: g.partition, Term: g.term, From: g.self(), Round: g.round, Committed: g.committed.Version}
 	for _, s := range allVoters(g.newestVersion()) {
 		if s.ID != g.self() {
 			b.ContactAt = g.contact.proofFor(s.ID)
-			g.s.sendReplica(t, s, wire.KindBeat, &b)
+			g.host.sendReplica(t, s, wire.KindLeaderHeartbeat, &b)
 		}
 	}
 }
 
-func (g *Group) handleHeartbeatReply(t *kernel.Turn, r wire.BeatReply) {
+func (g *Group) handleHeartbeatReply(t *kernel.Turn, r wire.LeaderHeartbeatReply) {
 	if g.role != leader {
 		return
 	}
-	if r.Instead != "" {
-		g.successors[r.From] = wire.Seat{ID: r.Instead, Zone: r.Zone}
+	if r.Successor != "" {
+		g.successors[r.From] = wire.Replica{ID: r.Successor, Zone: r.Zone}
 		return
 	}
 	if !r.OK {
@@ -213,7 +213,7 @@
 	if t.Now-g.heardAt[r.From] > StepDownAfter || g.steadySince[r.From] == 0 {
 		g.steadySince[r.From] = t.Now
 	}
-	g.heardAt[r.From], g.diskProblem[r.From] = t.Now, r.Sick
+	g.heardAt[r.From], g.diskProblem[r.From] = t.Now, r.DiskProblem
 	g.clockOffsets[r.From] = r.Wall - t.Now
 	g.confirmedRounds[r.From] = max(g.confirmedRounds[r.From], r.Round)
 	g.noticeRollback(t, r)
--- a/replica/learner_test.go
+++ b/replica/learner_test.go
@@ -13,7 +13,7 @@
 func TestAnotherStandbyIsTakenWhereALearnerIsDead(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	pull := func(id string) { c.send(wire.KindPull, &wire.Pull{Addr: id + ":1", Seat: id, Zone: id}) }
+	pull := func(id string) { c.send(wire.KindPull, &wire.Pull{Addr: id + ":1", Replica: id, Zone: id}) }
 	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
 	pull("d")
 	leaves := func(us int64) {
@@ -30,28 +30,28 @@
 	must.Eq(t, []string{"d"}, ids(g.change.learners), must.Sprint("not given up yet"))
 	leaves(400_000)
 	c.learns(t, g, "e")
-	must.Eq(t, []string{"a", "e", "me"}, ids(g.proposal.Seats))
+	must.Eq(t, []string{"a", "e", "me"}, ids(g.proposal.Voters))
 }
 
 func TestChangeIsAbandonedWhereTheSilentVoterIsHeardAgain(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	pull := func() { c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"}) }
+	pull := func() { c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Replica: "d", Zone: "z4"}) }
 	c.beats(g, ReplaceAfter-200_000, "a")
 	pull()
 	c.beats(g, 300_000, "a")
 	must.NotNil(t, g.change)
 	c.beats(g, 2*TickInterval, "a", "b")
 	must.Nil(t, g.change)
-	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "d", Stamp: g.committed.Stamp, OK: true})
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Partition: g.partition, Term: g.term, From: "d", Version: g.committed.Version, OK: true})
 	must.Nil(t, g.proposal)
-	must.Eq(t, []string{"a", "b", "me"}, ids(g.committed.Seats))
+	must.Eq(t, []string{"a", "b", "me"}, ids(g.committed.Voters))
 }
 
 func TestChangeIsAbandonedWhereTheLeavingVoterAsksNoMore(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"})
+	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Replica: "d", Zone: "z4"})
 	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
 	must.NotNil(t, g.change)
 	// Its process has ended and comes back as the voter that it was.
@@ -65,7 +65,7 @@
 	c.beats(g, 200_000, "a", "b")
 	// Of the two that answer, the one heard last would be taken.
 	c.now += 1_000
-	c.send(wire.KindBeatReply, &wire.BeatReply{Part: g.part, Term: g.term, From: "b", Round: g.round, Held: g.accepted.Stamp, OK: true})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Partition: g.partition, Term: g.term, From: "b", Round: g.round, Held: g.accepted.Version, OK: true})
 	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
 	c.s.diskProblem = "slow"
 	c.tick()
--- a/replica/lease_test.go
+++ b/replica/lease_test.go
@@ -28,8 +28,8 @@
 		return
 	}
 	asked := c.now
-	c.ask(to, wire.KindHold, 1, &wire.Hold{Duty: "task", From: h.name}, func(f wire.Frame) {
-		var r wire.HoldReply
+	c.ask(to, wire.KindLeaseRequest, 1, &wire.LeaseRequest{Task: "task", From: h.name}, func(f wire.Frame) {
+		var r wire.LeaseReply
 		must.NoError(c.t, wire.Decode(f.Body, &r))
 		if r.Holder == h.name && r.For > 0 {
 			h.given++
--- a/replica/leases.go
+++ b/replica/leases.go
@@ -21,19 +21,19 @@
 	turn   uint64
 }
 
-func (g *Group) renewLease(t *kernel.Turn, ch, id uint64, h wire.Hold) {
+func (g *Group) renewLease(t *kernel.Turn, ch, id uint64, h wire.LeaseRequest) {
 	until := g.contact.confirmedAt + LeaseDuration
 	if g.role != leader || !g.ready || g.transferring || until <= t.Now {
-		t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty})
+		t.Send(ch, wire.KindLeaseReply, id, &wire.LeaseReply{Task: h.Task})
 		return
 	}
-	gr := g.leases[h.Duty]
+	gr := g.leases[h.Task]
 	if gr == nil {
 		// Whatever a predecessor granted has ended by then.
 		gr = &lease{until: g.leaderSince + LeaseDuration}
-		g.leases[h.Duty] = gr
+		g.leases[h.Task] = gr
 	}
-	if h.Drop {
+	if h.Release {
 		g.dropLease(t, gr, h, until)
 		return
 	}
@@ -44,12 +44,12 @@
 	if gr.holder == h.From {
 		gr.until = max(gr.until, until)
 	}
-	t.Send(ch, wire.KindHoldReply, id, &wire.HoldReply{Duty: h.Duty, Holder: gr.holder, For: gr.until - t.Now, Turn: gr.turn})
+	t.Send(ch, wire.KindLeaseReply, id, &wire.LeaseReply{Task: h.Task, Holder: gr.holder, For: gr.until - t.Now, LeaseID: gr.turn})
 }
 
 // dropLease ends a lease that its holder gives up. One that it got since is not meant.
-func (g *Group) dropLease(t *kernel.Turn, gr *lease, h wire.Hold, until int64) {
-	if gr.holder != h.From || h.Turn != 0 && h.Turn != gr.turn {
+func (g *Group) dropLease(t *kernel.Turn, gr *lease, h wire.LeaseRequest, until int64) {
+	if gr.holder != h.From || h.LeaseID != 0 && h.LeaseID != gr.turn {
 		return
 	}
 	g.leaseCount++
@@ -78,7 +78,7 @@
 func (g *Group) agreedTime(t *kernel.Turn) (int64, bool) {
 	// Offsets from this process's steady clock: its time of day may jump like any other.
 	offs := []int64{t.Wall - t.Now}
-	for _, s := range g.committed.Seats {
+	for _, s := range g.committed.Voters {
 		if off, ok := g.clockOffsets[s.ID]; ok && t.Now-g.heardAt[s.ID] < StepDownAfter {
 			offs = append(offs, off)
 		}
@@ -96,5 +96,5 @@
 			best, from = n, off
 		}
 	}
-	return t.Now + from, best > len(g.committed.Seats)/2
+	return t.Now + from, best > len(g.committed.Voters)/2
 }
--- a/replica/leaving.go
+++ b/replica/leaving.go
@@ -41,7 +41,7 @@
 	leaderKnown := g.leader != "" && t.Now-g.leaderSeen < StepDownAfter
 	for _, voter := range allVoters(g.accepted) {
 		if voter.ID != g.self() && (!leaderKnown || voter.ID == g.leader) {
-			g.s.sendReplica(t, voter, wire.KindLeave, &wire.Leave{Part: g.part, From: g.self()})
+			g.host.sendReplica(t, voter, wire.KindLeave, &wire.Leave{Partition: g.partition, From: g.self()})
 		}
 	}
 }
--- a/replica/leaving_test.go
+++ b/replica/leaving_test.go
@@ -13,9 +13,9 @@
 
 // isVoterAnywhere tells whether a replica votes in a partition by the newest version that a leader has committed.
 func (c *simCluster) isVoterAnywhere(id string) bool {
-	for part := range Parts {
-		leader := c.leader(part)
-		if leader != nil && contains(allVoters(leader.host.groups[part].committed), id) {
+	for partition := range Partitions {
+		leader := c.leader(partition)
+		if leader != nil && contains(allVoters(leader.host.groups[partition].committed), id) {
 			return true
 		}
 	}
@@ -24,8 +24,8 @@
 
 // hasMajorities tells whether of each partition a majority of the voters runs.
 func (c *simCluster) hasMajorities() bool {
-	for part := range Parts {
-		newest := c.newestOf(part)
+	for partition := range Partitions {
+		newest := c.newestOf(partition)
 		if !quorum(newest, c.runs) {
 			return false
 		}
@@ -43,10 +43,10 @@
 }
 
 // newestOf is the newest version of a partition that any running process knows to be committed.
-func (c *simCluster) newestOf(part int) (newest wire.Stamped) {
+func (c *simCluster) newestOf(partition int) (newest wire.Versioned) {
 	for _, m := range c.machines {
-		if m.up && newest.Stamp.Term <= m.host.groups[part].committed.Stamp.Term && len(m.host.groups[part].committed.Seats) > 0 {
-			if v := m.host.groups[part].committed; newest.Stamp.Term < v.Stamp.Term || newest.Stamp.Seq < v.Stamp.Seq {
+		if m.up && newest.Version.Term <= m.host.groups[partition].committed.Version.Term && len(m.host.groups[partition].committed.Voters) > 0 {
+			if v := m.host.groups[partition].committed; newest.Version.Term < v.Version.Term || newest.Version.Seq < v.Version.Seq {
 				newest = v
 			}
 		}
@@ -95,7 +95,7 @@
 	c.serves("another one leads", 500_000)
 	must.GreaterEq(t, LeaveWithin-1_000_000, c.ends(leaving))
 	must.True(t, c.isVoterAnywhere(id))
-	must.Eq(t, 3, len(c.newestOf(0).Seats))
+	must.Eq(t, 3, len(c.newestOf(0).Voters))
 	leaving.start()
 	c.run(1_000_000)
 	must.True(t, c.isVoterAnywhere(id))
@@ -128,9 +128,9 @@
 }
 
 // changedVoters counts the voters that a version adds.
-func changedVoters(v wire.Stamped) (n int) {
-	for _, voter := range v.Seats {
-		if len(v.Prev) > 0 && !contains(v.Prev, voter.ID) {
+func changedVoters(v wire.Versioned) (n int) {
+	for _, voter := range v.Voters {
+		if len(v.PreviousVoters) > 0 && !contains(v.PreviousVoters, voter.ID) {
 			n++
 		}
 	}
@@ -208,16 +208,16 @@
 func TestSteadyEditsDoNotKeepALearnerBehind(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2", Zone: "z2"})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{From: "b", Successor: "b2", Zone: "z2"})
 	c.tick()
-	earlier := g.committed.Stamp
+	earlier := g.committed.Version
 	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
 	c.edit(2, wire.Edit{Op: "empty", Name: "z1"})
-	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "b2", Stamp: earlier, OK: true})
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Partition: g.partition, Term: g.term, From: "b2", Version: earlier, OK: true})
 	c.take(g)
 	must.Nil(t, g.proposal, must.Sprint("the second edit waits for the learner"))
 	must.Len(t, 1, g.queue)
-	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "b2", Stamp: g.committed.Stamp, OK: true})
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Partition: g.partition, Term: g.term, From: "b2", Version: g.committed.Version, OK: true})
 	must.NotNil(t, g.proposal)
 	must.True(t, isJoint(*g.proposal))
 	must.Len(t, 1, g.proposedEdits)
@@ -226,10 +226,10 @@
 func TestEditsWaitForALearnerOnlyForAMoment(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2", Zone: "z2"})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{From: "b", Successor: "b2", Zone: "z2"})
 	c.tick()
 	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
-	c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: "b2", Stamp: g.committed.Stamp, OK: true})
+	c.send(wire.KindAcceptReply, &wire.AcceptReply{Partition: g.partition, Term: g.term, From: "b2", Version: g.committed.Version, OK: true})
 	c.take(g)
 	c.edit(2, wire.Edit{Op: "empty", Name: "z1"})
 	must.Nil(t, g.proposal)
--- a/replica/member_change.go
+++ b/replica/member_change.go
@@ -48,31 +48,33 @@
 	// removed is the voter that gives up its place, if one does.
 	removed string
 	// voters are those after the change; learners are those of them that are new.
-	voters, learners []wire.Seat
+	voters, learners []wire.Replica
 	// synced is the newest version that each learner said it has synced.
-	synced                      map[string]wire.Stamp
+	synced                      map[string]wire.Version
 	begunAt, sentAt, pauseUntil int64
 }
 
 // caughtUp tells whether every learner has synced a version.
-func (c *memberChange) caughtUp(newest wire.Stamp) bool {
-	return !slices.ContainsFunc(c.learners, func(r wire.Seat) bool { return c.synced[r.ID] != newest })
+func (c *memberChange) caughtUp(newest wire.Version) bool {
+	return !slices.ContainsFunc(c.learners, func(r wire.Replica) bool { return c.synced[r.ID] != newest })
 }
 
 // answered tells whether every learner has synced some version.
 func (c *memberChange) answered() bool { return len(c.synced) == len(c.learners) }
 
 // isJoint tells whether a version needs the voters before a change as well as those after it.
-func isJoint(v wire.Stamped) bool { return len(v.Prev) > 0 && !sameMembers(v.Prev, v.Seats) }
+func isJoint(v wire.Versioned) bool {
+	return len(v.PreviousVoters) > 0 && !sameMembers(v.PreviousVoters, v.Voters)
+}
 
-func sameMembers(a, b []wire.Seat) bool {
-	return slices.EqualFunc(a, b, func(a, b wire.Seat) bool { return a.ID == b.ID })
+func sameMembers(a, b []wire.Replica) bool {
+	return slices.EqualFunc(a, b, func(a, b wire.Replica) bool { return a.ID == b.ID })
 }
 
 // nextMembers gives the voters of the next version, and whether they alone are a reason to propose one.
-func (g *Group) nextMembers(t *kernel.Turn) ([]wire.Seat, bool) {
+func (g *Group) nextMembers(t *kernel.Turn) ([]wire.Replica, bool) {
 	if isJoint(g.committed) {
-		return g.committed.Seats, true
+		return g.committed.Voters, true
 	}
 	g.reviewChange(t)
 	if g.change == nil {
@@ -80,13 +82,13 @@
 	}
 	change := g.change
 	if change == nil {
-		return g.committed.Seats, false
+		return g.committed.Voters, false
 	}
-	if !change.caughtUp(g.committed.Stamp) {
+	if !change.caughtUp(g.committed.Version) {
 		if t.Now-change.sentAt >= g.learnerResendInterval() {
 			g.sendToLearners(t, g.committed)
 		}
-		return g.committed.Seats, false
+		return g.committed.Voters, false
 	}
 	g.change = nil
 	for _, learner := range change.learners {
@@ -104,9 +106,9 @@
 	plans := []func(*kernel.Turn) *memberChange{g.replaceWiped, g.replaceLeaving, g.replaceSilent, g.addVoters, g.rebalance}
 	for _, plan := range plans {
 		if change := plan(t); change != nil {
-			change.synced, change.begunAt = map[string]wire.Stamp{}, t.Now
+			change.synced, change.begunAt = map[string]wire.Version{}, t.Now
 			g.change = change
-			t.Note(0, "membership_change_begun", "part", g.part, "reason", string(change.reason), "removed", change.removed,
+			t.Note(0, "membership_change_begun", "part", g.partition, "reason", string(change.reason), "removed", change.removed,
 				"learners", replicaIDs(change.learners))
 			g.sendToLearners(t, g.committed)
 			return
@@ -121,9 +123,9 @@
 	case change == nil:
 	case !g.isStillDue(t, change):
 		g.abandonChange(t, "no longer due")
-	case !change.caughtUp(g.committed.Stamp) && t.Now-change.begunAt > LearnerTimeout+transferTime(sizeOf(g.committed)):
+	case !change.caughtUp(g.committed.Version) && t.Now-change.begunAt > LearnerTimeout+transferTime(sizeOf(g.committed)):
 		for _, learner := range change.learners {
-			if change.synced[learner.ID] != g.committed.Stamp {
+			if change.synced[learner.ID] != g.committed.Version {
 				g.learnerFailedAt[learner.ID] = t.Now
 			}
 		}
@@ -144,19 +146,19 @@
 }
 
 func (g *Group) abandonChange(t *kernel.Turn, why string) {
-	t.Note(1, "membership_change_abandoned", "part", g.part, "reason", string(g.change.reason), "learners", replicaIDs(g.change.learners), "why", why)
+	t.Note(1, "membership_change_abandoned", "part", g.partition, "reason", string(g.change.reason), "learners", replicaIDs(g.change.learners), "why", why)
 	t.Counts.Add("part_changes_abandoned", 1)
 	g.change = nil
 }
 
 // sendToLearners sends a version to the learners that have not synced it.
-func (g *Group) sendToLearners(t *kernel.Turn, v wire.Stamped) {
+func (g *Group) sendToLearners(t *kernel.Turn, v wire.Versioned) {
 	if g.change == nil {
 		return
 	}
 	g.change.sentAt = t.Now
 	for _, learner := range g.change.learners {
-		if g.change.synced[learner.ID] != v.Stamp {
+		if g.change.synced[learner.ID] != v.Version {
 			g.sendVersion(t, learner, v)
 		}
 	}
@@ -182,10 +184,10 @@
 		g.abandonChange(t, "learner refused: "+r.Err)
 		return
 	}
-	if mesh.Newer(r.Stamp, change.synced[r.From]) {
-		change.synced[r.From] = r.Stamp
+	if mesh.Newer(r.Version, change.synced[r.From]) {
+		change.synced[r.From] = r.Version
 	}
-	if g.proposal == nil && change.caughtUp(g.committed.Stamp) {
+	if g.proposal == nil && change.caughtUp(g.committed.Version) {
 		g.proposeNext(t)
 	}
 }
@@ -193,7 +195,7 @@
 // awaitsLearners holds edits back for a moment while the learners sync the newest version.
 func (g *Group) awaitsLearners(t *kernel.Turn) bool {
 	change := g.change
-	if change == nil || !change.answered() || change.caughtUp(g.committed.Stamp) {
+	if change == nil || !change.answered() || change.caughtUp(g.committed.Version) {
 		return false
 	}
 	if change.pauseUntil == 0 {
@@ -204,19 +206,19 @@
 
 // endChange logs that a change is in force and tells those that it removed, who would
 // otherwise go on as voters of a group that does without them.
-func (g *Group) endChange(t *kernel.Turn, before, now wire.Stamped) {
-	if before.Stamp.Term == 0 || isJoint(now) || !isJoint(before) && sameMembers(before.Seats, now.Seats) {
+func (g *Group) endChange(t *kernel.Turn, before, now wire.Versioned) {
+	if before.Version.Term == 0 || isJoint(now) || !isJoint(before) && sameMembers(before.Voters, now.Voters) {
 		return
 	}
-	t.Note(0, "membership_change_ended", "part", g.part, "term", now.Stamp.Term, "seq", now.Stamp.Seq, "voters", replicaIDs(now.Seats))
+	t.Note(0, "membership_change_ended", "part", g.partition, "term", now.Version.Term, "seq", now.Version.Seq, "voters", replicaIDs(now.Voters))
 	for _, voter := range allVoters(before) {
-		if !contains(now.Seats, voter.ID) {
+		if !contains(now.Voters, voter.ID) {
 			g.sendVersion(t, voter, now)
 		}
 	}
 }
 
-func replicaIDs(replicas []wire.Seat) []string {
+func replicaIDs(replicas []wire.Replica) []string {
 	ids := make([]string, 0, len(replicas))
 	for _, r := range replicas {
 		ids = append(ids, r.ID)
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -11,19 +11,19 @@
 )
 
 // substitute is the change that gives a voter's place to a learner.
-func (g *Group) substitute(reason changeReason, removed string, learner wire.Seat) *memberChange {
-	voters := slices.Clone(g.committed.Seats)
+func (g *Group) substitute(reason changeReason, removed string, learner wire.Replica) *memberChange {
+	voters := slices.Clone(g.committed.Voters)
 	for i := range voters {
 		if voters[i].ID == removed {
 			voters[i] = learner
 		}
 	}
-	return &memberChange{reason: reason, removed: removed, voters: voters, learners: []wire.Seat{learner}}
+	return &memberChange{reason: reason, removed: removed, voters: voters, learners: []wire.Replica{learner}}
 }
 
 // candidates are the standbys that can be learners now.
-func (g *Group) candidates(t *kernel.Turn) []wire.Seat {
-	return slices.DeleteFunc(g.s.standbys(t.Now), func(r wire.Seat) bool { return !g.canLearn(t, r.ID) })
+func (g *Group) candidates(t *kernel.Turn) []wire.Replica {
+	return slices.DeleteFunc(g.host.standbys(t.Now), func(r wire.Replica) bool { return !g.canLearn(t, r.ID) })
 }
 
 func (g *Group) canLearn(t *kernel.Turn, id string) bool {
@@ -33,10 +33,10 @@
 
 // replaceWiped gives the place of a voter whose disk is lost to the replica that is at its address now.
 func (g *Group) replaceWiped(t *kernel.Turn) *memberChange {
-	for _, voter := range g.committed.Seats {
+	for _, voter := range g.committed.Voters {
 		now, ok := g.successors[voter.ID]
-		if ok && !contains(g.committed.Seats, now.ID) && g.canLearn(t, now.ID) {
-			return g.substitute(reasonDiskLost, voter.ID, wire.Seat{ID: now.ID, Zone: now.Zone, Addr: voter.Addr})
+		if ok && !contains(g.committed.Voters, now.ID) && g.canLearn(t, now.ID) {
+			return g.substitute(reasonDiskLost, voter.ID, wire.Replica{ID: now.ID, Zone: now.Zone, Addr: voter.Addr})
 		}
 	}
 	return nil
@@ -45,17 +45,17 @@
 // replaceLeaving gives the place of a voter that is stopping to a standby, unless the loss of
 // one zone would then take a majority that it does not take now.
 func (g *Group) replaceLeaving(t *kernel.Turn) *memberChange {
-	zones := g.s.k.Boot.Env.Tolerance.Zones
-	for _, voter := range g.committed.Seats {
+	zones := g.host.k.Boot.Env.Tolerance.Zones
+	for _, voter := range g.committed.Voters {
 		if voter.ID == g.self() || !g.isLeaving(t, voter.ID) {
 			continue
 		}
-		standby, ok := leastUsedZone(g.candidates(t), g.committed.Seats, voter.ID)
+		standby, ok := leastUsedZone(g.candidates(t), g.committed.Voters, voter.ID)
 		if !ok {
 			return nil
 		}
 		change := g.substitute(reasonLeaving, voter.ID, standby)
-		if survivesZoneLoss(change.voters, zones) || !survivesZoneLoss(g.committed.Seats, zones) {
+		if survivesZoneLoss(change.voters, zones) || !survivesZoneLoss(g.committed.Voters, zones) {
 			return change
 		}
 	}
@@ -68,11 +68,11 @@
 
 // replaceSilent gives the place of a voter that was not heard for long to a standby.
 func (g *Group) replaceSilent(t *kernel.Turn) *memberChange {
-	for _, voter := range g.committed.Seats {
+	for _, voter := range g.committed.Voters {
 		if !g.isSilent(t, voter.ID) {
 			continue
 		}
-		if standby, ok := leastUsedZone(g.candidates(t), g.committed.Seats, voter.ID); ok {
+		if standby, ok := leastUsedZone(g.candidates(t), g.committed.Voters, voter.ID); ok {
 			return g.substitute(reasonSilent, voter.ID, standby)
 		}
 	}
@@ -81,10 +81,10 @@
 
 // addVoters adds two voters to a group that has fewer than it should; with one it would bear no more.
 func (g *Group) addVoters(t *kernel.Turn) *memberChange {
-	if len(g.committed.Seats)+2 > g.s.wantedVoters() || t.Now-g.leaderSince < RebalanceAfter {
+	if len(g.committed.Voters)+2 > g.host.wantedVoters() || t.Now-g.leaderSince < RebalanceAfter {
 		return nil
 	}
-	change := &memberChange{reason: reasonTooFew, voters: slices.Clone(g.committed.Seats)}
+	change := &memberChange{reason: reasonTooFew, voters: slices.Clone(g.committed.Voters)}
 	candidates := g.candidates(t)
 	for range 2 {
 		standby, ok := leastUsedZone(candidates, change.voters, "")
@@ -100,8 +100,8 @@
 // rebalance moves a voter out of a zone that has two more of them than another one with a
 // standby: the loss of one zone must not take a majority.
 func (g *Group) rebalance(t *kernel.Turn) *memberChange {
-	voters := g.committed.Seats
-	crowded := slices.ContainsFunc(voters, func(r wire.Seat) bool { return countInZone(voters, r.Zone, "") > 1 })
+	voters := g.committed.Voters
+	crowded := slices.ContainsFunc(voters, func(r wire.Replica) bool { return countInZone(voters, r.Zone, "") > 1 })
 	if !crowded || t.Now-g.leaderSince < RebalanceAfter {
 		return nil
 	}
--- a/replica/membership_test.go
+++ b/replica/membership_test.go
@@ -12,7 +12,7 @@
 	"wallport/wire"
 )
 
-func ids(seats []wire.Seat) (out []string) {
+func ids(seats []wire.Replica) (out []string) {
 	for _, s := range seats {
 		out = append(out, s.ID)
 	}
@@ -27,13 +27,13 @@
 		c.now += TickInterval
 		c.tick()
 		for _, id := range alive {
-			c.send(wire.KindBeatReply, &wire.BeatReply{Part: g.part, Term: g.term, From: id, Round: g.round, Held: g.accepted.Stamp, OK: true})
+			c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Partition: g.partition, Term: g.term, From: id, Round: g.round, Held: g.accepted.Version, OK: true})
 		}
 	}
 }
 
 // leases has some replicas, and this one's disk, take the version under way; it gives that version.
-func (c *core) leases(t *testing.T, g *Group, who ...string) wire.Stamped {
+func (c *core) leases(t *testing.T, g *Group, who ...string) wire.Versioned {
 	t.Helper()
 	must.NotNil(t, g.proposal)
 	v := *g.proposal
@@ -41,9 +41,9 @@
 		c.feed(kernel.Written{Plugin: "seats", Key: key})
 	}
 	for _, id := range who {
-		c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: id, Stamp: v.Stamp, OK: true})
+		c.send(wire.KindAcceptReply, &wire.AcceptReply{Partition: g.partition, Term: g.term, From: id, Version: v.Version, OK: true})
 	}
-	must.Eq(t, v.Stamp, g.committed.Stamp)
+	must.Eq(t, v.Version, g.committed.Version)
 	return v
 }
 
@@ -54,46 +54,46 @@
 	must.NotNil(t, g.change)
 	must.Eq(t, who, ids(g.change.learners))
 	for _, id := range who {
-		c.send(wire.KindAcceptReply, &wire.AcceptReply{Part: g.part, Term: g.term, From: id, Stamp: g.committed.Stamp, OK: true})
+		c.send(wire.KindAcceptReply, &wire.AcceptReply{Partition: g.partition, Term: g.term, From: id, Version: g.committed.Version, OK: true})
 	}
 }
 
 func TestWipedMachineIsASeatAtOnceAndTheNextLossIsBorne(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2", Zone: "z2"})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{From: "b", Successor: "b2", Zone: "z2"})
 	c.tick()
 	c.learns(t, g, "b2")
 	v := c.leases(t, g, "a")
-	must.Eq(t, []string{"a", "b2", "me"}, ids(v.Seats))
-	must.Eq(t, []string{"a", "b", "me"}, ids(v.Prev))
+	must.Eq(t, []string{"a", "b2", "me"}, ids(v.Voters))
+	must.Eq(t, []string{"a", "b", "me"}, ids(v.PreviousVoters))
 	// Without a further edit, the next version no longer needs the old replicas.
 	c.tick()
 	v = c.leases(t, g, "a")
-	must.Eq(t, []string{"a", "b2", "me"}, ids(v.Prev))
+	must.Eq(t, []string{"a", "b2", "me"}, ids(v.PreviousVoters))
 	must.True(t, quorum(v, func(id string) bool { return id == "b2" || id == "me" }), must.Sprint("a may be lost now"))
 }
 
 func TestUnsettledChangeIsSettledBeforeTheNext(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	c.send(wire.KindBeatReply, &wire.BeatReply{From: "b", Instead: "b2"})
-	c.send(wire.KindBeatReply, &wire.BeatReply{From: "a", Instead: "a2"})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{From: "b", Successor: "b2"})
+	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{From: "a", Successor: "a2"})
 	c.tick()
 	c.learns(t, g, "a2")
-	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Seats), must.Sprint("one at a time"))
+	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Voters), must.Sprint("one at a time"))
 	c.leases(t, g, "b")
-	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Seats), must.Sprint("settled first"))
-	must.Eq(t, ids(g.proposal.Seats), ids(g.proposal.Prev))
+	must.Eq(t, []string{"a2", "b", "me"}, ids(g.proposal.Voters), must.Sprint("settled first"))
+	must.Eq(t, ids(g.proposal.Voters), ids(g.proposal.PreviousVoters))
 	c.leases(t, g, "b")
 	c.learns(t, g, "b2")
-	must.Eq(t, []string{"a2", "b2", "me"}, ids(g.proposal.Seats))
+	must.Eq(t, []string{"a2", "b2", "me"}, ids(g.proposal.Voters))
 }
 
 func TestSilentSeatIsReplacedByASpareThatPulls(t *testing.T) {
 	c := newCore(t, nil)
 	g := owns(t, c)
-	spare := func() { c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"}) }
+	spare := func() { c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Replica: "d", Zone: "z4"}) }
 	spare()
 	c.beats(g, ReplaceAfter-200_000, "a")
 	must.Nil(t, g.proposal, must.Sprint("not yet"))
@@ -101,11 +101,11 @@
 	c.beats(g, 300_000, "a")
 	c.learns(t, g, "d")
 	v := c.leases(t, g, "a")
-	must.Eq(t, []string{"a", "d", "me"}, ids(v.Seats))
+	must.Eq(t, []string{"a", "d", "me"}, ids(v.Voters))
 	// It comes back as it was: a standby, and nothing moves.
 	c.tick()
 	c.leases(t, g, "a")
-	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.2:1", Seat: "b", Zone: "z2"})
+	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.2:1", Replica: "b", Zone: "z2"})
 	c.beats(g, 1_000_000, "a", "d")
 	must.Nil(t, g.proposal)
 }
@@ -119,19 +119,19 @@
 		c.beats(g, 100_000, "a")
 	}
 	must.Nil(t, g.proposal)
-	must.Eq(t, []string{"a", "b", "me"}, ids(g.committed.Seats))
+	must.Eq(t, []string{"a", "b", "me"}, ids(g.committed.Voters))
 }
 
-func cores(zones ...string) (out []wire.Seat) {
+func cores(zones ...string) (out []wire.Replica) {
 	for i, z := range zones {
-		out = append(out, wire.Seat{ID: fmt.Sprintf("s%d", i), Zone: z, Addr: fmt.Sprintf("10.0.0.%d:1", i)})
+		out = append(out, wire.Replica{ID: fmt.Sprintf("s%d", i), Zone: z, Addr: fmt.Sprintf("10.0.0.%d:1", i)})
 	}
 	return out
 }
 
 func TestSeatsAreSpreadSoThatAZoneLostLeavesAMajority(t *testing.T) {
 	for _, v := range []struct {
-		cores            []wire.Seat
+		cores            []wire.Replica
 		n                int
 		survivesZoneLoss bool
 	}{
@@ -155,7 +155,7 @@
 	e.BootstrapKnown, e.Tolerance.Machines = true, 2
 	g := owns(t, c)
 	pull := func(id string) {
-		c.send(wire.KindPull, &wire.Pull{Addr: id + ":1", Seat: id, Zone: id})
+		c.send(wire.KindPull, &wire.Pull{Addr: id + ":1", Replica: id, Zone: id})
 	}
 	pull("d")
 	c.beats(g, RebalanceAfter, "a", "b")
@@ -165,7 +165,7 @@
 	c.beats(g, TickInterval, "a", "b")
 	c.learns(t, g, "d", "e")
 	v := c.leases(t, g, "a", "b")
-	must.Eq(t, []string{"a", "b", "me", "d", "e"}, ids(v.Seats))
+	must.Eq(t, []string{"a", "b", "me", "d", "e"}, ids(v.Voters))
 	must.False(t, quorum(v, func(id string) bool { return id == "a" || id == "me" }))
 }
 
@@ -184,9 +184,9 @@
 	for _, s := range out.Sends {
 		f, err := wire.Open(s.Data)
 		must.NoError(t, err)
-		var b wire.Beat
-		if f.Kind == wire.KindBeat && wire.Decode(f.Body, &b) == nil && b.Part == 0 && b.Yield != "" {
-			must.Eq(t, "a", b.Yield)
+		var b wire.LeaderHeartbeat
+		if f.Kind == wire.KindLeaderHeartbeat && wire.Decode(f.Body, &b) == nil && b.Partition == 0 && b.TransferTo != "" {
+			must.Eq(t, "a", b.TransferTo)
 			yields++
 		}
 	}
--- a/replica/narrow_links_test.go
+++ b/replica/narrow_links_test.go
@@ -53,9 +53,9 @@
 
 func newNarrowCluster(t testing.TB, bytesPerSecond int64) *narrowCluster {
 	c := &narrowCluster{t: t, members: map[string]*narrowMember{}, conns: map[string]uint64{}, ends: map[uint64][2]string{}, bytesPerSecond: bytesPerSecond}
-	form := wire.Form{Formation: "f", Go: true}
+	form := wire.Bootstrap{Formation: "f", Go: true}
 	for _, id := range []string{"a", "b", "c"} {
-		form.Seats = append(form.Seats, wire.Seat{ID: id, Addr: id, Zone: "z" + id})
+		form.Voters = append(form.Voters, wire.Replica{ID: id, Addr: id, Zone: "z" + id})
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		files := map[string][]byte{"seat": diskfile.Pack([]byte(id)), "formation": diskfile.Pack(wire.Encode(&form))}
--- a/replica/old_members_test.go
+++ b/replica/old_members_test.go
@@ -44,8 +44,8 @@
 				}
 				for range 100 {
 					c.run(100_000)
-					for part := range Parts {
-						must.Nil(t, c.leader(part))
+					for partition := range Partitions {
+						must.Nil(t, c.leader(partition))
 					}
 				}
 				must.Len(t, acknowledged, c.acknowledged)
@@ -63,19 +63,19 @@
 // settled tells whether of every partition all voters run, hold the committed version on their
 // disks, and are bound alone: from then on the group bears whatever such a group can bear.
 func (c *simCluster) settled() bool {
-	for part := range Parts {
-		leader := c.leader(part)
+	for partition := range Partitions {
+		leader := c.leader(partition)
 		if leader == nil {
 			return false
 		}
-		committed := leader.host.groups[part].committed
+		committed := leader.host.groups[partition].committed
 		if isJoint(committed) {
 			return false
 		}
-		for _, voter := range committed.Seats {
+		for _, voter := range committed.Voters {
 			holds := false
 			for _, m := range c.machines {
-				holds = holds || m.up && !m.stopping && m.holds(voter.ID, committed.Stamp)
+				holds = holds || m.up && !m.stopping && m.holds(voter.ID, committed.Version)
 			}
 			if !holds {
 				return false
--- a/replica/orders_test.go
+++ b/replica/orders_test.go
@@ -27,7 +27,7 @@
 
 // confirmed has a majority answer the newest heartbeat.
 func (c *core) confirmed(g *Group) kernel.Out {
-	return c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Stamp, OK: true})
+	return c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Version, OK: true})
 }
 
 // leads is a core that has taken one order in each of two versions.
@@ -60,7 +60,7 @@
 	held := was.committed
 	for name, start := range map[string]func() (*core, *Group){
 		"power lost": func() (*core, *Group) {
-			c := newCore(t, map[string][]byte{versionFile(held.Stamp): diskfile.Pack(wire.Encode(&held))})
+			c := newCore(t, map[string][]byte{versionFile(held.Version): diskfile.Pack(wire.Encode(&held))})
 			return c, owns(t, c)
 		},
 		"elected": func() (*core, *Group) {
@@ -116,9 +116,9 @@
 	must.NoError(t, err)
 	var pulled wire.PullReply
 	must.NoError(t, wire.Decode(f.Body, &pulled))
-	must.Len(t, 1, pulled.Stamped)
-	must.Nil(t, pulled.Stamped[0].Ledger)
-	told, ok := c.s.mesh.Part(state.Config)
+	must.Len(t, 1, pulled.Versions)
+	must.Nil(t, pulled.Versions[0].Ledger)
+	told, ok := c.s.mesh.Partition(state.Config)
 	must.True(t, ok)
 	must.Nil(t, told.Ledger)
 	must.Eq(t, g.committed.Body, told.Body)
@@ -128,9 +128,9 @@
 
 	// A vote that is denied shows how new the voter's version is, and nothing of it.
 	held := g.committed
-	c = newCore(t, map[string][]byte{versionFile(held.Stamp): diskfile.Pack(wire.Encode(&held))})
+	c = newCore(t, map[string][]byte{versionFile(held.Version): diskfile.Pack(wire.Encode(&held))})
 	must.Eq(t, held.Ledger, c.s.groups[0].accepted.Ledger)
-	denied := c.send(wire.KindVote, &wire.Vote{Term: held.Stamp.Term - 1, From: "b"})
+	denied := c.send(wire.KindVote, &wire.Vote{Term: held.Version.Term - 1, From: "b"})
 	f, err = wire.Open(denied.Sends[0].Data)
 	must.NoError(t, err)
 	var vote wire.VoteReply
@@ -151,7 +151,7 @@
 	must.Nil(t, g.proposal)
 }
 
-func readVersion(t *testing.T, out kernel.Out) wire.Stamp {
+func readVersion(t *testing.T, out kernel.Out) wire.Version {
 	t.Helper()
 	for _, s := range out.Sends {
 		f, err := wire.Open(s.Data)
@@ -159,9 +159,9 @@
 		var r wire.EditReply
 		if f.Kind == wire.KindEditReply && wire.Decode(f.Body, &r) == nil {
 			must.Eq(t, wire.CodeVersion, r.Code)
-			return r.Stamp
+			return r.Version
 		}
 	}
 	t.Fatal("no answer")
-	return wire.Stamp{}
+	return wire.Version{}
 }
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -1,5 +1,5 @@
 // The leader's answers: edits are batched into one version and judged in turn,
-// and nothing is said that rests on what is not committed, or on an leadership
+// and nothing is said that rests on what is not committed, or on a leadership
 // that a majority has not confirmed since the question came.
 package replica
 
@@ -19,7 +19,7 @@
 		g.answer(t, ch, id, wire.EditReply{Code: "shed"})
 		return
 	}
-	w := pendingEdit{ch: ch, id: id, edit: e}
+	w := pendingEdit{conn: ch, id: id, edit: e}
 	if !state.Reads(e.Op) {
 		g.queue = append(g.queue, w)
 		g.proposeNext(t)
@@ -49,7 +49,7 @@
 		return
 	}
 	value := state.Value{Body: g.committed.Body, Ledger: g.committed.Ledger}
-	stamp := wire.Stamp{Part: g.part, Term: g.term, Seq: g.committed.Stamp.Seq + 1}
+	stamp := wire.Version{Partition: g.partition, Term: g.term, Seq: g.committed.Version.Seq + 1}
 	seats, changed := g.nextMembers(t)
 	if g.awaitsLearners(t) {
 		return
@@ -59,13 +59,13 @@
 	for i := range batch {
 		w := &batch[i]
 		var after state.Value
-		after, w.reply, w.taken = g.s.judge(g.part)(value, stamp, &w.edit)
+		after, w.reply, w.taken = g.host.judge(g.partition)(value, stamp, &w.edit)
 		g.refuseTooLarge(t, w, value, after)
 		switch {
 		case w.taken:
 			value, changed = after, true
-		case w.reply.Stamp == (wire.Stamp{}):
-			w.reply.Stamp = g.committed.Stamp
+		case w.reply.Version == (wire.Version{}):
+			w.reply.Version = g.committed.Version
 		}
 	}
 	if len(batch) == 0 && !changed && t.Now-g.clockAt < ClockInterval {
@@ -73,7 +73,7 @@
 	}
 	g.clockAt = t.Now
 	if wall, known := g.agreedTime(t); known {
-		if after, due := g.s.clockwork(g.part)(value.Body, stamp, wall, g.leaseHolders(t)); due && len(after) <= state.MaxBody(g.part)+state.ClockRoom {
+		if after, due := g.host.clockwork(g.partition)(value.Body, stamp, wall, g.leaseHolders(t)); due && len(after) <= state.MaxBody(g.partition)+state.ClockRoom {
 			value.Body, changed = after, true
 		}
 	} else {
@@ -83,7 +83,7 @@
 	case changed:
 		g.proposedEdits = batch
 		t.Counts.Add("part_versions", 1)
-		g.propose(t, wire.Stamped{Stamp: stamp, Seats: seats, Prev: g.committed.Seats, Body: value.Body, Ledger: value.Ledger}, g.baseOf(value))
+		g.propose(t, wire.Versioned{Version: stamp, Voters: seats, PreviousVoters: g.committed.Voters, Body: value.Body, Ledger: value.Ledger}, g.baseOf(value))
 	case len(batch) > 0:
 		g.awaitConfirmation(t, batch...)
 	}
@@ -101,7 +101,7 @@
 			w.reply = state.Answer(g.committed, &w.edit)
 			w.reply.Addr = g.leaderAddress
 		}
-		g.answer(t, w.ch, w.id, w.reply)
+		g.answer(t, w.conn, w.id, w.reply)
 	}
 	g.unconfirmed = left
 }
--- a/replica/proposals_test.go
+++ b/replica/proposals_test.go
@@ -33,7 +33,7 @@
 	if g.proposal == nil {
 		return kernel.Out{}
 	}
-	accepted := wire.AcceptReply{Term: g.term, From: "a", Stamp: g.proposal.Stamp, OK: true}
+	accepted := wire.AcceptReply{Term: g.term, From: "a", Version: g.proposal.Version, OK: true}
 	c.send(wire.KindAcceptReply, &accepted)
 	accepted.From = "b"
 	return c.send(wire.KindAcceptReply, &accepted)
@@ -80,7 +80,7 @@
 	c.edit(2, wire.Edit{Op: "empty", Name: "z1", EditID: "one"})
 	c.edit(3, wire.Edit{Op: "empty", Name: "z1", EditID: "one"})
 	c.take(g)
-	out := c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term + 1, From: "a"})
+	out := c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term + 1, From: "a"})
 	must.Eq(t, map[uint64]string{2: "unknown", 3: "unknown"}, replies(t, out))
 }
 
@@ -90,8 +90,8 @@
 	g := owns(t, c)
 	must.MapEmpty(t, replies(t, c.edit(1, wire.Edit{Op: "nonsense"})))
 	round := g.round
-	out := c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: round - 1, Held: g.accepted.Stamp, OK: true})
+	out := c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "a", Round: round - 1, Held: g.accepted.Version, OK: true})
 	must.MapEmpty(t, replies(t, out))
-	out = c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: "a", Round: round, Held: g.accepted.Stamp, OK: true})
+	out = c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "a", Round: round, Held: g.accepted.Version, OK: true})
 	must.Eq(t, map[uint64]string{1: "invalid"}, replies(t, out))
 }
--- a/replica/pull_large_test.go
+++ b/replica/pull_large_test.go
@@ -14,8 +14,8 @@
 // A large version is in the answer to one pull, not to each one while it is under way.
 func TestALargeVersionIsPulledOnce(t *testing.T) {
 	c := newCore(t, nil)
-	large := func(part, size int) {
-		c.s.groups[part].committed = wire.Stamped{Stamp: wire.Stamp{Part: part, Term: 1, Seq: 1}, Body: make([]byte, size)}
+	large := func(partition, size int) {
+		c.s.groups[partition].committed = wire.Versioned{Version: wire.Version{Partition: partition, Term: 1, Seq: 1}, Body: make([]byte, size)}
 	}
 	large(0, 4<<20)
 	large(1, 2<<20)
@@ -23,8 +23,8 @@
 	pull := func() (parts []int, partial bool) {
 		r := wire.PullReply{}
 		must.NoError(t, wire.Decode(receivedWhole(t, c, wire.KindPull, &wire.Pull{}), &r))
-		for _, v := range r.Stamped {
-			parts = append(parts, v.Stamp.Part)
+		for _, v := range r.Versions {
+			parts = append(parts, v.Version.Partition)
 		}
 		return parts, r.Partial
 	}
@@ -42,11 +42,11 @@
 // What is withheld is not confirmed: a process that starts must not take its older state for the newest.
 func TestAWithheldVersionIsNotConfirmed(t *testing.T) {
 	c := newCore(t, nil)
-	v := wire.Stamped{Stamp: wire.Stamp{Part: 1, Term: 1, Seq: 1}, Body: make([]byte, wire.WholeMost+1)}
+	v := wire.Versioned{Version: wire.Version{Partition: 1, Term: 1, Seq: 1}, Body: make([]byte, wire.WholeMost+1)}
 	for range 2 {
-		r := wire.PullReply{Stamped: []wire.Stamped{v}, Contact: 0b111, Relayed: 0b110}
+		r := wire.PullReply{Versions: []wire.Versioned{v}, Contact: 0b111, Relayed: 0b110}
 		c.s.limitPull(c.now, 7, &r)
-		if len(r.Stamped) == 1 {
+		if len(r.Versions) == 1 {
 			must.Eq(t, 0b111, r.Contact)
 			continue
 		}
--- a/replica/quorum.go
+++ b/replica/quorum.go
@@ -3,7 +3,7 @@
 
 import "wallport/wire"
 
-func contains(seats []wire.Seat, id string) bool {
+func contains(seats []wire.Replica, id string) bool {
 	for _, s := range seats {
 		if s.ID == id {
 			return true
@@ -12,7 +12,7 @@
 	return false
 }
 
-func majority(seats []wire.Seat, ok func(id string) bool) bool {
+func majority(seats []wire.Replica, ok func(id string) bool) bool {
 	n := 0
 	for _, s := range seats {
 		if ok(s.ID) {
@@ -23,14 +23,14 @@
 }
 
 // quorum needs a majority of a version's replicas and of the replicas before them.
-func quorum(v wire.Stamped, ok func(id string) bool) bool {
-	return majority(v.Seats, ok) && (len(v.Prev) == 0 || majority(v.Prev, ok))
+func quorum(v wire.Versioned, ok func(id string) bool) bool {
+	return majority(v.Voters, ok) && (len(v.PreviousVoters) == 0 || majority(v.PreviousVoters, ok))
 }
 
 // allVoters lists every replica that a version's quorum may need.
-func allVoters(v wire.Stamped) []wire.Seat {
-	out := append([]wire.Seat(nil), v.Seats...)
-	for _, p := range v.Prev {
+func allVoters(v wire.Versioned) []wire.Replica {
+	out := append([]wire.Replica(nil), v.Voters...)
+	for _, p := range v.PreviousVoters {
 		if !contains(out, p.ID) {
 			out = append(out, p)
 		}
--- a/replica/quorum_test.go
+++ b/replica/quorum_test.go
@@ -9,15 +9,15 @@
 	"wallport/wire"
 )
 
-func seats(ids ...string) (out []wire.Seat) {
+func seats(ids ...string) (out []wire.Replica) {
 	for _, id := range ids {
-		out = append(out, wire.Seat{ID: id})
+		out = append(out, wire.Replica{ID: id})
 	}
 	return out
 }
 
 func TestChangeOfSeatsNeedsBothMajorities(t *testing.T) {
-	v := wire.Stamped{Seats: seats("a", "b", "d"), Prev: seats("a", "b", "c")}
+	v := wire.Versioned{Voters: seats("a", "b", "d"), PreviousVoters: seats("a", "b", "c")}
 	of := func(ids ...string) func(string) bool {
 		return func(id string) bool { return contains(seats(ids...), id) }
 	}
@@ -25,6 +25,6 @@
 	must.True(t, quorum(v, of("a", "c", "d")))
 	must.False(t, quorum(v, of("b", "d")), must.Sprint("a majority of the new seats alone"))
 	must.False(t, quorum(v, of("a", "c")), must.Sprint("a majority of the old seats alone"))
-	must.False(t, quorum(wire.Stamped{}, of("a")), must.Sprint("no seats, no quorum"))
+	must.False(t, quorum(wire.Versioned{}, of("a")), must.Sprint("no seats, no quorum"))
 	must.Len(t, 4, allVoters(v))
 }
--- a/replica/rebuild.go
+++ b/replica/rebuild.go
@@ -18,11 +18,11 @@
 		if m.Brief || m.Do {
 			held.Body, held.Ledger = nil, nil
 		}
-		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Part: g.part, From: g.self(), OK: why == "", Why: why, Held: held})
+		t.Send(ch, wire.KindRebuildReply, id, &wire.RebuildReply{Partition: g.partition, From: g.self(), OK: why == "", Why: why, Held: held})
 	}
 	switch {
-	case g.s.diskProblem != "":
-		reply(t, "the disk is "+g.s.diskProblem)
+	case g.host.diskProblem != "":
+		reply(t, "the disk is "+g.host.diskProblem)
 		return
 	case g.role == leader || g.leaderSeen > 0 && t.Now-g.leaderSeen < LeaderlessFor:
 		reply(t, "the part has an owner")
@@ -30,35 +30,35 @@
 	case !m.Do:
 		reply(t, "")
 		return
-	case !mesh.Newer(m.Stamped.Stamp, g.accepted.Stamp) || m.Stamped.Stamp.Term <= g.votedTerm:
+	case !mesh.Newer(m.Versioned.Version, g.accepted.Version) || m.Versioned.Version.Term <= g.votedTerm:
 		reply(t, "it holds or has promised something newer")
 		return
 	}
-	v := m.Stamped
-	g.votedTerm = v.Stamp.Term
-	t.Note(1, "part_rebuilt", "part", g.part, "term", v.Stamp.Term, "seq", v.Stamp.Seq)
-	g.s.save(t, versionFile(v.Stamp), wire.Encode(&v), func(t *kernel.Turn, err string) {
+	v := m.Versioned
+	g.votedTerm = v.Version.Term
+	t.Note(1, "part_rebuilt", "part", g.partition, "term", v.Version.Term, "seq", v.Version.Seq)
+	g.host.save(t, versionFile(v.Version), wire.Encode(&v), func(t *kernel.Turn, err string) {
 		if err != "" {
 			reply(t, err)
 			return
 		}
-		if mesh.Newer(v.Stamp, g.accepted.Stamp) {
+		if mesh.Newer(v.Version, g.accepted.Version) {
 			g.accepted = v
 		}
-		g.versionFiles = append(g.versionFiles, v.Stamp)
-		g.s.joinFleet(t)
+		g.versionFiles = append(g.versionFiles, v.Version)
+		g.host.joinFleet(t)
 		reply(t, "")
 	})
 }
 
 // isSuperseded tells that a version was committed which no majority of this group holds:
 // the group was rebuilt without it, and it stands aside until it is given the newer one.
-func (g *Group) isSuperseded(t *kernel.Turn, best wire.Stamped) bool {
-	v, ok := g.s.mesh.Part(g.part)
-	if !ok || !mesh.Newer(v.Stamp, best.Stamp) {
+func (g *Group) isSuperseded(t *kernel.Turn, best wire.Versioned) bool {
+	v, ok := g.host.mesh.Partition(g.partition)
+	if !ok || !mesh.Newer(v.Version, best.Version) {
 		return false
 	}
 	t.Counts.Add("part_superseded", 1)
-	t.Note(1, "part_superseded", "part", g.part, "holds_term", best.Stamp.Term, "newer_term", v.Stamp.Term)
+	t.Note(1, "part_superseded", "part", g.partition, "holds_term", best.Version.Term, "newer_term", v.Version.Term)
 	return true
 }
