--- a/replica/route.go
+++ b/replica/route.go
@@ -35,9 +35,9 @@
 	case configsync.Pulled:
 		s.relay(v)
 	case Committed:
-		s.mesh.AnnouncePart(t, v.Stamped)
-		if v.Stamped.Stamp.Part == 0 {
-			s.members.Update(func(m *wire.Member) { m.InForce = []wire.Stamp{v.Stamped.Stamp} })
+		s.mesh.AnnounceVersion(t, v.Version)
+		if v.Version.Version.Partition == 0 {
+			s.members.Update(func(m *wire.Member) { m.InForce = []wire.Version{v.Version.Version} })
 		}
 	}
 }
@@ -55,7 +55,7 @@
 		if g.role == leader {
 			ledPartitions++
 		}
-		if g.inContact(t.Now, g.committed.Stamp) {
+		if g.inContact(t.Now, g.committed.Version) {
 			inContact++
 		}
 	}
@@ -85,95 +85,99 @@
 }
 
 func (s *Host) message(t *kernel.Turn, v kernel.Message) {
-	g := func(part int, f func(g *Group)) {
-		if part >= 0 && part < len(s.groups) && !s.diskDamaged {
-			f(s.groups[part])
+	g := func(partition int, f func(g *Group)) {
+		if partition >= 0 && partition < len(s.groups) && !s.diskDamaged {
+			f(s.groups[partition])
 		}
 	}
 	// A machine whose disk was lost is another replica at the old one's address:
 	// what is meant for the old one is not for it.
-	to := func(id string, part int, f func(g *Group)) {
+	to := func(id string, partition int, f func(g *Group)) {
 		if id != "" && id != s.replicaID {
 			t.Counts.Add("part_misdirected", 1)
-			s.reportReplacement(t, v, id, part)
+			s.reportReplacement(t, v, id, partition)
 			return
 		}
-		g(part, f)
+		g(partition, f)
 	}
 	switch v.Kind {
 	case wire.KindVote:
-		decode(t, v, func(m wire.Vote) { to(m.To, m.Part, func(g *Group) { g.vote(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Vote) { to(m.To, m.Partition, func(g *Group) { g.vote(t, v.Chan, v.ID, m) }) })
 	case wire.KindVoteReply:
-		decode(t, v, func(m wire.VoteReply) { g(m.Part, func(g *Group) { g.voteReply(t, m) }) })
+		decode(t, v, func(m wire.VoteReply) { g(m.Partition, func(g *Group) { g.voteReply(t, m) }) })
 	case wire.KindAccept:
-		decode(t, v, func(m wire.Accept) { to(m.To, m.Part, func(g *Group) { s.joinFleet(t); g.accept(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Accept) {
+			to(m.To, m.Partition, func(g *Group) { s.joinFleet(t); g.accept(t, v.Chan, v.ID, m) })
+		})
 	case wire.KindAcceptReply:
-		decode(t, v, func(m wire.AcceptReply) { g(m.Part, func(g *Group) { g.acceptReply(t, m) }) })
-	case wire.KindBeat:
-		decode(t, v, func(m wire.Beat) { to(m.To, m.Part, func(g *Group) { g.handleHeartbeat(t, v.Chan, v.ID, m) }) })
-	case wire.KindBeatReply:
-		decode(t, v, func(m wire.BeatReply) { g(m.Part, func(g *Group) { g.handleHeartbeatReply(t, m) }) })
-	case wire.KindForm:
-		decode(t, v, func(m wire.Form) { s.handleForm(t, v.Chan, m) })
-	case wire.KindFormReply:
-		decode(t, v, func(m wire.FormReply) { s.handleFormReply(t, m) })
+		decode(t, v, func(m wire.AcceptReply) { g(m.Partition, func(g *Group) { g.acceptReply(t, m) }) })
+	case wire.KindLeaderHeartbeat:
+		decode(t, v, func(m wire.LeaderHeartbeat) {
+			to(m.To, m.Partition, func(g *Group) { g.handleHeartbeat(t, v.Chan, v.ID, m) })
+		})
+	case wire.KindLeaderHeartbeatReply:
+		decode(t, v, func(m wire.LeaderHeartbeatReply) { g(m.Partition, func(g *Group) { g.handleHeartbeatReply(t, m) }) })
+	case wire.KindBootstrap:
+		decode(t, v, func(m wire.Bootstrap) { s.handleForm(t, v.Chan, m) })
+	case wire.KindBootstrapReply:
+		decode(t, v, func(m wire.BootstrapReply) { s.handleFormReply(t, m) })
 	case wire.KindPull:
 		decode(t, v, func(m wire.Pull) { s.pull(t, v.Chan, v.ID, m) })
 	case wire.KindEdit:
-		decode(t, v, func(m wire.Edit) { g(m.Part, func(g *Group) { g.handleEdit(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Edit) { g(m.Partition, func(g *Group) { g.handleEdit(t, v.Chan, v.ID, m) }) })
 	case wire.KindRebuild:
-		decode(t, v, func(m wire.Rebuild) { g(m.Part, func(g *Group) { g.rebuild(t, v.Chan, v.ID, m) }) })
+		decode(t, v, func(m wire.Rebuild) { g(m.Partition, func(g *Group) { g.rebuild(t, v.Chan, v.ID, m) }) })
 	case wire.KindLeave:
-		decode(t, v, func(m wire.Leave) { to(m.To, m.Part, func(g *Group) { g.handleLeave(t, v.Chan, m) }) })
+		decode(t, v, func(m wire.Leave) { to(m.To, m.Partition, func(g *Group) { g.handleLeave(t, v.Chan, m) }) })
 	case wire.KindStatusRequest:
 		s.sendStatus(t, v)
-	case wire.KindHold:
-		decode(t, v, func(m wire.Hold) { g(m.Part, func(g *Group) { g.renewLease(t, v.Chan, v.ID, m) }) })
+	case wire.KindLeaseRequest:
+		decode(t, v, func(m wire.LeaseRequest) { g(m.Partition, func(g *Group) { g.renewLease(t, v.Chan, v.ID, m) }) })
 	}
 }
 
 // reportReplacement tells a leader that heartbeats a lost disk's replica who is at its address now, and could have its place.
-func (s *Host) reportReplacement(t *kernel.Turn, v kernel.Message, id string, part int) {
-	if v.Kind != wire.KindBeat || part < 0 || part >= len(s.groups) || s.groups[part].isVoter() || s.replicaID == "" || s.diskProblem != "" || s.stopping {
+func (s *Host) reportReplacement(t *kernel.Turn, v kernel.Message, id string, partition int) {
+	if v.Kind != wire.KindLeaderHeartbeat || partition < 0 || partition >= len(s.groups) || s.groups[partition].isVoter() || s.replicaID == "" || s.diskProblem != "" || s.stopping {
 		return
 	}
-	t.Send(v.Chan, wire.KindBeatReply, v.ID, &wire.BeatReply{Part: part, From: id, Instead: s.replicaID, Zone: s.k.Boot.Env.Zone})
+	t.Send(v.Chan, wire.KindLeaderHeartbeatReply, v.ID, &wire.LeaderHeartbeatReply{Partition: partition, From: id, Successor: s.replicaID, Zone: s.k.Boot.Env.Zone})
 }
 
 // pull answers with every committed version newer than what the asker has.
 func (s *Host) pull(t *kernel.Turn, ch, id uint64, p wire.Pull) {
 	var r wire.PullReply
 	s.pulled(t, p)
-	have := map[int]wire.Stamp{}
+	have := map[int]wire.Version{}
 	for _, st := range p.Have {
-		have[st.Part] = st
+		have[st.Partition] = st
 	}
 	for _, g := range s.groups {
 		v := g.committed
-		if m, ok := s.mesh.Part(g.part); ok && mesh.Newer(m.Stamp, v.Stamp) {
+		if m, ok := s.mesh.Partition(g.partition); ok && mesh.Newer(m.Version, v.Version) {
 			// A core that has no replica here hands on what the mesh brought it.
 			v = m
 		}
-		g.tellContact(t.Now, v.Stamp, &r)
-		if st, ok := have[g.part]; v.Stamp.Term > 0 && (!ok || mesh.Newer(v.Stamp, st)) {
-			r.Stamped = append(r.Stamped, wire.Stamped{Stamp: v.Stamp, Body: v.Body})
+		g.tellContact(t.Now, v.Version, &r)
+		if st, ok := have[g.partition]; v.Version.Term > 0 && (!ok || mesh.Newer(v.Version, st)) {
+			r.Versions = append(r.Versions, wire.Versioned{Version: v.Version, Body: v.Body})
 		}
 		if g.leader != "" && g.followsLeader(t.Now) {
-			r.Owners = append(r.Owners, wire.Owner{Part: g.part, Term: g.votedTerm, Seat: g.leader, Addr: g.s.addressOf(g.leader, t.Now)})
+			r.Leaders = append(r.Leaders, wire.Leader{Partition: g.partition, Term: g.votedTerm, Replica: g.leader, Addr: g.host.addressOf(g.leader, t.Now)})
 		}
 	}
 	s.limitPull(t.Now, ch, &r)
 	t.Send(ch, wire.KindPullReply, id, &r)
 }
 
-func (s *Host) sendReplica(t *kernel.Turn, replicaID wire.Seat, kind uint8, m msgp.Marshaler) {
+func (s *Host) sendReplica(t *kernel.Turn, replicaID wire.Replica, kind uint8, m msgp.Marshaler) {
 	addr := replicaID.Addr
 	switch v := m.(type) {
 	case *wire.Vote:
 		v.To = replicaID.ID
 	case *wire.Accept:
 		v.To = replicaID.ID
-	case *wire.Beat:
+	case *wire.LeaderHeartbeat:
 		v.To = replicaID.ID
 	case *wire.Leave:
 		v.To = replicaID.ID
@@ -184,7 +188,7 @@
 	t.Counts.Add("part_messages", 1)
 	if accept, ok := m.(*wire.Accept); ok {
 		// A replica that is slow or away needs the newest version only.
-		t.SendSlotTo(addr, kind, m, fmt.Sprintf("version %d", accept.Part))
+		t.SendSlotTo(addr, kind, m, fmt.Sprintf("version %d", accept.Partition))
 		return
 	}
 	t.SendTo(addr, kind, 0, m)
--- a/replica/snapshot_test.go
+++ b/replica/snapshot_test.go
@@ -28,12 +28,12 @@
 }
 
 // holds tells whether a core has committed a version that is at least as new.
-func (m *narrowMember) holds(at wire.Stamp) bool {
+func (m *narrowMember) holds(at wire.Version) bool {
 	g := m.host.groups[state.Config]
-	return g.committed.Stamp == at || g.committed.Stamp.Term > at.Term || g.committed.Stamp.Term == at.Term && g.committed.Stamp.Seq > at.Seq
+	return g.committed.Version == at || g.committed.Version.Term > at.Term || g.committed.Version.Term == at.Term && g.committed.Version.Seq > at.Seq
 }
 
-func (m *narrowMember) committed() wire.Stamped { return m.host.groups[state.Config].committed }
+func (m *narrowMember) committed() wire.Versioned { return m.host.groups[state.Config].committed }
 
 // grow takes orders until the configuration has at least so many bytes, and gives its revision.
 func (c *narrowCluster) grow(size int) (revision int64) {
@@ -58,7 +58,7 @@
 			return false
 		}
 		for _, m := range c.members {
-			if m.up && !m.holds(l.committed().Stamp) {
+			if m.up && !m.holds(l.committed().Version) {
 				return false
 			}
 		}
@@ -82,13 +82,13 @@
 func TestAnOrderThatMakesABodyTooLargeIsRefusedAndTheNextOneTaken(t *testing.T) {
 	c := newNarrowCluster(t, 0)
 	revision := c.grow(state.MaxConfigBody - 300_000)
-	before := c.lead().committed().Stamp
+	before := c.lead().committed().Version
 	reply := c.order(pools(revision, 400_000, "one-more"), 10_000_000)
 	must.Eq(t, "invalid", reply.Code)
 	must.Len(t, 1, reply.Findings)
 	must.Eq(t, "configuration", reply.Findings[0].Place)
 	must.StrContains(t, reply.Findings[0].Text, fmt.Sprint(state.MaxConfigBody))
-	must.Eq(t, before, c.lead().committed().Stamp, must.Sprint("nothing was proposed"))
+	must.Eq(t, before, c.lead().committed().Version, must.Sprint("nothing was proposed"))
 	must.Eq(t, "ok", c.order(pools(revision, 1000, "small"), 10_000_000).Code)
 	// What makes it smaller is taken as well.
 	must.Eq(t, "ok", c.order(pools(revision+1, 1000, "pool-0"), 10_000_000).Code)
@@ -99,8 +99,8 @@
 func TestVersionsOfTheLargestBodiesFitADisk(t *testing.T) {
 	const diskBytes = 64_000_000
 	total := 0
-	for part := range state.Parts {
-		most := state.MaxBody(part) + state.MaxLedger(part) + state.ClockRoom
+	for partition := range state.Partitions {
+		most := state.MaxBody(partition) + state.MaxLedger(partition) + state.ClockRoom
 		total += (VersionsKept + 1) * most
 		must.LessEq(t, wire.MaxMessage, most+wire.WholeMost)
 	}
@@ -117,7 +117,7 @@
 	var out kernel.Out
 	for end := c.now + ProposalTimeout + 1_000_000; c.now < end && g.role == leader; c.now += TickInterval {
 		for _, id := range []string{"a", "b"} {
-			c.send(wire.KindBeatReply, &wire.BeatReply{Term: g.term, From: id, Round: g.round, Held: g.committed.Stamp, OK: true})
+			c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: id, Round: g.round, Held: g.committed.Version, OK: true})
 		}
 		out = c.tick()
 	}
@@ -154,11 +154,11 @@
 	t.Logf("served again after %d ms, %d KB moved", took/1000, moved/1000)
 	must.LessEq(t, 100_000, moved, must.Sprint("both hold the body already"))
 	now := c.lead().committed()
-	must.Greater(t, was.Stamp.Term, now.Stamp.Term)
+	must.Greater(t, was.Version.Term, now.Version.Term)
 	must.True(t, bytes.Equal(was.Body, now.Body))
 	n := 0
 	for _, m := range c.members {
-		if m.up && m.host.groups[state.Config].accepted.Stamp == now.Stamp {
+		if m.up && m.host.groups[state.Config].accepted.Version == now.Version {
 			n++
 		}
 	}
@@ -174,13 +174,13 @@
 	l := c.lead()
 	away := c.follower()
 	c.stop(away.id)
-	was := c.order(pools(int64(len(c.pools())), 900_000, "new"), 20_000_000).Stamp
+	was := c.order(pools(int64(len(c.pools())), 900_000, "new"), 20_000_000).Version
 	c.start(away.id)
 	g := away.host.groups[state.Config]
 	c.run(5_000_000, "it follows", func() bool { return g.leader == l.id || g.isVoter() })
 	must.False(t, away.holds(was))
 	c.stop(l.id)
-	c.step(away, kernel.Received{Chan: 1 << 41, Data: wire.Seal(wire.KindBeat, 0, &wire.Beat{Part: state.Config, Term: g.votedTerm + 1, From: l.id, Yield: away.id})})
+	c.step(away, kernel.Received{Chan: 1 << 41, Data: wire.Seal(wire.KindLeaderHeartbeat, 0, &wire.LeaderHeartbeat{Partition: state.Config, Term: g.votedTerm + 1, From: l.id, TransferTo: away.id})})
 	c.run(30_000_000, "a leader", func() bool { return c.leader() != nil })
 	must.True(t, c.leader().holds(was))
 }
--- a/replica/state_machine.go
+++ b/replica/state_machine.go
@@ -8,24 +8,28 @@
 	"wallport/wire"
 )
 
-// Parts is the number of partitions.
-const Parts = state.Parts
+// Partitions is the number of partitions.
+const Partitions = state.Partitions
 
-func (s *Host) judge(part int) state.Judge { return state.JudgeOf(part) }
+func (s *Host) judge(partition int) state.Judge { return state.JudgeOf(partition) }
 
-func (s *Host) clockwork(part int) state.Clockwork { return state.ClockworkOf(part) }
+func (s *Host) clockwork(partition int) state.Clockwork { return state.ClockworkOf(partition) }
 
 // Leads tells whether this process owns a partition and may take its edits, for tests and metrics.
-func (s *Host) Leads(part int) bool { return s.groups[part].role == leader && s.groups[part].ready }
+func (s *Host) Leads(partition int) bool {
+	return s.groups[partition].role == leader && s.groups[partition].ready
+}
 
 // ReplicaID is the replica's id, made on its empty disk.
 func (s *Host) ReplicaID() string { return s.replicaID }
 
 // CommittedVersion is the newest version of a partition that is known to be committed here.
-func (s *Host) CommittedVersion(part int) wire.Stamp { return s.groups[part].committed.Stamp }
+func (s *Host) CommittedVersion(partition int) wire.Version {
+	return s.groups[partition].committed.Version
+}
 
 // VotersOf lists the replicas of a partition's newest committed version that is known here.
-func (s *Host) VotersOf(part int) []wire.Seat { return s.groups[part].committed.Seats }
+func (s *Host) VotersOf(partition int) []wire.Replica { return s.groups[partition].committed.Voters }
 
 // Replied is emitted in the process of a leader that answered an edit of this same process.
 type Replied struct {
@@ -35,16 +39,16 @@
 
 // Edit takes an edit, or a confirmed read, of this same process; Replied follows.
 func (s *Host) Edit(t *kernel.Turn, id uint64, e wire.Edit) {
-	if e.Part < 0 || e.Part >= Parts || s.diskDamaged {
+	if e.Partition < 0 || e.Partition >= Partitions || s.diskDamaged {
 		t.Emit(Replied{ID: id, Reply: wire.EditReply{Code: "not_owner"}})
 		return
 	}
-	s.groups[e.Part].handleEdit(t, 0, id, e)
+	s.groups[e.Partition].handleEdit(t, 0, id, e)
 }
 
-// Leader is the address of the core that owns a partition, where this replica has heard it of late.
-func (s *Host) Leader(part int, now int64) string {
-	g := s.groups[part]
+// Leader is the address of the core that leads a partition, where this replica has heard it of late.
+func (s *Host) Leader(partition int, now int64) string {
+	g := s.groups[partition]
 	if g.role == leader || g.leader != "" && now-g.leaderSeen < StepDownAfter {
 		return g.leaderAddress
 	}
--- a/replica/status.go
+++ b/replica/status.go
@@ -36,9 +36,9 @@
 
 func (g *Group) status(now int64) wire.ReplicaStatus {
 	status := wire.ReplicaStatus{
-		Part: g.part, State: g.stateName(), Term: max(g.term, g.votedTerm), Leader: g.s.Leader(g.part, now),
-		Contact: g.inContact(now, g.committed.Stamp), Committed: g.committed.Stamp, Held: g.accepted.Stamp,
-		Voters: len(allVoters(g.accepted)), Leaving: g.s.stopping && g.isVoter(),
+		Partition: g.partition, State: g.stateName(), Term: max(g.term, g.votedTerm), Leader: g.host.Leader(g.partition, now),
+		Contact: g.inContact(now, g.committed.Version), Committed: g.committed.Version, Held: g.accepted.Version,
+		Voters: len(allVoters(g.accepted)), Leaving: g.host.stopping && g.isVoter(),
 	}
 	if g.role == leader {
 		status.Change = g.changeUnderWay()
@@ -48,7 +48,7 @@
 
 func (g *Group) stateName() string {
 	switch {
-	case g.s.diskDamaged:
+	case g.host.diskDamaged:
 		return stateDamaged
 	case !g.isVoter():
 		return stateStandby
--- a/replica/status_test.go
+++ b/replica/status_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	reply := sent[wire.StatusReply](t, c.send(wire.KindStatusRequest, &wire.StatusRequest{}), wire.KindStatusReply)[0]
 	must.Eq(t, "10.0.0.1:1", reply.Addr)
-	must.Len(t, Parts, reply.Replicas)
+	must.Len(t, Partitions, reply.Replicas)
 	return reply.Replicas[0]
 }
 
@@ -31,7 +31,7 @@
 	must.Eq(t, stateLeader, s.State)
 	must.True(t, s.Contact)
 	must.Eq(t, g.term, s.Term)
-	must.Eq(t, g.committed.Stamp, s.Committed)
+	must.Eq(t, g.committed.Version, s.Committed)
 	must.Eq(t, 3, s.Voters)
 	c.now += ContactFor + 1
 	must.False(t, c.shown(t).Contact)
@@ -44,7 +44,7 @@
 	c := newCore(t, nil)
 	g := owns(t, c)
 	must.Eq(t, "", c.shown(t).Change)
-	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Seat: "d", Zone: "z4"})
+	c.send(wire.KindPull, &wire.Pull{Addr: "10.0.0.9:1", Replica: "d", Zone: "z4"})
 	c.send(wire.KindLeave, &wire.Leave{To: "me", From: "b"})
 	must.Eq(t, string(reasonLeaving), c.shown(t).Change)
 	c.learns(t, g, "d")
@@ -54,10 +54,10 @@
 
 func TestStatusOfAStandbyAndOfADamagedDisk(t *testing.T) {
 	v := version(7, 3)
-	v.Seats = seats("a", "b", "c")
-	standby := newCore(t, map[string][]byte{versionFile(v.Stamp): diskfile.Pack(wire.Encode(&v))})
+	v.Voters = seats("a", "b", "c")
+	standby := newCore(t, map[string][]byte{versionFile(v.Version): diskfile.Pack(wire.Encode(&v))})
 	must.Eq(t, stateStandby, standby.shown(t).State)
-	must.Eq(t, v.Stamp, standby.shown(t).Held)
+	must.Eq(t, v.Version, standby.shown(t).Held)
 	damaged := newCore(t, map[string][]byte{voteFile(0): []byte("torn")})
 	must.Eq(t, stateDamaged, damaged.shown(t).State)
 }
--- a/replica/synced.go
+++ b/replica/synced.go
@@ -14,58 +14,58 @@
 // syncedVersion is the newest version that a replica said it has synced, and the newest round of
 // heartbeats when it did.
 type syncedVersion struct {
-	stamp     wire.Stamp
+	stamp     wire.Version
 	round     uint64
 	takesBase bool
 }
 
 // noteSynced remembers what a replica has acknowledged.
 func (g *Group) noteSynced(r wire.AcceptReply) {
-	if mesh.Newer(r.Stamp, g.synced[r.From].stamp) {
-		g.synced[r.From] = syncedVersion{r.Stamp, g.round, r.TakesBase}
+	if mesh.Newer(r.Version, g.synced[r.From].stamp) {
+		g.synced[r.From] = syncedVersion{r.Version, g.round, r.TakesBase}
 	}
 }
 
 // noticeRollback tells of a replica that holds an older version than it has acknowledged: its disk
 // was put back to an older state. The protocol assumes that this does not happen.
-func (g *Group) noticeRollback(t *kernel.Turn, r wire.BeatReply) {
+func (g *Group) noticeRollback(t *kernel.Turn, r wire.LeaderHeartbeatReply) {
 	was, known := g.synced[r.From]
 	if !known || r.Round <= was.round || !mesh.Newer(was.stamp, r.Held) {
 		return
 	}
 	delete(g.synced, r.From)
 	t.Counts.Add("replicas_rolled_back", 1)
-	t.Note(2, "replica_rolled_back", "part", g.part, "replica", r.From, "had_seq", was.stamp.Seq, "has_seq", r.Held.Seq,
+	t.Note(2, "replica_rolled_back", "part", g.partition, "replica", r.From, "had_seq", was.stamp.Seq, "has_seq", r.Held.Seq,
 		"do", "stop this core, empty its data folder, start it again: it comes back as a new replica")
 }
 
 // noteHeld remembers what the voters of an election hold.
 func (g *Group) noteHeld(votes map[string]wire.VoteReply) {
 	for id, v := range votes {
-		g.synced[id] = syncedVersion{v.Held.Stamp, g.round, v.TakesBase}
+		g.synced[id] = syncedVersion{v.Held.Version, g.round, v.TakesBase}
 	}
 }
 
 // baseOf is the committed version, if a new one has its body and ledger: only the voters change.
-func (g *Group) baseOf(value state.Value) (base wire.Stamp) {
+func (g *Group) baseOf(value state.Value) (base wire.Version) {
 	if bytes.Equal(value.Body, g.committed.Body) && bytes.Equal(value.Ledger, g.committed.Ledger) {
-		base = g.committed.Stamp
+		base = g.committed.Version
 	}
 	return base
 }
 
 // withBase leaves a large body out for a replica that holds it as another version.
-func (g *Group) withBase(a wire.Accept, id string, base wire.Stamp) wire.Accept {
+func (g *Group) withBase(a wire.Accept, id string, base wire.Version) wire.Accept {
 	held := g.synced[id]
-	if isLarge(sizeOf(a.Stamped)) && base.Term > 0 && held.takesBase && held.stamp == base {
-		a.Base, a.Stamped.Body, a.Stamped.Ledger = base, nil, nil
+	if isLarge(sizeOf(a.Versioned)) && base.Term > 0 && held.takesBase && held.stamp == base {
+		a.Base, a.Versioned.Body, a.Versioned.Ledger = base, nil, nil
 	}
 	return a
 }
 
 // sendBody sends the version under way whole to a replica that lacks the version that its body is of.
 func (g *Group) sendBody(t *kernel.Turn, r wire.AcceptReply) {
-	if g.proposal == nil || r.Stamp != g.proposal.Stamp {
+	if g.proposal == nil || r.Version != g.proposal.Version {
 		return
 	}
 	delete(g.synced, r.From)
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -13,7 +13,7 @@
 // bestSuccessor picks the healthy replica that answered last.
 func (g *Group) bestSuccessor(t *kernel.Turn) string {
 	best, at := "", int64(0)
-	for _, s := range g.committed.Seats {
+	for _, s := range g.committed.Voters {
 		if s.ID != g.self() && g.steadySince[s.ID] > 0 && g.heardAt[s.ID] > at && t.Now-g.heardAt[s.ID] < 2*HeartbeatInterval && !g.diskProblem[s.ID] && !g.isLeaving(t, s.ID) {
 			best, at = s.ID, g.heardAt[s.ID]
 		}
@@ -27,13 +27,13 @@
 	if !g.ready || g.proposal != nil || len(g.queue)+len(g.unconfirmed) > 0 || t.Now-g.leaderSince < RebalanceAfter {
 		return ""
 	}
-	seats := slices.Clone(g.committed.Seats)
-	slices.SortFunc(seats, func(a, b wire.Seat) int { return cmp.Compare(a.ID, b.ID) })
-	want := seats[g.part%len(seats)].ID
+	seats := slices.Clone(g.committed.Voters)
+	slices.SortFunc(seats, func(a, b wire.Replica) int { return cmp.Compare(a.ID, b.ID) })
+	want := seats[g.partition%len(seats)].ID
 	if want == g.self() || t.Now-g.heardAt[want] > 2*HeartbeatInterval || t.Now-g.steadySince[want] < RebalanceAfter || g.diskProblem[want] || g.isLeaving(t, want) {
 		return ""
 	}
-	if r, live := g.s.row(want, t.Now); !live || r.Sick != "" || r.Draining {
+	if r, live := g.host.row(want, t.Now); !live || r.Sick != "" || r.Draining {
 		return ""
 	}
 	return want
@@ -43,7 +43,7 @@
 func (g *Group) stop(t *kernel.Turn) {
 	g.transferring = true
 	if g.role == leader {
-		g.ownerTick(t)
+		g.leaderTick(t)
 	}
 	g.requestLeave(t)
 }
@@ -57,14 +57,14 @@
 
 // transferTo hands the partition to a named successor.
 func (g *Group) transferTo(t *kernel.Turn, next string) {
-	b := wire.Beat{Part: g.part, Term: g.term, From: g.self(), Committed: g.committed.Stamp, Yield: next}
+	b := wire.LeaderHeartbeat{Partition: g.partition, Term: g.term, From: g.self(), Committed: g.committed.Version, TransferTo: next}
 	for _, s := range allVoters(g.committed) {
 		if s.ID != g.self() {
-			g.s.sendReplica(t, s, wire.KindBeat, &b)
+			g.host.sendReplica(t, s, wire.KindLeaderHeartbeat, &b)
 		}
 	}
 	t.Counts.Add("part_yielded", 1)
 	g.stepDown(t, "handed to "+next)
 	// Whoever asks meanwhile is sent to the successor.
-	g.leader, g.leaderAddress, g.leaderSeen = next, g.s.addressOf(next, t.Now), t.Now
+	g.leader, g.leaderAddress, g.leaderSeen = next, g.host.addressOf(next, t.Now), t.Now
 }
--- a/replica/vote_held_test.go
+++ b/replica/vote_held_test.go
@@ -15,31 +15,31 @@
 	newer := version(4, 7)
 	c := newCore(t, nil)
 	c.s.groups[0].accepted = newer
-	ask := func(held wire.Stamp) bool {
+	ask := func(held wire.Version) bool {
 		return sent[wire.VoteReply](t, c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Pre: true, Held: held}), wire.KindVoteReply)[0].Granted
 	}
-	must.False(t, ask(version(4, 6).Stamp))
-	must.True(t, ask(newer.Stamp))
+	must.False(t, ask(version(4, 6).Version))
+	must.True(t, ask(newer.Version))
 	c.s.stopping = true
-	must.True(t, ask(version(4, 6).Stamp), must.Sprint("who stops doesn't stand itself"))
+	must.True(t, ask(version(4, 6).Version), must.Sprint("who stops doesn't stand itself"))
 }
 
 // The body is in a vote reply only for a candidate that lacks it.
 func TestVoteRepliesCarryTheVersionOnlyWhereItIsNewer(t *testing.T) {
 	newer := version(4, 7)
-	for held, want := range map[wire.Stamp]int{version(4, 6).Stamp: len(newer.Body), newer.Stamp: 0, version(5, 1).Stamp: 0} {
+	for held, want := range map[wire.Version]int{version(4, 6).Version: len(newer.Body), newer.Version: 0, version(5, 1).Version: 0} {
 		c := newCore(t, nil)
 		c.s.groups[0].accepted = newer
 		out := c.sync(c.send(wire.KindVote, &wire.Vote{Term: 9, From: "a", Held: held}))
 		r := sent[wire.VoteReply](t, out, wire.KindVoteReply)[0]
 		must.True(t, r.Granted)
-		must.Eq(t, newer.Stamp, r.Held.Stamp)
+		must.Eq(t, newer.Version, r.Held.Version)
 		must.Len(t, want, r.Held.Body)
 	}
 }
 
 // large is a version whose body travels in pieces.
-func large(term, seq uint64) wire.Stamped {
+func large(term, seq uint64) wire.Versioned {
 	v := version(term, seq)
 	v.Body = make([]byte, wire.WholeMost+1)
 	return v
@@ -50,10 +50,10 @@
 	held, next := large(4, 7), version(5, 8)
 	c.s.groups[0].accepted = held
 	next.Body = nil
-	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: next, Base: held.Stamp})
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: next, Base: held.Version})
 	must.Len(t, 1, out.Writes)
 	must.True(t, accepted(t, c.sync(out)).OK)
-	must.Eq(t, next.Stamp, c.s.groups[0].accepted.Stamp)
+	must.Eq(t, next.Version, c.s.groups[0].accepted.Version)
 	must.Eq(t, len(held.Body), len(c.s.groups[0].accepted.Body))
 }
 
@@ -62,7 +62,7 @@
 	c.s.groups[0].accepted = large(4, 6)
 	next := version(5, 8)
 	next.Body = nil
-	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Stamped: next, Base: wire.Stamp{Term: 4, Seq: 7}})
+	out := c.send(wire.KindAccept, &wire.Accept{Term: 5, From: "a", Versioned: next, Base: wire.Version{Term: 4, Seq: 7}})
 	must.SliceEmpty(t, out.Writes)
 	r := accepted(t, out)
 	must.False(t, r.OK)
@@ -75,15 +75,15 @@
 	g := owns(t, c)
 	v := large(g.term, 9)
 	g.synced = map[string]syncedVersion{
-		"holds": {stamp: wire.Stamp{Term: 1, Seq: 8}, takesBase: true}, "other": {stamp: wire.Stamp{Term: 1, Seq: 7}, takesBase: true},
-		"older release": {stamp: wire.Stamp{Term: 1, Seq: 8}},
+		"holds": {stamp: wire.Version{Term: 1, Seq: 8}, takesBase: true}, "other": {stamp: wire.Version{Term: 1, Seq: 7}, takesBase: true},
+		"older release": {stamp: wire.Version{Term: 1, Seq: 8}},
 	}
 	for id, want := range map[string]int{"holds": 0, "other": len(v.Body), "older release": len(v.Body), "unknown": len(v.Body)} {
-		a := g.withBase(wire.Accept{Stamped: v}, id, wire.Stamp{Term: 1, Seq: 8})
-		must.Len(t, want, a.Stamped.Body, must.Sprint(id))
-		must.Eq(t, want == 0, a.Base != wire.Stamp{}, must.Sprint(id))
+		a := g.withBase(wire.Accept{Versioned: v}, id, wire.Version{Term: 1, Seq: 8})
+		must.Len(t, want, a.Versioned.Body, must.Sprint(id))
+		must.Eq(t, want == 0, a.Base != wire.Version{}, must.Sprint(id))
 	}
-	must.Len(t, len(v.Body), g.withBase(wire.Accept{Stamped: v}, "holds", wire.Stamp{}).Stamped.Body)
+	must.Len(t, len(v.Body), g.withBase(wire.Accept{Versioned: v}, "holds", wire.Version{}).Versioned.Body)
 }
 
 func TestOneThatLacksTheBaseIsSentTheBody(t *testing.T) {
@@ -91,11 +91,11 @@
 	g := owns(t, c)
 	c.edit(1, wire.Edit{Op: "empty", Name: "z0"})
 	must.NotNil(t, g.proposal)
-	out := c.send(wire.KindAcceptReply, &wire.AcceptReply{Term: g.term, From: "b", Stamp: g.proposal.Stamp, LacksBase: true})
+	out := c.send(wire.KindAcceptReply, &wire.AcceptReply{Term: g.term, From: "b", Version: g.proposal.Version, LacksBase: true})
 	sentAgain := sent[wire.Accept](t, out, wire.KindAccept)
 	must.Len(t, 1, sentAgain)
 	must.Eq(t, "b", sentAgain[0].To)
-	must.Eq(t, g.proposal.Body, sentAgain[0].Stamped.Body)
-	out = c.send(wire.KindAcceptReply, &wire.AcceptReply{Term: g.term, From: "b", Stamp: wire.Stamp{Term: 1}, LacksBase: true})
+	must.Eq(t, g.proposal.Body, sentAgain[0].Versioned.Body)
+	out = c.send(wire.KindAcceptReply, &wire.AcceptReply{Term: g.term, From: "b", Version: wire.Version{Term: 1}, LacksBase: true})
 	must.SliceEmpty(t, sent[wire.Accept](t, out, wire.KindAccept), must.Sprint("not of the version under way"))
 }
--- a/serve/carry.go
+++ b/serve/carry.go
@@ -25,7 +25,7 @@
 	if who == "" {
 		who = deref(p.By)
 	}
-	return a.carry(ctx, wire.Edit{Op: "rebuild", Part: p.Part, By: who}, operate.Rebuild{Part: p.Part})
+	return a.carry(ctx, wire.Edit{Op: "rebuild", Partition: p.Part, By: who}, operate.Rebuild{Partition: p.Part})
 }
 
 // carry asks the kernel and leaves a line for the audit.
@@ -37,8 +37,8 @@
 		return nil, &operator.Failure{Name: "outcome_unknown", Message: err.Error(), Ran: "unknown"}
 	}
 	res := v.(operate.Result)
-	stamp := sheet.StampText(res.Reply.Stamp)
-	a.f.p.Log.Info("audit", zap.String("op", e.Op), zap.Int("part", e.Part), zap.String("name", e.Name), zap.String("by", e.By), zap.String("edit_id", e.EditID),
+	stamp := sheet.VersionText(res.Reply.Version)
+	a.f.p.Log.Info("audit", zap.String("op", e.Op), zap.Int("part", e.Partition), zap.String("name", e.Name), zap.String("by", e.By), zap.String("edit_id", e.EditID),
 		zap.String("result", res.Reply.Code), zap.String("stamp", stamp), zap.Int("findings", len(res.Reply.Findings)))
 	switch res.Reply.Code {
 	case "ok":
--- a/serve/http.go
+++ b/serve/http.go
@@ -183,7 +183,7 @@
 	ready, why, stamp := true, "", ""
 	if s.front != nil {
 		cp := s.front.table.Now()
-		stamp = sheet.StampText(cp.Stamp)
+		stamp = sheet.VersionText(cp.Version)
 		switch {
 		case s.drains.Load():
 			ready, why = false, "draining"
--- a/serve/operator.go
+++ b/serve/operator.go
@@ -48,13 +48,13 @@
 		e.By = who
 	}
 	if e.Strict {
-		stamp, ok := sheet.ParseStamp(e.Part, deref(c.basedOn))
+		stamp, ok := sheet.ParseVersion(e.Partition, deref(c.basedOn))
 		if !ok && deref(c.basedOn) != "0.0" {
 			return nil, findings("malformed", []wire.Finding{{Place: "If-Match", Text: "needs the stamp that the edit is based on, as GET /v1/sheet shows it"}})
 		}
 		e.Base = stamp
 		if stamp.Term == 0 {
-			e.Base = wire.Stamp{}
+			e.Base = wire.Version{}
 		}
 	}
 	return a.carry(ctx, e, operate.Carry{Edit: e, Wait: true})
@@ -81,10 +81,10 @@
 		return nil, err
 	}
 	cp := a.f.table.Now()
-	if cp.Stamp.Term == 0 {
+	if cp.Version.Term == 0 {
 		return nil, fail("shed", "this node has no configuration yet")
 	}
-	return &operator.SheetNow{Stamp: sheet.StampText(cp.Config.SheetAt), Sheet: sheet.JSON(cp.Sheet)}, nil
+	return &operator.SheetNow{Stamp: sheet.VersionText(cp.Config.SheetAt), Sheet: sheet.JSON(cp.Sheet)}, nil
 }
 
 func (a operatorAPI) PutSheet(ctx context.Context, p *operator.PutSheetPayload) (*operator.Taken, error) {
@@ -116,7 +116,7 @@
 	out := []*operator.PastSheet{}
 	for _, h := range history.Sheets {
 		s := state.SheetOf(wire.ConfigBody{Sheet: h.Sheet})
-		out = append(out, &operator.PastSheet{Stamp: sheet.StampText(h.Stamp), By: h.By, Sheet: sheet.JSON(s)})
+		out = append(out, &operator.PastSheet{Stamp: sheet.VersionText(h.Version), By: h.By, Sheet: sheet.JSON(s)})
 	}
 	return out, nil
 }
@@ -139,7 +139,7 @@
 
 func (a operatorAPI) Cut(ctx context.Context, p *operator.CutPayload) (*operator.Taken, error) {
 	body := wire.Encode(&wire.LiveCut{Next: p.Cut, NextShards: p.Shards})
-	return a.change(ctx, changing{p.Token, p.EditID, p.BasedOn, p.By}, wire.Edit{Part: state.PartOf(p.Index), Op: "cut", Name: p.Index, Body: body})
+	return a.change(ctx, changing{p.Token, p.EditID, p.BasedOn, p.By}, wire.Edit{Partition: state.PartitionOf(p.Index), Op: "cut", Name: p.Index, Body: body})
 }
 
 func (a operatorAPI) Members(_ context.Context, p *operator.MembersPayload) ([]*operator.Status, error) {
@@ -161,8 +161,8 @@
 		s.Formed = &r.Formed
 	}
 	for _, st := range r.InForce {
-		if st.Part == state.Config {
-			s.InForce = sheet.StampText(st)
+		if st.Partition == state.Config {
+			s.InForce = sheet.VersionText(st)
 		}
 	}
 	return s
--- a/serve/status.go
+++ b/serve/status.go
@@ -30,7 +30,7 @@
 func replicaRows(status operate.Status) []*operator.ReplicaStatus {
 	newest := status.Newest()
 	rows := []*operator.ReplicaStatus{}
-	for part := range state.Parts {
+	for part := range state.Partitions {
 		for _, core := range status.Cores {
 			if row := replicaRow(core, part, newest[part]); row != nil {
 				rows = append(rows, row)
@@ -41,17 +41,17 @@
 }
 
 // replicaRow is a core's row for a partition; nil where it answered and has none.
-func replicaRow(core operate.CoreStatus, part int, newest wire.Stamp) *operator.ReplicaStatus {
+func replicaRow(core operate.CoreStatus, part int, newest wire.Version) *operator.ReplicaStatus {
 	row := &operator.ReplicaStatus{Core: core.Name, Zone: core.Zone, Part: part, State: operate.StateSilent}
 	if !core.Answered {
 		return row
 	}
 	for _, r := range core.Replicas {
-		if r.Part != part {
+		if r.Partition != part {
 			continue
 		}
 		row.State, row.Contact, row.Term, row.Leader = r.State, r.Contact, r.Term, r.Leader
-		row.Version, row.Held = sheet.StampText(r.Committed), sheet.StampText(r.Held)
+		row.Version, row.Held = sheet.VersionText(r.Committed), sheet.VersionText(r.Held)
 		row.Voters, row.Change, row.Leaving = r.Voters, r.Change, r.Leaving
 		if newest.Seq > r.Committed.Seq {
 			row.Behind = newest.Seq - r.Committed.Seq
--- a/sheet/read.go
+++ b/sheet/read.go
@@ -20,11 +20,11 @@
 )
 
 // StampText writes a stamp for people and headers.
-func StampText(s wire.Stamp) string { return fmt.Sprintf("%d.%d", s.Term, s.Seq) }
+func VersionText(s wire.Version) string { return fmt.Sprintf("%d.%d", s.Term, s.Seq) }
 
 // ParseStamp reads what StampText wrote, with or without quotes.
-func ParseStamp(part int, text string) (wire.Stamp, bool) {
-	s := wire.Stamp{Part: part}
+func ParseVersion(partition int, text string) (wire.Version, bool) {
+	s := wire.Version{Partition: partition}
 	n, err := fmt.Sscanf(strings.Trim(text, `"`), "%d.%d", &s.Term, &s.Seq)
 	return s, err == nil && n == 2
 }
--- a/sheet/sheet_test.go
+++ b/sheet/sheet_test.go
@@ -96,11 +96,11 @@
 }
 
 func TestStampText(t *testing.T) {
-	s, ok := ParseStamp(0, `"3.14"`)
+	s, ok := ParseVersion(0, `"3.14"`)
 	must.True(t, ok)
-	must.Eq(t, wire.Stamp{Term: 3, Seq: 14}, s)
-	must.Eq(t, "3.14", StampText(s))
-	_, ok = ParseStamp(0, "x")
+	must.Eq(t, wire.Version{Term: 3, Seq: 14}, s)
+	must.Eq(t, "3.14", VersionText(s))
+	_, ok = ParseVersion(0, "x")
 	must.False(t, ok)
 }
 
--- a/smoke/replicas_test.go
+++ b/smoke/replicas_test.go
@@ -49,7 +49,7 @@
 			leaders[part]++
 		}
 	}
-	if len(leaders) != state.Parts || rows%state.Parts != 0 {
+	if len(leaders) != state.Partitions || rows%state.Partitions != 0 {
 		return fmt.Errorf("leaders %v in %d rows: %s", leaders, rows, out)
 	}
 	for part, n := range leaders {
--- a/state/config.go
+++ b/state/config.go
@@ -1,5 +1,5 @@
-// The configuration part: the sheet, the routing table, the emptied zones and the bookings that
-// run. A sheet's edit names the stamp of the sheet it is based on; of two that
+// The configuration partition: the sheet, the routing table, the emptied zones and the bookings that
+// run. A sheet's edit names the version of the sheet it is based on; of two that
 // race only the first is taken.
 package state
 
@@ -42,7 +42,7 @@
 	return s
 }
 
-func judgeConfig(value Value, next wire.Stamp, e *wire.Edit) (Value, wire.EditReply, bool) {
+func judgeConfig(value Value, next wire.Version, e *wire.Edit) (Value, wire.EditReply, bool) {
 	c, err := ReadConfig(value.Body)
 	if err != nil {
 		return value, invalid("body", "the part's body cannot be read: "+err.Error()), false
@@ -78,7 +78,7 @@
 	return Value{Body: wire.Encode(&c), Ledger: wire.Encode(&ledger)}, r, true
 }
 
-func editSheet(c *wire.ConfigBody, ledger *wire.Ledger, next wire.Stamp, e *wire.Edit) wire.EditReply {
+func editSheet(c *wire.ConfigBody, ledger *wire.Ledger, next wire.Version, e *wire.Edit) wire.EditReply {
 	if e.Base != c.SheetAt {
 		if r, lost := lostRace(c, ledger, e); lost {
 			return r
@@ -92,7 +92,7 @@
 	case "rows":
 		s, found = sheet.Apply(SheetOf(*c), e.Body)
 	case "return":
-		i := slices.IndexFunc(ledger.History, func(p wire.Past) bool { return sheet.StampText(p.Stamp) == e.Name })
+		i := slices.IndexFunc(ledger.History, func(p wire.Past) bool { return sheet.VersionText(p.Version) == e.Name })
 		if i < 0 {
 			return invalid("stamp", "not in the history: "+e.Name)
 		}
@@ -109,15 +109,15 @@
 		return invalid("sheet", err.Error())
 	}
 	c.Sheet, c.SheetAt = b, next
-	ledger.History = boundHistory(append(ledger.History, wire.Past{Stamp: next, By: e.By, Sheet: b}))
+	ledger.History = boundHistory(append(ledger.History, wire.Past{Version: next, By: e.By, Sheet: b}))
 	return wire.EditReply{Code: "ok"}
 }
 
 // lostRace judges an edit that is not based on the sheet in force: one of rows
 // alone still holds if none of its rows has changed since its base.
 func lostRace(c *wire.ConfigBody, ledger *wire.Ledger, e *wire.Edit) (wire.EditReply, bool) {
-	lost := wire.EditReply{Code: "lost_race", Stamp: c.SheetAt}
-	i := slices.IndexFunc(ledger.History, func(p wire.Past) bool { return p.Stamp == e.Base })
+	lost := wire.EditReply{Code: "lost_race", Version: c.SheetAt}
+	i := slices.IndexFunc(ledger.History, func(p wire.Past) bool { return p.Version == e.Base })
 	if e.Op != "rows" || i < 0 {
 		return lost, true
 	}
@@ -127,7 +127,7 @@
 
 // editZone drains a zone or restores it. The order is bound to the version that last took one about
 // that zone, as it was read after the order came: a late copy is bound to an older one and is stale.
-func editZone(c *wire.ConfigBody, ledger *wire.Ledger, next wire.Stamp, e *wire.Edit) wire.EditReply {
+func editZone(c *wire.ConfigBody, ledger *wire.Ledger, next wire.Version, e *wire.Edit) wire.EditReply {
 	drains := e.Op == "empty"
 	if found := checkZone(c, e.Name, drains); len(found) > 0 {
 		return wire.EditReply{Code: "invalid", Findings: found}
@@ -164,8 +164,8 @@
 	return []wire.Finding{{Place: "zone", Text: text}}
 }
 
-// configClock starts and ends bookings by the owner's corrected clock.
-func configClock(body []byte, _ wire.Stamp, wall int64, _ map[string]string) ([]byte, bool) {
+// configClock starts and ends bookings by the leader's corrected clock.
+func configClock(body []byte, _ wire.Version, wall int64, _ map[string]string) ([]byte, bool) {
 	c, err := ReadConfig(body)
 	if err != nil || len(c.Sheet) == 0 {
 		return nil, false
--- a/state/index.go
+++ b/state/index.go
@@ -8,7 +8,7 @@
 	"wallport/wire"
 )
 
-// ReadIndex decodes an index part's body; nil is the empty one.
+// ReadIndex decodes an index partition's body; nil is the empty one.
 func ReadIndex(body []byte) (wire.IndexBody, error) {
 	var b wire.IndexBody
 	var err error
@@ -24,7 +24,7 @@
 	return b, err
 }
 
-func judgeIndex(value Value, next wire.Stamp, e *wire.Edit) (Value, wire.EditReply, bool) {
+func judgeIndex(value Value, next wire.Version, e *wire.Edit) (Value, wire.EditReply, bool) {
 	b, err := ReadIndex(value.Body)
 	if err != nil {
 		return value, invalid("body", "the part's body cannot be read: "+err.Error()), false
@@ -87,7 +87,7 @@
 }
 
 // indexClock writes down who has the duties once that changed.
-func indexClock(body []byte, _ wire.Stamp, _ int64, holders map[string]string) ([]byte, bool) {
+func indexClock(body []byte, _ wire.Version, _ int64, holders map[string]string) ([]byte, bool) {
 	b, err := ReadIndex(body)
 	if err != nil {
 		return nil, false
--- a/state/layout.go
+++ b/state/layout.go
@@ -1,5 +1,5 @@
-// Package state says how the control state is cut into parts, and judges the
-// edits that a part's owner batches into its next version. Judging is a pure
+// Package state says how the control state is cut into partitions, and judges the
+// edits that a partition's leader batches into its next version. Judging is a pure
 // function of the value and the edit; what time changes is the clockwork's.
 package state
 
@@ -9,17 +9,17 @@
 	"wallport/wire"
 )
 
-// Parts is the number of parts: part 0 holds the configuration, the others the indexes.
-const Parts = 5
+// Partitions is the number of partitions: partition 0 holds the configuration, the others the indexes.
+const Partitions = 5
 
 // Config is the part of the configuration.
 const Config = 0
 
-// PartOf is the part that holds an index or another named service.
-func PartOf(name string) int {
+// PartitionOf is the partition that holds an index or another named service.
+func PartitionOf(name string) int {
 	h := fnv.New32a()
 	h.Write([]byte(name))
-	return 1 + int(h.Sum32()%(Parts-1))
+	return 1 + int(h.Sum32()%(Partitions-1))
 }
 
 // Value is what a partition's replicas agree on: the body, which everyone reads, and the ledger,
@@ -27,22 +27,22 @@
 type Value struct{ Body, Ledger []byte }
 
 // Judge decides one edit: the value after it, the reply, and whether it took.
-type Judge func(value Value, next wire.Stamp, e *wire.Edit) (after Value, r wire.EditReply, took bool)
+type Judge func(value Value, next wire.Version, e *wire.Edit) (after Value, r wire.EditReply, took bool)
 
 // Clockwork changes a body because time passed or duties moved.
-type Clockwork func(body []byte, next wire.Stamp, wall int64, holders map[string]string) (after []byte, due bool)
+type Clockwork func(body []byte, next wire.Version, wall int64, holders map[string]string) (after []byte, due bool)
 
-// JudgeOf gives the judge of a part.
-func JudgeOf(part int) Judge {
-	if part == Config {
+// JudgeOf gives the judge of a partition.
+func JudgeOf(partition int) Judge {
+	if partition == Config {
 		return judgeConfig
 	}
 	return judgeIndex
 }
 
-// ClockworkOf gives the clockwork of a part.
-func ClockworkOf(part int) Clockwork {
-	if part == Config {
+// ClockworkOf gives the clockwork of a partition.
+func ClockworkOf(partition int) Clockwork {
+	if partition == Config {
 		return configClock
 	}
 	return indexClock
--- a/state/ledger.go
+++ b/state/ledger.go
@@ -41,7 +41,7 @@
 func adoptEdits(ledger *wire.Ledger, recent []wire.Done) {
 	var edits []wire.TakenEdit
 	for _, d := range recent {
-		edits = append(edits, wire.TakenEdit{EditID: d.EditID, Digest: legacyDigest(d.Sum), Term: d.Stamp.Term, Seq: d.Stamp.Seq})
+		edits = append(edits, wire.TakenEdit{EditID: d.EditID, Digest: legacyDigest(d.Sum), Term: d.Version.Term, Seq: d.Version.Seq})
 	}
 	ledger.Edits = newest(append(edits, ledger.Edits...), editsMost)
 }
@@ -51,7 +51,7 @@
 	adoptEdits(ledger, config.Recent)
 	var orders []wire.TakenOrder
 	for _, r := range config.Revisions {
-		orders = append(orders, wire.TakenOrder{Digest: legacyDigest(r.Sum), Term: r.Stamp.Term, Seq: r.Stamp.Seq})
+		orders = append(orders, wire.TakenOrder{Digest: legacyDigest(r.Sum), Term: r.Version.Term, Seq: r.Version.Seq})
 	}
 	ledger.Orders = newest(append(orders, ledger.Orders...), ordersMost)
 	ledger.History = boundHistory(append(slices.Clone(config.History), ledger.History...))
@@ -79,7 +79,7 @@
 }
 
 // orderTaken gives the version that took exactly this order.
-func orderTaken(ledger *wire.Ledger, order *routingpb.RoutingEdit) (wire.Stamp, bool) {
+func orderTaken(ledger *wire.Ledger, order *routingpb.RoutingEdit) (wire.Version, bool) {
 	digest := routing.Digest(order)
 	legacy := legacyDigest(routing.LegacyDigest(order))
 	for _, taken := range ledger.Orders {
@@ -88,13 +88,13 @@
 			known = legacy
 		}
 		if bytes.Equal(taken.Digest, known) {
-			return wire.Stamp{Part: Config, Term: taken.Term, Seq: taken.Seq}, true
+			return wire.Version{Partition: Config, Term: taken.Term, Seq: taken.Seq}, true
 		}
 	}
-	return wire.Stamp{}, false
+	return wire.Version{}, false
 }
 
-func rememberOrder(ledger *wire.Ledger, order *routingpb.RoutingEdit, at wire.Stamp) {
+func rememberOrder(ledger *wire.Ledger, order *routingpb.RoutingEdit, at wire.Version) {
 	digest := routing.Digest(order)
 	taken := wire.TakenOrder{Digest: digest[:], Term: at.Term, Seq: at.Seq}
 	ledger.Orders = newest(append(ledger.Orders, taken), ordersMost)
@@ -117,10 +117,10 @@
 	if !bytes.Equal(taken.Digest, digest) {
 		return wire.EditReply{Code: "conflict", Findings: []wire.Finding{{Place: "Edit-Id", Text: "was used for another edit"}}}, true
 	}
-	return wire.EditReply{Code: "ok", Stamp: wire.Stamp{Part: edit.Part, Term: taken.Term, Seq: taken.Seq}}, true
+	return wire.EditReply{Code: "ok", Version: wire.Version{Partition: edit.Partition, Term: taken.Term, Seq: taken.Seq}}, true
 }
 
-func rememberEdit(ledger *wire.Ledger, edit *wire.Edit, at wire.Stamp) {
+func rememberEdit(ledger *wire.Ledger, edit *wire.Edit, at wire.Version) {
 	if edit.EditID == "" {
 		return
 	}
@@ -139,10 +139,10 @@
 }
 
 // zoneVersion is the version that last took an order about a zone.
-func zoneVersion(ledger *wire.Ledger, zone string) wire.Stamp {
+func zoneVersion(ledger *wire.Ledger, zone string) wire.Version {
 	for _, v := range ledger.Zones {
 		if v.Zone == zone {
-			return wire.Stamp{Part: Config, Term: v.Term, Seq: v.Seq}
+			return wire.Version{Partition: Config, Term: v.Term, Seq: v.Seq}
 		}
 	}
 	return ledger.ZoneFloor
@@ -150,11 +150,11 @@
 
 // setZoneVersion notes an order about a zone. The version of a zone that is forgotten becomes the
 // floor, which every zone that is not listed has: an order bound to what was before stays stale.
-func setZoneVersion(ledger *wire.Ledger, zone string, at wire.Stamp) {
+func setZoneVersion(ledger *wire.Ledger, zone string, at wire.Version) {
 	zones := slices.DeleteFunc(slices.Clone(ledger.Zones), func(v wire.ZoneVersion) bool { return v.Zone == zone })
 	zones = append(zones, wire.ZoneVersion{Zone: zone, Term: at.Term, Seq: at.Seq})
 	for len(zones) > zoneVersionsMost {
-		ledger.ZoneFloor = wire.Stamp{Part: Config, Term: zones[0].Term, Seq: zones[0].Seq}
+		ledger.ZoneFloor = wire.Version{Partition: Config, Term: zones[0].Term, Seq: zones[0].Seq}
 		zones = zones[1:]
 	}
 	ledger.Zones = zones
--- a/state/limits.go
+++ b/state/limits.go
@@ -22,16 +22,16 @@
 )
 
 // MaxBody bounds the body of a partition.
-func MaxBody(part int) int {
-	if part == Config {
+func MaxBody(partition int) int {
+	if partition == Config {
 		return MaxConfigBody
 	}
 	return MaxIndexBody
 }
 
 // MaxLedger bounds its ledger.
-func MaxLedger(part int) int {
-	if part == Config {
+func MaxLedger(partition int) int {
+	if partition == Config {
 		return MaxConfigLedger
 	}
 	return MaxIndexLedger
@@ -39,16 +39,16 @@
 
 // TooLarge refuses an order whose outcome is larger than the product takes. One that makes a
 // value smaller is always taken.
-func TooLarge(part int, before, after Value) (wire.EditReply, bool) {
+func TooLarge(partition int, before, after Value) (wire.EditReply, bool) {
 	place := "configuration"
-	if part != Config {
-		place = fmt.Sprintf("indexes of partition %d", part)
+	if partition != Config {
+		place = fmt.Sprintf("indexes of partition %d", partition)
 	}
-	if exceeds(before.Body, after.Body, MaxBody(part)) {
-		return tooLarge(place, len(after.Body), MaxBody(part)), true
+	if exceeds(before.Body, after.Body, MaxBody(partition)) {
+		return tooLarge(place, len(after.Body), MaxBody(partition)), true
 	}
-	if exceeds(before.Ledger, after.Ledger, MaxLedger(part)) {
-		return tooLarge("history of the "+place, len(after.Ledger), MaxLedger(part)), true
+	if exceeds(before.Ledger, after.Ledger, MaxLedger(partition)) {
+		return tooLarge("history of the "+place, len(after.Ledger), MaxLedger(partition)), true
 	}
 	return wire.EditReply{}, false
 }
--- a/state/orders_test.go
+++ b/state/orders_test.go
@@ -17,7 +17,7 @@
 const sheetText = `{"services":[{"index":"a","capacity":%d,"required_share":75,"deadline_us":"500000","max_deadline_us":1000000,"hedge_us":40000,"ramp_us":1000000}],
  "rows":[{"index":"a","kind":"search","share":70},{"index":"a","kind":"read","share":30,"ceiling":50}],"bookings":[]}`
 
-func (p *part0) sheet(base wire.Stamp, capacity int, id string) wire.EditReply {
+func (p *part0) sheet(base wire.Version, capacity int, id string) wire.EditReply {
 	p.t.Helper()
 	return p.judge(&wire.Edit{Op: "put", Strict: true, Base: base, Body: fmt.Appendf(nil, sheetText, capacity), EditID: id})
 }
@@ -80,7 +80,7 @@
 		{"edit id", id, p.zone("empty", "z", "first")},
 	} {
 		must.Eq(t, "ok", v.then.Code, must.Sprint(v.name))
-		must.Eq(t, v.first.Stamp, v.then.Stamp, must.Sprint(v.name))
+		must.Eq(t, v.first.Version, v.then.Version, must.Sprint(v.name))
 	}
 	must.Eq(t, "conflict", p.zone("refill", "z", "first").Code)
 	must.Eq(t, before, p.value, must.Sprint("a repeat changes nothing"))
@@ -101,9 +101,9 @@
 	must.Eq(t, "ok", p.send(ahead).Code)
 	must.Eq(t, "ok", p.send(needs(10, 11)).Code)
 
-	sheet := p.sheet(wire.Stamp{Term: 8, Seq: 8}, 100, "sheet")
+	sheet := p.sheet(wire.Version{Term: 8, Seq: 8}, 100, "sheet")
 	must.Eq(t, "lost_race", sheet.Code)
-	must.Eq(t, "ok", p.sheet(wire.Stamp{}, 100, "sheet").Code, must.Sprint("the same id, sent again on the right base"))
+	must.Eq(t, "ok", p.sheet(wire.Version{}, 100, "sheet").Code, must.Sprint("the same id, sent again on the right base"))
 }
 
 // An order that a cut held up while others were taken.
@@ -168,7 +168,7 @@
 func TestBodyOfAnEarlierRelease(t *testing.T) {
 	order, err := proto.Marshal(tableOf())
 	must.NoError(t, err)
-	at := wire.Stamp{Term: 1, Seq: 4}
+	at := wire.Version{Term: 1, Seq: 4}
 	taken := wire.Edit{Op: "empty", Name: "z", EditID: "old"}
 	table := tableOf()
 	table.Revision = 1
@@ -176,18 +176,18 @@
 	must.NoError(t, err)
 	p := &part0{t: t, seq: 9, value: Value{Body: wire.Encode(&wire.ConfigBody{
 		Emptied: []string{"z"}, Routing: body, Sheet: order, SheetAt: at,
-		Recent:    []wire.Done{{EditID: "old", Sum: legacyEditSum(&taken), Stamp: at}},
-		History:   []wire.Past{{Stamp: at, By: "someone"}},
-		Revisions: []wire.Revision{{Number: 1, Sum: routing.LegacyDigest(whole(0, 1)), Stamp: at}},
+		Recent:    []wire.Done{{EditID: "old", Sum: legacyEditSum(&taken), Version: at}},
+		History:   []wire.Past{{Version: at, By: "someone"}},
+		Revisions: []wire.Revision{{Number: 1, Sum: routing.LegacyDigest(whole(0, 1)), Version: at}},
 	})}}
 	check := func() {
-		must.Eq(t, at, p.send(whole(0, 1)).Stamp)
-		must.Eq(t, at, p.judge(&taken).Stamp)
+		must.Eq(t, at, p.send(whole(0, 1)).Version)
+		must.Eq(t, at, p.judge(&taken).Version)
 		must.Eq(t, "conflict", p.judge(&wire.Edit{Op: "refill", Name: "z", EditID: "old"}).Code)
 		other := whole(0, 1)
 		other.Whole.Routes[0].TimeoutUs = 2
 		must.Eq(t, "lost_race", p.send(other).Code)
-		r := Answer(wire.Stamped{Body: p.value.Body, Ledger: p.value.Ledger}, &wire.Edit{Op: wire.OpHistory})
+		r := Answer(wire.Versioned{Body: p.value.Body, Ledger: p.value.Ledger}, &wire.Edit{Op: wire.OpHistory})
 		ledger, err := ReadLedger(r.Body)
 		must.NoError(t, err)
 		must.Eq(t, "someone", ledger.History[0].By)
@@ -228,12 +228,12 @@
 	big := make([]byte, historyBytesMost/2+1)
 	var history []wire.Past
 	for i := range 5 {
-		history = boundHistory(append(history, wire.Past{Stamp: wire.Stamp{Seq: uint64(i)}, Sheet: big}))
+		history = boundHistory(append(history, wire.Past{Version: wire.Version{Seq: uint64(i)}, Sheet: big}))
 		must.Len(t, 1, history)
-		must.Eq(t, uint64(i), history[0].Stamp.Seq, must.Sprint("the one in force stays"))
+		must.Eq(t, uint64(i), history[0].Version.Seq, must.Sprint("the one in force stays"))
 	}
 	for i := range historyMost + 3 {
-		history = boundHistory(append(history, wire.Past{Stamp: wire.Stamp{Seq: uint64(i)}}))
+		history = boundHistory(append(history, wire.Past{Version: wire.Version{Seq: uint64(i)}}))
 	}
 	must.Len(t, historyMost, history)
 }
--- a/state/partition_test.go
+++ b/state/partition_test.go
@@ -17,7 +17,7 @@
 	seq   uint64
 }
 
-// send judges one edit as the owner does.
+// send judges one edit as the leader does.
 func (p *part0) send(e *routingpb.RoutingEdit) wire.EditReply {
 	p.t.Helper()
 	b, err := proto.Marshal(e)
@@ -26,11 +26,11 @@
 }
 
 func (p *part0) judge(e *wire.Edit) wire.EditReply {
-	next := wire.Stamp{Term: 1, Seq: p.seq + 1}
+	next := wire.Version{Term: 1, Seq: p.seq + 1}
 	after, r, took := JudgeOf(Config)(p.value, next, e)
 	if took {
 		p.value, p.seq = after, p.seq+1
-		r.Stamp = next
+		r.Version = next
 	}
 	return r
 }
@@ -47,10 +47,10 @@
 	return p.judge(&wire.Edit{Op: op, Name: zone, EditID: id, Base: p.zoneVersion(zone)})
 }
 
-func (p *part0) zoneVersion(zone string) wire.Stamp {
-	r := Answer(wire.Stamped{Body: p.value.Body, Ledger: p.value.Ledger}, &wire.Edit{Op: wire.OpZoneVersion, Name: zone})
+func (p *part0) zoneVersion(zone string) wire.Version {
+	r := Answer(wire.Versioned{Body: p.value.Body, Ledger: p.value.Ledger}, &wire.Edit{Op: wire.OpZoneVersion, Name: zone})
 	must.Eq(p.t, wire.CodeVersion, r.Code)
-	return r.Stamp
+	return r.Version
 }
 
 func (p *part0) drained() []string {
--- a/state/read.go
+++ b/state/read.go
@@ -9,21 +9,21 @@
 }
 
 // Answer answers a read by a committed version.
-func Answer(version wire.Stamped, read *wire.Edit) wire.EditReply {
+func Answer(version wire.Versioned, read *wire.Edit) wire.EditReply {
 	if read.Op == wire.OpRead {
-		return wire.EditReply{Code: "ok", Stamp: version.Stamp, Body: version.Body}
+		return wire.EditReply{Code: "ok", Version: version.Version, Body: version.Body}
 	}
 	ledger, err := ReadLedger(version.Ledger)
 	if err != nil {
 		return invalid("ledger", "cannot be read: "+err.Error())
 	}
 	if read.Op == wire.OpZoneVersion {
-		return wire.EditReply{Code: wire.CodeVersion, Stamp: zoneVersion(&ledger, read.Name)}
+		return wire.EditReply{Code: wire.CodeVersion, Version: zoneVersion(&ledger, read.Name)}
 	}
 	config, err := ReadConfig(version.Body)
 	if err != nil {
 		return invalid("body", "cannot be read: "+err.Error())
 	}
 	adoptConfig(&ledger, &config)
-	return wire.EditReply{Code: "ok", Stamp: version.Stamp, Body: wire.Encode(&wire.Ledger{History: ledger.History})}
+	return wire.EditReply{Code: "ok", Version: version.Version, Body: wire.Encode(&wire.Ledger{History: ledger.History})}
 }
--- a/state/routing_test.go
+++ b/state/routing_test.go
@@ -36,7 +36,7 @@
 	must.Eq(t, "ok", p.send(whole(3, 9)).Code)
 	again := p.send(whole(0, 3))
 	must.Eq(t, "ok", again.Code, must.Sprint("exactly this was taken before"))
-	must.Eq(t, r.Stamp, again.Stamp)
+	must.Eq(t, r.Version, again.Version)
 	must.Eq(t, 9, p.table().Revision)
 	other := whole(0, 3)
 	other.Whole.Routes[0].TimeoutUs = 2
--- a/table/checkpoint.go
+++ b/table/checkpoint.go
@@ -84,7 +84,7 @@
 // Checkpoint is the table at a moment. It is never changed once published.
 type Checkpoint struct {
 	At      int64
-	Stamp   wire.Stamp
+	Version wire.Version
 	Config  wire.ConfigBody
 	Sheet   *sheetpb.Sheet
 	Indexes map[string]*Index
--- a/table/configured.go
+++ b/table/configured.go
@@ -10,26 +10,26 @@
 
 // config is the configuration as it was last read.
 type config struct {
-	stamp wire.Stamp
+	stamp wire.Version
 	body  wire.ConfigBody
 	sheet *sheetpb.Sheet
 }
 
 // configure fills in the configuration in force, read once for each version.
 func (b *Table) configure(t *kernel.Turn, c *Checkpoint) {
-	v, ok := b.mesh.Part(state.Config)
+	v, ok := b.mesh.Partition(state.Config)
 	if !ok {
 		return
 	}
-	if v.Stamp != b.config.stamp {
+	if v.Version != b.config.stamp {
 		body, err := state.ReadConfig(v.Body)
 		if err != nil {
 			t.Note(2, "config_unreadable", "err", err.Error())
 			return
 		}
-		b.config = config{v.Stamp, body, state.SheetOf(body)}
+		b.config = config{v.Version, body, state.SheetOf(body)}
 	}
-	c.Stamp, c.Config, c.Sheet = b.config.stamp, b.config.body, b.config.sheet
+	c.Version, c.Config, c.Sheet = b.config.stamp, b.config.body, b.config.sheet
 }
 
 // whole tells whether the table may be served from: it is all there, and confirmed. Once it may,
@@ -49,8 +49,8 @@
 	}
 	cut := false
 	for name, x := range c.Indexes {
-		part := state.PartOf(name)
-		if _, ok := b.mesh.Part(part); !ok || !b.configSync.Confirmed(part, t.Now) {
+		partition := state.PartitionOf(name)
+		if _, ok := b.mesh.Partition(partition); !ok || !b.configSync.Confirmed(partition, t.Now) {
 			return false
 		}
 		cut = cut || x.Cut.Name != ""
@@ -76,7 +76,7 @@
 		return
 	}
 	t.Counts.Add("table_unconfirmed", 1)
-	t.Note(1, "serves_unconfirmed_state", "why", "no core that is reached is in contact with a majority", "term", c.Stamp.Term, "seq", c.Stamp.Seq)
+	t.Note(1, "serves_unconfirmed_state", "why", "no core that is reached is in contact with a majority", "term", c.Version.Term, "seq", c.Version.Seq)
 }
 
 // The timer of a process that waits for confirmed state.
--- a/table/pace_test.go
+++ b/table/pace_test.go
@@ -1,4 +1,4 @@
-// How often checkpoints are built for changes other than a part's.
+// How often checkpoints are built for changes other than a partition's.
 package table
 
 import (
--- a/table/pools.go
+++ b/table/pools.go
@@ -14,7 +14,7 @@
 	if len(c.Config.Routing) == 0 {
 		return
 	}
-	if was := b.now.Load(); was != nil && was.Routing != nil && was.Stamp == c.Stamp {
+	if was := b.now.Load(); was != nil && was.Routing != nil && was.Version == c.Version {
 		c.Routing = was.Routing
 	} else {
 		src := new(routingpb.RoutingTable)
--- a/table/ready_test.go
+++ b/table/ready_test.go
@@ -50,8 +50,8 @@
 	if err != nil {
 		panic(err)
 	}
-	v := wire.Stamped{Stamp: wire.Stamp{Term: f.term, Seq: 1}, Body: wire.Encode(&wire.ConfigBody{Routing: table})}
-	return &wire.PullReply{Stamped: []wire.Stamped{v}, Contact: f.contact, Relayed: f.relayed}
+	v := wire.Versioned{Version: wire.Version{Term: f.term, Seq: 1}, Body: wire.Encode(&wire.ConfigBody{Routing: table})}
+	return &wire.PullReply{Versions: []wire.Versioned{v}, Contact: f.contact, Relayed: f.relayed}
 }
 
 // node is one node's process; the test plays the cores, by address, and the platform.
--- a/table/table.go
+++ b/table/table.go
@@ -1,5 +1,5 @@
 // The plug-in that gathers what the mesh brings and publishes checkpoints: at
-// once when a part's version came, otherwise soon after something changed. While
+// once when a partition's version came, otherwise soon after something changed. While
 // nothing changes it does not run.
 package table
 
@@ -15,7 +15,7 @@
 	"wallport/wire"
 )
 
-// BuildWithin is how long a change other than a part's may wait for the next checkpoint, and
+// BuildWithin is how long a change other than a partition's may wait for the next checkpoint, and
 // BuildEvery the least time between two checkpoints that are built for such changes alone.
 const (
 	BuildWithin = 25_000
--- a/table/verdict.go
+++ b/table/verdict.go
@@ -103,7 +103,7 @@
 
 func (b *Table) index(c *Checkpoint, s *sheetpb.Service) *Index {
 	x := &Index{Name: s.Index, Service: s, Limits: map[string]Limit{}, Capacity: float64(s.Capacity)}
-	if v, ok := b.mesh.Part(state.PartOf(s.Index)); ok {
+	if v, ok := b.mesh.Partition(state.PartitionOf(s.Index)); ok {
 		if body, err := state.ReadIndex(v.Body); err == nil {
 			x.Cut = body.Cuts[s.Index]
 		}
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -1,20 +1,20 @@
-// The bodies that mesh entries and part versions carry.
+// The bodies that mesh entries and partition versions carry.
 package wire
 
 // Member is what a process tells about itself.
 type Member struct {
-	Name     string  `msg:"n"`
-	Role     string  `msg:"r"`
-	Zone     string  `msg:"z"`
-	Addr     string  `msg:"a"`
-	Caller   string  `msg:"c"`
-	Operator string  `msg:"o"`
-	Seat     string  `msg:"s"`
-	Formed   bool    `msg:"f"`
-	Sick     string  `msg:"k"`
-	Draining bool    `msg:"d"`
-	InForce  []Stamp `msg:"i"`
-	Started  int64   `msg:"st"`
+	Name     string    `msg:"n"`
+	Role     string    `msg:"r"`
+	Zone     string    `msg:"z"`
+	Addr     string    `msg:"a"`
+	Caller   string    `msg:"c"`
+	Operator string    `msg:"o"`
+	Replica  string    `msg:"s"`
+	Formed   bool      `msg:"f"`
+	Sick     string    `msg:"k"`
+	Draining bool      `msg:"d"`
+	InForce  []Version `msg:"i"`
+	Started  int64     `msg:"st"`
 	// Mesh is the release of the mesh's messages that it speaks; 0 knows of no digests.
 	Mesh int `msg:"v,omitempty"`
 }
@@ -61,12 +61,12 @@
 	Rates map[string]int64 `msg:"r"`
 }
 
-// ConfigBody is the body of the configuration part.
+// ConfigBody is the body of the configuration partition.
 type ConfigBody struct {
 	Sheet   []byte   `msg:"s"`
 	Emptied []string `msg:"e"`
 	Running []string `msg:"b"`
-	SheetAt Stamp    `msg:"sa"`
+	SheetAt Version  `msg:"sa"`
 	// Routing is the routing table in force, encoded.
 	Routing []byte `msg:"ro,omitempty"`
 	// Recent, History and Revisions are read of releases before 3; the ledger holds them since.
@@ -81,25 +81,25 @@
 	// Sum is a digest of what was sent; Base is the revision that it was built on.
 	Sum  uint64 `msg:"s"`
 	Base int64  `msg:"b"`
-	// Stamp is the version that took it.
-	Stamp Stamp `msg:"t"`
+	// Version is the version that took it.
+	Version Version `msg:"t"`
 }
 
 // Done remembers the answer to an edit id, as releases before 3 did.
 type Done struct {
-	EditID string `msg:"e"`
-	Sum    uint64 `msg:"s"`
-	Stamp  Stamp  `msg:"t"`
+	EditID  string  `msg:"e"`
+	Sum     uint64  `msg:"s"`
+	Version Version `msg:"t"`
 }
 
 // Past is an earlier sheet.
 type Past struct {
-	Stamp Stamp  `msg:"t"`
-	By    string `msg:"b"`
-	Sheet []byte `msg:"s"`
+	Version Version `msg:"t"`
+	By      string  `msg:"b"`
+	Sheet   []byte  `msg:"s"`
 }
 
-// IndexBody is the body of a part that holds indexes.
+// IndexBody is the body of a partition that holds indexes.
 type IndexBody struct {
 	Cuts    map[string]LiveCut `msg:"c"`
 	Holders map[string]Holder  `msg:"h"`
@@ -194,18 +194,18 @@
 // Rebuild asks a core, on an operator's word, to hold a version as the first of
 // a group made anew; without Do it only asks whether it would.
 type Rebuild struct {
-	Part    int     `msg:"p"`
-	Do      bool    `msg:"d"`
-	Stamped Stamped `msg:"v"`
+	Partition int       `msg:"p"`
+	Do        bool      `msg:"d"`
+	Versioned Versioned `msg:"v"`
 	// Brief asks which version is held, and not for its body.
 	Brief bool `msg:"r,omitempty"`
 }
 
 // RebuildReply says whether it does, and what it holds.
 type RebuildReply struct {
-	Part int     `msg:"p"`
-	From string  `msg:"f"`
-	OK   bool    `msg:"ok"`
-	Why  string  `msg:"w"`
-	Held Stamped `msg:"h"`
+	Partition int       `msg:"p"`
+	From      string    `msg:"f"`
+	OK        bool      `msg:"ok"`
+	Why       string    `msg:"w"`
+	Held      Versioned `msg:"h"`
 }
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -576,9 +576,9 @@
 							return
 						}
 					case "t":
-						err = z.Recent[za0003].Stamp.DecodeMsg(dc)
+						err = z.Recent[za0003].Version.DecodeMsg(dc)
 						if err != nil {
-							err = msgp.WrapError(err, "Recent", za0003, "Stamp")
+							err = msgp.WrapError(err, "Recent", za0003, "Version")
 							return
 						}
 					default:
@@ -618,9 +618,9 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "t":
-						err = z.History[za0004].Stamp.DecodeMsg(dc)
+						err = z.History[za0004].Version.DecodeMsg(dc)
 						if err != nil {
-							err = msgp.WrapError(err, "History", za0004, "Stamp")
+							err = msgp.WrapError(err, "History", za0004, "Version")
 							return
 						}
 					case "b":
@@ -808,9 +808,9 @@
 				if err != nil {
 					return
 				}
-				err = z.Recent[za0003].Stamp.EncodeMsg(en)
+				err = z.Recent[za0003].Version.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Recent", za0003, "Stamp")
+					err = msgp.WrapError(err, "Recent", za0003, "Version")
 					return
 				}
 			}
@@ -833,9 +833,9 @@
 				if err != nil {
 					return
 				}
-				err = z.History[za0004].Stamp.EncodeMsg(en)
+				err = z.History[za0004].Version.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "History", za0004, "Stamp")
+					err = msgp.WrapError(err, "History", za0004, "Version")
 					return
 				}
 				// write "b"
@@ -952,9 +952,9 @@
 				o = msgp.AppendUint64(o, z.Recent[za0003].Sum)
 				// string "t"
 				o = append(o, 0xa1, 0x74)
-				o, err = z.Recent[za0003].Stamp.MarshalMsg(o)
+				o, err = z.Recent[za0003].Version.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Recent", za0003, "Stamp")
+					err = msgp.WrapError(err, "Recent", za0003, "Version")
 					return
 				}
 			}
@@ -967,9 +967,9 @@
 				// map header, size 3
 				// string "t"
 				o = append(o, 0x83, 0xa1, 0x74)
-				o, err = z.History[za0004].Stamp.MarshalMsg(o)
+				o, err = z.History[za0004].Version.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "History", za0004, "Stamp")
+					err = msgp.WrapError(err, "History", za0004, "Version")
 					return
 				}
 				// string "b"
@@ -1110,9 +1110,9 @@
 							return
 						}
 					case "t":
-						bts, err = z.Recent[za0003].Stamp.UnmarshalMsg(bts)
+						bts, err = z.Recent[za0003].Version.UnmarshalMsg(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Recent", za0003, "Stamp")
+							err = msgp.WrapError(err, "Recent", za0003, "Version")
 							return
 						}
 					default:
@@ -1152,9 +1152,9 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "t":
-						bts, err = z.History[za0004].Stamp.UnmarshalMsg(bts)
+						bts, err = z.History[za0004].Version.UnmarshalMsg(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "History", za0004, "Stamp")
+							err = msgp.WrapError(err, "History", za0004, "Version")
 							return
 						}
 					case "b":
@@ -1221,11 +1221,11 @@
 	}
 	s += 3 + z.SheetAt.Msgsize() + 3 + msgp.BytesPrefixSize + len(z.Routing) + 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Recent {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Recent[za0003].EditID) + 2 + msgp.Uint64Size + 2 + z.Recent[za0003].Stamp.Msgsize()
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Recent[za0003].EditID) + 2 + msgp.Uint64Size + 2 + z.Recent[za0003].Version.Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0004 := range z.History {
-		s += 1 + 2 + z.History[za0004].Stamp.Msgsize() + 2 + msgp.StringPrefixSize + len(z.History[za0004].By) + 2 + msgp.BytesPrefixSize + len(z.History[za0004].Sheet)
+		s += 1 + 2 + z.History[za0004].Version.Msgsize() + 2 + msgp.StringPrefixSize + len(z.History[za0004].By) + 2 + msgp.BytesPrefixSize + len(z.History[za0004].Sheet)
 	}
 	s += 3 + msgp.ArrayHeaderSize
 	for za0005 := range z.Revisions {
@@ -1265,9 +1265,9 @@
 				return
 			}
 		case "t":
-			err = z.Stamp.DecodeMsg(dc)
+			err = z.Version.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -1309,9 +1309,9 @@
 	if err != nil {
 		return
 	}
-	err = z.Stamp.EncodeMsg(en)
+	err = z.Version.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	return
@@ -1329,9 +1329,9 @@
 	o = msgp.AppendUint64(o, z.Sum)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o, err = z.Stamp.MarshalMsg(o)
+	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	return
@@ -1368,9 +1368,9 @@
 				return
 			}
 		case "t":
-			bts, err = z.Stamp.UnmarshalMsg(bts)
+			bts, err = z.Version.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -1387,7 +1387,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Done) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.EditID) + 2 + msgp.Uint64Size + 2 + z.Stamp.Msgsize()
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.EditID) + 2 + msgp.Uint64Size + 2 + z.Version.Msgsize()
 	return
 }
 
@@ -2326,9 +2326,9 @@
 							return
 						}
 					case "t":
-						err = z.Recent[za0005].Stamp.DecodeMsg(dc)
+						err = z.Recent[za0005].Version.DecodeMsg(dc)
 						if err != nil {
-							err = msgp.WrapError(err, "Recent", za0005, "Stamp")
+							err = msgp.WrapError(err, "Recent", za0005, "Version")
 							return
 						}
 					default:
@@ -2467,9 +2467,9 @@
 				if err != nil {
 					return
 				}
-				err = z.Recent[za0005].Stamp.EncodeMsg(en)
+				err = z.Recent[za0005].Version.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Recent", za0005, "Stamp")
+					err = msgp.WrapError(err, "Recent", za0005, "Version")
 					return
 				}
 			}
@@ -2532,9 +2532,9 @@
 				o = msgp.AppendUint64(o, z.Recent[za0005].Sum)
 				// string "t"
 				o = append(o, 0xa1, 0x74)
-				o, err = z.Recent[za0005].Stamp.MarshalMsg(o)
+				o, err = z.Recent[za0005].Version.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Recent", za0005, "Stamp")
+					err = msgp.WrapError(err, "Recent", za0005, "Version")
 					return
 				}
 			}
@@ -2686,9 +2686,9 @@
 							return
 						}
 					case "t":
-						bts, err = z.Recent[za0005].Stamp.UnmarshalMsg(bts)
+						bts, err = z.Recent[za0005].Version.UnmarshalMsg(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Recent", za0005, "Stamp")
+							err = msgp.WrapError(err, "Recent", za0005, "Version")
 							return
 						}
 					default:
@@ -2730,7 +2730,7 @@
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0005 := range z.Recent {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Recent[za0005].EditID) + 2 + msgp.Uint64Size + 2 + z.Recent[za0005].Stamp.Msgsize()
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Recent[za0005].EditID) + 2 + msgp.Uint64Size + 2 + z.Recent[za0005].Version.Msgsize()
 	}
 	return
 }
@@ -3198,9 +3198,9 @@
 				return
 			}
 		case "s":
-			z.Seat, err = dc.ReadString()
+			z.Replica, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Seat")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
 		case "f":
@@ -3231,7 +3231,7 @@
 			if cap(z.InForce) >= int(zb0002) {
 				z.InForce = (z.InForce)[:zb0002]
 			} else {
-				z.InForce = make([]Stamp, zb0002)
+				z.InForce = make([]Version, zb0002)
 			}
 			for za0001 := range z.InForce {
 				err = z.InForce[za0001].DecodeMsg(dc)
@@ -3346,9 +3346,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Seat)
+		err = en.WriteString(z.Replica)
 		if err != nil {
-			err = msgp.WrapError(err, "Seat")
+			err = msgp.WrapError(err, "Replica")
 			return
 		}
 		// write "f"
@@ -3460,7 +3460,7 @@
 		o = msgp.AppendString(o, z.Operator)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.Seat)
+		o = msgp.AppendString(o, z.Replica)
 		// string "f"
 		o = append(o, 0xa1, 0x66)
 		o = msgp.AppendBool(o, z.Formed)
@@ -3547,9 +3547,9 @@
 				return
 			}
 		case "s":
-			z.Seat, bts, err = msgp.ReadStringBytes(bts)
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seat")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
 		case "f":
@@ -3580,7 +3580,7 @@
 			if cap(z.InForce) >= int(zb0002) {
 				z.InForce = (z.InForce)[:zb0002]
 			} else {
-				z.InForce = make([]Stamp, zb0002)
+				z.InForce = make([]Version, zb0002)
 			}
 			for za0001 := range z.InForce {
 				bts, err = z.InForce[za0001].UnmarshalMsg(bts)
@@ -3615,7 +3615,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Operator) + 2 + msgp.StringPrefixSize + len(z.Seat) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Sick) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.StringPrefixSize + len(z.Role) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Operator) + 2 + msgp.StringPrefixSize + len(z.Replica) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Sick) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.InForce {
 		s += z.InForce[za0001].Msgsize()
 	}
@@ -3845,9 +3845,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "t":
-			err = z.Stamp.DecodeMsg(dc)
+			err = z.Version.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "b":
@@ -3881,9 +3881,9 @@
 	if err != nil {
 		return
 	}
-	err = z.Stamp.EncodeMsg(en)
+	err = z.Version.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	// write "b"
@@ -3915,9 +3915,9 @@
 	// map header, size 3
 	// string "t"
 	o = append(o, 0x83, 0xa1, 0x74)
-	o, err = z.Stamp.MarshalMsg(o)
+	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	// string "b"
@@ -3948,9 +3948,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "t":
-			bts, err = z.Stamp.UnmarshalMsg(bts)
+			bts, err = z.Version.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "b":
@@ -3979,7 +3979,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Past) Msgsize() (s int) {
-	s = 1 + 2 + z.Stamp.Msgsize() + 2 + msgp.StringPrefixSize + len(z.By) + 2 + msgp.BytesPrefixSize + len(z.Sheet)
+	s = 1 + 2 + z.Version.Msgsize() + 2 + msgp.StringPrefixSize + len(z.By) + 2 + msgp.BytesPrefixSize + len(z.Sheet)
 	return
 }
 
@@ -4130,9 +4130,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "d":
@@ -4142,9 +4142,9 @@
 				return
 			}
 		case "v":
-			err = z.Stamped.DecodeMsg(dc)
+			err = z.Versioned.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped")
+				err = msgp.WrapError(err, "Versioned")
 				return
 			}
 		case "r":
@@ -4187,9 +4187,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Part)
+		err = en.WriteInt(z.Partition)
 		if err != nil {
-			err = msgp.WrapError(err, "Part")
+			err = msgp.WrapError(err, "Partition")
 			return
 		}
 		// write "d"
@@ -4207,9 +4207,9 @@
 		if err != nil {
 			return
 		}
-		err = z.Stamped.EncodeMsg(en)
+		err = z.Versioned.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamped")
+			err = msgp.WrapError(err, "Versioned")
 			return
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
@@ -4246,15 +4246,15 @@
 	if zb0001Len != 0 {
 		// string "p"
 		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Part)
+		o = msgp.AppendInt(o, z.Partition)
 		// string "d"
 		o = append(o, 0xa1, 0x64)
 		o = msgp.AppendBool(o, z.Do)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o, err = z.Stamped.MarshalMsg(o)
+		o, err = z.Versioned.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamped")
+			err = msgp.WrapError(err, "Versioned")
 			return
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
@@ -4285,9 +4285,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "d":
@@ -4297,9 +4297,9 @@
 				return
 			}
 		case "v":
-			bts, err = z.Stamped.UnmarshalMsg(bts)
+			bts, err = z.Versioned.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped")
+				err = msgp.WrapError(err, "Versioned")
 				return
 			}
 		case "r":
@@ -4322,7 +4322,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Rebuild) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + z.Stamped.Msgsize() + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + z.Versioned.Msgsize() + 2 + msgp.BoolSize
 	return
 }
 
@@ -4345,9 +4345,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "f":
@@ -4393,9 +4393,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Part)
+	err = en.WriteInt(z.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Partition")
 		return
 	}
 	// write "f"
@@ -4447,7 +4447,7 @@
 	// map header, size 5
 	// string "p"
 	o = append(o, 0x85, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
+	o = msgp.AppendInt(o, z.Partition)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.From)
@@ -4486,9 +4486,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "f":
@@ -4570,9 +4570,9 @@
 				return
 			}
 		case "t":
-			err = z.Stamp.DecodeMsg(dc)
+			err = z.Version.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -4624,9 +4624,9 @@
 	if err != nil {
 		return
 	}
-	err = z.Stamp.EncodeMsg(en)
+	err = z.Version.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	return
@@ -4647,9 +4647,9 @@
 	o = msgp.AppendInt64(o, z.Base)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o, err = z.Stamp.MarshalMsg(o)
+	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	return
@@ -4692,9 +4692,9 @@
 				return
 			}
 		case "t":
-			bts, err = z.Stamp.UnmarshalMsg(bts)
+			bts, err = z.Version.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -4711,7 +4711,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Revision) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + z.Stamp.Msgsize()
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + z.Version.Msgsize()
 	return
 }
 
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -1,19 +1,19 @@
 // The calls of nodes to cores: newer versions, an operator's edits, duties.
 package wire
 
-// Pull asks a core for newer committed versions. A core tells who it is in it; Seat is empty while
+// Pull asks a core for newer committed versions. A core tells who it is in it; Replica is empty while
 // its disk could not take part.
 type Pull struct {
-	Have []Stamp `msg:"h"`
-	Addr string  `msg:"a,omitempty"`
-	Seat string  `msg:"s,omitempty"`
-	Zone string  `msg:"z,omitempty"`
+	Have    []Version `msg:"h"`
+	Addr    string    `msg:"a,omitempty"`
+	Replica string    `msg:"s,omitempty"`
+	Zone    string    `msg:"z,omitempty"`
 }
 
-// PullReply carries them, and who owns which part.
+// PullReply carries them, and who leads which partition.
 type PullReply struct {
-	Stamped []Stamped `msg:"v"`
-	Owners  []Owner   `msg:"o"`
+	Versions []Versioned `msg:"v"`
+	Leaders  []Leader    `msg:"o"`
 	// Partial tells that newer versions are left out: they are on their way already, or were
 	// too large for one reply.
 	Partial bool `msg:"pa,omitempty"`
@@ -24,12 +24,12 @@
 	Relayed uint32 `msg:"r,omitempty"`
 }
 
-// Owner tells which seat owns a part.
-type Owner struct {
-	Part int    `msg:"p"`
-	Term uint64 `msg:"t"`
-	Seat string `msg:"s"`
-	Addr string `msg:"a"`
+// Leader tells which replica leads a partition.
+type Leader struct {
+	Partition int    `msg:"p"`
+	Term      uint64 `msg:"t"`
+	Replica   string `msg:"s"`
+	Addr      string `msg:"a"`
 }
 
 // Operations that read, each confirmed by a majority after it came.
@@ -51,22 +51,22 @@
 	CodeStale = "stale"
 )
 
-// Edit is one operator change for a part's owner.
+// Edit is one operator change for a partition's leader.
 type Edit struct {
-	Part   int    `msg:"p"`
-	EditID string `msg:"e"`
-	Op     string `msg:"o"`
-	Name   string `msg:"n"`
-	Base   Stamp  `msg:"b"`
-	Strict bool   `msg:"s"`
-	Body   []byte `msg:"d"`
-	By     string `msg:"by"`
+	Partition int     `msg:"p"`
+	EditID    string  `msg:"e"`
+	Op        string  `msg:"o"`
+	Name      string  `msg:"n"`
+	Base      Version `msg:"b"`
+	Strict    bool    `msg:"s"`
+	Body      []byte  `msg:"d"`
+	By        string  `msg:"by"`
 }
 
 // EditReply tells what became of an edit.
 type EditReply struct {
 	Code     string    `msg:"c"`
-	Stamp    Stamp     `msg:"s"`
+	Version  Version   `msg:"s"`
 	Findings []Finding `msg:"f"`
 	Addr     string    `msg:"a"`
 	Body     []byte    `msg:"b"`
@@ -78,22 +78,22 @@
 	Text  string `msg:"t" json:"text"`
 }
 
-// Hold asks for, or renews, a duty.
-type Hold struct {
-	Part int    `msg:"p"`
-	Duty string `msg:"d"`
-	From string `msg:"f"`
+// LeaseRequest asks for, or renews, a duty.
+type LeaseRequest struct {
+	Partition int    `msg:"p"`
+	Task      string `msg:"d"`
+	From      string `msg:"f"`
 	// Next names the successor when the holder gives the duty up.
-	Next string `msg:"n"`
-	Drop bool   `msg:"x"`
+	Next    string `msg:"n"`
+	Release bool   `msg:"x"`
 	// Turn is that of the lease which a holder gives up: a late Drop ends no newer one. 0 is any.
-	Turn uint64 `msg:"t,omitempty"`
+	LeaseID uint64 `msg:"t,omitempty"`
 }
 
-// HoldReply says who has the duty, and for how long.
-type HoldReply struct {
-	Duty   string `msg:"d"`
-	Holder string `msg:"h"`
-	For    int64  `msg:"f"`
-	Turn   uint64 `msg:"t"`
+// LeaseReply says who has the duty, and for how long.
+type LeaseReply struct {
+	Task    string `msg:"d"`
+	Holder  string `msg:"h"`
+	For     int64  `msg:"f"`
+	LeaseID uint64 `msg:"t"`
 }
--- a/wire/calls_gen.go
+++ b/wire/calls_gen.go
@@ -25,9 +25,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "e":
@@ -91,9 +91,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Part)
+	err = en.WriteInt(z.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Partition")
 		return
 	}
 	// write "e"
@@ -175,7 +175,7 @@
 	// map header, size 8
 	// string "p"
 	o = append(o, 0x88, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
+	o = msgp.AppendInt(o, z.Partition)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendString(o, z.EditID)
@@ -223,9 +223,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "e":
@@ -313,9 +313,9 @@
 				return
 			}
 		case "s":
-			err = z.Stamp.DecodeMsg(dc)
+			err = z.Version.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "f":
@@ -407,9 +407,9 @@
 	if err != nil {
 		return
 	}
-	err = z.Stamp.EncodeMsg(en)
+	err = z.Version.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	// write "f"
@@ -477,9 +477,9 @@
 	o = msgp.AppendString(o, z.Code)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
-	o, err = z.Stamp.MarshalMsg(o)
+	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
 	// string "f"
@@ -528,9 +528,9 @@
 				return
 			}
 		case "s":
-			bts, err = z.Stamp.UnmarshalMsg(bts)
+			bts, err = z.Version.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "f":
@@ -607,7 +607,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *EditReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Code) + 2 + z.Stamp.Msgsize() + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Code) + 2 + z.Version.Msgsize() + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Findings {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Findings[za0001].Place) + 2 + msgp.StringPrefixSize + len(z.Findings[za0001].Text)
 	}
@@ -744,7 +744,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Hold) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Leader) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -762,39 +762,27 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		case "d":
-			z.Duty, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Duty")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "n":
-			z.Next, err = dc.ReadString()
+		case "t":
+			z.Term, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Next")
+				err = msgp.WrapError(err, "Term")
 				return
 			}
-		case "x":
-			z.Drop, err = dc.ReadBool()
+		case "s":
+			z.Replica, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Drop")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
-		case "t":
-			z.Turn, err = dc.ReadUint64()
+		case "a":
+			z.Addr, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Turn")
+				err = msgp.WrapError(err, "Addr")
 				return
 			}
 		default:
@@ -809,131 +797,72 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Hold) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
-	_ = zb0001Mask
-	if z.Turn == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x20
+func (z *Leader) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "p"
+	err = en.Append(0x84, 0xa1, 0x70)
+	if err != nil {
+		return
 	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
+	err = en.WriteInt(z.Partition)
 	if err != nil {
+		err = msgp.WrapError(err, "Partition")
 		return
 	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Part)
-		if err != nil {
-			err = msgp.WrapError(err, "Part")
-			return
-		}
-		// write "d"
-		err = en.Append(0xa1, 0x64)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Duty)
-		if err != nil {
-			err = msgp.WrapError(err, "Duty")
-			return
-		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.From)
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// write "n"
-		err = en.Append(0xa1, 0x6e)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Next)
-		if err != nil {
-			err = msgp.WrapError(err, "Next")
-			return
-		}
-		// write "x"
-		err = en.Append(0xa1, 0x78)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.Drop)
-		if err != nil {
-			err = msgp.WrapError(err, "Drop")
-			return
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// write "t"
-			err = en.Append(0xa1, 0x74)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(z.Turn)
-			if err != nil {
-				err = msgp.WrapError(err, "Turn")
-				return
-			}
-		}
+	// write "t"
+	err = en.Append(0xa1, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Term)
+	if err != nil {
+		err = msgp.WrapError(err, "Term")
+		return
+	}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Replica)
+	if err != nil {
+		err = msgp.WrapError(err, "Replica")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Addr)
+	if err != nil {
+		err = msgp.WrapError(err, "Addr")
+		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Hold) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Leader) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
-	_ = zb0001Mask
-	if z.Turn == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Part)
-		// string "d"
-		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendString(o, z.Duty)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.From)
-		// string "n"
-		o = append(o, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Next)
-		// string "x"
-		o = append(o, 0xa1, 0x78)
-		o = msgp.AppendBool(o, z.Drop)
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "t"
-			o = append(o, 0xa1, 0x74)
-			o = msgp.AppendUint64(o, z.Turn)
-		}
-	}
+	// map header, size 4
+	// string "p"
+	o = append(o, 0x84, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Partition)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Term)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Replica)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Hold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Leader) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -951,39 +880,27 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		case "d":
-			z.Duty, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Duty")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "n":
-			z.Next, bts, err = msgp.ReadStringBytes(bts)
+		case "t":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Next")
+				err = msgp.WrapError(err, "Term")
 				return
 			}
-		case "x":
-			z.Drop, bts, err = msgp.ReadBoolBytes(bts)
+		case "s":
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Drop")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
-		case "t":
-			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Turn")
+				err = msgp.WrapError(err, "Addr")
 				return
 			}
 		default:
@@ -999,13 +916,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Hold) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Duty) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Next) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
+func (z *Leader) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Replica) + 2 + msgp.StringPrefixSize + len(z.Addr)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *HoldReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *LeaseReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1023,9 +940,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "d":
-			z.Duty, err = dc.ReadString()
+			z.Task, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Duty")
+				err = msgp.WrapError(err, "Task")
 				return
 			}
 		case "h":
@@ -1041,9 +958,9 @@
 				return
 			}
 		case "t":
-			z.Turn, err = dc.ReadUint64()
+			z.LeaseID, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Turn")
+				err = msgp.WrapError(err, "LeaseID")
 				return
 			}
 		default:
@@ -1058,16 +975,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *HoldReply) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *LeaseReply) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 4
 	// write "d"
 	err = en.Append(0x84, 0xa1, 0x64)
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Duty)
+	err = en.WriteString(z.Task)
 	if err != nil {
-		err = msgp.WrapError(err, "Duty")
+		err = msgp.WrapError(err, "Task")
 		return
 	}
 	// write "h"
@@ -1095,21 +1012,21 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Turn)
+	err = en.WriteUint64(z.LeaseID)
 	if err != nil {
-		err = msgp.WrapError(err, "Turn")
+		err = msgp.WrapError(err, "LeaseID")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *HoldReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LeaseReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 4
 	// string "d"
 	o = append(o, 0x84, 0xa1, 0x64)
-	o = msgp.AppendString(o, z.Duty)
+	o = msgp.AppendString(o, z.Task)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendString(o, z.Holder)
@@ -1118,12 +1035,12 @@
 	o = msgp.AppendInt64(o, z.For)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Turn)
+	o = msgp.AppendUint64(o, z.LeaseID)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *HoldReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LeaseReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1141,9 +1058,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "d":
-			z.Duty, bts, err = msgp.ReadStringBytes(bts)
+			z.Task, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Duty")
+				err = msgp.WrapError(err, "Task")
 				return
 			}
 		case "h":
@@ -1159,9 +1076,9 @@
 				return
 			}
 		case "t":
-			z.Turn, bts, err = msgp.ReadUint64Bytes(bts)
+			z.LeaseID, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Turn")
+				err = msgp.WrapError(err, "LeaseID")
 				return
 			}
 		default:
@@ -1177,13 +1094,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *HoldReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Duty) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
+func (z *LeaseReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Task) + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.Int64Size + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Owner) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *LeaseRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1201,27 +1118,39 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
+		case "d":
+			z.Task, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Task")
 				return
 			}
-		case "s":
-			z.Seat, err = dc.ReadString()
+		case "f":
+			z.From, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Seat")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "a":
-			z.Addr, err = dc.ReadString()
+		case "n":
+			z.Next, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Addr")
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "x":
+			z.Release, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
+		case "t":
+			z.LeaseID, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "LeaseID")
 				return
 			}
 		default:
@@ -1236,72 +1165,131 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Owner) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
-	// write "p"
-	err = en.Append(0x84, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Part)
-	if err != nil {
-		err = msgp.WrapError(err, "Part")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Seat)
-	if err != nil {
-		err = msgp.WrapError(err, "Seat")
-		return
+func (z *LeaseRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.LeaseID == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteString(z.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Partition)
+		if err != nil {
+			err = msgp.WrapError(err, "Partition")
+			return
+		}
+		// write "d"
+		err = en.Append(0xa1, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Task)
+		if err != nil {
+			err = msgp.WrapError(err, "Task")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "n"
+		err = en.Append(0xa1, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Next)
+		if err != nil {
+			err = msgp.WrapError(err, "Next")
+			return
+		}
+		// write "x"
+		err = en.Append(0xa1, 0x78)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.Release)
+		if err != nil {
+			err = msgp.WrapError(err, "Release")
+			return
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "t"
+			err = en.Append(0xa1, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.LeaseID)
+			if err != nil {
+				err = msgp.WrapError(err, "LeaseID")
+				return
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Owner) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LeaseRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "p"
-	o = append(o, 0x84, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Seat)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Addr)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.LeaseID == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Partition)
+		// string "d"
+		o = append(o, 0xa1, 0x64)
+		o = msgp.AppendString(o, z.Task)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Next)
+		// string "x"
+		o = append(o, 0xa1, 0x78)
+		o = msgp.AppendBool(o, z.Release)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendUint64(o, z.LeaseID)
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Owner) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LeaseRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1319,27 +1307,39 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+		case "d":
+			z.Task, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Task")
 				return
 			}
-		case "s":
-			z.Seat, bts, err = msgp.ReadStringBytes(bts)
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seat")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+		case "n":
+			z.Next, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Addr")
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "x":
+			z.Release, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Release")
+				return
+			}
+		case "t":
+			z.LeaseID, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeaseID")
 				return
 			}
 		default:
@@ -1355,8 +1355,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Owner) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Seat) + 2 + msgp.StringPrefixSize + len(z.Addr)
+func (z *LeaseRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Task) + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.StringPrefixSize + len(z.Next) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
@@ -1388,7 +1388,7 @@
 			if cap(z.Have) >= int(zb0002) {
 				z.Have = (z.Have)[:zb0002]
 			} else {
-				z.Have = make([]Stamp, zb0002)
+				z.Have = make([]Version, zb0002)
 			}
 			for za0001 := range z.Have {
 				err = z.Have[za0001].DecodeMsg(dc)
@@ -1404,9 +1404,9 @@
 				return
 			}
 		case "s":
-			z.Seat, err = dc.ReadString()
+			z.Replica, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Seat")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
 		case "z":
@@ -1436,7 +1436,7 @@
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Seat == "" {
+	if z.Replica == "" {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
@@ -1487,9 +1487,9 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.Seat)
+			err = en.WriteString(z.Replica)
 			if err != nil {
-				err = msgp.WrapError(err, "Seat")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
 		}
@@ -1520,7 +1520,7 @@
 		zb0001Len--
 		zb0001Mask |= 0x2
 	}
-	if z.Seat == "" {
+	if z.Replica == "" {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
@@ -1551,7 +1551,7 @@
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
 			// string "s"
 			o = append(o, 0xa1, 0x73)
-			o = msgp.AppendString(o, z.Seat)
+			o = msgp.AppendString(o, z.Replica)
 		}
 		if (zb0001Mask & 0x8) == 0 { // if not omitted
 			// string "z"
@@ -1590,7 +1590,7 @@
 			if cap(z.Have) >= int(zb0002) {
 				z.Have = (z.Have)[:zb0002]
 			} else {
-				z.Have = make([]Stamp, zb0002)
+				z.Have = make([]Version, zb0002)
 			}
 			for za0001 := range z.Have {
 				bts, err = z.Have[za0001].UnmarshalMsg(bts)
@@ -1606,9 +1606,9 @@
 				return
 			}
 		case "s":
-			z.Seat, bts, err = msgp.ReadStringBytes(bts)
+			z.Replica, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seat")
+				err = msgp.WrapError(err, "Replica")
 				return
 			}
 		case "z":
@@ -1635,7 +1635,7 @@
 	for za0001 := range z.Have {
 		s += z.Have[za0001].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Seat) + 2 + msgp.StringPrefixSize + len(z.Zone)
+	s += 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Replica) + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
@@ -1661,18 +1661,18 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped")
+				err = msgp.WrapError(err, "Versions")
 				return
 			}
-			if cap(z.Stamped) >= int(zb0002) {
-				z.Stamped = (z.Stamped)[:zb0002]
+			if cap(z.Versions) >= int(zb0002) {
+				z.Versions = (z.Versions)[:zb0002]
 			} else {
-				z.Stamped = make([]Stamped, zb0002)
+				z.Versions = make([]Versioned, zb0002)
 			}
-			for za0001 := range z.Stamped {
-				err = z.Stamped[za0001].DecodeMsg(dc)
+			for za0001 := range z.Versions {
+				err = z.Versions[za0001].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Stamped", za0001)
+					err = msgp.WrapError(err, "Versions", za0001)
 					return
 				}
 			}
@@ -1680,18 +1680,18 @@
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Owners")
+				err = msgp.WrapError(err, "Leaders")
 				return
 			}
-			if cap(z.Owners) >= int(zb0003) {
-				z.Owners = (z.Owners)[:zb0003]
+			if cap(z.Leaders) >= int(zb0003) {
+				z.Leaders = (z.Leaders)[:zb0003]
 			} else {
-				z.Owners = make([]Owner, zb0003)
+				z.Leaders = make([]Leader, zb0003)
 			}
-			for za0002 := range z.Owners {
-				err = z.Owners[za0002].DecodeMsg(dc)
+			for za0002 := range z.Leaders {
+				err = z.Leaders[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Owners", za0002)
+					err = msgp.WrapError(err, "Leaders", za0002)
 					return
 				}
 			}
@@ -1755,15 +1755,15 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Stamped)))
+		err = en.WriteArrayHeader(uint32(len(z.Versions)))
 		if err != nil {
-			err = msgp.WrapError(err, "Stamped")
+			err = msgp.WrapError(err, "Versions")
 			return
 		}
-		for za0001 := range z.Stamped {
-			err = z.Stamped[za0001].EncodeMsg(en)
+		for za0001 := range z.Versions {
+			err = z.Versions[za0001].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped", za0001)
+				err = msgp.WrapError(err, "Versions", za0001)
 				return
 			}
 		}
@@ -1772,15 +1772,15 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Owners)))
+		err = en.WriteArrayHeader(uint32(len(z.Leaders)))
 		if err != nil {
-			err = msgp.WrapError(err, "Owners")
+			err = msgp.WrapError(err, "Leaders")
 			return
 		}
-		for za0002 := range z.Owners {
-			err = z.Owners[za0002].EncodeMsg(en)
+		for za0002 := range z.Leaders {
+			err = z.Leaders[za0002].EncodeMsg(en)
 			if err != nil {
-				err = msgp.WrapError(err, "Owners", za0002)
+				err = msgp.WrapError(err, "Leaders", za0002)
 				return
 			}
 		}
@@ -1850,21 +1850,21 @@
 	if zb0001Len != 0 {
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Stamped)))
-		for za0001 := range z.Stamped {
-			o, err = z.Stamped[za0001].MarshalMsg(o)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+		for za0001 := range z.Versions {
+			o, err = z.Versions[za0001].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped", za0001)
+				err = msgp.WrapError(err, "Versions", za0001)
 				return
 			}
 		}
 		// string "o"
 		o = append(o, 0xa1, 0x6f)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Owners)))
-		for za0002 := range z.Owners {
-			o, err = z.Owners[za0002].MarshalMsg(o)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Leaders)))
+		for za0002 := range z.Leaders {
+			o, err = z.Leaders[za0002].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Owners", za0002)
+				err = msgp.WrapError(err, "Leaders", za0002)
 				return
 			}
 		}
@@ -1909,18 +1909,18 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped")
+				err = msgp.WrapError(err, "Versions")
 				return
 			}
-			if cap(z.Stamped) >= int(zb0002) {
-				z.Stamped = (z.Stamped)[:zb0002]
+			if cap(z.Versions) >= int(zb0002) {
+				z.Versions = (z.Versions)[:zb0002]
 			} else {
-				z.Stamped = make([]Stamped, zb0002)
+				z.Versions = make([]Versioned, zb0002)
 			}
-			for za0001 := range z.Stamped {
-				bts, err = z.Stamped[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Versions {
+				bts, err = z.Versions[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stamped", za0001)
+					err = msgp.WrapError(err, "Versions", za0001)
 					return
 				}
 			}
@@ -1928,18 +1928,18 @@
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Owners")
+				err = msgp.WrapError(err, "Leaders")
 				return
 			}
-			if cap(z.Owners) >= int(zb0003) {
-				z.Owners = (z.Owners)[:zb0003]
+			if cap(z.Leaders) >= int(zb0003) {
+				z.Leaders = (z.Leaders)[:zb0003]
 			} else {
-				z.Owners = make([]Owner, zb0003)
+				z.Leaders = make([]Leader, zb0003)
 			}
-			for za0002 := range z.Owners {
-				bts, err = z.Owners[za0002].UnmarshalMsg(bts)
+			for za0002 := range z.Leaders {
+				bts, err = z.Leaders[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Owners", za0002)
+					err = msgp.WrapError(err, "Leaders", za0002)
 					return
 				}
 			}
@@ -1976,12 +1976,12 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *PullReply) Msgsize() (s int) {
 	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Stamped {
-		s += z.Stamped[za0001].Msgsize()
+	for za0001 := range z.Versions {
+		s += z.Versions[za0001].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Owners {
-		s += z.Owners[za0002].Msgsize()
+	for za0002 := range z.Leaders {
+		s += z.Leaders[za0002].Msgsize()
 	}
 	s += 3 + msgp.BoolSize + 2 + msgp.Uint32Size + 2 + msgp.Uint32Size
 	return
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -21,7 +21,7 @@
 // MaxFrame bounds a frame in bytes.
 const MaxFrame = 1 << 20
 
-// Format is the stamp of the wire format. Unknown fields of a frame are skipped;
+// Format is the version of the wire format. Unknown fields of a frame are skipped;
 // a frame of a greater format is refused.
 const Format = 1
 
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -20,7 +20,7 @@
 
 func TestFrameRoundTrip(t *testing.T) {
 	var buf bytes.Buffer
-	must.NoError(t, WriteTo(&buf, Seal(KindVote, 42, &Vote{Part: 3, Term: 7, From: "a"})))
+	must.NoError(t, WriteTo(&buf, Seal(KindVote, 42, &Vote{Partition: 3, Term: 7, From: "a"})))
 	b, err := ReadFrom(&buf)
 	must.NoError(t, err)
 	f, err := Open(b)
@@ -29,7 +29,7 @@
 	must.Eq(t, uint64(42), f.ID)
 	var v Vote
 	must.NoError(t, Decode(f.Body, &v))
-	must.Eq(t, Vote{Part: 3, Term: 7, From: "a"}, v)
+	must.Eq(t, Vote{Partition: 3, Term: 7, From: "a"}, v)
 }
 
 func TestUnknownFieldsAreSkippedAndNewerFormatsRefused(t *testing.T) {
@@ -42,7 +42,7 @@
 	b = msgp.AppendUint64(b, 9)
 	var v Vote
 	must.NoError(t, Decode(b, &v))
-	must.Eq(t, Vote{Part: 3, Term: 9}, v)
+	must.Eq(t, Vote{Partition: 3, Term: 9}, v)
 	f := Seal(KindVote, 0, &v)
 	f[0] = Format + 1
 	_, err := Open(f)
--- a/wire/ledger.go
+++ b/wire/ledger.go
@@ -13,7 +13,7 @@
 	// Zones are the versions that last took an order about a zone, oldest first.
 	Zones []ZoneVersion `msg:"z,omitempty"`
 	// ZoneFloor is the version of every zone that Zones does not list.
-	ZoneFloor Stamp `msg:"f"`
+	ZoneFloor Version `msg:"f"`
 }
 
 //msgp:tuple TakenOrder
