--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -31,9 +31,9 @@
 				return
 			}
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -49,9 +49,9 @@
 				return
 			}
 		case "v":
-			err = z.Stamped.DecodeMsg(dc)
+			err = z.Versioned.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped")
+				err = msgp.WrapError(err, "Versioned")
 				return
 			}
 		case "b":
@@ -70,9 +70,9 @@
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Base.Part, err = dc.ReadInt()
+					z.Base.Partition, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "Base", "Part")
+						err = msgp.WrapError(err, "Base", "Partition")
 						return
 					}
 				case "t":
@@ -124,9 +124,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Part)
+	err = en.WriteInt(z.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Partition")
 		return
 	}
 	// write "t"
@@ -154,9 +154,9 @@
 	if err != nil {
 		return
 	}
-	err = z.Stamped.EncodeMsg(en)
+	err = z.Versioned.EncodeMsg(en)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamped")
+		err = msgp.WrapError(err, "Versioned")
 		return
 	}
 	// write "b"
@@ -170,9 +170,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Base.Part)
+	err = en.WriteInt(z.Base.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Base", "Part")
+		err = msgp.WrapError(err, "Base", "Partition")
 		return
 	}
 	// write "t"
@@ -207,7 +207,7 @@
 	o = msgp.AppendString(o, z.To)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
+	o = msgp.AppendInt(o, z.Partition)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Term)
@@ -216,9 +216,9 @@
 	o = msgp.AppendString(o, z.From)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
-	o, err = z.Stamped.MarshalMsg(o)
+	o, err = z.Versioned.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamped")
+		err = msgp.WrapError(err, "Versioned")
 		return
 	}
 	// string "b"
@@ -226,7 +226,7 @@
 	// map header, size 3
 	// string "p"
 	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Base.Part)
+	o = msgp.AppendInt(o, z.Base.Partition)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Base.Term)
@@ -261,9 +261,9 @@
 				return
 			}
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -279,9 +279,9 @@
 				return
 			}
 		case "v":
-			bts, err = z.Stamped.UnmarshalMsg(bts)
+			bts, err = z.Versioned.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamped")
+				err = msgp.WrapError(err, "Versioned")
 				return
 			}
 		case "b":
@@ -300,9 +300,9 @@
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Base.Part, bts, err = msgp.ReadIntBytes(bts)
+					z.Base.Partition, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Base", "Part")
+						err = msgp.WrapError(err, "Base", "Partition")
 						return
 					}
 				case "t":
@@ -339,7 +339,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Accept) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Stamped.Msgsize() + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Versioned.Msgsize() + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
@@ -362,9 +362,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -383,39 +383,39 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, err = dc.ReadInt()
+					z.Version.Partition, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, err = dc.ReadUint64()
+					z.Version.Term, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, err = dc.ReadUint64()
+					z.Version.Seq, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -482,9 +482,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Part)
+		err = en.WriteInt(z.Partition)
 		if err != nil {
-			err = msgp.WrapError(err, "Part")
+			err = msgp.WrapError(err, "Partition")
 			return
 		}
 		// write "t"
@@ -518,9 +518,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Stamp.Part)
+		err = en.WriteInt(z.Version.Partition)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Part")
+			err = msgp.WrapError(err, "Version", "Partition")
 			return
 		}
 		// write "t"
@@ -528,9 +528,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Stamp.Term)
+		err = en.WriteUint64(z.Version.Term)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Term")
+			err = msgp.WrapError(err, "Version", "Term")
 			return
 		}
 		// write "s"
@@ -538,9 +538,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Stamp.Seq)
+		err = en.WriteUint64(z.Version.Seq)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Seq")
+			err = msgp.WrapError(err, "Version", "Seq")
 			return
 		}
 		// write "ok"
@@ -613,7 +613,7 @@
 	if zb0001Len != 0 {
 		// string "p"
 		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Part)
+		o = msgp.AppendInt(o, z.Partition)
 		// string "t"
 		o = append(o, 0xa1, 0x74)
 		o = msgp.AppendUint64(o, z.Term)
@@ -625,13 +625,13 @@
 		// map header, size 3
 		// string "p"
 		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Stamp.Part)
+		o = msgp.AppendInt(o, z.Version.Partition)
 		// string "t"
 		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Stamp.Term)
+		o = msgp.AppendUint64(o, z.Version.Term)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Stamp.Seq)
+		o = msgp.AppendUint64(o, z.Version.Seq)
 		// string "ok"
 		o = append(o, 0xa2, 0x6f, 0x6b)
 		o = msgp.AppendBool(o, z.OK)
@@ -671,9 +671,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -692,39 +692,39 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, bts, err = msgp.ReadIntBytes(bts)
+					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -772,7 +772,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Beat) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Bootstrap) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -789,87 +789,117 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, err = dc.ReadString()
+		case "f":
+			z.Formation, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "To")
+				err = msgp.WrapError(err, "Formation")
 				return
 			}
-		case "p":
-			z.Part, err = dc.ReadInt()
+		case "s":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Voters")
 				return
 			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
+			if cap(z.Voters) >= int(zb0002) {
+				z.Voters = (z.Voters)[:zb0002]
+			} else {
+				z.Voters = make([]Replica, zb0002)
 			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
+			for za0001 := range z.Voters {
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Voters", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Voters", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.Voters[za0001].ID, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001, "ID")
+							return
+						}
+					case "z":
+						z.Voters[za0001].Zone, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001, "Zone")
+							return
+						}
+					case "a":
+						z.Voters[za0001].Addr, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001, "Addr")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001)
+							return
+						}
+					}
+				}
 			}
-		case "r":
-			z.Round, err = dc.ReadUint64()
+		case "g":
+			z.Go, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Round")
+				err = msgp.WrapError(err, "Go")
 				return
 			}
-		case "c":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "b":
+			var zb0004 uint32
+			zb0004, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Committed")
+				err = msgp.WrapError(err, "By")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
+			for zb0004 > 0 {
+				zb0004--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Committed")
+					err = msgp.WrapError(err, "By")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Committed.Part, err = dc.ReadInt()
+				case "i":
+					z.By.ID, err = dc.ReadString()
 					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Part")
+						err = msgp.WrapError(err, "By", "ID")
 						return
 					}
-				case "t":
-					z.Committed.Term, err = dc.ReadUint64()
+				case "z":
+					z.By.Zone, err = dc.ReadString()
 					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Term")
+						err = msgp.WrapError(err, "By", "Zone")
 						return
 					}
-				case "s":
-					z.Committed.Seq, err = dc.ReadUint64()
+				case "a":
+					z.By.Addr, err = dc.ReadString()
 					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Seq")
+						err = msgp.WrapError(err, "By", "Addr")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Committed")
+						err = msgp.WrapError(err, "By")
 						return
 					}
 				}
 			}
-		case "y":
-			z.Yield, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Yield")
-				return
-			}
-		case "ca":
-			z.ContactAt, err = dc.ReadInt64()
+		case "w":
+			z.Withdrawn, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "ContactAt")
+				err = msgp.WrapError(err, "Withdrawn")
 				return
 			}
 		default:
@@ -884,192 +914,165 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Beat) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
-	_ = zb0001Mask
-	if z.ContactAt == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x80
+func (z *Bootstrap) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 5
+	// write "f"
+	err = en.Append(0x85, 0xa1, 0x66)
+	if err != nil {
+		return
 	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
+	err = en.WriteString(z.Formation)
 	if err != nil {
+		err = msgp.WrapError(err, "Formation")
 		return
 	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "to"
-		err = en.Append(0xa2, 0x74, 0x6f)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.To)
-		if err != nil {
-			err = msgp.WrapError(err, "To")
-			return
-		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Part)
-		if err != nil {
-			err = msgp.WrapError(err, "Part")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Term")
-			return
-		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.From)
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Round)
-		if err != nil {
-			err = msgp.WrapError(err, "Round")
-			return
-		}
-		// write "c"
-		err = en.Append(0xa1, 0x63)
-		if err != nil {
-			return
-		}
+	// write "s"
+	err = en.Append(0xa1, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Voters)))
+	if err != nil {
+		err = msgp.WrapError(err, "Voters")
+		return
+	}
+	for za0001 := range z.Voters {
 		// map header, size 3
-		// write "p"
-		err = en.Append(0x83, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Committed.Part)
-		if err != nil {
-			err = msgp.WrapError(err, "Committed", "Part")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
+		// write "i"
+		err = en.Append(0x83, 0xa1, 0x69)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Committed.Term)
+		err = en.WriteString(z.Voters[za0001].ID)
 		if err != nil {
-			err = msgp.WrapError(err, "Committed", "Term")
+			err = msgp.WrapError(err, "Voters", za0001, "ID")
 			return
 		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
+		// write "z"
+		err = en.Append(0xa1, 0x7a)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Committed.Seq)
+		err = en.WriteString(z.Voters[za0001].Zone)
 		if err != nil {
-			err = msgp.WrapError(err, "Committed", "Seq")
+			err = msgp.WrapError(err, "Voters", za0001, "Zone")
 			return
 		}
-		// write "y"
-		err = en.Append(0xa1, 0x79)
+		// write "a"
+		err = en.Append(0xa1, 0x61)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.Yield)
+		err = en.WriteString(z.Voters[za0001].Addr)
 		if err != nil {
-			err = msgp.WrapError(err, "Yield")
+			err = msgp.WrapError(err, "Voters", za0001, "Addr")
 			return
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// write "ca"
-			err = en.Append(0xa2, 0x63, 0x61)
-			if err != nil {
-				return
-			}
-			err = en.WriteInt64(z.ContactAt)
-			if err != nil {
-				err = msgp.WrapError(err, "ContactAt")
-				return
-			}
-		}
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
-	_ = zb0001Mask
-	if z.ContactAt == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x80
+	// write "g"
+	err = en.Append(0xa1, 0x67)
+	if err != nil {
+		return
 	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "to"
-		o = append(o, 0xa2, 0x74, 0x6f)
-		o = msgp.AppendString(o, z.To)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Part)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Term)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.From)
-		// string "r"
-		o = append(o, 0xa1, 0x72)
-		o = msgp.AppendUint64(o, z.Round)
-		// string "c"
-		o = append(o, 0xa1, 0x63)
-		// map header, size 3
-		// string "p"
-		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Committed.Part)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Committed.Term)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Committed.Seq)
-		// string "y"
-		o = append(o, 0xa1, 0x79)
-		o = msgp.AppendString(o, z.Yield)
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// string "ca"
-			o = append(o, 0xa2, 0x63, 0x61)
-			o = msgp.AppendInt64(o, z.ContactAt)
-		}
+	err = en.WriteBool(z.Go)
+	if err != nil {
+		err = msgp.WrapError(err, "Go")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.By.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "By", "ID")
+		return
+	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.By.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "By", "Zone")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.By.Addr)
+	if err != nil {
+		err = msgp.WrapError(err, "By", "Addr")
+		return
+	}
+	// write "w"
+	err = en.Append(0xa1, 0x77)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Withdrawn)
+	if err != nil {
+		err = msgp.WrapError(err, "Withdrawn")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Bootstrap) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "f"
+	o = append(o, 0x85, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.Formation)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
+	for za0001 := range z.Voters {
+		// map header, size 3
+		// string "i"
+		o = append(o, 0x83, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Voters[za0001].ID)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendString(o, z.Voters[za0001].Zone)
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Voters[za0001].Addr)
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBool(o, z.Go)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.By.ID)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.By.Zone)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.By.Addr)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Withdrawn)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Beat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Bootstrap) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1086,87 +1089,117 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, bts, err = msgp.ReadStringBytes(bts)
+		case "f":
+			z.Formation, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "To")
+				err = msgp.WrapError(err, "Formation")
 				return
 			}
-		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+		case "s":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Voters")
 				return
 			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
+			if cap(z.Voters) >= int(zb0002) {
+				z.Voters = (z.Voters)[:zb0002]
+			} else {
+				z.Voters = make([]Replica, zb0002)
 			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
+			for za0001 := range z.Voters {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Voters", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Voters", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.Voters[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001, "ID")
+							return
+						}
+					case "z":
+						z.Voters[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001, "Zone")
+							return
+						}
+					case "a":
+						z.Voters[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001, "Addr")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Voters", za0001)
+							return
+						}
+					}
+				}
 			}
-		case "r":
-			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
+		case "g":
+			z.Go, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Round")
+				err = msgp.WrapError(err, "Go")
 				return
 			}
-		case "c":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "b":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Committed")
+				err = msgp.WrapError(err, "By")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
+			for zb0004 > 0 {
+				zb0004--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Committed")
+					err = msgp.WrapError(err, "By")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Committed.Part, bts, err = msgp.ReadIntBytes(bts)
+				case "i":
+					z.By.ID, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Part")
+						err = msgp.WrapError(err, "By", "ID")
 						return
 					}
-				case "t":
-					z.Committed.Term, bts, err = msgp.ReadUint64Bytes(bts)
+				case "z":
+					z.By.Zone, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Term")
+						err = msgp.WrapError(err, "By", "Zone")
 						return
 					}
-				case "s":
-					z.Committed.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+				case "a":
+					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Seq")
+						err = msgp.WrapError(err, "By", "Addr")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Committed")
+						err = msgp.WrapError(err, "By")
 						return
 					}
 				}
 			}
-		case "y":
-			z.Yield, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Yield")
-				return
-			}
-		case "ca":
-			z.ContactAt, bts, err = msgp.ReadInt64Bytes(bts)
+		case "w":
+			z.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ContactAt")
+				err = msgp.WrapError(err, "Withdrawn")
 				return
 			}
 		default:
@@ -1182,13 +1215,17 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Beat) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Yield) + 3 + msgp.Int64Size
+func (z *Bootstrap) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Formation) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Voters {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].ID) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Zone) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Addr)
+	}
+	s += 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.ID) + 2 + msgp.StringPrefixSize + len(z.By.Zone) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.BoolSize
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *BeatReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *BootstrapReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1205,105 +1242,75 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Part, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
+		case "f":
+			z.Formation, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Formation")
 				return
 			}
-		case "f":
+		case "r":
 			z.From, err = dc.ReadString()
 			if err != nil {
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "r":
-			z.Round, err = dc.ReadUint64()
+		case "ok":
+			z.OK, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Round")
+				err = msgp.WrapError(err, "OK")
 				return
 			}
-		case "h":
+		case "b":
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Held")
+				err = msgp.WrapError(err, "By")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Held")
+					err = msgp.WrapError(err, "By")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Held.Part, err = dc.ReadInt()
+				case "i":
+					z.By.ID, err = dc.ReadString()
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Part")
+						err = msgp.WrapError(err, "By", "ID")
 						return
 					}
-				case "t":
-					z.Held.Term, err = dc.ReadUint64()
+				case "z":
+					z.By.Zone, err = dc.ReadString()
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Term")
+						err = msgp.WrapError(err, "By", "Zone")
 						return
 					}
-				case "s":
-					z.Held.Seq, err = dc.ReadUint64()
+				case "a":
+					z.By.Addr, err = dc.ReadString()
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Seq")
+						err = msgp.WrapError(err, "By", "Addr")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Held")
+						err = msgp.WrapError(err, "By")
 						return
 					}
 				}
 			}
-		case "ok":
-			z.OK, err = dc.ReadBool()
+		case "fo":
+			z.Formed, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "OK")
+				err = msgp.WrapError(err, "Formed")
 				return
 			}
-		case "w":
-			z.Wall, err = dc.ReadInt64()
+		case "n":
+			z.Never, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Wall")
-				return
-			}
-		case "s":
-			z.Sick, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Sick")
-				return
-			}
-		case "c":
-			z.Clock, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Clock")
-				return
-			}
-		case "in":
-			z.Instead, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Instead")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+				err = msgp.WrapError(err, "Never")
 				return
 			}
 		default:
@@ -1318,255 +1325,133 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *BeatReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
-	_ = zb0001Mask
-	if z.Clock == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x100
+func (z *BootstrapReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 6
+	// write "f"
+	err = en.Append(0x86, 0xa1, 0x66)
+	if err != nil {
+		return
 	}
-	if z.Instead == "" {
-		zb0001Len--
-		zb0001Mask |= 0x200
+	err = en.WriteString(z.Formation)
+	if err != nil {
+		err = msgp.WrapError(err, "Formation")
+		return
 	}
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x400
+	// write "r"
+	err = en.Append(0xa1, 0x72)
+	if err != nil {
+		return
 	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
+	err = en.WriteString(z.From)
 	if err != nil {
+		err = msgp.WrapError(err, "From")
 		return
 	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Part)
-		if err != nil {
-			err = msgp.WrapError(err, "Part")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Term")
-			return
-		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.From)
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Round)
-		if err != nil {
-			err = msgp.WrapError(err, "Round")
-			return
-		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
-		if err != nil {
-			return
-		}
-		// map header, size 3
-		// write "p"
-		err = en.Append(0x83, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Held.Part)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", "Part")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Held.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", "Term")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Held.Seq)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", "Seq")
-			return
-		}
-		// write "ok"
-		err = en.Append(0xa2, 0x6f, 0x6b)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.OK)
-		if err != nil {
-			err = msgp.WrapError(err, "OK")
-			return
-		}
-		// write "w"
-		err = en.Append(0xa1, 0x77)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Wall)
-		if err != nil {
-			err = msgp.WrapError(err, "Wall")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.Sick)
-		if err != nil {
-			err = msgp.WrapError(err, "Sick")
-			return
-		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// write "c"
-			err = en.Append(0xa1, 0x63)
-			if err != nil {
-				return
-			}
-			err = en.WriteInt64(z.Clock)
-			if err != nil {
-				err = msgp.WrapError(err, "Clock")
-				return
-			}
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// write "in"
-			err = en.Append(0xa2, 0x69, 0x6e)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Instead)
-			if err != nil {
-				err = msgp.WrapError(err, "Instead")
-				return
-			}
-		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// write "z"
-			err = en.Append(0xa1, 0x7a)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Zone)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		}
+	// write "ok"
+	err = en.Append(0xa2, 0x6f, 0x6b)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.OK)
+	if err != nil {
+		err = msgp.WrapError(err, "OK")
+		return
+	}
+	// write "b"
+	err = en.Append(0xa1, 0x62)
+	if err != nil {
+		return
+	}
+	// map header, size 3
+	// write "i"
+	err = en.Append(0x83, 0xa1, 0x69)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.By.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "By", "ID")
+		return
+	}
+	// write "z"
+	err = en.Append(0xa1, 0x7a)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.By.Zone)
+	if err != nil {
+		err = msgp.WrapError(err, "By", "Zone")
+		return
+	}
+	// write "a"
+	err = en.Append(0xa1, 0x61)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.By.Addr)
+	if err != nil {
+		err = msgp.WrapError(err, "By", "Addr")
+		return
+	}
+	// write "fo"
+	err = en.Append(0xa2, 0x66, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Formed)
+	if err != nil {
+		err = msgp.WrapError(err, "Formed")
+		return
+	}
+	// write "n"
+	err = en.Append(0xa1, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Never)
+	if err != nil {
+		err = msgp.WrapError(err, "Never")
+		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *BeatReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *BootstrapReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
-	_ = zb0001Mask
-	if z.Clock == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x100
-	}
-	if z.Instead == "" {
-		zb0001Len--
-		zb0001Mask |= 0x200
-	}
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x400
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Part)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Term)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.From)
-		// string "r"
-		o = append(o, 0xa1, 0x72)
-		o = msgp.AppendUint64(o, z.Round)
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		// map header, size 3
-		// string "p"
-		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Held.Part)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Held.Term)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Held.Seq)
-		// string "ok"
-		o = append(o, 0xa2, 0x6f, 0x6b)
-		o = msgp.AppendBool(o, z.OK)
-		// string "w"
-		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendInt64(o, z.Wall)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendBool(o, z.Sick)
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// string "c"
-			o = append(o, 0xa1, 0x63)
-			o = msgp.AppendInt64(o, z.Clock)
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "in"
-			o = append(o, 0xa2, 0x69, 0x6e)
-			o = msgp.AppendString(o, z.Instead)
-		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// string "z"
-			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendString(o, z.Zone)
-		}
-	}
+	// map header, size 6
+	// string "f"
+	o = append(o, 0x86, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.Formation)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.From)
+	// string "ok"
+	o = append(o, 0xa2, 0x6f, 0x6b)
+	o = msgp.AppendBool(o, z.OK)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.By.ID)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.By.Zone)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.By.Addr)
+	// string "fo"
+	o = append(o, 0xa2, 0x66, 0x6f)
+	o = msgp.AppendBool(o, z.Formed)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.Never)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *BeatReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *BootstrapReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1583,105 +1468,75 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+		case "f":
+			z.Formation, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Formation")
 				return
 			}
-		case "f":
+		case "r":
 			z.From, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "r":
-			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
+		case "ok":
+			z.OK, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Round")
+				err = msgp.WrapError(err, "OK")
 				return
 			}
-		case "h":
+		case "b":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Held")
+				err = msgp.WrapError(err, "By")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Held")
+					err = msgp.WrapError(err, "By")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Held.Part, bts, err = msgp.ReadIntBytes(bts)
+				case "i":
+					z.By.ID, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Part")
+						err = msgp.WrapError(err, "By", "ID")
 						return
 					}
-				case "t":
-					z.Held.Term, bts, err = msgp.ReadUint64Bytes(bts)
+				case "z":
+					z.By.Zone, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Term")
+						err = msgp.WrapError(err, "By", "Zone")
 						return
 					}
-				case "s":
-					z.Held.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+				case "a":
+					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Seq")
+						err = msgp.WrapError(err, "By", "Addr")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Held")
+						err = msgp.WrapError(err, "By")
 						return
 					}
 				}
 			}
-		case "ok":
-			z.OK, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "w":
-			z.Wall, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Wall")
-				return
-			}
-		case "s":
-			z.Sick, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sick")
-				return
-			}
-		case "c":
-			z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Clock")
-				return
-			}
-		case "in":
-			z.Instead, bts, err = msgp.ReadStringBytes(bts)
+		case "fo":
+			z.Formed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Instead")
+				err = msgp.WrapError(err, "Formed")
 				return
 			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+		case "n":
+			z.Never, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+				err = msgp.WrapError(err, "Never")
 				return
 			}
 		default:
@@ -1697,8 +1552,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *BeatReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 3 + msgp.StringPrefixSize + len(z.Instead) + 2 + msgp.StringPrefixSize + len(z.Zone)
+func (z *BootstrapReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Formation) + 2 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.ID) + 2 + msgp.StringPrefixSize + len(z.By.Zone) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 3 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -1754,39 +1609,39 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, err = dc.ReadInt()
+					z.Version.Partition, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, err = dc.ReadUint64()
+					z.Version.Term, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, err = dc.ReadUint64()
+					z.Version.Seq, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -1890,9 +1745,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Stamp.Part)
+	err = en.WriteInt(z.Version.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Part")
+		err = msgp.WrapError(err, "Version", "Partition")
 		return
 	}
 	// write "t"
@@ -1900,9 +1755,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Stamp.Term)
+	err = en.WriteUint64(z.Version.Term)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Term")
+		err = msgp.WrapError(err, "Version", "Term")
 		return
 	}
 	// write "s"
@@ -1910,9 +1765,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Stamp.Seq)
+	err = en.WriteUint64(z.Version.Seq)
 	if err != nil {
-		err = msgp.WrapError(err, "Stamp", "Seq")
+		err = msgp.WrapError(err, "Version", "Seq")
 		return
 	}
 	// write "g"
@@ -1982,13 +1837,13 @@
 	// map header, size 3
 	// string "p"
 	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Stamp.Part)
+	o = msgp.AppendInt(o, z.Version.Partition)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Stamp.Term)
+	o = msgp.AppendUint64(o, z.Version.Term)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Stamp.Seq)
+	o = msgp.AppendUint64(o, z.Version.Seq)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendBool(o, z.Gone)
@@ -2056,39 +1911,39 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, bts, err = msgp.ReadIntBytes(bts)
+					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -2136,7 +1991,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Form) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2153,117 +2008,133 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, err = dc.ReadString()
+		case "a":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Addrs")
+				return
+			}
+			if cap(z.Addrs) >= int(zb0002) {
+				z.Addrs = (z.Addrs)[:zb0002]
+			} else {
+				z.Addrs = make([]string, zb0002)
+			}
+			for za0001 := range z.Addrs {
+				z.Addrs[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Addrs", za0001)
+					return
+				}
+			}
+		case "m":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Formation")
+				err = msgp.WrapError(err, "Marks")
 				return
 			}
-		case "s":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			if cap(z.Marks) >= int(zb0003) {
+				z.Marks = (z.Marks)[:zb0003]
+			} else {
+				z.Marks = make([]Mark, zb0003)
+			}
+			for za0002 := range z.Marks {
+				err = z.Marks[za0002].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
+				}
+			}
+		case "p":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Seats")
+				err = msgp.WrapError(err, "Partitions")
 				return
 			}
-			if cap(z.Seats) >= int(zb0002) {
-				z.Seats = (z.Seats)[:zb0002]
+			if cap(z.Partitions) >= int(zb0004) {
+				z.Partitions = (z.Partitions)[:zb0004]
 			} else {
-				z.Seats = make([]Seat, zb0002)
+				z.Partitions = make([]Version, zb0004)
 			}
-			for za0001 := range z.Seats {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+			for za0003 := range z.Partitions {
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Seats", za0001)
+					err = msgp.WrapError(err, "Partitions", za0003)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0005 > 0 {
+					zb0005--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Seats", za0001)
+						err = msgp.WrapError(err, "Partitions", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Seats[za0001].ID, err = dc.ReadString()
+					case "p":
+						z.Partitions[za0003].Partition, err = dc.ReadInt()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "ID")
+							err = msgp.WrapError(err, "Partitions", za0003, "Partition")
 							return
 						}
-					case "z":
-						z.Seats[za0001].Zone, err = dc.ReadString()
+					case "t":
+						z.Partitions[za0003].Term, err = dc.ReadUint64()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Zone")
+							err = msgp.WrapError(err, "Partitions", za0003, "Term")
 							return
 						}
-					case "a":
-						z.Seats[za0001].Addr, err = dc.ReadString()
+					case "s":
+						z.Partitions[za0003].Seq, err = dc.ReadUint64()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Addr")
+							err = msgp.WrapError(err, "Partitions", za0003, "Seq")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001)
+							err = msgp.WrapError(err, "Partitions", za0003)
 							return
 						}
 					}
 				}
 			}
-		case "g":
-			z.Go, err = dc.ReadBool()
+		case "e":
+			z.Echo, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Go")
+				err = msgp.WrapError(err, "Echo")
+				return
+			}
+		case "d":
+			z.Digest, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		case "b":
-			var zb0004 uint32
-			zb0004, err = dc.ReadMapHeader()
+			var zb0006 uint32
+			zb0006, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "By")
+				err = msgp.WrapError(err, "Buckets")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, err = dc.ReadMapKeyPtr()
+			if cap(z.Buckets) >= int(zb0006) {
+				z.Buckets = (z.Buckets)[:zb0006]
+			} else {
+				z.Buckets = make([]uint64, zb0006)
+			}
+			for za0004 := range z.Buckets {
+				z.Buckets[za0004], err = dc.ReadUint64()
 				if err != nil {
-					err = msgp.WrapError(err, "By")
+					err = msgp.WrapError(err, "Buckets", za0004)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
 			}
-		case "w":
-			z.Withdrawn, err = dc.ReadBool()
+		case "s":
+			z.Scope, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Withdrawn")
+				err = msgp.WrapError(err, "Scope")
 				return
 			}
 		default:
@@ -2278,165 +2149,295 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Form) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "f"
-	err = en.Append(0x85, 0xa1, 0x66)
-	if err != nil {
-		return
+func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Addrs == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
 	}
-	err = en.WriteString(z.Formation)
-	if err != nil {
-		err = msgp.WrapError(err, "Formation")
-		return
+	if z.Marks == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
+	if z.Partitions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Echo == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Digest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Buckets == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Scope == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Seats)))
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Seats")
 		return
 	}
-	for za0001 := range z.Seats {
-		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
-		if err != nil {
-			return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// write "a"
+			err = en.Append(0xa1, 0x61)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Addrs)))
+			if err != nil {
+				err = msgp.WrapError(err, "Addrs")
+				return
+			}
+			for za0001 := range z.Addrs {
+				err = en.WriteString(z.Addrs[za0001])
+				if err != nil {
+					err = msgp.WrapError(err, "Addrs", za0001)
+					return
+				}
+			}
 		}
-		err = en.WriteString(z.Seats[za0001].ID)
-		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "ID")
-			return
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "m"
+			err = en.Append(0xa1, 0x6d)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Marks)))
+			if err != nil {
+				err = msgp.WrapError(err, "Marks")
+				return
+			}
+			for za0002 := range z.Marks {
+				err = z.Marks[za0002].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
+				}
+			}
 		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
-		if err != nil {
-			return
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "p"
+			err = en.Append(0xa1, 0x70)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Partitions)))
+			if err != nil {
+				err = msgp.WrapError(err, "Partitions")
+				return
+			}
+			for za0003 := range z.Partitions {
+				// map header, size 3
+				// write "p"
+				err = en.Append(0x83, 0xa1, 0x70)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.Partitions[za0003].Partition)
+				if err != nil {
+					err = msgp.WrapError(err, "Partitions", za0003, "Partition")
+					return
+				}
+				// write "t"
+				err = en.Append(0xa1, 0x74)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Partitions[za0003].Term)
+				if err != nil {
+					err = msgp.WrapError(err, "Partitions", za0003, "Term")
+					return
+				}
+				// write "s"
+				err = en.Append(0xa1, 0x73)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Partitions[za0003].Seq)
+				if err != nil {
+					err = msgp.WrapError(err, "Partitions", za0003, "Seq")
+					return
+				}
+			}
 		}
-		err = en.WriteString(z.Seats[za0001].Zone)
-		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "Zone")
-			return
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "e"
+			err = en.Append(0xa1, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.Echo)
+			if err != nil {
+				err = msgp.WrapError(err, "Echo")
+				return
+			}
 		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Digest)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "b"
+			err = en.Append(0xa1, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Buckets)))
+			if err != nil {
+				err = msgp.WrapError(err, "Buckets")
+				return
+			}
+			for za0004 := range z.Buckets {
+				err = en.WriteUint64(z.Buckets[za0004])
+				if err != nil {
+					err = msgp.WrapError(err, "Buckets", za0004)
+					return
+				}
+			}
 		}
-		err = en.WriteString(z.Seats[za0001].Addr)
-		if err != nil {
-			err = msgp.WrapError(err, "Seats", za0001, "Addr")
-			return
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "s"
+			err = en.Append(0xa1, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Scope)
+			if err != nil {
+				err = msgp.WrapError(err, "Scope")
+				return
+			}
 		}
 	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Go)
-	if err != nil {
-		err = msgp.WrapError(err, "Go")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "ID")
-		return
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Addrs == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
 	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
+	if z.Marks == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteString(z.By.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Zone")
-		return
+	if z.Partitions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
 	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
+	if z.Echo == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	err = en.WriteString(z.By.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Addr")
-		return
+	if z.Digest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
+	if z.Buckets == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	err = en.WriteBool(z.Withdrawn)
-	if err != nil {
-		err = msgp.WrapError(err, "Withdrawn")
-		return
+	if z.Scope == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
 	}
-	return
-}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Form) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "f"
-	o = append(o, 0x85, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.Formation)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
-	for za0001 := range z.Seats {
-		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Seats[za0001].ID)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Seats[za0001].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Seats[za0001].Addr)
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Addrs)))
+			for za0001 := range z.Addrs {
+				o = msgp.AppendString(o, z.Addrs[za0001])
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
+			for za0002 := range z.Marks {
+				o, err = z.Marks[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Partitions)))
+			for za0003 := range z.Partitions {
+				// map header, size 3
+				// string "p"
+				o = append(o, 0x83, 0xa1, 0x70)
+				o = msgp.AppendInt(o, z.Partitions[za0003].Partition)
+				// string "t"
+				o = append(o, 0xa1, 0x74)
+				o = msgp.AppendUint64(o, z.Partitions[za0003].Term)
+				// string "s"
+				o = append(o, 0xa1, 0x73)
+				o = msgp.AppendUint64(o, z.Partitions[za0003].Seq)
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendBool(o, z.Echo)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendUint64(o, z.Digest)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Buckets)))
+			for za0004 := range z.Buckets {
+				o = msgp.AppendUint64(o, z.Buckets[za0004])
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendUint64(o, z.Scope)
+		}
 	}
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendBool(o, z.Go)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.By.ID)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.By.Zone)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.By.Addr)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Withdrawn)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Form) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2453,117 +2454,133 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, bts, err = msgp.ReadStringBytes(bts)
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Formation")
+				err = msgp.WrapError(err, "Addrs")
 				return
 			}
-		case "s":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if cap(z.Addrs) >= int(zb0002) {
+				z.Addrs = (z.Addrs)[:zb0002]
+			} else {
+				z.Addrs = make([]string, zb0002)
+			}
+			for za0001 := range z.Addrs {
+				z.Addrs[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Addrs", za0001)
+					return
+				}
+			}
+		case "m":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seats")
+				err = msgp.WrapError(err, "Marks")
 				return
 			}
-			if cap(z.Seats) >= int(zb0002) {
-				z.Seats = (z.Seats)[:zb0002]
+			if cap(z.Marks) >= int(zb0003) {
+				z.Marks = (z.Marks)[:zb0003]
 			} else {
-				z.Seats = make([]Seat, zb0002)
+				z.Marks = make([]Mark, zb0003)
 			}
-			for za0001 := range z.Seats {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0002 := range z.Marks {
+				bts, err = z.Marks[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Seats", za0001)
+					err = msgp.WrapError(err, "Marks", za0002)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+			}
+		case "p":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partitions")
+				return
+			}
+			if cap(z.Partitions) >= int(zb0004) {
+				z.Partitions = (z.Partitions)[:zb0004]
+			} else {
+				z.Partitions = make([]Version, zb0004)
+			}
+			for za0003 := range z.Partitions {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Partitions", za0003)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Seats", za0001)
+						err = msgp.WrapError(err, "Partitions", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Seats[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+					case "p":
+						z.Partitions[za0003].Partition, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "ID")
+							err = msgp.WrapError(err, "Partitions", za0003, "Partition")
 							return
 						}
-					case "z":
-						z.Seats[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
+					case "t":
+						z.Partitions[za0003].Term, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Zone")
+							err = msgp.WrapError(err, "Partitions", za0003, "Term")
 							return
 						}
-					case "a":
-						z.Seats[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
+					case "s":
+						z.Partitions[za0003].Seq, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Addr")
+							err = msgp.WrapError(err, "Partitions", za0003, "Seq")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001)
+							err = msgp.WrapError(err, "Partitions", za0003)
 							return
 						}
 					}
 				}
 			}
-		case "g":
-			z.Go, bts, err = msgp.ReadBoolBytes(bts)
+		case "e":
+			z.Echo, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Go")
+				err = msgp.WrapError(err, "Echo")
+				return
+			}
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		case "b":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "By")
+				err = msgp.WrapError(err, "Buckets")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			if cap(z.Buckets) >= int(zb0006) {
+				z.Buckets = (z.Buckets)[:zb0006]
+			} else {
+				z.Buckets = make([]uint64, zb0006)
+			}
+			for za0004 := range z.Buckets {
+				z.Buckets[za0004], bts, err = msgp.ReadUint64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "By")
+					err = msgp.WrapError(err, "Buckets", za0004)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
 			}
-		case "w":
-			z.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
+		case "s":
+			z.Scope, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Withdrawn")
+				err = msgp.WrapError(err, "Scope")
 				return
 			}
 		default:
@@ -2579,17 +2596,21 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Form) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Formation) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Seats {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].ID) + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].Zone) + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].Addr)
+func (z *Heartbeat) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Addrs {
+		s += msgp.StringPrefixSize + len(z.Addrs[za0001])
 	}
-	s += 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.ID) + 2 + msgp.StringPrefixSize + len(z.By.Zone) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.BoolSize
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Marks {
+		s += z.Marks[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Partitions) * (7 + msgp.IntSize + msgp.Uint64Size + msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Buckets) * (msgp.Uint64Size)) + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *FormReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Hello) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2606,75 +2627,28 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Formation")
-				return
-			}
-		case "r":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "ok":
-			z.OK, err = dc.ReadBool()
+		case "a":
+			z.Addr, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "OK")
+				err = msgp.WrapError(err, "Addr")
 				return
 			}
-		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "z":
+			z.Zone, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "By")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "By")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
-			}
-		case "fo":
-			z.Formed, err = dc.ReadBool()
+		case "f":
+			z.Fleet, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Formed")
+				err = msgp.WrapError(err, "Fleet")
 				return
 			}
-		case "n":
-			z.Never, err = dc.ReadBool()
+		case "p":
+			z.Proof, err = dc.ReadBytes(z.Proof)
 			if err != nil {
-				err = msgp.WrapError(err, "Never")
+				err = msgp.WrapError(err, "Proof")
 				return
 			}
 		default:
@@ -2689,133 +2663,105 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *FormReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "f"
-	err = en.Append(0x86, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Formation)
-	if err != nil {
-		err = msgp.WrapError(err, "Formation")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "ok"
-	err = en.Append(0xa2, 0x6f, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.OK)
-	if err != nil {
-		err = msgp.WrapError(err, "OK")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "ID")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Zone")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Addr")
-		return
-	}
-	// write "fo"
-	err = en.Append(0xa2, 0x66, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Formed)
-	if err != nil {
-		err = msgp.WrapError(err, "Formed")
-		return
+func (z *Hello) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Never)
-	if err != nil {
-		err = msgp.WrapError(err, "Never")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "a"
+		err = en.Append(0xa1, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Addr)
+		if err != nil {
+			err = msgp.WrapError(err, "Addr")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Fleet)
+		if err != nil {
+			err = msgp.WrapError(err, "Fleet")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Proof)
+		if err != nil {
+			err = msgp.WrapError(err, "Proof")
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *FormReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "f"
-	o = append(o, 0x86, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.Formation)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.From)
-	// string "ok"
-	o = append(o, 0xa2, 0x6f, 0x6b)
-	o = msgp.AppendBool(o, z.OK)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.By.ID)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.By.Zone)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.By.Addr)
-	// string "fo"
-	o = append(o, 0xa2, 0x66, 0x6f)
-	o = msgp.AppendBool(o, z.Formed)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendBool(o, z.Never)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Addr)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendString(o, z.Zone)
+		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.Fleet)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendBytes(o, z.Proof)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *FormReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Hello) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2832,75 +2778,28 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Formation")
-				return
-			}
-		case "r":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "ok":
-			z.OK, bts, err = msgp.ReadBoolBytes(bts)
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OK")
+				err = msgp.WrapError(err, "Addr")
 				return
 			}
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "By")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "By")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
-			}
-		case "fo":
-			z.Formed, bts, err = msgp.ReadBoolBytes(bts)
+		case "f":
+			z.Fleet, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Formed")
+				err = msgp.WrapError(err, "Fleet")
 				return
 			}
-		case "n":
-			z.Never, bts, err = msgp.ReadBoolBytes(bts)
+		case "p":
+			z.Proof, bts, err = msgp.ReadBytesBytes(bts, z.Proof)
 			if err != nil {
-				err = msgp.WrapError(err, "Never")
+				err = msgp.WrapError(err, "Proof")
 				return
 			}
 		default:
@@ -2916,13 +2815,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *FormReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Formation) + 2 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.ID) + 2 + msgp.StringPrefixSize + len(z.By.Zone) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 3 + msgp.BoolSize + 2 + msgp.BoolSize
+func (z *Hello) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Fleet) + 2 + msgp.BytesPrefixSize + len(z.Proof)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *LeaderHeartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2939,133 +2838,87 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+		case "to":
+			z.To, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Addrs")
+				err = msgp.WrapError(err, "To")
 				return
 			}
-			if cap(z.Addrs) >= int(zb0002) {
-				z.Addrs = (z.Addrs)[:zb0002]
-			} else {
-				z.Addrs = make([]string, zb0002)
-			}
-			for za0001 := range z.Addrs {
-				z.Addrs[za0001], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Addrs", za0001)
-					return
-				}
-			}
-		case "m":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "p":
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Marks")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-			if cap(z.Marks) >= int(zb0003) {
-				z.Marks = (z.Marks)[:zb0003]
-			} else {
-				z.Marks = make([]Mark, zb0003)
-			}
-			for za0002 := range z.Marks {
-				err = z.Marks[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
-			}
-		case "p":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
+		case "t":
+			z.Term, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Parts")
+				err = msgp.WrapError(err, "Term")
 				return
 			}
-			if cap(z.Parts) >= int(zb0004) {
-				z.Parts = (z.Parts)[:zb0004]
-			} else {
-				z.Parts = make([]Stamp, zb0004)
-			}
-			for za0003 := range z.Parts {
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0003)
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Parts", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "p":
-						z.Parts[za0003].Part, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003, "Part")
-							return
-						}
-					case "t":
-						z.Parts[za0003].Term, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003, "Term")
-							return
-						}
-					case "s":
-						z.Parts[za0003].Seq, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003, "Seq")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003)
-							return
-						}
-					}
-				}
-			}
-		case "e":
-			z.Echo, err = dc.ReadBool()
+		case "f":
+			z.From, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Echo")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "d":
-			z.Digest, err = dc.ReadUint64()
+		case "r":
+			z.Round, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Round")
 				return
 			}
-		case "b":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
+		case "c":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Buckets")
+				err = msgp.WrapError(err, "Committed")
 				return
 			}
-			if cap(z.Buckets) >= int(zb0006) {
-				z.Buckets = (z.Buckets)[:zb0006]
-			} else {
-				z.Buckets = make([]uint64, zb0006)
-			}
-			for za0004 := range z.Buckets {
-				z.Buckets[za0004], err = dc.ReadUint64()
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Buckets", za0004)
+					err = msgp.WrapError(err, "Committed")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Committed.Partition, err = dc.ReadInt()
+					if err != nil {
+						err = msgp.WrapError(err, "Committed", "Partition")
+						return
+					}
+				case "t":
+					z.Committed.Term, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Committed", "Term")
+						return
+					}
+				case "s":
+					z.Committed.Seq, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Committed", "Seq")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Committed")
+						return
+					}
+				}
 			}
-		case "s":
-			z.Scope, err = dc.ReadUint64()
+		case "y":
+			z.TransferTo, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Scope")
+				err = msgp.WrapError(err, "TransferTo")
+				return
+			}
+		case "ca":
+			z.ContactAt, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "ContactAt")
 				return
 			}
 		default:
@@ -3080,38 +2933,14 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *LeaderHeartbeat) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
-	if z.Addrs == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	if z.Marks == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.Parts == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Echo == false {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Digest == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Buckets == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	if z.Scope == 0 {
+	if z.ContactAt == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
@@ -3121,141 +2950,111 @@
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// write "a"
-			err = en.Append(0xa1, 0x61)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Addrs)))
-			if err != nil {
-				err = msgp.WrapError(err, "Addrs")
-				return
-			}
-			for za0001 := range z.Addrs {
-				err = en.WriteString(z.Addrs[za0001])
-				if err != nil {
-					err = msgp.WrapError(err, "Addrs", za0001)
-					return
-				}
-			}
+		// write "to"
+		err = en.Append(0xa2, 0x74, 0x6f)
+		if err != nil {
+			return
 		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// write "m"
-			err = en.Append(0xa1, 0x6d)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Marks)))
-			if err != nil {
-				err = msgp.WrapError(err, "Marks")
-				return
-			}
-			for za0002 := range z.Marks {
-				err = z.Marks[za0002].EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
-			}
+		err = en.WriteString(z.To)
+		if err != nil {
+			err = msgp.WrapError(err, "To")
+			return
 		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// write "p"
-			err = en.Append(0xa1, 0x70)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Parts)))
-			if err != nil {
-				err = msgp.WrapError(err, "Parts")
-				return
-			}
-			for za0003 := range z.Parts {
-				// map header, size 3
-				// write "p"
-				err = en.Append(0x83, 0xa1, 0x70)
-				if err != nil {
-					return
-				}
-				err = en.WriteInt(z.Parts[za0003].Part)
-				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0003, "Part")
-					return
-				}
-				// write "t"
-				err = en.Append(0xa1, 0x74)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Parts[za0003].Term)
-				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0003, "Term")
-					return
-				}
-				// write "s"
-				err = en.Append(0xa1, 0x73)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Parts[za0003].Seq)
-				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0003, "Seq")
-					return
-				}
-			}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// write "e"
-			err = en.Append(0xa1, 0x65)
-			if err != nil {
-				return
-			}
-			err = en.WriteBool(z.Echo)
-			if err != nil {
-				err = msgp.WrapError(err, "Echo")
-				return
-			}
+		err = en.WriteInt(z.Partition)
+		if err != nil {
+			err = msgp.WrapError(err, "Partition")
+			return
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "d"
-			err = en.Append(0xa1, 0x64)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(z.Digest)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Term")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Round)
+		if err != nil {
+			err = msgp.WrapError(err, "Round")
+			return
+		}
+		// write "c"
+		err = en.Append(0xa1, 0x63)
+		if err != nil {
+			return
+		}
+		// map header, size 3
+		// write "p"
+		err = en.Append(0x83, 0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Committed.Partition)
+		if err != nil {
+			err = msgp.WrapError(err, "Committed", "Partition")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Committed.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Committed", "Term")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Committed.Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Committed", "Seq")
+			return
+		}
+		// write "y"
+		err = en.Append(0xa1, 0x79)
+		if err != nil {
+			return
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// write "b"
-			err = en.Append(0xa1, 0x62)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Buckets)))
-			if err != nil {
-				err = msgp.WrapError(err, "Buckets")
-				return
-			}
-			for za0004 := range z.Buckets {
-				err = en.WriteUint64(z.Buckets[za0004])
-				if err != nil {
-					err = msgp.WrapError(err, "Buckets", za0004)
-					return
-				}
-			}
+		err = en.WriteString(z.TransferTo)
+		if err != nil {
+			err = msgp.WrapError(err, "TransferTo")
+			return
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// write "s"
-			err = en.Append(0xa1, 0x73)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "ca"
+			err = en.Append(0xa2, 0x63, 0x61)
 			if err != nil {
 				return
 			}
-			err = en.WriteUint64(z.Scope)
+			err = en.WriteInt64(z.ContactAt)
 			if err != nil {
-				err = msgp.WrapError(err, "Scope")
+				err = msgp.WrapError(err, "ContactAt")
 				return
 			}
 		}
@@ -3264,111 +3063,62 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LeaderHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
-	if z.Addrs == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	if z.Marks == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.Parts == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Echo == false {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Digest == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Buckets == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	if z.Scope == 0 {
+	if z.ContactAt == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x80
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "a"
-			o = append(o, 0xa1, 0x61)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Addrs)))
-			for za0001 := range z.Addrs {
-				o = msgp.AppendString(o, z.Addrs[za0001])
-			}
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "m"
-			o = append(o, 0xa1, 0x6d)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
-			for za0002 := range z.Marks {
-				o, err = z.Marks[za0002].MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "p"
-			o = append(o, 0xa1, 0x70)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-			for za0003 := range z.Parts {
-				// map header, size 3
-				// string "p"
-				o = append(o, 0x83, 0xa1, 0x70)
-				o = msgp.AppendInt(o, z.Parts[za0003].Part)
-				// string "t"
-				o = append(o, 0xa1, 0x74)
-				o = msgp.AppendUint64(o, z.Parts[za0003].Term)
-				// string "s"
-				o = append(o, 0xa1, 0x73)
-				o = msgp.AppendUint64(o, z.Parts[za0003].Seq)
-			}
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "e"
-			o = append(o, 0xa1, 0x65)
-			o = msgp.AppendBool(o, z.Echo)
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "d"
-			o = append(o, 0xa1, 0x64)
-			o = msgp.AppendUint64(o, z.Digest)
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "b"
-			o = append(o, 0xa1, 0x62)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Buckets)))
-			for za0004 := range z.Buckets {
-				o = msgp.AppendUint64(o, z.Buckets[za0004])
-			}
-		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "s"
-			o = append(o, 0xa1, 0x73)
-			o = msgp.AppendUint64(o, z.Scope)
+		// string "to"
+		o = append(o, 0xa2, 0x74, 0x6f)
+		o = msgp.AppendString(o, z.To)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Partition)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Term)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.Round)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		// map header, size 3
+		// string "p"
+		o = append(o, 0x83, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Committed.Partition)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Committed.Term)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Committed.Seq)
+		// string "y"
+		o = append(o, 0xa1, 0x79)
+		o = msgp.AppendString(o, z.TransferTo)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "ca"
+			o = append(o, 0xa2, 0x63, 0x61)
+			o = msgp.AppendInt64(o, z.ContactAt)
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LeaderHeartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3385,243 +3135,394 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "to":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Addrs")
+				err = msgp.WrapError(err, "To")
 				return
 			}
-			if cap(z.Addrs) >= int(zb0002) {
-				z.Addrs = (z.Addrs)[:zb0002]
-			} else {
-				z.Addrs = make([]string, zb0002)
+		case "p":
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partition")
+				return
 			}
-			for za0001 := range z.Addrs {
-				z.Addrs[za0001], bts, err = msgp.ReadStringBytes(bts)
+		case "t":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "r":
+			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Committed")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Addrs", za0001)
+					err = msgp.WrapError(err, "Committed")
 					return
 				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Committed.Partition, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Committed", "Partition")
+						return
+					}
+				case "t":
+					z.Committed.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Committed", "Term")
+						return
+					}
+				case "s":
+					z.Committed.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Committed", "Seq")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Committed")
+						return
+					}
+				}
 			}
-		case "m":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "y":
+			z.TransferTo, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TransferTo")
+				return
+			}
+		case "ca":
+			z.ContactAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ContactAt")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LeaderHeartbeat) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.TransferTo) + 3 + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LeaderHeartbeatReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "p":
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Marks")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-			if cap(z.Marks) >= int(zb0003) {
-				z.Marks = (z.Marks)[:zb0003]
-			} else {
-				z.Marks = make([]Mark, zb0003)
+		case "t":
+			z.Term, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
 			}
-			for za0002 := range z.Marks {
-				bts, err = z.Marks[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
+		case "f":
+			z.From, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
 			}
-		case "p":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "r":
+			z.Round, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Parts")
+				err = msgp.WrapError(err, "Round")
 				return
 			}
-			if cap(z.Parts) >= int(zb0004) {
-				z.Parts = (z.Parts)[:zb0004]
-			} else {
-				z.Parts = make([]Stamp, zb0004)
+		case "h":
+			var zb0002 uint32
+			zb0002, err = dc.ReadMapHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
 			}
-			for za0003 := range z.Parts {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for zb0002 > 0 {
+				zb0002--
+				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0003)
+					err = msgp.WrapError(err, "Held")
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Held.Partition, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "Parts", za0003)
+						err = msgp.WrapError(err, "Held", "Partition")
 						return
 					}
-					switch msgp.UnsafeString(field) {
-					case "p":
-						z.Parts[za0003].Part, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003, "Part")
-							return
-						}
-					case "t":
-						z.Parts[za0003].Term, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003, "Term")
-							return
-						}
-					case "s":
-						z.Parts[za0003].Seq, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003, "Seq")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003)
-							return
-						}
+				case "t":
+					z.Held.Term, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Term")
+						return
+					}
+				case "s":
+					z.Held.Seq, err = dc.ReadUint64()
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Seq")
+						return
+					}
+				default:
+					err = dc.Skip()
+					if err != nil {
+						err = msgp.WrapError(err, "Held")
+						return
 					}
 				}
 			}
-		case "e":
-			z.Echo, bts, err = msgp.ReadBoolBytes(bts)
+		case "ok":
+			z.OK, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Echo")
+				err = msgp.WrapError(err, "OK")
 				return
 			}
-		case "d":
-			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+		case "w":
+			z.Wall, err = dc.ReadInt64()
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Wall")
 				return
 			}
-		case "b":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "s":
+			z.DiskProblem, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Buckets")
+				err = msgp.WrapError(err, "DiskProblem")
 				return
 			}
-			if cap(z.Buckets) >= int(zb0006) {
-				z.Buckets = (z.Buckets)[:zb0006]
-			} else {
-				z.Buckets = make([]uint64, zb0006)
+		case "c":
+			z.Clock, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "Clock")
+				return
 			}
-			for za0004 := range z.Buckets {
-				z.Buckets[za0004], bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Buckets", za0004)
-					return
-				}
+		case "in":
+			z.Successor, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Successor")
+				return
 			}
-		case "s":
-			z.Scope, bts, err = msgp.ReadUint64Bytes(bts)
+		case "z":
+			z.Zone, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Scope")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
-			bts, err = msgp.Skip(bts)
+			err = dc.Skip()
 			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
 		}
 	}
-	o = bts
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Addrs {
-		s += msgp.StringPrefixSize + len(z.Addrs[za0001])
+// EncodeMsg implements msgp.Encodable
+func (z *LeaderHeartbeatReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
+	_ = zb0001Mask
+	if z.Clock == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
 	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Marks {
-		s += z.Marks[za0002].Msgsize()
+	if z.Successor == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
 	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (7 + msgp.IntSize + msgp.Uint64Size + msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Buckets) * (msgp.Uint64Size)) + 2 + msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Hello) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x400
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err)
 		return
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Partition)
+		if err != nil {
+			err = msgp.WrapError(err, "Partition")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Term")
+			return
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.From)
+		if err != nil {
+			err = msgp.WrapError(err, "From")
+			return
+		}
+		// write "r"
+		err = en.Append(0xa1, 0x72)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Round)
+		if err != nil {
+			err = msgp.WrapError(err, "Round")
+			return
+		}
+		// write "h"
+		err = en.Append(0xa1, 0x68)
+		if err != nil {
+			return
+		}
+		// map header, size 3
+		// write "p"
+		err = en.Append(0x83, 0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.Held.Partition)
+		if err != nil {
+			err = msgp.WrapError(err, "Held", "Partition")
+			return
+		}
+		// write "t"
+		err = en.Append(0xa1, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Held.Term)
+		if err != nil {
+			err = msgp.WrapError(err, "Held", "Term")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Held.Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Held", "Seq")
+			return
+		}
+		// write "ok"
+		err = en.Append(0xa2, 0x6f, 0x6b)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.OK)
+		if err != nil {
+			err = msgp.WrapError(err, "OK")
+			return
+		}
+		// write "w"
+		err = en.Append(0xa1, 0x77)
 		if err != nil {
-			err = msgp.WrapError(err)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
+		err = en.WriteInt64(z.Wall)
+		if err != nil {
+			err = msgp.WrapError(err, "Wall")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteBool(z.DiskProblem)
+		if err != nil {
+			err = msgp.WrapError(err, "DiskProblem")
+			return
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "c"
+			err = en.Append(0xa1, 0x63)
 			if err != nil {
-				err = msgp.WrapError(err, "Zone")
 				return
 			}
-		case "f":
-			z.Fleet, err = dc.ReadString()
+			err = en.WriteInt64(z.Clock)
 			if err != nil {
-				err = msgp.WrapError(err, "Fleet")
+				err = msgp.WrapError(err, "Clock")
 				return
 			}
-		case "p":
-			z.Proof, err = dc.ReadBytes(z.Proof)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "in"
+			err = en.Append(0xa2, 0x69, 0x6e)
 			if err != nil {
-				err = msgp.WrapError(err, "Proof")
 				return
 			}
-		default:
-			err = dc.Skip()
+			err = en.WriteString(z.Successor)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Successor")
 				return
 			}
 		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Hello) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
-	_ = zb0001Mask
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Addr)
-		if err != nil {
-			err = msgp.WrapError(err, "Addr")
-			return
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// write "z"
 			err = en.Append(0xa1, 0x7a)
 			if err != nil {
@@ -3633,66 +3534,88 @@
 				return
 			}
 		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Fleet)
-		if err != nil {
-			err = msgp.WrapError(err, "Fleet")
-			return
-		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.Proof)
-		if err != nil {
-			err = msgp.WrapError(err, "Proof")
-			return
-		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LeaderHeartbeatReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
+	if z.Clock == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Successor == "" {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	if z.Zone == "" {
 		zb0001Len--
-		zb0001Mask |= 0x2
+		zb0001Mask |= 0x400
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Addr)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Partition)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Term)
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.From)
+		// string "r"
+		o = append(o, 0xa1, 0x72)
+		o = msgp.AppendUint64(o, z.Round)
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		// map header, size 3
+		// string "p"
+		o = append(o, 0x83, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Held.Partition)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendUint64(o, z.Held.Term)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Held.Seq)
+		// string "ok"
+		o = append(o, 0xa2, 0x6f, 0x6b)
+		o = msgp.AppendBool(o, z.OK)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.Wall)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendBool(o, z.DiskProblem)
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "c"
+			o = append(o, 0xa1, 0x63)
+			o = msgp.AppendInt64(o, z.Clock)
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "in"
+			o = append(o, 0xa2, 0x69, 0x6e)
+			o = msgp.AppendString(o, z.Successor)
+		}
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "z"
 			o = append(o, 0xa1, 0x7a)
 			o = msgp.AppendString(o, z.Zone)
 		}
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.Fleet)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendBytes(o, z.Proof)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Hello) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LeaderHeartbeatReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3709,28 +3632,105 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+		case "p":
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Addr")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+		case "t":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+				err = msgp.WrapError(err, "Term")
 				return
 			}
 		case "f":
-			z.Fleet, bts, err = msgp.ReadStringBytes(bts)
+			z.From, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Fleet")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "p":
-			z.Proof, bts, err = msgp.ReadBytesBytes(bts, z.Proof)
+		case "r":
+			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Proof")
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "h":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Held")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "p":
+					z.Held.Partition, bts, err = msgp.ReadIntBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Partition")
+						return
+					}
+				case "t":
+					z.Held.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Term")
+						return
+					}
+				case "s":
+					z.Held.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held", "Seq")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Held")
+						return
+					}
+				}
+			}
+		case "ok":
+			z.OK, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OK")
+				return
+			}
+		case "w":
+			z.Wall, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wall")
+				return
+			}
+		case "s":
+			z.DiskProblem, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DiskProblem")
+				return
+			}
+		case "c":
+			z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Clock")
+				return
+			}
+		case "in":
+			z.Successor, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Successor")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -3746,8 +3746,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Hello) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Fleet) + 2 + msgp.BytesPrefixSize + len(z.Proof)
+func (z *LeaderHeartbeatReply) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 3 + msgp.StringPrefixSize + len(z.Successor) + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
@@ -3776,9 +3776,9 @@
 				return
 			}
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "f":
@@ -3816,9 +3816,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Part)
+	err = en.WriteInt(z.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Partition")
 		return
 	}
 	// write "f"
@@ -3843,7 +3843,7 @@
 	o = msgp.AppendString(o, z.To)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
+	o = msgp.AppendInt(o, z.Partition)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.From)
@@ -3875,9 +3875,9 @@
 				return
 			}
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "f":
@@ -4515,39 +4515,39 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, err = dc.ReadInt()
+					z.Version.Partition, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, err = dc.ReadUint64()
+					z.Version.Term, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, err = dc.ReadUint64()
+					z.Version.Seq, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -4644,9 +4644,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Stamp.Part)
+		err = en.WriteInt(z.Version.Partition)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Part")
+			err = msgp.WrapError(err, "Version", "Partition")
 			return
 		}
 		// write "t"
@@ -4654,9 +4654,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Stamp.Term)
+		err = en.WriteUint64(z.Version.Term)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Term")
+			err = msgp.WrapError(err, "Version", "Term")
 			return
 		}
 		// write "s"
@@ -4664,9 +4664,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Stamp.Seq)
+		err = en.WriteUint64(z.Version.Seq)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Seq")
+			err = msgp.WrapError(err, "Version", "Seq")
 			return
 		}
 		// write "h"
@@ -4728,13 +4728,13 @@
 		// map header, size 3
 		// string "p"
 		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Stamp.Part)
+		o = msgp.AppendInt(o, z.Version.Partition)
 		// string "t"
 		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Stamp.Term)
+		o = msgp.AppendUint64(o, z.Version.Term)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Stamp.Seq)
+		o = msgp.AppendUint64(o, z.Version.Seq)
 		// string "h"
 		o = append(o, 0xa1, 0x68)
 		o = msgp.AppendUint8(o, z.Hops)
@@ -4793,39 +4793,39 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, bts, err = msgp.ReadIntBytes(bts)
+					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -4861,7 +4861,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Seat) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Replica) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4908,7 +4908,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Seat) EncodeMsg(en *msgp.Writer) (err error) {
+func (z Replica) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 3
 	// write "i"
 	err = en.Append(0x83, 0xa1, 0x69)
@@ -4944,7 +4944,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Seat) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Replica) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 3
 	// string "i"
@@ -4960,7 +4960,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Seat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Replica) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5008,13 +5008,141 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Seat) Msgsize() (s int) {
+func (z Replica) Msgsize() (s int) {
 	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Addr)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Stamp) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Suspect) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			z.Origin, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "c":
+			z.Count, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Suspect) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "o"
+	err = en.Append(0x82, 0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Origin)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Suspect) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "o"
+	o = append(o, 0x82, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Origin)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Suspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "c":
+			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Suspect) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Version) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5032,9 +5160,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -5061,16 +5189,16 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Stamp) EncodeMsg(en *msgp.Writer) (err error) {
+func (z Version) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 3
 	// write "p"
 	err = en.Append(0x83, 0xa1, 0x70)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Part)
+	err = en.WriteInt(z.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Partition")
 		return
 	}
 	// write "t"
@@ -5097,12 +5225,12 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Stamp) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Version) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 3
 	// string "p"
 	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
+	o = msgp.AppendInt(o, z.Partition)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Term)
@@ -5113,7 +5241,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Stamp) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Version) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5131,9 +5259,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -5161,13 +5289,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Stamp) Msgsize() (s int) {
+func (z Version) Msgsize() (s int) {
 	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Stamped) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Versioned) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5188,39 +5316,39 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadMapHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, err = dc.ReadMapKeyPtr()
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, err = dc.ReadInt()
+					z.Version.Partition, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, err = dc.ReadUint64()
+					z.Version.Term, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, err = dc.ReadUint64()
+					z.Version.Seq, err = dc.ReadUint64()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					err = dc.Skip()
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -5229,51 +5357,51 @@
 			var zb0003 uint32
 			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Seats")
+				err = msgp.WrapError(err, "Voters")
 				return
 			}
-			if cap(z.Seats) >= int(zb0003) {
-				z.Seats = (z.Seats)[:zb0003]
+			if cap(z.Voters) >= int(zb0003) {
+				z.Voters = (z.Voters)[:zb0003]
 			} else {
-				z.Seats = make([]Seat, zb0003)
+				z.Voters = make([]Replica, zb0003)
 			}
-			for za0001 := range z.Seats {
+			for za0001 := range z.Voters {
 				var zb0004 uint32
 				zb0004, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Seats", za0001)
+					err = msgp.WrapError(err, "Voters", za0001)
 					return
 				}
 				for zb0004 > 0 {
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Seats", za0001)
+						err = msgp.WrapError(err, "Voters", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "i":
-						z.Seats[za0001].ID, err = dc.ReadString()
+						z.Voters[za0001].ID, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "ID")
+							err = msgp.WrapError(err, "Voters", za0001, "ID")
 							return
 						}
 					case "z":
-						z.Seats[za0001].Zone, err = dc.ReadString()
+						z.Voters[za0001].Zone, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Zone")
+							err = msgp.WrapError(err, "Voters", za0001, "Zone")
 							return
 						}
 					case "a":
-						z.Seats[za0001].Addr, err = dc.ReadString()
+						z.Voters[za0001].Addr, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Addr")
+							err = msgp.WrapError(err, "Voters", za0001, "Addr")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001)
+							err = msgp.WrapError(err, "Voters", za0001)
 							return
 						}
 					}
@@ -5283,51 +5411,51 @@
 			var zb0005 uint32
 			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Prev")
+				err = msgp.WrapError(err, "PreviousVoters")
 				return
 			}
-			if cap(z.Prev) >= int(zb0005) {
-				z.Prev = (z.Prev)[:zb0005]
+			if cap(z.PreviousVoters) >= int(zb0005) {
+				z.PreviousVoters = (z.PreviousVoters)[:zb0005]
 			} else {
-				z.Prev = make([]Seat, zb0005)
+				z.PreviousVoters = make([]Replica, zb0005)
 			}
-			for za0002 := range z.Prev {
+			for za0002 := range z.PreviousVoters {
 				var zb0006 uint32
 				zb0006, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "Prev", za0002)
+					err = msgp.WrapError(err, "PreviousVoters", za0002)
 					return
 				}
 				for zb0006 > 0 {
 					zb0006--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "Prev", za0002)
+						err = msgp.WrapError(err, "PreviousVoters", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "i":
-						z.Prev[za0002].ID, err = dc.ReadString()
+						z.PreviousVoters[za0002].ID, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002, "ID")
+							err = msgp.WrapError(err, "PreviousVoters", za0002, "ID")
 							return
 						}
 					case "z":
-						z.Prev[za0002].Zone, err = dc.ReadString()
+						z.PreviousVoters[za0002].Zone, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002, "Zone")
+							err = msgp.WrapError(err, "PreviousVoters", za0002, "Zone")
 							return
 						}
 					case "a":
-						z.Prev[za0002].Addr, err = dc.ReadString()
+						z.PreviousVoters[za0002].Addr, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002, "Addr")
+							err = msgp.WrapError(err, "PreviousVoters", za0002, "Addr")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002)
+							err = msgp.WrapError(err, "PreviousVoters", za0002)
 							return
 						}
 					}
@@ -5357,7 +5485,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Stamped) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Versioned) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
 	zb0001Len := uint32(5)
 	var zb0001Mask uint8 /* 5 bits */
@@ -5385,9 +5513,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Stamp.Part)
+		err = en.WriteInt(z.Version.Partition)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Part")
+			err = msgp.WrapError(err, "Version", "Partition")
 			return
 		}
 		// write "t"
@@ -5395,9 +5523,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Stamp.Term)
+		err = en.WriteUint64(z.Version.Term)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Term")
+			err = msgp.WrapError(err, "Version", "Term")
 			return
 		}
 		// write "s"
@@ -5405,9 +5533,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Stamp.Seq)
+		err = en.WriteUint64(z.Version.Seq)
 		if err != nil {
-			err = msgp.WrapError(err, "Stamp", "Seq")
+			err = msgp.WrapError(err, "Version", "Seq")
 			return
 		}
 		// write "se"
@@ -5415,21 +5543,21 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Seats)))
+		err = en.WriteArrayHeader(uint32(len(z.Voters)))
 		if err != nil {
-			err = msgp.WrapError(err, "Seats")
+			err = msgp.WrapError(err, "Voters")
 			return
 		}
-		for za0001 := range z.Seats {
+		for za0001 := range z.Voters {
 			// map header, size 3
 			// write "i"
 			err = en.Append(0x83, 0xa1, 0x69)
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.Seats[za0001].ID)
+			err = en.WriteString(z.Voters[za0001].ID)
 			if err != nil {
-				err = msgp.WrapError(err, "Seats", za0001, "ID")
+				err = msgp.WrapError(err, "Voters", za0001, "ID")
 				return
 			}
 			// write "z"
@@ -5437,9 +5565,9 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.Seats[za0001].Zone)
+			err = en.WriteString(z.Voters[za0001].Zone)
 			if err != nil {
-				err = msgp.WrapError(err, "Seats", za0001, "Zone")
+				err = msgp.WrapError(err, "Voters", za0001, "Zone")
 				return
 			}
 			// write "a"
@@ -5447,9 +5575,9 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.Seats[za0001].Addr)
+			err = en.WriteString(z.Voters[za0001].Addr)
 			if err != nil {
-				err = msgp.WrapError(err, "Seats", za0001, "Addr")
+				err = msgp.WrapError(err, "Voters", za0001, "Addr")
 				return
 			}
 		}
@@ -5458,21 +5586,21 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Prev)))
+		err = en.WriteArrayHeader(uint32(len(z.PreviousVoters)))
 		if err != nil {
-			err = msgp.WrapError(err, "Prev")
+			err = msgp.WrapError(err, "PreviousVoters")
 			return
 		}
-		for za0002 := range z.Prev {
+		for za0002 := range z.PreviousVoters {
 			// map header, size 3
 			// write "i"
 			err = en.Append(0x83, 0xa1, 0x69)
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.Prev[za0002].ID)
+			err = en.WriteString(z.PreviousVoters[za0002].ID)
 			if err != nil {
-				err = msgp.WrapError(err, "Prev", za0002, "ID")
+				err = msgp.WrapError(err, "PreviousVoters", za0002, "ID")
 				return
 			}
 			// write "z"
@@ -5480,9 +5608,9 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.Prev[za0002].Zone)
+			err = en.WriteString(z.PreviousVoters[za0002].Zone)
 			if err != nil {
-				err = msgp.WrapError(err, "Prev", za0002, "Zone")
+				err = msgp.WrapError(err, "PreviousVoters", za0002, "Zone")
 				return
 			}
 			// write "a"
@@ -5490,9 +5618,9 @@
 			if err != nil {
 				return
 			}
-			err = en.WriteString(z.Prev[za0002].Addr)
+			err = en.WriteString(z.PreviousVoters[za0002].Addr)
 			if err != nil {
-				err = msgp.WrapError(err, "Prev", za0002, "Addr")
+				err = msgp.WrapError(err, "PreviousVoters", za0002, "Addr")
 				return
 			}
 		}
@@ -5523,7 +5651,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Stamped) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Versioned) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
 	zb0001Len := uint32(5)
@@ -5543,42 +5671,42 @@
 		// map header, size 3
 		// string "p"
 		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Stamp.Part)
+		o = msgp.AppendInt(o, z.Version.Partition)
 		// string "t"
 		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Stamp.Term)
+		o = msgp.AppendUint64(o, z.Version.Term)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Stamp.Seq)
+		o = msgp.AppendUint64(o, z.Version.Seq)
 		// string "se"
 		o = append(o, 0xa2, 0x73, 0x65)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Seats)))
-		for za0001 := range z.Seats {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
+		for za0001 := range z.Voters {
 			// map header, size 3
 			// string "i"
 			o = append(o, 0x83, 0xa1, 0x69)
-			o = msgp.AppendString(o, z.Seats[za0001].ID)
+			o = msgp.AppendString(o, z.Voters[za0001].ID)
 			// string "z"
 			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendString(o, z.Seats[za0001].Zone)
+			o = msgp.AppendString(o, z.Voters[za0001].Zone)
 			// string "a"
 			o = append(o, 0xa1, 0x61)
-			o = msgp.AppendString(o, z.Seats[za0001].Addr)
+			o = msgp.AppendString(o, z.Voters[za0001].Addr)
 		}
 		// string "pr"
 		o = append(o, 0xa2, 0x70, 0x72)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Prev)))
-		for za0002 := range z.Prev {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.PreviousVoters)))
+		for za0002 := range z.PreviousVoters {
 			// map header, size 3
 			// string "i"
 			o = append(o, 0x83, 0xa1, 0x69)
-			o = msgp.AppendString(o, z.Prev[za0002].ID)
+			o = msgp.AppendString(o, z.PreviousVoters[za0002].ID)
 			// string "z"
 			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendString(o, z.Prev[za0002].Zone)
+			o = msgp.AppendString(o, z.PreviousVoters[za0002].Zone)
 			// string "a"
 			o = append(o, 0xa1, 0x61)
-			o = msgp.AppendString(o, z.Prev[za0002].Addr)
+			o = msgp.AppendString(o, z.PreviousVoters[za0002].Addr)
 		}
 		// string "b"
 		o = append(o, 0xa1, 0x62)
@@ -5593,7 +5721,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Stamped) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Versioned) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5614,39 +5742,39 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Stamp")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stamp")
+					err = msgp.WrapError(err, "Version")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Stamp.Part, bts, err = msgp.ReadIntBytes(bts)
+					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Part")
+						err = msgp.WrapError(err, "Version", "Partition")
 						return
 					}
 				case "t":
-					z.Stamp.Term, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Term")
+						err = msgp.WrapError(err, "Version", "Term")
 						return
 					}
 				case "s":
-					z.Stamp.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp", "Seq")
+						err = msgp.WrapError(err, "Version", "Seq")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Stamp")
+						err = msgp.WrapError(err, "Version")
 						return
 					}
 				}
@@ -5655,51 +5783,51 @@
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seats")
+				err = msgp.WrapError(err, "Voters")
 				return
 			}
-			if cap(z.Seats) >= int(zb0003) {
-				z.Seats = (z.Seats)[:zb0003]
+			if cap(z.Voters) >= int(zb0003) {
+				z.Voters = (z.Voters)[:zb0003]
 			} else {
-				z.Seats = make([]Seat, zb0003)
+				z.Voters = make([]Replica, zb0003)
 			}
-			for za0001 := range z.Seats {
+			for za0001 := range z.Voters {
 				var zb0004 uint32
 				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Seats", za0001)
+					err = msgp.WrapError(err, "Voters", za0001)
 					return
 				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Seats", za0001)
+						err = msgp.WrapError(err, "Voters", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "i":
-						z.Seats[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+						z.Voters[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "ID")
+							err = msgp.WrapError(err, "Voters", za0001, "ID")
 							return
 						}
 					case "z":
-						z.Seats[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
+						z.Voters[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Zone")
+							err = msgp.WrapError(err, "Voters", za0001, "Zone")
 							return
 						}
 					case "a":
-						z.Seats[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
+						z.Voters[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001, "Addr")
+							err = msgp.WrapError(err, "Voters", za0001, "Addr")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Seats", za0001)
+							err = msgp.WrapError(err, "Voters", za0001)
 							return
 						}
 					}
@@ -5709,51 +5837,51 @@
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Prev")
+				err = msgp.WrapError(err, "PreviousVoters")
 				return
 			}
-			if cap(z.Prev) >= int(zb0005) {
-				z.Prev = (z.Prev)[:zb0005]
+			if cap(z.PreviousVoters) >= int(zb0005) {
+				z.PreviousVoters = (z.PreviousVoters)[:zb0005]
 			} else {
-				z.Prev = make([]Seat, zb0005)
+				z.PreviousVoters = make([]Replica, zb0005)
 			}
-			for za0002 := range z.Prev {
+			for za0002 := range z.PreviousVoters {
 				var zb0006 uint32
 				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Prev", za0002)
+					err = msgp.WrapError(err, "PreviousVoters", za0002)
 					return
 				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Prev", za0002)
+						err = msgp.WrapError(err, "PreviousVoters", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "i":
-						z.Prev[za0002].ID, bts, err = msgp.ReadStringBytes(bts)
+						z.PreviousVoters[za0002].ID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002, "ID")
+							err = msgp.WrapError(err, "PreviousVoters", za0002, "ID")
 							return
 						}
 					case "z":
-						z.Prev[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+						z.PreviousVoters[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002, "Zone")
+							err = msgp.WrapError(err, "PreviousVoters", za0002, "Zone")
 							return
 						}
 					case "a":
-						z.Prev[za0002].Addr, bts, err = msgp.ReadStringBytes(bts)
+						z.PreviousVoters[za0002].Addr, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002, "Addr")
+							err = msgp.WrapError(err, "PreviousVoters", za0002, "Addr")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Prev", za0002)
+							err = msgp.WrapError(err, "PreviousVoters", za0002)
 							return
 						}
 					}
@@ -5784,147 +5912,19 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Stamped) Msgsize() (s int) {
+func (z *Versioned) Msgsize() (s int) {
 	s = 1 + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
-	for za0001 := range z.Seats {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].ID) + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].Zone) + 2 + msgp.StringPrefixSize + len(z.Seats[za0001].Addr)
+	for za0001 := range z.Voters {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].ID) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Zone) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Addr)
 	}
 	s += 3 + msgp.ArrayHeaderSize
-	for za0002 := range z.Prev {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].ID) + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].Zone) + 2 + msgp.StringPrefixSize + len(z.Prev[za0002].Addr)
+	for za0002 := range z.PreviousVoters {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.PreviousVoters[za0002].ID) + 2 + msgp.StringPrefixSize + len(z.PreviousVoters[za0002].Zone) + 2 + msgp.StringPrefixSize + len(z.PreviousVoters[za0002].Addr)
 	}
 	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BytesPrefixSize + len(z.Ledger)
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Suspect) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Origin, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "c":
-			z.Count, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Suspect) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "o"
-	err = en.Append(0x82, 0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Origin)
-	if err != nil {
-		err = msgp.WrapError(err, "Origin")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Count)
-	if err != nil {
-		err = msgp.WrapError(err, "Count")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Suspect) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "o"
-	o = append(o, 0x82, 0xa1, 0x6f)
-	o = msgp.AppendString(o, z.Origin)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.Count)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Suspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Origin, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "c":
-			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Suspect) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size
-	return
-}
-
 // DecodeMsg implements msgp.Decodable
 func (z *Vote) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -5950,9 +5950,9 @@
 				return
 			}
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -5995,9 +5995,9 @@
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Held.Part, err = dc.ReadInt()
+					z.Held.Partition, err = dc.ReadInt()
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Part")
+						err = msgp.WrapError(err, "Held", "Partition")
 						return
 					}
 				case "t":
@@ -6049,9 +6049,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Part)
+	err = en.WriteInt(z.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Part")
+		err = msgp.WrapError(err, "Partition")
 		return
 	}
 	// write "t"
@@ -6105,9 +6105,9 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Held.Part)
+	err = en.WriteInt(z.Held.Partition)
 	if err != nil {
-		err = msgp.WrapError(err, "Held", "Part")
+		err = msgp.WrapError(err, "Held", "Partition")
 		return
 	}
 	// write "t"
@@ -6142,7 +6142,7 @@
 	o = msgp.AppendString(o, z.To)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
+	o = msgp.AppendInt(o, z.Partition)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Term)
@@ -6160,7 +6160,7 @@
 	// map header, size 3
 	// string "p"
 	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Held.Part)
+	o = msgp.AppendInt(o, z.Held.Partition)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Held.Term)
@@ -6195,9 +6195,9 @@
 				return
 			}
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -6240,9 +6240,9 @@
 				}
 				switch msgp.UnsafeString(field) {
 				case "p":
-					z.Held.Part, bts, err = msgp.ReadIntBytes(bts)
+					z.Held.Partition, bts, err = msgp.ReadIntBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Held", "Part")
+						err = msgp.WrapError(err, "Held", "Partition")
 						return
 					}
 				case "t":
@@ -6302,9 +6302,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
@@ -6377,9 +6377,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Part)
+		err = en.WriteInt(z.Partition)
 		if err != nil {
-			err = msgp.WrapError(err, "Part")
+			err = msgp.WrapError(err, "Partition")
 			return
 		}
 		// write "t"
@@ -6466,7 +6466,7 @@
 	if zb0001Len != 0 {
 		// string "p"
 		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Part)
+		o = msgp.AppendInt(o, z.Partition)
 		// string "t"
 		o = append(o, 0xa1, 0x74)
 		o = msgp.AppendUint64(o, z.Term)
@@ -6514,9 +6514,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "t":
--- a/wire/status.go
+++ b/wire/status.go
@@ -13,7 +13,7 @@
 
 // ReplicaStatus is the state of a core's replica of one partition.
 type ReplicaStatus struct {
-	Part int `msg:"p"`
+	Partition int `msg:"p"`
 	// State is "leader", "new_leader" until it has committed a version of its own term, "candidate",
 	// "follower", "standby" where it has no vote, or "damaged" where its disk can't be used.
 	State string `msg:"s"`
@@ -24,8 +24,8 @@
 	// Contact tells whether it is in contact with a majority, by itself.
 	Contact bool `msg:"c,omitempty"`
 	// Committed is the newest version that it knows to be committed; Held is the newest on its disk.
-	Committed Stamp `msg:"v"`
-	Held      Stamp `msg:"h"`
+	Committed Version `msg:"v"`
+	Held      Version `msg:"h"`
 	// Voters is how many replicas have a vote on the newest version that it holds.
 	Voters int `msg:"n,omitempty"`
 	// Change is, at a leader, the reason of a change of members that is under way.
--- a/wire/status_gen.go
+++ b/wire/status_gen.go
@@ -25,9 +25,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, err = dc.ReadInt()
+			z.Partition, err = dc.ReadInt()
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "s":
@@ -134,9 +134,9 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Part)
+		err = en.WriteInt(z.Partition)
 		if err != nil {
-			err = msgp.WrapError(err, "Part")
+			err = msgp.WrapError(err, "Partition")
 			return
 		}
 		// write "s"
@@ -277,7 +277,7 @@
 	if zb0001Len != 0 {
 		// string "p"
 		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Part)
+		o = msgp.AppendInt(o, z.Partition)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
 		o = msgp.AppendString(o, z.State)
@@ -346,9 +346,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			z.Partition, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Part")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
 		case "s":
