A backend whose address has gone to another one is asked no more

Cause: the answer of another backend at the address was a failure like others: 0.2 to 0.4 s out, then a trial, which reached the other one again, at every node, until the list named the crashed one no longer. Conclusion: one such answer is proof; 6 s is longer than a list names the ended one.

--- a/forward/backend.go
+++ b/forward/backend.go
@@ -20,6 +20,8 @@
 	// out is when it was ejected last, until when that ends, level how many came in a row, good the
 	// last answer.
 	out, until, level, good atomic.Int64
+	// replaced is until when it counts as ended, since another backend answered at its address.
+	replaced atomic.Int64
 	// mute tells that it was silent when it was ejected.
 	mute atomic.Bool
 	// load is what the backend has under way by its own word, in thousandths of requests, as of told;
@@ -98,6 +100,7 @@
 	ejectNodes  = 8
 	ejectFor    = 400_000
 	ejectMost   = 6_000_000
+	replacedFor = 6_000_000
 	stallLeast  = 25_000
 	downWrong   = 700
 	stallForget = 20_000_000
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -22,6 +22,9 @@
 func (s *seat) standing(now int64, st *stats, once bool) uint8 {
 	b, out := s.b, stUsable
 	switch {
+	case now < b.replaced.Load():
+		// It is no more: a trial would only reach the other one again.
+		return stDown
 	case b.level.Load() > 0 && (b.mute.Load() || b.level.Load() >= 2 && b.wrong(now) >= downWrong):
 		out = stDown
 	case b.level.Load() > 0:
--- a/forward/eject.go
+++ b/forward/eject.go
@@ -33,6 +33,12 @@
 	return true
 }
 
+// isReplaced notes that another backend answers at the address: this one has ended, and is asked no
+// more while a list may still name it. It tells whether that is news.
+func (b *backend) isReplaced(now int64) bool {
+	return b.replaced.Swap(now+replacedFor) <= now
+}
+
 // pause is how long an ejection lasts that is the nth in a row, spread so that the trials of a pool
 // whose backends fell silent together do not fall together. The trials of all nodes together are
 // not to grow with the fleet.
--- /dev/null
+++ b/forward/replaced_test.go
@@ -0,0 +1,50 @@
+// A backend whose address has gone to another one: its answer is proof, and one is enough.
+package forward
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// elsewhere is the answer of another backend at the address.
+func elsewhere() Reply {
+	return Reply{Class: ClassNotRun, Status: 421, WrongBackend: true}
+}
+
+// meetsAnother has a request of the route meet another backend at the address that it asks.
+func (f *fixture) meetsAnother(t *testing.T) *backend {
+	t.Helper()
+	c := f.chart("read")
+	a := asks(c.Step(begun, Begin{}))
+	must.Len(t, 1, a)
+	c.Step(begun+1_000, Replied{N: a[0].N, Reply: elsewhere()})
+	return f.backendOf(a[0].Server.ID)
+}
+
+func TestABackendWhoseAddressIsAnothersIsAskedNoMore(t *testing.T) {
+	f := fixed(1, 2)
+	f.rich()
+	b := f.meetsAnother(t)
+	seats := f.now().pools["p0"].seats
+	for at := int64(begun + 1_001); at < begun+replacedFor; at += 100_000 {
+		for i := range seats {
+			if seats[i].b == b {
+				must.Eq(t, stDown, seats[i].standing(at, &stats{}, false), must.Sprint("no trial: it would reach the other one"))
+			}
+		}
+	}
+	must.Eq(t, 1, f.count.ejected.Load())
+}
+
+func TestABackendIsTriedAgainOnceALongTimeHasPassed(t *testing.T) {
+	f := fixed(1, 2)
+	f.rich()
+	b := f.meetsAnother(t)
+	seats := f.now().pools["p0"].seats
+	for i := range seats {
+		if seats[i].b == b {
+			must.NotEq(t, stDown, seats[i].standing(begun+1_000+replacedFor, &stats{}, false))
+		}
+	}
+}
