--- a/lab/draw/draw.go
+++ b/lab/draw/draw.go
@@ -35,6 +35,8 @@
 	shape fleet.Shape
 	lines []string
 	used  map[string]bool
+	// site is the shape of a day on the users' platform.
+	site string
 }
 
 func (d *drawing) n(most int) int { return d.rnd.IntN(most) }
--- a/lab/rules/answers.go
+++ b/lab/rules/answers.go
@@ -185,12 +185,13 @@
 
 // lost: a request that was read is answered whole, unless some trouble explains it.
 func lost(j *Journal) {
+	planned := j.planned()
 	for _, t := range j.Tries {
 		if t.Read == 0 || j.Touch.Unplanned.Hit(t.Sent-j.Bounds.ContactUs, t.Ended) {
 			continue
 		}
 		j.tested(Lost)
-		if j.Touch.Planned.Hit(t.Sent, t.Ended) {
+		if planned.Hit(t.Sent, t.Ended) {
 			j.tested(LostPlanned)
 		}
 		offered := len(j.byTry[t.ID]) > 0
--- /dev/null
+++ b/lab/rules/planned_test.go
@@ -0,0 +1,37 @@
+// Planned work: what it is, and that the rule LOST is put to requests beside it.
+package rules
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestAConfigurationIsPlannedWorkUntilItIsDueEverywhere(t *testing.T) {
+	j := calm()
+	refused := version(4, 3, 40*second, nil)
+	refused.Acked, refused.Refused = Never, 41*second
+	unclear := version(5, 3, 50*second, nil)
+	unclear.Acked = Never
+	j.Versions = append(j.Versions, refused, unclear)
+	planned := j.planned()
+	must.True(t, planned.Hit(20*second, 20*second))
+	must.True(t, planned.Hit(24*second, 24*second))
+	must.False(t, planned.Hit(24*second+1001, 24*second+1001))
+	must.False(t, planned.Hit(40*second, 45*second), must.Sprint("a refused one is in force nowhere"))
+	must.True(t, planned.Hit(59*second, 59*second), must.Sprint("one without a clear answer may be"))
+}
+
+func TestARequestCutBesidePlannedWorkIsLost(t *testing.T) {
+	j := calm()
+	j.Judge()
+	must.Zero(t, j.Tested[LostPlanned])
+	j.Touch.Planned = Spans{{30 * second, 31 * second}}
+	j.Judge()
+	must.Positive(t, j.Tested[LostPlanned])
+	must.Zero(t, j.Broken[Lost])
+	cut := j.Tries[1]
+	cut.Status, cut.Seal, cut.Cut = 0, "", true
+	j.Judge()
+	must.Eq(t, 1, j.Broken[Lost])
+}
--- a/lab/rules/touch.go
+++ b/lab/rules/touch.go
@@ -2,6 +2,8 @@
 // that had no trouble of their own for a while, while the core was settled.
 package rules
 
+import "slices"
+
 // Span is a stretch of time; To is Never while it lasts. One with From equal to To is a moment.
 type Span struct{ From, To int64 }
 
@@ -59,6 +61,25 @@
 	Unplanned, Planned Spans
 }
 
+// settlesUs is how long after a version is due everywhere it still counts as planned work.
+const settlesUs = 1_000_000
+
+// planned is all planned work: that of the machines, and each configuration that may be in force,
+// from its sending until some time after its acknowledgement.
+func (j *Journal) planned() Spans {
+	spans := slices.Clone(j.Touch.Planned)
+	for _, v := range j.Versions {
+		switch {
+		case v.Invalid || v.Refused != Never && v.Acked == Never:
+		case v.Acked == Never:
+			spans = append(spans, Span{v.Sent, Never})
+		default:
+			spans = append(spans, Span{v.Sent, v.Acked + j.Bounds.ApplyUs + settlesUs})
+		}
+	}
+	return spans
+}
+
 // Of is the list of a machine's troubles.
 func (t *Touch) Of(machine string) *Spans {
 	if t.Trouble == nil {
--- a/lab/sim/day.go
+++ b/lab/sim/day.go
@@ -97,7 +97,7 @@
 	d.oper.begin()
 	d.clients.begin()
 	if at := w.Script.Int("closing_at_s", 0); at > 0 {
-		w.at(d.traffic(at*1_000_000), d.close)
+		w.at(d.traffic(at*1_000_000), func() { d.close(w.now) })
 	}
 	w.at(100_000, d.sample)
 }
--- a/lab/sim/day_conns.go
+++ b/lab/sim/day_conns.go
@@ -109,6 +109,7 @@
 			for _, p := range m.procs() {
 				if p.runs() {
 					d.w.Judge.Count("troubled.hup", 1)
+					d.planFor(d.journal.Bounds.ApplyUs)
 					p.step(kernel.SeedsChanged{Seeds: slices.Clone(p.env.Seeds)})
 				}
 			}
--- a/lab/sim/day_cuts.go
+++ b/lab/sim/day_cuts.go
@@ -34,8 +34,9 @@
 
 // cutMachines cuts counted machines off from each other, or others from the counted ones.
 func (d *day) cutMachines(e *entry) {
-	d.trouble(e.forUs)
 	cut := func(m *machine) {
+		// It may have waited its turn.
+		d.trouble(e.forUs)
 		var ways []string
 		for _, c := range d.machines {
 			if c == m || !c.counted() {
@@ -58,6 +59,7 @@
 		return
 	}
 	if e.is("servers") {
+		d.trouble(e.forUs)
 		d.cutServers(e)
 		return
 	}
--- a/lab/sim/day_faults.go
+++ b/lab/sim/day_faults.go
@@ -101,8 +101,7 @@
 	case "zone_cut":
 		d.cutZone(e)
 	case "disk_full", "disk_stall", "disk_slow":
-		d.trouble(e.forUs)
-		d.onCounted(e, func(m *machine) { d.disk(e, m) })
+		d.onCounted(e, func(m *machine) { d.trouble(e.forUs); d.disk(e, m) })
 	case "clock_step":
 		d.clock(e)
 	case "core_cut", "node_cut":
@@ -114,8 +113,9 @@
 }
 
 func (d *day) strike(e *entry) {
-	d.trouble(e.forUs)
 	hit := func(m *machine) {
+		// It may have waited its turn.
+		d.trouble(e.forUs)
 		switch {
 		case e.verb == "node_freeze":
 			m.freeze(true)
--- a/lab/sim/day_machines.go
+++ b/lab/sim/day_machines.go
@@ -176,6 +176,9 @@
 	m.d.look()
 }
 
+// afterGrace is how long after the grace of a planned stop its work still counts as planned.
+const afterGrace = 1_000_000
+
 // term is the planned stop: each process ends by itself, or is killed when the grace is over.
 func (m *machine) term(then func()) {
 	if m.stops || m.dark || m.gone {
@@ -183,6 +186,7 @@
 	}
 	m.event()
 	m.stops = true
+	m.d.planFor(m.d.journal.Bounds.GraceUs + afterGrace)
 	w := m.d.w
 	for _, p := range m.procs() {
 		if !p.runs() {
--- a/lab/sim/day_verbs.go
+++ b/lab/sim/day_verbs.go
@@ -182,6 +182,12 @@
 	t.Unplanned = append(t.Unplanned, rules.Span{From: d.w.now, To: d.w.now + forUs})
 }
 
+// planFor notes planned work for a while.
+func (d *day) planFor(forUs int64) {
+	t := &d.journal.Touch
+	t.Planned = append(t.Planned, rules.Span{From: d.w.now, To: d.w.now + forUs})
+}
+
 // drainSome lets backends leave in order, each replaced by a new one.
 func (d *day) drainSome(e *entry) {
 	all := d.backends.of(orAll(e.service))
