--- a/wire/frame.go
+++ b/wire/frame.go
@@ -17,6 +17,7 @@
 //go:generate go tool msgp -tests=false -file pieces.go -o pieces_gen.go
 //go:generate go tool msgp -tests=false -file ledger.go -o ledger_gen.go
 //go:generate go tool msgp -tests=false -file status.go -o status_gen.go
+//go:generate go tool msgp -tests=false -file groups.go -o groups_gen.go
 
 // MaxFrame bounds a frame in bytes.
 const MaxFrame = 1 << 20
--- a/wire/messages_gen.go
+++ b/wire/messages_gen.go
@@ -7,7 +7,7 @@
 )
 
 // DecodeMsg implements msgp.Decodable
-func (z *Accept) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Entry) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -24,76 +24,65 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, err = dc.ReadString()
+		case "ty":
+			z.Type, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "To")
+				err = msgp.WrapError(err, "Type")
 				return
 			}
-		case "p":
-			z.Partition, err = dc.ReadInt()
+		case "id":
+			z.ID, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
+		case "o":
+			z.Origin, err = dc.ReadBytes(z.Origin)
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Origin")
 				return
 			}
-		case "f":
-			z.From, err = dc.ReadString()
+		case "c":
+			z.Count, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "at":
+			z.At, err = dc.ReadInt64()
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
+		case "st":
+			err = z.Version.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
-		case "v":
-			err = z.Versioned.DecodeMsg(dc)
+		case "g":
+			z.Gone, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "Versioned")
+				err = msgp.WrapError(err, "Gone")
 				return
 			}
 		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+			z.Body, err = dc.ReadBytes(z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		case "sg":
+			z.Sig, err = dc.ReadBytes(z.Sig)
 			if err != nil {
-				err = msgp.WrapError(err, "Base")
+				err = msgp.WrapError(err, "Sig")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Base")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Base.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Base", "Partition")
-						return
-					}
-				case "t":
-					z.Base.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Base", "Term")
-						return
-					}
-				case "s":
-					z.Base.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Base", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Base")
-						return
-					}
-				}
+		case "h":
+			z.Hops, err = dc.ReadUint8()
+			if err != nil {
+				err = msgp.WrapError(err, "Hops")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -107,137 +96,154 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Accept) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "to"
-	err = en.Append(0x86, 0xa2, 0x74, 0x6f)
+func (z *Entry) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 10
+	// write "ty"
+	err = en.Append(0x8a, 0xa2, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Type)
+	if err != nil {
+		err = msgp.WrapError(err, "Type")
+		return
+	}
+	// write "id"
+	err = en.Append(0xa2, 0x69, 0x64)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.ID)
 	if err != nil {
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteString(z.To)
+	// write "o"
+	err = en.Append(0xa1, 0x6f)
 	if err != nil {
-		err = msgp.WrapError(err, "To")
 		return
 	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
+	err = en.WriteBytes(z.Origin)
 	if err != nil {
+		err = msgp.WrapError(err, "Origin")
 		return
 	}
-	err = en.WriteInt(z.Partition)
+	// write "c"
+	err = en.Append(0xa1, 0x63)
 	if err != nil {
-		err = msgp.WrapError(err, "Partition")
 		return
 	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
+	err = en.WriteUint64(z.Count)
 	if err != nil {
+		err = msgp.WrapError(err, "Count")
 		return
 	}
-	err = en.WriteUint64(z.Term)
+	// write "at"
+	err = en.Append(0xa2, 0x61, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "Term")
 		return
 	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
+	err = en.WriteInt64(z.At)
 	if err != nil {
+		err = msgp.WrapError(err, "At")
 		return
 	}
-	err = en.WriteString(z.From)
+	// write "st"
+	err = en.Append(0xa2, 0x73, 0x74)
 	if err != nil {
-		err = msgp.WrapError(err, "From")
 		return
 	}
-	// write "v"
-	err = en.Append(0xa1, 0x76)
+	err = z.Version.EncodeMsg(en)
 	if err != nil {
+		err = msgp.WrapError(err, "Version")
 		return
 	}
-	err = z.Versioned.EncodeMsg(en)
+	// write "g"
+	err = en.Append(0xa1, 0x67)
 	if err != nil {
-		err = msgp.WrapError(err, "Versioned")
 		return
 	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
+	err = en.WriteBool(z.Gone)
 	if err != nil {
+		err = msgp.WrapError(err, "Gone")
 		return
 	}
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
+	// write "b"
+	err = en.Append(0xa1, 0x62)
 	if err != nil {
 		return
 	}
-	err = en.WriteInt(z.Base.Partition)
+	err = en.WriteBytes(z.Body)
 	if err != nil {
-		err = msgp.WrapError(err, "Base", "Partition")
+		err = msgp.WrapError(err, "Body")
 		return
 	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
+	// write "sg"
+	err = en.Append(0xa2, 0x73, 0x67)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Base.Term)
+	err = en.WriteBytes(z.Sig)
 	if err != nil {
-		err = msgp.WrapError(err, "Base", "Term")
+		err = msgp.WrapError(err, "Sig")
 		return
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
+	// write "h"
+	err = en.Append(0xa1, 0x68)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Base.Seq)
+	err = en.WriteUint8(z.Hops)
 	if err != nil {
-		err = msgp.WrapError(err, "Base", "Seq")
+		err = msgp.WrapError(err, "Hops")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Accept) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "to"
-	o = append(o, 0x86, 0xa2, 0x74, 0x6f)
-	o = msgp.AppendString(o, z.To)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Partition)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Term)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.Versioned.MarshalMsg(o)
+	// map header, size 10
+	// string "ty"
+	o = append(o, 0x8a, 0xa2, 0x74, 0x79)
+	o = msgp.AppendString(o, z.Type)
+	// string "id"
+	o = append(o, 0xa2, 0x69, 0x64)
+	o = msgp.AppendString(o, z.ID)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBytes(o, z.Origin)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Count)
+	// string "at"
+	o = append(o, 0xa2, 0x61, 0x74)
+	o = msgp.AppendInt64(o, z.At)
+	// string "st"
+	o = append(o, 0xa2, 0x73, 0x74)
+	o, err = z.Version.MarshalMsg(o)
 	if err != nil {
-		err = msgp.WrapError(err, "Versioned")
+		err = msgp.WrapError(err, "Version")
 		return
 	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendBool(o, z.Gone)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Base.Partition)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Base.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Base.Seq)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "sg"
+	o = append(o, 0xa2, 0x73, 0x67)
+	o = msgp.AppendBytes(o, z.Sig)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendUint8(o, z.Hops)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Accept) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -254,76 +260,65 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, bts, err = msgp.ReadStringBytes(bts)
+		case "ty":
+			z.Type, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "To")
+				err = msgp.WrapError(err, "Type")
 				return
 			}
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
+		case "id":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+		case "o":
+			z.Origin, bts, err = msgp.ReadBytesBytes(bts, z.Origin)
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Origin")
 				return
 			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
+		case "c":
+			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "at":
+			z.At, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "At")
+				return
+			}
+		case "st":
+			bts, err = z.Version.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
-		case "v":
-			bts, err = z.Versioned.UnmarshalMsg(bts)
+		case "g":
+			z.Gone, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Versioned")
+				err = msgp.WrapError(err, "Gone")
 				return
 			}
 		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Base")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Base")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Base.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Base", "Partition")
-						return
-					}
-				case "t":
-					z.Base.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Base", "Term")
-						return
-					}
-				case "s":
-					z.Base.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Base", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Base")
-						return
-					}
-				}
+		case "sg":
+			z.Sig, bts, err = msgp.ReadBytesBytes(bts, z.Sig)
+			if err != nil {
+				err = msgp.WrapError(err, "Sig")
+				return
+			}
+		case "h":
+			z.Hops, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hops")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -338,13 +333,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Accept) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + z.Versioned.Msgsize() + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+func (z *Entry) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.Type) + 3 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.BytesPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + z.Version.Msgsize() + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.BytesPrefixSize + len(z.Sig) + 2 + msgp.Uint8Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *AcceptReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -361,87 +356,98 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, err = dc.ReadInt()
+		case "a":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Addrs")
 				return
 			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
+			if cap(z.Addrs) >= int(zb0002) {
+				z.Addrs = (z.Addrs)[:zb0002]
+			} else {
+				z.Addrs = make([]string, zb0002)
 			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
+			for za0001 := range z.Addrs {
+				z.Addrs[za0001], err = dc.ReadString()
+				if err != nil {
+					err = msgp.WrapError(err, "Addrs", za0001)
+					return
+				}
 			}
-		case "st":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "m":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Marks")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
+			if cap(z.Marks) >= int(zb0003) {
+				z.Marks = (z.Marks)[:zb0003]
+			} else {
+				z.Marks = make([]Mark, zb0003)
+			}
+			for za0002 := range z.Marks {
+				err = z.Marks[za0002].DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "Version")
+					err = msgp.WrapError(err, "Marks", za0002)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
 			}
-		case "ok":
-			z.OK, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "e":
-			z.Err, err = dc.ReadString()
+		case "p":
+			var zb0004 uint32
+			zb0004, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Err")
+				err = msgp.WrapError(err, "Partitions")
 				return
 			}
-		case "lb":
-			z.LacksBase, err = dc.ReadBool()
+			if cap(z.Partitions) >= int(zb0004) {
+				z.Partitions = (z.Partitions)[:zb0004]
+			} else {
+				z.Partitions = make([]Version, zb0004)
+			}
+			for za0003 := range z.Partitions {
+				err = z.Partitions[za0003].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Partitions", za0003)
+					return
+				}
+			}
+		case "e":
+			z.Echo, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Echo")
+				return
+			}
+		case "d":
+			z.Digest, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "b":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "LacksBase")
+				err = msgp.WrapError(err, "Buckets")
 				return
 			}
-		case "tb":
-			z.TakesBase, err = dc.ReadBool()
+			if cap(z.Buckets) >= int(zb0005) {
+				z.Buckets = (z.Buckets)[:zb0005]
+			} else {
+				z.Buckets = make([]uint64, zb0005)
+			}
+			for za0004 := range z.Buckets {
+				z.Buckets[za0004], err = dc.ReadUint64()
+				if err != nil {
+					err = msgp.WrapError(err, "Buckets", za0004)
+					return
+				}
+			}
+		case "s":
+			z.Scope, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "TakesBase")
+				err = msgp.WrapError(err, "Scope")
 				return
 			}
 		default:
@@ -456,18 +462,38 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *AcceptReply) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
-	if z.LacksBase == false {
+	if z.Addrs == nil {
 		zb0001Len--
-		zb0001Mask |= 0x40
+		zb0001Mask |= 0x1
+	}
+	if z.Marks == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Partitions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Echo == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Digest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Buckets == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	if z.TakesBase == false {
+	if z.Scope == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x80
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
@@ -477,4650 +503,331 @@
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Term")
-			return
-		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.From)
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// write "st"
-		err = en.Append(0xa2, 0x73, 0x74)
-		if err != nil {
-			return
-		}
-		// map header, size 3
-		// write "p"
-		err = en.Append(0x83, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Version.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Version.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Term")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Version.Seq)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Seq")
-			return
-		}
-		// write "ok"
-		err = en.Append(0xa2, 0x6f, 0x6b)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.OK)
-		if err != nil {
-			err = msgp.WrapError(err, "OK")
-			return
-		}
-		// write "e"
-		err = en.Append(0xa1, 0x65)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Err)
-		if err != nil {
-			err = msgp.WrapError(err, "Err")
-			return
-		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// write "lb"
-			err = en.Append(0xa2, 0x6c, 0x62)
-			if err != nil {
-				return
-			}
-			err = en.WriteBool(z.LacksBase)
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// write "a"
+			err = en.Append(0xa1, 0x61)
 			if err != nil {
-				err = msgp.WrapError(err, "LacksBase")
 				return
 			}
-		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// write "tb"
-			err = en.Append(0xa2, 0x74, 0x62)
+			err = en.WriteArrayHeader(uint32(len(z.Addrs)))
 			if err != nil {
+				err = msgp.WrapError(err, "Addrs")
 				return
 			}
-			err = en.WriteBool(z.TakesBase)
-			if err != nil {
-				err = msgp.WrapError(err, "TakesBase")
-				return
+			for za0001 := range z.Addrs {
+				err = en.WriteString(z.Addrs[za0001])
+				if err != nil {
+					err = msgp.WrapError(err, "Addrs", za0001)
+					return
+				}
 			}
 		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *AcceptReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
-	_ = zb0001Mask
-	if z.LacksBase == false {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	if z.TakesBase == false {
-		zb0001Len--
-		zb0001Mask |= 0x80
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Term)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.From)
-		// string "st"
-		o = append(o, 0xa2, 0x73, 0x74)
-		// map header, size 3
-		// string "p"
-		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Version.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Version.Term)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Version.Seq)
-		// string "ok"
-		o = append(o, 0xa2, 0x6f, 0x6b)
-		o = msgp.AppendBool(o, z.OK)
-		// string "e"
-		o = append(o, 0xa1, 0x65)
-		o = msgp.AppendString(o, z.Err)
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "lb"
-			o = append(o, 0xa2, 0x6c, 0x62)
-			o = msgp.AppendBool(o, z.LacksBase)
-		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// string "tb"
-			o = append(o, 0xa2, 0x74, 0x62)
-			o = msgp.AppendBool(o, z.TakesBase)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *AcceptReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "m"
+			err = en.Append(0xa1, 0x6d)
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+			err = en.WriteArrayHeader(uint32(len(z.Marks)))
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Marks")
 				return
 			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.Marks {
+				err = z.Marks[za0002].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "p"
+			err = en.Append(0xa1, 0x70)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "st":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			err = en.WriteArrayHeader(uint32(len(z.Partitions)))
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Partitions")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			for za0003 := range z.Partitions {
+				err = z.Partitions[za0003].EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Version")
+					err = msgp.WrapError(err, "Partitions", za0003)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
 			}
-		case "ok":
-			z.OK, bts, err = msgp.ReadBoolBytes(bts)
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "e"
+			err = en.Append(0xa1, 0x65)
 			if err != nil {
-				err = msgp.WrapError(err, "OK")
 				return
 			}
-		case "e":
-			z.Err, bts, err = msgp.ReadStringBytes(bts)
+			err = en.WriteBool(z.Echo)
 			if err != nil {
-				err = msgp.WrapError(err, "Err")
+				err = msgp.WrapError(err, "Echo")
 				return
 			}
-		case "lb":
-			z.LacksBase, bts, err = msgp.ReadBoolBytes(bts)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "d"
+			err = en.Append(0xa1, 0x64)
 			if err != nil {
-				err = msgp.WrapError(err, "LacksBase")
 				return
 			}
-		case "tb":
-			z.TakesBase, bts, err = msgp.ReadBoolBytes(bts)
+			err = en.WriteUint64(z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "TakesBase")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "b"
+			err = en.Append(0xa1, 0x62)
 			if err != nil {
-				err = msgp.WrapError(err)
 				return
 			}
-		}
-	}
-	o = bts
+			err = en.WriteArrayHeader(uint32(len(z.Buckets)))
+			if err != nil {
+				err = msgp.WrapError(err, "Buckets")
+				return
+			}
+			for za0004 := range z.Buckets {
+				err = en.WriteUint64(z.Buckets[za0004])
+				if err != nil {
+					err = msgp.WrapError(err, "Buckets", za0004)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// write "s"
+			err = en.Append(0xa1, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Scope)
+			if err != nil {
+				err = msgp.WrapError(err, "Scope")
+				return
+			}
+		}
+	}
 	return
 }
 
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *AcceptReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Err) + 3 + msgp.BoolSize + 3 + msgp.BoolSize
+// MarshalMsg implements msgp.Marshaler
+func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Addrs == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1
+	}
+	if z.Marks == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Partitions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	if z.Echo == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Digest == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Buckets == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	if z.Scope == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		if (zb0001Mask & 0x1) == 0 { // if not omitted
+			// string "a"
+			o = append(o, 0xa1, 0x61)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Addrs)))
+			for za0001 := range z.Addrs {
+				o = msgp.AppendString(o, z.Addrs[za0001])
+			}
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "m"
+			o = append(o, 0xa1, 0x6d)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
+			for za0002 := range z.Marks {
+				o, err = z.Marks[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "p"
+			o = append(o, 0xa1, 0x70)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Partitions)))
+			for za0003 := range z.Partitions {
+				o, err = z.Partitions[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Partitions", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "e"
+			o = append(o, 0xa1, 0x65)
+			o = msgp.AppendBool(o, z.Echo)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "d"
+			o = append(o, 0xa1, 0x64)
+			o = msgp.AppendUint64(o, z.Digest)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Buckets)))
+			for za0004 := range z.Buckets {
+				o = msgp.AppendUint64(o, z.Buckets[za0004])
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "s"
+			o = append(o, 0xa1, 0x73)
+			o = msgp.AppendUint64(o, z.Scope)
+		}
+	}
 	return
 }
 
-// DecodeMsg implements msgp.Decodable
-func (z *Bootstrap) DecodeMsg(dc *msgp.Reader) (err error) {
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
 	for zb0001 > 0 {
 		zb0001--
-		field, err = dc.ReadMapKeyPtr()
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
 			err = msgp.WrapError(err)
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Formation")
-				return
-			}
-		case "s":
+		case "a":
 			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Voters")
+				err = msgp.WrapError(err, "Addrs")
 				return
 			}
-			if cap(z.Voters) >= int(zb0002) {
-				z.Voters = (z.Voters)[:zb0002]
+			if cap(z.Addrs) >= int(zb0002) {
+				z.Addrs = (z.Addrs)[:zb0002]
 			} else {
-				z.Voters = make([]Replica, zb0002)
+				z.Addrs = make([]string, zb0002)
 			}
-			for za0001 := range z.Voters {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
+			for za0001 := range z.Addrs {
+				z.Addrs[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Voters", za0001)
+					err = msgp.WrapError(err, "Addrs", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Voters", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Voters[za0001].ID, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "ID")
-							return
-						}
-					case "z":
-						z.Voters[za0001].Zone, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Zone")
-							return
-						}
-					case "a":
-						z.Voters[za0001].Addr, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Addr")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001)
-							return
-						}
-					}
-				}
 			}
-		case "g":
-			z.Go, err = dc.ReadBool()
+		case "m":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Go")
+				err = msgp.WrapError(err, "Marks")
 				return
 			}
-		case "b":
+			if cap(z.Marks) >= int(zb0003) {
+				z.Marks = (z.Marks)[:zb0003]
+			} else {
+				z.Marks = make([]Mark, zb0003)
+			}
+			for za0002 := range z.Marks {
+				bts, err = z.Marks[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0002)
+					return
+				}
+			}
+		case "p":
 			var zb0004 uint32
-			zb0004, err = dc.ReadMapHeader()
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "By")
+				err = msgp.WrapError(err, "Partitions")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, err = dc.ReadMapKeyPtr()
+			if cap(z.Partitions) >= int(zb0004) {
+				z.Partitions = (z.Partitions)[:zb0004]
+			} else {
+				z.Partitions = make([]Version, zb0004)
+			}
+			for za0003 := range z.Partitions {
+				bts, err = z.Partitions[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "By")
+					err = msgp.WrapError(err, "Partitions", za0003)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
 			}
-		case "w":
-			z.Withdrawn, err = dc.ReadBool()
+		case "e":
+			z.Echo, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Withdrawn")
+				err = msgp.WrapError(err, "Echo")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Bootstrap) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 5
-	// write "f"
-	err = en.Append(0x85, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Formation)
-	if err != nil {
-		err = msgp.WrapError(err, "Formation")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.Voters)))
-	if err != nil {
-		err = msgp.WrapError(err, "Voters")
-		return
-	}
-	for za0001 := range z.Voters {
-		// map header, size 3
-		// write "i"
-		err = en.Append(0x83, 0xa1, 0x69)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Voters[za0001].ID)
-		if err != nil {
-			err = msgp.WrapError(err, "Voters", za0001, "ID")
-			return
-		}
-		// write "z"
-		err = en.Append(0xa1, 0x7a)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Voters[za0001].Zone)
-		if err != nil {
-			err = msgp.WrapError(err, "Voters", za0001, "Zone")
-			return
-		}
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Voters[za0001].Addr)
-		if err != nil {
-			err = msgp.WrapError(err, "Voters", za0001, "Addr")
-			return
-		}
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Go)
-	if err != nil {
-		err = msgp.WrapError(err, "Go")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "ID")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Zone")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Addr")
-		return
-	}
-	// write "w"
-	err = en.Append(0xa1, 0x77)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Withdrawn)
-	if err != nil {
-		err = msgp.WrapError(err, "Withdrawn")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Bootstrap) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "f"
-	o = append(o, 0x85, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.Formation)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
-	for za0001 := range z.Voters {
-		// map header, size 3
-		// string "i"
-		o = append(o, 0x83, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Voters[za0001].ID)
-		// string "z"
-		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Voters[za0001].Zone)
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Voters[za0001].Addr)
-	}
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendBool(o, z.Go)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.By.ID)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.By.Zone)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.By.Addr)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Withdrawn)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Bootstrap) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Formation")
-				return
-			}
-		case "s":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Voters")
-				return
-			}
-			if cap(z.Voters) >= int(zb0002) {
-				z.Voters = (z.Voters)[:zb0002]
-			} else {
-				z.Voters = make([]Replica, zb0002)
-			}
-			for za0001 := range z.Voters {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Voters", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Voters", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Voters[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "ID")
-							return
-						}
-					case "z":
-						z.Voters[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Zone")
-							return
-						}
-					case "a":
-						z.Voters[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Addr")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "g":
-			z.Go, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Go")
-				return
-			}
-		case "b":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "By")
-				return
-			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "By")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
-			}
-		case "w":
-			z.Withdrawn, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Withdrawn")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Bootstrap) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Formation) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Voters {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].ID) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Zone) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Addr)
-	}
-	s += 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.ID) + 2 + msgp.StringPrefixSize + len(z.By.Zone) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *BootstrapReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Formation")
-				return
-			}
-		case "r":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "ok":
-			z.OK, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
 		case "b":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "By")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "By")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, err = dc.ReadString()
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
-			}
-		case "fo":
-			z.Formed, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Formed")
-				return
-			}
-		case "n":
-			z.Never, err = dc.ReadBool()
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Never")
+				err = msgp.WrapError(err, "Buckets")
 				return
 			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
+			if cap(z.Buckets) >= int(zb0005) {
+				z.Buckets = (z.Buckets)[:zb0005]
+			} else {
+				z.Buckets = make([]uint64, zb0005)
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *BootstrapReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 6
-	// write "f"
-	err = en.Append(0x86, 0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Formation)
-	if err != nil {
-		err = msgp.WrapError(err, "Formation")
-		return
-	}
-	// write "r"
-	err = en.Append(0xa1, 0x72)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "ok"
-	err = en.Append(0xa2, 0x6f, 0x6b)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.OK)
-	if err != nil {
-		err = msgp.WrapError(err, "OK")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "ID")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Zone")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.By.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "By", "Addr")
-		return
-	}
-	// write "fo"
-	err = en.Append(0xa2, 0x66, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Formed)
-	if err != nil {
-		err = msgp.WrapError(err, "Formed")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Never)
-	if err != nil {
-		err = msgp.WrapError(err, "Never")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *BootstrapReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "f"
-	o = append(o, 0x86, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.Formation)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.From)
-	// string "ok"
-	o = append(o, 0xa2, 0x6f, 0x6b)
-	o = msgp.AppendBool(o, z.OK)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.By.ID)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.By.Zone)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.By.Addr)
-	// string "fo"
-	o = append(o, 0xa2, 0x66, 0x6f)
-	o = msgp.AppendBool(o, z.Formed)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendBool(o, z.Never)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *BootstrapReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Formation, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Formation")
-				return
-			}
-		case "r":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "ok":
-			z.OK, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "By")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "By")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "i":
-					z.By.ID, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "ID")
-						return
-					}
-				case "z":
-					z.By.Zone, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Zone")
-						return
-					}
-				case "a":
-					z.By.Addr, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By", "Addr")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "By")
-						return
-					}
-				}
-			}
-		case "fo":
-			z.Formed, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Formed")
-				return
-			}
-		case "n":
-			z.Never, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Never")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *BootstrapReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Formation) + 2 + msgp.StringPrefixSize + len(z.From) + 3 + msgp.BoolSize + 2 + 1 + 2 + msgp.StringPrefixSize + len(z.By.ID) + 2 + msgp.StringPrefixSize + len(z.By.Zone) + 2 + msgp.StringPrefixSize + len(z.By.Addr) + 3 + msgp.BoolSize + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Entry) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "ty":
-			z.Type, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Type")
-				return
-			}
-		case "id":
-			z.ID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "o":
-			z.Origin, err = dc.ReadBytes(z.Origin)
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "c":
-			z.Count, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		case "at":
-			z.At, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "At")
-				return
-			}
-		case "st":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Version")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
-			}
-		case "g":
-			z.Gone, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Gone")
-				return
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "sg":
-			z.Sig, err = dc.ReadBytes(z.Sig)
-			if err != nil {
-				err = msgp.WrapError(err, "Sig")
-				return
-			}
-		case "h":
-			z.Hops, err = dc.ReadUint8()
-			if err != nil {
-				err = msgp.WrapError(err, "Hops")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Entry) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 10
-	// write "ty"
-	err = en.Append(0x8a, 0xa2, 0x74, 0x79)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Type)
-	if err != nil {
-		err = msgp.WrapError(err, "Type")
-		return
-	}
-	// write "id"
-	err = en.Append(0xa2, 0x69, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "o"
-	err = en.Append(0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Origin)
-	if err != nil {
-		err = msgp.WrapError(err, "Origin")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Count)
-	if err != nil {
-		err = msgp.WrapError(err, "Count")
-		return
-	}
-	// write "at"
-	err = en.Append(0xa2, 0x61, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt64(z.At)
-	if err != nil {
-		err = msgp.WrapError(err, "At")
-		return
-	}
-	// write "st"
-	err = en.Append(0xa2, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Version.Partition)
-	if err != nil {
-		err = msgp.WrapError(err, "Version", "Partition")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Version.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Version", "Term")
-		return
-	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Version.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Version", "Seq")
-		return
-	}
-	// write "g"
-	err = en.Append(0xa1, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Gone)
-	if err != nil {
-		err = msgp.WrapError(err, "Gone")
-		return
-	}
-	// write "b"
-	err = en.Append(0xa1, 0x62)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Body)
-	if err != nil {
-		err = msgp.WrapError(err, "Body")
-		return
-	}
-	// write "sg"
-	err = en.Append(0xa2, 0x73, 0x67)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.Sig)
-	if err != nil {
-		err = msgp.WrapError(err, "Sig")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint8(z.Hops)
-	if err != nil {
-		err = msgp.WrapError(err, "Hops")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
-	// string "ty"
-	o = append(o, 0x8a, 0xa2, 0x74, 0x79)
-	o = msgp.AppendString(o, z.Type)
-	// string "id"
-	o = append(o, 0xa2, 0x69, 0x64)
-	o = msgp.AppendString(o, z.ID)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBytes(o, z.Origin)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.Count)
-	// string "at"
-	o = append(o, 0xa2, 0x61, 0x74)
-	o = msgp.AppendInt64(o, z.At)
-	// string "st"
-	o = append(o, 0xa2, 0x73, 0x74)
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Version.Partition)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Version.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Version.Seq)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendBool(o, z.Gone)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "sg"
-	o = append(o, 0xa2, 0x73, 0x67)
-	o = msgp.AppendBytes(o, z.Sig)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendUint8(o, z.Hops)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "ty":
-			z.Type, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Type")
-				return
-			}
-		case "id":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "o":
-			z.Origin, bts, err = msgp.ReadBytesBytes(bts, z.Origin)
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "c":
-			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		case "at":
-			z.At, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "At")
-				return
-			}
-		case "st":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Version")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
-			}
-		case "g":
-			z.Gone, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Gone")
-				return
-			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "sg":
-			z.Sig, bts, err = msgp.ReadBytesBytes(bts, z.Sig)
-			if err != nil {
-				err = msgp.WrapError(err, "Sig")
-				return
-			}
-		case "h":
-			z.Hops, bts, err = msgp.ReadUint8Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Hops")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Entry) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.Type) + 3 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.BytesPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 3 + msgp.BytesPrefixSize + len(z.Sig) + 2 + msgp.Uint8Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Heartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Addrs")
-				return
-			}
-			if cap(z.Addrs) >= int(zb0002) {
-				z.Addrs = (z.Addrs)[:zb0002]
-			} else {
-				z.Addrs = make([]string, zb0002)
-			}
-			for za0001 := range z.Addrs {
-				z.Addrs[za0001], err = dc.ReadString()
-				if err != nil {
-					err = msgp.WrapError(err, "Addrs", za0001)
-					return
-				}
-			}
-		case "m":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Marks")
-				return
-			}
-			if cap(z.Marks) >= int(zb0003) {
-				z.Marks = (z.Marks)[:zb0003]
-			} else {
-				z.Marks = make([]Mark, zb0003)
-			}
-			for za0002 := range z.Marks {
-				err = z.Marks[za0002].DecodeMsg(dc)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
-			}
-		case "p":
-			var zb0004 uint32
-			zb0004, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Partitions")
-				return
-			}
-			if cap(z.Partitions) >= int(zb0004) {
-				z.Partitions = (z.Partitions)[:zb0004]
-			} else {
-				z.Partitions = make([]Version, zb0004)
-			}
-			for za0003 := range z.Partitions {
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Partitions", za0003)
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Partitions", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "p":
-						z.Partitions[za0003].Partition, err = dc.ReadInt()
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003, "Partition")
-							return
-						}
-					case "t":
-						z.Partitions[za0003].Term, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003, "Term")
-							return
-						}
-					case "s":
-						z.Partitions[za0003].Seq, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003, "Seq")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003)
-							return
-						}
-					}
-				}
-			}
-		case "e":
-			z.Echo, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Echo")
-				return
-			}
-		case "d":
-			z.Digest, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "b":
-			var zb0006 uint32
-			zb0006, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Buckets")
-				return
-			}
-			if cap(z.Buckets) >= int(zb0006) {
-				z.Buckets = (z.Buckets)[:zb0006]
-			} else {
-				z.Buckets = make([]uint64, zb0006)
-			}
-			for za0004 := range z.Buckets {
-				z.Buckets[za0004], err = dc.ReadUint64()
-				if err != nil {
-					err = msgp.WrapError(err, "Buckets", za0004)
-					return
-				}
-			}
-		case "s":
-			z.Scope, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Scope")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Heartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
-	_ = zb0001Mask
-	if z.Addrs == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	if z.Marks == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.Partitions == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Echo == false {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Digest == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Buckets == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	if z.Scope == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// write "a"
-			err = en.Append(0xa1, 0x61)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Addrs)))
-			if err != nil {
-				err = msgp.WrapError(err, "Addrs")
-				return
-			}
-			for za0001 := range z.Addrs {
-				err = en.WriteString(z.Addrs[za0001])
-				if err != nil {
-					err = msgp.WrapError(err, "Addrs", za0001)
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// write "m"
-			err = en.Append(0xa1, 0x6d)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Marks)))
-			if err != nil {
-				err = msgp.WrapError(err, "Marks")
-				return
-			}
-			for za0002 := range z.Marks {
-				err = z.Marks[za0002].EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// write "p"
-			err = en.Append(0xa1, 0x70)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Partitions)))
-			if err != nil {
-				err = msgp.WrapError(err, "Partitions")
-				return
-			}
-			for za0003 := range z.Partitions {
-				// map header, size 3
-				// write "p"
-				err = en.Append(0x83, 0xa1, 0x70)
-				if err != nil {
-					return
-				}
-				err = en.WriteInt(z.Partitions[za0003].Partition)
-				if err != nil {
-					err = msgp.WrapError(err, "Partitions", za0003, "Partition")
-					return
-				}
-				// write "t"
-				err = en.Append(0xa1, 0x74)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Partitions[za0003].Term)
-				if err != nil {
-					err = msgp.WrapError(err, "Partitions", za0003, "Term")
-					return
-				}
-				// write "s"
-				err = en.Append(0xa1, 0x73)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Partitions[za0003].Seq)
-				if err != nil {
-					err = msgp.WrapError(err, "Partitions", za0003, "Seq")
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// write "e"
-			err = en.Append(0xa1, 0x65)
-			if err != nil {
-				return
-			}
-			err = en.WriteBool(z.Echo)
-			if err != nil {
-				err = msgp.WrapError(err, "Echo")
-				return
-			}
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "d"
-			err = en.Append(0xa1, 0x64)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(z.Digest)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// write "b"
-			err = en.Append(0xa1, 0x62)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Buckets)))
-			if err != nil {
-				err = msgp.WrapError(err, "Buckets")
-				return
-			}
-			for za0004 := range z.Buckets {
-				err = en.WriteUint64(z.Buckets[za0004])
-				if err != nil {
-					err = msgp.WrapError(err, "Buckets", za0004)
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// write "s"
-			err = en.Append(0xa1, 0x73)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(z.Scope)
-			if err != nil {
-				err = msgp.WrapError(err, "Scope")
-				return
-			}
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
-	_ = zb0001Mask
-	if z.Addrs == nil {
-		zb0001Len--
-		zb0001Mask |= 0x1
-	}
-	if z.Marks == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.Partitions == nil {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	if z.Echo == false {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Digest == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Buckets == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	if z.Scope == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		if (zb0001Mask & 0x1) == 0 { // if not omitted
-			// string "a"
-			o = append(o, 0xa1, 0x61)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Addrs)))
-			for za0001 := range z.Addrs {
-				o = msgp.AppendString(o, z.Addrs[za0001])
-			}
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "m"
-			o = append(o, 0xa1, 0x6d)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
-			for za0002 := range z.Marks {
-				o, err = z.Marks[za0002].MarshalMsg(o)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
-			}
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// string "p"
-			o = append(o, 0xa1, 0x70)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Partitions)))
-			for za0003 := range z.Partitions {
-				// map header, size 3
-				// string "p"
-				o = append(o, 0x83, 0xa1, 0x70)
-				o = msgp.AppendInt(o, z.Partitions[za0003].Partition)
-				// string "t"
-				o = append(o, 0xa1, 0x74)
-				o = msgp.AppendUint64(o, z.Partitions[za0003].Term)
-				// string "s"
-				o = append(o, 0xa1, 0x73)
-				o = msgp.AppendUint64(o, z.Partitions[za0003].Seq)
-			}
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "e"
-			o = append(o, 0xa1, 0x65)
-			o = msgp.AppendBool(o, z.Echo)
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "d"
-			o = append(o, 0xa1, 0x64)
-			o = msgp.AppendUint64(o, z.Digest)
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "b"
-			o = append(o, 0xa1, 0x62)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Buckets)))
-			for za0004 := range z.Buckets {
-				o = msgp.AppendUint64(o, z.Buckets[za0004])
-			}
-		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "s"
-			o = append(o, 0xa1, 0x73)
-			o = msgp.AppendUint64(o, z.Scope)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Addrs")
-				return
-			}
-			if cap(z.Addrs) >= int(zb0002) {
-				z.Addrs = (z.Addrs)[:zb0002]
-			} else {
-				z.Addrs = make([]string, zb0002)
-			}
-			for za0001 := range z.Addrs {
-				z.Addrs[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Addrs", za0001)
-					return
-				}
-			}
-		case "m":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Marks")
-				return
-			}
-			if cap(z.Marks) >= int(zb0003) {
-				z.Marks = (z.Marks)[:zb0003]
-			} else {
-				z.Marks = make([]Mark, zb0003)
-			}
-			for za0002 := range z.Marks {
-				bts, err = z.Marks[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0002)
-					return
-				}
-			}
-		case "p":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Partitions")
-				return
-			}
-			if cap(z.Partitions) >= int(zb0004) {
-				z.Partitions = (z.Partitions)[:zb0004]
-			} else {
-				z.Partitions = make([]Version, zb0004)
-			}
-			for za0003 := range z.Partitions {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Partitions", za0003)
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Partitions", za0003)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "p":
-						z.Partitions[za0003].Partition, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003, "Partition")
-							return
-						}
-					case "t":
-						z.Partitions[za0003].Term, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003, "Term")
-							return
-						}
-					case "s":
-						z.Partitions[za0003].Seq, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003, "Seq")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Partitions", za0003)
-							return
-						}
-					}
-				}
-			}
-		case "e":
-			z.Echo, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Echo")
-				return
-			}
-		case "d":
-			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "b":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Buckets")
-				return
-			}
-			if cap(z.Buckets) >= int(zb0006) {
-				z.Buckets = (z.Buckets)[:zb0006]
-			} else {
-				z.Buckets = make([]uint64, zb0006)
-			}
-			for za0004 := range z.Buckets {
-				z.Buckets[za0004], bts, err = msgp.ReadUint64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Buckets", za0004)
-					return
-				}
-			}
-		case "s":
-			z.Scope, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Scope")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Addrs {
-		s += msgp.StringPrefixSize + len(z.Addrs[za0001])
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Marks {
-		s += z.Marks[za0002].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Partitions) * (7 + msgp.IntSize + msgp.Uint64Size + msgp.Uint64Size)) + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Buckets) * (msgp.Uint64Size)) + 2 + msgp.Uint64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Hello) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "f":
-			z.Fleet, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Fleet")
-				return
-			}
-		case "p":
-			z.Proof, err = dc.ReadBytes(z.Proof)
-			if err != nil {
-				err = msgp.WrapError(err, "Proof")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Hello) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
-	_ = zb0001Mask
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "a"
-		err = en.Append(0xa1, 0x61)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Addr)
-		if err != nil {
-			err = msgp.WrapError(err, "Addr")
-			return
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// write "z"
-			err = en.Append(0xa1, 0x7a)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Zone)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Fleet)
-		if err != nil {
-			err = msgp.WrapError(err, "Fleet")
-			return
-		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.Proof)
-		if err != nil {
-			err = msgp.WrapError(err, "Proof")
-			return
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
-	_ = zb0001Mask
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "a"
-		o = append(o, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Addr)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "z"
-			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendString(o, z.Zone)
-		}
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.Fleet)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendBytes(o, z.Proof)
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Hello) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "f":
-			z.Fleet, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Fleet")
-				return
-			}
-		case "p":
-			z.Proof, bts, err = msgp.ReadBytesBytes(bts, z.Proof)
-			if err != nil {
-				err = msgp.WrapError(err, "Proof")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Hello) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Fleet) + 2 + msgp.BytesPrefixSize + len(z.Proof)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *LeaderHeartbeat) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "p":
-			z.Partition, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			z.Round, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Round")
-				return
-			}
-		case "c":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Committed")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Committed")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Committed.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Partition")
-						return
-					}
-				case "t":
-					z.Committed.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Term")
-						return
-					}
-				case "s":
-					z.Committed.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Committed")
-						return
-					}
-				}
-			}
-		case "y":
-			z.TransferTo, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "TransferTo")
-				return
-			}
-		case "ca":
-			z.ContactAt, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "ContactAt")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *LeaderHeartbeat) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
-	_ = zb0001Mask
-	if z.ContactAt == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x80
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "to"
-		err = en.Append(0xa2, 0x74, 0x6f)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.To)
-		if err != nil {
-			err = msgp.WrapError(err, "To")
-			return
-		}
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Term")
-			return
-		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.From)
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Round)
-		if err != nil {
-			err = msgp.WrapError(err, "Round")
-			return
-		}
-		// write "c"
-		err = en.Append(0xa1, 0x63)
-		if err != nil {
-			return
-		}
-		// map header, size 3
-		// write "p"
-		err = en.Append(0x83, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Committed.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Committed", "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Committed.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Committed", "Term")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Committed.Seq)
-		if err != nil {
-			err = msgp.WrapError(err, "Committed", "Seq")
-			return
-		}
-		// write "y"
-		err = en.Append(0xa1, 0x79)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.TransferTo)
-		if err != nil {
-			err = msgp.WrapError(err, "TransferTo")
-			return
-		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// write "ca"
-			err = en.Append(0xa2, 0x63, 0x61)
-			if err != nil {
-				return
-			}
-			err = en.WriteInt64(z.ContactAt)
-			if err != nil {
-				err = msgp.WrapError(err, "ContactAt")
-				return
-			}
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *LeaderHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
-	_ = zb0001Mask
-	if z.ContactAt == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x80
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "to"
-		o = append(o, 0xa2, 0x74, 0x6f)
-		o = msgp.AppendString(o, z.To)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Term)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.From)
-		// string "r"
-		o = append(o, 0xa1, 0x72)
-		o = msgp.AppendUint64(o, z.Round)
-		// string "c"
-		o = append(o, 0xa1, 0x63)
-		// map header, size 3
-		// string "p"
-		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Committed.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Committed.Term)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Committed.Seq)
-		// string "y"
-		o = append(o, 0xa1, 0x79)
-		o = msgp.AppendString(o, z.TransferTo)
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
-			// string "ca"
-			o = append(o, 0xa2, 0x63, 0x61)
-			o = msgp.AppendInt64(o, z.ContactAt)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *LeaderHeartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Round")
-				return
-			}
-		case "c":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Committed")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Committed")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Committed.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Partition")
-						return
-					}
-				case "t":
-					z.Committed.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Term")
-						return
-					}
-				case "s":
-					z.Committed.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Committed", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Committed")
-						return
-					}
-				}
-			}
-		case "y":
-			z.TransferTo, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TransferTo")
-				return
-			}
-		case "ca":
-			z.ContactAt, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ContactAt")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LeaderHeartbeat) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.TransferTo) + 3 + msgp.Int64Size
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *LeaderHeartbeatReply) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			z.Round, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Round")
-				return
-			}
-		case "h":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Held")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Held")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Held.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Partition")
-						return
-					}
-				case "t":
-					z.Held.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Term")
-						return
-					}
-				case "s":
-					z.Held.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Held")
-						return
-					}
-				}
-			}
-		case "ok":
-			z.OK, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "w":
-			z.Wall, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Wall")
-				return
-			}
-		case "s":
-			z.DiskProblem, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "DiskProblem")
-				return
-			}
-		case "c":
-			z.Clock, err = dc.ReadInt64()
-			if err != nil {
-				err = msgp.WrapError(err, "Clock")
-				return
-			}
-		case "in":
-			z.Successor, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Successor")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *LeaderHeartbeatReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
-	_ = zb0001Mask
-	if z.Clock == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x100
-	}
-	if z.Successor == "" {
-		zb0001Len--
-		zb0001Mask |= 0x200
-	}
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x400
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Term")
-			return
-		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.From)
-		if err != nil {
-			err = msgp.WrapError(err, "From")
-			return
-		}
-		// write "r"
-		err = en.Append(0xa1, 0x72)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Round)
-		if err != nil {
-			err = msgp.WrapError(err, "Round")
-			return
-		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
-		if err != nil {
-			return
-		}
-		// map header, size 3
-		// write "p"
-		err = en.Append(0x83, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Held.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Held.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", "Term")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Held.Seq)
-		if err != nil {
-			err = msgp.WrapError(err, "Held", "Seq")
-			return
-		}
-		// write "ok"
-		err = en.Append(0xa2, 0x6f, 0x6b)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.OK)
-		if err != nil {
-			err = msgp.WrapError(err, "OK")
-			return
-		}
-		// write "w"
-		err = en.Append(0xa1, 0x77)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt64(z.Wall)
-		if err != nil {
-			err = msgp.WrapError(err, "Wall")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteBool(z.DiskProblem)
-		if err != nil {
-			err = msgp.WrapError(err, "DiskProblem")
-			return
-		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// write "c"
-			err = en.Append(0xa1, 0x63)
-			if err != nil {
-				return
-			}
-			err = en.WriteInt64(z.Clock)
-			if err != nil {
-				err = msgp.WrapError(err, "Clock")
-				return
-			}
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// write "in"
-			err = en.Append(0xa2, 0x69, 0x6e)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Successor)
-			if err != nil {
-				err = msgp.WrapError(err, "Successor")
-				return
-			}
-		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// write "z"
-			err = en.Append(0xa1, 0x7a)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Zone)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *LeaderHeartbeatReply) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
-	_ = zb0001Mask
-	if z.Clock == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x100
-	}
-	if z.Successor == "" {
-		zb0001Len--
-		zb0001Mask |= 0x200
-	}
-	if z.Zone == "" {
-		zb0001Len--
-		zb0001Mask |= 0x400
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Term)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.From)
-		// string "r"
-		o = append(o, 0xa1, 0x72)
-		o = msgp.AppendUint64(o, z.Round)
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		// map header, size 3
-		// string "p"
-		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Held.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Held.Term)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Held.Seq)
-		// string "ok"
-		o = append(o, 0xa2, 0x6f, 0x6b)
-		o = msgp.AppendBool(o, z.OK)
-		// string "w"
-		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendInt64(o, z.Wall)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendBool(o, z.DiskProblem)
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
-			// string "c"
-			o = append(o, 0xa1, 0x63)
-			o = msgp.AppendInt64(o, z.Clock)
-		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "in"
-			o = append(o, 0xa2, 0x69, 0x6e)
-			o = msgp.AppendString(o, z.Successor)
-		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// string "z"
-			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendString(o, z.Zone)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *LeaderHeartbeatReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Term")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "r":
-			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Round")
-				return
-			}
-		case "h":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Held")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Held")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Held.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Partition")
-						return
-					}
-				case "t":
-					z.Held.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Term")
-						return
-					}
-				case "s":
-					z.Held.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held")
-						return
-					}
-				}
-			}
-		case "ok":
-			z.OK, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "OK")
-				return
-			}
-		case "w":
-			z.Wall, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Wall")
-				return
-			}
-		case "s":
-			z.DiskProblem, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "DiskProblem")
-				return
-			}
-		case "c":
-			z.Clock, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Clock")
-				return
-			}
-		case "in":
-			z.Successor, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Successor")
-				return
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LeaderHeartbeatReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 3 + msgp.StringPrefixSize + len(z.Successor) + 2 + msgp.StringPrefixSize + len(z.Zone)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Leave) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "p":
-			z.Partition, err = dc.ReadInt()
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "f":
-			z.From, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Leave) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "to"
-	err = en.Append(0x83, 0xa2, 0x74, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.To)
-	if err != nil {
-		err = msgp.WrapError(err, "To")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Partition)
-	if err != nil {
-		err = msgp.WrapError(err, "Partition")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Leave) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "to"
-	o = append(o, 0x83, 0xa2, 0x74, 0x6f)
-	o = msgp.AppendString(o, z.To)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Partition)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Leave) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Leave) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.From)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Links) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Peers, err = dc.ReadBytes(z.Peers)
-			if err != nil {
-				err = msgp.WrapError(err, "Peers")
-				return
-			}
-		case "l":
-			var zb0002 uint32
-			zb0002, err = dc.ReadArrayHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Lost")
-				return
-			}
-			if cap(z.Lost) >= int(zb0002) {
-				z.Lost = (z.Lost)[:zb0002]
-			} else {
-				z.Lost = make([]Suspect, zb0002)
-			}
-			for za0001 := range z.Lost {
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Lost", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Lost", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "o":
-						z.Lost[za0001].Origin, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Lost", za0001, "Origin")
-							return
-						}
-					case "c":
-						z.Lost[za0001].Count, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Lost", za0001, "Count")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Lost", za0001)
-							return
-						}
-					}
-				}
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Links) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
-	_ = zb0001Mask
-	if z.Lost == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "p"
-		err = en.Append(0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteBytes(z.Peers)
-		if err != nil {
-			err = msgp.WrapError(err, "Peers")
-			return
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// write "l"
-			err = en.Append(0xa1, 0x6c)
-			if err != nil {
-				return
-			}
-			err = en.WriteArrayHeader(uint32(len(z.Lost)))
-			if err != nil {
-				err = msgp.WrapError(err, "Lost")
-				return
-			}
-			for za0001 := range z.Lost {
-				// map header, size 2
-				// write "o"
-				err = en.Append(0x82, 0xa1, 0x6f)
-				if err != nil {
-					return
-				}
-				err = en.WriteString(z.Lost[za0001].Origin)
-				if err != nil {
-					err = msgp.WrapError(err, "Lost", za0001, "Origin")
-					return
-				}
-				// write "c"
-				err = en.Append(0xa1, 0x63)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Lost[za0001].Count)
-				if err != nil {
-					err = msgp.WrapError(err, "Lost", za0001, "Count")
-					return
-				}
-			}
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Links) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(2)
-	var zb0001Mask uint8 /* 2 bits */
-	_ = zb0001Mask
-	if z.Lost == nil {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendBytes(o, z.Peers)
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// string "l"
-			o = append(o, 0xa1, 0x6c)
-			o = msgp.AppendArrayHeader(o, uint32(len(z.Lost)))
-			for za0001 := range z.Lost {
-				// map header, size 2
-				// string "o"
-				o = append(o, 0x82, 0xa1, 0x6f)
-				o = msgp.AppendString(o, z.Lost[za0001].Origin)
-				// string "c"
-				o = append(o, 0xa1, 0x63)
-				o = msgp.AppendUint64(o, z.Lost[za0001].Count)
-			}
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Links) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Peers, bts, err = msgp.ReadBytesBytes(bts, z.Peers)
-			if err != nil {
-				err = msgp.WrapError(err, "Peers")
-				return
-			}
-		case "l":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Lost")
-				return
-			}
-			if cap(z.Lost) >= int(zb0002) {
-				z.Lost = (z.Lost)[:zb0002]
-			} else {
-				z.Lost = make([]Suspect, zb0002)
-			}
-			for za0001 := range z.Lost {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Lost", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Lost", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "o":
-						z.Lost[za0001].Origin, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Lost", za0001, "Origin")
-							return
-						}
-					case "c":
-						z.Lost[za0001].Count, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Lost", za0001, "Count")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Lost", za0001)
-							return
-						}
-					}
-				}
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Links) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Peers) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Lost {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Lost[za0001].Origin) + 2 + msgp.Uint64Size
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Mark) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Origin, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "m":
-			z.Max, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Max")
-				return
-			}
-		case "s":
-			z.Sum, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Sum")
-				return
-			}
-		case "b":
-			z.Beat, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Beat")
-				return
-			}
-		case "k":
-			z.Key, err = dc.ReadBytes(z.Key)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "g":
-			z.Sig, err = dc.ReadBytes(z.Sig)
-			if err != nil {
-				err = msgp.WrapError(err, "Sig")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Mark) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
-	_ = zb0001Mask
-	if z.Beat == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Key == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Sig == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "o"
-		err = en.Append(0xa1, 0x6f)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Origin)
-		if err != nil {
-			err = msgp.WrapError(err, "Origin")
-			return
-		}
-		// write "m"
-		err = en.Append(0xa1, 0x6d)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Max)
-		if err != nil {
-			err = msgp.WrapError(err, "Max")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Sum)
-		if err != nil {
-			err = msgp.WrapError(err, "Sum")
-			return
-		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// write "b"
-			err = en.Append(0xa1, 0x62)
-			if err != nil {
-				return
-			}
-			err = en.WriteUint64(z.Beat)
-			if err != nil {
-				err = msgp.WrapError(err, "Beat")
-				return
-			}
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "k"
-			err = en.Append(0xa1, 0x6b)
-			if err != nil {
-				return
-			}
-			err = en.WriteBytes(z.Key)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// write "g"
-			err = en.Append(0xa1, 0x67)
-			if err != nil {
-				return
-			}
-			err = en.WriteBytes(z.Sig)
-			if err != nil {
-				err = msgp.WrapError(err, "Sig")
-				return
-			}
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Mark) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
-	_ = zb0001Mask
-	if z.Beat == 0 {
-		zb0001Len--
-		zb0001Mask |= 0x8
-	}
-	if z.Key == nil {
-		zb0001Len--
-		zb0001Mask |= 0x10
-	}
-	if z.Sig == nil {
-		zb0001Len--
-		zb0001Mask |= 0x20
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "o"
-		o = append(o, 0xa1, 0x6f)
-		o = msgp.AppendString(o, z.Origin)
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendUint64(o, z.Max)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Sum)
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
-			// string "b"
-			o = append(o, 0xa1, 0x62)
-			o = msgp.AppendUint64(o, z.Beat)
-		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "k"
-			o = append(o, 0xa1, 0x6b)
-			o = msgp.AppendBytes(o, z.Key)
-		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "g"
-			o = append(o, 0xa1, 0x67)
-			o = msgp.AppendBytes(o, z.Sig)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Mark) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Origin, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "m":
-			z.Max, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Max")
-				return
-			}
-		case "s":
-			z.Sum, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Sum")
-				return
-			}
-		case "b":
-			z.Beat, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Beat")
-				return
-			}
-		case "k":
-			z.Key, bts, err = msgp.ReadBytesBytes(bts, z.Key)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "g":
-			z.Sig, bts, err = msgp.ReadBytesBytes(bts, z.Sig)
-			if err != nil {
-				err = msgp.WrapError(err, "Sig")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Mark) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Key) + 2 + msgp.BytesPrefixSize + len(z.Sig)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Notice) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "ty":
-			z.Type, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Type")
-				return
-			}
-		case "id":
-			z.ID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "o":
-			z.Origin, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "c":
-			z.Count, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		case "st":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Version")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
-			}
-		case "h":
-			z.Hops, err = dc.ReadUint8()
-			if err != nil {
-				err = msgp.WrapError(err, "Hops")
-				return
-			}
-		case "w":
-			z.Want, err = dc.ReadBool()
-			if err != nil {
-				err = msgp.WrapError(err, "Want")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *Notice) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
-	_ = zb0001Mask
-	if z.Want == false {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "ty"
-		err = en.Append(0xa2, 0x74, 0x79)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Type)
-		if err != nil {
-			err = msgp.WrapError(err, "Type")
-			return
-		}
-		// write "id"
-		err = en.Append(0xa2, 0x69, 0x64)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.ID)
-		if err != nil {
-			err = msgp.WrapError(err, "ID")
-			return
-		}
-		// write "o"
-		err = en.Append(0xa1, 0x6f)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Origin)
-		if err != nil {
-			err = msgp.WrapError(err, "Origin")
-			return
-		}
-		// write "c"
-		err = en.Append(0xa1, 0x63)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Count)
-		if err != nil {
-			err = msgp.WrapError(err, "Count")
-			return
-		}
-		// write "st"
-		err = en.Append(0xa2, 0x73, 0x74)
-		if err != nil {
-			return
-		}
-		// map header, size 3
-		// write "p"
-		err = en.Append(0x83, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Version.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Version.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Term")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Version.Seq)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Seq")
-			return
-		}
-		// write "h"
-		err = en.Append(0xa1, 0x68)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint8(z.Hops)
-		if err != nil {
-			err = msgp.WrapError(err, "Hops")
-			return
-		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// write "w"
-			err = en.Append(0xa1, 0x77)
-			if err != nil {
-				return
-			}
-			err = en.WriteBool(z.Want)
-			if err != nil {
-				err = msgp.WrapError(err, "Want")
-				return
-			}
-		}
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Notice) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
-	_ = zb0001Mask
-	if z.Want == false {
-		zb0001Len--
-		zb0001Mask |= 0x40
-	}
-	// variable map header, size zb0001Len
-	o = append(o, 0x80|uint8(zb0001Len))
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// string "ty"
-		o = append(o, 0xa2, 0x74, 0x79)
-		o = msgp.AppendString(o, z.Type)
-		// string "id"
-		o = append(o, 0xa2, 0x69, 0x64)
-		o = msgp.AppendString(o, z.ID)
-		// string "o"
-		o = append(o, 0xa1, 0x6f)
-		o = msgp.AppendString(o, z.Origin)
-		// string "c"
-		o = append(o, 0xa1, 0x63)
-		o = msgp.AppendUint64(o, z.Count)
-		// string "st"
-		o = append(o, 0xa2, 0x73, 0x74)
-		// map header, size 3
-		// string "p"
-		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Version.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Version.Term)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Version.Seq)
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		o = msgp.AppendUint8(o, z.Hops)
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "w"
-			o = append(o, 0xa1, 0x77)
-			o = msgp.AppendBool(o, z.Want)
-		}
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Notice) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "ty":
-			z.Type, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Type")
-				return
-			}
-		case "id":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "o":
-			z.Origin, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "c":
-			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		case "st":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Version")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
-			}
-		case "h":
-			z.Hops, bts, err = msgp.ReadUint8Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Hops")
-				return
-			}
-		case "w":
-			z.Want, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Want")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Notice) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.Type) + 3 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint8Size + 2 + msgp.BoolSize
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Replica) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "z":
-			z.Zone, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "a":
-			z.Addr, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Replica) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "i"
-	err = en.Append(0x83, 0xa1, 0x69)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	// write "z"
-	err = en.Append(0xa1, 0x7a)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Zone)
-	if err != nil {
-		err = msgp.WrapError(err, "Zone")
-		return
-	}
-	// write "a"
-	err = en.Append(0xa1, 0x61)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Addr)
-	if err != nil {
-		err = msgp.WrapError(err, "Addr")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Replica) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
-	// string "a"
-	o = append(o, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Addr)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Replica) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Replica) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Addr)
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *Suspect) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Origin, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
-			}
-		case "c":
-			z.Count, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Count")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Suspect) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
-	// write "o"
-	err = en.Append(0x82, 0xa1, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.Origin)
-	if err != nil {
-		err = msgp.WrapError(err, "Origin")
-		return
-	}
-	// write "c"
-	err = en.Append(0xa1, 0x63)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Count)
-	if err != nil {
-		err = msgp.WrapError(err, "Count")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Suspect) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "o"
-	o = append(o, 0x82, 0xa1, 0x6f)
-	o = msgp.AppendString(o, z.Origin)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendUint64(o, z.Count)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Suspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "o":
-			z.Origin, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Origin")
-				return
+			for za0004 := range z.Buckets {
+				z.Buckets[za0004], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Buckets", za0004)
+					return
+				}
 			}
-		case "c":
-			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
+		case "s":
+			z.Scope, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Count")
+				err = msgp.WrapError(err, "Scope")
 				return
 			}
 		default:
@@ -5136,13 +843,25 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Suspect) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size
+func (z *Heartbeat) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Addrs {
+		s += msgp.StringPrefixSize + len(z.Addrs[za0001])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Marks {
+		s += z.Marks[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Partitions {
+		s += z.Partitions[za0003].Msgsize()
+	}
+	s += 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Buckets) * (msgp.Uint64Size)) + 2 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Version) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Hello) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5159,22 +878,28 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, err = dc.ReadInt()
+		case "a":
+			z.Addr, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		case "z":
+			z.Zone, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
+		case "f":
+			z.Fleet, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Fleet")
 				return
 			}
-		case "s":
-			z.Seq, err = dc.ReadUint64()
+		case "p":
+			z.Proof, err = dc.ReadBytes(z.Proof)
 			if err != nil {
-				err = msgp.WrapError(err, "Seq")
+				err = msgp.WrapError(err, "Proof")
 				return
 			}
 		default:
@@ -5189,59 +914,105 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Version) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Partition)
-	if err != nil {
-		err = msgp.WrapError(err, "Partition")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
+func (z *Hello) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "a"
+		err = en.Append(0xa1, 0x61)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Addr)
+		if err != nil {
+			err = msgp.WrapError(err, "Addr")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "z"
+			err = en.Append(0xa1, 0x7a)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Zone)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		}
+		// write "f"
+		err = en.Append(0xa1, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Fleet)
+		if err != nil {
+			err = msgp.WrapError(err, "Fleet")
+			return
+		}
+		// write "p"
+		err = en.Append(0xa1, 0x70)
+		if err != nil {
+			return
+		}
+		err = en.WriteBytes(z.Proof)
+		if err != nil {
+			err = msgp.WrapError(err, "Proof")
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Version) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Partition)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Seq)
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Zone == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "a"
+		o = append(o, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Addr)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "z"
+			o = append(o, 0xa1, 0x7a)
+			o = msgp.AppendString(o, z.Zone)
+		}
+		// string "f"
+		o = append(o, 0xa1, 0x66)
+		o = msgp.AppendString(o, z.Fleet)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendBytes(o, z.Proof)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Version) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Hello) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5258,22 +1029,28 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+		case "f":
+			z.Fleet, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Fleet")
 				return
 			}
-		case "s":
-			z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+		case "p":
+			z.Proof, bts, err = msgp.ReadBytesBytes(bts, z.Proof)
 			if err != nil {
-				err = msgp.WrapError(err, "Seq")
+				err = msgp.WrapError(err, "Proof")
 				return
 			}
 		default:
@@ -5289,13 +1066,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Version) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+func (z *Hello) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Zone) + 2 + msgp.StringPrefixSize + len(z.Fleet) + 2 + msgp.BytesPrefixSize + len(z.Proof)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Versioned) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Links) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5312,166 +1089,59 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "st":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Version")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
-			}
-		case "se":
-			var zb0003 uint32
-			zb0003, err = dc.ReadArrayHeader()
+		case "p":
+			z.Peers, err = dc.ReadBytes(z.Peers)
 			if err != nil {
-				err = msgp.WrapError(err, "Voters")
+				err = msgp.WrapError(err, "Peers")
 				return
 			}
-			if cap(z.Voters) >= int(zb0003) {
-				z.Voters = (z.Voters)[:zb0003]
-			} else {
-				z.Voters = make([]Replica, zb0003)
-			}
-			for za0001 := range z.Voters {
-				var zb0004 uint32
-				zb0004, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Voters", za0001)
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Voters", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Voters[za0001].ID, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "ID")
-							return
-						}
-					case "z":
-						z.Voters[za0001].Zone, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Zone")
-							return
-						}
-					case "a":
-						z.Voters[za0001].Addr, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Addr")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "pr":
-			var zb0005 uint32
-			zb0005, err = dc.ReadArrayHeader()
+		case "l":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "PreviousVoters")
+				err = msgp.WrapError(err, "Lost")
 				return
 			}
-			if cap(z.PreviousVoters) >= int(zb0005) {
-				z.PreviousVoters = (z.PreviousVoters)[:zb0005]
+			if cap(z.Lost) >= int(zb0002) {
+				z.Lost = (z.Lost)[:zb0002]
 			} else {
-				z.PreviousVoters = make([]Replica, zb0005)
+				z.Lost = make([]Suspect, zb0002)
 			}
-			for za0002 := range z.PreviousVoters {
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+			for za0001 := range z.Lost {
+				var zb0003 uint32
+				zb0003, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "PreviousVoters", za0002)
+					err = msgp.WrapError(err, "Lost", za0001)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0003 > 0 {
+					zb0003--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "PreviousVoters", za0002)
+						err = msgp.WrapError(err, "Lost", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "i":
-						z.PreviousVoters[za0002].ID, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002, "ID")
-							return
-						}
-					case "z":
-						z.PreviousVoters[za0002].Zone, err = dc.ReadString()
+					case "o":
+						z.Lost[za0001].Origin, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002, "Zone")
+							err = msgp.WrapError(err, "Lost", za0001, "Origin")
 							return
 						}
-					case "a":
-						z.PreviousVoters[za0002].Addr, err = dc.ReadString()
+					case "c":
+						z.Lost[za0001].Count, err = dc.ReadUint64()
 						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002, "Addr")
+							err = msgp.WrapError(err, "Lost", za0001, "Count")
 							return
 						}
 					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002)
-							return
-						}
-					}
-				}
-			}
-		case "b":
-			z.Body, err = dc.ReadBytes(z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "l":
-			z.Ledger, err = dc.ReadBytes(z.Ledger)
-			if err != nil {
-				err = msgp.WrapError(err, "Ledger")
-				return
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Lost", za0001)
+							return
+						}
+					}
+				}
 			}
 		default:
 			err = dc.Skip()
@@ -5485,14 +1155,14 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Versioned) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Links) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
 	_ = zb0001Mask
-	if z.Ledger == nil {
+	if z.Lost == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x2
 	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
@@ -5502,226 +1172,94 @@
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// write "st"
-		err = en.Append(0xa2, 0x73, 0x74)
-		if err != nil {
-			return
-		}
-		// map header, size 3
 		// write "p"
-		err = en.Append(0x83, 0xa1, 0x70)
-		if err != nil {
-			return
-		}
-		err = en.WriteInt(z.Version.Partition)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Partition")
-			return
-		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Version.Term)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Term")
-			return
-		}
-		// write "s"
-		err = en.Append(0xa1, 0x73)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Version.Seq)
-		if err != nil {
-			err = msgp.WrapError(err, "Version", "Seq")
-			return
-		}
-		// write "se"
-		err = en.Append(0xa2, 0x73, 0x65)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.Voters)))
-		if err != nil {
-			err = msgp.WrapError(err, "Voters")
-			return
-		}
-		for za0001 := range z.Voters {
-			// map header, size 3
-			// write "i"
-			err = en.Append(0x83, 0xa1, 0x69)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Voters[za0001].ID)
-			if err != nil {
-				err = msgp.WrapError(err, "Voters", za0001, "ID")
-				return
-			}
-			// write "z"
-			err = en.Append(0xa1, 0x7a)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Voters[za0001].Zone)
-			if err != nil {
-				err = msgp.WrapError(err, "Voters", za0001, "Zone")
-				return
-			}
-			// write "a"
-			err = en.Append(0xa1, 0x61)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.Voters[za0001].Addr)
-			if err != nil {
-				err = msgp.WrapError(err, "Voters", za0001, "Addr")
-				return
-			}
-		}
-		// write "pr"
-		err = en.Append(0xa2, 0x70, 0x72)
-		if err != nil {
-			return
-		}
-		err = en.WriteArrayHeader(uint32(len(z.PreviousVoters)))
-		if err != nil {
-			err = msgp.WrapError(err, "PreviousVoters")
-			return
-		}
-		for za0002 := range z.PreviousVoters {
-			// map header, size 3
-			// write "i"
-			err = en.Append(0x83, 0xa1, 0x69)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.PreviousVoters[za0002].ID)
-			if err != nil {
-				err = msgp.WrapError(err, "PreviousVoters", za0002, "ID")
-				return
-			}
-			// write "z"
-			err = en.Append(0xa1, 0x7a)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.PreviousVoters[za0002].Zone)
-			if err != nil {
-				err = msgp.WrapError(err, "PreviousVoters", za0002, "Zone")
-				return
-			}
-			// write "a"
-			err = en.Append(0xa1, 0x61)
-			if err != nil {
-				return
-			}
-			err = en.WriteString(z.PreviousVoters[za0002].Addr)
-			if err != nil {
-				err = msgp.WrapError(err, "PreviousVoters", za0002, "Addr")
-				return
-			}
-		}
-		// write "b"
-		err = en.Append(0xa1, 0x62)
+		err = en.Append(0xa1, 0x70)
 		if err != nil {
 			return
 		}
-		err = en.WriteBytes(z.Body)
+		err = en.WriteBytes(z.Peers)
 		if err != nil {
-			err = msgp.WrapError(err, "Body")
+			err = msgp.WrapError(err, "Peers")
 			return
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
 			// write "l"
 			err = en.Append(0xa1, 0x6c)
 			if err != nil {
 				return
 			}
-			err = en.WriteBytes(z.Ledger)
+			err = en.WriteArrayHeader(uint32(len(z.Lost)))
 			if err != nil {
-				err = msgp.WrapError(err, "Ledger")
+				err = msgp.WrapError(err, "Lost")
 				return
 			}
+			for za0001 := range z.Lost {
+				// map header, size 2
+				// write "o"
+				err = en.Append(0x82, 0xa1, 0x6f)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Lost[za0001].Origin)
+				if err != nil {
+					err = msgp.WrapError(err, "Lost", za0001, "Origin")
+					return
+				}
+				// write "c"
+				err = en.Append(0xa1, 0x63)
+				if err != nil {
+					return
+				}
+				err = en.WriteUint64(z.Lost[za0001].Count)
+				if err != nil {
+					err = msgp.WrapError(err, "Lost", za0001, "Count")
+					return
+				}
+			}
 		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Versioned) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Links) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
 	_ = zb0001Mask
-	if z.Ledger == nil {
+	if z.Lost == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x2
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// string "st"
-		o = append(o, 0xa2, 0x73, 0x74)
-		// map header, size 3
 		// string "p"
-		o = append(o, 0x83, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Version.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Version.Term)
-		// string "s"
-		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendUint64(o, z.Version.Seq)
-		// string "se"
-		o = append(o, 0xa2, 0x73, 0x65)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Voters)))
-		for za0001 := range z.Voters {
-			// map header, size 3
-			// string "i"
-			o = append(o, 0x83, 0xa1, 0x69)
-			o = msgp.AppendString(o, z.Voters[za0001].ID)
-			// string "z"
-			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendString(o, z.Voters[za0001].Zone)
-			// string "a"
-			o = append(o, 0xa1, 0x61)
-			o = msgp.AppendString(o, z.Voters[za0001].Addr)
-		}
-		// string "pr"
-		o = append(o, 0xa2, 0x70, 0x72)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.PreviousVoters)))
-		for za0002 := range z.PreviousVoters {
-			// map header, size 3
-			// string "i"
-			o = append(o, 0x83, 0xa1, 0x69)
-			o = msgp.AppendString(o, z.PreviousVoters[za0002].ID)
-			// string "z"
-			o = append(o, 0xa1, 0x7a)
-			o = msgp.AppendString(o, z.PreviousVoters[za0002].Zone)
-			// string "a"
-			o = append(o, 0xa1, 0x61)
-			o = msgp.AppendString(o, z.PreviousVoters[za0002].Addr)
-		}
-		// string "b"
-		o = append(o, 0xa1, 0x62)
-		o = msgp.AppendBytes(o, z.Body)
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendBytes(o, z.Peers)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
 			// string "l"
 			o = append(o, 0xa1, 0x6c)
-			o = msgp.AppendBytes(o, z.Ledger)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Lost)))
+			for za0001 := range z.Lost {
+				// map header, size 2
+				// string "o"
+				o = append(o, 0x82, 0xa1, 0x6f)
+				o = msgp.AppendString(o, z.Lost[za0001].Origin)
+				// string "c"
+				o = append(o, 0xa1, 0x63)
+				o = msgp.AppendUint64(o, z.Lost[za0001].Count)
+			}
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Versioned) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Links) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5738,167 +1276,60 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "st":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Version")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Version.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Partition")
-						return
-					}
-				case "t":
-					z.Version.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Term")
-						return
-					}
-				case "s":
-					z.Version.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Version")
-						return
-					}
-				}
-			}
-		case "se":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "p":
+			z.Peers, bts, err = msgp.ReadBytesBytes(bts, z.Peers)
 			if err != nil {
-				err = msgp.WrapError(err, "Voters")
+				err = msgp.WrapError(err, "Peers")
 				return
 			}
-			if cap(z.Voters) >= int(zb0003) {
-				z.Voters = (z.Voters)[:zb0003]
-			} else {
-				z.Voters = make([]Replica, zb0003)
-			}
-			for za0001 := range z.Voters {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Voters", za0001)
-					return
-				}
-				for zb0004 > 0 {
-					zb0004--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Voters", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "i":
-						z.Voters[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "ID")
-							return
-						}
-					case "z":
-						z.Voters[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Zone")
-							return
-						}
-					case "a":
-						z.Voters[za0001].Addr, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001, "Addr")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Voters", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "pr":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "PreviousVoters")
+				err = msgp.WrapError(err, "Lost")
 				return
 			}
-			if cap(z.PreviousVoters) >= int(zb0005) {
-				z.PreviousVoters = (z.PreviousVoters)[:zb0005]
+			if cap(z.Lost) >= int(zb0002) {
+				z.Lost = (z.Lost)[:zb0002]
 			} else {
-				z.PreviousVoters = make([]Replica, zb0005)
+				z.Lost = make([]Suspect, zb0002)
 			}
-			for za0002 := range z.PreviousVoters {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0001 := range z.Lost {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "PreviousVoters", za0002)
+					err = msgp.WrapError(err, "Lost", za0001)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "PreviousVoters", za0002)
+						err = msgp.WrapError(err, "Lost", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "i":
-						z.PreviousVoters[za0002].ID, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002, "ID")
-							return
-						}
-					case "z":
-						z.PreviousVoters[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+					case "o":
+						z.Lost[za0001].Origin, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002, "Zone")
+							err = msgp.WrapError(err, "Lost", za0001, "Origin")
 							return
 						}
-					case "a":
-						z.PreviousVoters[za0002].Addr, bts, err = msgp.ReadStringBytes(bts)
+					case "c":
+						z.Lost[za0001].Count, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002, "Addr")
+							err = msgp.WrapError(err, "Lost", za0001, "Count")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "PreviousVoters", za0002)
+							err = msgp.WrapError(err, "Lost", za0001)
 							return
 						}
 					}
 				}
 			}
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "l":
-			z.Ledger, bts, err = msgp.ReadBytesBytes(bts, z.Ledger)
-			if err != nil {
-				err = msgp.WrapError(err, "Ledger")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5912,21 +1343,16 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Versioned) Msgsize() (s int) {
-	s = 1 + 3 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 3 + msgp.ArrayHeaderSize
-	for za0001 := range z.Voters {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].ID) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Zone) + 2 + msgp.StringPrefixSize + len(z.Voters[za0001].Addr)
-	}
-	s += 3 + msgp.ArrayHeaderSize
-	for za0002 := range z.PreviousVoters {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.PreviousVoters[za0002].ID) + 2 + msgp.StringPrefixSize + len(z.PreviousVoters[za0002].Zone) + 2 + msgp.StringPrefixSize + len(z.PreviousVoters[za0002].Addr)
+func (z *Links) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Peers) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Lost {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Lost[za0001].Origin) + 2 + msgp.Uint64Size
 	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.BytesPrefixSize + len(z.Ledger)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Vote) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Mark) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5943,83 +1369,42 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, err = dc.ReadString()
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "p":
-			z.Partition, err = dc.ReadInt()
+		case "o":
+			z.Origin, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Origin")
 				return
 			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
+		case "m":
+			z.Max, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Max")
 				return
 			}
-		case "f":
-			z.From, err = dc.ReadString()
+		case "s":
+			z.Sum, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Sum")
 				return
 			}
-		case "e":
-			z.Pre, err = dc.ReadBool()
+		case "b":
+			z.Beat, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Pre")
+				err = msgp.WrapError(err, "Beat")
 				return
 			}
-		case "n":
-			z.Named, err = dc.ReadBool()
+		case "k":
+			z.Key, err = dc.ReadBytes(z.Key)
 			if err != nil {
-				err = msgp.WrapError(err, "Named")
+				err = msgp.WrapError(err, "Key")
 				return
 			}
-		case "h":
-			var zb0002 uint32
-			zb0002, err = dc.ReadMapHeader()
+		case "g":
+			z.Sig, err = dc.ReadBytes(z.Sig)
 			if err != nil {
-				err = msgp.WrapError(err, "Held")
+				err = msgp.WrapError(err, "Sig")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, err = dc.ReadMapKeyPtr()
-				if err != nil {
-					err = msgp.WrapError(err, "Held")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Held.Partition, err = dc.ReadInt()
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Partition")
-						return
-					}
-				case "t":
-					z.Held.Term, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Term")
-						return
-					}
-				case "s":
-					z.Held.Seq, err = dc.ReadUint64()
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Seq")
-						return
-					}
-				default:
-					err = dc.Skip()
-					if err != nil {
-						err = msgp.WrapError(err, "Held")
-						return
-					}
-				}
-			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -6032,146 +1417,155 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Vote) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 7
-	// write "to"
-	err = en.Append(0x87, 0xa2, 0x74, 0x6f)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.To)
-	if err != nil {
-		err = msgp.WrapError(err, "To")
-		return
-	}
-	// write "p"
-	err = en.Append(0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Partition)
-	if err != nil {
-		err = msgp.WrapError(err, "Partition")
-		return
-	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Term")
-		return
-	}
-	// write "f"
-	err = en.Append(0xa1, 0x66)
-	if err != nil {
-		return
-	}
-	err = en.WriteString(z.From)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
-		return
-	}
-	// write "e"
-	err = en.Append(0xa1, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Pre)
-	if err != nil {
-		err = msgp.WrapError(err, "Pre")
-		return
-	}
-	// write "n"
-	err = en.Append(0xa1, 0x6e)
-	if err != nil {
-		return
-	}
-	err = en.WriteBool(z.Named)
-	if err != nil {
-		err = msgp.WrapError(err, "Named")
-		return
-	}
-	// write "h"
-	err = en.Append(0xa1, 0x68)
-	if err != nil {
-		return
-	}
-	// map header, size 3
-	// write "p"
-	err = en.Append(0x83, 0xa1, 0x70)
-	if err != nil {
-		return
-	}
-	err = en.WriteInt(z.Held.Partition)
-	if err != nil {
-		err = msgp.WrapError(err, "Held", "Partition")
-		return
+func (z *Mark) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Beat == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
 	}
-	// write "t"
-	err = en.Append(0xa1, 0x74)
-	if err != nil {
-		return
+	if z.Key == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
 	}
-	err = en.WriteUint64(z.Held.Term)
-	if err != nil {
-		err = msgp.WrapError(err, "Held", "Term")
-		return
+	if z.Sig == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
 	}
-	// write "s"
-	err = en.Append(0xa1, 0x73)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Held.Seq)
-	if err != nil {
-		err = msgp.WrapError(err, "Held", "Seq")
-		return
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "o"
+		err = en.Append(0xa1, 0x6f)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Origin)
+		if err != nil {
+			err = msgp.WrapError(err, "Origin")
+			return
+		}
+		// write "m"
+		err = en.Append(0xa1, 0x6d)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Max)
+		if err != nil {
+			err = msgp.WrapError(err, "Max")
+			return
+		}
+		// write "s"
+		err = en.Append(0xa1, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Sum)
+		if err != nil {
+			err = msgp.WrapError(err, "Sum")
+			return
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "b"
+			err = en.Append(0xa1, 0x62)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint64(z.Beat)
+			if err != nil {
+				err = msgp.WrapError(err, "Beat")
+				return
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "k"
+			err = en.Append(0xa1, 0x6b)
+			if err != nil {
+				return
+			}
+			err = en.WriteBytes(z.Key)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "g"
+			err = en.Append(0xa1, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteBytes(z.Sig)
+			if err != nil {
+				err = msgp.WrapError(err, "Sig")
+				return
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Vote) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Mark) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "to"
-	o = append(o, 0x87, 0xa2, 0x74, 0x6f)
-	o = msgp.AppendString(o, z.To)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Partition)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Term)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendBool(o, z.Pre)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendBool(o, z.Named)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	// map header, size 3
-	// string "p"
-	o = append(o, 0x83, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Held.Partition)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendUint64(o, z.Held.Term)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendUint64(o, z.Held.Seq)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Beat == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Key == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Sig == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendString(o, z.Origin)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendUint64(o, z.Max)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendUint64(o, z.Sum)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "b"
+			o = append(o, 0xa1, 0x62)
+			o = msgp.AppendUint64(o, z.Beat)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "k"
+			o = append(o, 0xa1, 0x6b)
+			o = msgp.AppendBytes(o, z.Key)
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "g"
+			o = append(o, 0xa1, 0x67)
+			o = msgp.AppendBytes(o, z.Sig)
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Vote) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Mark) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6188,83 +1582,42 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "to":
-			z.To, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Origin")
 				return
 			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+		case "m":
+			z.Max, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "Max")
 				return
 			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
+		case "s":
+			z.Sum, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Sum")
 				return
 			}
-		case "e":
-			z.Pre, bts, err = msgp.ReadBoolBytes(bts)
+		case "b":
+			z.Beat, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Pre")
+				err = msgp.WrapError(err, "Beat")
 				return
 			}
-		case "n":
-			z.Named, bts, err = msgp.ReadBoolBytes(bts)
+		case "k":
+			z.Key, bts, err = msgp.ReadBytesBytes(bts, z.Key)
 			if err != nil {
-				err = msgp.WrapError(err, "Named")
+				err = msgp.WrapError(err, "Key")
 				return
 			}
-		case "h":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "g":
+			z.Sig, bts, err = msgp.ReadBytesBytes(bts, z.Sig)
 			if err != nil {
-				err = msgp.WrapError(err, "Held")
+				err = msgp.WrapError(err, "Sig")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Held")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "p":
-					z.Held.Partition, bts, err = msgp.ReadIntBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Partition")
-						return
-					}
-				case "t":
-					z.Held.Term, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Term")
-						return
-					}
-				case "s":
-					z.Held.Seq, bts, err = msgp.ReadUint64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held", "Seq")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Held")
-						return
-					}
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -6278,13 +1631,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Vote) Msgsize() (s int) {
-	s = 1 + 3 + msgp.StringPrefixSize + len(z.To) + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size
+func (z *Mark) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BytesPrefixSize + len(z.Key) + 2 + msgp.BytesPrefixSize + len(z.Sig)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *VoteReply) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Notice) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6301,46 +1654,46 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, err = dc.ReadInt()
+		case "ty":
+			z.Type, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Type")
 				return
 			}
-		case "t":
-			z.Term, err = dc.ReadUint64()
+		case "id":
+			z.ID, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "f":
-			z.From, err = dc.ReadString()
+		case "o":
+			z.Origin, err = dc.ReadString()
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Origin")
 				return
 			}
-		case "e":
-			z.Pre, err = dc.ReadBool()
+		case "c":
+			z.Count, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Pre")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
-		case "g":
-			z.Granted, err = dc.ReadBool()
+		case "st":
+			err = z.Version.DecodeMsg(dc)
 			if err != nil {
-				err = msgp.WrapError(err, "Granted")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "h":
-			err = z.Held.DecodeMsg(dc)
+			z.Hops, err = dc.ReadUint8()
 			if err != nil {
-				err = msgp.WrapError(err, "Held")
+				err = msgp.WrapError(err, "Hops")
 				return
 			}
-		case "tb":
-			z.TakesBase, err = dc.ReadBool()
+		case "w":
+			z.Want, err = dc.ReadBool()
 			if err != nil {
-				err = msgp.WrapError(err, "TakesBase")
+				err = msgp.WrapError(err, "Want")
 				return
 			}
 		default:
@@ -6355,12 +1708,12 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *VoteReply) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *Notice) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
 	zb0001Len := uint32(7)
 	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
-	if z.TakesBase == false {
+	if z.Want == false {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
@@ -6372,54 +1725,54 @@
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// write "p"
-		err = en.Append(0xa1, 0x70)
+		// write "ty"
+		err = en.Append(0xa2, 0x74, 0x79)
 		if err != nil {
 			return
 		}
-		err = en.WriteInt(z.Partition)
+		err = en.WriteString(z.Type)
 		if err != nil {
-			err = msgp.WrapError(err, "Partition")
+			err = msgp.WrapError(err, "Type")
 			return
 		}
-		// write "t"
-		err = en.Append(0xa1, 0x74)
+		// write "id"
+		err = en.Append(0xa2, 0x69, 0x64)
 		if err != nil {
 			return
 		}
-		err = en.WriteUint64(z.Term)
+		err = en.WriteString(z.ID)
 		if err != nil {
-			err = msgp.WrapError(err, "Term")
+			err = msgp.WrapError(err, "ID")
 			return
 		}
-		// write "f"
-		err = en.Append(0xa1, 0x66)
+		// write "o"
+		err = en.Append(0xa1, 0x6f)
 		if err != nil {
 			return
 		}
-		err = en.WriteString(z.From)
+		err = en.WriteString(z.Origin)
 		if err != nil {
-			err = msgp.WrapError(err, "From")
+			err = msgp.WrapError(err, "Origin")
 			return
 		}
-		// write "e"
-		err = en.Append(0xa1, 0x65)
+		// write "c"
+		err = en.Append(0xa1, 0x63)
 		if err != nil {
 			return
 		}
-		err = en.WriteBool(z.Pre)
+		err = en.WriteUint64(z.Count)
 		if err != nil {
-			err = msgp.WrapError(err, "Pre")
+			err = msgp.WrapError(err, "Count")
 			return
 		}
-		// write "g"
-		err = en.Append(0xa1, 0x67)
+		// write "st"
+		err = en.Append(0xa2, 0x73, 0x74)
 		if err != nil {
 			return
 		}
-		err = en.WriteBool(z.Granted)
+		err = z.Version.EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Granted")
+			err = msgp.WrapError(err, "Version")
 			return
 		}
 		// write "h"
@@ -6427,20 +1780,20 @@
 		if err != nil {
 			return
 		}
-		err = z.Held.EncodeMsg(en)
+		err = en.WriteUint8(z.Hops)
 		if err != nil {
-			err = msgp.WrapError(err, "Held")
+			err = msgp.WrapError(err, "Hops")
 			return
 		}
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// write "tb"
-			err = en.Append(0xa2, 0x74, 0x62)
+			// write "w"
+			err = en.Append(0xa1, 0x77)
 			if err != nil {
 				return
 			}
-			err = en.WriteBool(z.TakesBase)
+			err = en.WriteBool(z.Want)
 			if err != nil {
-				err = msgp.WrapError(err, "TakesBase")
+				err = msgp.WrapError(err, "Want")
 				return
 			}
 		}
@@ -6449,13 +1802,13 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *VoteReply) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Notice) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
 	zb0001Len := uint32(7)
 	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
-	if z.TakesBase == false {
+	if z.Want == false {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
@@ -6464,39 +1817,39 @@
 
 	// skip if no fields are to be emitted
 	if zb0001Len != 0 {
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Partition)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendUint64(o, z.Term)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendString(o, z.From)
-		// string "e"
-		o = append(o, 0xa1, 0x65)
-		o = msgp.AppendBool(o, z.Pre)
-		// string "g"
-		o = append(o, 0xa1, 0x67)
-		o = msgp.AppendBool(o, z.Granted)
-		// string "h"
-		o = append(o, 0xa1, 0x68)
-		o, err = z.Held.MarshalMsg(o)
+		// string "ty"
+		o = append(o, 0xa2, 0x74, 0x79)
+		o = msgp.AppendString(o, z.Type)
+		// string "id"
+		o = append(o, 0xa2, 0x69, 0x64)
+		o = msgp.AppendString(o, z.ID)
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendString(o, z.Origin)
+		// string "c"
+		o = append(o, 0xa1, 0x63)
+		o = msgp.AppendUint64(o, z.Count)
+		// string "st"
+		o = append(o, 0xa2, 0x73, 0x74)
+		o, err = z.Version.MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Held")
+			err = msgp.WrapError(err, "Version")
 			return
 		}
+		// string "h"
+		o = append(o, 0xa1, 0x68)
+		o = msgp.AppendUint8(o, z.Hops)
 		if (zb0001Mask & 0x40) == 0 { // if not omitted
-			// string "tb"
-			o = append(o, 0xa2, 0x74, 0x62)
-			o = msgp.AppendBool(o, z.TakesBase)
+			// string "w"
+			o = append(o, 0xa1, 0x77)
+			o = msgp.AppendBool(o, z.Want)
 		}
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *VoteReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Notice) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6513,46 +1866,174 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "p":
-			z.Partition, bts, err = msgp.ReadIntBytes(bts)
+		case "ty":
+			z.Type, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Partition")
+				err = msgp.WrapError(err, "Type")
 				return
 			}
-		case "t":
-			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+		case "id":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Term")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Origin")
 				return
 			}
-		case "e":
-			z.Pre, bts, err = msgp.ReadBoolBytes(bts)
+		case "c":
+			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Pre")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
-		case "g":
-			z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+		case "st":
+			bts, err = z.Version.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Granted")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "h":
-			bts, err = z.Held.UnmarshalMsg(bts)
+			z.Hops, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Hops")
+				return
+			}
+		case "w":
+			z.Want, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Want")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Notice) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(z.Type) + 3 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size + 3 + z.Version.Msgsize() + 2 + msgp.Uint8Size + 2 + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Suspect) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			z.Origin, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "c":
+			z.Count, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Suspect) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "o"
+	err = en.Append(0x82, 0xa1, 0x6f)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Origin)
+	if err != nil {
+		err = msgp.WrapError(err, "Origin")
+		return
+	}
+	// write "c"
+	err = en.Append(0xa1, 0x63)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Suspect) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "o"
+	o = append(o, 0x82, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Origin)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint64(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Suspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Held")
+				err = msgp.WrapError(err, "Origin")
 				return
 			}
-		case "tb":
-			z.TakesBase, bts, err = msgp.ReadBoolBytes(bts)
+		case "c":
+			z.Count, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "TakesBase")
+				err = msgp.WrapError(err, "Count")
 				return
 			}
 		default:
@@ -6568,7 +2049,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *VoteReply) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + z.Held.Msgsize() + 3 + msgp.BoolSize
+func (z Suspect) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.Uint64Size
 	return
 }
