--- a/tools/mutate/main.go
+++ b/tools/mutate/main.go
@@ -81,7 +81,8 @@
 	return all
 }
 
-// try builds the mutant in a copy of the tree and looks for the violation.
+// try builds the mutant, in a copy of the tree whose path leaves no trace, so that packages that did not
+// change are built once for all mutants. It looks for the violation.
 func try(m mutant, seeds string) (bool, error) {
 	dir, err := os.MkdirTemp("", "wallport-mutant-")
 	if err != nil {
@@ -103,7 +104,7 @@
 		return false, err
 	}
 	if m.test != "" {
-		run := exec.Command("go", append([]string{"test", "-count=1"}, strings.Fields(m.test)...)...)
+		run := exec.Command("go", append([]string{"test", "-trimpath", "-count=1"}, strings.Fields(m.test)...)...)
 		run.Dir = dir
 		out, err := run.CombinedOutput()
 		if strings.Contains(string(out), "[build failed]") {
@@ -111,7 +112,7 @@
 		}
 		return err != nil, nil
 	}
-	build := exec.Command("go", "build", "-o", filepath.Join(dir, "lab-mutant"), "./cmd/lab")
+	build := exec.Command("go", "build", "-trimpath", "-o", filepath.Join(dir, "lab-mutant"), "./cmd/lab")
 	build.Dir = dir
 	if out, err := build.CombinedOutput(); err != nil {
 		return false, fmt.Errorf("does not build: %s", out)
