--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -83,3 +83,64 @@
 		must.Between(t, c.at, g.electionAt-k.s.started, c.to, must.Sprint(c))
 	}
 }
+
+// campaign has the core stand for leader of partition 0 with its own vote synced, holding a version.
+func campaign(t *testing.T, mine wire.Versioned) (*core, *Group) {
+	t.Helper()
+	c := newCore(t, map[string][]byte{versionFile(mine.Version): diskfile.Pack(wire.Encode(&mine))})
+	g := c.s.groups[0]
+	c.tick()
+	c.now += 10_000_000
+	c.tick()
+	must.Eq(t, preCandidate, g.role)
+	c.sync(c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Pre: true, Granted: true, Held: mine}))
+	must.Eq(t, candidate, g.role)
+	return c, g
+}
+
+// One that was replaced holds an older version, whose voters are no group any more: of those it
+// may have a majority, and of those that the newest version names it needs one.
+func TestAnElectionIsCountedByTheVotersOfTheNewestVersionFound(t *testing.T) {
+	c, g := campaign(t, version(3, 1))
+	newest := version(4, 7)
+	newest.Voters = seats("a", "d", "e")
+	c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Granted: true, Held: newest})
+	c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "b", Granted: true, Held: version(3, 1)})
+	must.Eq(t, candidate, g.role, must.Sprint("all of its own voters, and one of three of the newest version"))
+	c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "d", Granted: true, Held: newest})
+	must.Eq(t, leader, g.role)
+}
+
+// What a new leader found may be on its disk alone: until a majority has synced it in its term,
+// nothing is said that rests on it, whatever heartbeats are answered.
+func TestANewLeaderAnswersNothingBeforeItHasCommitted(t *testing.T) {
+	c, g := campaign(t, version(3, 1))
+	c.send(wire.KindVoteReply, &wire.VoteReply{Term: g.term, From: "a", Granted: true, Held: version(2, 1)})
+	must.Eq(t, leader, g.role)
+	var out kernel.Out
+	ask := func(e wire.Edit) {
+		more := c.send(wire.KindEdit, &e)
+		out.Sends = append(out.Sends, more.Sends...)
+	}
+	ask(wire.Edit{Op: wire.OpRead})
+	ask(wire.Edit{Op: "put", Strict: true, Base: wire.Version{Term: 1, Seq: 1}, Body: []byte("{}")})
+	for range 5 {
+		c.now += HeartbeatInterval
+		more := c.tick()
+		out.Sends = append(out.Sends, more.Sends...)
+		more = c.answers(g, 0)
+		out.Sends = append(out.Sends, more.Sends...)
+	}
+	must.Eq(t, leader, g.role)
+	for _, reply := range sent[wire.EditReply](t, out, wire.KindEditReply) {
+		must.Eq(t, "not_owner", reply.Code, must.Sprint("a majority answers heartbeats, and none has synced its version"))
+	}
+	must.Zero(t, c.pulled(t).Contact)
+	must.Eq(t, stateNewLeader, c.shown(t).State)
+	c.take(g)
+	must.Eq(t, stateLeader, c.shown(t).State)
+	c.send(wire.KindEdit, &wire.Edit{Op: wire.OpRead})
+	read := sent[wire.EditReply](t, c.answers(g, 0), wire.KindEditReply)
+	must.Len(t, 2, read, must.Sprint("the order that waited is refused, the read is answered"))
+	must.Eq(t, "ok", read[1].Code)
+}
