--- a/conditions/conditions.go
+++ b/conditions/conditions.go
@@ -62,8 +62,8 @@
 	// passive is that servers in order are not probed.
 	passive bool
 	seen    map[string]*watch
-	// cp is the checkpoint by whose roster and servers the probing was last shared out.
-	cp *table.Checkpoint
+	// cp is the snapshot by whose roster and servers the probing was last shared out.
+	cp *table.Snapshot
 }
 
 func init() {
@@ -79,7 +79,7 @@
 func (c *Conditions) Kinds() []uint8 { return nil }
 
 // Step takes one input.
-func (c *Conditions) Step(t *kernel.Turn, in kernel.Input) {
+func (c *Conditions) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		t.After(t.Rand.Int64N(TickEvery), "conditions", "watch")
@@ -95,9 +95,9 @@
 	}
 }
 
-// share settles which servers this node probes, once for each checkpoint: names are hashed
+// share settles which servers this node probes, once for each snapshot: names are hashed
 // once, and a pair of a node and a server costs a few instructions.
-func (c *Conditions) share(t *kernel.Turn, cp *table.Checkpoint) {
+func (c *Conditions) share(t *kernel.Context, cp *table.Snapshot) {
 	if c.cp == cp {
 		return
 	}
@@ -149,7 +149,7 @@
 	return x
 }
 
-func (c *Conditions) round(t *kernel.Turn) {
+func (c *Conditions) round(t *kernel.Context) {
 	cp := c.table.Now()
 	if cp == nil {
 		return
@@ -167,7 +167,7 @@
 	}
 }
 
-func (c *Conditions) fetched(t *kernel.Turn, v kernel.Fetched) {
+func (c *Conditions) fetched(t *kernel.Context, v kernel.Fetched) {
 	w := c.seen[v.Key]
 	if w == nil {
 		return
@@ -193,7 +193,7 @@
 }
 
 // opine settles what this node thinks of a server and tells it when that changed.
-func (c *Conditions) opine(t *kernel.Turn, s *table.Server, w *watch, medians map[shard]int64) {
+func (c *Conditions) opine(t *kernel.Context, s *table.Server, w *watch, medians map[shard]int64) {
 	o := wire.Opinion{State: "ok", Incarnation: w.seenInc, Up: w.up}
 	if inc := s.Gauge.Incarnation.Load(); inc > o.Incarnation {
 		o.Incarnation, o.Up = inc, 0
@@ -230,7 +230,7 @@
 func shardKey(s *table.Server) shard { return shard{s.Index, s.Cut, s.Shard} }
 
 // shardMedians is the latency of each shard's middle server, where some server may be slow at all.
-func shardMedians(cp *table.Checkpoint) map[shard]int64 {
+func shardMedians(cp *table.Snapshot) map[shard]int64 {
 	if !slices.ContainsFunc(cp.Servers, func(s *table.Server) bool { return s.Gauge.Latency.Load() > SlowFrom }) {
 		return nil
 	}
--- a/configsync/choice_test.go
+++ b/configsync/choice_test.go
@@ -21,7 +21,7 @@
 
 // tries counts by zone which cores a thousand pulls go to.
 func (p *Sync) tries(now int64) (byZone, byCore map[string]int) {
-	t := &kernel.Turn{Now: now, Rand: rand.New(rand.NewPCG(1, 1))}
+	t := &kernel.Context{Now: now, Rand: rand.New(rand.NewPCG(1, 1))}
 	byZone, byCore = map[string]int{}, map[string]int{}
 	var all []string
 	for a := range p.zones {
--- a/configsync/contact.go
+++ b/configsync/contact.go
@@ -81,7 +81,7 @@
 }
 
 // answered takes note of the contact that a core's answer tells of, and passes it on.
-func (p *Sync) answered(t *kernel.Turn, asked sentPull, r *wire.PullReply) {
+func (p *Sync) answered(t *kernel.Context, asked sentPull, r *wire.PullReply) {
 	contact := r.Contact | r.Relayed
 	if t.Now-asked.at > AnswerWithin {
 		t.Counts.Add("pulls_answered_late", 1)
--- a/configsync/cores.go
+++ b/configsync/cores.go
@@ -97,7 +97,7 @@
 }
 
 // choose picks the one core to ask now.
-func (p *Sync) choose(t *kernel.Turn, cores []string) []string {
+func (p *Sync) choose(t *kernel.Context, cores []string) []string {
 	if len(cores) == 0 {
 		return nil
 	}
--- a/configsync/sync.go
+++ b/configsync/sync.go
@@ -88,7 +88,7 @@
 }
 
 // Step takes one input.
-func (p *Sync) Step(t *kernel.Turn, in kernel.Input) {
+func (p *Sync) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		t.After(t.Rand.Int64N(p.every(t.Now)), "pulls", "pull")
@@ -111,7 +111,7 @@
 
 // held notes that there is a new version of a partition. The first one that the mesh brings to a process
 // that has just started is confirmed at once, if a core can be asked.
-func (p *Sync) held(t *kernel.Turn) {
+func (p *Sync) held(t *kernel.Context) {
 	if !p.core {
 		stamps := p.stamps()
 		p.members.Update(func(s *wire.Member) { s.InForce = stamps })
@@ -125,7 +125,7 @@
 	}
 }
 
-func (p *Sync) replied(t *kernel.Turn, v kernel.Message) {
+func (p *Sync) replied(t *kernel.Context, v kernel.Message) {
 	var r wire.PullReply
 	if wire.Decode(v.Body, &r) != nil {
 		t.Counts.Add("frames_malformed", 1)
@@ -175,7 +175,7 @@
 	return Every
 }
 
-func (p *Sync) pull(t *kernel.Turn) {
+func (p *Sync) pull(t *kernel.Context) {
 	req := wire.Pull{Have: p.stamps()}
 	if p.core {
 		self := p.members.SelfRow()
--- a/cutmove/cutmove.go
+++ b/cutmove/cutmove.go
@@ -47,7 +47,7 @@
 func (c *CutMove) Kinds() []uint8 { return nil }
 
 // Step takes one input.
-func (c *CutMove) Step(t *kernel.Turn, in kernel.Input) {
+func (c *CutMove) Step(t *kernel.Context, in kernel.Input) {
 	switch in.(type) {
 	case table.Built:
 		c.arm(t)
@@ -59,7 +59,7 @@
 }
 
 // arm has it looked again for as long as some index is being moved.
-func (c *CutMove) arm(t *kernel.Turn) {
+func (c *CutMove) arm(t *kernel.Context) {
 	if c.armed {
 		return
 	}
@@ -75,7 +75,7 @@
 // look asks for the flip of every move that is ready. The first live node by
 // name does it, and the others after it in turn where nothing came of it; the
 // edit is judged by the partition's leader, so that two who try flip once.
-func (c *CutMove) look(t *kernel.Turn) {
+func (c *CutMove) look(t *kernel.Context) {
 	cp := c.table.Now()
 	if cp == nil || cp.Sheet == nil || cp.Drains {
 		return
@@ -99,7 +99,7 @@
 			continue
 		}
 		t.Counts.Add("cut_flips_asked", 1)
-		t.Note(0, "cut_flip", "index", name, "from", x.Cut.Name, "to", x.Cut.Next)
+		t.Log(0, "cut_flip", "index", name, "from", x.Cut.Name, "to", x.Cut.Next)
 		t.SendTo(addr, wire.KindEdit, 0, &wire.Edit{Partition: partition, Op: "flip", Name: name, Body: wire.Encode(&x.Cut)})
 	}
 }
@@ -125,7 +125,7 @@
 	return len(x.NextShards) > 0
 }
 
-func sortedIndexes(cp *table.Checkpoint) []string {
+func sortedIndexes(cp *table.Snapshot) []string {
 	var out []string
 	for _, s := range cp.Sheet.Services {
 		out = append(out, s.Index)
--- a/forward/backend.go
+++ b/forward/backend.go
@@ -1,5 +1,5 @@
 // What this node learnt of one backend from its own asks. It outlives
-// checkpoints. What a backend says of itself or others say of it comes second.
+// snapshots. What a backend says of itself or others say of it comes second.
 package forward
 
 import (
@@ -29,7 +29,7 @@
 	load, told, usual, slots atomic.Int64
 	// full is the load at which it turned requests away, in thousandths of requests; 0 is unknown.
 	full atomic.Int64
-	// cold is until when it is cold, seen when a checkpoint last named it.
+	// cold is until when it is cold, seen when a snapshot last named it.
 	cold, seen atomic.Int64
 	ramp       ramp
 	// given and emptied are of the last view: the listed rest of its cold time, and its zone.
@@ -47,8 +47,8 @@
 	return v.(*backend)
 }
 
-// forget drops backends that no checkpoint has named for long.
-func (d *Desk) forget(cp *table.Checkpoint, there int) {
+// forget drops backends that no snapshot has named for long.
+func (d *Desk) forget(cp *table.Snapshot, there int) {
 	n := 0
 	d.backends.Range(func(any, any) bool { n++; return true })
 	if n <= 2*there+64 {
@@ -64,8 +64,8 @@
 
 const forgetAfter = 60_000_000
 
-// listed takes what a checkpoint says of the backend. Views are made one after another.
-func (b *backend) listed(cp *table.Checkpoint, p *table.Pool, s *table.Server, began int64) {
+// listed takes what a snapshot says of the backend. Views are made one after another.
+func (b *backend) listed(cp *table.Snapshot, p *table.Pool, s *table.Server, began int64) {
 	first := b.seen.Load() == 0
 	b.seen.Store(max(1, cp.At))
 	if s.Slots > 0 && b.slots.Load() == 0 {
@@ -83,7 +83,7 @@
 	if told := s.Gauge.Cold.Load(); told > b.cold.Load() {
 		b.cold.Store(told)
 	}
-	out := s.Verdict == table.Emptied
+	out := s.Verdict == table.Drained
 	if b.emptied && !out && p.RampPerS > 0 {
 		// Those of a zone that is taken back may have turned cold meanwhile.
 		b.cold.Store(max(b.cold.Load(), cp.At+p.SlowStartUs))
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -33,7 +33,7 @@
 }
 
 // bound is how much this node may save, and its fair part where that is less than a whole ask.
-func (d *Desk) bound(cp *table.Checkpoint, now int64) (most, part int64) {
+func (d *Desk) bound(cp *table.Snapshot, now int64) (most, part int64) {
 	part = int64(savedShare * d.cfg.Retry.Allowance * bucket.One / float64(max(1, cp.Divisor)))
 	if now-d.cfg.Now < settleAfter {
 		return savedFirst, savedFirst
@@ -44,7 +44,7 @@
 // earn notes a request for the pool, the first ask of which is not extra. Where the fair part
 // is less than a whole ask, a whole one that is not used soon is lost by the chance of what it is
 // too much.
-func (d *Desk) earn(p *pool, cp *table.Checkpoint, now int64, rnd *random.Source) {
+func (d *Desk) earn(p *pool, cp *table.Snapshot, now int64, rnd *random.Source) {
 	most, part := d.bound(cp, now)
 	gain := int64(earnShare * d.cfg.Retry.Ratio * bucket.One)
 	if part < bucket.One && p.budget.Saved() >= bucket.One && int64(rnd.N(bucket.One)) >= part {
@@ -54,7 +54,7 @@
 }
 
 // extra asks for one extra ask of this node.
-func (d *Desk) extra(p *pool, cp *table.Checkpoint, now int64) bool {
+func (d *Desk) extra(p *pool, cp *table.Snapshot, now int64) bool {
 	most, part := d.bound(cp, now)
 	each := trickShare * d.cfg.Retry.Allowance * bucket.One * 1e6 / float64(d.cfg.Retry.WindowUs) / float64(max(1, cp.Divisor))
 	if part >= bucket.One {
--- a/forward/chart_test.go
+++ b/forward/chart_test.go
@@ -17,7 +17,7 @@
 // fixture is a desk with a table that tests may change.
 type fixture struct {
 	*Desk
-	cp  *table.Checkpoint
+	cp  *table.Snapshot
 	src *routingpb.RoutingTable
 }
 
@@ -42,7 +42,7 @@
 		one("read", &routingpb.Route{Pool: "p0", Repeatable: true, MaxBackends: 2}),
 		one("split", &routingpb.Route{Repeatable: true, MaxBackends: 2, PoolWeights: []*routingpb.PoolWeight{{Pool: "p0", Weight: 0}, {Pool: "p1", Weight: 1}, {Pool: "p2", Weight: 1}}}),
 	}
-	f.cp = &table.Checkpoint{At: begun, Whole: true, Zone: "z0", Divisor: 1, Peers: 1, Pools: map[string]*table.Pool{}}
+	f.cp = &table.Snapshot{At: begun, Whole: true, Zone: "z0", Divisor: 1, Peers: 1, Pools: map[string]*table.Pool{}}
 	for _, p := range f.src.Pools {
 		q := &table.Pool{Pool: p}
 		for i := range backends {
@@ -50,7 +50,7 @@
 		}
 		f.cp.Pools[p.Name] = q
 	}
-	f.Desk = NewDesk(Config{Table: func() *table.Checkpoint { return f.cp }, Seed: 1, Retry: RetryConfig{Ratio: 0.2, Allowance: 60}})
+	f.Desk = NewDesk(Config{Table: func() *table.Snapshot { return f.cp }, Seed: 1, Retry: RetryConfig{Ratio: 0.2, Allowance: 60}})
 	f.compile()
 	return f
 }
@@ -121,7 +121,7 @@
 func TestNoRouteOnlyWithATableInForce(t *testing.T) {
 	f := fixed(2, 2)
 	must.Eq(t, 404, finish(f.chart("nowhere").Step(begun, Begin{})).Status)
-	f.cp = &table.Checkpoint{Whole: true}
+	f.cp = &table.Snapshot{Whole: true}
 	o := finish(f.chart("nowhere").Step(begun, Begin{}))
 	must.Eq(t, 503, o.Status)
 	must.Positive(t, o.RetryAfterUs)
--- a/forward/choose.go
+++ b/forward/choose.go
@@ -136,7 +136,7 @@
 // choose finds the backend for an ask; those in tried are left out. A due trial goes first: it
 // costs the request little, since another backend can be asked soon, and is the only way back. A
 // request that may be sent only once is a trial where it would else be refused or wait for long.
-func choose(p *pool, cp *table.Checkpoint, st *stats, tried []*backend, once bool, now int64, rnd *random.Source) choice {
+func choose(p *pool, cp *table.Snapshot, st *stats, tried []*backend, once bool, now int64, rnd *random.Source) choice {
 	best, chance := choice{standing: stNone}, choice{standing: stNone}
 	for i := range p.seats {
 		s := &p.seats[i]
--- a/forward/desk.go
+++ b/forward/desk.go
@@ -20,7 +20,7 @@
 
 // Config is what a desk is made of.
 type Config struct {
-	Table  func() *table.Checkpoint
+	Table  func() *table.Snapshot
 	Counts *kernel.Counts
 	Seed   uint64
 	// Now is the process's clock, in microseconds.
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -106,7 +106,7 @@
 	const nodes, allowance = 600, 30.0
 	for seed := range uint64(3) {
 		r := rand.New(rand.NewPCG(seed, 5))
-		cp := &table.Checkpoint{Divisor: nodes}
+		cp := &table.Snapshot{Divisor: nodes}
 		now := int64(60 * second)
 		var desks []*Desk
 		for range nodes {
--- a/forward/shared_test.go
+++ b/forward/shared_test.go
@@ -14,7 +14,7 @@
 	f := fixed(6, 5)
 	f.rich()
 	var mu sync.Mutex
-	f.Desk.cfg.Table = func() *table.Checkpoint {
+	f.Desk.cfg.Table = func() *table.Snapshot {
 		mu.Lock()
 		defer mu.Unlock()
 		// The table changes all the time.
--- a/forward/view.go
+++ b/forward/view.go
@@ -1,6 +1,6 @@
-// The view is a checkpoint as charts read it: each pool's backends with what
+// The view is a snapshot as charts read it: each pool's backends with what
 // this node learnt of them, and each route's plan. It is made once for each
-// checkpoint and then only read.
+// snapshot and then only read.
 package forward
 
 import (
@@ -33,12 +33,12 @@
 }
 
 type view struct {
-	cp    *table.Checkpoint
+	cp    *table.Snapshot
 	pools map[string]*pool
 	plans sync.Map // *routing.Route -> *plan
 }
 
-// now is the view of the newest checkpoint, nil while nothing can be served.
+// now is the view of the newest snapshot, nil while nothing can be served.
 func (d *Desk) now() *view {
 	cp := d.cfg.Table()
 	if !cp.Ready() || cp.Routing == nil {
@@ -57,7 +57,7 @@
 	return v
 }
 
-func (d *Desk) build(cp *table.Checkpoint) *view {
+func (d *Desk) build(cp *table.Snapshot) *view {
 	v := &view{cp: cp, pools: make(map[string]*pool, len(cp.Pools))}
 	there := 0
 	for name, p := range cp.Pools {
@@ -66,7 +66,7 @@
 			b := d.backendOf(s.ID)
 			b.listed(cp, p, s, d.cfg.Now)
 			there++
-			if s.Verdict != table.Leaving && s.Verdict != table.Emptied {
+			if s.Verdict != table.Leaving && s.Verdict != table.Drained {
 				q.seats = append(q.seats, seat{server: s, b: b, near: s.Zone == cp.Zone})
 			}
 		}
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -79,7 +79,7 @@
 	zone   string
 	desk   *Desk
 	gauges *table.Gauges
-	cp     *table.Checkpoint
+	cp     *table.Snapshot
 	rt     *routing.Table
 	dead   bool
 	// late is how long after a change its table follows.
@@ -139,7 +139,7 @@
 // start begins a new life of the node's process.
 func (n *simNode) start(began int64) {
 	n.desk = NewDesk(Config{
-		Table: func() *table.Checkpoint { return n.cp }, Counts: kernel.NewCounts(), Seed: n.w.rnd.Uint64(), Now: began,
+		Table: func() *table.Snapshot { return n.cp }, Counts: kernel.NewCounts(), Seed: n.w.rnd.Uint64(), Now: began,
 		Retry: RetryConfig{Ratio: 0.2, Allowance: n.w.allowance, WindowUs: 10_000_000},
 	})
 	n.gauges, n.dead = &table.Gauges{}, false
@@ -169,7 +169,7 @@
 	}
 }
 
-// take makes the node's checkpoint of what is so now.
+// take makes the node's snapshot of what is so now.
 func (n *simNode) take() {
 	w := n.w
 	if n.rt == nil || n.rt.Source != w.config {
@@ -181,7 +181,7 @@
 			live++
 		}
 	}
-	cp := &table.Checkpoint{At: w.now, Zone: n.zone, Divisor: max(live, w.shape.nodes), Peers: live, Routing: n.rt, Pools: map[string]*table.Pool{}, Whole: true}
+	cp := &table.Snapshot{At: w.now, Zone: n.zone, Divisor: max(live, w.shape.nodes), Peers: live, Routing: n.rt, Pools: map[string]*table.Pool{}, Whole: true}
 	for name, p := range n.rt.Pools {
 		cp.Pools[name] = &table.Pool{Pool: p}
 	}
@@ -194,7 +194,7 @@
 		case b.leaving:
 			s.Verdict = table.Leaving
 		case w.emptied[b.zone]:
-			s.Verdict = table.Emptied
+			s.Verdict = table.Drained
 		}
 		if p := cp.Pools[b.pool]; p != nil {
 			p.Servers = append(p.Servers, s)
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -37,9 +37,9 @@
 }
 
 // benchTable has a gathered route over some shards and a single one, four backends to a pool.
-func benchTable(shards int, addrs []string) *table.Checkpoint {
+func benchTable(shards int, addrs []string) *table.Snapshot {
 	src := &routingpb.RoutingTable{Revision: 1, Limits: &routingpb.Limits{}}
-	cp := &table.Checkpoint{Whole: true, Divisor: 1, Peers: 1, Pools: map[string]*table.Pool{}}
+	cp := &table.Snapshot{Whole: true, Divisor: 1, Peers: 1, Pools: map[string]*table.Pool{}}
 	var names []string
 	for i := range len(addrs) / 4 {
 		name := fmt.Sprint("pool-", i)
@@ -92,7 +92,7 @@
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	cp, counts, began := benchTable(shards, addrs), kernel.NewCounts(), time.Now()
 	now := func() int64 { return time.Since(began).Microseconds() }
-	get := func() *table.Checkpoint { return cp }
+	get := func() *table.Snapshot { return cp }
 	desk := forward.NewDesk(forward.Config{Table: get, Counts: counts, Seed: 1, Retry: forward.RetryConfig{Ratio: 0.2, Allowance: 60}})
 	k := backend.New(backend.Config{Names: backend.Names{ID: "Try-Id", Budget: "Left", Target: "Meant-For", Seal: "Stamp", Load: "Busy", NotRun: "Did-Not-Run"}, Counts: counts})
 	defer k.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,11 +39,11 @@
 	Log             *zap.Logger
 	Counts          *kernel.Counts
 	Backends        *backend.Client
-	// Table is the checkpoint in force.
-	Table func() *table.Checkpoint
+	// Table is the snapshot in force.
+	Table func() *table.Snapshot
 	// Chart makes a request's chart.
 	Chart func(r forward.Request, now int64) Chart
-	// Ready tells whether the newest known configuration is in force; nil is that of the checkpoint.
+	// Ready tells whether the newest known configuration is in force; nil is that of the snapshot.
 	Ready func() bool
 	// Now is the process's clock in microseconds. Refresh, where it is set, waits after a freeze until
 	// the table is fresh.
--- a/gateway/once_test.go
+++ b/gateway/once_test.go
@@ -50,7 +50,7 @@
 		s.Gauge = gauges.Of(s.ID)
 		pool.Servers = append(pool.Servers, &s)
 	}
-	w.cp.Store(&table.Checkpoint{Whole: true, Divisor: 1, Peers: 1, Routing: compiled, Pools: map[string]*table.Pool{"desk": pool}})
+	w.cp.Store(&table.Snapshot{Whole: true, Divisor: 1, Peers: 1, Routing: compiled, Pools: map[string]*table.Pool{"desk": pool}})
 	return w
 }
 
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -47,7 +47,7 @@
 	c := w.dial()
 	c.send(get("a"))
 	c.answer("GET")
-	w.cp.Store(&table.Checkpoint{})
+	w.cp.Store(&table.Snapshot{})
 	must.Eq(t, 503, status("/ready"))
 }
 
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -80,7 +80,7 @@
 	t      *testing.T
 	s      *Server
 	server table.Server
-	cp     atomic.Pointer[table.Checkpoint]
+	cp     atomic.Pointer[table.Snapshot]
 	now    func() int64
 	step   func(s *script, ev forward.Event) []forward.Act
 	serve  func(w http.ResponseWriter, r *http.Request)
@@ -144,7 +144,7 @@
 }
 
 func (w *world) limits(l *routingpb.Limits) {
-	w.cp.Store(&table.Checkpoint{Whole: true, Routing: routing.Compile(&routingpb.RoutingTable{Revision: 1, Limits: l})})
+	w.cp.Store(&table.Snapshot{Whole: true, Routing: routing.Compile(&routingpb.RoutingTable{Revision: 1, Limits: l})})
 }
 
 func (w *world) note(id string, ev forward.Event) {
--- a/idempotency/admission.go
+++ b/idempotency/admission.go
@@ -25,7 +25,7 @@
 }
 
 // admit claims a key at its owners.
-func (c *Coordinator) admit(t *kernel.Turn, id uint64, a Admit) {
+func (c *Coordinator) admit(t *kernel.Context, id uint64, a Admit) {
 	cp := c.snapshot()
 	if c.minority(cp, t.Now) {
 		t.Counts.Add("claims_minority", 1)
@@ -55,7 +55,7 @@
 }
 
 // send asks every owner that has not let the key in yet.
-func (c *Coordinator) send(t *kernel.Turn, n uint64, pending *admission) {
+func (c *Coordinator) send(t *kernel.Context, n uint64, pending *admission) {
 	m := wire.Claim{Key: pending.ask.Key, Index: pending.ask.Index, From: c.token(n), Sum: pending.ask.Sum}
 	for _, h := range pending.owners {
 		switch {
@@ -70,7 +70,7 @@
 	}
 }
 
-func (c *Coordinator) replied(t *kernel.Turn, n uint64, r wire.ClaimReply) {
+func (c *Coordinator) replied(t *kernel.Context, n uint64, r wire.ClaimReply) {
 	pending := c.admissions[n]
 	if pending == nil || pending.ask.Key != r.Key {
 		return
@@ -92,7 +92,7 @@
 
 // decide lets a key in that a majority of its owners let in. A caller's word that this
 // is its first try makes up for owners that cannot be sure.
-func (c *Coordinator) decide(t *kernel.Turn, n uint64, pending *admission) {
+func (c *Coordinator) decide(t *kernel.Context, n uint64, pending *admission) {
 	if len(pending.owners) == 0 {
 		return
 	}
@@ -112,7 +112,7 @@
 }
 
 // retry is a claim's timer: it decides, asks again, or gives up.
-func (c *Coordinator) retry(t *kernel.Turn, n uint64) {
+func (c *Coordinator) retry(t *kernel.Context, n uint64) {
 	pending := c.admissions[n]
 	switch {
 	case pending == nil:
@@ -160,7 +160,7 @@
 // must not release each other.
 func (c *Coordinator) token(n uint64) string { return fmt.Sprintf("%s#%d", c.mesh.Self(), n) }
 
-func (c *Coordinator) end(t *kernel.Turn, n uint64, v inquiry.Verdict) {
+func (c *Coordinator) end(t *kernel.Context, n uint64, v inquiry.Verdict) {
 	pending := c.admissions[n]
 	delete(c.admissions, n)
 	t.Answer(pending.id, v)
@@ -175,7 +175,7 @@
 }
 
 // tellOutcome settles a key that this node was let in with.
-func (c *Coordinator) tellOutcome(t *kernel.Turn, a Settle) {
+func (c *Coordinator) tellOutcome(t *kernel.Context, a Settle) {
 	m := wire.Settle{Key: a.Key, Code: a.Code}
 	switch {
 	case a.Code == "unseen":
@@ -191,7 +191,7 @@
 	c.broadcast(t, Owners(a.Key, c.snapshot().Homes), m)
 }
 
-func (c *Coordinator) broadcast(t *kernel.Turn, owners []table.Node, m wire.Settle) {
+func (c *Coordinator) broadcast(t *kernel.Context, owners []table.Node, m wire.Settle) {
 	for _, h := range owners {
 		if h.Origin == c.mesh.Self() {
 			c.settle(t, m)
--- a/idempotency/epochs.go
+++ b/idempotency/epochs.go
@@ -40,11 +40,11 @@
 func (e *epoch) settled(now int64) bool { return e.whole && now-e.at >= SettleFor }
 
 // loseRecords opens an epoch in which this process is sure of nothing.
-func (c *Coordinator) loseRecords(t *kernel.Turn) {
+func (c *Coordinator) loseRecords(t *kernel.Context) {
 	c.epochs = []*epoch{c.epoch(t, nil)}
 }
 
-func (c *Coordinator) epoch(t *kernel.Turn, before []table.Node) *epoch {
+func (c *Coordinator) epoch(t *kernel.Context, before []table.Node) *epoch {
 	c.next++
 	return &epoch{n: c.next, at: t.Now, before: before, heard: map[string]bool{}}
 }
@@ -92,7 +92,7 @@
 }
 
 // followRoster notices a changed roster, and asks for what is still to be handed over.
-func (c *Coordinator) followRoster(t *kernel.Turn) {
+func (c *Coordinator) followRoster(t *kernel.Context) {
 	cp := c.snapshot()
 	if cp == nil {
 		return
@@ -132,7 +132,7 @@
 )
 
 // askAll asks for what is still to be handed over. Where there is no sheet no key was ever let in.
-func (c *Coordinator) askAll(t *kernel.Turn) {
+func (c *Coordinator) askAll(t *kernel.Context) {
 	asks := 0
 	for _, e := range c.epochs {
 		// In a fleet whose nodes are all owners of all keys so many are enough for every key.
@@ -161,7 +161,7 @@
 }
 
 // learnDeadline keeps the longest time that an inquiry may take.
-func (c *Coordinator) learnDeadline(cp *table.Checkpoint, now int64) {
+func (c *Coordinator) learnDeadline(cp *table.Snapshot, now int64) {
 	if cp.Sheet == nil {
 		return
 	}
--- a/idempotency/handover.go
+++ b/idempotency/handover.go
@@ -32,7 +32,7 @@
 // handOver gives an owner what it should have had; a process that is itself not
 // sure of all that it lost, or does not count the asker among the owners yet, says nothing and
 // is asked again: what it lets in afterwards by a smaller roster would be missing.
-func (c *Coordinator) handOver(t *kernel.Turn, ch uint64, m wire.HandOver) {
+func (c *Coordinator) handOver(t *kernel.Context, ch uint64, m wire.HandOver) {
 	if slices.ContainsFunc(c.epochs, func(e *epoch) bool { return e.before == nil && !e.settled(t.Now) && !c.startedBeforeAll() }) {
 		return
 	}
@@ -66,7 +66,7 @@
 	t.Send(ch, wire.KindHanded, 0, &out)
 }
 
-func (c *Coordinator) handed(t *kernel.Turn, m wire.Handed) {
+func (c *Coordinator) handed(t *kernel.Context, m wire.Handed) {
 	for _, s := range m.Records {
 		c.settle(t, s)
 	}
--- a/idempotency/idempotency.go
+++ b/idempotency/idempotency.go
@@ -78,8 +78,8 @@
 	mesh       *mesh.Mesh
 	table      *table.Table
 	configSync *configsync.Sync
-	// snapshot is the table's newest checkpoint.
-	snapshot   func() *table.Checkpoint
+	// snapshot is the table's newest snapshot.
+	snapshot   func() *table.Snapshot
 	records    map[string]*record
 	order      []string
 	admissions map[uint64]*admission
@@ -116,7 +116,7 @@
 }
 
 // Step takes one input.
-func (c *Coordinator) Step(t *kernel.Turn, in kernel.Input) {
+func (c *Coordinator) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		c.began = t.Now
@@ -164,7 +164,7 @@
 	}
 }
 
-func (c *Coordinator) message(t *kernel.Turn, v kernel.Message) {
+func (c *Coordinator) message(t *kernel.Context, v kernel.Message) {
 	switch v.Kind {
 	case wire.KindClaim:
 		var m wire.Claim
@@ -211,7 +211,7 @@
 }
 
 // arm has the roster looked at within a while; an earlier look takes the place of a later one.
-func (c *Coordinator) arm(t *kernel.Turn, within int64) {
+func (c *Coordinator) arm(t *kernel.Context, within int64) {
 	if at := t.Now + within; c.dueAt == 0 || at < c.dueAt {
 		c.dueAt = at
 		t.After(within, "idempotency", "roster")
--- a/idempotency/model_node_test.go
+++ b/idempotency/model_node_test.go
@@ -22,7 +22,7 @@
 	// upAt is when its process started, downAt when its last one ended.
 	upAt, downAt int64
 	coordinator  *Coordinator
-	view         *table.Checkpoint
+	view         *table.Snapshot
 	peak         int
 }
 
@@ -37,7 +37,7 @@
 	key := fmt.Sprintf("%-32s", fmt.Sprintf("%s/%d", n.name, n.count))
 	k := kernel.New(kernel.Boot{Env: env.Env{Mesh: n.name, Name: n.name}, Role: "node", Seed: 1, Key: kernel.KeyFrom([]byte(key))})
 	n.coordinator = kernel.Find[*Coordinator](k)
-	n.coordinator.snapshot = func() *table.Checkpoint { return n.view }
+	n.coordinator.snapshot = func() *table.Snapshot { return n.view }
 	n.peak = 0
 	n.look([]*modelNode{n})
 	n.step(kernel.Start{})
@@ -64,7 +64,7 @@
 		owners = append(owners, table.Node{Name: o.name, Addr: o.name, Origin: o.coordinator.mesh.Self(), Live: isLive})
 	}
 	n.peak = max(n.peak, live)
-	n.view = &table.Checkpoint{
+	n.view = &table.Snapshot{
 		Homes: owners, Roster: owners, Peers: live, Divisor: n.peak,
 		Sheet: &sheetpb.Sheet{Services: []*sheetpb.Service{{MaxDeadlineUs: 5 * second}}},
 	}
@@ -72,7 +72,7 @@
 
 // step gives the node's process an input and carries out what it asks for.
 func (n *modelNode) step(in kernel.Input) {
-	t := &kernel.Turn{Now: n.m.now, Rand: n.m.rand, Counts: kernel.NewCounts()}
+	t := &kernel.Context{Now: n.m.now, Rand: n.m.rand, Counts: kernel.NewCounts()}
 	n.coordinator.Step(t, in)
 	here := n.life()
 	for _, s := range t.Out.Sends {
--- a/idempotency/owner.go
+++ b/idempotency/owner.go
@@ -7,7 +7,7 @@
 )
 
 // claim is an owner's answer.
-func (c *Coordinator) answerClaim(t *kernel.Turn, m wire.Claim) wire.ClaimReply {
+func (c *Coordinator) answerClaim(t *kernel.Context, m wire.Claim) wire.ClaimReply {
 	r := wire.ClaimReply{Key: m.Key, From: c.mesh.Self(), Name: c.name(), Homes: c.countsOwners()}
 	rec := c.records[m.Key]
 	switch {
@@ -36,7 +36,7 @@
 
 func (c *Coordinator) name() string { return c.table.Self() }
 
-func (c *Coordinator) settle(t *kernel.Turn, m wire.Settle) {
+func (c *Coordinator) settle(t *kernel.Context, m wire.Settle) {
 	rec := c.records[m.Key]
 	switch m.Code {
 	case "released":
--- a/idempotency/owners.go
+++ b/idempotency/owners.go
@@ -66,7 +66,7 @@
 // minority tells that this node is not on the side of a split that may go on letting
 // keys in: the one with more than half of the nodes. Of two equal halves it is the one
 // that hears the owner of the configuration, which a majority of the cores follows.
-func (c *Coordinator) minority(cp *table.Checkpoint, now int64) bool {
+func (c *Coordinator) minority(cp *table.Snapshot, now int64) bool {
 	votes := 2 * cp.Peers
 	if c.configSync.HearsLeader(state.Config, now) {
 		votes++
--- a/idempotency/repeats.go
+++ b/idempotency/repeats.go
@@ -67,7 +67,7 @@
 }
 
 // askSeen asks whether a search or read was sent before.
-func (c *Coordinator) askSeen(t *kernel.Turn, id uint64, a Admit) {
+func (c *Coordinator) askSeen(t *kernel.Context, id uint64, a Admit) {
 	addr, ok := c.seenOwner(a.Key)
 	if !ok || addr == "" {
 		t.Answer(id, inquiry.Verdict{Code: "in", Repeat: ok && c.seen.add(a.Key, t.Now)})
@@ -79,7 +79,7 @@
 	t.After(SeenWait, "idempotency", fmt.Sprint(c.next))
 }
 
-func (c *Coordinator) seenReply(t *kernel.Turn, n uint64, m wire.SeenReply) {
+func (c *Coordinator) seenReply(t *kernel.Context, n uint64, m wire.SeenReply) {
 	pending := c.admissions[n]
 	if pending == nil || !pending.ask.Again || pending.ask.Key != m.Key {
 		return
@@ -92,7 +92,7 @@
 }
 
 // unseen takes a key back that came to nothing.
-func (c *Coordinator) unseen(t *kernel.Turn, key string) {
+func (c *Coordinator) unseen(t *kernel.Context, key string) {
 	if addr, ok := c.seenOwner(key); ok && addr != "" {
 		t.SendTo(addr, wire.KindSeen, 0, &wire.Seen{Key: key, Forget: true})
 		return
--- a/idempotency/roster_test.go
+++ b/idempotency/roster_test.go
@@ -162,7 +162,7 @@
 	n := newNode(t)
 	all := otherNodes(7)
 	n.c.roster = append([]table.Node{n.self()}, all[:2]...)
-	n.c.loseRecords(&kernel.Turn{Now: n.now})
+	n.c.loseRecords(&kernel.Context{Now: n.now})
 	lost := n.c.epochs[0]
 	for i, o := range all[:4] {
 		must.False(t, n.c.canVouch("k", "index", n.now), must.Sprintf("%d of seven others", i))
@@ -178,15 +178,15 @@
 func TestRecordOfAnUnsureOwnerHidesNoneThatIsHandedOver(t *testing.T) {
 	n := newNode(t)
 	n.c.roster = append([]table.Node{n.self()}, otherNodes(2)...)
-	n.c.loseRecords(&kernel.Turn{Now: n.now})
+	n.c.loseRecords(&kernel.Context{Now: n.now})
 	lost := n.c.epochs[0]
 	claim := wire.Claim{Key: "k", From: "later#1", Sum: 5}
-	must.Eq(t, "unsure", n.c.answerClaim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
+	must.Eq(t, "unsure", n.c.answerClaim(&kernel.Context{Now: n.now, Counts: n.k.Counts}, claim).Code)
 	for _, o := range otherNodes(2) {
 		n.receive(wire.KindHanded, 0, &wire.Handed{N: lost.n, Name: o.Name, All: true, Records: []wire.Settle{{Key: "k", Code: "running", Status: 5, Body: []byte("earlier#1")}}})
 	}
-	must.Eq(t, "running", n.c.answerClaim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
+	must.Eq(t, "running", n.c.answerClaim(&kernel.Context{Now: n.now, Counts: n.k.Counts}, claim).Code)
 	// The one's release is not the other's.
 	n.receive(wire.KindSettle, 0, &wire.Settle{Key: "k", Code: "released", Body: []byte("later#1")})
-	must.Eq(t, "running", n.c.answerClaim(&kernel.Turn{Now: n.now, Counts: n.k.Counts}, claim).Code)
+	must.Eq(t, "running", n.c.answerClaim(&kernel.Context{Now: n.now, Counts: n.k.Counts}, claim).Code)
 }
--- a/inquiry/asks.go
+++ b/inquiry/asks.go
@@ -14,7 +14,7 @@
 	paid
 )
 
-// renew takes the newest checkpoint for what is asked from now on, if it still
+// renew takes the newest snapshot for what is asked from now on, if it still
 // serves the pinned cut: what has begun to leave since must not be picked.
 func (c *Chart) renew() {
 	cp := c.desk.Table()
--- a/inquiry/budget.go
+++ b/inquiry/budget.go
@@ -33,7 +33,7 @@
 }
 
 // bound is how much this node may save.
-func (d *Desk) bound(cp *table.Checkpoint, now int64) int64 {
+func (d *Desk) bound(cp *table.Snapshot, now int64) int64 {
 	if now-d.Began < settleFor {
 		return savedFirst
 	}
@@ -41,12 +41,12 @@
 }
 
 // extra asks the pool's budget for one repeated try of this node.
-func (d *Desk) extra(cp *table.Checkpoint, index string, now int64) bool {
+func (d *Desk) extra(cp *table.Snapshot, index string, now int64) bool {
 	return d.extras(cp, index, now, 1)
 }
 
 // extras asks for the tries of a whole repeated inquiry.
-func (d *Desk) extras(cp *table.Checkpoint, index string, now, n int64) bool {
+func (d *Desk) extras(cp *table.Snapshot, index string, now, n int64) bool {
 	b, most := d.budgetOf(index), d.bound(cp, now)
 	b.Refill(now, flatEach/int64(cp.Divisor), most)
 	// What is dearer than can be saved takes all that can be, and the rest is owed.
--- a/inquiry/chart.go
+++ b/inquiry/chart.go
@@ -43,7 +43,7 @@
 type Chart struct {
 	desk  *Desk
 	in    Inquiry
-	cp    *table.Checkpoint
+	cp    *table.Snapshot
 	x     *table.Index
 	cut   string
 	state State
--- a/inquiry/desk.go
+++ b/inquiry/desk.go
@@ -18,7 +18,7 @@
 
 // Desk is what all charts of one node share. Everything on it may be used by many threads.
 type Desk struct {
-	Table  func() *table.Checkpoint
+	Table  func() *table.Snapshot
 	Usage  *usage.Usage
 	Counts *kernel.Counts
 	Traces *Traces
--- a/inquiry/limits.go
+++ b/inquiry/limits.go
@@ -58,7 +58,7 @@
 }
 
 // letIn decides whether an inquiry is inside the limits, and says why.
-func (d *Desk) letIn(cp *table.Checkpoint, x *table.Index, kind string, now int64) (bool, string) {
+func (d *Desk) letIn(cp *table.Snapshot, x *table.Index, kind string, now int64) (bool, string) {
 	m, all := d.Usage.Of(x.Name, kind), d.Usage.Of(x.Name, "")
 	m.Came()
 	all.Came()
--- a/inquiry/pick.go
+++ b/inquiry/pick.go
@@ -24,7 +24,7 @@
 // tier sorts a server by how good it looks; below zero it is never picked.
 func tier(s *table.Server, now int64) int {
 	switch {
-	case s.Verdict == table.Leaving || s.Verdict == table.Emptied:
+	case s.Verdict == table.Leaving || s.Verdict == table.Drained:
 		return -1
 	case s.Verdict == table.Garbage:
 		return 4
@@ -38,7 +38,7 @@
 	return 0
 }
 
-func pick(cp *table.Checkpoint, x *table.Index, servers []*table.Server, tried []string, now int64, r *rnd) (Choice, bool) {
+func pick(cp *table.Snapshot, x *table.Index, servers []*table.Server, tried []string, now int64, r *rnd) (Choice, bool) {
 	var best []*table.Server
 	at := len(tierNames)
 	for _, s := range servers {
--- a/inquiry/trace.go
+++ b/inquiry/trace.go
@@ -1,5 +1,5 @@
 // Traces of the last inquiries, for explain: a ring that costs one slot per
-// inquiry and keeps the checkpoint each was decided by.
+// inquiry and keeps the snapshot each was decided by.
 package inquiry
 
 import (
@@ -44,7 +44,7 @@
 	Picks   []Pick  `json:"picks"`
 	Outcome Outcome `json:"-"`
 	Took    int64   `json:"took_us"`
-	cp      *table.Checkpoint
+	cp      *table.Snapshot
 }
 
 func newTrace(id string, in *Inquiry, now int64) *Trace {
@@ -126,7 +126,7 @@
 }
 
 // Explain tells a trace with the candidates of every shard it picked for.
-func Explain(t *Trace, stamp func(*table.Checkpoint) string) Explained {
+func Explain(t *Trace, stamp func(*table.Snapshot) string) Explained {
 	e := Explained{Trace: t, Outcome: t.Outcome, Candidates: []Candidate{}}
 	if t.cp == nil {
 		return e
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -19,7 +19,7 @@
 type Plugin interface {
 	Name() string
 	Kinds() []uint8
-	Step(t *Turn, in Input)
+	Step(t *Context, in Input)
 }
 
 // Registration says where a plug-in belongs and how it is made. Plug-ins of
@@ -53,7 +53,7 @@
 	plugins []Plugin
 	byName  map[string]Plugin
 	byKind  map[uint8]Plugin
-	later   []func(t *Turn)
+	later   []func(t *Context)
 	Counts  *Counts
 	steps   *atomic.Int64
 	pieces  *pieces
@@ -96,7 +96,7 @@
 // Step feeds one input and returns everything that the plug-ins asked for.
 func (k *Kernel) Step(now, wall int64, in Input) Out {
 	k.steps.Add(1)
-	t := &Turn{Now: now, Wall: wall, Rand: k.Rand, Counts: k.Counts}
+	t := &Context{Now: now, Wall: wall, Rand: k.Rand, Counts: k.Counts}
 	k.route(t, in)
 	for len(t.events) > 0 || len(k.later) > 0 {
 		if len(t.events) == 0 {
@@ -117,9 +117,9 @@
 
 // Later has f run at the end of this step, or of the next one between steps: for a plug-in
 // that others change by plain calls and that must act on it without looking again and again.
-func (k *Kernel) Later(f func(t *Turn)) { k.later = append(k.later, f) }
+func (k *Kernel) Later(f func(t *Context)) { k.later = append(k.later, f) }
 
-func (k *Kernel) route(t *Turn, in Input) {
+func (k *Kernel) route(t *Context, in Input) {
 	switch v := in.(type) {
 	case Received:
 		if err := k.received(t, v); err != nil {
@@ -148,14 +148,14 @@
 	}
 }
 
-func (k *Kernel) each(t *Turn, in Input) {
+func (k *Kernel) each(t *Context, in Input) {
 	for _, p := range k.plugins {
 		p.Step(t, in)
 	}
 }
 
 // received takes a frame; an error means that it is not one that this process can read.
-func (k *Kernel) received(t *Turn, in Received) error {
+func (k *Kernel) received(t *Context, in Received) error {
 	f, err := wire.Open(in.Data)
 	if err != nil {
 		return err
@@ -184,7 +184,7 @@
 }
 
 // deliver hands a message to the plug-in of its kind.
-func (k *Kernel) deliver(t *Turn, conn uint64, f wire.Frame) {
+func (k *Kernel) deliver(t *Context, conn uint64, f wire.Frame) {
 	p, ok := k.byKind[f.Kind]
 	if !ok {
 		k.Counts.Add("frames_unknown_kind", 1)
@@ -193,7 +193,7 @@
 	p.Step(t, Message{Chan: conn, Kind: f.Kind, ID: f.ID, Body: f.Body})
 }
 
-func (k *Kernel) to(t *Turn, name string, in Input) {
+func (k *Kernel) to(t *Context, name string, in Input) {
 	if p, ok := k.byName[name]; ok {
 		p.Step(t, in)
 	}
--- a/kernel/pieces.go
+++ b/kernel/pieces.go
@@ -28,7 +28,7 @@
 func keepsOrder(kind uint8) bool { return kind == wire.KindHanded }
 
 // send takes the large messages out of a step's sends and adds the pieces that may leave now.
-func (p *pieces) send(t *Turn) {
+func (p *pieces) send(t *Context) {
 	sends := t.Out.Sends[:0]
 	for _, s := range t.Out.Sends {
 		to := segment.Destination{Conn: s.Chan, Addr: s.Addr}
@@ -46,7 +46,7 @@
 	p.tickSoon(t)
 }
 
-func (p *pieces) pump(t *Turn) {
+func (p *pieces) pump(t *Context) {
 	for _, o := range p.sender.Pump(t.Now) {
 		t.Counts.Add("transfer_bytes_out", int64(len(o.Piece.Data)))
 		frame := wire.Seal(wire.KindPiece, 0, &o.Piece)
@@ -55,7 +55,7 @@
 }
 
 // tickSoon sets the timer while anything is on its way.
-func (p *pieces) tickSoon(t *Turn) {
+func (p *pieces) tickSoon(t *Context) {
 	if p.ticking {
 		return
 	}
@@ -71,11 +71,11 @@
 }
 
 // tick sends again, gives up and forgets; the pieces leave at the end of the step.
-func (p *pieces) tick(t *Turn) {
+func (p *pieces) tick(t *Context) {
 	p.ticking = false
 	if given := p.sender.Expire(t.Now); given > 0 {
 		t.Counts.Add("transfers_abandoned", int64(given))
-		t.Note(1, "transfer_abandoned", "transfers", given)
+		t.Log(1, "transfer_abandoned", "transfers", given)
 	}
 	p.assembler.Expire(t.Now)
 }
@@ -96,7 +96,7 @@
 }
 
 // acked takes an acknowledgement.
-func (p *pieces) acked(t *Turn, ack wire.PieceAck) {
+func (p *pieces) acked(t *Context, ack wire.PieceAck) {
 	done, again := p.sender.Acked(t.Now, ack)
 	if done {
 		t.Counts.Add("transfers_sent", 1)
@@ -108,13 +108,13 @@
 
 // piece takes a piece, and gives the message that is whole by it. An error means that the
 // connection should be dropped.
-func (p *pieces) piece(t *Turn, conn uint64, piece wire.Piece) (*wire.Frame, error) {
+func (p *pieces) piece(t *Context, conn uint64, piece wire.Piece) (*wire.Frame, error) {
 	taken, err := p.assembler.Take(t.Now, conn, piece)
 	if err != nil {
 		if errors.Is(err, segment.ErrDigest) {
 			t.Counts.Add("transfers_corrupt", 1)
 		}
-		t.Note(1, "transfer_refused", "why", err.Error())
+		t.Log(1, "transfer_refused", "why", err.Error())
 		return nil, err
 	}
 	if taken.Reply {
--- a/kernel/pieces_test.go
+++ b/kernel/pieces_test.go
@@ -17,7 +17,7 @@
 
 func (*recorder) Name() string   { return "recorder" }
 func (*recorder) Kinds() []uint8 { return []uint8{wire.KindEdit, wire.KindLeaderHeartbeat} }
-func (r *recorder) Step(_ *Turn, in Input) {
+func (r *recorder) Step(_ *Context, in Input) {
 	if m, ok := in.(Message); ok {
 		r.got = append(r.got, m)
 	}
@@ -25,7 +25,7 @@
 
 // sendNow has a kernel send a message on connection 1.
 func (k *Kernel) sendNow(now int64, kind uint8, m msgp.Marshaler) Out {
-	k.Later(func(t *Turn) { t.Send(1, kind, 7, m) })
+	k.Later(func(t *Context) { t.Send(1, kind, 7, m) })
 	return k.Step(now, now, Stopping{})
 }
 
--- a/kernel/turn.go
+++ b/kernel/turn.go
@@ -124,7 +124,7 @@
 }
 
 // Turn is one step under way.
-type Turn struct {
+type Context struct {
 	Now    int64
 	Wall   int64
 	Rand   *rand.Rand
@@ -134,55 +134,55 @@
 }
 
 // Emit hands an event to every plug-in of this process, later in this turn.
-func (t *Turn) Emit(in Input) { t.events = append(t.events, in) }
+func (t *Context) Emit(in Input) { t.events = append(t.events, in) }
 
 // Send queues a message on a channel.
-func (t *Turn) Send(ch uint64, kind uint8, id uint64, m msgp.Marshaler) {
+func (t *Context) Send(ch uint64, kind uint8, id uint64, m msgp.Marshaler) {
 	t.Out.Sends = append(t.Out.Sends, Send{Chan: ch, Data: wire.Seal(kind, id, m)})
 }
 
 // SendSlot is Send for frames of which only the newest of a slot matters.
-func (t *Turn) SendSlot(ch uint64, kind uint8, m msgp.Marshaler, slot string) {
+func (t *Context) SendSlot(ch uint64, kind uint8, m msgp.Marshaler, slot string) {
 	t.Out.Sends = append(t.Out.Sends, Send{Chan: ch, Data: wire.Seal(kind, 0, m), Slot: slot})
 }
 
 // SendSlotTo is SendSlot on the direct channel to an address.
-func (t *Turn) SendSlotTo(addr string, kind uint8, m msgp.Marshaler, slot string) {
+func (t *Context) SendSlotTo(addr string, kind uint8, m msgp.Marshaler, slot string) {
 	t.Out.Sends = append(t.Out.Sends, Send{Addr: addr, Data: wire.Seal(kind, 0, m), Slot: slot})
 }
 
 // SendTo queues a message on the direct channel to an address.
-func (t *Turn) SendTo(addr string, kind uint8, id uint64, m msgp.Marshaler) {
+func (t *Context) SendTo(addr string, kind uint8, id uint64, m msgp.Marshaler) {
 	t.Out.Sends = append(t.Out.Sends, Send{Addr: addr, Data: wire.Seal(kind, id, m)})
 }
 
 // Dial asks for a mesh channel to an address.
-func (t *Turn) Dial(addr string) { t.Out.Dials = append(t.Out.Dials, addr) }
+func (t *Context) Dial(addr string) { t.Out.Dials = append(t.Out.Dials, addr) }
 
 // Drop closes a channel.
-func (t *Turn) Drop(ch uint64) { t.Out.Drops = append(t.Out.Drops, ch) }
+func (t *Context) Drop(ch uint64) { t.Out.Drops = append(t.Out.Drops, ch) }
 
 // After sets a timer.
-func (t *Turn) After(d int64, plugin, key string) {
+func (t *Context) After(d int64, plugin, key string) {
 	t.Out.Timers = append(t.Out.Timers, Timer{At: t.Now + d, Plugin: plugin, Key: key})
 }
 
 // Write asks for a durable file.
-func (t *Turn) Write(plugin, key, file string, data []byte) {
+func (t *Context) Write(plugin, key, file string, data []byte) {
 	t.Out.Writes = append(t.Out.Writes, Write{Plugin: plugin, Key: key, File: file, Data: data})
 }
 
 // Fetch asks for an HTTP GET.
-func (t *Turn) Fetch(plugin, key, url string, timeout int64) {
+func (t *Context) Fetch(plugin, key, url string, timeout int64) {
 	t.Out.Fetches = append(t.Out.Fetches, Fetch{Plugin: plugin, Key: key, URL: url, Timeout: timeout})
 }
 
 // Answer replies to a Call.
-func (t *Turn) Answer(id uint64, v any) {
+func (t *Context) Answer(id uint64, v any) {
 	t.Out.Answers = append(t.Out.Answers, Answer{ID: id, Value: v})
 }
 
 // Note logs an event with key=value pairs. Level -1 is debug, 0 info, 1 a warning, 2 an error.
-func (t *Turn) Note(level int8, event string, kv ...any) {
+func (t *Context) Log(level int8, event string, kv ...any) {
 	t.Out.Notes = append(t.Out.Notes, Note{Level: level, Event: event, KV: kv})
 }
--- a/lab/model/product.go
+++ b/lab/model/product.go
@@ -164,7 +164,7 @@
 		c.orders = append(c.orders, p.Name)
 	}
 	slices.Sort(c.orders)
-	c.drained = config.Emptied
+	c.drained = config.DrainedZones
 	return c, true
 }
 
--- a/lab/scale/watch.go
+++ b/lab/scale/watch.go
@@ -1,5 +1,5 @@
 // When hollow nodes came to have a configuration in force, and when they came to hold a
-// node for lost or for live: looked at in their checkpoints, as requests would see them.
+// node for lost or for live: looked at in their snapshots, as requests would see them.
 package scale
 
 import (
@@ -32,7 +32,7 @@
 	SentUs, AtUs int64
 }
 
-// watchEvery is how often the checkpoints are looked at.
+// watchEvery is how often the snapshots are looked at.
 const watchEvery = 2 * time.Millisecond
 
 type watch struct {
@@ -65,7 +65,7 @@
 // eyes are what the watch knows of one node.
 type eyes struct {
 	n    *hollowNode
-	last *table.Checkpoint
+	last *table.Snapshot
 	live map[string]bool
 }
 
--- a/lab/sim/day.go
+++ b/lab/sim/day.go
@@ -127,7 +127,7 @@
 		j.Emptied = map[string][]string{}
 		for _, m := range d.machines {
 			if p := m.node; p.runs() && p.table.Now() != nil {
-				j.Emptied[m.name] = p.table.Now().Config.Emptied
+				j.Emptied[m.name] = p.table.Now().Config.DrainedZones
 			}
 		}
 	}
--- a/lab/sim/day_mishaps.go
+++ b/lab/sim/day_mishaps.go
@@ -157,7 +157,7 @@
 			continue
 		}
 		d.w.Judge.Count("late_evacuate.looked", 1)
-		if slices.Contains(p.table.Now().Config.Emptied, zone) {
+		if slices.Contains(p.table.Now().Config.DrainedZones, zone) {
 			d.w.Judge.Fail(pointLateOrder, d.w.now, "%s has %s drained, which was taken back after that order was given", m.name, zone)
 		}
 	}
--- a/lab/sim/day_reads.go
+++ b/lab/sim/day_reads.go
@@ -49,5 +49,5 @@
 		return
 	}
 	d.w.Judge.Count("confirmed_reads", 1)
-	d.journal.Confirmed = append(d.journal.Confirmed, rules.ConfirmedReading{Sent: sent, At: d.w.now, Table: table, Drained: config.Emptied})
+	d.journal.Confirmed = append(d.journal.Confirmed, rules.ConfirmedReading{Sent: sent, At: d.w.now, Table: table, Drained: config.DrainedZones})
 }
--- a/listing/first.go
+++ b/listing/first.go
@@ -13,7 +13,7 @@
 )
 
 // first plans the first reading, where a platform says how often the list may be read.
-func (p *Lister) first(t *kernel.Turn) {
+func (p *Lister) first(t *kernel.Context) {
 	e := &p.k.Boot.Env
 	switch {
 	case e.ListEvery <= 0:
@@ -25,7 +25,7 @@
 }
 
 // readFirst reads unless a reading has come meanwhile; one that fails is made again, each time later.
-func (p *Lister) readFirst(t *kernel.Turn) {
+func (p *Lister) readFirst(t *kernel.Context) {
 	if !p.blank {
 		return
 	}
--- a/listing/lease.go
+++ b/listing/lease.go
@@ -30,7 +30,7 @@
 }
 
 // drop gives the duty up to the next node by rank, if this node has it and there is another.
-func (p *Lister) drop(t *kernel.Turn) bool {
+func (p *Lister) drop(t *kernel.Context) bool {
 	partition := state.PartitionOf(Duty)
 	addr := p.configSync.Leader(partition)
 	if addr == "" || t.Now >= p.until {
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -76,7 +76,7 @@
 func (p *Lister) Kinds() []uint8 { return []uint8{wire.KindLeaseReply} }
 
 // Step takes one input.
-func (p *Lister) Step(t *kernel.Turn, in kernel.Input) {
+func (p *Lister) Step(t *kernel.Context, in kernel.Input) {
 	if p.k.Boot.Env.Platform == "" {
 		return
 	}
@@ -127,7 +127,7 @@
 // part of the fleet, has five eighths of the allowance and never gives way. A node that
 // sees half of the fleet or less reads for itself with a third of it, and less and less
 // of it for as long as the platform says that it is too much: others are alone as well.
-func (p *Lister) every(t *kernel.Turn) int64 {
+func (p *Lister) every(t *kernel.Context) int64 {
 	per, nodes := 10_000_000*p.calls/p.k.Boot.Env.PollsPer, p.members.Divisor()
 	least := p.k.Boot.Env.ListEvery
 	if t.Now < p.until || p.mesh.Peers() > 0 && (nodes == 1 || 2*len(p.members.Live(t.Now, "node")) > nodes) {
@@ -140,7 +140,7 @@
 // slowerMost bounds how far a node that is alone gives way.
 const slowerMost = 16
 
-func (p *Lister) renew(t *kernel.Turn) {
+func (p *Lister) renew(t *kernel.Context) {
 	p.ask(t)
 	if p.under || !(t.Now < p.until || p.orphaned(t)) || t.Now-p.polled < p.every(t) {
 		return
@@ -148,14 +148,14 @@
 	p.read(t)
 }
 
-func (p *Lister) read(t *kernel.Turn) {
+func (p *Lister) read(t *kernel.Context) {
 	p.polled, p.under = t.Now, true
 	t.Counts.Add("platform_polls", 1)
 	t.Fetch("listing", "list", p.k.Boot.Env.Platform, FetchWithin)
 }
 
 // ask renews the duty, or asks for it: the more nodes there are, the more rarely each does.
-func (p *Lister) ask(t *kernel.Turn) {
+func (p *Lister) ask(t *kernel.Context) {
 	partition := state.PartitionOf(Duty)
 	addr := p.configSync.Leader(partition)
 	if addr == "" || t.Now < p.idleTo || t.Now >= p.until && t.Now < p.askAt || p.members.SelfRow().Draining {
@@ -173,7 +173,7 @@
 
 // orphaned tells that nobody's reading was heard of for so long that it is this node's turn
 // by rank. Origins are drawn at each start, so that a zone's nodes do not rank side by side.
-func (p *Lister) orphaned(t *kernel.Turn) bool {
+func (p *Lister) orphaned(t *kernel.Context) bool {
 	if p.alone {
 		// Nobody else reads: go on at the usual pace until a holder is heard.
 		return true
@@ -191,7 +191,7 @@
 	return silent > rank*RankStep
 }
 
-func (p *Lister) fetched(t *kernel.Turn, v kernel.Fetched) {
+func (p *Lister) fetched(t *kernel.Context, v kernel.Fetched) {
 	p.under = false
 	var l wire.Listing
 	if v.Err != "" || v.Status != 200 || json.Unmarshal(v.Body, &l) != nil || len(l.Servers) == 0 {
@@ -199,7 +199,7 @@
 		if v.Status == http.StatusTooManyRequests {
 			p.slower = min(2*max(1, p.slower), slowerMost)
 		}
-		t.Note(1, "platform_failed", "status", v.Status, "err", v.Err)
+		t.Log(1, "platform_failed", "status", v.Status, "err", v.Err)
 		// Not even a refusal: another node may have a way to the platform.
 		if v.Status == 0 && p.drop(t) {
 			p.idleTo = t.Now + GiveUpFor
--- a/members/members.go
+++ b/members/members.go
@@ -72,7 +72,7 @@
 func (m *Members) Kinds() []uint8 { return nil }
 
 // Step takes one input.
-func (m *Members) Step(t *kernel.Turn, in kernel.Input) {
+func (m *Members) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		m.self.Started = t.Wall
@@ -115,7 +115,7 @@
 }
 
 // soon tells what changed, at once if nothing was told of late.
-func (m *Members) soon(t *kernel.Turn) {
+func (m *Members) soon(t *kernel.Context) {
 	if !m.dirty {
 		return
 	}
@@ -148,7 +148,7 @@
 // SelfRow is what this process tells of itself.
 func (m *Members) SelfRow() wire.Member { return m.self }
 
-func (m *Members) tell(t *kernel.Turn) {
+func (m *Members) tell(t *kernel.Context) {
 	if !m.dirty {
 		return
 	}
--- a/members/members_test.go
+++ b/members/members_test.go
@@ -97,14 +97,14 @@
 	for i, name := range []string{"c", "b", "d"} {
 		row := wire.Member{Name: name, Role: "core"}
 		e := &wire.Entry{Type: "member", Body: wire.Encode(&row)}
-		p.m.Step(&kernel.Turn{Now: p.now, Counts: p.k.Counts}, mesh.Stored{Entry: e, Origin: fmt.Sprint(i)})
+		p.m.Step(&kernel.Context{Now: p.now, Counts: p.k.Counts}, mesh.Stored{Entry: e, Origin: fmt.Sprint(i)})
 	}
 	var names string
 	for _, r := range p.m.All(p.now) {
 		names += r.Name
 	}
 	must.Eq(t, "abcd", names)
-	p.m.Step(&kernel.Turn{Now: p.now, Counts: p.k.Counts}, mesh.Forgotten{Origin: "1"})
+	p.m.Step(&kernel.Context{Now: p.now, Counts: p.k.Counts}, mesh.Forgotten{Origin: "1"})
 	must.Len(t, 3, p.m.All(p.now))
 	must.Eq(t, 1, p.m.Count(p.now, "node"))
 	must.Eq(t, len(p.m.Live(p.now, "node")), p.m.Count(p.now, "node"))
--- a/mesh/announce.go
+++ b/mesh/announce.go
@@ -7,7 +7,7 @@
 )
 
 // Announce signs, stores and floods an entry of this process's own.
-func (m *Mesh) Announce(t *kernel.Turn, typ, id string, body []byte, gone bool) {
+func (m *Mesh) Announce(t *kernel.Context, typ, id string, body []byte, gone bool) {
 	m.count++
 	e := &wire.Entry{Type: typ, ID: id, Origin: m.k.Boot.Key.Public, Count: m.count, At: t.Wall, Gone: gone, Body: body}
 	sign(e, m.k.Boot.Key)
@@ -19,16 +19,16 @@
 }
 
 // AnnounceVersion floods a committed version of a partition; any process may do so.
-func (m *Mesh) AnnounceVersion(t *kernel.Turn, v wire.Versioned) {
+func (m *Mesh) AnnounceVersion(t *kernel.Context, v wire.Versioned) {
 	if e := m.takeVersion(t, v); e != nil {
 		m.flood(t, e, 0)
 	}
 }
 
 // HoldVersion takes a version that came another way; heartbeats hand it on.
-func (m *Mesh) HoldVersion(t *kernel.Turn, v wire.Versioned) { m.takeVersion(t, v) }
+func (m *Mesh) HoldVersion(t *kernel.Context, v wire.Versioned) { m.takeVersion(t, v) }
 
-func (m *Mesh) takeVersion(t *kernel.Turn, v wire.Versioned) *wire.Entry {
+func (m *Mesh) takeVersion(t *kernel.Context, v wire.Versioned) *wire.Entry {
 	if held, ok := m.store.parts[v.Version.Partition]; ok && !Newer(v.Version, held.Version) {
 		return nil
 	}
@@ -42,7 +42,7 @@
 	return e
 }
 
-func (m *Mesh) message(t *kernel.Turn, v kernel.Message) {
+func (m *Mesh) message(t *kernel.Context, v kernel.Message) {
 	p := m.peers[v.Chan]
 	if p == nil {
 		t.Counts.Add("mesh_dropped_stranger", 1)
@@ -71,7 +71,7 @@
 }
 
 // gossip takes an entry's frame; one that was seen is not decoded again.
-func (m *Mesh) gossip(t *kernel.Turn, p *peer, v kernel.Message) {
+func (m *Mesh) gossip(t *kernel.Context, p *peer, v kernel.Message) {
 	t.Counts.Add("mesh_entries_in", 1)
 	frame := m.seen.frame(v.Body)
 	if key, ok := m.seen.known(frame, t.Now); ok {
@@ -88,15 +88,15 @@
 }
 
 // duplicate drops an entry that was seen; its sender needs it no more.
-func (m *Mesh) duplicate(t *kernel.Turn, p *peer, key uint64) {
+func (m *Mesh) duplicate(t *kernel.Context, p *peer, key uint64) {
 	t.Counts.Add("mesh_dropped_seen", 1)
 	if p.outbox.has(key) {
 		t.Counts.Add("mesh_forwards_spared", 1)
 	}
 }
 
-func (m *Mesh) bad(t *kernel.Turn, p *peer, what string) {
+func (m *Mesh) bad(t *kernel.Context, p *peer, what string) {
 	t.Counts.Add("mesh_dropped_malformed", 1)
-	t.Note(1, "mesh_malformed", "what", what, "peer", p.key)
+	t.Log(1, "mesh_malformed", "what", what, "peer", p.key)
 	t.Drop(p.chanID)
 }
--- a/mesh/digest.go
+++ b/mesh/digest.go
@@ -54,7 +54,7 @@
 func bucketBit(fp string) uint64 { return 1 << (hash(fp) % Buckets) }
 
 // compare looks at a peer's digest, and does what its frame asks for.
-func (m *Mesh) compare(t *kernel.Turn, p *peer, hb *wire.Heartbeat) {
+func (m *Mesh) compare(t *kernel.Context, p *peer, hb *wire.Heartbeat) {
 	mine := m.digest()
 	switch {
 	case hb.Scope != 0:
@@ -80,7 +80,7 @@
 
 // differs asks a peer whose digest is another, unless what differs is still under way, or
 // is known to be of no use to either.
-func (m *Mesh) differs(t *kernel.Turn, p *peer, theirs uint64) {
+func (m *Mesh) differs(t *kernel.Context, p *peer, theirs uint64) {
 	first := !p.differed
 	p.differed = true
 	switch {
@@ -94,7 +94,7 @@
 }
 
 // ask sends the sums of the buckets.
-func (m *Mesh) ask(t *kernel.Turn, p *peer) {
+func (m *Mesh) ask(t *kernel.Context, p *peer) {
 	p.askedAt, m.askedAt, p.gained, p.again = t.Now, t.Now, false, false
 	t.Counts.Add("mesh_asked", 1)
 	hb := &wire.Heartbeat{Addrs: m.someAddrs(t, p.zone, greetAddrs), Digest: m.digest(), Buckets: m.store.buckets[:], Echo: true}
@@ -103,7 +103,7 @@
 
 // marked takes the marks of some buckets: what the other side lacks of them is sent, and, if
 // it asks, then this side's marks, so that whoever has read them has all.
-func (m *Mesh) marked(t *kernel.Turn, p *peer, hb *wire.Heartbeat) {
+func (m *Mesh) marked(t *kernel.Context, p *peer, hb *wire.Heartbeat) {
 	theirs := make(map[string]wire.Mark, len(hb.Marks))
 	for _, mk := range hb.Marks {
 		theirs[mk.Origin] = mk
@@ -134,7 +134,7 @@
 
 // askAgain asks a peer for what one round did not bring, not at once but soon: while a flood
 // goes on, something is always lacking.
-func (m *Mesh) askAgain(t *kernel.Turn, p *peer) {
+func (m *Mesh) askAgain(t *kernel.Context, p *peer) {
 	wait := p.askedAt + AgainEvery - t.Now
 	switch {
 	case wait <= 0:
@@ -146,7 +146,7 @@
 }
 
 // askDue asks the peers that are due to be asked again.
-func (m *Mesh) askDue(t *kernel.Turn) {
+func (m *Mesh) askDue(t *kernel.Context) {
 	for _, id := range sortedKeys(m.peers) {
 		if p := m.peers[id]; p.again && t.Now >= p.askedAt+AgainEvery {
 			m.ask(t, p)
@@ -154,7 +154,7 @@
 	}
 }
 
-func (m *Mesh) sendMarks(t *kernel.Turn, p *peer, scope uint64, echo bool) {
+func (m *Mesh) sendMarks(t *kernel.Context, p *peer, scope uint64, echo bool) {
 	hb := &wire.Heartbeat{Digest: m.digest(), Scope: scope, Echo: echo, Partitions: m.stamps()}
 	for _, fp := range sortedKeys(m.store.origins) {
 		if o := m.store.origins[fp]; scope&bucketBit(fp) != 0 && o.max > 0 {
@@ -166,7 +166,7 @@
 }
 
 // inStep notes that nothing is lacking here that a peer has.
-func (m *Mesh) inStep(t *kernel.Turn) {
+func (m *Mesh) inStep(t *kernel.Context) {
 	m.caught = true
 	t.Emit(CaughtUp{})
 }
@@ -188,7 +188,7 @@
 
 // pushParts sends the versions that the other side lacks. Of a large one it is told, and asks for it
 // unless another already sends it.
-func (m *Mesh) pushParts(t *kernel.Turn, p *peer, theirs []wire.Version) (sent int) {
+func (m *Mesh) pushParts(t *kernel.Context, p *peer, theirs []wire.Version) (sent int) {
 	stamps := map[int]wire.Version{}
 	for _, s := range theirs {
 		stamps[s.Partition] = s
@@ -231,7 +231,7 @@
 
 // catchUp sends what the other side lacks of an origin: what is past its counter, or, where
 // the counters agree and the sums do not, everything.
-func (m *Mesh) catchUp(t *kernel.Turn, p *peer, o *origin, theirs wire.Mark, most int) (sent int) {
+func (m *Mesh) catchUp(t *kernel.Context, p *peer, o *origin, theirs wire.Mark, most int) (sent int) {
 	if o.sum == theirs.Sum || len(o.entries) == 0 || o.max < theirs.Max {
 		return 0
 	}
--- a/mesh/flood.go
+++ b/mesh/flood.go
@@ -25,7 +25,7 @@
 
 func sign(e *wire.Entry, key kernel.Key) { e.Sig = ed25519.Sign(key.Private, signed(e)) }
 
-func (m *Mesh) receive(t *kernel.Turn, p *peer, e *wire.Entry, way uint64) {
+func (m *Mesh) receive(t *kernel.Context, p *peer, e *wire.Entry, way uint64) {
 	k := seenKey(e)
 	if m.seen.has(k, t.Now) {
 		m.duplicate(t, p, k)
@@ -33,7 +33,7 @@
 	}
 	if len(e.Origin) != ed25519.PublicKeySize || !ed25519.Verify(e.Origin, signed(e), e.Sig) {
 		t.Counts.Add("mesh_dropped_signature", 1)
-		t.Note(1, "mesh_signature", "peer", p.key, "type", e.Type, "id", e.ID)
+		t.Log(1, "mesh_signature", "peer", p.key, "type", e.Type, "id", e.ID)
 		return
 	}
 	fp := kernel.Fingerprint(e.Origin)
@@ -65,7 +65,7 @@
 // lawful is the origin check. An entry's id belongs to the origin that signed
 // it, for its key is part of the id; a process's word about itself must come
 // under its own key; and nobody may speak with this process's key.
-func (m *Mesh) lawful(t *kernel.Turn, e *wire.Entry, fp string) bool {
+func (m *Mesh) lawful(t *kernel.Context, e *wire.Entry, fp string) bool {
 	if fp == m.self || (e.Type == "member" || e.Type == "links") && e.ID != fp {
 		t.Counts.Add("mesh_dropped_origin", 1)
 		return false
@@ -79,7 +79,7 @@
 	return true
 }
 
-func (m *Mesh) keep(t *kernel.Turn, e *wire.Entry, fp string) bool {
+func (m *Mesh) keep(t *kernel.Context, e *wire.Entry, fp string) bool {
 	m.changedAt = t.Now
 	if e.Type != "part" {
 		return m.store.put(e, fp, t.Now)
@@ -87,7 +87,7 @@
 	return m.store.putVersion(e)
 }
 
-func (m *Mesh) flood(t *kernel.Turn, e *wire.Entry, except uint64) {
+func (m *Mesh) flood(t *kernel.Context, e *wire.Entry, except uint64) {
 	if e.Hops+1 > MaxHops {
 		return
 	}
@@ -103,7 +103,7 @@
 }
 
 // send gives the size of the frame that it sends.
-func (m *Mesh) send(t *kernel.Turn, ch uint64, e *wire.Entry, way uint64) int {
+func (m *Mesh) send(t *kernel.Context, ch uint64, e *wire.Entry, way uint64) int {
 	c := *e
 	c.Hops++
 	t.Counts.Add("mesh_entries_out", 1)
--- a/mesh/heartbeat.go
+++ b/mesh/heartbeat.go
@@ -11,7 +11,7 @@
 	"wallport/wire"
 )
 
-func (m *Mesh) beat(t *kernel.Turn) {
+func (m *Mesh) beat(t *kernel.Context) {
 	t.After(HeartbeatEvery, "mesh", "beat")
 	self := m.store.origins[m.self]
 	self.beat++
@@ -50,7 +50,7 @@
 }
 
 // forget drops those that nobody has reached for long, and what was taken back long ago.
-func (m *Mesh) forget(t *kernel.Turn) {
+func (m *Mesh) forget(t *kernel.Context) {
 	for _, fp := range sortedKeys(m.store.origins) {
 		o := m.store.origins[fp]
 		o.prune(t.Now)
@@ -92,7 +92,7 @@
 	return hb
 }
 
-func (m *Mesh) heartbeat(t *kernel.Turn, p *peer, hb *wire.Heartbeat) {
+func (m *Mesh) heartbeat(t *kernel.Context, p *peer, hb *wire.Heartbeat) {
 	for _, a := range hb.Addrs {
 		m.know(a)
 	}
@@ -112,7 +112,7 @@
 	}
 }
 
-func (m *Mesh) takeBeat(t *kernel.Turn, from string, mk wire.Mark) {
+func (m *Mesh) takeBeat(t *kernel.Context, from string, mk wire.Mark) {
 	if mk.Origin == m.self || mk.Beat == 0 {
 		return
 	}
--- a/mesh/links.go
+++ b/mesh/links.go
@@ -44,7 +44,7 @@
 }
 
 // heard lists those that are heard directly, in order.
-func (m *Mesh) heard(t *kernel.Turn) []string {
+func (m *Mesh) heard(t *kernel.Context) []string {
 	var out []string
 	open := map[string]bool{}
 	for _, p := range m.peers {
@@ -76,7 +76,7 @@
 }
 
 // relink looks at the own links, tells them if they changed and works out who is reached.
-func (m *Mesh) relink(t *kernel.Turn) {
+func (m *Mesh) relink(t *kernel.Context) {
 	was := m.links.now
 	m.links.now = m.heard(t)
 	for fp, count := range m.links.lost {
@@ -107,7 +107,7 @@
 }
 
 // tellLinks tells the own links, a loss soon and a gain together with others.
-func (m *Mesh) tellLinks(t *kernel.Turn) {
+func (m *Mesh) tellLinks(t *kernel.Context) {
 	l := &m.links
 	now := strings.Join(l.now, " ") + "|" + strings.Join(sortedKeys(l.lost), " ")
 	if now == l.told && !l.again {
@@ -145,7 +145,7 @@
 }
 
 // linked takes in what another tells of its links.
-func (m *Mesh) linked(t *kernel.Turn, o *origin, e *wire.Entry) {
+func (m *Mesh) linked(t *kernel.Context, o *origin, e *wire.Entry) {
 	var l wire.Links
 	if wire.Decode(e.Body, &l) != nil || len(l.Peers)%8 != 0 || len(l.Peers) > 8*LinksMost || len(l.Lost) > LostMost {
 		t.Counts.Add("mesh_dropped_malformed", 1)
@@ -164,7 +164,7 @@
 }
 
 // suspected takes note of one that another has lost. This process itself says that it is there.
-func (m *Mesh) suspected(t *kernel.Turn, s wire.Suspect) {
+func (m *Mesh) suspected(t *kernel.Context, s wire.Suspect) {
 	if s.Origin == m.self {
 		if s.Count >= m.count {
 			t.Counts.Add("mesh_refuted", 1)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -125,7 +125,7 @@
 func (m *Mesh) Self() string { return m.self }
 
 // Step takes one input.
-func (m *Mesh) Step(t *kernel.Turn, in kernel.Input) {
+func (m *Mesh) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		m.begin(t)
@@ -152,7 +152,7 @@
 	}
 }
 
-func (m *Mesh) tick(t *kernel.Turn, key string) {
+func (m *Mesh) tick(t *kernel.Context, key string) {
 	switch key {
 	case "beat":
 		m.beat(t)
@@ -173,7 +173,7 @@
 }
 
 // thawed: what happened meanwhile is asked for; how long others were silent counts from now on.
-func (m *Mesh) thawed(t *kernel.Turn, gap int64) {
+func (m *Mesh) thawed(t *kernel.Context, gap int64) {
 	for _, p := range m.peers {
 		p.lastSeen = t.Now
 	}
--- a/mesh/notice.go
+++ b/mesh/notice.go
@@ -30,7 +30,7 @@
 	conn uint64
 }
 
-func (m *Mesh) notify(t *kernel.Turn, ch uint64, e *wire.Entry) {
+func (m *Mesh) notify(t *kernel.Context, ch uint64, e *wire.Entry) {
 	n := noticeOf(e)
 	n.Hops = e.Hops + 1
 	t.Counts.Add("mesh_notices_out", 1)
@@ -46,7 +46,7 @@
 }
 
 // noticed asks for an entry that is lacking, or sends one that is asked for.
-func (m *Mesh) noticed(t *kernel.Turn, p *peer, n wire.Notice) {
+func (m *Mesh) noticed(t *kernel.Context, p *peer, n wire.Notice) {
 	e := m.held(n)
 	if n.Want {
 		if e != nil && !(isLarge(e) && m.k.Sending() >= LargeSendsMost) {
--- a/mesh/outbox.go
+++ b/mesh/outbox.go
@@ -35,7 +35,7 @@
 }
 
 // forward sends an entry to all peers but one, now or with the next batch.
-func (m *Mesh) forward(t *kernel.Turn, e *wire.Entry, except uint64) {
+func (m *Mesh) forward(t *kernel.Context, e *wire.Entry, except uint64) {
 	now := m.stopping || t.Now-m.forwardedAt >= ForwardEvery
 	key := seenKey(e)
 	for _, id := range sortedKeys(m.peers) {
@@ -58,7 +58,7 @@
 }
 
 // forwardAll sends what waits for every peer.
-func (m *Mesh) forwardAll(t *kernel.Turn) {
+func (m *Mesh) forwardAll(t *kernel.Context) {
 	m.forwardedAt = t.Now
 	for _, id := range sortedKeys(m.peers) {
 		m.empty(t, m.peers[id])
@@ -66,7 +66,7 @@
 }
 
 // empty sends what waits for one peer, in its order.
-func (m *Mesh) empty(t *kernel.Turn, p *peer) {
+func (m *Mesh) empty(t *kernel.Context, p *peer) {
 	for _, key := range p.outbox.order {
 		if e := p.outbox.waiting[key]; e != nil {
 			m.send(t, p.chanID, e, news)
--- a/mesh/overlay.go
+++ b/mesh/overlay.go
@@ -31,7 +31,7 @@
 )
 
 // begin dials one of the seeds, and the others soon after if that leads nowhere.
-func (m *Mesh) begin(t *kernel.Turn) {
+func (m *Mesh) begin(t *kernel.Context) {
 	m.beganAt = t.Now
 	m.seeds = slices.Clone(m.k.Boot.Env.Seeds)
 	for _, s := range m.seeds {
@@ -45,7 +45,7 @@
 
 // seedsAre takes the list of seeds and dials them. Those of before stay known as
 // addresses of processes like any other.
-func (m *Mesh) seedsAre(t *kernel.Turn, seeds []string) {
+func (m *Mesh) seedsAre(t *kernel.Context, seeds []string) {
 	m.seeds = slices.Clone(seeds)
 	for _, s := range m.seeds {
 		if m.dials[s] == nil && len(m.dials) >= AddrMost {
@@ -99,7 +99,7 @@
 }
 
 // tend sees to the links: dials what is lacking, gives up what is too many.
-func (m *Mesh) tend(t *kernel.Turn) {
+func (m *Mesh) tend(t *kernel.Context) {
 	v := m.view()
 	m.tendSeeds(t, v)
 	open := map[string]int{}
@@ -141,7 +141,7 @@
 }
 
 // dialOne dials one of some: of three drawn by chance the one with the fewest links.
-func (m *Mesh) dialOne(t *kernel.Turn, of []*origin) bool {
+func (m *Mesh) dialOne(t *kernel.Context, of []*origin) bool {
 	var best *origin
 	from := t.Rand.IntN(max(1, len(of)))
 	drawn := 0
@@ -165,7 +165,7 @@
 	return true
 }
 
-func (m *Mesh) dialKnown(t *kernel.Turn, addr string) bool {
+func (m *Mesh) dialKnown(t *kernel.Context, addr string) bool {
 	if m.dials[addr] == nil && len(m.dials) >= AddrMost {
 		m.forgetAddr()
 	}
@@ -174,7 +174,7 @@
 }
 
 // dialAny dials an address of which nothing more is known.
-func (m *Mesh) dialAny(t *kernel.Turn) bool {
+func (m *Mesh) dialAny(t *kernel.Context) bool {
 	addrs := sortedKeys(m.dials)
 	from := t.Rand.IntN(max(1, len(addrs)))
 	for i := range addrs {
@@ -188,7 +188,7 @@
 // tendSeeds: seeds that are not linked with the fleet are tried again and again by a few,
 // now and then by all: whoever comes back there, with an empty disk perhaps, has to hear of
 // this fleet before it takes itself for the first.
-func (m *Mesh) tendSeeds(t *kernel.Turn, v view) {
+func (m *Mesh) tendSeeds(t *kernel.Context, v view) {
 	all := t.Now-m.lastSeed >= SeedEvery || len(m.peers) == 0
 	if all {
 		m.lastSeed = t.Now
@@ -204,7 +204,7 @@
 }
 
 // tendLost tries one of the members that are known but not reached: it may have been cut off.
-func (m *Mesh) tendLost(t *kernel.Turn, v view) {
+func (m *Mesh) tendLost(t *kernel.Context, v view) {
 	from := t.Rand.IntN(max(1, len(v.lost)))
 	for i := range v.lost {
 		o := v.lost[(from+i)%len(v.lost)]
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -54,7 +54,7 @@
 }
 
 // someAddrs are the own address and some of those reached, of a zone first.
-func (m *Mesh) someAddrs(t *kernel.Turn, zone string, n int) []string {
+func (m *Mesh) someAddrs(t *kernel.Context, zone string, n int) []string {
 	out := []string{m.addr}
 	all := sortedKeys(m.store.origins)
 	from := t.Rand.IntN(max(1, len(all)))
@@ -81,7 +81,7 @@
 	return false
 }
 
-func (m *Mesh) tryDial(t *kernel.Turn, addr string) bool {
+func (m *Mesh) tryDial(t *kernel.Context, addr string) bool {
 	d := m.dials[addr]
 	if d == nil || d.under || t.Now < d.next || m.connected(addr) {
 		return false
@@ -98,7 +98,7 @@
 	return true
 }
 
-func (m *Mesh) up(t *kernel.Turn, v kernel.ChannelUp) {
+func (m *Mesh) up(t *kernel.Context, v kernel.ChannelUp) {
 	if v.Dialed {
 		if d := m.dials[v.Addr]; d != nil {
 			d.under, d.tries, d.failed = false, 0, false
@@ -126,7 +126,7 @@
 	}
 	p := &peer{chanID: v.Chan, addr: v.Addr, zone: v.Zone, key: v.Peer, dialed: v.Dialed, since: t.Now, lastSeen: t.Now}
 	m.peers[v.Chan] = p
-	t.Note(-1, "mesh_peer_up", "peer", v.Peer, "addr", v.Addr, "peers", len(m.peers))
+	t.Log(-1, "mesh_peer_up", "peer", v.Peer, "addr", v.Addr, "peers", len(m.peers))
 	m.evict(t, v.Chan)
 	back := m.store.lift(v.Peer)
 	m.links.again = m.links.again || back
@@ -136,7 +136,7 @@
 	}
 }
 
-func (m *Mesh) evict(t *kernel.Turn, newest uint64) {
+func (m *Mesh) evict(t *kernel.Context, newest uint64) {
 	for len(m.peers) > PeerCap {
 		ids := sortedKeys(m.peers)
 		oldest := slices.MinFunc(ids, func(a, b uint64) int {
@@ -150,7 +150,7 @@
 	}
 }
 
-func (m *Mesh) down(t *kernel.Turn, v kernel.ChannelDown) {
+func (m *Mesh) down(t *kernel.Context, v kernel.ChannelDown) {
 	if p := m.peers[v.Chan]; p != nil {
 		m.lose(t, p)
 		return
@@ -165,9 +165,9 @@
 }
 
 // lose ends a channel whose peer may be gone: the link holds on for a grace.
-func (m *Mesh) lose(t *kernel.Turn, p *peer) {
+func (m *Mesh) lose(t *kernel.Context, p *peer) {
 	delete(m.peers, p.chanID)
-	t.Note(-1, "mesh_peer_down", "peer", p.key, "addr", p.addr, "peers", len(m.peers))
+	t.Log(-1, "mesh_peer_down", "peer", p.key, "addr", p.addr, "peers", len(m.peers))
 	count := uint64(0)
 	if o := m.store.origins[p.key]; o != nil {
 		count = o.max
@@ -181,9 +181,9 @@
 }
 
 // leave ends a channel that is one too many; its peer is there.
-func (m *Mesh) leave(t *kernel.Turn, p *peer) {
+func (m *Mesh) leave(t *kernel.Context, p *peer) {
 	delete(m.peers, p.chanID)
-	t.Note(-1, "mesh_peer_left", "peer", p.key, "addr", p.addr, "peers", len(m.peers))
+	t.Log(-1, "mesh_peer_left", "peer", p.key, "addr", p.addr, "peers", len(m.peers))
 	m.empty(t, p)
 	t.SendSlot(p.chanID, wire.KindHeartbeat, &wire.Heartbeat{Addrs: m.someAddrs(t, p.zone, greetAddrs), Digest: m.digest()}, "heartbeat")
 	t.Drop(p.chanID)
--- a/mesh/prune.go
+++ b/mesh/prune.go
@@ -9,7 +9,7 @@
 )
 
 // prune gives up a link that is one too many, one at a time, and none that its other end needs.
-func (m *Mesh) prune(t *kernel.Turn, v view, open map[string]int) {
+func (m *Mesh) prune(t *kernel.Context, v view, open map[string]int) {
 	if len(m.peers) <= PeersLeast || t.Now-m.prunedAt < PruneEvery {
 		return
 	}
--- a/mesh/reach.go
+++ b/mesh/reach.go
@@ -42,7 +42,7 @@
 }
 
 // reachSoon has it worked out once for all links that come within a while.
-func (m *Mesh) reachSoon(t *kernel.Turn) {
+func (m *Mesh) reachSoon(t *kernel.Context) {
 	if !m.reachArmed {
 		m.reachArmed = true
 		t.After(max(ReachWithin, m.reachAt+ReachEvery-t.Now), "mesh", "reach")
@@ -50,7 +50,7 @@
 }
 
 // reach works out who is reached from here, and tells the process's other plug-ins if that changed.
-func (m *Mesh) reach(t *kernel.Turn) {
+func (m *Mesh) reach(t *kernel.Context) {
 	m.reachAt = t.Now
 	m.reachTurn++
 	todo := make([]*origin, 0, len(m.store.origins))
@@ -99,7 +99,7 @@
 }
 
 // learn takes what the mesh itself needs of an entry that was taken in.
-func (m *Mesh) learn(t *kernel.Turn, o *origin, e *wire.Entry) {
+func (m *Mesh) learn(t *kernel.Context, o *origin, e *wire.Entry) {
 	if len(e.Body) > NoticeOver {
 		n := noticeOf(e)
 		n.Want = true
--- a/operate/binding.go
+++ b/operate/binding.go
@@ -22,7 +22,7 @@
 }
 
 // versionReplied binds the order and sends it.
-func (o *Operate) versionReplied(t *kernel.Turn, id uint64, r wire.EditReply) {
+func (o *Operate) versionReplied(t *kernel.Context, id uint64, r wire.EditReply) {
 	c := o.calls[id]
 	if c == nil || c.reply != nil || c.bound {
 		return
@@ -42,7 +42,7 @@
 }
 
 // stale has an order read the zone's version again: another order about that zone came first.
-func (o *Operate) stale(t *kernel.Turn, id uint64, c *call) {
+func (o *Operate) stale(t *kernel.Context, id uint64, c *call) {
 	c.open--
 	if !c.bound {
 		return
--- a/operate/carrying.go
+++ b/operate/carrying.go
@@ -12,13 +12,13 @@
 )
 
 // answer ends a call.
-func (o *Operate) answer(t *kernel.Turn, id uint64, c *call, res Result) {
+func (o *Operate) answer(t *kernel.Context, id uint64, c *call, res Result) {
 	delete(o.calls, id)
 	t.Answer(id, c.outcome(res))
 }
 
 // try sends the edit; its id, or its base and digest, make a second sending harmless.
-func (o *Operate) try(t *kernel.Turn, id uint64) {
+func (o *Operate) try(t *kernel.Context, id uint64) {
 	c := o.calls[id]
 	if c == nil {
 		return
@@ -45,7 +45,7 @@
 
 // send sends the order, or the question for the version that it is to be bound to. Nothing is
 // sent for a call that nobody waits for any more: the order would act late.
-func (o *Operate) send(t *kernel.Turn, id uint64, c *call, addr string) {
+func (o *Operate) send(t *kernel.Context, id uint64, c *call, addr string) {
 	if c.expired(t.Now) {
 		return
 	}
@@ -63,7 +63,7 @@
 }
 
 // handOn sends what a call sends next to an address that a reply named.
-func (o *Operate) handOn(t *kernel.Turn, id uint64, c *call, addr string) {
+func (o *Operate) handOn(t *kernel.Context, id uint64, c *call, addr string) {
 	if addr == "" || c.hops >= hopsMost {
 		return
 	}
@@ -73,7 +73,7 @@
 
 // leader is where to send a call next: to the partition's leader as last heard, and every other time to
 // some live core, which knows a newer one once a leader is gone.
-func (o *Operate) leaderAddress(t *kernel.Turn, c *call) string {
+func (o *Operate) leaderAddress(t *kernel.Context, c *call) string {
 	partition := c.req.Edit.Partition
 	addr := ""
 	if o.host != nil {
@@ -92,7 +92,7 @@
 	return cores[t.Rand.IntN(len(cores))].Addr
 }
 
-func (o *Operate) replied(t *kernel.Turn, id uint64, r wire.EditReply) {
+func (o *Operate) replied(t *kernel.Context, id uint64, r wire.EditReply) {
 	if id&versionRead != 0 {
 		o.versionReplied(t, id&^versionRead, r)
 		return
@@ -125,7 +125,7 @@
 }
 
 // watch waits until every live node reports the version, or long enough.
-func (o *Operate) watch(t *kernel.Turn, id uint64, c *call) {
+func (o *Operate) watch(t *kernel.Context, id uint64, c *call) {
 	res := Result{Reply: *c.reply}
 	for _, n := range o.members.Live(t.Now, "node") {
 		in := false
--- a/operate/operate.go
+++ b/operate/operate.go
@@ -80,7 +80,7 @@
 }
 
 // Step takes one input.
-func (o *Operate) Step(t *kernel.Turn, in kernel.Input) {
+func (o *Operate) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Call:
 		o.called(t, v)
@@ -109,7 +109,7 @@
 	}
 }
 
-func (o *Operate) message(t *kernel.Turn, v kernel.Message) {
+func (o *Operate) message(t *kernel.Context, v kernel.Message) {
 	switch v.Kind {
 	case wire.KindRebuildReply:
 		var reply wire.RebuildReply
@@ -129,7 +129,7 @@
 	}
 }
 
-func (o *Operate) called(t *kernel.Turn, v kernel.Call) {
+func (o *Operate) called(t *kernel.Context, v kernel.Call) {
 	c := &call{began: t.Now}
 	switch ask := v.Ask.(type) {
 	case Rebuild:
--- a/operate/rebuild.go
+++ b/operate/rebuild.go
@@ -45,7 +45,7 @@
 	dueAt int64
 }
 
-func (o *Operate) rebuild(t *kernel.Turn, id uint64, partition int) {
+func (o *Operate) rebuild(t *kernel.Context, id uint64, partition int) {
 	r := &rebuilding{partition: partition, yes: map[string]bool{}}
 	if v, ok := o.mesh.Partition(partition); ok {
 		r.version = v
@@ -58,13 +58,13 @@
 }
 
 // rebuildDue has the step under way end after a while.
-func (o *Operate) rebuildDue(t *kernel.Turn, id uint64, r *rebuilding, after int64) {
+func (o *Operate) rebuildDue(t *kernel.Context, id uint64, r *rebuilding, after int64) {
 	r.dueAt = t.Now + after
 	t.After(after, "operate", fmt.Sprint(id))
 }
 
 // rebuildTick ends the step under way, unless the timer was that of an earlier one.
-func (o *Operate) rebuildTick(t *kernel.Turn, id uint64, r *rebuilding) {
+func (o *Operate) rebuildTick(t *kernel.Context, id uint64, r *rebuilding) {
 	if t.Now >= r.dueAt {
 		o.rebuildStep(t, id, r)
 	}
@@ -80,7 +80,7 @@
 	return out
 }
 
-func (o *Operate) rebuildReplied(t *kernel.Turn, id uint64, m wire.RebuildReply) {
+func (o *Operate) rebuildReplied(t *kernel.Context, id uint64, m wire.RebuildReply) {
 	r := o.rebuilds[id]
 	if r == nil || m.Partition != r.partition {
 		return
@@ -105,7 +105,7 @@
 
 // fetch asks the core that holds the newest version for it; false where none is to be had or it came.
 // What the mesh brought may be newer, but has no ledger.
-func (o *Operate) fetch(t *kernel.Turn, id uint64, r *rebuilding) bool {
+func (o *Operate) fetch(t *kernel.Context, id uint64, r *rebuilding) bool {
 	if r.fetched || r.newest.Term == 0 {
 		return false
 	}
@@ -133,7 +133,7 @@
 }
 
 // rebuildStep ends one of the steps.
-func (o *Operate) rebuildStep(t *kernel.Turn, id uint64, r *rebuilding) {
+func (o *Operate) rebuildStep(t *kernel.Context, id uint64, r *rebuilding) {
 	end := func(code, text string) {
 		delete(o.rebuilds, id)
 		reply := wire.EditReply{Code: code, Version: r.version.Version}
--- a/operate/status.go
+++ b/operate/status.go
@@ -39,7 +39,7 @@
 }
 
 // readStatus asks every known core, this process itself without a message.
-func (o *Operate) readStatus(t *kernel.Turn, id uint64) {
+func (o *Operate) readStatus(t *kernel.Context, id uint64) {
 	read := &statusRead{told: map[string][]wire.ReplicaStatus{}}
 	for _, row := range o.members.All(t.Now) {
 		if row.Role == "core" {
@@ -59,7 +59,7 @@
 }
 
 // statusReplied takes note of one core's answer.
-func (o *Operate) statusReplied(t *kernel.Turn, id uint64, reply wire.StatusReply) {
+func (o *Operate) statusReplied(t *kernel.Context, id uint64, reply wire.StatusReply) {
 	read := o.statusReads[id]
 	if read == nil {
 		return
@@ -68,7 +68,7 @@
 	o.endStatusIfWhole(t, id, read)
 }
 
-func (o *Operate) endStatusIfWhole(t *kernel.Turn, id uint64, read *statusRead) {
+func (o *Operate) endStatusIfWhole(t *kernel.Context, id uint64, read *statusRead) {
 	for _, core := range read.asked {
 		if _, told := read.told[core.Addr]; !told {
 			return
@@ -78,7 +78,7 @@
 }
 
 // endStatus answers with what was told so far.
-func (o *Operate) endStatus(t *kernel.Turn, id uint64, read *statusRead) {
+func (o *Operate) endStatus(t *kernel.Context, id uint64, read *statusRead) {
 	delete(o.statusReads, id)
 	status := Status{Cores: make([]CoreStatus, 0, len(read.asked))}
 	for _, core := range read.asked {
--- a/replica/bootstrap.go
+++ b/replica/bootstrap.go
@@ -24,7 +24,7 @@
 	WithdrawAfter = 2_500_000
 )
 
-func (s *Host) bootstrapStep(t *kernel.Turn) {
+func (s *Host) bootstrapStep(t *kernel.Context) {
 	if s.replicaID == "" || s.diskProblem != "" || s.stopping {
 		return
 	}
@@ -64,17 +64,17 @@
 
 // joinFleet makes an unformed core a standby of the fleet that it found. Where the
 // found fleet is the one it consented to, its leaders bring it the versions.
-func (s *Host) joinFleet(t *kernel.Turn) {
+func (s *Host) joinFleet(t *kernel.Context) {
 	if s.bootstrapped {
 		return
 	}
 	s.bootstrapped = true
 	s.publishMember()
-	t.Note(0, "core_spare", "seat", s.replicaID)
+	t.Log(0, "core_spare", "seat", s.replicaID)
 }
 
 // planFormation proposes a formation, if this core is the one to do so and enough others are known.
-func (s *Host) planFormation(t *kernel.Turn) {
+func (s *Host) planFormation(t *kernel.Context) {
 	cores := s.standbys(t.Now)
 	cores = slices.DeleteFunc(cores, func(c wire.Replica) bool { return s.refused[c.ID] })
 	slices.SortFunc(cores, func(a, b wire.Replica) int { return cmp.Compare(a.ID, b.ID) })
@@ -85,8 +85,8 @@
 	f := wire.Bootstrap{Formation: fmt.Sprintf("%016x", t.Rand.Uint64()), Voters: seats}
 	f.By = wire.Replica{ID: s.replicaID, Zone: s.k.Boot.Env.Zone, Addr: s.k.Boot.Env.Mesh}
 	s.plannedAt = t.Now
-	t.Note(0, "formation_planned", "formation", f.Formation, "seats", len(seats))
-	s.consent(t, f, func(t *kernel.Turn, ok bool) {
+	t.Log(0, "formation_planned", "formation", f.Formation, "seats", len(seats))
+	s.consent(t, f, func(t *kernel.Context, ok bool) {
 		if ok && s.formation.Formation == f.Formation {
 			s.propose(t)
 		}
@@ -94,9 +94,9 @@
 }
 
 // consent syncs that this disk consents to a formation; an empty one takes the consent back.
-func (s *Host) consent(t *kernel.Turn, f wire.Bootstrap, done func(t *kernel.Turn, ok bool)) {
+func (s *Host) consent(t *kernel.Context, f wire.Bootstrap, done func(t *kernel.Context, ok bool)) {
 	s.formation, s.consents, s.synced = f, map[string]bool{}, false
-	s.save(t, "formation", wire.Encode(&f), func(t *kernel.Turn, err string) {
+	s.save(t, "formation", wire.Encode(&f), func(t *kernel.Context, err string) {
 		if s.formation.Formation == f.Formation {
 			s.synced = err == ""
 			if err != "" {
@@ -107,7 +107,7 @@
 	})
 }
 
-func (s *Host) propose(t *kernel.Turn) {
+func (s *Host) propose(t *kernel.Context) {
 	s.proposedAt = t.Now
 	for _, member := range s.formation.Voters {
 		if member.ID != s.replicaID {
@@ -120,10 +120,10 @@
 
 // withdraw gives up this replica's own proposal, for another one or for none. It is synced before
 // anyone is told: whoever consented to it is free only once it can never be complete.
-func (s *Host) withdraw(t *kernel.Turn) {
+func (s *Host) withdraw(t *kernel.Context) {
 	was := s.formation
-	t.Note(1, "formation_withdrawn", "formation", was.Formation)
-	s.consent(t, wire.Bootstrap{}, func(t *kernel.Turn, ok bool) {
+	t.Log(1, "formation_withdrawn", "formation", was.Formation)
+	s.consent(t, wire.Bootstrap{}, func(t *kernel.Context, ok bool) {
 		if !ok {
 			return
 		}
@@ -136,8 +136,8 @@
 	})
 }
 
-func (s *Host) handleForm(t *kernel.Turn, ch uint64, f wire.Bootstrap) {
-	reply := func(t *kernel.Turn, r wire.BootstrapReply) {
+func (s *Host) handleForm(t *kernel.Context, ch uint64, f wire.Bootstrap) {
+	reply := func(t *kernel.Context, r wire.BootstrapReply) {
 		r.Formation, r.From = f.Formation, s.replicaID
 		t.Send(ch, wire.KindBootstrapReply, 0, &r)
 	}
@@ -147,7 +147,7 @@
 	case s.replicaID == "" || s.diskDamaged:
 	case f.Withdrawn:
 		if mine.Formation == f.Formation && mine.By.ID != s.replicaID && !s.bootstrapped && !s.completing {
-			s.consent(t, wire.Bootstrap{}, func(*kernel.Turn, bool) {})
+			s.consent(t, wire.Bootstrap{}, func(*kernel.Context, bool) {})
 		}
 	case f.Go:
 		if f.Formation == mine.Formation {
@@ -167,11 +167,11 @@
 	case e.BootstrapKnown && !e.Bootstrap:
 		reply(t, wire.BootstrapReply{Never: true})
 	case in && s.diskProblem == "":
-		s.consent(t, f, func(t *kernel.Turn, ok bool) { reply(t, wire.BootstrapReply{OK: ok}) })
+		s.consent(t, f, func(t *kernel.Context, ok bool) { reply(t, wire.BootstrapReply{OK: ok}) })
 	}
 }
 
-func (s *Host) handleFormReply(t *kernel.Turn, r wire.BootstrapReply) {
+func (s *Host) handleFormReply(t *kernel.Context, r wire.BootstrapReply) {
 	f := s.formation
 	if s.bootstrapped || f.Formation == "" || r.Formation != f.Formation || f.By.ID != s.replicaID || s.completing {
 		return
@@ -206,20 +206,20 @@
 
 // complete makes a consenting replica a voter, once that is synced; the one that proposed the
 // formation then tells the others, who may have nobody else to tell them.
-func (s *Host) complete(t *kernel.Turn) {
+func (s *Host) complete(t *kernel.Context) {
 	f := s.formation
 	if f.Go || s.completing {
 		return
 	}
 	f.Go, s.completing = true, true
-	s.save(t, "formation", wire.Encode(&f), func(t *kernel.Turn, err string) {
+	s.save(t, "formation", wire.Encode(&f), func(t *kernel.Context, err string) {
 		s.completing = false
 		if err != "" || s.formation.Go {
 			return
 		}
 		s.formation, s.bootstrapped = f, true
 		s.adoptFormation()
-		t.Note(0, "fleet_formed", "formation", f.Formation, "seat", s.replicaID)
+		t.Log(0, "fleet_formed", "formation", f.Formation, "seat", s.replicaID)
 		s.publishMember()
 		for _, member := range f.Voters {
 			if f.By.ID == s.replicaID && member.ID != s.replicaID {
--- a/replica/bootstrap_choice.go
+++ b/replica/bootstrap_choice.go
@@ -24,7 +24,7 @@
 )
 
 // chooseFormation gives the replicas of the formation that this core should propose now, if any.
-func (s *Host) chooseFormation(t *kernel.Turn, cores []wire.Replica) ([]wire.Replica, bool) {
+func (s *Host) chooseFormation(t *kernel.Context, cores []wire.Replica) ([]wire.Replica, bool) {
 	e, want := &s.k.Boot.Env, s.wantedVoters()
 	if !e.BootstrapKnown {
 		return PickVoters(cores, want), len(cores) >= want && cores[0].ID == s.replicaID
--- a/replica/bootstrap_test.go
+++ b/replica/bootstrap_test.go
@@ -178,7 +178,7 @@
 	must.SliceEmpty(t, c.feed(kernel.Start{}).Writes)
 	must.Eq(t, "", c.s.ReplicaID())
 	must.Eq(t, map[uint64]string{1: "not_owner"}, replies(t, c.edit(1, wire.Edit{Op: "read"})))
-	c.s.mesh.AnnounceVersion(&kernel.Turn{Now: c.now, Counts: c.k.Counts}, version(3, 1))
+	c.s.mesh.AnnounceVersion(&kernel.Context{Now: c.now, Counts: c.k.Counts}, version(3, 1))
 	got := sent[wire.PullReply](t, c.send(wire.KindPull, &wire.Pull{}), wire.KindPullReply)
 	must.Len(t, 1, got[0].Versions)
 	must.Eq(t, uint64(3), got[0].Versions[0].Version.Term)
--- a/replica/catch_up.go
+++ b/replica/catch_up.go
@@ -60,7 +60,7 @@
 }
 
 // refuseTooLarge turns an order down whose outcome is larger than the product takes.
-func (g *Group) refuseTooLarge(t *kernel.Turn, w *pendingEdit, before, after state.Value) {
+func (g *Group) refuseTooLarge(t *kernel.Context, w *pendingEdit, before, after state.Value) {
 	if !w.taken {
 		return
 	}
@@ -72,7 +72,7 @@
 
 // catchUp sends the newest committed version to a replica whose heartbeat reply shows that it
 // lacks it. While another version is under way to it, a large one is not sent as well.
-func (g *Group) catchUp(t *kernel.Turn, r wire.LeaderHeartbeatReply) {
+func (g *Group) catchUp(t *kernel.Context, r wire.LeaderHeartbeatReply) {
 	size := sizeOf(g.committed)
 	underWay := g.proposal != nil && (r.Held == g.proposal.Version || isLarge(size))
 	if !g.ready || underWay || !mesh.Newer(g.committed.Version, r.Held) {
@@ -92,7 +92,7 @@
 		g.caughtUpAt[r.From] = t.Now
 		t.Counts.Add("part_handed_over", 1)
 		t.Counts.Add("snapshot_bytes_sent", int64(size))
-		t.Note(0, "snapshot_sent", "part", g.partition, "to", r.From, "had_term", r.Held.Term, "had_seq", r.Held.Seq,
+		t.Log(0, "snapshot_sent", "part", g.partition, "to", r.From, "had_term", r.Held.Term, "had_seq", r.Held.Seq,
 			"term", g.committed.Version.Term, "seq", g.committed.Version.Seq, "bytes", size)
 		g.sendVersion(t, voter, g.committed)
 	}
--- a/replica/disk.go
+++ b/replica/disk.go
@@ -10,10 +10,10 @@
 )
 
 // identify gives an empty disk its replica; it is none before that is synced.
-func (s *Host) identify(t *kernel.Turn) {
+func (s *Host) identify(t *kernel.Context) {
 	id := fmt.Sprintf("%016x", t.Rand.Uint64())
 	s.probing = true
-	s.save(t, "seat", []byte(id), func(t *kernel.Turn, err string) {
+	s.save(t, "seat", []byte(id), func(t *kernel.Context, err string) {
 		s.probing, s.probeAt = false, t.Now
 		if err == "" {
 			s.replicaID = id
@@ -22,17 +22,17 @@
 	})
 }
 
-func (s *Host) setSick(t *kernel.Turn, why string) {
+func (s *Host) setSick(t *kernel.Context, why string) {
 	if s.diskProblem == why {
 		return
 	}
-	t.Note(1, "disk_condition", "was", s.diskProblem, "is", why)
+	t.Log(1, "disk_condition", "was", s.diskProblem, "is", why)
 	s.diskProblem = why
 	s.publishMember()
 }
 
 // save writes a file and calls back when it is synced or has failed.
-func (s *Host) save(t *kernel.Turn, file string, content []byte, done func(t *kernel.Turn, err string)) {
+func (s *Host) save(t *kernel.Context, file string, content []byte, done func(t *kernel.Context, err string)) {
 	s.nextWrite++
 	key := fmt.Sprintf("w%d", s.nextWrite)
 	s.writes[key], s.writeSince[key] = done, t.Now
@@ -40,9 +40,9 @@
 	t.Write("seats", key, file, diskfile.Pack(content))
 }
 
-func (s *Host) remove(t *kernel.Turn, file string) { t.Write("seats", "", file, nil) }
+func (s *Host) remove(t *kernel.Context, file string) { t.Write("seats", "", file, nil) }
 
-func (s *Host) written(t *kernel.Turn, v kernel.Written) {
+func (s *Host) written(t *kernel.Context, v kernel.Written) {
 	done := s.writes[v.Key]
 	slow := t.Now-s.writeSince[v.Key] > SlowDiskAfter
 	delete(s.writes, v.Key)
@@ -62,7 +62,7 @@
 }
 
 // checkDisk notices a stalled disk, and tries a sick one again.
-func (s *Host) checkDisk(t *kernel.Turn) {
+func (s *Host) checkDisk(t *kernel.Context) {
 	for _, at := range s.writeSince {
 		if t.Now-at > SlowDiskAfter {
 			s.setSick(t, "stalled")
@@ -74,6 +74,6 @@
 			s.identify(t)
 			return
 		}
-		s.save(t, "probe", []byte("probe"), func(*kernel.Turn, string) { s.probing = false })
+		s.save(t, "probe", []byte("probe"), func(*kernel.Context, string) { s.probing = false })
 	}
 }
--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -28,9 +28,9 @@
 	g := owns(t, c)
 	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "a", Round: g.round, Held: g.accepted.Version, OK: true, DiskProblem: true})
 	c.now++
-	must.Eq(t, "", g.bestSuccessor(&kernel.Turn{Now: c.now}))
+	must.Eq(t, "", g.bestSuccessor(&kernel.Context{Now: c.now}))
 	c.send(wire.KindLeaderHeartbeatReply, &wire.LeaderHeartbeatReply{Term: g.term, From: "b", Round: g.round, Held: g.accepted.Version, OK: true})
-	must.Eq(t, "b", g.bestSuccessor(&kernel.Turn{Now: c.now}))
+	must.Eq(t, "b", g.bestSuccessor(&kernel.Context{Now: c.now}))
 }
 
 func pre(t *testing.T, c *core, term uint64) wire.VoteReply {
@@ -39,9 +39,9 @@
 
 func TestSlowDiskVotesAndAFullOneDoesNot(t *testing.T) {
 	c := newCore(t, nil)
-	c.s.setSick(&kernel.Turn{}, "slow")
+	c.s.setSick(&kernel.Context{}, "slow")
 	must.True(t, pre(t, c, 5).Granted)
-	c.s.setSick(&kernel.Turn{}, "no space left on device")
+	c.s.setSick(&kernel.Context{}, "no space left on device")
 	must.False(t, pre(t, c, 5).Granted)
 	out := c.send(wire.KindVote, &wire.Vote{Term: 5, From: "a"})
 	must.Len(t, 1, out.Writes)
@@ -67,7 +67,7 @@
 func TestNoSeatBeforeItsNameIsSynced(t *testing.T) {
 	c := emptyCore(t, nil)
 	delete(c.k.Boot.Files, "seat")
-	c.s.replicaID, c.s.writes = "", map[string]func(*kernel.Turn, string){}
+	c.s.replicaID, c.s.writes = "", map[string]func(*kernel.Context, string){}
 	out := c.feed(kernel.Start{})
 	must.Eq(t, "", c.s.ReplicaID())
 	for _, w := range out.Writes {
--- a/replica/election.go
+++ b/replica/election.go
@@ -12,7 +12,7 @@
 )
 
 // scheduleElection puts the next try for a term off: the replicas take turns, each partition beginning with another.
-func (g *Group) scheduleElection(t *kernel.Turn) {
+func (g *Group) scheduleElection(t *kernel.Context) {
 	rank, after := int64(0), int64(ElectionTimeout)
 	if g.justStarted(t) {
 		after = ElectionTimeoutAtStart
@@ -35,12 +35,12 @@
 // justStarted tells that this process has just started, on a platform, and has heard no leader yet:
 // after a loss of everything there is none to wait for, and where there is one the other replicas,
 // who hear it, deny the first question, which binds nobody.
-func (g *Group) justStarted(t *kernel.Turn) bool {
+func (g *Group) justStarted(t *kernel.Context) bool {
 	return g.host.k.Boot.Env.BootstrapKnown && g.leader == "" && g.role != leader && t.Now-g.host.started < StartPeriod
 }
 
 // startElection begins a try: first whether a term would be given, then for the term.
-func (g *Group) startElection(t *kernel.Turn, named bool) {
+func (g *Group) startElection(t *kernel.Context, named bool) {
 	g.scheduleElection(t)
 	g.role = preCandidate
 	g.term = g.votedTerm + 1
@@ -59,7 +59,7 @@
 	}
 }
 
-func (g *Group) requestVotes(t *kernel.Turn, named bool) {
+func (g *Group) requestVotes(t *kernel.Context, named bool) {
 	g.role = candidate
 	g.replies = map[string]wire.VoteReply{}
 	t.Counts.Add("part_elections", 1)
@@ -74,8 +74,8 @@
 }
 
 // vote answers a request for a term, after the vote is synced.
-func (g *Group) vote(t *kernel.Turn, ch, id uint64, v wire.Vote) {
-	reply := func(t *kernel.Turn, granted bool) {
+func (g *Group) vote(t *kernel.Context, ch, id uint64, v wire.Vote) {
+	reply := func(t *kernel.Context, granted bool) {
 		r := wire.VoteReply{Partition: g.partition, Term: v.Term, From: g.self(), Pre: v.Pre, Granted: granted, Held: g.accepted, TakesBase: true}
 		if !granted {
 			r.Term = g.votedTerm
@@ -109,7 +109,7 @@
 	}
 	g.votedTerm, g.votedFor = v.Term, v.From
 	g.scheduleElection(t)
-	g.host.save(t, voteFile(g.partition), wire.Encode(&wire.Vote{Term: v.Term, From: v.From}), func(t *kernel.Turn, err string) {
+	g.host.save(t, voteFile(g.partition), wire.Encode(&wire.Vote{Term: v.Term, From: v.From}), func(t *kernel.Context, err string) {
 		if err == "" && g.votedTerm == v.Term && g.votedFor == v.From {
 			reply(t, true)
 		}
@@ -122,7 +122,7 @@
 	return mesh.Newer(g.accepted.Version, v.Held) && g.isVoter() && !g.host.stopping
 }
 
-func (g *Group) voteReply(t *kernel.Turn, r wire.VoteReply) {
+func (g *Group) voteReply(t *kernel.Context, r wire.VoteReply) {
 	if r.Pre && g.role != preCandidate || !r.Pre && g.role != candidate {
 		return
 	}
--- a/replica/election_test.go
+++ b/replica/election_test.go
@@ -36,7 +36,7 @@
 		g := c.s.groups[1]
 		g.accepted.Voters = seats("a", "b", "c")
 		g.leader = "c"
-		out := &kernel.Turn{Now: 0, Rand: c.k.Rand, Counts: c.k.Counts}
+		out := &kernel.Context{Now: 0, Rand: c.k.Rand, Counts: c.k.Counts}
 		g.scheduleElection(out)
 		at = append(at, g.electionAt)
 	}
@@ -47,7 +47,7 @@
 // A replica that was away holds less than the others: what it commits anew is theirs.
 func TestOwnerAdoptsTheHighestVersionThatWasFound(t *testing.T) {
 	mine, theirs := version(3, 1), version(4, 7)
-	theirs.Body = wire.Encode(&wire.ConfigBody{Emptied: []string{"z9"}})
+	theirs.Body = wire.Encode(&wire.ConfigBody{DrainedZones: []string{"z9"}})
 	c := newCore(t, map[string][]byte{versionFile(mine.Version): diskfile.Pack(wire.Encode(&mine))})
 	g := c.s.groups[0]
 	c.tick()
@@ -79,7 +79,7 @@
 		g := k.s.groups[0]
 		g.accepted.Voters = seats("a", "b", k.s.replicaID)
 		g.leader = c.leader
-		g.scheduleElection(&kernel.Turn{Now: c.now + k.s.started, Rand: k.k.Rand, Counts: k.k.Counts})
+		g.scheduleElection(&kernel.Context{Now: c.now + k.s.started, Rand: k.k.Rand, Counts: k.k.Counts})
 		must.Between(t, c.at, g.electionAt-k.s.started, c.to, must.Sprint(c))
 	}
 }
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -11,8 +11,8 @@
 )
 
 // accept syncs a version and says so, unless a newer term was voted.
-func (g *Group) accept(t *kernel.Turn, ch, id uint64, a wire.Accept) {
-	reply := func(t *kernel.Turn, r wire.AcceptReply) {
+func (g *Group) accept(t *kernel.Context, ch, id uint64, a wire.Accept) {
+	reply := func(t *kernel.Context, r wire.AcceptReply) {
 		r.Partition, r.From, r.TakesBase = g.partition, g.self(), true
 		if a.From == g.self() {
 			g.acceptReply(t, r)
@@ -52,7 +52,7 @@
 		v.Body, v.Ledger = g.accepted.Body, g.accepted.Ledger
 	}
 	g.pending = v.Version
-	g.host.save(t, versionFile(v.Version), wire.Encode(&v), func(t *kernel.Turn, err string) {
+	g.host.save(t, versionFile(v.Version), wire.Encode(&v), func(t *kernel.Context, err string) {
 		if err != "" {
 			if g.pending == v.Version {
 				g.pending = g.accepted.Version
@@ -69,7 +69,7 @@
 	})
 }
 
-func (g *Group) removeOldVersions(t *kernel.Turn) {
+func (g *Group) removeOldVersions(t *kernel.Context) {
 	slices.SortFunc(g.versionFiles, func(a, b wire.Version) int {
 		if mesh.Newer(a, b) {
 			return -1
@@ -84,7 +84,7 @@
 }
 
 // follow takes a replica for the leader of a term.
-func (g *Group) follow(t *kernel.Turn, from string, term uint64) {
+func (g *Group) follow(t *kernel.Context, from string, term uint64) {
 	if g.role != follower && term >= g.term {
 		g.stepDown(t, "another owner")
 	}
@@ -96,7 +96,7 @@
 	g.scheduleElection(t)
 }
 
-func (g *Group) handleHeartbeat(t *kernel.Turn, ch, id uint64, b wire.LeaderHeartbeat) {
+func (g *Group) handleHeartbeat(t *kernel.Context, ch, id uint64, b wire.LeaderHeartbeat) {
 	r := wire.LeaderHeartbeatReply{Partition: g.partition, Term: g.votedTerm, From: g.self(), Round: b.Round, Held: g.accepted.Version, Wall: t.Wall, Clock: g.host.clock(t.Now), DiskProblem: g.host.diskProblem != ""}
 	if b.Term < g.votedTerm || g.host.diskDamaged {
 		t.Send(ch, wire.KindLeaderHeartbeatReply, id, &r)
--- a/replica/group.go
+++ b/replica/group.go
@@ -130,7 +130,7 @@
 
 func (g *Group) isVoter() bool { return contains(allVoters(g.accepted), g.self()) }
 
-func (g *Group) tick(t *kernel.Turn) {
+func (g *Group) tick(t *kernel.Context) {
 	if !g.isVoter() {
 		return
 	}
--- a/replica/host.go
+++ b/replica/host.go
@@ -42,7 +42,7 @@
 	nextWrite    uint64
 	// clockOrigin is where the clock begins that leaders are told.
 	clockOrigin int64
-	writes      map[string]func(t *kernel.Turn, err string)
+	writes      map[string]func(t *kernel.Context, err string)
 	writeSince  map[string]int64
 	probing     bool
 	probeAt     int64
@@ -56,7 +56,7 @@
 	kernel.Register(kernel.Registration{Rank: 30, Roles: []string{"core"}, Make: func(k *kernel.Kernel) kernel.Plugin {
 		s := &Host{
 			k: k, mesh: kernel.Find[*mesh.Mesh](k), members: kernel.Find[*members.Members](k),
-			writes: map[string]func(*kernel.Turn, string){}, writeSince: map[string]int64{}, consents: map[string]bool{},
+			writes: map[string]func(*kernel.Context, string){}, writeSince: map[string]int64{}, consents: map[string]bool{},
 			refused: map[string]bool{}, pullers: map[string]puller{},
 		}
 		for p := range Partitions {
@@ -85,7 +85,7 @@
 }
 
 // Load reads the disk as it was at the start of the process.
-func (s *Host) load(t *kernel.Turn) {
+func (s *Host) load(t *kernel.Context) {
 	for _, name := range sortedKeys(s.k.Boot.Files) {
 		b, err := diskfile.Unpack(s.k.Boot.Files[name])
 		if f, ok := err.(diskfile.ErrFuture); ok {
@@ -95,7 +95,7 @@
 		isStamped := strings.Contains(name, ".stamp-")
 		if err != nil {
 			t.Counts.Add("disk_torn", 1)
-			t.Note(1, "disk_torn", "file", name)
+			t.Log(1, "disk_torn", "file", name)
 			// A version that was not whole was never acknowledged; any other file is needed whole.
 			s.diskDamaged = s.diskDamaged || !isStamped
 			continue
@@ -156,17 +156,17 @@
 	return ListenBeforeElection
 }
 
-func (s *Host) start(t *kernel.Turn) {
+func (s *Host) start(t *kernel.Context) {
 	s.started, s.clockOrigin = t.Now, 1+t.Rand.Int64N(clockOrigins)
 	if s.k.Boot.Env.Data == "" && len(s.k.Boot.Files) == 0 {
 		// Without a disk it has no replica; it hands on what it is asked.
-		t.Note(0, "core_without_disk")
+		t.Log(0, "core_without_disk")
 		return
 	}
 	s.load(t)
 	if s.diskDamaged {
 		s.setSick(t, "damaged")
-		t.Note(2, "disk_damaged", "do", "stop this core, empty its data folder, start it again: it comes back as a new seat", "why", s.futureFormat)
+		t.Log(2, "disk_damaged", "do", "stop this core, empty its data folder, start it again: it comes back as a new seat", "why", s.futureFormat)
 		return
 	}
 	if s.replicaID == "" {
--- a/replica/known_cores.go
+++ b/replica/known_cores.go
@@ -40,7 +40,7 @@
 }
 
 // pulled takes note of a core that pulls.
-func (s *Host) pulled(t *kernel.Turn, p wire.Pull) {
+func (s *Host) pulled(t *kernel.Context, p wire.Pull) {
 	if p.Addr == "" || p.Addr == s.k.Boot.Env.Mesh {
 		return
 	}
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -8,7 +8,7 @@
 	"wallport/wire"
 )
 
-func (g *Group) becomeLeader(t *kernel.Turn, best wire.Versioned) {
+func (g *Group) becomeLeader(t *kernel.Context, best wire.Versioned) {
 	g.role, g.leader, g.leaderAddress = leader, g.self(), g.host.k.Boot.Env.Mesh
 	g.ready, g.transferring = false, g.host.stopping
 	g.confirmedRounds, g.clockOffsets = map[string]uint64{}, map[string]int64{}
@@ -21,7 +21,7 @@
 	for _, s := range allVoters(best) {
 		g.heardAt[s.ID] = t.Now
 	}
-	t.Note(0, "part_owner", "part", g.partition, "term", g.term, "adopts_term", best.Version.Term, "adopts_seq", best.Version.Seq)
+	t.Log(0, "part_owner", "part", g.partition, "term", g.term, "adopts_term", best.Version.Term, "adopts_seq", best.Version.Seq)
 	t.Counts.Add("part_owned", 1)
 	v := best
 	v.Version = wire.Version{Partition: g.partition, Term: g.term, Seq: best.Version.Seq + 1}
@@ -31,9 +31,9 @@
 }
 
 // stepDown ends leadership or candidature. What was in flight has an unknown outcome.
-func (g *Group) stepDown(t *kernel.Turn, why string) {
+func (g *Group) stepDown(t *kernel.Context, why string) {
 	if g.role == leader {
-		t.Note(1, "part_retired", "part", g.partition, "term", g.term, "why", why)
+		t.Log(1, "part_retired", "part", g.partition, "term", g.term, "why", why)
 		for _, w := range g.proposedEdits {
 			g.answer(t, w.conn, w.id, wire.EditReply{Code: "unknown"})
 		}
@@ -50,7 +50,7 @@
 
 // propose has the voters hold a version. Its body is that of the version base, if that is one:
 // who holds that already needs not be sent it.
-func (g *Group) propose(t *kernel.Turn, v wire.Versioned, base wire.Version) {
+func (g *Group) propose(t *kernel.Context, v wire.Versioned, base wire.Version) {
 	g.proposal, g.proposedAt = &v, t.Now
 	g.acks = map[string]bool{}
 	g.sendProposal(t, base)
@@ -62,13 +62,13 @@
 }
 
 // sendVersion brings a version, whole, to a replica.
-func (g *Group) sendVersion(t *kernel.Turn, to wire.Replica, v wire.Versioned) {
+func (g *Group) sendVersion(t *kernel.Context, to wire.Replica, v wire.Versioned) {
 	a := g.acceptFor(v)
 	g.host.sendReplica(t, to, wire.KindAccept, &a)
 }
 
 // sendProposal sends the version under way to those who have not synced it yet.
-func (g *Group) sendProposal(t *kernel.Turn, base wire.Version) {
+func (g *Group) sendProposal(t *kernel.Context, base wire.Version) {
 	g.sentAt = t.Now
 	a := g.acceptFor(*g.proposal)
 	for _, s := range allVoters(*g.proposal) {
@@ -85,7 +85,7 @@
 	g.sendToLearners(t, *g.proposal)
 }
 
-func (g *Group) acceptReply(t *kernel.Turn, r wire.AcceptReply) {
+func (g *Group) acceptReply(t *kernel.Context, r wire.AcceptReply) {
 	if g.role != leader {
 		return
 	}
@@ -129,7 +129,7 @@
 }
 
 // commit takes note that a version is committed.
-func (g *Group) commit(t *kernel.Turn, v wire.Versioned) {
+func (g *Group) commit(t *kernel.Context, v wire.Versioned) {
 	if !mesh.Newer(v.Version, g.committed.Version) {
 		return
 	}
@@ -141,7 +141,7 @@
 	t.Emit(Committed{Version: v})
 }
 
-func (g *Group) leaderTick(t *kernel.Turn) {
+func (g *Group) leaderTick(t *kernel.Context) {
 	g.noteContact(t)
 	switch {
 	case g.isSuperseded(t, g.newestVersion()):
@@ -177,7 +177,7 @@
 	return g.committed
 }
 
-func (g *Group) sendHeartbeats(t *kernel.Turn) {
+func (g *Group) sendHeartbeats(t *kernel.Context) {
 	g.heartbeatAt = t.Now
 	g.round++
 	g.contact.sent(g.round, t.Now)
@@ -191,7 +191,7 @@
 	}
 }
 
-func (g *Group) handleHeartbeatReply(t *kernel.Turn, r wire.LeaderHeartbeatReply) {
+func (g *Group) handleHeartbeatReply(t *kernel.Context, r wire.LeaderHeartbeatReply) {
 	if g.role != leader {
 		return
 	}
--- a/replica/leases.go
+++ b/replica/leases.go
@@ -21,7 +21,7 @@
 	turn   uint64
 }
 
-func (g *Group) renewLease(t *kernel.Turn, ch, id uint64, h wire.LeaseRequest) {
+func (g *Group) renewLease(t *kernel.Context, ch, id uint64, h wire.LeaseRequest) {
 	until := g.contact.confirmedAt + LeaseDuration
 	if g.role != leader || !g.ready || g.transferring || until <= t.Now {
 		t.Send(ch, wire.KindLeaseReply, id, &wire.LeaseReply{Task: h.Task})
@@ -48,7 +48,7 @@
 }
 
 // dropLease ends a lease that its holder gives up. One that it got since is not meant.
-func (g *Group) dropLease(t *kernel.Turn, gr *lease, h wire.LeaseRequest, until int64) {
+func (g *Group) dropLease(t *kernel.Context, gr *lease, h wire.LeaseRequest, until int64) {
 	if gr.holder != h.From || h.LeaseID != 0 && h.LeaseID != gr.turn {
 		return
 	}
@@ -59,7 +59,7 @@
 	}
 }
 
-func (g *Group) leaseHolders(t *kernel.Turn) map[string]string {
+func (g *Group) leaseHolders(t *kernel.Context) map[string]string {
 	out := map[string]string{}
 	for d, gr := range g.leases {
 		if gr.holder != "" && t.Now < gr.until {
@@ -75,7 +75,7 @@
 // agreedTime is the time that a majority of the replicas agrees on, as the lowest clock
 // of the largest group that agrees; without such a majority it is not known, and
 // no booking starts or ends by a guess.
-func (g *Group) agreedTime(t *kernel.Turn) (int64, bool) {
+func (g *Group) agreedTime(t *kernel.Context) (int64, bool) {
 	// Offsets from this process's steady clock: its time of day may jump like any other.
 	offs := []int64{t.Wall - t.Now}
 	for _, s := range g.committed.Voters {
--- a/replica/leaving.go
+++ b/replica/leaving.go
@@ -33,7 +33,7 @@
 }
 
 // requestLeave asks the leader, or whoever may be the leader, to move this voter out.
-func (g *Group) requestLeave(t *kernel.Turn) {
+func (g *Group) requestLeave(t *kernel.Context) {
 	if g.role == leader || !g.isVoter() || g.leaveSentAt > 0 && t.Now-g.leaveSentAt < LeaveInterval {
 		return
 	}
@@ -47,7 +47,7 @@
 }
 
 // handleLeave takes note that a voter stops; one that is no voter any more is told so.
-func (g *Group) handleLeave(t *kernel.Turn, ch uint64, m wire.Leave) {
+func (g *Group) handleLeave(t *kernel.Context, ch uint64, m wire.Leave) {
 	if g.role != leader || !g.ready || m.From == g.self() {
 		return
 	}
@@ -62,7 +62,7 @@
 }
 
 // isLeaving tells whether a replica has asked to be moved out of late.
-func (g *Group) isLeaving(t *kernel.Turn, id string) bool {
+func (g *Group) isLeaving(t *kernel.Context, id string) bool {
 	at, asked := g.leavingAt[id]
 	return asked && t.Now-at < LeaveRequestLife
 }
--- a/replica/member_change.go
+++ b/replica/member_change.go
@@ -72,7 +72,7 @@
 }
 
 // nextMembers gives the voters of the next version, and whether they alone are a reason to propose one.
-func (g *Group) nextMembers(t *kernel.Turn) ([]wire.Replica, bool) {
+func (g *Group) nextMembers(t *kernel.Context) ([]wire.Replica, bool) {
 	if isJoint(g.committed) {
 		return g.committed.Voters, true
 	}
@@ -102,13 +102,13 @@
 }
 
 // beginChange looks for a change that is due and has its learners catch up.
-func (g *Group) beginChange(t *kernel.Turn) {
-	plans := []func(*kernel.Turn) *memberChange{g.replaceWiped, g.replaceLeaving, g.replaceSilent, g.addVoters, g.rebalance}
+func (g *Group) beginChange(t *kernel.Context) {
+	plans := []func(*kernel.Context) *memberChange{g.replaceWiped, g.replaceLeaving, g.replaceSilent, g.addVoters, g.rebalance}
 	for _, plan := range plans {
 		if change := plan(t); change != nil {
 			change.synced, change.begunAt = map[string]wire.Version{}, t.Now
 			g.change = change
-			t.Note(0, "membership_change_begun", "part", g.partition, "reason", string(change.reason), "removed", change.removed,
+			t.Log(0, "membership_change_begun", "part", g.partition, "reason", string(change.reason), "removed", change.removed,
 				"learners", replicaIDs(change.learners))
 			g.sendToLearners(t, g.committed)
 			return
@@ -117,7 +117,7 @@
 }
 
 // reviewChange gives a change up whose reason is gone or whose learners are too slow.
-func (g *Group) reviewChange(t *kernel.Turn) {
+func (g *Group) reviewChange(t *kernel.Context) {
 	change := g.change
 	switch {
 	case change == nil:
@@ -133,7 +133,7 @@
 	}
 }
 
-func (g *Group) isStillDue(t *kernel.Turn, change *memberChange) bool {
+func (g *Group) isStillDue(t *kernel.Context, change *memberChange) bool {
 	switch change.reason {
 	case reasonDiskLost:
 		return g.successors[change.removed].ID == change.learners[0].ID
@@ -145,14 +145,14 @@
 	return true
 }
 
-func (g *Group) abandonChange(t *kernel.Turn, why string) {
-	t.Note(1, "membership_change_abandoned", "part", g.partition, "reason", string(g.change.reason), "learners", replicaIDs(g.change.learners), "why", why)
+func (g *Group) abandonChange(t *kernel.Context, why string) {
+	t.Log(1, "membership_change_abandoned", "part", g.partition, "reason", string(g.change.reason), "learners", replicaIDs(g.change.learners), "why", why)
 	t.Counts.Add("part_changes_abandoned", 1)
 	g.change = nil
 }
 
 // sendToLearners sends a version to the learners that have not synced it.
-func (g *Group) sendToLearners(t *kernel.Turn, v wire.Versioned) {
+func (g *Group) sendToLearners(t *kernel.Context, v wire.Versioned) {
 	if g.change == nil {
 		return
 	}
@@ -174,7 +174,7 @@
 }
 
 // handleLearnerReply takes note of what a learner has synced, or that it will not.
-func (g *Group) handleLearnerReply(t *kernel.Turn, r wire.AcceptReply) {
+func (g *Group) handleLearnerReply(t *kernel.Context, r wire.AcceptReply) {
 	change := g.change
 	if change == nil || !contains(change.learners, r.From) {
 		return
@@ -193,7 +193,7 @@
 }
 
 // awaitsLearners holds edits back for a moment while the learners sync the newest version.
-func (g *Group) awaitsLearners(t *kernel.Turn) bool {
+func (g *Group) awaitsLearners(t *kernel.Context) bool {
 	change := g.change
 	if change == nil || !change.answered() || change.caughtUp(g.committed.Version) {
 		return false
@@ -206,11 +206,11 @@
 
 // endChange logs that a change is in force and tells those that it removed, who would
 // otherwise go on as voters of a group that does without them.
-func (g *Group) endChange(t *kernel.Turn, before, now wire.Versioned) {
+func (g *Group) endChange(t *kernel.Context, before, now wire.Versioned) {
 	if before.Version.Term == 0 || isJoint(now) || !isJoint(before) && sameMembers(before.Voters, now.Voters) {
 		return
 	}
-	t.Note(0, "membership_change_ended", "part", g.partition, "term", now.Version.Term, "seq", now.Version.Seq, "voters", replicaIDs(now.Voters))
+	t.Log(0, "membership_change_ended", "part", g.partition, "term", now.Version.Term, "seq", now.Version.Seq, "voters", replicaIDs(now.Voters))
 	for _, voter := range allVoters(before) {
 		if !contains(now.Voters, voter.ID) {
 			g.sendVersion(t, voter, now)
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -22,17 +22,17 @@
 }
 
 // candidates are the standbys that can be learners now.
-func (g *Group) candidates(t *kernel.Turn) []wire.Replica {
+func (g *Group) candidates(t *kernel.Context) []wire.Replica {
 	return slices.DeleteFunc(g.host.standbys(t.Now), func(r wire.Replica) bool { return !g.canLearn(t, r.ID) })
 }
 
-func (g *Group) canLearn(t *kernel.Turn, id string) bool {
+func (g *Group) canLearn(t *kernel.Context, id string) bool {
 	failedAt, failed := g.learnerFailedAt[id]
 	return !g.isLeaving(t, id) && !(failed && t.Now-failedAt < LearnerRetryAfter)
 }
 
 // replaceWiped gives the place of a voter whose disk is lost to the replica that is at its address now.
-func (g *Group) replaceWiped(t *kernel.Turn) *memberChange {
+func (g *Group) replaceWiped(t *kernel.Context) *memberChange {
 	for _, voter := range g.committed.Voters {
 		now, ok := g.successors[voter.ID]
 		if ok && !contains(g.committed.Voters, now.ID) && g.canLearn(t, now.ID) {
@@ -44,7 +44,7 @@
 
 // replaceLeaving gives the place of a voter that is stopping to a standby, unless the loss of
 // one zone would then take a majority that it does not take now.
-func (g *Group) replaceLeaving(t *kernel.Turn) *memberChange {
+func (g *Group) replaceLeaving(t *kernel.Context) *memberChange {
 	zones := g.host.k.Boot.Env.Tolerance.Zones
 	for _, voter := range g.committed.Voters {
 		if voter.ID == g.self() || !g.isLeaving(t, voter.ID) {
@@ -62,12 +62,12 @@
 	return nil
 }
 
-func (g *Group) isSilent(t *kernel.Turn, id string) bool {
+func (g *Group) isSilent(t *kernel.Context, id string) bool {
 	return id != g.self() && t.Now-g.heardAt[id] >= ReplaceAfter
 }
 
 // replaceSilent gives the place of a voter that was not heard for long to a standby.
-func (g *Group) replaceSilent(t *kernel.Turn) *memberChange {
+func (g *Group) replaceSilent(t *kernel.Context) *memberChange {
 	for _, voter := range g.committed.Voters {
 		if !g.isSilent(t, voter.ID) {
 			continue
@@ -80,7 +80,7 @@
 }
 
 // addVoters adds two voters to a group that has fewer than it should; with one it would bear no more.
-func (g *Group) addVoters(t *kernel.Turn) *memberChange {
+func (g *Group) addVoters(t *kernel.Context) *memberChange {
 	if len(g.committed.Voters)+2 > g.host.wantedVoters() || t.Now-g.leaderSince < RebalanceAfter {
 		return nil
 	}
@@ -99,7 +99,7 @@
 
 // rebalance moves a voter out of a zone that has two more of them than another one with a
 // standby: the loss of one zone must not take a majority.
-func (g *Group) rebalance(t *kernel.Turn) *memberChange {
+func (g *Group) rebalance(t *kernel.Context) *memberChange {
 	voters := g.committed.Voters
 	crowded := slices.ContainsFunc(voters, func(r wire.Replica) bool { return countInZone(voters, r.Zone, "") > 1 })
 	if !crowded || t.Now-g.leaderSince < RebalanceAfter {
--- a/replica/proposals.go
+++ b/replica/proposals.go
@@ -10,7 +10,7 @@
 )
 
 // handleEdit takes an operator's or another plug-in's change, or a confirmed read.
-func (g *Group) handleEdit(t *kernel.Turn, ch, id uint64, e wire.Edit) {
+func (g *Group) handleEdit(t *kernel.Context, ch, id uint64, e wire.Edit) {
 	if g.role != leader || g.transferring {
 		g.answer(t, ch, id, wire.EditReply{Code: "not_owner", Addr: g.leaderAddress})
 		return
@@ -33,7 +33,7 @@
 }
 
 // awaitConfirmation has a majority confirm this leader before a read or a refusal is answered.
-func (g *Group) awaitConfirmation(t *kernel.Turn, w ...pendingEdit) {
+func (g *Group) awaitConfirmation(t *kernel.Context, w ...pendingEdit) {
 	for _, v := range w {
 		v.round = g.round + 1
 		g.unconfirmed = append(g.unconfirmed, v)
@@ -44,7 +44,7 @@
 
 // proposeNext batches the queue into one version, each edit judged in turn against the outcome of
 // those before it; what is refused or repeated is answered with the version that it rests on.
-func (g *Group) proposeNext(t *kernel.Turn) {
+func (g *Group) proposeNext(t *kernel.Context) {
 	if g.role != leader || !g.ready || g.proposal != nil || g.transferring {
 		return
 	}
@@ -90,7 +90,7 @@
 }
 
 // confirm answers reads and refusals that a majority confirmed this leader for, after they came.
-func (g *Group) confirm(t *kernel.Turn) {
+func (g *Group) confirm(t *kernel.Context) {
 	var left []pendingEdit
 	for _, w := range g.unconfirmed {
 		if !quorum(g.committed, func(id string) bool { return id == g.self() || g.confirmedRounds[id] >= w.round }) {
--- a/replica/rebuild.go
+++ b/replica/rebuild.go
@@ -12,8 +12,8 @@
 // LeaderlessFor is how long no leader must have been heard of.
 const LeaderlessFor = 5_000_000
 
-func (g *Group) rebuild(t *kernel.Turn, ch, id uint64, m wire.Rebuild) {
-	reply := func(t *kernel.Turn, why string) {
+func (g *Group) rebuild(t *kernel.Context, ch, id uint64, m wire.Rebuild) {
+	reply := func(t *kernel.Context, why string) {
 		held := g.accepted
 		if m.Brief || m.Do {
 			held.Body, held.Ledger = nil, nil
@@ -36,8 +36,8 @@
 	}
 	v := m.Versioned
 	g.votedTerm = v.Version.Term
-	t.Note(1, "part_rebuilt", "part", g.partition, "term", v.Version.Term, "seq", v.Version.Seq)
-	g.host.save(t, versionFile(v.Version), wire.Encode(&v), func(t *kernel.Turn, err string) {
+	t.Log(1, "part_rebuilt", "part", g.partition, "term", v.Version.Term, "seq", v.Version.Seq)
+	g.host.save(t, versionFile(v.Version), wire.Encode(&v), func(t *kernel.Context, err string) {
 		if err != "" {
 			reply(t, err)
 			return
@@ -53,12 +53,12 @@
 
 // isSuperseded tells that a version was committed which no majority of this group holds:
 // the group was rebuilt without it, and it stands aside until it is given the newer one.
-func (g *Group) isSuperseded(t *kernel.Turn, best wire.Versioned) bool {
+func (g *Group) isSuperseded(t *kernel.Context, best wire.Versioned) bool {
 	v, ok := g.host.mesh.Partition(g.partition)
 	if !ok || !mesh.Newer(v.Version, best.Version) {
 		return false
 	}
 	t.Counts.Add("part_superseded", 1)
-	t.Note(1, "part_superseded", "part", g.partition, "holds_term", best.Version.Term, "newer_term", v.Version.Term)
+	t.Log(1, "part_superseded", "part", g.partition, "holds_term", best.Version.Term, "newer_term", v.Version.Term)
 	return true
 }
--- a/replica/route.go
+++ b/replica/route.go
@@ -13,7 +13,7 @@
 )
 
 // Step takes one input.
-func (s *Host) Step(t *kernel.Turn, in kernel.Input) {
+func (s *Host) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		s.start(t)
@@ -42,7 +42,7 @@
 	}
 }
 
-func (s *Host) tick(t *kernel.Turn) {
+func (s *Host) tick(t *kernel.Context) {
 	t.After(TickInterval, "seats", "tick")
 	s.checkDisk(t)
 	if !s.bootstrapped {
@@ -64,7 +64,7 @@
 }
 
 // thawed: a leader that did not run for a while cannot know that it still is one.
-func (g *Group) thawed(t *kernel.Turn) {
+func (g *Group) thawed(t *kernel.Context) {
 	if g.role != follower {
 		g.stepDown(t, "did not run for a while")
 	}
@@ -74,7 +74,7 @@
 func decode[T any, P interface {
 	*T
 	msgp.Unmarshaler
-}](t *kernel.Turn, v kernel.Message, f func(m T)) {
+}](t *kernel.Context, v kernel.Message, f func(m T)) {
 	var m T
 	if wire.Decode(v.Body, P(&m)) != nil {
 		t.Counts.Add("frames_malformed", 1)
@@ -84,7 +84,7 @@
 	f(m)
 }
 
-func (s *Host) message(t *kernel.Turn, v kernel.Message) {
+func (s *Host) message(t *kernel.Context, v kernel.Message) {
 	g := func(partition int, f func(g *Group)) {
 		if partition >= 0 && partition < len(s.groups) && !s.diskDamaged {
 			f(s.groups[partition])
@@ -137,7 +137,7 @@
 }
 
 // reportReplacement tells a leader that heartbeats a lost disk's replica who is at its address now, and could have its place.
-func (s *Host) reportReplacement(t *kernel.Turn, v kernel.Message, id string, partition int) {
+func (s *Host) reportReplacement(t *kernel.Context, v kernel.Message, id string, partition int) {
 	if v.Kind != wire.KindLeaderHeartbeat || partition < 0 || partition >= len(s.groups) || s.groups[partition].isVoter() || s.replicaID == "" || s.diskProblem != "" || s.stopping {
 		return
 	}
@@ -145,7 +145,7 @@
 }
 
 // pull answers with every committed version newer than what the asker has.
-func (s *Host) pull(t *kernel.Turn, ch, id uint64, p wire.Pull) {
+func (s *Host) pull(t *kernel.Context, ch, id uint64, p wire.Pull) {
 	var r wire.PullReply
 	s.pulled(t, p)
 	have := map[int]wire.Version{}
@@ -170,7 +170,7 @@
 	t.Send(ch, wire.KindPullReply, id, &r)
 }
 
-func (s *Host) sendReplica(t *kernel.Turn, replicaID wire.Replica, kind uint8, m msgp.Marshaler) {
+func (s *Host) sendReplica(t *kernel.Context, replicaID wire.Replica, kind uint8, m msgp.Marshaler) {
 	addr := replicaID.Addr
 	switch v := m.(type) {
 	case *wire.Vote:
--- a/replica/state_machine.go
+++ b/replica/state_machine.go
@@ -38,7 +38,7 @@
 }
 
 // Edit takes an edit, or a confirmed read, of this same process; Replied follows.
-func (s *Host) Edit(t *kernel.Turn, id uint64, e wire.Edit) {
+func (s *Host) Edit(t *kernel.Context, id uint64, e wire.Edit) {
 	if e.Partition < 0 || e.Partition >= Partitions || s.diskDamaged {
 		t.Emit(Replied{ID: id, Reply: wire.EditReply{Code: "not_owner"}})
 		return
@@ -56,7 +56,7 @@
 }
 
 // answer sends the reply to an edit where it came from; channel 0 is this process.
-func (g *Group) answer(t *kernel.Turn, ch, id uint64, r wire.EditReply) {
+func (g *Group) answer(t *kernel.Context, ch, id uint64, r wire.EditReply) {
 	if ch == 0 {
 		t.Emit(Replied{ID: id, Reply: r})
 		return
--- a/replica/status.go
+++ b/replica/status.go
@@ -30,7 +30,7 @@
 }
 
 // sendStatus answers a question for it.
-func (s *Host) sendStatus(t *kernel.Turn, v kernel.Message) {
+func (s *Host) sendStatus(t *kernel.Context, v kernel.Message) {
 	t.Send(v.Chan, wire.KindStatusReply, v.ID, s.Status(t.Now))
 }
 
--- a/replica/transfer.go
+++ b/replica/transfer.go
@@ -11,7 +11,7 @@
 )
 
 // bestSuccessor picks the healthy replica that answered last.
-func (g *Group) bestSuccessor(t *kernel.Turn) string {
+func (g *Group) bestSuccessor(t *kernel.Context) string {
 	best, at := "", int64(0)
 	for _, s := range g.committed.Voters {
 		if s.ID != g.self() && g.steadySince[s.ID] > 0 && g.heardAt[s.ID] > at && t.Now-g.heardAt[s.ID] < 2*HeartbeatInterval && !g.diskProblem[s.ID] && !g.isLeaving(t, s.ID) {
@@ -23,7 +23,7 @@
 
 // preferredLeader names the replica that should own the partition so that the partitions are spread, once
 // this leader has served a while, nothing is under way, and that replica has long been well.
-func (g *Group) preferredLeader(t *kernel.Turn) string {
+func (g *Group) preferredLeader(t *kernel.Context) string {
 	if !g.ready || g.proposal != nil || len(g.queue)+len(g.unconfirmed) > 0 || t.Now-g.leaderSince < RebalanceAfter {
 		return ""
 	}
@@ -40,7 +40,7 @@
 }
 
 // stop hands the partition on in a planned stop, once the version under way is committed.
-func (g *Group) stop(t *kernel.Turn) {
+func (g *Group) stop(t *kernel.Context) {
 	g.transferring = true
 	if g.role == leader {
 		g.leaderTick(t)
@@ -49,14 +49,14 @@
 }
 
 // transfer hands the partition to the best successor there is.
-func (g *Group) transferLeadership(t *kernel.Turn) {
+func (g *Group) transferLeadership(t *kernel.Context) {
 	if next := g.bestSuccessor(t); g.role == leader && next != "" {
 		g.transferTo(t, next)
 	}
 }
 
 // transferTo hands the partition to a named successor.
-func (g *Group) transferTo(t *kernel.Turn, next string) {
+func (g *Group) transferTo(t *kernel.Context, next string) {
 	b := wire.LeaderHeartbeat{Partition: g.partition, Term: g.term, From: g.self(), Committed: g.committed.Version, TransferTo: next}
 	for _, s := range allVoters(g.committed) {
 		if s.ID != g.self() {
--- a/serve/explain.go
+++ b/serve/explain.go
@@ -38,7 +38,7 @@
 	if !ok {
 		return nil, fail("unknown", "no such inquiry, or it is no longer kept")
 	}
-	return inquiry.Explain(t, func(c *table.Checkpoint) string { return sheet.VersionText(c.Version) }), nil
+	return inquiry.Explain(t, func(c *table.Snapshot) string { return sheet.VersionText(c.Version) }), nil
 }
 
 // elsewhere asks the node that the id names.
--- a/state/config.go
+++ b/state/config.go
@@ -135,11 +135,11 @@
 	if e.Base != zoneVersion(ledger, e.Name) {
 		return wire.EditReply{Code: wire.CodeStale}
 	}
-	before := c.Emptied
-	c.Emptied = slices.DeleteFunc(slices.Clone(before), func(z string) bool { return z == e.Name })
+	before := c.DrainedZones
+	c.DrainedZones = slices.DeleteFunc(slices.Clone(before), func(z string) bool { return z == e.Name })
 	if drains {
-		c.Emptied = append(c.Emptied, e.Name)
-		slices.Sort(c.Emptied)
+		c.DrainedZones = append(c.DrainedZones, e.Name)
+		slices.Sort(c.DrainedZones)
 	}
 	// Also an order that changes nothing is acknowledged: whatever was given before it is stale.
 	setZoneVersion(ledger, e.Name, next)
@@ -156,7 +156,7 @@
 		text = fmt.Sprintf("is longer than %d bytes", zoneNameMost)
 	case !utf8.ValidString(zone) || strings.ContainsFunc(zone, unicode.IsControl):
 		text = "is not a name in plain text"
-	case drains && len(c.Emptied) >= drainedMost && !slices.Contains(c.Emptied, zone):
+	case drains && len(c.DrainedZones) >= drainedMost && !slices.Contains(c.DrainedZones, zone):
 		text = fmt.Sprintf("%d zones are drained already", drainedMost)
 	default:
 		return nil
--- a/state/orders_test.go
+++ b/state/orders_test.go
@@ -175,7 +175,7 @@
 	body, err := proto.Marshal(table)
 	must.NoError(t, err)
 	p := &part0{t: t, seq: 9, value: Value{Body: wire.Encode(&wire.ConfigBody{
-		Emptied: []string{"z"}, Routing: body, Sheet: order, SheetAt: at,
+		DrainedZones: []string{"z"}, Routing: body, Sheet: order, SheetAt: at,
 		Recent:    []wire.Done{{EditID: "old", Sum: legacyEditSum(&taken), Version: at}},
 		History:   []wire.Past{{Version: at, By: "someone"}},
 		Revisions: []wire.Revision{{Number: 1, Sum: routing.LegacyDigest(whole(0, 1)), Version: at}},
--- a/state/partition_test.go
+++ b/state/partition_test.go
@@ -56,7 +56,7 @@
 func (p *part0) drained() []string {
 	c, err := ReadConfig(p.value.Body)
 	must.NoError(p.t, err)
-	return c.Emptied
+	return c.DrainedZones
 }
 
 func (p *part0) table() *routingpb.RoutingTable {
--- a/state/routing_test.go
+++ b/state/routing_test.go
@@ -189,7 +189,7 @@
 	must.Eq(t, "ok", p.zone("empty", "z", "two").Code, must.Sprint("an old repeat"))
 	c, err := ReadConfig(p.value.Body)
 	must.NoError(t, err)
-	must.SliceEmpty(t, c.Emptied)
+	must.SliceEmpty(t, c.DrainedZones)
 	must.Eq(t, 1, p.table().Revision)
 }
 
--- a/table/configured.go
+++ b/table/configured.go
@@ -1,4 +1,4 @@
-// The configuration as a checkpoint shows it, and whether it may be served from.
+// The configuration as a snapshot shows it, and whether it may be served from.
 package table
 
 import (
@@ -16,7 +16,7 @@
 }
 
 // configure fills in the configuration in force, read once for each version.
-func (b *Table) configure(t *kernel.Turn, c *Checkpoint) {
+func (b *Table) configure(t *kernel.Context, c *Snapshot) {
 	v, ok := b.mesh.Partition(state.Config)
 	if !ok {
 		return
@@ -24,7 +24,7 @@
 	if v.Version != b.config.stamp {
 		body, err := state.ReadConfig(v.Body)
 		if err != nil {
-			t.Note(2, "config_unreadable", "err", err.Error())
+			t.Log(2, "config_unreadable", "err", err.Error())
 			return
 		}
 		b.config = config{v.Version, body, state.SheetOf(body)}
@@ -34,7 +34,7 @@
 
 // whole tells whether the table may be served from: it is all there, and confirmed. Once it may,
 // it stays so: what is lost later is judged server by server.
-func (b *Table) whole(t *kernel.Turn, c *Checkpoint) bool {
+func (b *Table) whole(t *kernel.Context, c *Snapshot) bool {
 	if was := b.now.Load(); was != nil && was.Whole {
 		return true
 	}
@@ -60,7 +60,7 @@
 }
 
 // await has the table built once state that no majority confirmed may be served from; see configsync.UnconfirmedAfter.
-func (b *Table) await(t *kernel.Turn) {
+func (b *Table) await(t *kernel.Context) {
 	switch {
 	case b.now.Load().Whole:
 	case b.configSync.Confirmed(state.Config, t.Now):
@@ -71,12 +71,12 @@
 }
 
 // noteUnconfirmed tells that this process begins to serve from state that no majority confirmed.
-func (b *Table) noteUnconfirmed(t *kernel.Turn, c *Checkpoint) {
+func (b *Table) noteUnconfirmed(t *kernel.Context, c *Snapshot) {
 	if was := b.now.Load(); !c.Whole || was != nil && was.Whole || b.configSync.InContact() {
 		return
 	}
 	t.Counts.Add("table_unconfirmed", 1)
-	t.Note(1, "serves_unconfirmed_state", "why", "no core that is reached is in contact with a majority", "term", c.Version.Term, "seq", c.Version.Seq)
+	t.Log(1, "serves_unconfirmed_state", "why", "no core that is reached is in contact with a majority", "term", c.Version.Term, "seq", c.Version.Seq)
 }
 
 // The timer of a process that waits for confirmed state.
--- a/table/pace_test.go
+++ b/table/pace_test.go
@@ -1,4 +1,4 @@
-// How often checkpoints are built for changes other than a partition's.
+// How often snapshots are built for changes other than a partition's.
 package table
 
 import (
@@ -11,14 +11,14 @@
 	"wallport/mesh"
 )
 
-func TestCheckpointsOfABurstAreFew(t *testing.T) {
+func TestSnapshotsOfABurstAreFew(t *testing.T) {
 	k := kernel.New(kernel.Boot{Env: env.Env{Name: "a", Mesh: "10.0.0.1:1"}, Role: "node", Seed: 1, Key: kernel.KeyFrom(make([]byte, 32))})
 	b, now, due, built := kernel.Find[*Table](k), int64(5_000_000), int64(0), 0
 	k.Step(now, now, kernel.Start{})
 	k.Step(now, now, kernel.Tick{Plugin: "table", Key: "build"})
 	for range 1000 {
 		now += 1_000
-		turn := &kernel.Turn{Now: now, Counts: k.Counts}
+		turn := &kernel.Context{Now: now, Counts: k.Counts}
 		b.Step(turn, mesh.Stored{Entry: told("x", "s", "ok", false).Entry, Origin: "x"})
 		for _, timer := range turn.Out.Timers {
 			must.Eq(t, 0, due, must.Sprint("one timer at a time"))
@@ -27,12 +27,12 @@
 		}
 		if due > 0 && now >= due {
 			due, built = 0, built+1
-			b.Step(&kernel.Turn{Now: now, Counts: k.Counts}, kernel.Tick{Plugin: "table", Key: "build"})
+			b.Step(&kernel.Context{Now: now, Counts: k.Counts}, kernel.Tick{Plugin: "table", Key: "build"})
 		}
 	}
 	must.Between(t, 8, built, 11, must.Sprint("a second of changes"))
 	now += 2 * BuildEvery
-	turn := &kernel.Turn{Now: now, Counts: k.Counts}
+	turn := &kernel.Context{Now: now, Counts: k.Counts}
 	b.Step(turn, mesh.Stored{Entry: told("x", "s", "ok", false).Entry, Origin: "x"})
 	if due == 0 {
 		must.Eq(t, now+BuildWithin, turn.Out.Timers[0].At, must.Sprint("soon after a pause"))
--- a/table/pools.go
+++ b/table/pools.go
@@ -10,7 +10,7 @@
 )
 
 // pools fills in the routing table in force and its pools.
-func (b *Table) pools(c *Checkpoint) {
+func (b *Table) pools(c *Snapshot) {
 	if len(c.Config.Routing) == 0 {
 		return
 	}
--- a/table/roster.go
+++ b/table/roster.go
@@ -1,4 +1,4 @@
-// Which nodes a checkpoint names: those that claims may live at, dead ones for a
+// Which nodes a snapshot names: those that claims may live at, dead ones for a
 // while too, and what of it changes as time passes alone.
 package table
 
@@ -55,7 +55,7 @@
 }
 
 // roster lists the nodes, dead ones for a while too.
-func (b *Table) roster(t *kernel.Turn) []Node {
+func (b *Table) roster(t *kernel.Context) []Node {
 	var out []Node
 	b.members.Each(t.Now, func(origin string, r *wire.Member, live bool) {
 		if r.Role != "node" {
@@ -78,7 +78,7 @@
 	return out
 }
 
-// lives notes who is live, and sums up what a checkpoint takes from the clock: who is, who
+// lives notes who is live, and sums up what a snapshot takes from the clock: who is, who
 // still counts as a home of claims, and the size of the fleet.
 func (b *Table) lives(now int64) uint64 {
 	h := uint64(b.members.Divisor())
--- a/table/checkpoint.go
+++ b/table/snapshot.go
@@ -1,4 +1,4 @@
-// Package table builds the immutable checkpoint that the request path reads
+// Package table builds the immutable snapshot that the request path reads
 // through one atomic pointer: who serves which shard of which cut, in what
 // condition, within which limits, and which nodes are there to ask.
 package table
@@ -21,13 +21,13 @@
 	Lost
 	Garbage
 	Leaving
-	Emptied
+	Drained
 )
 
 // VerdictNames are the verdicts in words.
 var VerdictNames = []string{"ok", "slow", "doubt", "lost", "garbage", "leaving", "emptied"}
 
-// Server is one backend as a checkpoint shows it.
+// Server is one backend as a snapshot shows it.
 type Server struct {
 	wire.Server
 	Verdict uint8
@@ -57,7 +57,7 @@
 	Booked  float64
 }
 
-// Index is one index as a checkpoint shows it.
+// Index is one index as a snapshot shows it.
 type Index struct {
 	Name       string
 	Cut        wire.LiveCut
@@ -68,7 +68,7 @@
 	Capacity   float64
 }
 
-// Pool is one pool of the routing table as a checkpoint shows it.
+// Pool is one pool of the routing table as a snapshot shows it.
 type Pool struct {
 	*routingpb.Pool
 	// Servers are those that may be asked, leaving and emptied ones included with their verdict.
@@ -81,8 +81,8 @@
 	Live                     bool
 }
 
-// Checkpoint is the table at a moment. It is never changed once published.
-type Checkpoint struct {
+// Snapshot is the table at a moment. It is never changed once published.
+type Snapshot struct {
 	At      int64
 	Version wire.Version
 	Config  wire.ConfigBody
@@ -111,10 +111,10 @@
 // StaleMost bounds that wait: a node that is alone goes on with what it has.
 const StaleMost = 1_000_000
 
-// Ready tells whether inquiries can be served from this checkpoint.
-func (c *Checkpoint) Ready() bool { return c != nil && c.Whole }
+// Ready tells whether inquiries can be served from this snapshot.
+func (c *Snapshot) Ready() bool { return c != nil && c.Whole }
 
-// Gauge is what this node itself sees of one server; it outlives checkpoints.
+// Gauge is what this node itself sees of one server; it outlives snapshots.
 type Gauge struct {
 	Outstanding atomic.Int64
 	Latency     atomic.Int64
--- a/table/table.go
+++ b/table/table.go
@@ -1,4 +1,4 @@
-// The plug-in that gathers what the mesh brings and publishes checkpoints: at
+// The plug-in that gathers what the mesh brings and publishes snapshots: at
 // once when a partition's version came, otherwise soon after something changed. While
 // nothing changes it does not run.
 package table
@@ -15,8 +15,8 @@
 	"wallport/wire"
 )
 
-// BuildWithin is how long a change other than a partition's may wait for the next checkpoint, and
-// BuildEvery the least time between two checkpoints that are built for such changes alone.
+// BuildWithin is how long a change other than a partition's may wait for the next snapshot, and
+// BuildEvery the least time between two snapshots that are built for such changes alone.
 const (
 	BuildWithin = 25_000
 	BuildEvery  = 100_000
@@ -30,7 +30,7 @@
 	usage      *usage.Usage
 	configSync *configsync.Sync
 	Gauges     *Gauges
-	now        atomic.Pointer[Checkpoint]
+	now        atomic.Pointer[Snapshot]
 	armed      bool
 	builtAt    int64
 	alive      uint64
@@ -74,11 +74,11 @@
 // Kinds are the frames that it takes: none.
 func (b *Table) Kinds() []uint8 { return nil }
 
-// Now is the newest checkpoint; any thread may ask.
-func (b *Table) Now() *Checkpoint { return b.now.Load() }
+// Now is the newest snapshot; any thread may ask.
+func (b *Table) Now() *Snapshot { return b.now.Load() }
 
 // Step takes one input.
-func (b *Table) Step(t *kernel.Turn, in kernel.Input) {
+func (b *Table) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		t.After(configsync.UnconfirmedAfter, "table", awaitKey)
@@ -124,8 +124,8 @@
 	}
 }
 
-// soon has a checkpoint built shortly, for all that changes until then.
-func (b *Table) soon(t *kernel.Turn) {
+// soon has a snapshot built shortly, for all that changes until then.
+func (b *Table) soon(t *kernel.Context) {
 	if !b.armed {
 		b.armed = true
 		t.After(max(BuildWithin, b.builtAt+BuildEvery-t.Now), "table", "build")
@@ -133,7 +133,7 @@
 }
 
 // heard notes one of the things that a thawed process waits for.
-func (b *Table) heard(t *kernel.Turn, f func(s *stale)) {
+func (b *Table) heard(t *kernel.Context, f func(s *stale)) {
 	if was := b.stale.at(t.Now); was {
 		f(&b.stale)
 		if !b.stale.at(t.Now) {
@@ -144,7 +144,7 @@
 
 // pulled notes that a core answered a pull: what a process serves from that has just started, or was
 // thawed, needs an answer of a core in contact with a majority.
-func (b *Table) pulled(t *kernel.Turn, v configsync.Pulled) {
+func (b *Table) pulled(t *kernel.Context, v configsync.Pulled) {
 	if v.Confirmed == 0 {
 		return
 	}
@@ -155,7 +155,7 @@
 }
 
 // list takes a reading of the platform's list, unless an older holder made it.
-func (b *Table) list(t *kernel.Turn, v mesh.Stored) {
+func (b *Table) list(t *kernel.Context, v mesh.Stored) {
 	var l wire.Listing
 	if wire.Decode(v.Entry.Body, &l) != nil || l.Turn < b.listing.Turn {
 		return
@@ -192,14 +192,14 @@
 // AbsentFor is how long a server that left the list without a word is kept.
 const AbsentFor = 60_000_000
 
-func (b *Table) build(t *kernel.Turn) {
-	c := &Checkpoint{
+func (b *Table) build(t *kernel.Context) {
+	c := &Snapshot{
 		At: t.Now, Indexes: map[string]*Index{}, Zone: b.k.Boot.Env.Zone, Divisor: b.members.Divisor(),
 		Drains: b.members.SelfRow().Draining, Stale: b.stale.at(t.Now),
 	}
 	b.configure(t, c)
 	b.alive = b.lives(t.Now)
-	for _, z := range c.Config.Emptied {
+	for _, z := range c.Config.DrainedZones {
 		c.Emptied = c.Emptied || z == c.Zone
 	}
 	c.Roster = b.roster(t)
@@ -219,12 +219,12 @@
 	t.Emit(Built{})
 }
 
-// Built is emitted when a new checkpoint has been published.
+// Built is emitted when a new snapshot has been published.
 type Built struct{}
 
 // inherit tells the list again that a forgotten node had told, so that nodes
 // which start later still find it. The first live node by name does so.
-func (b *Table) inherit(t *kernel.Turn, gone string) {
+func (b *Table) inherit(t *kernel.Context, gone string) {
 	live := b.members.Live(t.Now, "node")
 	if gone == b.from && len(live) > 0 && live[0].Origin == b.mesh.Self() {
 		b.mesh.Announce(t, "listing", listing.Duty, wire.Encode(&b.listing), false)
--- a/table/verdict.go
+++ b/table/verdict.go
@@ -55,7 +55,7 @@
 	}
 }
 
-func (b *Table) judge(t *kernel.Turn, c *Checkpoint) []*Server {
+func (b *Table) judge(t *kernel.Context, c *Snapshot) []*Server {
 	out := make([]*Server, 0, len(b.listing.Servers))
 	for _, row := range b.listing.Servers {
 		s := &Server{Server: row, Gauge: b.Gauges.Of(row.ID)}
@@ -68,8 +68,8 @@
 		}
 		if left, ok := b.left[row.ID]; ok && (row.State == "leaving" || row.Incarnation <= left) {
 			s.Verdict = Leaving
-		} else if slices.Contains(c.Config.Emptied, row.Zone) {
-			s.Verdict = Emptied
+		} else if slices.Contains(c.Config.DrainedZones, row.Zone) {
+			s.Verdict = Drained
 		}
 		out = append(out, s)
 	}
@@ -77,7 +77,7 @@
 }
 
 // bear fixes when an incarnation began, on this process's clock.
-func (b *Table) bear(t *kernel.Turn, s *Server, up int64) {
+func (b *Table) bear(t *kernel.Context, s *Server, up int64) {
 	was, ok := b.births[s.ID]
 	if !ok || was.incarnation < s.Incarnation {
 		was = birth{s.Incarnation, t.Now - up}
@@ -101,7 +101,7 @@
 	return OK
 }
 
-func (b *Table) index(c *Checkpoint, s *sheetpb.Service) *Index {
+func (b *Table) index(c *Snapshot, s *sheetpb.Service) *Index {
 	x := &Index{Name: s.Index, Service: s, Limits: map[string]Limit{}, Capacity: float64(s.Capacity)}
 	if v, ok := b.mesh.Partition(state.PartitionOf(s.Index)); ok {
 		if body, err := state.ReadIndex(v.Body); err == nil {
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -90,7 +90,7 @@
 func (u *Usage) Kinds() []uint8 { return nil }
 
 // Step takes one input.
-func (u *Usage) Step(t *kernel.Turn, in kernel.Input) {
+func (u *Usage) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
 		t.After(tellEvery, "usage", "tell")
@@ -109,7 +109,7 @@
 	}
 }
 
-func (u *Usage) tell(t *kernel.Turn) {
+func (u *Usage) tell(t *kernel.Context) {
 	report := wire.UsageReport{Rates: map[string]int64{}}
 	moved := false
 	u.meters.Range(func(k, v any) bool {
--- a/wire/bodies.go
+++ b/wire/bodies.go
@@ -63,10 +63,10 @@
 
 // ConfigBody is the body of the configuration partition.
 type ConfigBody struct {
-	Sheet   []byte   `msg:"s"`
-	Emptied []string `msg:"e"`
-	Running []string `msg:"b"`
-	SheetAt Version  `msg:"sa"`
+	Sheet        []byte   `msg:"s"`
+	DrainedZones []string `msg:"e"`
+	Running      []string `msg:"b"`
+	SheetAt      Version  `msg:"sa"`
 	// Routing is the routing table in force, encoded.
 	Routing []byte `msg:"ro,omitempty"`
 	// Recent, History and Revisions are read of releases before 3; the ledger holds them since.
--- a/wire/bodies_gen.go
+++ b/wire/bodies_gen.go
@@ -490,18 +490,18 @@
 			var zb0002 uint32
 			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Emptied")
+				err = msgp.WrapError(err, "DrainedZones")
 				return
 			}
-			if cap(z.Emptied) >= int(zb0002) {
-				z.Emptied = (z.Emptied)[:zb0002]
+			if cap(z.DrainedZones) >= int(zb0002) {
+				z.DrainedZones = (z.DrainedZones)[:zb0002]
 			} else {
-				z.Emptied = make([]string, zb0002)
+				z.DrainedZones = make([]string, zb0002)
 			}
-			for za0001 := range z.Emptied {
-				z.Emptied[za0001], err = dc.ReadString()
+			for za0001 := range z.DrainedZones {
+				z.DrainedZones[za0001], err = dc.ReadString()
 				if err != nil {
-					err = msgp.WrapError(err, "Emptied", za0001)
+					err = msgp.WrapError(err, "DrainedZones", za0001)
 					return
 				}
 			}
@@ -719,15 +719,15 @@
 		if err != nil {
 			return
 		}
-		err = en.WriteArrayHeader(uint32(len(z.Emptied)))
+		err = en.WriteArrayHeader(uint32(len(z.DrainedZones)))
 		if err != nil {
-			err = msgp.WrapError(err, "Emptied")
+			err = msgp.WrapError(err, "DrainedZones")
 			return
 		}
-		for za0001 := range z.Emptied {
-			err = en.WriteString(z.Emptied[za0001])
+		for za0001 := range z.DrainedZones {
+			err = en.WriteString(z.DrainedZones[za0001])
 			if err != nil {
-				err = msgp.WrapError(err, "Emptied", za0001)
+				err = msgp.WrapError(err, "DrainedZones", za0001)
 				return
 			}
 		}
@@ -916,9 +916,9 @@
 		o = msgp.AppendBytes(o, z.Sheet)
 		// string "e"
 		o = append(o, 0xa1, 0x65)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Emptied)))
-		for za0001 := range z.Emptied {
-			o = msgp.AppendString(o, z.Emptied[za0001])
+		o = msgp.AppendArrayHeader(o, uint32(len(z.DrainedZones)))
+		for za0001 := range z.DrainedZones {
+			o = msgp.AppendString(o, z.DrainedZones[za0001])
 		}
 		// string "b"
 		o = append(o, 0xa1, 0x62)
@@ -1024,18 +1024,18 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Emptied")
+				err = msgp.WrapError(err, "DrainedZones")
 				return
 			}
-			if cap(z.Emptied) >= int(zb0002) {
-				z.Emptied = (z.Emptied)[:zb0002]
+			if cap(z.DrainedZones) >= int(zb0002) {
+				z.DrainedZones = (z.DrainedZones)[:zb0002]
 			} else {
-				z.Emptied = make([]string, zb0002)
+				z.DrainedZones = make([]string, zb0002)
 			}
-			for za0001 := range z.Emptied {
-				z.Emptied[za0001], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.DrainedZones {
+				z.DrainedZones[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Emptied", za0001)
+					err = msgp.WrapError(err, "DrainedZones", za0001)
 					return
 				}
 			}
@@ -1212,8 +1212,8 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigBody) Msgsize() (s int) {
 	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Sheet) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Emptied {
-		s += msgp.StringPrefixSize + len(z.Emptied[za0001])
+	for za0001 := range z.DrainedZones {
+		s += msgp.StringPrefixSize + len(z.DrainedZones[za0001])
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Running {
