Package conditions is named health

Cause: health checks of backends stood under a word of our own. Ruled out: joining it with platform/health.go, which only translates. Before and after: tests of health, platform and lab/scale pass; go vet is clean.

--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -12,10 +12,10 @@
 	"go.uber.org/zap/zapcore"
 
 	// The plug-ins register themselves.
-	_ "wallport/conditions"
 	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/health"
 	_ "wallport/idempotency"
 	_ "wallport/listing"
 	_ "wallport/operate"
--- a/conditions/conditions.go
+++ b/health/health.go
@@ -1,8 +1,8 @@
-// Package conditions watches the servers. Each server is probed by a few nodes
+// Package health watches the servers. Each server is probed by a few nodes
 // chosen by rendezvous, and by any node that has it ejected; what a node sees
 // of a server, on the request path or by probes, becomes its opinion, signed
 // and told over the mesh when it changes and not too often.
-package conditions
+package health
 
 import (
 	"encoding/json"
@@ -55,8 +55,8 @@
 	tells   bool
 }
 
-// Conditions is the plug-in of a node.
-type Conditions struct {
+// Checks is the plug-in of a node.
+type Checks struct {
 	mesh  *mesh.Mesh
 	table *table.Table
 	// passive is that servers in order are not probed.
@@ -68,23 +68,23 @@
 
 func init() {
 	kernel.Register(kernel.Registration{Rank: 70, Roles: []string{"node"}, Make: func(k *kernel.Kernel) kernel.Plugin {
-		return &Conditions{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), passive: k.Boot.Env.PassiveHealth, seen: map[string]*watch{}}
+		return &Checks{mesh: kernel.Find[*mesh.Mesh](k), table: kernel.Find[*table.Table](k), passive: k.Boot.Env.PassiveHealth, seen: map[string]*watch{}}
 	}})
 }
 
 // Name is the plug-in's name.
-func (c *Conditions) Name() string { return "conditions" }
+func (c *Checks) Name() string { return "health" }
 
 // Kinds are the frames that it takes: none.
-func (c *Conditions) Kinds() []uint8 { return nil }
+func (c *Checks) Kinds() []uint8 { return nil }
 
 // Step takes one input.
-func (c *Conditions) Step(t *kernel.Context, in kernel.Input) {
+func (c *Checks) Step(t *kernel.Context, in kernel.Input) {
 	switch v := in.(type) {
 	case kernel.Start:
-		t.After(t.Rand.Int64N(TickEvery), "conditions", "watch")
+		t.After(t.Rand.Int64N(TickEvery), "health", "watch")
 	case kernel.Tick:
-		t.After(TickEvery, "conditions", "watch")
+		t.After(TickEvery, "health", "watch")
 		c.round(t)
 	case kernel.Fetched:
 		c.fetched(t, v)
@@ -97,7 +97,7 @@
 
 // share settles which servers this node probes, once for each snapshot: names are hashed
 // once, and a pair of a node and a server costs a few instructions.
-func (c *Conditions) share(t *kernel.Context, cp *table.Snapshot) {
+func (c *Checks) share(t *kernel.Context, cp *table.Snapshot) {
 	if c.cp == cp {
 		return
 	}
@@ -149,7 +149,7 @@
 	return x
 }
 
-func (c *Conditions) round(t *kernel.Context) {
+func (c *Checks) round(t *kernel.Context) {
 	cp := c.table.Now()
 	if cp == nil {
 		return
@@ -161,13 +161,13 @@
 		if (w.probing || s.Gauge.Ejected.Load() > 0) && !w.under && t.Now-w.probed >= ProbeEvery-TickEvery/2 {
 			w.probed, w.under = t.Now, true
 			t.Counts.Add("condition_probes", 1)
-			t.Fetch("conditions", s.ID, "http://"+s.Addr+"/condition", ProbeWithin)
+			t.Fetch("health", s.ID, "http://"+s.Addr+"/condition", ProbeWithin)
 		}
 		c.opine(t, s, w, medians)
 	}
 }
 
-func (c *Conditions) fetched(t *kernel.Context, v kernel.Fetched) {
+func (c *Checks) fetched(t *kernel.Context, v kernel.Fetched) {
 	w := c.seen[v.Key]
 	if w == nil {
 		return
@@ -193,7 +193,7 @@
 }
 
 // opine settles what this node thinks of a server and tells it when that changed.
-func (c *Conditions) opine(t *kernel.Context, s *table.Server, w *watch, medians map[shard]int64) {
+func (c *Checks) opine(t *kernel.Context, s *table.Server, w *watch, medians map[shard]int64) {
 	o := wire.Opinion{State: "ok", Incarnation: w.seenInc, Up: w.up}
 	if inc := s.Gauge.Incarnation.Load(); inc > o.Incarnation {
 		o.Incarnation, o.Up = inc, 0
--- a/conditions/conditions_test.go
+++ b/health/health_test.go
@@ -1,5 +1,5 @@
 // What many nodes meet at once of a server is told by a few of them.
-package conditions
+package health
 
 import (
 	"crypto/ed25519"
@@ -17,7 +17,7 @@
 
 const sick = "s1"
 
-// node is one process with mesh, table and conditions, and some neighbours.
+// node is one process with mesh, table and health checks, and some neighbours.
 type node struct {
 	k   *kernel.Kernel
 	now int64
@@ -58,7 +58,7 @@
 	n.now += TellEvery
 	n.feed(kernel.Tick{Plugin: "mesh", Key: "reach"})
 	n.feed(kernel.Tick{Plugin: "table", Key: "build"})
-	n.feed(kernel.Tick{Plugin: "conditions", Key: "watch"})
+	n.feed(kernel.Tick{Plugin: "health", Key: "watch"})
 }
 
 func (n *node) tells() int64 { return n.k.Counts.Of("opinions_told").Load() }
--- a/lab/backend/backend.go
+++ b/lab/backend/backend.go
@@ -15,7 +15,7 @@
 	"sync/atomic"
 	"time"
 
-	"wallport/conditions"
+	"wallport/health"
 	"wallport/inquiry"
 	"wallport/lab/records"
 	"wallport/serve"
@@ -108,7 +108,7 @@
 		<-r.Context().Done()
 		return
 	}
-	json.NewEncoder(w).Encode(conditions.Report{
+	json.NewEncoder(w).Encode(health.Report{
 		ID: s.c.ID, Incarnation: s.began.UnixMicro(), UpUs: time.Since(s.began).Microseconds(), Usage: s.busy.Load(), Cut: s.c.Cut,
 	})
 }
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -15,10 +15,10 @@
 	"go.uber.org/zap"
 
 	// The plug-ins register themselves.
-	_ "wallport/conditions"
 	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/health"
 	_ "wallport/idempotency"
 	"wallport/kernel"
 	_ "wallport/listing"
--- a/lab/sim/day_backends.go
+++ b/lab/sim/day_backends.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"slices"
 
-	"wallport/conditions"
+	"wallport/health"
 	"wallport/kernel"
 	"wallport/lab/rules"
 	"wallport/wire"
@@ -205,7 +205,7 @@
 		answer(rtt, kernel.Fetched{Err: "connection refused"})
 	default:
 		l.probe(func(status int) {
-			r := conditions.Report{ID: l.row.ID, Incarnation: 1, Usage: int64(l.running + len(l.queue)), ColdUs: max(0, l.cold-d.w.now)}
+			r := health.Report{ID: l.row.ID, Incarnation: 1, Usage: int64(l.running + len(l.queue)), ColdUs: max(0, l.cold-d.w.now)}
 			body, err := json.Marshal(&r)
 			if err == nil {
 				answer(rtt, kernel.Fetched{Status: status, Body: body})
--- a/lab/sim/proc.go
+++ b/lab/sim/proc.go
@@ -5,10 +5,10 @@
 import (
 	"fmt"
 
-	_ "wallport/conditions"
 	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
+	_ "wallport/health"
 	_ "wallport/idempotency"
 	"wallport/inquiry"
 	"wallport/kernel"
--- a/lab/sim/server.go
+++ b/lab/sim/server.go
@@ -1,4 +1,4 @@
-// Simulated back ends, and the fetches of conditions and of the platform's list.
+// Simulated back ends, and the fetches of health answers and of the platform's list.
 package sim
 
 import (
@@ -6,7 +6,7 @@
 	"fmt"
 	"strings"
 
-	"wallport/conditions"
+	"wallport/health"
 	"wallport/inquiry"
 	"wallport/kernel"
 	"wallport/lab/backend"
@@ -90,7 +90,7 @@
 		answer(rtt, kernel.Fetched{Err: "connection refused"})
 		return
 	}
-	b, _ := json.Marshal(conditions.Report{ID: s.row.ID, Incarnation: s.inc, UpUs: w.now - s.born, Usage: s.busy, Cut: s.row.Cut})
+	b, _ := json.Marshal(health.Report{ID: s.row.ID, Incarnation: s.inc, UpUs: w.now - s.born, Usage: s.busy, Cut: s.row.Cut})
 	answer(rtt, kernel.Fetched{Status: 200, Body: b})
 }
 
