admin members lists a core that has started again once

Cause: the row of a core's earlier life is known for up to 30 s beside the new one, and the table of replicas named both, at one address. Ruled out: leaving out what is not live (a silent core is what an operator looks for). After: one row for each address, the live one where there is one; operate/status_test.go. A name in forward says that it notes something.

--- a/forward/ask.go
+++ b/forward/ask.go
@@ -127,7 +127,7 @@
 		}
 		g.Took(took)
 	case r.Class == ClassNotRun && r.WrongBackend:
-		ejected = b.isReplaced(now)
+		ejected = b.markReplaced(now)
 	case r.Class == ClassNotRun:
 		d.count.notRun.Add(1)
 		b.refused(now, r.Load)
--- a/forward/eject.go
+++ b/forward/eject.go
@@ -33,9 +33,9 @@
 	return true
 }
 
-// isReplaced notes that another backend answers at the address: this one has ended, and is asked no
+// markReplaced notes that another backend answers at the address: this one has ended, and is asked no
 // more while a list may still name it. It tells whether that is news.
-func (b *backend) isReplaced(now int64) bool {
+func (b *backend) markReplaced(now int64) bool {
 	return b.replaced.Swap(now+replacedFor) <= now
 }
 
--- a/operate/status.go
+++ b/operate/status.go
@@ -40,12 +40,7 @@
 
 // readStatus asks every known core, this process itself without a message.
 func (o *Operate) readStatus(t *kernel.Context, id uint64) {
-	read := &statusRead{told: map[string][]wire.ReplicaStatus{}}
-	for _, row := range o.members.All(t.Now) {
-		if row.Role == "core" {
-			read.asked = append(read.asked, row)
-		}
-	}
+	read := &statusRead{asked: knownCores(o.members.All(t.Now)), told: map[string][]wire.ReplicaStatus{}}
 	o.statusReads[id] = read
 	for _, core := range read.asked {
 		if o.host != nil && core.Addr == o.members.SelfRow().Addr {
@@ -58,6 +53,27 @@
 	o.endStatusIfWhole(t, id, read)
 }
 
+// knownCores are the cores among the members, one for each address: of one that has started again
+// its earlier life may still be known.
+func knownCores(all []members.Row) []members.Row {
+	var cores []members.Row
+	at := map[string]int{}
+	for _, row := range all {
+		if row.Role != "core" {
+			continue
+		}
+		i, known := at[row.Addr]
+		switch {
+		case !known:
+			at[row.Addr] = len(cores)
+			cores = append(cores, row)
+		case row.Live && !cores[i].Live:
+			cores[i] = row
+		}
+	}
+	return cores
+}
+
 // statusReplied takes note of one core's answer.
 func (o *Operate) statusReplied(t *kernel.Context, id uint64, reply wire.StatusReply) {
 	read := o.statusReads[id]
--- a/operate/status_test.go
+++ b/operate/status_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"wallport/kernel"
+	"wallport/members"
 	"wallport/mesh"
 	"wallport/wire"
 )
@@ -84,3 +85,17 @@
 	_, answered := n.status(1)
 	must.False(t, answered)
 }
+
+func TestACoreThatHasStartedAgainIsListedOnce(t *testing.T) {
+	row := func(name, addr, origin string, live bool) members.Row {
+		return members.Row{Member: wire.Member{Name: name, Role: "core", Addr: addr}, Origin: origin, Live: live}
+	}
+	node := members.Row{Member: wire.Member{Name: "n", Role: "node", Addr: "n:1"}, Live: true}
+	cores := knownCores([]members.Row{row("a", "a:1", "before", false), row("a", "a:1", "now", true), row("b", "b:1", "gone", false), node})
+	must.Len(t, 2, cores)
+	must.Eq(t, "now", cores[0].Origin)
+	must.Eq(t, "gone", cores[1].Origin)
+	cores = knownCores([]members.Row{row("a", "a:1", "now", true), row("a", "a:1", "before", false)})
+	must.Len(t, 1, cores)
+	must.Eq(t, "now", cores[0].Origin)
+}
