Replica tests: the three simulated clusters share one timeline

Cause: each had its own clock, order and loop over the shared queue of events. They embed timeline now; what differs (cuts, machines with disks, narrow links) stays with each. Ruled out: one cluster for all three, whose networks and disks model different things.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -36,12 +36,10 @@
 }
 
 type simCluster struct {
+	timeline
 	t        *testing.T
 	shape    simShape
-	now      int64
-	order    int64
 	random   *rand.Rand
-	events   eventQueue
 	machines []*simMachine
 	byAddr   map[string]*simMachine
 	links    map[uint64]*simLink
@@ -80,19 +78,9 @@
 	return m
 }
 
-func (c *simCluster) after(d int64, run func()) {
-	c.order++
-	c.events.add(event{at: c.now + max(d, 0), order: c.order, do: run})
-}
-
 func (c *simCluster) run(d int64) {
-	end := c.now + d
-	for len(c.events) > 0 && c.events[0].at <= end {
-		e := c.events.next()
-		c.now = e.at
-		e.do()
+	for end := c.now + d; c.advance(end); {
 	}
-	c.now = end
 }
 
 // runUntil runs until something holds, and fails the test if that takes too long.
--- a/replica/contact_cluster_test.go
+++ b/replica/contact_cluster_test.go
@@ -32,11 +32,9 @@
 }
 
 type cluster struct {
+	timeline
 	t       *testing.T
 	rnd     *rand.Rand
-	now     int64
-	order   int64
-	queue   eventQueue
 	members []*member
 	conns   map[uint64]*connection
 	direct  map[string]uint64
@@ -84,11 +82,6 @@
 	c.step(m, kernel.Start{})
 }
 
-func (c *cluster) after(d int64, do func()) {
-	c.order++
-	c.queue.add(event{c.now + max(d, 0), c.order, do})
-}
-
 // every does something again and again.
 func (c *cluster) every(d int64, do func()) {
 	do()
@@ -97,14 +90,7 @@
 
 // run lets time pass; look is called after each event.
 func (c *cluster) run(d int64, look func()) {
-	for end := c.now + d; ; {
-		if len(c.queue) == 0 || c.queue[0].at > end {
-			c.now = end
-			return
-		}
-		e := c.queue.next()
-		c.now = e.at
-		e.do()
+	for end := c.now + d; c.advance(end); {
 		if look != nil {
 			look()
 		}
--- a/replica/narrow_links_test.go
+++ b/replica/narrow_links_test.go
@@ -39,13 +39,12 @@
 
 // narrowCluster joins cores "a", "b" and "c", whose addresses are their names.
 type narrowCluster struct {
-	t       testing.TB
-	now     int64
-	seq     int64
-	events  eventQueue
-	members map[string]*narrowMember
-	conns   map[string]uint64    // by dialer and dialed
-	ends    map[uint64][2]string // of the open connections
+	timeline
+	t        testing.TB
+	members  map[string]*narrowMember
+	conns    map[string]uint64    // by dialer and dialed
+	ends     map[uint64][2]string // of the open connections
+	nextConn uint64
 	// bytesPerSecond is what each core's link takes; 0 is any number.
 	bytesPerSecond int64
 	nextEdit       uint64
@@ -65,11 +64,6 @@
 	return c
 }
 
-func (c *narrowCluster) after(d int64, f func()) {
-	c.seq++
-	c.events.add(event{c.now + d, c.seq, f})
-}
-
 // start starts a core with the files that its disk holds.
 func (c *narrowCluster) start(id string) {
 	m := c.members[id]
@@ -168,9 +162,9 @@
 		return 0
 	}
 	if c.conns[key] == 0 {
-		c.seq++
-		c.conns[key] = uint64(c.seq)
-		c.ends[uint64(c.seq)] = [2]string{from, to}
+		c.nextConn++
+		c.conns[key] = c.nextConn
+		c.ends[c.nextConn] = [2]string{from, to}
 	}
 	return c.conns[key]
 }
@@ -180,12 +174,9 @@
 	c.t.Helper()
 	began := c.now
 	for !until() {
-		e := c.events.next()
-		c.now = e.at
-		if c.now-began > most {
+		if !c.advance(began + most) {
 			c.t.Fatalf("not within %d us: %s", most, what)
 		}
-		e.do()
 	}
 	return c.now - began
 }
--- a/replica/event_queue_test.go
+++ b/replica/timeline_test.go
@@ -1,4 +1,4 @@
-// The events of a simulated cluster, in the order of their moments.
+// The time of a simulated cluster, and its events in the order of their moments.
 package replica
 
 import "container/heap"
@@ -34,3 +34,27 @@
 
 // next takes the first event.
 func (q *eventQueue) next() event { return heap.Pop(q).(event) }
+
+// timeline is the time of a simulated cluster; each of them embeds one.
+type timeline struct {
+	now, order int64
+	events     eventQueue
+}
+
+// after has something happen after a while.
+func (l *timeline) after(d int64, do func()) {
+	l.order++
+	l.events.add(event{l.now + max(d, 0), l.order, do})
+}
+
+// advance carries out the next event, unless that comes after the end: then it is the end, and false.
+func (l *timeline) advance(end int64) bool {
+	if len(l.events) == 0 || l.events[0].at > end {
+		l.now = end
+		return false
+	}
+	e := l.events.next()
+	l.now = e.at
+	e.do()
+	return true
+}
