--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # The whole check: packages, formatting, file lengths, fresh generated code, vet, the linter, the
-# build of the deploy file, tests, and a race run.
+# build of the deploy file, tests, and a race run. Of the tests just those may fail that
+# KNOWN-RED.txt lists.
 set -eu
 cd "$(dirname "$0")"
 step() { printf '== %s\n' "$*"; }
@@ -31,7 +32,7 @@
 bash -c "$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)"
 
 step tests
-go test -count=1 -timeout 40m ./...
+go run ./tools/knownred -- -count=1 -timeout 40m ./...
 
 step "race run"
-go test -count=1 -race -short -timeout 40m ./...
+go run ./tools/knownred -- -count=1 -race -short -timeout 40m ./...
--- /dev/null
+++ b/tools/knownred/knownred_test.go
@@ -0,0 +1,82 @@
+// The judgement of a run by the list, on events as go test -json prints them.
+package main
+
+import (
+	"bufio"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const listedLine = "wallport/a.TestKnown, a cause, with commas, #21\n"
+
+// judged runs the judgement over events, one JSON object a line.
+func judged(t *testing.T, list string, exited bool, events ...string) []string {
+	t.Helper()
+	known, err := parseList(strings.NewReader(list))
+	must.NoError(t, err)
+	o := newOutcome()
+	must.NoError(t, o.read(bufio.NewReader(strings.NewReader(strings.Join(events, "\n"))), io.Discard))
+	wrong := o.judge(known, exited)
+	slices.Sort(wrong)
+	return wrong
+}
+
+func ended(action, pkg, test string) string {
+	return `{"Action":"` + action + `","Package":"` + pkg + `","Test":"` + test + `"}`
+}
+
+func TestOnlyListedFailuresPass(t *testing.T) {
+	passes := ended(passed, "wallport/a", "TestFine")
+	fails := ended(failed, "wallport/a", "TestKnown")
+	packageFails := ended(failed, "wallport/a", "")
+	for _, c := range []struct {
+		name, list string
+		exited     bool
+		events     []string
+		want       []string
+	}{
+		{"all pass", "", false, []string{passes, ended(passed, "wallport/a", "")}, nil},
+		{"a listed one fails", listedLine, true, []string{passes, fails, packageFails}, nil},
+		{"with a subtest of its own", listedLine, true, []string{ended(failed, "wallport/a", "TestKnown/sub"), fails, packageFails}, nil},
+		{"an unlisted one fails", "", true, []string{fails, packageFails}, []string{"package wallport/a failed", "wallport/a.TestKnown failed"}},
+		{"another fails beside it", listedLine, true, []string{fails, ended(failed, "wallport/a", "TestOther"), packageFails}, []string{"wallport/a.TestOther failed"}},
+		{"one of that name elsewhere fails", listedLine, true, []string{fails, packageFails, ended(failed, "wallport/b", "TestKnown"), ended(failed, "wallport/b", "")},
+			[]string{"package wallport/b failed", "wallport/b.TestKnown failed"}},
+		{"the listed one passes", listedLine, false, []string{ended(passed, "wallport/a", "TestKnown")}, []string{"wallport/a.TestKnown is listed and passes: take it off the list"}},
+		{"the listed one is not there", listedLine, false, []string{passes}, []string{"wallport/a.TestKnown is listed and did not run"}},
+		{"the listed one is skipped", listedLine, false, []string{ended(skipped, "wallport/a", "TestKnown")}, nil},
+		{"it ends its whole package", listedLine, true, []string{`{"Action":"output","Package":"wallport/a","Test":"TestKnown","Output":"panic: boom\n"}`, fails, packageFails},
+			[]string{"package wallport/a failed"}},
+		{"a package does not build", listedLine, true, []string{fails, packageFails, ended(failed, "wallport/b", "")}, []string{"package wallport/b failed"}},
+		{"nothing builds", "", true, []string{"some text"}, []string{"go test failed before any test ran", "no test ran in 0 failed packages"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			must.Eq(t, c.want, judged(t, c.list, c.exited, c.events...))
+		})
+	}
+}
+
+func TestListIsChecked(t *testing.T) {
+	known, err := parseList(strings.NewReader("# why\n\n" + listedLine))
+	must.NoError(t, err)
+	must.SliceLen(t, 1, known)
+	must.True(t, known[0] == entry{"wallport/a.TestKnown", "a cause, with commas", "#21"})
+	for _, bad := range []string{"TestKnown, cause, #21", "wallport/a.TestKnown, #21", "wallport/a.TestKnown", strings.Repeat(listedLine, 4)} {
+		_, err := parseList(strings.NewReader(bad))
+		must.Error(t, err, must.Sprint(bad))
+	}
+	known, err = readList("no such file")
+	must.NoError(t, err)
+	must.SliceEmpty(t, known)
+}
+
+func TestKnownFailuresArePrinted(t *testing.T) {
+	var out strings.Builder
+	err := report(&out, []string{"x failed"}, []entry{{"wallport/a.TestKnown", "a cause", "#21"}})
+	must.Error(t, err)
+	must.Eq(t, "known red: wallport/a.TestKnown, a cause, #21\nknownred: x failed\n", out.String())
+}
--- /dev/null
+++ b/tools/knownred/outcome.go
@@ -0,0 +1,136 @@
+// What go test -json reported: which tests failed, passed or were skipped, and
+// which packages failed without a test of theirs to show for it.
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// event is one line of go test -json.
+type event struct {
+	Action, Package, Test, Output string
+}
+
+// The actions that end a test or a package.
+const (
+	passed  = "pass"
+	failed  = "fail"
+	skipped = "skip"
+)
+
+// outcome gathers the events of one run.
+type outcome struct {
+	// tests holds the last action of each top-level test, by PACKAGE.TestName.
+	tests map[string]string
+	// packages holds the failed packages, crashed those in which a test ended the whole program.
+	packages, crashed map[string]bool
+}
+
+func newOutcome() *outcome {
+	return &outcome{tests: map[string]string{}, packages: map[string]bool{}, crashed: map[string]bool{}}
+}
+
+// read takes all events, and prints what the tests printed of failures and packages.
+func (o *outcome) read(r *bufio.Reader, out io.Writer) error {
+	printed := map[string][]string{}
+	for {
+		line, err := r.ReadBytes('\n')
+		if len(line) > 0 {
+			o.line(line, printed, out)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// line takes one line. Output of a test is held until it is known whether the test failed.
+func (o *outcome) line(line []byte, printed map[string][]string, out io.Writer) {
+	var e event
+	if json.Unmarshal(line, &e) != nil {
+		// Not an event: of the build, most likely.
+		out.Write(line)
+		return
+	}
+	top, _, _ := strings.Cut(e.Test, "/")
+	key := e.Package + "." + top
+	switch e.Action {
+	case "output":
+		if strings.HasPrefix(e.Output, "panic: ") || strings.HasPrefix(e.Output, "fatal error: ") {
+			o.crashed[e.Package] = true
+		}
+		if e.Test == "" {
+			io.WriteString(out, e.Output)
+			return
+		}
+		printed[key] = append(printed[key], e.Output)
+	case "build-output":
+		io.WriteString(out, e.Output)
+	case passed, failed, skipped:
+		o.ended(e, key, printed, out)
+	}
+}
+
+// ended takes the end of a test or a package.
+func (o *outcome) ended(e event, key string, printed map[string][]string, out io.Writer) {
+	switch {
+	case e.Test == "" && e.Action == failed:
+		o.packages[e.Package] = true
+	case e.Test == "" || strings.Contains(e.Test, "/"):
+	default:
+		o.tests[key] = e.Action
+		if e.Action == failed {
+			io.WriteString(out, strings.Join(printed[key], ""))
+		}
+		delete(printed, key)
+	}
+}
+
+// judge lists what is wrong in a run beside the known failures.
+func (o *outcome) judge(known []entry, exited bool) []string {
+	var wrong []string
+	listed := map[string]bool{}
+	for _, e := range known {
+		listed[e.test] = true
+		switch o.tests[e.test] {
+		case passed:
+			wrong = append(wrong, e.test+" is listed and passes: take it off the list")
+		case "":
+			wrong = append(wrong, e.test+" is listed and did not run")
+		}
+	}
+	explained := map[string]bool{}
+	for test, action := range o.tests {
+		if action != failed {
+			continue
+		}
+		if !listed[test] {
+			wrong = append(wrong, test+" failed")
+			continue
+		}
+		explained[packageOf(test)] = true
+	}
+	for name := range o.packages {
+		if !explained[name] || o.crashed[name] {
+			wrong = append(wrong, "package "+name+" failed")
+		}
+	}
+	if exited && len(o.packages) == 0 {
+		wrong = append(wrong, "go test failed before any test ran")
+	}
+	if len(o.tests) == 0 {
+		wrong = append(wrong, fmt.Sprintf("no test ran in %d failed packages", len(o.packages)))
+	}
+	return wrong
+}
+
+// packageOf is the package of PACKAGE.TestName.
+func packageOf(test string) string { return test[:strings.LastIndex(test, ".Test")] }
