--- a/forward/ask.go
+++ b/forward/ask.go
@@ -66,6 +66,7 @@
 		c.desk.count.hedges.Add(1)
 		c.to(now, StReAsked, "no answer yet")
 	}
+	c.checkAsk(w, ch.seat)
 	n := len(c.tries)
 	c.tries = append(c.tries, try{way: i, seat: ch.seat, at: now, busy: b.busy(now, w.stats.mid.Load()), open: true})
 	w.tried = append(w.tried, b)
@@ -107,6 +108,7 @@
 	w := &c.ways[t.way]
 	t.open = false
 	w.open--
+	c.checkGauges(w)
 	b, g, d, nodes := t.seat.b, t.seat.server.Gauge, c.desk, c.view.cp.Divisor
 	b.ended(now, r != nil && !r.Silent && r.Class != ClassNotSent)
 	g.Outstanding.Add(-1)
--- a/forward/chart.go
+++ b/forward/chart.go
@@ -191,6 +191,7 @@
 		return
 	}
 	c.done = true
+	c.checkOutcome(&o)
 	for n := range c.tries {
 		if t := &c.tries[n]; t.open && !t.left {
 			c.leave(now, n)
--- a/forward/desk.go
+++ b/forward/desk.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 
+	"wallport/invariant"
 	"wallport/kernel"
 	"wallport/random"
 	"wallport/table"
@@ -26,6 +27,10 @@
 	// Now is the process's clock, in microseconds.
 	Now   int64
 	Retry RetryConfig
+	// Invariants takes violations; nil counts none.
+	Invariants *invariant.Recorder
+	// Ended is told of every request that failed, lacked parts or came late; nil is nobody.
+	Ended func(t *Trace)
 }
 
 // Desk is shared by all charts of a node. Everything on it may be used by many threads.
--- /dev/null
+++ b/forward/invariants_test.go
@@ -0,0 +1,86 @@
+// Every invariant of the request path is seen to be violated where it does not hold.
+package forward
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/invariant"
+	"wallport/lab/violation"
+	"wallport/table"
+)
+
+// asked is a chart of a route with its first ask under way.
+func asked(t *testing.T, route string) (*Chart, Ask) {
+	t.Helper()
+	f := fixed(1, 3)
+	f.rich()
+	c := f.chart(route)
+	a := asks(c.Step(begun, Begin{}))
+	must.SliceNotEmpty(t, a)
+	return c, a[0]
+}
+
+// asksAgain asks for the chart's first way once more, whatever became of the ask before.
+func asksAgain(c *Chart) invariant.Name {
+	return violation.By(func() { c.ask(begun+1_000, 0, instead) })
+}
+
+func TestViolationsOfAsks(t *testing.T) {
+	c, _ := asked(t, "once2")
+	must.Eq(t, invariant.RunsOnce, asksAgain(c), must.Sprint("one is under way"))
+
+	c, a := asked(t, "once2")
+	c.Step(begun+1_000, Replied{N: a.N, Reply: Reply{Class: ClassFailed}})
+	c.done = false
+	must.Eq(t, invariant.RunsOnce, asksAgain(c), must.Sprint("one may have run"))
+
+	c, a = asked(t, "once2")
+	c.Step(begun+1_000, Replied{N: a.N, Reply: okay("x")})
+	must.Eq(t, invariant.NoAskAfterEnd, asksAgain(c))
+
+	c, _ = asked(t, "read")
+	c.ways[0].sent = c.most()
+	must.Eq(t, invariant.BackendsWithinRoute, asksAgain(c))
+
+	c, _ = asked(t, "read")
+	for i := range c.ways[0].pool.seats {
+		c.ways[0].pool.seats[i].server.Verdict = table.Leaving
+	}
+	must.Eq(t, invariant.NotToLeaving, asksAgain(c))
+
+	c, a = asked(t, "read")
+	c.ways[0].open = 0
+	must.Eq(t, invariant.GaugesNotNegative, violation.By(func() { c.close(begun+1_000, a.N, nil) }))
+}
+
+// ends has a chart give an outcome.
+func ends(c *Chart, o Outcome) invariant.Name {
+	return violation.By(func() { c.finish(begun+1_000, StAnswered, o) })
+}
+
+func TestViolationsOfOutcomes(t *testing.T) {
+	for status, name := range map[int]invariant.Name{503: invariant.RefusedNotRun, 429: invariant.RefusedNotRun, 504: "", 502: ""} {
+		c, _ := asked(t, "once2")
+		must.Eq(t, name, ends(c, Outcome{Status: status, Code: "refused"}), must.Sprint(status))
+	}
+	c, _ := asked(t, "read")
+	must.Eq(t, "", ends(c, Outcome{Status: 503, Code: "refused"}), must.Sprint("what may be repeated may be refused"))
+	for _, r := range []*Reply{nil, {Class: ClassAnswer, Status: 200}, {Class: ClassAnswer, Status: 500, Seal: "s"}} {
+		c, _ := asked(t, "read")
+		must.Eq(t, invariant.SuccessSealed, ends(c, Outcome{Status: 200, Code: "ok", Answer: r}))
+	}
+	for _, o := range []Outcome{
+		{Seals: []string{"a"}, Missing: 0},
+		{Seals: []string{"a", "a"}},
+		{Seals: []string{"a", "b"}, Missing: 1},
+	} {
+		f := fixed(2, 2)
+		f.rich()
+		c := f.chart("gather")
+		c.Step(begun, Begin{})
+		o.Status, o.Code = 200, "ok"
+		must.Eq(t, invariant.PartsComplete, ends(c, o))
+	}
+}
--- /dev/null
+++ b/invariant/invariant_test.go
@@ -0,0 +1,34 @@
+// Violations are counted and logged, and end the process in tests.
+package invariant
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestViolationIsCountedLoggedAndFatalInTests(t *testing.T) {
+	counted, logged := "", ""
+	r := &Recorder{
+		Count: func(counter string, n int64) { counted = counter },
+		Log:   func(n Name, detail string) { logged = string(n) + " " + detail },
+	}
+	func() {
+		defer func() {
+			v, ok := recover().(Violation)
+			must.True(t, ok)
+			must.EqError(t, v, "runs_once: request 7 again")
+		}()
+		r.Violated(RunsOnce, "request %d again", 7)
+	}()
+	must.Eq(t, `invariant_violations{invariant="runs_once"}`, counted)
+	must.Eq(t, "runs_once request 7 again", logged)
+}
+
+func TestNamesAreUnique(t *testing.T) {
+	seen := map[Name]bool{}
+	for _, n := range All() {
+		must.False(t, seen[n], must.Sprint(n))
+		seen[n] = true
+	}
+}
--- a/kernel/turn.go
+++ b/kernel/turn.go
@@ -7,6 +7,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"wallport/invariant"
 	"wallport/wire"
 )
 
@@ -182,6 +183,13 @@
 	t.Out.Answers = append(t.Out.Answers, Answer{ID: id, Value: v})
 }
 
+// Violated takes note of an invariant that does not hold; detail says of what.
+func (t *Context) Violated(name invariant.Name, detail string) {
+	t.Counts.Add(invariant.Counter(name), 1)
+	t.Log(2, invariant.Event, "invariant", string(name), "detail", detail)
+	invariant.End(name, detail)
+}
+
 // Note logs an event with key=value pairs. Level -1 is debug, 0 info, 1 a warning, 2 an error.
 func (t *Context) Log(level int8, event string, kv ...any) {
 	t.Out.Notes = append(t.Out.Notes, Note{Level: level, Event: event, KV: kv})
--- a/lab/sim/play.go
+++ b/lab/sim/play.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 
+	"wallport/invariant"
 	"wallport/lab/script"
 )
 
@@ -18,12 +19,32 @@
 	Faults   []string
 }
 
+// runToViolation runs the world to its end, or to the first invariant of the running code that does
+// not hold, which it returns.
+func (w *World) runToViolation() (violated string) {
+	defer func() {
+		switch v := recover().(type) {
+		case nil:
+		case invariant.Violation:
+			violated = fmt.Sprintf("invariant %v, at %.3f s", v, float64(w.now)/1e6)
+		default:
+			panic(v)
+		}
+	}()
+	w.Run()
+	return ""
+}
+
 // Play runs a scenario under a seed and judges it.
 func Play(s *script.Script, seed uint64, trace func(at int64, text string)) Result {
+	invariant.SetFatal()
 	w := New(s, seed)
 	w.Trace = trace
-	w.Run()
+	violated := w.runToViolation()
 	r := Result{Scenario: s.Name, Seed: seed, Digest: w.Digest(), Lines: w.Judge.Lines(), Counts: w.Judge.Counts, Tested: w.Judge.Tested}
+	if violated != "" {
+		r.Faults = append(r.Faults, violated)
+	}
 	for _, v := range w.Judge.Violations {
 		r.Faults = append(r.Faults, fmt.Sprintf("%s at %.3f s: %s", v.Point, float64(v.At)/1e6, v.Text))
 	}
--- a/listing/lease.go
+++ b/listing/lease.go
@@ -3,7 +3,11 @@
 package listing
 
 import (
+	"fmt"
+
+	"wallport/invariant"
 	"wallport/kernel"
+	"wallport/mesh"
 	"wallport/state"
 	"wallport/wire"
 )
@@ -23,6 +27,13 @@
 	p.lease, p.turn = max(p.lease, r.LeaseID), max(p.turn, r.LeaseID)
 }
 
+// checkHolder sees that nobody else was granted the duty while this node still holds it.
+func (p *Lister) checkHolder(t *kernel.Context, v mesh.Stored, l *wire.Listing) {
+	if !v.Own && t.Now < p.until && l.Turn > p.lease {
+		t.Violated(invariant.OneLeaseHolder, fmt.Sprintf("%s reads under turn %d while turn %d is held here for %d us yet", v.Origin, l.Turn, p.lease, p.until-t.Now))
+	}
+}
+
 // release ends what this node holds of the duty: a grant that is still on its way is not taken.
 func (p *Lister) release() {
 	p.until = 0
--- a/listing/lease_test.go
+++ b/listing/lease_test.go
@@ -7,7 +7,10 @@
 	"github.com/shoenig/test/must"
 
 	"wallport/env"
+	"wallport/invariant"
 	"wallport/kernel"
+	"wallport/lab/violation"
+	"wallport/mesh"
 	"wallport/wire"
 )
 
@@ -45,3 +48,20 @@
 	r.grant(id)
 	must.Zero(t, r.l.until)
 }
+
+// While a node holds the duty nobody else reads under a later grant.
+func TestViolationOfOneHolder(t *testing.T) {
+	r := newRig(t, env.Env{PollsPer: 20})
+	r.owned()
+	r.grant(r.asks())
+	reads := func(turn uint64) invariant.Name {
+		body := wire.Encode(&wire.Listing{Turn: turn})
+		return violation.By(func() {
+			r.l.stored(&kernel.Context{Now: r.now, Counts: r.k.Counts}, mesh.Stored{Entry: &wire.Entry{Type: "listing", ID: Duty, Body: body}, Origin: "other"})
+		})
+	}
+	must.Eq(t, "", reads(3), must.Sprint("an earlier holder, or one that reads without the duty"))
+	must.Eq(t, invariant.OneLeaseHolder, reads(4))
+	r.l.release()
+	must.Eq(t, "", reads(5))
+}
--- a/listing/listing.go
+++ b/listing/listing.go
@@ -105,20 +105,21 @@
 	case kernel.Stopping:
 		p.drop(t)
 	case mesh.Stored:
-		p.stored(t.Now, v)
+		p.stored(t, v)
 	}
 }
 
 // stored notes whose reading was heard of last, and the newest holder's turn:
 // a reading made without a hold must not look older than what is known.
-func (p *Lister) stored(now int64, v mesh.Stored) {
+func (p *Lister) stored(t *kernel.Context, v mesh.Stored) {
 	if v.Entry.Type != "listing" && v.Entry.Type != "polled" {
 		return
 	}
-	p.heard, p.alone = now, v.Own
+	p.heard, p.alone = t.Now, v.Own
 	p.blank = p.blank && v.Entry.Type != "listing"
 	var l wire.Listing
 	if v.Entry.Type == "listing" && wire.Decode(v.Entry.Body, &l) == nil {
+		p.checkHolder(t, v, &l)
 		p.turn = max(p.turn, l.Turn)
 	}
 }
--- a/replica/follower.go
+++ b/replica/follower.go
@@ -38,6 +38,7 @@
 	g.votedTerm = a.Term
 	v := a.Versioned
 	if v.Version == g.accepted.Version {
+		g.checkSameContent(t, a)
 		reply(t, wire.AcceptReply{OK: true, Term: a.Term, Version: v.Version})
 		return
 	}
@@ -85,6 +86,7 @@
 
 // follow takes a replica for the leader of a term.
 func (g *Group) follow(t *kernel.Context, from string, term uint64) {
+	g.checkOneLeader(t, from, term)
 	if g.role != follower && term >= g.term {
 		g.stepDown(t, "another owner")
 	}
--- a/replica/group.go
+++ b/replica/group.go
@@ -82,6 +82,7 @@
 	leader        string
 	leaderAddress string
 	leaderSeen    int64
+	heardLeader   heardLeader
 	electionAt    int64
 
 	term            uint64
--- /dev/null
+++ b/replica/invariants_test.go
@@ -0,0 +1,61 @@
+// Every invariant of the replicas is seen to be violated where it does not hold.
+package replica
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"wallport/invariant"
+	"wallport/kernel"
+	"wallport/lab/violation"
+	"wallport/routingpb"
+	"wallport/state"
+	"wallport/wire"
+)
+
+// configured is a version of the configuration with a routing table of some revision.
+func configured(t *testing.T, term, seq uint64, revision int64) wire.Versioned {
+	t.Helper()
+	table, err := proto.Marshal(&routingpb.RoutingTable{Revision: revision})
+	must.NoError(t, err)
+	body := wire.Encode(&wire.ConfigBody{Routing: table})
+	return wire.Versioned{Version: wire.Version{Partition: state.Config, Term: term, Seq: seq}, Voters: seats("a", "b", "me"), Body: body}
+}
+
+func TestViolationOfOneLeaderATerm(t *testing.T) {
+	c := newCore(t, nil)
+	heartbeat := func(from string, term uint64) invariant.Name {
+		return violation.By(func() { c.send(wire.KindLeaderHeartbeat, &wire.LeaderHeartbeat{Term: term, From: from}) })
+	}
+	must.Eq(t, "", heartbeat("a", 3))
+	must.Eq(t, "", heartbeat("b", 4))
+	must.Eq(t, invariant.OneLeader, heartbeat("a", 4))
+}
+
+func TestViolationOfOneContentAVersion(t *testing.T) {
+	c := newCore(t, nil)
+	send := func(v wire.Versioned) (name invariant.Name) {
+		return violation.By(func() { c.sync(c.send(wire.KindAccept, &wire.Accept{Term: v.Version.Term, From: "a", Versioned: v})) })
+	}
+	must.Eq(t, "", send(configured(t, 3, 1, 7)))
+	must.Eq(t, "", send(configured(t, 3, 1, 7)))
+	must.Eq(t, invariant.VersionContent, send(configured(t, 3, 1, 8)))
+}
+
+func TestViolationsOfCommits(t *testing.T) {
+	c := newCore(t, nil)
+	g := c.s.groups[state.Config]
+	step := &kernel.Context{Now: c.now, Counts: c.k.Counts}
+	commit := func(v wire.Versioned) invariant.Name { return violation.By(func() { g.commit(step, v) }) }
+	must.Eq(t, "", commit(configured(t, 3, 1, 7)))
+	must.Eq(t, "", commit(configured(t, 3, 2, 9)))
+	must.Eq(t, invariant.RevisionRises, commit(configured(t, 4, 3, 8)))
+	must.Eq(t, 1, c.k.Counts.Of(invariant.Counter(invariant.RevisionRises)).Load())
+
+	g.term, g.votedTerm = 4, 5
+	must.Eq(t, invariant.LeaderInItsTerm, violation.By(func() { g.checkLeads(step, configured(t, 4, 4, 9)) }))
+	g.votedTerm = 4
+	must.Eq(t, "", violation.By(func() { g.checkLeads(step, configured(t, 4, 4, 9)) }))
+}
--- a/replica/leader.go
+++ b/replica/leader.go
@@ -117,6 +117,7 @@
 	done := g.proposedEdits
 	g.proposedEdits = nil
 	g.ready = true
+	g.checkLeads(t, v)
 	g.commit(t, v)
 	for _, w := range done {
 		if w.taken {
@@ -134,6 +135,7 @@
 		return
 	}
 	before := g.committed
+	g.checkCarriesOn(t, before, v)
 	g.committed = v
 	if g.role == leader {
 		g.endChange(t, before, v)
--- a/table/configured.go
+++ b/table/configured.go
@@ -2,7 +2,11 @@
 package table
 
 import (
+	"fmt"
+
+	"wallport/invariant"
 	"wallport/kernel"
+	"wallport/mesh"
 	"wallport/sheetpb"
 	"wallport/state"
 	"wallport/wire"
@@ -27,11 +31,19 @@
 			t.Log(2, "config_unreadable", "err", err.Error())
 			return
 		}
+		b.checkRises(t, v.Version)
 		b.config = config{v.Version, body, state.SheetOf(body)}
 	}
 	c.Version, c.Config, c.Sheet = b.config.stamp, b.config.body, b.config.sheet
 }
 
+// checkRises sees that the configuration in force never goes back.
+func (b *Table) checkRises(t *kernel.Context, next wire.Version) {
+	if was := b.config.stamp; mesh.Newer(was, next) {
+		t.Violated(invariant.ConfigRises, fmt.Sprintf("version %d.%d after %d.%d", next.Term, next.Seq, was.Term, was.Seq))
+	}
+}
+
 // whole tells whether the table may be served from: it is all there, and confirmed. Once it may,
 // it stays so: what is lost later is judged server by server.
 func (b *Table) whole(t *kernel.Context, c *Snapshot) bool {
--- /dev/null
+++ b/table/invariants_test.go
@@ -0,0 +1,24 @@
+// What a node has in force never goes back.
+package table
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/invariant"
+	"wallport/kernel"
+	"wallport/lab/violation"
+	"wallport/wire"
+)
+
+func TestViolationOfRisingConfigurations(t *testing.T) {
+	b := &Table{config: config{stamp: wire.Version{Term: 3, Seq: 9}}}
+	step := &kernel.Context{Counts: kernel.NewCounts()}
+	takes := func(term, seq uint64) invariant.Name {
+		return violation.By(func() { b.checkRises(step, wire.Version{Term: term, Seq: seq}) })
+	}
+	must.Eq(t, "", takes(4, 10))
+	must.Eq(t, invariant.ConfigRises, takes(3, 8))
+	must.Eq(t, invariant.ConfigRises, takes(2, 12))
+}
