--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -17,7 +17,10 @@
 	k     *Client
 	ask   forward.Ask
 	thaws int64
+	began time.Time
 	until time.Time
+	// writtenUs is how long after its begin the kernel had taken the request's first bytes; 0 is never.
+	writtenUs int64
 
 	mu     sync.Mutex
 	conn   *conn
@@ -28,7 +31,8 @@
 
 // Start prepares an exchange; Run carries it out.
 func (k *Client) Start(a forward.Ask) *Exchange {
-	return &Exchange{k: k, ask: a, thaws: k.c.Thaws(), until: time.Now().Add(time.Duration(a.WithinUs) * time.Microsecond)}
+	now := time.Now()
+	return &Exchange{k: k, ask: a, thaws: k.c.Thaws(), began: now, until: now.Add(time.Duration(a.WithinUs) * time.Microsecond)}
 }
 
 // Cancel gives an exchange up from any thread: Run returns soon, and a connection that was written to is closed.
@@ -170,7 +174,7 @@
 	} else {
 		rep, keep = x.judge(c, resp, body)
 	}
-	rep.Reused = c.reused
+	rep.Reused, rep.WrittenUs = c.reused, x.writtenUs
 	keep = keep && !x.ask.Server.CloseAfterUse
 	if !x.release() {
 		keep = false
--- a/backend/turn.go
+++ b/backend/turn.go
@@ -95,6 +95,9 @@
 				continue
 			}
 			c.wrote += max(0, n)
+			if n > 0 && c.x.writtenUs == 0 {
+				c.x.writtenUs = max(1, time.Since(c.x.began).Microseconds())
+			}
 			if err != nil && err != unix.EAGAIN {
 				c.err, c.at = os.NewSyscallError("write", err), atEnd
 				return true
--- a/cmd/wallport/clients.go
+++ b/cmd/wallport/clients.go
@@ -11,16 +11,19 @@
 	"wallport/kernel"
 	"wallport/platform"
 	"wallport/process"
+	"wallport/serve"
 	"wallport/table"
 )
 
 // openClients serves clients and readiness until stop is called.
-func openClients(p *process.Process, place platform.Place, failed chan<- error) (stop func(), err error) {
+func openClients(p *process.Process, operators *serve.Server, place platform.Place, failed chan<- error) (stop func(), err error) {
 	e, b := p.Kernel.Boot.Env, kernel.Find[*table.Table](p.Kernel)
 	desk := forward.NewDesk(forward.Config{
 		Table: b.Now, Counts: p.Kernel.Counts, Seed: p.Kernel.Boot.Seed, Now: p.Now(),
-		Retry: forward.RetryConfig{Ratio: e.Retries.Ratio, Allowance: e.Retries.Allowance, WindowUs: e.Retries.WindowUs},
+		Retry:      forward.RetryConfig{Ratio: e.Retries.Ratio, Allowance: e.Retries.Allowance, WindowUs: e.Retries.WindowUs},
+		Invariants: p.Invariants(), Ended: requestLog(p.Sampled()),
 	})
+	operators.ExplainBy(func(id string) (any, bool) { return desk.Traces.Get(id) })
 	client := backend.New(backend.Config{
 		Names: platform.BackendNames(), Counts: p.Kernel.Counts, Frozen: p.Frozen, Thaws: p.Thaws,
 		Share: func() int {
@@ -31,7 +34,7 @@
 		},
 	})
 	s, err := gateway.Open(gateway.Config{
-		Addr: place.HTTP, ReadyAddr: place.Readiness, Names: platform.GatewayNames(), Log: p.Log, Counts: p.Kernel.Counts,
+		Addr: place.HTTP, ReadyAddr: place.Readiness, Names: platform.GatewayNames(), Log: p.Log, Sampled: p.Sampled(), Counts: p.Kernel.Counts,
 		Backends: client, Table: b.Now, Now: p.Now, GraceUs: e.Bounds.GraceUs,
 		Refresh: func() { refresh(p) },
 		Chart:   func(r forward.Request, now int64) gateway.Chart { return forward.NewChart(desk, r, now) },
--- a/cmd/wallport/control.go
+++ b/cmd/wallport/control.go
@@ -30,9 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &platform.Control{Call: p.Call, Log: func(op, name string, r wire.EditReply) {
-		p.Log.Info("audit", zap.String("op", op), zap.String("name", name), zap.String("result", r.Code), zap.Int("findings", len(r.Findings)))
-	}}
+	c := &platform.Control{Call: p.Call, Log: auditLog(p.Log)}
 	srv := &http.Server{
 		Handler: c.Handler(), ReadHeaderTimeout: controlRead, ReadTimeout: controlRead, IdleTimeout: controlIdle, MaxHeaderBytes: controlHeaders,
 		ErrorLog: zap.NewStdLog(p.Log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
@@ -48,3 +46,21 @@
 		srv.Shutdown(ctx)
 	}, nil
 }
+
+// auditLog writes a line for each operator's call.
+func auditLog(log *zap.Logger) func(a platform.Audit) {
+	return func(a platform.Audit) {
+		at := a.Reply.Version
+		log.Info("audit", zap.String("op", a.Op), zap.String("name", a.Name), zap.Int64("base", a.Base), zap.Int64("revision", a.Revision),
+			zap.String("result", a.Reply.Code), zap.Uint64("term", at.Term), zap.Uint64("seq", at.Seq), zap.Int("findings", len(a.Reply.Findings)), zap.String("finding", firstFinding(a.Reply.Findings)),
+			zap.String("from", a.From), zap.Int64("took_us", a.TookUs), zap.Bool("caller_gone", a.Gone))
+	}
+}
+
+// firstFinding is the first reason of a refusal; empty without one.
+func firstFinding(found []wire.Finding) string {
+	if len(found) == 0 {
+		return ""
+	}
+	return found[0].Place + ": " + found[0].Text
+}
--- a/cmd/wallport/onplatform.go
+++ b/cmd/wallport/onplatform.go
@@ -38,8 +38,15 @@
 	debug.SetGCPercent(gcPercent)
 }
 
+// platformFlags are what the command line adds to the platform's settings.
+type platformFlags struct {
+	metricsPort uint16
+	// meshListen is where the mesh listens, where that is not the address that others reach.
+	meshListen string
+}
+
 // onPlatform runs a role with the platform's settings until it is told to stop.
-func onPlatform(role string) error {
+func onPlatform(role string, flags platformFlags) error {
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := platform.SettingsPath()
@@ -48,6 +55,7 @@
 	if len(found) > 0 {
 		return coded{exitInvalid, found.Error()}
 	}
+	place.Env.MeshListen = flags.meshListen
 	e := place.Env
 	w.seeds = e.Seeds
 	bound(e.Machine)
@@ -62,8 +70,9 @@
 		p.Stop()
 		return coded{exitFailed, err.Error()}
 	}
+	openMetrics(p, s, e, flags.metricsPort)
 	failed := make(chan error, 1)
-	stop, err := openRole(p, place, role, failed)
+	stop, err := openRole(p, s, place, role, failed)
 	if err != nil {
 		p.Stop()
 		return coded{exitFailed, err.Error()}
@@ -100,11 +109,11 @@
 }
 
 // openRole opens what the platform calls: on a node clients' server and readiness, on a core the control address.
-func openRole(p *process.Process, place platform.Place, role string, failed chan<- error) (stop func(), err error) {
+func openRole(p *process.Process, operators *serve.Server, place platform.Place, role string, failed chan<- error) (stop func(), err error) {
 	if role == "core" {
 		return openControl(p, place.Control, failed)
 	}
-	return openClients(p, place, failed)
+	return openClients(p, operators, place, failed)
 }
 
 // reread takes up what may change while a process runs: the seeds. A file with findings changes nothing.
--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -29,7 +29,8 @@
 
 type daemonCmd struct {
 	env.Env
-	OnPlatform bool `long:"on-platform" description:"take everything from the platform's settings file, which WALLPORT_CONFIG names"`
+	OnPlatform  bool   `long:"on-platform" description:"take everything from the platform's settings file, which WALLPORT_CONFIG names"`
+	MetricsPort uint16 `long:"metrics-port" description:"port of the machine's address on which a role on the platform tells its figures, at /metrics; 0 is none"`
 }
 
 type nodeCmd struct{ daemonCmd }
@@ -40,7 +41,7 @@
 
 func (c *daemonCmd) run(role string) error {
 	if c.OnPlatform {
-		return onPlatform(role)
+		return onPlatform(role, platformFlags{metricsPort: c.MetricsPort, meshListen: c.MeshListen})
 	}
 	return daemon(c.Env, role)
 }
--- a/design/operator.go
+++ b/design/operator.go
@@ -223,11 +223,13 @@
 		Payload(func() {
 			Attribute("token", String)
 			Attribute("id", String)
+			Attribute("here", Boolean, "Only the node that is asked looks")
 			Required("id")
 		})
 		Result(Any)
 		HTTP(func() {
 			GET("/v1/explain/{id}")
+			Param("here")
 			Header("token:Authorization")
 		})
 	})
--- a/forward/events.go
+++ b/forward/events.go
@@ -101,6 +101,8 @@
 	// Reused tells that the connection had served before: a failure may be an idle connection's
 	// end and not the backend's.
 	Reused bool
+	// WrittenUs is how long after the ask the first bytes of the request had been written; 0 is never.
+	WrittenUs int64
 	// Silent tells that the time given to the ask ran out.
 	Silent bool
 	Why    string
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,8 +37,10 @@
 	Addr, ReadyAddr string
 	Names           Names
 	Log             *zap.Logger
-	Counts          *kernel.Counts
-	Backends        *backend.Client
+	// Sampled is the log for what clients can bring about; nil is Log.
+	Sampled  *zap.Logger
+	Counts   *kernel.Counts
+	Backends *backend.Client
 	// Table is the snapshot in force.
 	Table func() *table.Snapshot
 	// Chart makes a request's chart.
@@ -96,6 +98,9 @@
 	if c.Refresh == nil {
 		c.Refresh = func() {}
 	}
+	if c.Sampled == nil {
+		c.Sampled = c.Log
+	}
 	if c.AcceptUs == 0 {
 		c.AcceptUs = AcceptsFor.Microseconds()
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -38,6 +38,24 @@
 
 // ServeHTTP serves one request.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer h.countPanic()
+	h.serve(w, r)
+}
+
+// countPanic counts a panic that is none of the handler's own ends of a connection. net/http logs it
+// with its stack and ends the connection.
+func (h *handler) countPanic() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		h.s.c.Counts.Add("handler_panics", 1)
+	}
+	panic(v)
+}
+
+func (h *handler) serve(w http.ResponseWriter, r *http.Request) {
 	s := h.s
 	if !r.ProtoAtLeast(1, 1) || len(r.TransferEncoding) > 0 {
 		// After a request in chunks no other is read on the connection: had it carried a length as
@@ -45,25 +63,23 @@
 		last(w)
 	}
 	if !fits(r, s.limits()) {
-		h.refuse(w, http.StatusRequestHeaderFieldsTooLarge, "the head is larger than the limit")
+		h.refuse(w, r, http.StatusRequestHeaderFieldsTooLarge, "the head is larger than the limit")
 		return
 	}
 	held := holding{s: s}
 	defer held.release()
 	body, status := h.body(w, r, &held)
 	if status != 0 {
-		h.refuse(w, status, "the body could not be read whole")
+		h.refuse(w, r, status, "the body could not be read whole")
 		return
 	}
 	req, why := h.request(r, body)
 	if why != "" {
-		h.refuse(w, http.StatusBadRequest, why)
+		h.refuse(w, r, http.StatusBadRequest, why)
 		return
 	}
 	s.read.Add(1)
-	s.open.Add(1)
 	o := h.handle(r, req)
-	s.open.Add(-1)
 	if o.Status == 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -73,6 +89,8 @@
 // handle takes a request that was read whole to its outcome.
 func (h *handler) handle(r *http.Request, req forward.Request) forward.Outcome {
 	s := h.s
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	s.c.Refresh()
 	if c := s.c.Table(); c == nil || c.Routing == nil {
 		return forward.Outcome{Status: http.StatusServiceUnavailable, Code: "refused", Why: "no routing table yet", RetryAfterUs: comeBackUs}
@@ -81,8 +99,10 @@
 }
 
 // refuse answers what is not taken and ends the connection.
-func (h *handler) refuse(w http.ResponseWriter, status int, why string) {
+func (h *handler) refuse(w http.ResponseWriter, r *http.Request, status int, why string) {
 	h.s.refused.Add(1)
+	h.s.c.Sampled.Warn("request_invalid", zap.String("from", r.RemoteAddr), zap.Strings("id", r.Header[h.names.ID]), zap.String("method", r.Method),
+		zap.String("path", r.URL.Path), zap.Int("status", status), zap.String("why", why))
 	last(w)
 	o := forward.Outcome{Status: status, Code: "invalid", Why: why}
 	if status == http.StatusServiceUnavailable {
--- a/gen/http/cli/wallport/cli.go
+++ b/gen/http/cli/wallport/cli.go
@@ -139,6 +139,7 @@
 
 		operatorExplainFlags     = flag.NewFlagSet("explain", flag.ExitOnError)
 		operatorExplainIDFlag    = operatorExplainFlags.String("id", "REQUIRED", "")
+		operatorExplainHereFlag  = operatorExplainFlags.String("here", "", "")
 		operatorExplainTokenFlag = operatorExplainFlags.String("token", "", "")
 	)
 	callerFlags.Usage = callerUsage
@@ -332,7 +333,7 @@
 				data, err = operatorc.BuildServersPayload(*operatorServersTokenFlag)
 			case "explain":
 				endpoint = c.Explain()
-				data, err = operatorc.BuildExplainPayload(*operatorExplainIDFlag, *operatorExplainTokenFlag)
+				data, err = operatorc.BuildExplainPayload(*operatorExplainIDFlag, *operatorExplainHereFlag, *operatorExplainTokenFlag)
 			}
 		}
 	}
@@ -748,6 +749,7 @@
 	// Header with flags
 	fmt.Fprintf(os.Stderr, "%s [flags] operator explain", os.Args[0])
 	fmt.Fprint(os.Stderr, " -id STRING")
+	fmt.Fprint(os.Stderr, " -here BOOL")
 	fmt.Fprint(os.Stderr, " -token STRING")
 	fmt.Fprintln(os.Stderr)
 
@@ -757,9 +759,10 @@
 
 	// Flags list
 	fmt.Fprintln(os.Stderr, `    -id STRING: `)
+	fmt.Fprintln(os.Stderr, `    -here BOOL: `)
 	fmt.Fprintln(os.Stderr, `    -token STRING: `)
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Voluptatem quos qui et odio iste incidunt.\" --token \"Sit qui dolores officia.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "operator explain --id \"Voluptatem quos qui et odio iste incidunt.\" --here false --token \"Qui dolores officia.\"")
 }
--- a/gen/http/operator/client/cli.go
+++ b/gen/http/operator/client/cli.go
@@ -509,11 +509,23 @@
 
 // BuildExplainPayload builds the payload for the operator explain endpoint
 // from CLI flags.
-func BuildExplainPayload(operatorExplainID string, operatorExplainToken string) (*operator.ExplainPayload, error) {
+func BuildExplainPayload(operatorExplainID string, operatorExplainHere string, operatorExplainToken string) (*operator.ExplainPayload, error) {
+	var err error
 	var id string
 	{
 		id = operatorExplainID
 	}
+	var here *bool
+	{
+		if operatorExplainHere != "" {
+			var val bool
+			val, err = strconv.ParseBool(operatorExplainHere)
+			here = &val
+			if err != nil {
+				return nil, fmt.Errorf("invalid value for here, must be BOOL")
+			}
+		}
+	}
 	var token *string
 	{
 		if operatorExplainToken != "" {
@@ -522,6 +534,7 @@
 	}
 	v := &operator.ExplainPayload{}
 	v.ID = id
+	v.Here = here
 	v.Token = token
 
 	return v, nil
--- a/gen/http/operator/client/encode_decode.go
+++ b/gen/http/operator/client/encode_decode.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -3965,6 +3966,11 @@
 			head := *p.Token
 			req.Header.Set("Authorization", head)
 		}
+		values := req.URL.Query()
+		if p.Here != nil {
+			values.Add("here", fmt.Sprintf("%v", *p.Here))
+		}
+		req.URL.RawQuery = values.Encode()
 		return nil
 	}
 }
--- a/gen/http/operator/server/encode_decode.go
+++ b/gen/http/operator/server/encode_decode.go
@@ -2809,16 +2809,31 @@
 		var payload *operator.ExplainPayload
 		var (
 			id    string
+			here  *bool
 			token *string
+			err   error
 
 			params = mux.Vars(r)
 		)
 		id = params["id"]
+		{
+			hereRaw := r.URL.Query().Get("here")
+			if hereRaw != "" {
+				v, err2 := strconv.ParseBool(hereRaw)
+				if err2 != nil {
+					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("here", hereRaw, "boolean"))
+				}
+				here = &v
+			}
+		}
 		tokenRaw := r.Header.Get("Authorization")
 		if tokenRaw != "" {
 			token = &tokenRaw
 		}
-		payload = NewExplainPayload(id, token)
+		if err != nil {
+			return payload, err
+		}
+		payload = NewExplainPayload(id, here, token)
 
 		return payload, nil
 	}
--- a/gen/http/operator/server/types.go
+++ b/gen/http/operator/server/types.go
@@ -6526,9 +6526,10 @@
 }
 
 // NewExplainPayload builds a operator service explain endpoint payload.
-func NewExplainPayload(id string, token *string) *operator.ExplainPayload {
+func NewExplainPayload(id string, here *bool, token *string) *operator.ExplainPayload {
 	v := &operator.ExplainPayload{}
 	v.ID = id
+	v.Here = here
 	v.Token = token
 
 	return v
--- a/gen/operator/service.go
+++ b/gen/operator/service.go
@@ -97,6 +97,8 @@
 type ExplainPayload struct {
 	Token *string
 	ID    string
+	// Only the node that is asked looks
+	Here *bool
 }
 
 type Failure struct {
--- /dev/null
+++ b/process/field_test.go
@@ -0,0 +1,20 @@
+// Whatever a plug-in logs can be written: a log line does not end the process.
+package process
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap/zapcore"
+
+	"wallport/wire"
+)
+
+func TestNoFieldNeedsReflection(t *testing.T) {
+	for _, value := range []any{
+		1, "a", []string{"a"}, true, uint64(7), []wire.Finding{{Place: "p"}}, map[string]int{"a": 1}, wire.Version{Term: 3}, &wire.Version{Term: 3}, nil,
+	} {
+		must.NotEq(t, zapcore.ReflectType, field("key", value).Type, must.Sprint(value))
+	}
+	must.Eq(t, "{0 3 9}", field("key", wire.Version{Term: 3, Seq: 9}).String)
+}
--- a/process/loop.go
+++ b/process/loop.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"wallport/env"
+	"wallport/invariant"
 	"wallport/kernel"
 )
 
@@ -82,6 +83,10 @@
 	p.notes = c.Log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, time.Second, 20, 100)
 	}))
+	for _, n := range invariant.All() {
+		// Shown from the start, as 0.
+		k.Counts.Of(invariant.Counter(n))
+	}
 	if p.channels, err = openChannels(p, key); err != nil {
 		return nil, err
 	}
@@ -91,6 +96,17 @@
 	return p, nil
 }
 
+// Invariants is where violations go that are seen outside the kernel's steps.
+func (p *Process) Invariants() *invariant.Recorder {
+	return &invariant.Recorder{Count: p.Kernel.Counts.Add, Log: func(n invariant.Name, detail string) {
+		p.Log.Error(invariant.Event, zap.String("invariant", string(n)), zap.String("detail", detail))
+	}}
+}
+
+// Sampled is a log for what clients and peers can bring about: a few lines of an event a second,
+// then one in many.
+func (p *Process) Sampled() *zap.Logger { return p.notes }
+
 // Now is the process's monotonic clock.
 func (p *Process) Now() int64 { return time.Since(p.began).Microseconds() }
 
@@ -180,11 +196,20 @@
 	}
 	fields := make([]zap.Field, 0, len(n.KV)/2)
 	for i := 0; i+1 < len(n.KV); i += 2 {
-		fields = append(fields, zap.Any(fmt.Sprint(n.KV[i]), n.KV[i+1]))
+		fields = append(fields, field(fmt.Sprint(n.KV[i]), n.KV[i+1]))
 	}
 	line.Write(fields...)
 }
 
+// field makes a field of a plug-in's value. What would need reflection is written as text: an encoder
+// may end the process over it.
+func field(key string, value any) zap.Field {
+	if f := zap.Any(key, value); f.Type != zapcore.ReflectType {
+		return f
+	}
+	return zap.String(key, fmt.Sprint(value))
+}
+
 // Stop ends the loop and closes every channel.
 func (p *Process) Stop() {
 	close(p.stop)
--- a/serve/explain.go
+++ b/serve/explain.go
@@ -1,5 +1,6 @@
 // Explain, from any node: an inquiry's id begins with the name of the node that
-// served it, and that node is asked.
+// served it, and that node is asked. A request on a platform has its client's id,
+// which tells of no node: all are asked.
 package serve
 
 import (
@@ -8,6 +9,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	goahttp "goa.design/goa/v3/http"
@@ -27,33 +29,86 @@
 	if err := a.allowed(p.Token); err != nil {
 		return nil, err
 	}
-	i := strings.LastIndexByte(p.ID, '-')
-	if i <= 0 {
-		return nil, fail("malformed", "not an inquiry's id: it looks like NODE-NUMBER")
+	if find := a.f.platformTrace.Load(); find != nil {
+		if t, ok := (*find)(p.ID); ok {
+			return t, nil
+		}
+	}
+	name := nodeOf(p.ID)
+	if name == a.f.p.Kernel.Boot.Env.Name {
+		t, ok := a.f.desk.Traces.Get(p.ID)
+		if !ok {
+			return nil, fail("unknown", "no such inquiry, or it is no longer kept")
+		}
+		return inquiry.Explain(t, func(c *table.Snapshot) string { return sheet.VersionText(c.Version) }), nil
 	}
-	if name := p.ID[:i]; name != a.f.p.Kernel.Boot.Env.Name {
-		return a.elsewhere(ctx, name, p)
+	if addr := a.operatorOf(name); addr != "" {
+		return a.elsewhere(ctx, name, addr, p)
 	}
-	t, ok := a.f.desk.Traces.Get(p.ID)
-	if !ok {
-		return nil, fail("unknown", "no such inquiry, or it is no longer kept")
+	if p.Here != nil && *p.Here {
+		return nil, fail("unknown", "no such request here, or it is no longer kept")
 	}
-	return inquiry.Explain(t, func(c *table.Snapshot) string { return sheet.VersionText(c.Version) }), nil
+	return a.everywhere(ctx, p)
 }
 
-// elsewhere asks the node that the id names.
-func (a operatorAPI) elsewhere(ctx context.Context, name string, p *operator.ExplainPayload) (any, error) {
-	addr := ""
+// nodeOf is the node that an inquiry's id names, NODE-NUMBER; the id of a request on a platform is its client's.
+func nodeOf(id string) string { return id[:max(0, strings.LastIndexByte(id, '-'))] }
+
+// operatorOf is the operator address of a live node; empty without one of that name.
+func (a operatorAPI) operatorOf(name string) string {
+	return a.liveNodes()[name]
+}
+
+// liveNodes are the operator addresses of the live nodes, by name.
+func (a operatorAPI) liveNodes() map[string]string {
+	out := map[string]string{}
 	a.f.p.Do(func(now int64) {
 		for _, r := range kernel.Find[*members.Members](a.f.p.Kernel).Live(now, "node") {
-			if r.Name == name {
-				addr = r.Operator
-			}
+			out[r.Name] = r.Operator
 		}
 	})
-	if addr == "" {
-		return nil, fail("unknown", "no live node has the name "+name)
+	return out
+}
+
+// askedAtOnce bounds the nodes that one call asks at the same time.
+const askedAtOnce = 16
+
+// everywhere asks all live nodes, and gives the first trace found.
+func (a operatorAPI) everywhere(ctx context.Context, p *operator.ExplainPayload) (any, error) {
+	ctx, cancel := context.WithTimeout(ctx, explainWithin)
+	defer cancel()
+	here := true
+	ask := &operator.ExplainPayload{Token: p.Token, ID: p.ID, Here: &here}
+	found := make(chan any, 1)
+	var group sync.WaitGroup
+	slots := make(chan struct{}, askedAtOnce)
+	for name, addr := range a.liveNodes() {
+		if name == a.f.p.Kernel.Boot.Env.Name {
+			continue
+		}
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			if v, err := a.elsewhere(ctx, name, addr, ask); err == nil {
+				select {
+				case found <- v:
+					cancel()
+				default:
+				}
+			}
+		})
+	}
+	group.Wait()
+	select {
+	case v := <-found:
+		return v, nil
+	default:
+		return nil, fail("unknown", "no live node keeps a request of this id: it ended well, or too many have since")
 	}
+}
+
+// elsewhere asks another node.
+func (a operatorAPI) elsewhere(ctx context.Context, name, addr string, p *operator.ExplainPayload) (any, error) {
 	ctx, cancel := context.WithTimeout(ctx, explainWithin)
 	defer cancel()
 	c := client.NewClient("http", addr, http.DefaultClient, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
--- a/serve/http.go
+++ b/serve/http.go
@@ -212,5 +212,20 @@
 	fmt.Fprintf(w, "wallport_open_inquiries %d\n", s.open.Load())
 }
 
+// OpenMetrics tells the process's figures on one more address, until the process ends.
+func (s *Server) OpenMetrics(addr string) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", s.metrics)
+	_, err := s.listen(addr, mux)
+	return err
+}
+
+// ExplainBy has requests of the platform's clients explained by a function that finds their traces.
+func (s *Server) ExplainBy(find func(id string) (any, bool)) {
+	if s.front != nil {
+		s.front.platformTrace.Store(&find)
+	}
+}
+
 // Failed tells of a server that ended by itself.
 func (s *Server) Failed() <-chan error { return s.errs }
--- a/serve/run.go
+++ b/serve/run.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wallport/idempotency"
@@ -23,6 +24,8 @@
 	table  *table.Table
 	asker  *asker
 	scopes *scopes
+	// platformTrace finds the trace of a request of the platform's clients.
+	platformTrace atomic.Pointer[func(id string) (any, bool)]
 }
 
 // NewFront makes the request path over a running process.
--- a/smoke/platform_test.go
+++ b/smoke/platform_test.go
@@ -138,7 +138,9 @@
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Member-Id", "i-1")
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
-		w.Header().Set("Answer-Seal", "seal-of-"+r.URL.Path)
+		if r.URL.Path != "/a/fails" {
+			w.Header().Set("Answer-Seal", "seal-of-"+r.URL.Path)
+		}
 		io.WriteString(w, "from the backend")
 	}))
 	defer backend.Close()
@@ -185,6 +187,7 @@
 	})
 	must.Eq(t, "from the backend", got)
 	must.Eq(t, "seal-of-/a/x", head.Get("Answer-Seal"))
+	seesFailure(t, at(4), at(2), outs[1])
 	for _, method := range []string{"POST", "DELETE"} {
 		status, _, _ = send(method, at(6)+"/-/evacuate/z1", "", "")
 		must.Eq(t, 200, status)
