--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wallport/lab/platform"
+	"wallport/lab/relay"
 	"wallport/wire"
 )
 
@@ -63,7 +64,7 @@
 	left      map[string]int64
 	gone      map[string]bool
 	operators *operators
-	network   *network
+	network   *relay.Network
 	// zonesOrdered are the zones that a scenario's operators drain and restore.
 	zonesOrdered []string
 	// started is how many daemons were given an own address.
@@ -73,7 +74,7 @@
 // New makes an empty fleet.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, left: map[string]int64{}, gone: map[string]bool{}, network: newNetwork(),
+		o: o, procs: map[string]*Proc{}, Opers: map[string]string{}, left: map[string]int64{}, gone: map[string]bool{}, network: relay.New(),
 		client: &http.Client{Timeout: 12 * time.Second},
 	}
 	f.operators = newOperators(f)
@@ -172,7 +173,7 @@
 		if err != nil {
 			return err
 		}
-		if err := f.network.relay(name, mesh, listens); err != nil {
+		if err := f.network.Pass(name, mesh, listens); err != nil {
 			return err
 		}
 		args = append(args, "--mesh-listen", listens)
--- a/lab/fleet/signals.go
+++ b/lab/fleet/signals.go
@@ -35,7 +35,7 @@
 
 // Down ends every process.
 func (f *Fleet) Down() {
-	f.network.end()
+	f.network.End()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.procs {
--- a/lab/fleet/verbs.go
+++ b/lab/fleet/verbs.go
@@ -75,7 +75,7 @@
 		if len(st.Args) < 2 {
 			return fmt.Errorf("%s takes a name and the names that it is cut off from", st.Verb)
 		}
-		f.network.set(f.match(st.Args[:1]), f.match(st.Args[1:]), st.Verb == "cut-off")
+		f.network.Set(f.match(st.Args[:1]), f.match(st.Args[1:]), st.Verb == "cut-off")
 		return nil
 	case "leave":
 		f.mark(st.Args, "leaving")
--- /dev/null
+++ b/lab/relay/relay.go
@@ -0,0 +1,257 @@
+// Package relay stands between processes of a test: what two of them that are cut
+// off from each other send stays in the relay until they are joined, as behind a
+// cut in a network. A cut may be of one way only; connections may be reset, or
+// left half open. Processes are told apart by the loopback address from which
+// they connect, or by the relay that they connect to.
+package relay
+
+import (
+	"io"
+	"net"
+	"sync"
+)
+
+// bufferSize is how many bytes a relay passes on at a time.
+const bufferSize = 16 << 10
+
+// Network knows the processes' own addresses and who is cut off from whom.
+type Network struct {
+	mu     sync.Mutex
+	joined *sync.Cond
+	// names are the processes by their own IP addresses.
+	names map[string]string
+	// apart holds each way that is cut: from the first to the second.
+	apart map[[2]string]bool
+	// open are the connections that are passed on now.
+	open map[*link]bool
+	// ended is that the test is over: nothing is held back any more.
+	ended     bool
+	listeners []net.Listener
+}
+
+// link is one connection through a relay.
+type link struct {
+	caller, name string
+	from, to     net.Conn
+	// halfOpen is that nothing is passed on any more, and neither side is told.
+	halfOpen bool
+}
+
+// New makes a network in which nobody is cut off.
+func New() *Network {
+	n := &Network{names: map[string]string{}, apart: map[[2]string]bool{}, open: map[*link]bool{}}
+	n.joined = sync.NewCond(&n.mu)
+	return n
+}
+
+// Pass passes connections to the address `to` on to a process that listens at `listens`. Whoever
+// connects from that IP is known by the process's name from then on.
+func (n *Network) Pass(name, to, listens string) error {
+	host, _, err := net.SplitHostPort(listens)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.names[host] = name
+	n.mu.Unlock()
+	return n.PassFrom("", name, to, listens)
+}
+
+// PassFrom is Pass for a relay that only one caller uses; an empty caller is told by its address.
+func (n *Network) PassFrom(caller, name, to, listens string) error {
+	l, err := net.Listen("tcp", to)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.listeners = append(n.listeners, l)
+	n.mu.Unlock()
+	go n.accept(l, caller, name, listens)
+	return nil
+}
+
+func (n *Network) accept(l net.Listener, caller, name, listens string) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		from := caller
+		if from == "" {
+			from = n.nameOf(conn.RemoteAddr())
+		}
+		go n.carry(conn, from, name, listens)
+	}
+}
+
+// nameOf is the process that connects from an address; empty for any other caller.
+func (n *Network) nameOf(addr net.Addr) string {
+	host, _, err := net.SplitHostPort(addr.String())
+	if err != nil {
+		return ""
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.names[host]
+}
+
+// carry carries one connection, once its caller is not cut off from the process.
+func (n *Network) carry(from net.Conn, caller, name, listens string) {
+	defer from.Close()
+	n.waitJoined(caller, name)
+	to, err := net.Dial("tcp", listens)
+	if err != nil {
+		reset(from)
+		return
+	}
+	defer to.Close()
+	l := &link{caller: caller, name: name, from: from, to: to}
+	n.mu.Lock()
+	n.open[l] = true
+	n.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { n.copy(l, to, from, caller, name) })
+	both.Go(func() { n.copy(l, from, to, name, caller) })
+	both.Wait()
+	n.mu.Lock()
+	delete(n.open, l)
+	n.mu.Unlock()
+}
+
+// copy passes bytes on one way until either side ends; while that way is cut they wait for the join.
+// Each end is passed on as it came: the end of one way alone, or a reset.
+func (n *Network) copy(l *link, to, from net.Conn, sender, receiver string) {
+	buffer := make([]byte, bufferSize)
+	for {
+		read, err := from.Read(buffer)
+		n.waitJoined(sender, receiver)
+		if n.waitWhole(l) {
+			return
+		}
+		if read > 0 {
+			if _, err := to.Write(buffer[:read]); err != nil {
+				reset(from)
+				return
+			}
+		}
+		switch {
+		case err == io.EOF:
+			endWriting(to)
+			return
+		case err != nil:
+			reset(to)
+			return
+		}
+	}
+}
+
+// waitJoined returns once the way from a to b is not cut.
+func (n *Network) waitJoined(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.apart[[2]string{a, b}] && !n.ended {
+		n.joined.Wait()
+	}
+}
+
+// waitWhole returns at once for a connection that is whole. One that is half open waits for the end of
+// the test, and is over then.
+func (n *Network) waitWhole(l *link) (over bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for l.halfOpen && !n.ended {
+		n.joined.Wait()
+	}
+	return l.halfOpen
+}
+
+// Set cuts each of some processes off from each of others, both ways, or joins them.
+func (n *Network) Set(some, others []string, apart bool) {
+	for _, a := range some {
+		for _, b := range others {
+			n.SetWay(a, b, apart)
+			n.SetWay(b, a, apart)
+		}
+	}
+}
+
+// SetWay cuts the way from a to b alone, or joins it.
+func (n *Network) SetWay(a, b string, apart bool) {
+	if a == b {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.apart[[2]string{a, b}] = apart
+	n.joined.Broadcast()
+}
+
+// JoinAll ends every cut.
+func (n *Network) JoinAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.apart)
+	n.joined.Broadcast()
+}
+
+// between lists the open connections of two processes, whoever called.
+func (n *Network) between(a, b string) (out []*link) {
+	for l := range n.open {
+		if l.caller == a && l.name == b || l.caller == b && l.name == a {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// Reset resets the connections between two processes, on both sides.
+func (n *Network) Reset(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.between(a, b) {
+		reset(l.from)
+		reset(l.to)
+	}
+}
+
+// HalfOpen leaves the connections between two processes half open: both sides think that they stand,
+// and nothing passes any more. New ones are not concerned.
+func (n *Network) HalfOpen(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.between(a, b) {
+		l.halfOpen = true
+	}
+}
+
+// End closes the relays and lets go of what they hold.
+func (n *Network) End() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ended = true
+	for _, l := range n.listeners {
+		l.Close()
+	}
+	for l := range n.open {
+		l.from.Close()
+		l.to.Close()
+	}
+	n.joined.Broadcast()
+}
+
+// reset ends a connection so that its peer is told of a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	conn.Close()
+}
+
+// endWriting passes on that one side has nothing more to say.
+func endWriting(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+		return
+	}
+	conn.Close()
+}
--- a/lab/fleet/relay_test.go
+++ b/lab/relay/relay_test.go
@@ -1,9 +1,10 @@
 // What a relay passes on, and when.
-package fleet
+package relay
 
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -15,15 +16,15 @@
 	listener            net.Listener
 }
 
-func newPeer(t *testing.T, n *network, name, ip string) *peer {
+func newPeer(t *testing.T, n *Network, name, ip string) *peer {
 	t.Helper()
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	must.NoError(t, err)
-	announced, err := ports(commonIP, 1)
+	announced, err := freePort()
 	must.NoError(t, err)
-	must.NoError(t, n.relay(name, announced[0], l.Addr().String()))
-	t.Cleanup(func() { l.Close(); n.end() })
-	return &peer{name, ip, announced[0], l}
+	must.NoError(t, n.Pass(name, announced, l.Addr().String()))
+	t.Cleanup(func() { l.Close(); n.End() })
+	return &peer{name, ip, announced, l}
 }
 
 // writes connects to another peer's announced address and writes a byte.
@@ -56,25 +57,25 @@
 }
 
 func TestNewConnectionsOfAPairThatIsCutWaitForTheJoin(t *testing.T) {
-	n := newNetwork()
+	n := New()
 	a, b, c := newPeer(t, n, "a", "127.1.9.1"), newPeer(t, n, "b", "127.1.9.2"), newPeer(t, n, "c", "127.1.9.3")
-	n.set([]string{"a"}, []string{"b"}, true)
+	n.Set([]string{"a"}, []string{"b"}, true)
 	a.writes(t, b, 'a')
 	c.writes(t, b, 'c')
 	_, first := b.reads(t)
 	must.Eq(t, 'c', first, must.Sprint("only the one that is not cut off arrives"))
-	n.set([]string{"b"}, []string{"a"}, false)
+	n.Set([]string{"b"}, []string{"a"}, false)
 	_, second := b.reads(t)
 	must.Eq(t, 'a', second)
 }
 
 func TestWhatIsSentDuringACutArrivesWithTheJoin(t *testing.T) {
-	n := newNetwork()
+	n := New()
 	a, b, c := newPeer(t, n, "a", "127.1.9.4"), newPeer(t, n, "b", "127.1.9.5"), newPeer(t, n, "c", "127.1.9.6")
 	fromA := a.writes(t, b, '1')
 	atB, first := b.reads(t)
 	must.Eq(t, '1', first)
-	n.set([]string{"a", "b"}, []string{"a", "b"}, true)
+	n.Set([]string{"a", "b"}, []string{"a", "b"}, true)
 	_, err := fromA.Write([]byte{'2'})
 	must.NoError(t, err)
 	_, err = atB.Write([]byte{'3'})
@@ -85,13 +86,13 @@
 	_, err = toC.Write([]byte{'d'})
 	must.NoError(t, err)
 	must.Eq(t, 'd', readByte(t, fromC))
-	n.set([]string{"a"}, []string{"b"}, false)
+	n.Set([]string{"a"}, []string{"b"}, false)
 	must.Eq(t, '2', readByte(t, atB))
 	must.Eq(t, '3', readByte(t, fromA))
 }
 
 func TestTheEndOfAConnectionIsPassedOn(t *testing.T) {
-	n := newNetwork()
+	n := New()
 	a, b := newPeer(t, n, "a", "127.1.9.7"), newPeer(t, n, "b", "127.1.9.8")
 	fromA := a.writes(t, b, '1')
 	atB, _ := b.reads(t)
@@ -99,3 +100,56 @@
 	_, err := atB.Read(make([]byte, 1))
 	must.Error(t, err)
 }
+
+// freePort is an address that nobody listens on.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func TestACutOfOneWayHoldsThatWayOnly(t *testing.T) {
+	n := New()
+	a, b := newPeer(t, n, "a", "127.1.9.9"), newPeer(t, n, "b", "127.1.9.10")
+	fromA := a.writes(t, b, '1')
+	atB, _ := b.reads(t)
+	n.SetWay("a", "b", true)
+	_, err := fromA.Write([]byte{'2'})
+	must.NoError(t, err)
+	_, err = atB.Write([]byte{'3'})
+	must.NoError(t, err)
+	must.Eq(t, '3', readByte(t, fromA))
+	n.JoinAll()
+	must.Eq(t, '2', readByte(t, atB))
+}
+
+func TestResetsReachBothSides(t *testing.T) {
+	n := New()
+	a, b := newPeer(t, n, "a", "127.1.9.11"), newPeer(t, n, "b", "127.1.9.12")
+	fromA := a.writes(t, b, '1')
+	atB, _ := b.reads(t)
+	n.Reset("b", "a")
+	for _, conn := range []net.Conn{fromA, atB} {
+		_, err := conn.Read(make([]byte, 1))
+		must.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
+
+func TestAHalfOpenConnectionPassesNothingAndOthersDo(t *testing.T) {
+	n := New()
+	a, b := newPeer(t, n, "a", "127.1.9.13"), newPeer(t, n, "b", "127.1.9.14")
+	fromA := a.writes(t, b, '1')
+	atB, _ := b.reads(t)
+	n.HalfOpen("a", "b")
+	_, err := fromA.Write([]byte{'2'})
+	must.NoError(t, err)
+	a.writes(t, b, '3')
+	_, got := b.reads(t)
+	must.Eq(t, '3', got)
+	n.End()
+	_, err = atB.Read(make([]byte, 1))
+	must.Error(t, err, must.Sprint("what was held is lost"))
+}
