--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -32,6 +32,7 @@
 	Load     loadCmd     `command:"load" description:"load runs on real processes, against another build if given"`
 	Scale    scaleCmd    `command:"scale" description:"how what control costs a process grows with the fleet, on real and hollow processes or simulated"`
 	Tail     tailCmd     `command:"tail" description:"the tail of requests over many parts, and what asking again costs"`
+	Soak     soakCmd     `command:"soak" description:"real processes on the users' platform under overlapping troubles drawn from a seed, judged by its rules"`
 	Hollow   hollowCmd   `command:"hollow" description:"many nodes, cores or backends in one process, for the scale run"`
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,13 +84,11 @@
 	clients  clients
 	// drains tells that a planned stop has begun.
 	drains                  atomic.Bool
-	open                    atomic.Int64
 	read, refused, accepted *atomic.Int64
-	// asks counts those under way at backends, left ones included.
-	asks atomic.Int64
-	// held is what the bodies of all requests hold together.
-	held     atomic.Int64
-	heldMost int64
+	// open counts requests under way, asks those at backends, left ones included; held is what the
+	// bodies of all requests hold together. They are shown with the counters.
+	open, asks, held *atomic.Int64
+	heldMost         int64
 }
 
 // Open listens for readiness at once, and for clients as soon as the node is ready.
@@ -108,6 +106,7 @@
 	s := &Server{
 		c: c, errs: make(chan error, 2), over: make(chan struct{}), bodyTime: bodyTime, heldMost: bodiesMost, workers: workers{wait: make(chan task)},
 		read: of("requests_read"), refused: of("requests_invalid"), accepted: of("clients_accepted"),
+		open: of("requests_open"), asks: of("asks_open"), held: of("bodies_held_bytes"),
 	}
 	s.h = newHandler(s)
 	if c.ReadyAddr != "" {
--- a/lab/rules/histories.go
+++ b/lab/rules/histories.go
@@ -77,6 +77,9 @@
 	op := history.Operation{Register: history.Configuration, Kind: history.Read, Begin: r.Sent, End: r.At, Outcome: history.Accepted}
 	op.Value = j.valueOf(r)
 	h.Add(op)
+	if r.TableOnly {
+		return
+	}
 	for _, zone := range j.zonesOf(r) {
 		op.Register, op.Value = history.Zone(zone), history.Restored
 		if slices.Contains(r.Drained, zone) {
--- a/lab/rules/journal.go
+++ b/lab/rules/journal.go
@@ -165,6 +165,8 @@
 	Sent, At int64
 	Table    *routingpb.RoutingTable
 	Drained  []string
+	// TableOnly is that it tells nothing of drained zones.
+	TableOnly bool
 }
 
 // Closing is the fault at the end of a day: Last is when it struck, Back when the machines ran again.
--- /dev/null
+++ b/lab/soak/backend.go
@@ -0,0 +1,250 @@
+// A stand-in backend: it seals what it answers, counts what it runs by the
+// client's id, and misbehaves as it is told.
+package soak
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wallport/lab/rules"
+	"wallport/platform"
+)
+
+// manner is how a backend misbehaves; the zero manner is in order.
+type manner struct {
+	// slow multiplies the work; share is the part of the requests that the rest concerns.
+	slow  int
+	share float64
+	// silent says nothing, reset breaks off, garbled sends what is no answer, cut ends in the middle,
+	// surplus sends more after a whole answer, sealless leaves the seal out, refuses fails with 500,
+	// elsewhere says that another backend has the address, early answers before the body is read.
+	silent, reset, garbled, cut, surplus, sealless, refuses, elsewhere, early bool
+}
+
+// backend is one life of a stand-in backend.
+type backend struct {
+	j      *journal
+	seen   *rules.Backend
+	id     string
+	pool   string
+	zone   string
+	addr   string
+	slots  chan struct{}
+	queued atomic.Int64
+	work   time.Duration
+	manner atomic.Pointer[manner]
+
+	server   *http.Server
+	listener net.Listener
+	draining atomic.Bool
+	shownAt  atomic.Int64
+	seals    atomic.Uint64
+	once     sync.Once
+}
+
+// queueMost is how many requests wait for a slot; the others are turned away.
+const queueMost = 24
+
+// startBackend starts a backend at an address.
+func startBackend(j *journal, id, pool, zone, addr string, slots int, work time.Duration) (*backend, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{
+		j: j, id: id, pool: pool, zone: zone, addr: l.Addr().String(), slots: make(chan struct{}, slots), work: work, listener: l,
+		seen: &rules.Backend{ID: id, Pool: pool, Zone: zone, Born: j.now(), Ended: rules.Never, Shown: rules.Never},
+	}
+	b.manner.Store(&manner{})
+	j.with(func() { j.Backends = append(j.Backends, b.seen) })
+	b.server = &http.Server{Handler: b, IdleTimeout: 20 * time.Second}
+	go b.server.Serve(l)
+	return b, nil
+}
+
+// crash ends the backend at once; its connections are reset.
+func (b *backend) crash() {
+	b.once.Do(func() {
+		at := b.j.now()
+		b.j.with(func() { b.seen.Ended = at })
+		b.server.Close()
+	})
+}
+
+// ServeHTTP takes a request.
+func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		b.health(w)
+		return
+	}
+	m := *b.manner.Load()
+	if m.share < 1 && rand.Float64() >= m.share {
+		m = manner{slow: m.slow}
+	}
+	var body []byte
+	if !m.early {
+		var err error
+		if body, err = io.ReadAll(r.Body); err != nil {
+			return
+		}
+	}
+	a := &rules.Arrival{Try: r.Header.Get(platform.HeaderAttempt), Backend: b.seen, Method: r.Method, Target: r.RequestURI, Body: body, At: b.j.now()}
+	a.Sent = a.At
+	b.j.with(func() { b.j.Arrivals = append(b.j.Arrivals, a) })
+	w.Header().Set(platform.HeaderAttempt, a.Try)
+	w.Header().Set(platform.HeaderLoad, fmt.Sprintf("%d,%d,%d", len(b.slots), b.queued.Load(), cap(b.slots)))
+	if b.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if r.Header.Get(platform.HeaderTarget) != b.id || m.elsewhere {
+		b.j.with(func() { a.Wrong, a.Status = true, http.StatusMisdirectedRequest })
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	budget, err := strconv.Atoi(r.Header.Get(platform.HeaderBudget))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !b.takeSlot(r, time.Duration(budget)*time.Millisecond) {
+		b.j.with(func() { a.Status = http.StatusServiceUnavailable })
+		w.Header().Set(platform.HeaderNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	b.run(w, r, a, m)
+}
+
+// takeSlot waits for a slot, for as long as the request has; false is that it is turned away.
+func (b *backend) takeSlot(r *http.Request, within time.Duration) bool {
+	if b.queued.Add(1) > queueMost {
+		b.queued.Add(-1)
+		return false
+	}
+	defer b.queued.Add(-1)
+	wait := time.NewTimer(within)
+	defer wait.Stop()
+	select {
+	case b.slots <- struct{}{}:
+		return true
+	case <-wait.C:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+// run works on a request and answers it, as the manner lets it.
+func (b *backend) run(w http.ResponseWriter, r *http.Request, a *rules.Arrival, m manner) {
+	defer func() { <-b.slots }()
+	b.j.with(func() { a.Ran = true })
+	work := b.work/2 + time.Duration(rand.Int64N(int64(b.work)))
+	if m.slow > 1 {
+		work *= time.Duration(m.slow)
+	}
+	if m.silent {
+		work = time.Minute
+	}
+	wait := time.NewTimer(work)
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-r.Context().Done():
+		return
+	}
+	status := http.StatusOK
+	if m.refuses {
+		status = http.StatusInternalServerError
+	}
+	body := answerTo(a.Try, b.pool)
+	seal := fmt.Sprintf("%s.%d.%x", b.id, b.seals.Add(1), sha256.Sum256(body))[:40]
+	b.j.with(func() { a.Status, a.Answer, a.Seal = status, body, seal })
+	if m.early {
+		b.answerEarly(w, r, a, body, seal)
+		return
+	}
+	b.answer(w, status, body, seal, m)
+}
+
+// answerEarly answers before the request's body is read, and reads on.
+func (b *backend) answerEarly(w http.ResponseWriter, r *http.Request, a *rules.Arrival, body []byte, seal string) {
+	c := http.NewResponseController(w)
+	c.EnableFullDuplex()
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	b.answer(w, http.StatusOK, body, seal, manner{})
+	c.Flush()
+	if sent, err := io.ReadAll(r.Body); err == nil {
+		b.j.with(func() { a.Body = sent })
+	}
+}
+
+// answer writes an answer, or what the manner makes of it.
+func (b *backend) answer(w http.ResponseWriter, status int, body []byte, seal string, m manner) {
+	if !m.sealless {
+		w.Header().Set(platform.HeaderSeal, seal)
+	}
+	if !m.reset && !m.garbled && !m.cut && !m.surplus {
+		w.WriteHeader(status)
+		w.Write(body)
+		return
+	}
+	head := w.Header().Clone()
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	switch {
+	case m.reset:
+		conn.(*net.TCPConn).SetLinger(0)
+	case m.garbled:
+		fmt.Fprintf(buffered, "HTP/9 what\r\n\x00\x01\r\n")
+	default:
+		fmt.Fprintf(buffered, "HTTP/1.1 %d OK\r\nContent-Length: %d\r\n", status, len(body))
+		head.Write(buffered)
+		buffered.WriteString("\r\n")
+		if m.cut {
+			body = body[:len(body)/2]
+		}
+		buffered.Write(body)
+		if m.surplus {
+			buffered.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n" + platform.HeaderSeal + ": x\r\n\r\nabc")
+		}
+	}
+	buffered.Flush()
+	if m.surplus {
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (b *backend) health(w http.ResponseWriter) {
+	w.Header().Set(platform.HeaderMember, b.id)
+	if b.draining.Load() || b.manner.Load().silent {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// recordSize is the size of a record of a gathered answer.
+const recordSize = 16
+
+// answerTo is what a backend of a pool answers to a try: records in no order, and a remainder that is none.
+func answerTo(try, pool string) []byte {
+	h := fnv.New64a()
+	io.WriteString(h, try+" "+pool)
+	drawn := rand.New(rand.NewPCG(h.Sum64(), 1))
+	out := make([]byte, 0, 40*recordSize)
+	for range 4 + drawn.IntN(30) {
+		out = binary.BigEndian.AppendUint64(out, drawn.Uint64N(64)<<58|drawn.Uint64()>>8)
+		out = binary.BigEndian.AppendUint64(out, drawn.Uint64N(4))
+	}
+	return append(out, "rest"...)
+}
--- /dev/null
+++ b/lab/soak/backend_troubles.go
@@ -0,0 +1,158 @@
+// Troubles of the backends and of the platform's list.
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+func backendTroubles() []kindOf {
+	return []kindOf{
+		{"backend_crash", 4, backendCrash},
+		{"backend_crash_pool", 1, backendCrashPool},
+		{"backend_reborn", 3, backendReborn},
+		{"backend_drain", 4, backendDrain},
+		{"backend_slow", 2, misbehave(manner{slow: 20, share: 1})},
+		{"backend_silent", 2, misbehave(manner{silent: true, share: 0.7})},
+		{"backend_reset", 2, misbehave(manner{reset: true, share: 0.3})},
+		{"backend_garbled", 2, misbehave(manner{garbled: true, share: 0.3})},
+		{"backend_cut", 2, misbehave(manner{cut: true, share: 0.3})},
+		{"backend_surplus", 2, misbehave(manner{surplus: true, share: 0.4})},
+		{"backend_sealless", 1, misbehave(manner{sealless: true, share: 0.3})},
+		{"backend_refuses", 2, misbehave(manner{refuses: true, share: 0.4})},
+		{"backend_elsewhere", 1, misbehave(manner{elsewhere: true, share: 0.2})},
+		{"backend_early", 2, misbehave(manner{early: true, share: 0.5})},
+		{"list_fails", 2, misleads(listManner{fails: true})},
+		{"list_hangs", 2, misleads(listManner{hangs: true})},
+		{"list_garbled", 1, misleads(listManner{garbles: true})},
+		{"list_page_lost", 2, misleads(listManner{loses: true})},
+	}
+}
+
+// anyPool draws a pool.
+func anyPool(drawn *rand.Rand) string {
+	names := poolNames()
+	return names[drawn.IntN(len(names))]
+}
+
+// oneOf draws a running backend of a pool, nil if none may be spared.
+func oneOf(r *run, drawn *rand.Rand, pool string) *backend {
+	all := r.fleet.of(pool)
+	if len(all) < 2 {
+		return nil
+	}
+	return all[drawn.IntN(len(all))]
+}
+
+// replace starts a backend in the place of one that is gone.
+func replace(r *run, pool, addr string) {
+	if _, err := r.fleet.add(pool, slotsOf(pool), workOf(pool), addr); err != nil && addr != "" {
+		// The address may be taken meanwhile.
+		r.fleet.add(pool, slotsOf(pool), workOf(pool), "")
+	}
+}
+
+func backendCrash(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	b := oneOf(r, drawn, anyPool(drawn))
+	if b == nil {
+		return
+	}
+	r.during(span{}, func() {
+		r.fleet.crash(b)
+		sleep(ctx, lasts)
+	})
+	replace(r, b.pool, "")
+}
+
+// backendCrashPool crashes all backends of a pool at once.
+func backendCrashPool(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	pool := anyPool(drawn)
+	all := r.fleet.of(pool)
+	r.during(span{}, func() {
+		for _, b := range all {
+			r.fleet.crash(b)
+		}
+		sleep(ctx, lasts/2)
+	})
+	for range all {
+		replace(r, pool, "")
+	}
+}
+
+// backendReborn crashes a backend, whose address goes to another pool's at once.
+func backendReborn(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	b := oneOf(r, drawn, anyPool(drawn))
+	if b == nil {
+		return
+	}
+	r.during(span{}, func() {
+		r.fleet.crash(b)
+		sleep(ctx, lasts/20)
+		replace(r, anyPool(drawn), b.addr)
+		sleep(ctx, lasts)
+	})
+	replace(r, b.pool, "")
+}
+
+// backendDrain has a backend leave as planned, with another in its place first.
+func backendDrain(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	b := oneOf(r, drawn, anyPool(drawn))
+	if b == nil {
+		return
+	}
+	replace(r, b.pool, "")
+	sleep(ctx, time.Second)
+	r.fleet.drain(b)
+	sleep(ctx, lasts)
+}
+
+// misbehave has backends of a pool, or of all pools, behave in some manner.
+func misbehave(m manner) act {
+	return func(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+		pool := anyPool(drawn)
+		all := r.fleet.of(pool)
+		if drawn.IntN(4) > 0 && len(all) > 1 {
+			all = all[:1]
+		}
+		r.during(span{}, func() {
+			for _, b := range all {
+				b.manner.Store(&m)
+			}
+			sleep(ctx, lasts)
+			for _, b := range all {
+				b.manner.Store(&manner{})
+			}
+		})
+	}
+}
+
+// misleads has the list misbehave. Nodes need not know what it would show meanwhile.
+func misleads(m listManner) act {
+	return func(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+		var s span
+		for n := range machineCount {
+			s.machines = append(s.machines, machineName(n))
+		}
+		r.during(s, func() {
+			r.fleet.set(m)
+			sleep(ctx, lasts)
+			r.fleet.set(listManner{})
+		})
+	}
+}
+
+// slotsOf and workOf are how a pool's backends work.
+func slotsOf(pool string) int {
+	if pool == poolDesk || pool == poolOther {
+		return 6
+	}
+	return 4
+}
+
+func workOf(pool string) time.Duration {
+	if pool == poolDesk || pool == poolOther {
+		return 20 * time.Millisecond
+	}
+	return 6 * time.Millisecond
+}
--- /dev/null
+++ b/lab/soak/core_troubles.go
@@ -0,0 +1,148 @@
+// Troubles of the cores: kills, freezes, planned stops, all at once, disks that
+// are full, stalled or lost.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+func coreTroubles() []kindOf {
+	return []kindOf{
+		{"core_kill", 4, killCore},
+		{"core_freeze", 3, freeze(roleCore)},
+		{"core_stop", 3, stopCore},
+		{"core_power_all", 1, powerAllCores},
+		{"disk_full", 2, diskFull},
+		{"disk_stall", 2, diskStall},
+		{"disk_lost", 1, diskLost},
+	}
+}
+
+func anyCore(r *run, drawn *rand.Rand) *daemon { return r.daemonOf(roleCore, drawn.IntN(coreCount)) }
+
+func killCore(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	r.during(span{unsettles: true}, func() { kill(ctx, anyCore(r, drawn), lasts) })
+}
+
+func stopCore(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	r.during(span{unsettles: true, planned: true}, func() { r.stopOnce(anyCore(r, drawn)) })
+}
+
+// powerAllCores kills all cores at the same moment; their disks stay.
+func powerAllCores(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	r.during(span{unsettles: true}, func() {
+		var all sync.WaitGroup
+		for n := range coreCount {
+			all.Go(func() { kill(ctx, r.daemonOf(roleCore, n), lasts/4) })
+		}
+		all.Wait()
+	})
+}
+
+// diskFull has every write of a core fail.
+func diskFull(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	d := anyCore(r, drawn)
+	r.during(span{unsettles: true}, func() {
+		limitFiles(d, 1)
+		sleep(ctx, lasts)
+		limitFiles(d, unix.RLIM_INFINITY)
+	})
+}
+
+// limitFiles bounds the size of the files that a process may write.
+func limitFiles(d *daemon, most uint64) {
+	if pid := d.pid(); pid > 0 {
+		unix.Prlimit(pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: most, Max: unix.RLIM_INFINITY}, nil)
+	}
+}
+
+// diskStall has a core's writes hang and then fail: where its votes and its probe are to be written
+// aside stands a pipe that nobody reads yet.
+func diskStall(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	d := anyCore(r, drawn)
+	dir := r.place.dataDir(d.machine)
+	var pipes []string
+	for _, name := range nextFiles(dir) {
+		path := filepath.Join(dir, name+".aside")
+		if syscall.Mkfifo(path, 0o600) == nil {
+			pipes = append(pipes, path)
+		}
+	}
+	r.during(span{unsettles: true}, func() {
+		sleep(ctx, lasts)
+		for _, path := range pipes {
+			drainPipe(path)
+		}
+	})
+}
+
+// aheadMost is how many versions ahead of the newest a stalled disk has its pipes for.
+const aheadMost = 6
+
+// nextFiles are the files that a core writes next: those that are there, and the versions that follow
+// the newest of each partition in its term.
+func nextFiles(dir string) []string {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil
+	}
+	names := []string{"probe"}
+	for _, e := range entries {
+		var part int
+		var term, seq uint64
+		if n, _ := fmt.Sscanf(e.Name(), "part-%d.stamp-%d-%d", &part, &term, &seq); n != 3 {
+			names = append(names, e.Name())
+			continue
+		}
+		for ahead := uint64(1); ahead <= aheadMost; ahead++ {
+			names = append(names, fmt.Sprintf("part-%d.stamp-%012d-%012d", part, term, seq+ahead))
+		}
+	}
+	return names
+}
+
+// drainPipe lets go of whoever waits to write to a pipe, and removes it.
+func drainPipe(path string) {
+	defer os.Remove(path)
+	f, err := os.OpenFile(path, os.O_RDONLY|syscall.O_NONBLOCK, 0)
+	if err != nil {
+		return
+	}
+	defer f.Close()
+	// Whoever waited is let in now, and writes into nothing.
+	time.Sleep(50 * time.Millisecond)
+}
+
+// diskLost has a core lose its disk while it is down. One disk is lost at a time, and none while another
+// core is in trouble or has just been: what is lost then may be more than is borne.
+func diskLost(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	if !r.cores.claim() {
+		return
+	}
+	defer r.cores.release()
+	d := anyCore(r, drawn)
+	r.span(span{unsettles: true}, func() {
+		d.setDown(true)
+		d.signal(syscall.SIGKILL)
+		for d.pid() != 0 {
+			time.Sleep(5 * time.Millisecond)
+		}
+		os.RemoveAll(r.place.dataDir(d.machine))
+		sleep(ctx, lasts/2)
+		d.setDown(false)
+	})
+	sleep(ctx, syncTime)
+}
+
+// syncTime is how long a machine counts as lost after its return; before a disk may be lost the cores
+// have been calm for as long.
+const syncTime = 6 * time.Second
--- /dev/null
+++ b/lab/soak/exchange.go
@@ -0,0 +1,62 @@
+// A try as it goes over a connection, and its answer.
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"wallport/lab/rules"
+	"wallport/platform"
+)
+
+// request is a try's text.
+func request(t *rules.Try, left time.Duration) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", t.Method, t.Target, t.Host, platform.HeaderAttempt, t.ID, platform.HeaderBudget, left.Milliseconds())
+	if len(t.Body) > 0 {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(t.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(t.Body)
+	return b.Bytes()
+}
+
+// send writes a request, slowly if so told.
+func send(conn net.Conn, text []byte, slowly bool) error {
+	for slowly && len(text) > 40 {
+		if _, err := conn.Write(text[:40]); err != nil {
+			return err
+		}
+		text = text[40:]
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, err := conn.Write(text)
+	return err
+}
+
+// receive reads one answer whole.
+func receive(r *bufio.Reader, method string) (*http.Response, []byte, error) {
+	resp, err := http.ReadResponse(r, &http.Request{Method: method})
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerMost))
+	return resp, body, err
+}
+
+// splitSeals reads the seals of a gathered answer's parts, joined by commas.
+func splitSeals(values []string) (out []string) {
+	for _, v := range values {
+		for _, seal := range strings.Split(v, ",") {
+			out = append(out, strings.TrimSpace(seal))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lab/soak/healing.go
@@ -0,0 +1,223 @@
+// The end of the troubles: everything is mended, and the fleet has to serve, to
+// take orders and to rest again.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"wallport/lab/rules"
+)
+
+// writeSettings writes a process's settings file and keeps what it tells.
+func (r *run) writeSettings(d *daemon, seeds []int, bootstrap, torn bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if seeds == nil {
+		seeds = r.seeds[d]
+	}
+	r.seeds[d] = seeds
+	return r.place.writeSettings(d.machine, d.role, r.place.settings(d.machine, d.role, seeds, r.fleet.addr, bootstrap), torn)
+}
+
+// settle writes a process's settings file while the run is under way.
+func (r *run) settle(d *daemon, seeds []int, torn bool) {
+	if err := r.writeSettings(d, seeds, false, torn); err != nil {
+		r.find("settings of %s: %v", d.name, err)
+	}
+}
+
+// settingsTorn notes that a process's file is in halves: it may end over that, if it starts meanwhile.
+func (r *run) settingsTorn(d *daemon, torn bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if torn {
+		r.torn[d] = true
+	}
+}
+
+// find notes what is wrong beside the rules.
+func (r *run) find(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.findings = append(r.findings, fmt.Sprintf(format, args...))
+}
+
+// operate has operators change the configuration, and read it, until the run is over.
+func (r *run) operate(ctx context.Context) {
+	drawn := rand.New(rand.NewPCG(r.o.Seed, 0x6f7065))
+	for ctx.Err() == nil {
+		sleep(ctx, time.Duration(200+drawn.IntN(800))*time.Millisecond)
+		if drawn.IntN(3) == 0 {
+			r.changeOnce(ctx, drawn.IntN(2) == 0, false)
+		}
+		r.operators.look(ctx)
+	}
+}
+
+// changeOnce sends one change on top of the newest version, alone.
+func (r *run) changeOnce(ctx context.Context, patch, invalid bool) {
+	r.changes.Lock()
+	defer r.changes.Unlock()
+	text := wholeText
+	switch {
+	case invalid:
+		text, patch = badText, false
+	case patch:
+		text = patchText
+	}
+	r.operators.change(ctx, text, patch, invalid, true, 2)
+	r.operators.refresh(ctx)
+}
+
+// heal mends everything and waits until all serve again.
+func (r *run) heal(ctx context.Context) {
+	r.network.JoinAll()
+	for _, d := range r.daemons {
+		d.setDown(false)
+		r.settle(d, []int{0, 1, 2}, false)
+	}
+	ctx, cancel := context.WithTimeout(ctx, bringUpMost)
+	defer cancel()
+	began := time.Now()
+	if !r.awaitReady(ctx) {
+		r.find("not healed: nodes are not ready %v after the last trouble", time.Since(began).Round(time.Second))
+		return
+	}
+	for _, k := range kinds {
+		for n := range machineCount {
+			if !r.serves(ctx, k, n) {
+				r.find("not healed: %s does not serve %s", machineName(n), k.name)
+			}
+		}
+	}
+	if !r.takesOrders(ctx) {
+		r.find("not healed: no change is taken")
+	}
+	r.say("healed after %v", time.Since(began).Round(time.Millisecond))
+}
+
+// awaitReady waits until every node says that it is ready.
+func (r *run) awaitReady(ctx context.Context) bool {
+	for n := range machineCount {
+		url := "http://" + r.place.at(n, portReadiness) + "/-/readiness"
+		for !answers(ctx, url) {
+			if ctx.Err() != nil {
+				return false
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+	}
+	return true
+}
+
+// probes asks the run's own processes; connections are not kept.
+var probes = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func answers(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := probes.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// serves waits until a machine answers a request of a kind with a success.
+func (r *run) serves(ctx context.Context, k kind, machine int) bool {
+	for ctx.Err() == nil {
+		if t := r.clients.tryAt(k, machineName(machine)); t.Served() {
+			return true
+		}
+		sleep(ctx, 50*time.Millisecond)
+	}
+	return false
+}
+
+// takesOrders waits until a change is acknowledged, and reads it back at every core.
+func (r *run) takesOrders(ctx context.Context) bool {
+	r.operators.lose.Store(0)
+	r.operators.refresh(ctx)
+	r.operators.mu.Lock()
+	before := r.operators.newest
+	r.operators.mu.Unlock()
+	for ctx.Err() == nil {
+		r.changeOnce(ctx, false, false)
+		r.operators.mu.Lock()
+		after := r.operators.newest
+		r.operators.mu.Unlock()
+		if after > before {
+			return r.readBack(ctx)
+		}
+	}
+	return false
+}
+
+// readBack reads the configuration at the end, as the rules want it.
+func (r *run) readBack(ctx context.Context) bool {
+	asked := r.j.now()
+	got := r.operators.carry(ctx, http.MethodGet, configPath, "", "", func(int64) {})
+	if got.status != http.StatusOK {
+		return false
+	}
+	at := r.j.now()
+	r.j.with(func() {
+		r.j.ReadBack = append(r.j.ReadBack, rules.Reading{Asked: asked, At: at, Table: readTable(got.body)})
+	})
+	return true
+}
+
+// restWithin is how long after the last request nothing may be under way any more.
+const restWithin = 20 * time.Second
+
+// gauges are what must be 0 in a node at rest.
+var gauges = []string{"wallport_requests_open", "wallport_asks_open", "wallport_bodies_held_bytes"}
+
+// settled waits until every node is at rest, and looks at its figures.
+func (r *run) settled(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, restWithin)
+	defer cancel()
+	for n := range machineCount {
+		left := ""
+		for {
+			if left = r.underWay(n); left == "" {
+				break
+			}
+			if ctx.Err() != nil {
+				r.find("%s is not at rest: %s", machineName(n), left)
+				break
+			}
+			sleep(ctx, 100*time.Millisecond)
+		}
+	}
+}
+
+// underWay tells what a node's gauges say is not over yet.
+func (r *run) underWay(machine int) string {
+	resp, err := probes.Get("http://" + r.place.at(machine, portNodeOperator) + "/metrics")
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	var out []string
+	for name, value := range readFigures(resp.Body) {
+		for _, g := range gauges {
+			if name == g && value != "0" {
+				out = append(out, name+"="+value)
+			}
+		}
+		if n, _ := strconv.Atoi(value); strings.HasPrefix(name, "wallport_invariant_violations") && n > 0 {
+			r.find("%s: %s %s", machineName(machine), name, value)
+		}
+	}
+	return strings.Join(out, " ")
+}
--- /dev/null
+++ b/lab/soak/list.go
@@ -0,0 +1,229 @@
+// The stand-in backends of a run, by pool, and the platform's list of them with
+// its lag, its pages and its limit on calls.
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	healthPath = "/health"
+	// pageSize is how many members a page of the list has.
+	pageSize = 7
+	// goneAfter is how long a backend that crashed stays on the list.
+	goneAfter = 3 * time.Second
+)
+
+// member is a backend as the list shows it.
+type member struct {
+	ID       string `json:"member_id"`
+	Pool     string `json:"pool"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Revision string `json:"revision"`
+	Capacity int    `json:"capacity"`
+	State    string `json:"admin_state"`
+	ColdMs   int    `json:"slow_start_ms"`
+}
+
+// listManner is how the list misbehaves.
+type listManner struct {
+	// fails answers 500, hangs does not answer, garbles sends half a page, loses leaves every second page out.
+	fails, hangs, garbles, loses bool
+}
+
+// fleet is the backends and the list.
+type fleet struct {
+	j  *journal
+	p  *place
+	mu sync.Mutex
+	// backends are those that run, in the order in which they started.
+	backends []*backend
+	members  map[string]member
+	manner   listManner
+	calls    []time.Time
+	started  int
+	// history is what the list showed, for its lag.
+	history []shownList
+	server  *http.Server
+	addr    string
+}
+
+type shownList struct {
+	at      time.Time
+	members []member
+}
+
+func newFleet(j *journal, p *place) (*fleet, error) {
+	f := &fleet{j: j, p: p, members: map[string]member{}}
+	l, err := net.Listen("tcp", net.JoinHostPort(p.standInIP(), "0"))
+	if err != nil {
+		return nil, err
+	}
+	f.addr = l.Addr().String()
+	f.server = &http.Server{Handler: http.HandlerFunc(f.serve)}
+	go f.server.Serve(l)
+	return f, nil
+}
+
+// add starts a backend of a pool; an empty address is a new one.
+func (f *fleet) add(pool string, slots int, work time.Duration, addr string) (*backend, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started++
+	if addr == "" {
+		addr = net.JoinHostPort(f.p.standInIP(), "0")
+	}
+	b, err := startBackend(f.j, fmt.Sprintf("i-%s-%d", pool, f.started), pool, zoneOf(f.started), addr, slots, work)
+	if err != nil {
+		return nil, err
+	}
+	f.backends = append(f.backends, b)
+	f.members[b.id] = member{ID: b.id, Pool: pool, Address: b.addr, Zone: b.zone, Revision: "v1", Capacity: slots, State: "in_service"}
+	f.record()
+	return b, nil
+}
+
+// of are the running backends of a pool that do not leave; an empty name is all pools.
+func (f *fleet) of(pool string) (out []*backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.backends {
+		if (pool == "" || b.pool == pool) && !b.draining.Load() {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// crash ends a backend at once; the list shows it for a while yet.
+func (f *fleet) crash(b *backend) {
+	b.crash()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.remove(b)
+	time.AfterFunc(goneAfter, func() { f.forget(b) })
+}
+
+// forget takes a backend off the list.
+func (f *fleet) forget(b *backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.members, b.id)
+	f.record()
+}
+
+func (f *fleet) remove(b *backend) {
+	for i, other := range f.backends {
+		if other == b {
+			f.backends = append(f.backends[:i:i], f.backends[i+1:]...)
+		}
+	}
+}
+
+// drain has a backend leave: it is shown so, serves on, and ends some time after its last due moment.
+func (f *fleet) drain(b *backend) {
+	f.mu.Lock()
+	m := f.members[b.id]
+	m.State = "draining"
+	f.members[b.id] = m
+	f.record()
+	f.mu.Unlock()
+	b.draining.Store(true)
+	// Clients of the list see it after its lag.
+	time.AfterFunc(listLagMs*time.Millisecond, func() {
+		at := f.j.now()
+		f.j.with(func() { b.seen.Shown = at })
+	})
+	time.AfterFunc(drainMs*time.Millisecond+2*time.Second, func() {
+		f.mu.Lock()
+		f.remove(b)
+		f.mu.Unlock()
+		b.crash()
+		f.forget(b)
+	})
+}
+
+// set changes how the list misbehaves.
+func (f *fleet) set(m listManner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.manner = m
+}
+
+// record keeps what the list shows from now on; the caller holds the lock.
+func (f *fleet) record() {
+	newest := shownList{at: time.Now()}
+	for _, m := range f.members {
+		newest.members = append(newest.members, m)
+	}
+	sort.Slice(newest.members, func(a, b int) bool { return newest.members[a].ID < newest.members[b].ID })
+	f.history = append(f.history, newest)
+}
+
+// lagged is the list as it was some time ago.
+func (f *fleet) lagged(now time.Time) []member {
+	for len(f.history) > 1 && now.Sub(f.history[1].at) >= listLagMs*time.Millisecond {
+		f.history = f.history[1:]
+	}
+	if len(f.history) == 0 {
+		return nil
+	}
+	return f.history[0].members
+}
+
+// allowed counts a call against the limit of all nodes together.
+func (f *fleet) allowed(now time.Time) bool {
+	for len(f.calls) > 0 && now.Sub(f.calls[0]) > time.Second {
+		f.calls = f.calls[1:]
+	}
+	f.calls = append(f.calls, now)
+	return len(f.calls) <= listRate
+}
+
+func (f *fleet) serve(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	now := time.Now()
+	m, allowed, members := f.manner, f.allowed(now), f.lagged(now)
+	f.mu.Unlock()
+	from, _ := strconv.Atoi(r.URL.Query().Get("page_token"))
+	switch {
+	case !allowed:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case m.hangs:
+		<-r.Context().Done()
+		return
+	case m.fails, m.loses && from > 0 && rand.IntN(2) == 0:
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	from = max(0, min(from, len(members)))
+	to := min(from+pageSize, len(members))
+	page := map[string]any{"members": members[from:to], "next_token": nil}
+	if to < len(members) {
+		page["next_token"] = strconv.Itoa(to)
+	}
+	text, _ := json.Marshal(page)
+	if m.garbles {
+		text = text[:len(text)/2]
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(text)
+}
+
+// close ends the list and all backends.
+func (f *fleet) close() {
+	f.server.Close()
+	for _, b := range f.of("") {
+		b.crash()
+	}
+}
--- /dev/null
+++ b/lab/soak/operator_troubles.go
@@ -0,0 +1,49 @@
+// What operators do, beside the changes that go on all the time.
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+func operatorTroubles() []kindOf {
+	return []kindOf{
+		{"config_race", 4, configRace},
+		{"config_storm", 2, configStorm},
+		{"config_invalid", 2, configInvalid},
+		{"answers_lost", 3, answersLost},
+		{"evacuate", 4, evacuate},
+	}
+}
+
+// configRace has operators change the same version at once.
+func configRace(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	r.changes.Lock()
+	defer r.changes.Unlock()
+	r.operators.race(ctx, 2+drawn.IntN(3))
+}
+
+// configStorm sends changes one right after another.
+func configStorm(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	for range 8 {
+		r.changeOnce(ctx, drawn.IntN(2) == 0, false)
+	}
+}
+
+func configInvalid(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	r.changeOnce(ctx, false, true)
+}
+
+// answersLost loses most answers on their way to the operators.
+func answersLost(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	r.operators.lose.Add(700)
+	defer r.operators.lose.Add(-700)
+	sleep(ctx, lasts)
+}
+
+func evacuate(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	r.zones.Lock()
+	defer r.zones.Unlock()
+	r.operators.evacuate(ctx, zoneOf(drawn.IntN(zoneCount)), lasts+2*time.Second)
+}
--- /dev/null
+++ b/lab/soak/operators.go
@@ -0,0 +1,231 @@
+// Operators: changes one after another and in races, evacuations and readings,
+// each sent again, unchanged and to any core, until its answer is clear. Answers
+// are lost on their way now and then.
+package soak
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wallport/lab/rules"
+	"wallport/routingpb"
+)
+
+// operators send the orders of a run.
+type operators struct {
+	j      *journal
+	to     []string
+	client *http.Client
+	// lose is the part of the answers that are lost, in thousandths.
+	lose atomic.Int64
+
+	mu sync.Mutex
+	// newest is the newest version that is known to be in force, and its table.
+	newest int64
+	table  *routingpb.RoutingTable
+	last   int64
+	// unclear is that the outcome of some order is not known: it may take effect late.
+	unclear bool
+}
+
+// Figures of operators.
+const (
+	silenceMost = time.Second
+	callsMost   = 60
+	loseAlways  = 30
+)
+
+func newOperators(j *journal, to []string) *operators {
+	o := &operators{j: j, to: to, client: &http.Client{
+		Timeout: silenceMost, Transport: &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+	o.lose.Store(loseAlways)
+	return o
+}
+
+// reply is what a call came to; status 0 is no answer, lost that there was one that did not arrive.
+type reply struct {
+	status int
+	body   []byte
+	lost   bool
+}
+
+// call sends one call to some core.
+func (o *operators) call(ctx context.Context, method, path, match, body string) reply {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.to[rand.IntN(len(o.to))]+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}
+	}
+	if match != "" {
+		req.Header.Set("If-Match", match)
+	}
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return reply{}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{}
+	}
+	return reply{resp.StatusCode, text, rand.Int64N(1000) < o.lose.Load()}
+}
+
+// final tells that a call's answer ends the order.
+func final(status int) bool {
+	return status == 200 || status == 400 || status == 404 || status == 409 || status == 412 || status == 413 || status == 422
+}
+
+// carry sends an order until its answer is clear; taken is when the first acknowledgement left a core,
+// lost on its way or not. An order whose outcome is still not known after many calls is left so.
+func (o *operators) carry(ctx context.Context, method, path, match, body string, taken func(at int64)) reply {
+	pause := 50 * time.Millisecond
+	for range callsMost {
+		r := o.call(ctx, method, path, match, body)
+		if r.status == 200 {
+			taken(o.j.now())
+		}
+		if final(r.status) && !r.lost {
+			return r
+		}
+		select {
+		case <-ctx.Done():
+			return reply{}
+		case <-time.After(pause):
+		}
+		pause = min(pause*3/2, 500*time.Millisecond)
+	}
+	return reply{}
+}
+
+// change sends a change on top of the newest version, with a number above it.
+func (o *operators) change(ctx context.Context, text func(revision int64) string, patch, invalid, alone bool, step int64) {
+	o.mu.Lock()
+	base, before := o.newest, o.table
+	revision := max(base, o.last) + step
+	if alone {
+		o.last = revision
+	}
+	alone = alone && !o.unclear
+	o.mu.Unlock()
+	body, method := text(revision), http.MethodPut
+	if patch {
+		method = http.MethodPatch
+	}
+	v := &rules.Version{Revision: revision, Base: base, Sent: o.j.now(), Acked: rules.Never, Refused: rules.Never, Invalid: invalid, Alone: alone}
+	v.Table = applied(before, body, base, patch)
+	o.j.with(func() { o.j.Versions = append(o.j.Versions, v) })
+	r := o.carry(ctx, method, configPath, strconv.FormatInt(base, 10), body, func(at int64) {
+		o.j.with(func() {
+			if v.Taken == 0 {
+				v.Taken = at
+			}
+		})
+	})
+	at := o.j.now()
+	switch r.status {
+	case 200:
+		o.j.with(func() { v.Acked = at })
+		o.mu.Lock()
+		if revision > o.newest {
+			o.newest, o.table = revision, v.Table
+		}
+		o.mu.Unlock()
+	case 0:
+		o.mu.Lock()
+		o.unclear = true
+		o.mu.Unlock()
+	default:
+		o.j.with(func() { v.Refused = at })
+	}
+}
+
+const configPath = "/-/config"
+
+// first sends the first configuration until it is taken.
+func (o *operators) first(ctx context.Context) bool {
+	o.change(ctx, wholeText, false, false, true, 3)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.newest > 0
+}
+
+// race has several operators change the same version at once, some under one number.
+func (o *operators) race(ctx context.Context, n int) {
+	var all sync.WaitGroup
+	texts := []func(int64) string{wholeText, patchText}
+	for i := range n {
+		all.Go(func() { o.change(ctx, texts[i%2], i%2 == 1, false, false, int64(2+i/2)) })
+	}
+	all.Wait()
+	o.refresh(ctx)
+}
+
+// refresh reads what is in force, to build on it: after a race, or an order without a clear answer.
+func (o *operators) refresh(ctx context.Context) {
+	asked := o.j.now()
+	r := o.carry(ctx, http.MethodGet, configPath, "", "", func(int64) {})
+	if r.status != 200 {
+		return
+	}
+	o.read(asked, r)
+	t := readTable(r.body)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if t.GetRevision() > o.newest {
+		o.newest, o.table = t.GetRevision(), t
+	}
+	o.last = max(o.last, o.newest)
+}
+
+// read notes a reading.
+func (o *operators) read(asked int64, r reply) {
+	at, t := o.j.now(), readTable(r.body)
+	o.j.with(func() {
+		o.j.Confirmed = append(o.j.Confirmed, rules.ConfirmedReading{Sent: asked, At: at, Table: t, TableOnly: true})
+	})
+}
+
+// look reads the configuration once, at any core.
+func (o *operators) look(ctx context.Context) {
+	asked := o.j.now()
+	if r := o.call(ctx, http.MethodGet, configPath, "", ""); r.status == 200 {
+		o.read(asked, r)
+	}
+}
+
+// evacuate drains a zone for a while and takes it back.
+func (o *operators) evacuate(ctx context.Context, zone string, lasts time.Duration) {
+	order := &rules.Order{Zone: zone, Sent: o.j.now(), Acked: rules.Never, Back: rules.Never, BackAcked: rules.Never}
+	o.j.with(func() { o.j.Orders = append(o.j.Orders, order) })
+	note := func(at *int64) func(int64) {
+		return func(now int64) {
+			o.j.with(func() {
+				if *at == 0 {
+					*at = now
+				}
+			})
+		}
+	}
+	if r := o.carry(ctx, http.MethodPost, evacuatePath+zone, "", "", note(&order.Taken)); r.status == 200 {
+		o.j.with(func() { order.Acked = o.j.now() })
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(lasts):
+	}
+	o.j.with(func() { order.Back = o.j.now() })
+	if r := o.carry(ctx, http.MethodDelete, evacuatePath+zone, "", "", note(&order.BackTaken)); r.status == 200 {
+		o.j.with(func() { order.BackAcked = o.j.now() })
+	}
+}
+
+const evacuatePath = "/-/evacuate/"
--- /dev/null
+++ b/lab/soak/process_troubles.go
@@ -0,0 +1,147 @@
+// Troubles of processes: kills, freezes, planned stops, losses of power, and
+// settings that change while they run.
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func processTroubles() []kindOf {
+	return []kindOf{
+		{"node_kill", 4, killNode},
+		{"node_freeze", 3, freeze(roleNode)},
+		{"node_stop", 4, stopNode},
+		{"node_stop_twice", 1, stopNodeTwice},
+		{"machine_power", 3, machinePower},
+		{"herd_kill", 1, herdKill},
+		{"seeds_changed", 2, seedsChanged},
+		{"settings_broken", 2, settingsBroken},
+		{"hangup_storm", 2, hangupStorm},
+	}
+}
+
+// anyMachine draws a machine.
+func anyMachine(drawn *rand.Rand) int { return drawn.IntN(machineCount) }
+
+// atMachine is the span of a trouble of one machine's node.
+func atMachine(n int) span { return span{machines: []string{machineName(n)}} }
+
+// kill kills a process and lets it start again after a while.
+func kill(ctx context.Context, d *daemon, lasts time.Duration) {
+	d.setDown(true)
+	d.signal(syscall.SIGKILL)
+	sleep(ctx, lasts)
+	d.setDown(false)
+}
+
+func killNode(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	n := anyMachine(drawn)
+	r.during(atMachine(n), func() { kill(ctx, r.node(n), lasts/2) })
+}
+
+// freeze stops a process of a role, and thaws it.
+func freeze(role string) act {
+	return func(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+		n, s := drawn.IntN(coreCount), span{unsettles: true}
+		if role == roleNode {
+			n = anyMachine(drawn)
+			s = atMachine(n)
+		}
+		r.during(s, func() {
+			d := r.daemonOf(role, n)
+			d.signal(syscall.SIGSTOP)
+			sleep(ctx, lasts)
+			d.signal(syscall.SIGCONT)
+		})
+	}
+}
+
+// stopNode is a planned stop and the start after it.
+func stopNode(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	n := anyMachine(drawn)
+	r.during(span{machines: []string{machineName(n)}, planned: true}, func() { r.stopOnce(r.node(n)) })
+}
+
+// stopNodeTwice sends a second SIGTERM and a SIGHUP into a planned stop.
+func stopNodeTwice(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	n := anyMachine(drawn)
+	r.during(span{machines: []string{machineName(n)}, planned: true}, func() {
+		d := r.node(n)
+		again := time.AfterFunc(lasts/4, func() {
+			d.signal(syscall.SIGHUP)
+			d.signal(syscall.SIGTERM)
+		})
+		defer again.Stop()
+		r.stopOnce(d)
+	})
+}
+
+// machinePower kills all processes of a machine at once.
+func machinePower(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	n := anyMachine(drawn)
+	s := atMachine(n)
+	s.unsettles = n < coreCount
+	r.during(s, func() {
+		var both sync.WaitGroup
+		for _, d := range r.ofMachine(n) {
+			both.Go(func() { kill(ctx, d, lasts) })
+		}
+		both.Wait()
+	})
+}
+
+// herdKill kills half of the nodes at the same moment.
+func herdKill(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	var s span
+	chosen := drawn.Perm(machineCount)[:machineCount/2]
+	for _, n := range chosen {
+		s.machines = append(s.machines, machineName(n))
+	}
+	r.during(s, func() {
+		var all sync.WaitGroup
+		for _, n := range chosen {
+			all.Go(func() { kill(ctx, r.node(n), lasts/4) })
+		}
+		all.Wait()
+	})
+}
+
+// seedsChanged gives processes other seeds, told by a signal or left to be noticed.
+func seedsChanged(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	seeds := drawn.Perm(coreCount)[:1+drawn.IntN(coreCount)]
+	for _, d := range r.daemons {
+		if drawn.IntN(2) == 0 {
+			r.settle(d, seeds, false)
+			if drawn.IntN(2) == 0 {
+				d.signal(syscall.SIGHUP)
+			}
+		}
+	}
+}
+
+// settingsBroken leaves half a settings file for a while, and hangs up meanwhile; a process that starts
+// then finds it so and is to start again once it is whole.
+func settingsBroken(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	d := r.daemons[drawn.IntN(len(r.daemons))]
+	r.settingsTorn(d, true)
+	r.settle(d, nil, true)
+	d.signal(syscall.SIGHUP)
+	sleep(ctx, lasts/2)
+	r.settle(d, nil, false)
+	d.signal(syscall.SIGHUP)
+	r.settingsTorn(d, false)
+}
+
+// hangupStorm sends many SIGHUPs to all processes.
+func hangupStorm(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	for range 10 {
+		for _, d := range r.daemons {
+			d.signal(syscall.SIGHUP)
+		}
+		sleep(ctx, lasts/20)
+	}
+}
--- /dev/null
+++ b/lab/soak/report.go
@@ -0,0 +1,108 @@
+// What a run came to.
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"wallport/lab/rules"
+)
+
+// Report is what a run came to.
+type Report struct {
+	Seed uint64
+	// Findings are the broken rules and what else is wrong.
+	Findings []string
+	// Tested counts how often each rule was put to the test.
+	Tested map[string]int64
+	// Requests, Served, Ran and Starts are figures of the run.
+	Requests, Served, Arrivals, Changes, Acked, Starts int
+}
+
+// never is a moment that has not come.
+const never = rules.Never
+
+// untimed are the rules that hold however busy the machine is.
+var untimed = []string{"MIXED", "UNASKED", "TWICE", "REFUSED", "ROUTE", "HISTORY"}
+
+// report judges the run. Broken rules with bounds of time count where that was asked for.
+func (r *run) report() *Report {
+	out := &Report{Seed: r.o.Seed, Findings: slices.Clone(r.findings)}
+	r.j.with(func() {
+		r.j.End = r.j.now()
+		r.j.Judge()
+		for _, f := range r.j.Findings {
+			text := fmt.Sprintf("%s at %.3f s: %s (%d in all)", f.Rule, float64(f.At)/second, f.Text, r.j.Broken[f.Rule])
+			if r.o.Timed || slices.Contains(untimed, f.Rule) {
+				out.Findings = append(out.Findings, text)
+			} else {
+				r.say("not judged, since it depends on time: %s", text)
+			}
+		}
+		out.Tested = r.j.Tested
+		out.Requests, out.Arrivals, out.Changes = len(r.j.Tries), len(r.j.Arrivals), len(r.j.Versions)
+		for _, t := range r.j.Tries {
+			if t.Served() {
+				out.Served++
+			}
+		}
+		for _, v := range r.j.Versions {
+			if v.Acked != never {
+				out.Acked++
+			}
+		}
+		out.Findings = append(out.Findings, r.cuts()...)
+	})
+	for _, d := range r.daemons {
+		out.Starts += d.lives
+		out.Findings = append(out.Findings, r.explained(d)...)
+	}
+	out.Findings = append(out.Findings, r.overdue...)
+	return out
+}
+
+// explained are a process's faults, but for ends over a settings file that was in halves.
+func (r *run) explained(d *daemon) (out []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, f := range d.faults() {
+		if !r.torn[d] || !strings.Contains(f, "exit status 3") {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// cuts lists requests that a node in order read from a connection in order and ended without an answer,
+// though the backend that it had passed them on to had answered.
+func (r *run) cuts() (out []string) {
+	ran := map[string]bool{}
+	for _, a := range r.j.Arrivals {
+		if a.Ran && a.Status == 200 && a.Answer != nil {
+			ran[a.Try] = true
+		}
+	}
+	c := r.j.Bounds.ContactUs
+	for _, t := range r.j.Tries {
+		if !t.Cut || !ran[t.ID] || r.j.Touch.Of(t.Machine).Hit(t.Sent-c, t.Ended) {
+			continue
+		}
+		out = append(out, fmt.Sprintf("CUT at %.3f s: %s ran and %s ended its connection without an answer", float64(t.Ended)/second, t.ID, t.Machine))
+	}
+	return out
+}
+
+// readFigures reads a page of figures, by name.
+func readFigures(r io.Reader) map[string]string {
+	out := map[string]string{}
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		if name, value, ok := strings.Cut(lines.Text(), " "); ok {
+			out[name] = value
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/lab/soak/run.go
@@ -0,0 +1,227 @@
+// One run: everything is started, troubles come at their times, all is healed
+// again, and what was seen is judged.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"wallport/lab/relay"
+)
+
+// run is a run under way.
+type run struct {
+	o         Options
+	j         *journal
+	place     *place
+	network   *relay.Network
+	fleet     *fleet
+	daemons   []*daemon
+	clients   *clients
+	operators *operators
+	cores     calm
+	// changes and zones let one operator's change, or one evacuation, go on at a time.
+	changes, zones sync.Mutex
+
+	mu sync.Mutex
+	// torn are the processes whose settings file is in halves; seeds are what each was told last.
+	torn  map[*daemon]bool
+	seeds map[*daemon][]int
+	// stops counts planned stops that took longer than their grace.
+	overdue []string
+	// findings are what is wrong beside the rules.
+	findings []string
+}
+
+// Run carries out one run.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	r, err := newRun(o)
+	if err != nil {
+		return nil, err
+	}
+	defer r.end()
+	if err := r.begin(ctx); err != nil {
+		return nil, err
+	}
+	load, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	var work sync.WaitGroup
+	work.Go(func() { r.clients.run(load) })
+	work.Go(func() { r.operate(load) })
+	r.trouble(ctx)
+	r.heal(ctx)
+	stopLoad()
+	work.Wait()
+	r.settled(ctx)
+	return r.report(), nil
+}
+
+func newRun(o Options) (*run, error) {
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	p, err := findPlace(o.Dir)
+	if err != nil {
+		return nil, err
+	}
+	j := newJournal()
+	r := &run{o: o, j: j, place: p, network: relay.New(), torn: map[*daemon]bool{}, seeds: map[*daemon][]int{}}
+	if r.fleet, err = newFleet(j, p); err != nil {
+		return nil, err
+	}
+	return r, r.relays()
+}
+
+// relays opens the relays, for the mesh and for clients.
+func (r *run) relays() error {
+	to, names, cores := map[string]string{}, []string{}, []string{}
+	for n := range machineCount {
+		mesh := map[string]int{roleNode: portNodeMesh}
+		if n < coreCount {
+			mesh[roleCore] = portCoreMesh
+			cores = append(cores, r.place.at(n, portControl))
+		}
+		for role, port := range mesh {
+			behind := net.JoinHostPort(r.place.behindIP(n, role), fmt.Sprint(r.place.first))
+			if err := r.network.Pass(fmt.Sprintf("%s-%d", role, n), r.place.at(n, port), behind); err != nil {
+				return err
+			}
+			r.daemons = append(r.daemons, newDaemon(r.o, r.place, n, role))
+		}
+		front := net.JoinHostPort(r.place.standInIP(), fmt.Sprint(r.place.first+n))
+		if err := r.network.PassFrom(clientsName, machineName(n), front, r.place.at(n, portHTTP)); err != nil {
+			return err
+		}
+		to[machineName(n)] = front
+		names = append(names, machineName(n))
+	}
+	r.clients = &clients{j: r.j, rate: r.o.Rate, to: to, names: names, kept: map[string][]*kept{}}
+	r.operators = newOperators(r.j, cores)
+	return nil
+}
+
+// bringUpMost is how long everything may take to be there, and to be healed: only a hang lasts so long.
+const bringUpMost = 60 * time.Second
+
+// begin starts everything and waits until each node is ready.
+func (r *run) begin(ctx context.Context) error {
+	for _, pool := range poolNames() {
+		n := perShard
+		if pool == poolDesk || pool == poolOther {
+			n = deskBackends
+		}
+		for range n {
+			if _, err := r.fleet.add(pool, slotsOf(pool), workOf(pool), ""); err != nil {
+				return err
+			}
+		}
+	}
+	for _, d := range r.daemons {
+		if err := r.writeSettings(d, []int{0, 1, 2}, true, false); err != nil {
+			return err
+		}
+		go d.run()
+	}
+	ctx, cancel := context.WithTimeout(ctx, bringUpMost)
+	defer cancel()
+	if !r.operators.first(ctx) {
+		return fmt.Errorf("the first configuration was not taken")
+	}
+	if !r.awaitReady(ctx) {
+		return fmt.Errorf("not all nodes became ready")
+	}
+	// The disks are no longer empty.
+	for _, d := range r.daemons {
+		if err := r.writeSettings(d, []int{0, 1, 2}, false, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// trouble brings the troubles about at their times, and waits until the last one is over.
+func (r *run) trouble(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.o.For)
+	defer cancel()
+	var all sync.WaitGroup
+	began := time.Now()
+	for _, t := range schedule(r.o) {
+		sleep(ctx, time.Until(began.Add(t.at)))
+		if ctx.Err() != nil {
+			break
+		}
+		all.Go(func() {
+			drawn := rand.New(rand.NewPCG(t.seed, 1))
+			r.say("begins %s for %v", t.kind, t.lasts.Round(time.Millisecond))
+			find(t.kind).do(ctx, r, drawn, t.lasts)
+			r.say("ends %s", t.kind)
+		})
+	}
+	all.Wait()
+}
+
+// say tells of an event.
+func (r *run) say(format string, args ...any) {
+	if r.o.Log != nil {
+		r.o.Log(fmt.Sprintf("%8.3f ", float64(r.j.now())/second) + fmt.Sprintf(format, args...))
+	}
+}
+
+// during notes a trouble for as long as it lasts; one that unsettles the core keeps disks from being lost.
+func (r *run) during(s span, f func()) {
+	if s.unsettles {
+		r.cores.begin()
+		defer r.cores.end()
+	}
+	r.span(s, f)
+}
+
+// span notes a trouble for as long as it lasts.
+func (r *run) span(s span, f func()) {
+	r.j.open(s)
+	defer r.j.close(s)
+	f()
+}
+
+func (r *run) daemonOf(role string, machine int) *daemon {
+	for _, d := range r.daemons {
+		if d.role == role && d.machine == machine {
+			return d
+		}
+	}
+	panic("no such process")
+}
+
+func (r *run) node(machine int) *daemon { return r.daemonOf(roleNode, machine) }
+
+func (r *run) ofMachine(n int) (out []*daemon) {
+	for _, d := range r.daemons {
+		if d.machine == n {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// stopOnce stops a process as planned and notes one that outlives its grace.
+func (r *run) stopOnce(d *daemon) {
+	if d.stop() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.overdue = append(r.overdue, fmt.Sprintf("%s did not end within %d s of its SIGTERM", d.name, graceS))
+	}
+}
+
+// end ends all processes and stand-ins.
+func (r *run) end() {
+	r.network.End()
+	for _, d := range r.daemons {
+		d.close()
+	}
+	r.fleet.close()
+}
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,111 @@
+// The short form of the soak: one seed, each kind of trouble near others, and
+// the rules that hold however busy the machine is.
+package soak
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/lab/rules"
+)
+
+// shortFor is how long troubles come in the short form.
+const shortFor = 25 * time.Second
+
+// build builds the product for a test.
+func build(t *testing.T) (bin string) {
+	t.Helper()
+	bin = t.TempDir()
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", filepath.Join(bin, "wallport"), "wallport/cmd/wallport").CombinedOutput()
+	must.NoError(t, err, must.Sprint(string(out)))
+	return bin
+}
+
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("real processes run in the plain test step")
+	}
+	o := Options{Seed: 1, For: shortFor, Gap: 600 * time.Millisecond, Rate: 40, Bin: build(t), Dir: t.TempDir(), Log: func(line string) { t.Log(line) }}
+	t.Logf("seed %d", o.Seed)
+	r, err := Run(context.Background(), o)
+	must.NoError(t, err)
+	must.SliceEmpty(t, r.Findings)
+	must.Positive(t, r.Served)
+	for _, rule := range []string{rules.Mixed, rules.Twice, rules.Route, rules.Unasked, rules.Config} {
+		must.Positive(t, r.Tested[rule], must.Sprint(rule))
+	}
+}
+
+func TestScheduleIsDrawnFromItsSeed(t *testing.T) {
+	o := Options{Seed: 7, For: 10 * time.Minute}
+	a, b := schedule(o), schedule(o)
+	must.Eq(t, len(a), len(b))
+	seen := map[string]bool{}
+	overlaps := 0
+	for i := range a {
+		must.True(t, a[i] == b[i])
+		seen[a[i].kind] = true
+		if i > 0 && a[i].at < a[i-1].at+a[i-1].lasts {
+			overlaps++
+		}
+	}
+	must.Greater(t, len(a)/2, overlaps, must.Sprint("troubles overlap"))
+	for _, k := range troubleKinds() {
+		must.True(t, seen[k.name], must.Sprintf("%s is never drawn in ten minutes", k.name))
+	}
+	o.Seed = 8
+	must.False(t, slices.Equal(a, schedule(o)))
+	o.Only = []string{"node_kill"}
+	for _, one := range schedule(o) {
+		must.Eq(t, "node_kill", one.kind)
+	}
+}
+
+func TestADiskIsLostOnlyWhileTheCoresAreCalm(t *testing.T) {
+	c := &calm{}
+	c.begin()
+	must.False(t, c.claim())
+	c.end()
+	must.False(t, c.claim(), must.Sprint("another core has just been in trouble"))
+	c.endedAt = time.Now().Add(-2 * syncTime)
+	must.True(t, c.claim())
+	must.False(t, c.claim())
+	c.release()
+	c.begin()
+}
+
+// judged is a run without processes whose journal a test has written.
+func judged(t *testing.T, write func(j *journal)) *Report {
+	t.Helper()
+	r := &run{j: newJournal(), torn: map[*daemon]bool{}}
+	write(r.j)
+	return r.report()
+}
+
+func TestARequestThatRanAndWasCutIsFound(t *testing.T) {
+	cut := func(j *journal) {
+		b := &rules.Backend{ID: "b", Ended: rules.Never, Shown: rules.Never}
+		j.Tries = []*rules.Try{{ID: "t", Machine: "m", Repeatable: true, Read: 1, Sent: 10 * second, Ended: 11 * second, Cut: true}}
+		j.Arrivals = []*rules.Arrival{{Try: "t", Backend: b, Ran: true, Status: 200, Answer: []byte("x"), At: 10 * second}}
+	}
+	r := judged(t, cut)
+	must.StrContains(t, strings.Join(r.Findings, "\n"), "CUT at 11.000 s")
+	r = judged(t, func(j *journal) {
+		cut(j)
+		j.Touch.Of("m").Moment(9 * second)
+	})
+	must.StrNotContains(t, strings.Join(r.Findings, "\n"), "CUT", must.Sprint("the node itself was in trouble"))
+}
+
+func TestFiguresAreRead(t *testing.T) {
+	got := readFigures(bytes.NewBufferString("wallport_requests_open 0\nwallport_x{a=\"b\"} 7\n"))
+	must.Eq(t, "0 7", got["wallport_requests_open"]+" "+got[`wallport_x{a="b"}`])
+}
