--- a/lab/soak/core_troubles.go
+++ b/lab/soak/core_troubles.go
@@ -52,6 +52,7 @@
 func diskFull(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
 	d := anyCore(r, drawn)
 	r.during(span{unsettles: true}, func() {
+		r.say("the disk of %s is full", d.name)
 		limitFiles(d, 1)
 		sleep(ctx, lasts)
 		limitFiles(d, unix.RLIM_INFINITY)
@@ -78,6 +79,7 @@
 		}
 	}
 	r.during(span{unsettles: true}, func() {
+		r.say("the disk of %s stalls", d.name)
 		sleep(ctx, lasts)
 		for _, path := range pipes {
 			drainPipe(path)
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -91,7 +91,9 @@
 			if err := r.network.Pass(fmt.Sprintf("%s-%d", role, n), r.place.at(n, port), behind); err != nil {
 				return err
 			}
-			r.daemons = append(r.daemons, newDaemon(r.o, r.place, n, role))
+			d := newDaemon(r.o, r.place, n, role)
+			d.say = r.say
+			r.daemons = append(r.daemons, d)
 		}
 		front := net.JoinHostPort(r.place.standInIP(), fmt.Sprint(r.place.first+n))
 		if err := r.network.PassFrom(clientsName, machineName(n), front, r.place.at(n, portHTTP)); err != nil {
