--- a/cmd/wallport/clients.go
+++ b/cmd/wallport/clients.go
@@ -36,7 +36,7 @@
 	s, err := gateway.Open(gateway.Config{
 		Addr: place.HTTP, ReadyAddr: place.Readiness, Names: platform.GatewayNames(), Log: p.Log, Sampled: p.Sampled(), Counts: p.Kernel.Counts,
 		Backends: client, Table: b.Now, Now: p.Now, GraceUs: e.Bounds.GraceUs,
-		Refresh: func() { refresh(p) },
+		Refresh: func() { p.AwaitThaw(thawWait) },
 		Chart:   func(r forward.Request, now int64) gateway.Chart { return forward.NewChart(desk, r, now) },
 	})
 	if err != nil {
@@ -56,10 +56,3 @@
 
 // thawWait bounds how long a request waits after a freeze for a fresh table.
 const thawWait = 500 * time.Millisecond
-
-// refresh waits, after a freeze, until the kernel has noticed it and judged anew.
-func refresh(p *process.Process) {
-	for until := time.Now().Add(thawWait); p.Frozen() && time.Now().Before(until); {
-		p.Do(func(int64) {})
-	}
-}
--- a/cmd/wallport/roles.go
+++ b/cmd/wallport/roles.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap/zapcore"
 
 	// The plug-ins register themselves.
+	"wallport/asynclog"
 	_ "wallport/configsync"
 	_ "wallport/cutmove"
 	"wallport/env"
@@ -77,9 +78,12 @@
 	if err != nil {
 		l = zapcore.InfoLevel
 	}
-	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(conf), zapcore.Lock(os.Stderr), l)).With(zap.String("who", name))
+	return zap.New(zapcore.NewCore(zaplogfmt.NewEncoder(conf), asynclog.New(os.Stderr, linesLost), l)).With(zap.String("who", name))
 }
 
+// linesLost is the line that tells how many others were dropped since nobody read the log.
+func linesLost(n int) []byte { return fmt.Appendf(nil, "level=warn event=log_lines_lost n=%d\n", n) }
+
 func daemon(e env.Env, role string) error {
 	if found := env.Load(&e, role); len(found) > 0 {
 		return coded{exitInvalid, found.Error()}
--- a/process/blocked_test.go
+++ b/process/blocked_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -64,3 +65,52 @@
 	defer func() { must.Nil(t, recover()) }()
 	wait.close()
 }
+
+func TestFramesForAnAddressThatDoesNotAnswerAreBounded(t *testing.T) {
+	p := start(t, env.Env{Mesh: free(t), Fleet: "s"})
+	// It takes connections and says nothing, as the machine of a frozen process does.
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { silent.Close() })
+	addr := silent.Addr().String()
+	for range 2 * backlogMost {
+		p.channels.send(kernel.Send{Addr: addr, Data: []byte("frame")})
+	}
+	must.Between(t, 1, waiting(p, addr), backlogMost)
+	must.GreaterEq(t, backlogMost, p.Kernel.Counts.Of("sends_unreachable").Load())
+}
+
+// waiting is how many frames wait for the connection to an address.
+func waiting(p *Process, addr string) int {
+	p.channels.mu.Lock()
+	defer p.channels.mu.Unlock()
+	ch := p.channels.direct[addr]
+	if ch == nil {
+		return 0
+	}
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	return len(ch.frames)
+}
+
+func TestBacklogIsBoundedInBytes(t *testing.T) {
+	p := start(t, env.Env{Mesh: free(t), Fleet: "s"})
+	wait := newChannel(p.channels, nil, "127.0.0.1:1", false, true)
+	frame := make([]byte, 1<<20)
+	for range 3 * backlogBytes / len(frame) {
+		wait.enlist(kernel.Send{Data: frame})
+	}
+	must.Eq(t, backlogBytes, wait.bytes)
+	wait.enlist(kernel.Send{Data: frame[:0], Slot: "s"})
+	wait.enlist(kernel.Send{Data: []byte("newer"), Slot: "s"})
+	must.Eq(t, backlogBytes/len(frame)+1, len(wait.take()))
+	must.Eq(t, 0, wait.bytes)
+}
+
+// A request that finds the process frozen waits for it to judge anew, but no longer than it may.
+func TestWaitingForAThawEndsWhenTheLoopIsHeldUp(t *testing.T) {
+	p := start(t, env.Env{Mesh: free(t), Fleet: "s"})
+	holdUp(t, p)
+	p.lastRun.Store(p.Now() - 2*FreezeGap)
+	must.True(t, returns(func() { p.AwaitThaw(50 * time.Millisecond) }))
+}
--- a/process/channel.go
+++ b/process/channel.go
@@ -17,8 +17,12 @@
 	"wallport/wire"
 )
 
-// backlogMost bounds a channel's waiting frames; a peer that slow is let go.
-const backlogMost = 4096
+// backlogMost bounds a channel's waiting frames, and backlogBytes what they hold together; a peer that
+// slow is let go. Where the connection is not open yet, no more are taken.
+const (
+	backlogMost  = 4096
+	backlogBytes = 16 << 20
+)
 
 type channel struct {
 	c      *channels
@@ -30,6 +34,7 @@
 
 	mu     sync.Mutex
 	frames []kernel.Send
+	bytes  int
 	slots  map[string]int
 	base   int
 	signal chan struct{}
@@ -47,17 +52,12 @@
 // enlist puts a frame into the backlog, in its slot's place where one waits.
 func (ch *channel) enlist(s kernel.Send) {
 	ch.mu.Lock()
-	if i, ok := ch.slots[s.Slot]; ok && s.Slot != "" && i >= ch.base {
-		ch.frames[i-ch.base] = s
-		ch.c.p.Kernel.Counts.Add("frames_replaced", 1)
-	} else {
-		if s.Slot != "" {
-			ch.slots[s.Slot] = ch.base + len(ch.frames)
-		}
-		ch.frames = append(ch.frames, s)
-	}
-	full := len(ch.frames) > backlogMost
+	full := ch.put(s)
 	ch.mu.Unlock()
+	if full && ch.conn == nil {
+		ch.c.p.Kernel.Counts.Add("sends_unreachable", 1)
+		return
+	}
 	if full {
 		ch.c.p.Kernel.Counts.Add("channels_backlog_full", 1)
 		go ch.close()
@@ -69,6 +69,26 @@
 	}
 }
 
+// put puts a frame into the backlog; full is that there is no room for it.
+func (ch *channel) put(s kernel.Send) (full bool) {
+	if i, ok := ch.slots[s.Slot]; ok && s.Slot != "" && i >= ch.base {
+		was := &ch.frames[i-ch.base]
+		ch.bytes += len(s.Data) - len(was.Data)
+		*was = s
+		ch.c.p.Kernel.Counts.Add("frames_replaced", 1)
+		return false
+	}
+	if len(ch.frames) >= backlogMost || ch.bytes+len(s.Data) > backlogBytes {
+		return true
+	}
+	if s.Slot != "" {
+		ch.slots[s.Slot] = ch.base + len(ch.frames)
+	}
+	ch.frames = append(ch.frames, s)
+	ch.bytes += len(s.Data)
+	return false
+}
+
 // adopt takes over the frames that waited for this channel to open.
 func (ch *channel) adopt(wait *channel) {
 	wait.mu.Lock()
@@ -84,7 +104,7 @@
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
 	out := ch.frames
-	ch.frames = nil
+	ch.frames, ch.bytes = nil, 0
 	ch.base += len(out)
 	clear(ch.slots)
 	return out
@@ -141,8 +161,10 @@
 func (ch *channel) close() {
 	ch.once.Do(func() {
 		close(ch.shut)
-		// Not Close: that would wait to tell a peer that may be frozen.
-		ch.conn.NetConn().Close()
+		if ch.conn != nil {
+			// Not Close: that would wait to tell a peer that may be frozen.
+			ch.conn.NetConn().Close()
+		}
 		ch.c.gone(ch)
 	})
 }
--- a/process/loop.go
+++ b/process/loop.go
@@ -5,7 +5,6 @@
 
 import (
 	"container/heap"
-	"context"
 	crand "crypto/rand"
 	"encoding/binary"
 	"fmt"
@@ -124,36 +123,6 @@
 	}
 }
 
-// Call asks a plug-in and waits for its answer. The plug-in is told when nobody waits any more.
-func (p *Process) Call(ctx context.Context, plugin string, ask any) (any, error) {
-	id := p.nextCall.Add(1)
-	ch := make(chan any, 1)
-	p.calls.Store(id, ch)
-	defer p.calls.Delete(id)
-	p.Post(kernel.Call{Plugin: plugin, ID: id, Ask: ask})
-	select {
-	case v := <-ch:
-		return v, nil
-	case <-ctx.Done():
-		p.Post(kernel.Abandoned{Plugin: plugin, ID: id})
-		return nil, ctx.Err()
-	case <-p.stop:
-		return nil, fmt.Errorf("process is stopping")
-	}
-}
-
-// Do runs a function inside the loop, between two steps, and waits for it.
-func (p *Process) Do(f func(now int64)) {
-	done := make(chan struct{})
-	p.Post(do{f: func(now int64) { f(now); close(done) }})
-	select {
-	case <-done:
-	case <-p.stop:
-	}
-}
-
-type do struct{ f func(now int64) }
-
 func (p *Process) step(at clocks, in kernel.Input) {
 	out := p.Kernel.Step(at.now, at.wall, in)
 	for _, n := range out.Notes {
--- a/serve/run.go
+++ b/serve/run.go
@@ -44,7 +44,7 @@
 
 // Run takes one inquiry through its chart.
 func (f *Front) Run(ctx context.Context, in inquiry.Inquiry) inquiry.Outcome {
-	f.refresh()
+	f.p.AwaitThaw(thawWait)
 	c := inquiry.NewChart(f.desk, in, f.p.Now())
 	r := &run{f: f, ctx: ctx, chart: c, events: make(chan inquiry.Event, 8), over: make(chan struct{}), cancels: map[int]context.CancelFunc{}}
 	defer r.end(in.Key)
@@ -52,18 +52,6 @@
 	return r.loop()
 }
 
-// refresh waits, after a freeze, until the kernel has noticed it and judged anew.
-func (f *Front) refresh() {
-	if !f.p.Frozen() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), thawWait)
-	defer cancel()
-	for f.p.Frozen() && ctx.Err() == nil {
-		f.p.Do(func(int64) {})
-	}
-}
-
 type run struct {
 	f       *Front
 	ctx     context.Context
@@ -134,10 +122,10 @@
 		}
 		select {
 		case ev := <-r.events:
-			r.f.refresh()
+			r.f.p.AwaitThaw(thawWait)
 			acts = r.chart.Step(r.f.p.Now(), ev)
 		case <-wake.C:
-			r.f.refresh()
+			r.f.p.AwaitThaw(thawWait)
 			acts = r.chart.Step(r.f.p.Now(), inquiry.Due{})
 		}
 	}
