--- a/lab/soak/backend.go
+++ b/lab/soak/backend.go
@@ -47,7 +47,6 @@
 	server   *http.Server
 	listener net.Listener
 	draining atomic.Bool
-	shownAt  atomic.Int64
 	seals    atomic.Uint64
 	once     sync.Once
 }
--- a/serve/explain.go
+++ b/serve/explain.go
@@ -29,12 +29,15 @@
 	if err := a.allowed(p.Token); err != nil {
 		return nil, err
 	}
-	if find := a.f.platformTrace.Load(); find != nil {
+	find, name := a.f.platformTrace.Load(), nodeOf(p.ID)
+	if find == nil && name == "" {
+		return nil, fail("malformed", "not an inquiry's id: it looks like NODE-NUMBER")
+	}
+	if find != nil {
 		if t, ok := (*find)(p.ID); ok {
 			return t, nil
 		}
 	}
-	name := nodeOf(p.ID)
 	if name == a.f.p.Kernel.Boot.Env.Name {
 		t, ok := a.f.desk.Traces.Get(p.ID)
 		if !ok {
@@ -45,7 +48,7 @@
 	if addr := a.operatorOf(name); addr != "" {
 		return a.elsewhere(ctx, name, addr, p)
 	}
-	if p.Here != nil && *p.Here {
+	if find == nil || p.Here != nil && *p.Here {
 		return nil, fail("unknown", "no such request here, or it is no longer kept")
 	}
 	return a.everywhere(ctx, p)
