--- /dev/null
+++ b/cmd/wallport/hangup_test.go
@@ -0,0 +1,36 @@
+// A SIGHUP that comes while a process starts does not end it.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"slices"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// ignoredAtStart is whether SIGHUP was ignored before main began.
+var ignoredAtStart = signal.Ignored(syscall.SIGHUP)
+
+// tellsWhetherIgnored is the argument by which this program tells that, in place of running tests.
+const tellsWhetherIgnored = "tells-whether-hangup-is-ignored"
+
+func TestMain(m *testing.M) {
+	if slices.Contains(os.Args, tellsWhetherIgnored) {
+		fmt.Print(ignoredAtStart)
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func TestHangupIsIgnoredFromTheStartOnThePlatform(t *testing.T) {
+	for _, c := range []struct{ arg, want string }{{"--on-platform", "true"}, {"--name", "false"}} {
+		out, err := exec.Command(os.Args[0], tellsWhetherIgnored, c.arg).Output()
+		must.NoError(t, err)
+		must.Eq(t, c.want, string(out), must.Sprint(c.arg))
+	}
+}
