--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -22,7 +22,7 @@
 	Seeds uint64        `long:"seeds" default:"1" description:"number of seeds"`
 	Jobs  int           `long:"jobs" default:"1" description:"runs at the same time"`
 	For   time.Duration `long:"for" default:"30s" description:"how long troubles come in each run"`
-	Rate  float64       `long:"rate" default:"60" description:"requests a second"`
+	Rate  float64       `long:"rate" default:"120" description:"requests a second"`
 	Gap   time.Duration `long:"gap" description:"mean time between the begins of two troubles"`
 	Only  []string      `long:"only" description:"a kind of trouble to draw; all without any"`
 	Timed bool          `long:"timed" description:"judge the rules with bounds of time, too: for a machine that is not busy"`
@@ -129,6 +129,6 @@
 		}
 		return true
 	}
-	fmt.Printf("  kept in %s; again: lab soak --seed %d --for %v --rate %v\n", c.folder(seed), seed, c.For, c.Rate)
+	fmt.Printf("  kept in %s; again: lab soak --seed %d --for %v --rate %v --gap %v\n", c.folder(seed), seed, c.For, c.Rate, c.Gap)
 	return false
 }
--- a/lab/soak/backend_troubles.go
+++ b/lab/soak/backend_troubles.go
@@ -30,8 +30,11 @@
 	}
 }
 
-// anyPool draws a pool.
+// anyPool draws a pool; a third of the draws are the one that serves what may run only once.
 func anyPool(drawn *rand.Rand) string {
+	if drawn.IntN(3) == 0 {
+		return poolDesk
+	}
 	names := poolNames()
 	return names[drawn.IntN(len(names))]
 }
@@ -113,7 +116,8 @@
 		pool := anyPool(drawn)
 		all := r.fleet.of(pool)
 		if drawn.IntN(4) > 0 && len(all) > 1 {
-			all = all[:1]
+			one := drawn.IntN(len(all))
+			all = all[one : one+1]
 		}
 		r.during(span{}, func() {
 			for _, b := range all {
@@ -152,7 +156,7 @@
 
 func workOf(pool string) time.Duration {
 	if pool == poolDesk || pool == poolOther {
-		return 20 * time.Millisecond
+		return 60 * time.Millisecond
 	}
 	return 6 * time.Millisecond
 }
--- a/lab/soak/config.go
+++ b/lab/soak/config.go
@@ -27,17 +27,18 @@
 		name, siteHost, prefix, kind, timeoutMs, where, most)
 }
 
-// changingRoute is the route that every change moves.
-func changingRoute(revision int64) string {
+// changingRoute is the route that every change moves. The serial number makes each change another one:
+// exactly the same change sent again is known as such.
+func changingRoute(revision, serial int64) string {
 	pool := poolDesk
 	if revision%2 == 0 {
 		pool = poolOther
 	}
-	return routeText("changing", "/changing/", "idempotent", fmt.Sprintf(`"pool":%q`, pool), 1500+int(revision%7)*100, 2)
+	return routeText("changing", "/changing/", "idempotent", fmt.Sprintf(`"pool":%q,"serial":%d`, pool, serial), 1500+int(revision%7)*100, 2)
 }
 
 // wholeText is a whole configuration.
-func wholeText(revision int64) string {
+func wholeText(revision, serial int64) string {
 	var shards []string
 	for i := range shardCount {
 		shards = append(shards, fmt.Sprintf("%q", shardPool(i)))
@@ -47,7 +48,7 @@
 		search,
 		routeText("read", "/read/", "idempotent", fmt.Sprintf(`"pool_weights":[{"pool":%q,"weight":3},{"pool":%q,"weight":1}]`, poolDesk, poolOther), 1500, 2),
 		routeText("fix", "/fix/", "non_idempotent", fmt.Sprintf(`"pool":%q`, poolDesk), 1500, 2),
-		changingRoute(revision),
+		changingRoute(revision, serial),
 	}
 	var pools []string
 	for _, name := range poolNames() {
@@ -67,13 +68,13 @@
 }
 
 // patchText is a change of named items.
-func patchText(revision int64) string {
-	return fmt.Sprintf(`{"revision":%d,"upsert":{"routing_table":[%s]}}`, revision, changingRoute(revision))
+func patchText(revision, serial int64) string {
+	return fmt.Sprintf(`{"revision":%d,"upsert":{"routing_table":[%s]}}`, revision, changingRoute(revision, serial))
 }
 
 // badText is a whole configuration that is not valid.
-func badText(revision int64) string {
-	return strings.Replace(wholeText(revision), `"pool":"`+poolDesk+`"`, `"pool":"nobody"`, 1)
+func badText(revision, serial int64) string {
+	return strings.Replace(wholeText(revision, serial), `"pool":"`+poolDesk+`"`, `"pool":"nobody"`, 1)
 }
 
 // applied is the table that a change makes of another one; nil where none can be made of it.
--- /dev/null
+++ b/lab/soak/config_test.go
@@ -0,0 +1,24 @@
+// The configurations that operators send are what they are to be.
+package soak
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
+
+	"wallport/routing"
+)
+
+func TestEveryChangeIsAnotherOne(t *testing.T) {
+	must.NotEq(t, wholeText(5, 1), wholeText(5, 2))
+	must.NotEq(t, patchText(5, 1), patchText(5, 2))
+	whole := applied(nil, wholeText(5, 1), 0, false)
+	must.SliceEmpty(t, routing.Check(whole))
+	patched := applied(whole, patchText(7, 2), 5, true)
+	must.SliceEmpty(t, routing.Check(patched))
+	must.Eq(t, 7, patched.Revision)
+	must.False(t, proto.Equal(patched, applied(whole, patchText(7, 3), 5, true)))
+	must.SliceNotEmpty(t, routing.Check(applied(nil, badText(5, 1), 0, false)))
+	must.Nil(t, applied(nil, "{", 0, false))
+}
--- a/lab/soak/healing.go
+++ b/lab/soak/healing.go
@@ -64,7 +64,7 @@
 func (r *run) changeOnce(ctx context.Context, patch, invalid bool) {
 	r.changes.Lock()
 	defer r.changes.Unlock()
-	text := wholeText
+	text := changeText(wholeText)
 	switch {
 	case invalid:
 		text, patch = badText, false
@@ -78,9 +78,10 @@
 // heal mends everything and waits until all serve again.
 func (r *run) heal(ctx context.Context) {
 	r.network.JoinAll()
+	seeds := r.coresNow()
 	for _, d := range r.daemons {
 		d.setDown(false)
-		r.settle(d, []int{0, 1, 2}, false)
+		r.settle(d, seeds, false)
 	}
 	ctx, cancel := context.WithTimeout(ctx, bringUpMost)
 	defer cancel()
@@ -102,6 +103,16 @@
 	r.say("healed after %v", time.Since(began).Round(time.Millisecond))
 }
 
+// coresNow are the machines whose cores are there.
+func (r *run) coresNow() (out []int) {
+	for _, d := range r.daemons {
+		if d.role == roleCore && d != r.removed && d != r.spare {
+			out = append(out, d.machine)
+		}
+	}
+	return out
+}
+
 // awaitReady waits until every node says that it is ready.
 func (r *run) awaitReady(ctx context.Context) bool {
 	for n := range machineCount {
--- a/lab/soak/network_troubles.go
+++ b/lab/soak/network_troubles.go
@@ -40,7 +40,7 @@
 	for n := range coreCount {
 		out = append(out, coreName(n))
 	}
-	return out
+	return append(out, coreName(spareMachine))
 }
 
 // meshCut cuts a node off from all other processes.
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -25,6 +25,8 @@
 	client *http.Client
 	// lose is the part of the answers that are lost, in thousandths.
 	lose atomic.Int64
+	// serial counts the changes.
+	serial atomic.Int64
 
 	mu sync.Mutex
 	// newest is the newest version that is known to be in force, and its table.
@@ -51,6 +53,24 @@
 	return o
 }
 
+// replace has operators call another core in place of one that was removed.
+func (o *operators) replace(gone, by string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i, addr := range o.to {
+		if addr == gone {
+			o.to[i] = by
+		}
+	}
+}
+
+// anyCore is the address of some core.
+func (o *operators) anyCore() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.to[rand.IntN(len(o.to))]
+}
+
 // reply is what a call came to; status 0 is no answer, lost that there was one that did not arrive.
 type reply struct {
 	status int
@@ -60,7 +80,7 @@
 
 // call sends one call to some core.
 func (o *operators) call(ctx context.Context, method, path, match, body string) reply {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.to[rand.IntN(len(o.to))]+path, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+o.anyCore()+path, strings.NewReader(body))
 	if err != nil {
 		return reply{}
 	}
@@ -106,8 +126,11 @@
 	return reply{}
 }
 
+// changeText makes a change's text.
+type changeText func(revision, serial int64) string
+
 // change sends a change on top of the newest version, with a number above it.
-func (o *operators) change(ctx context.Context, text func(revision int64) string, patch, invalid, alone bool, step int64) {
+func (o *operators) change(ctx context.Context, text changeText, patch, invalid, alone bool, step int64) {
 	o.mu.Lock()
 	base, before := o.newest, o.table
 	revision := max(base, o.last) + step
@@ -116,7 +139,7 @@
 	}
 	alone = alone && !o.unclear
 	o.mu.Unlock()
-	body, method := text(revision), http.MethodPut
+	body, method := text(revision, o.serial.Add(1)), http.MethodPut
 	if patch {
 		method = http.MethodPatch
 	}
@@ -161,7 +184,7 @@
 // race has several operators change the same version at once, some under one number.
 func (o *operators) race(ctx context.Context, n int) {
 	var all sync.WaitGroup
-	texts := []func(int64) string{wholeText, patchText}
+	texts := []changeText{wholeText, patchText}
 	for i := range n {
 		all.Go(func() { o.change(ctx, texts[i%2], i%2 == 1, false, false, int64(2+i/2)) })
 	}
--- a/lab/soak/process_troubles.go
+++ b/lab/soak/process_troubles.go
@@ -84,7 +84,9 @@
 func machinePower(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
 	n := anyMachine(drawn)
 	s := atMachine(n)
-	s.unsettles = n < coreCount
+	for _, d := range r.ofMachine(n) {
+		s.unsettles = s.unsettles || d.role == roleCore && d.pid() != 0
+	}
 	r.during(s, func() {
 		var both sync.WaitGroup
 		for _, d := range r.ofMachine(n) {
--- a/lab/soak/processes.go
+++ b/lab/soak/processes.go
@@ -60,6 +60,8 @@
 	cmd *exec.Cmd
 	// down keeps it from starting again; told is that it was told to end, or killed.
 	down, told bool
+	// removed is that its machine is gone for good.
+	removed bool
 	// say is told of every signal.
 	say func(format string, args ...any)
 	// frozen is that it is stopped by a signal now; frozeAt when it was last.
@@ -150,6 +152,10 @@
 		close(copied)
 	}()
 	err = cmd.Wait()
+	// It has ended, though what it logged may not be read yet.
+	d.mu.Lock()
+	d.cmd = nil
+	d.mu.Unlock()
 	<-copied
 	return err
 }
@@ -161,6 +167,10 @@
 	if d.cmd == nil {
 		return
 	}
+	if sig == syscall.SIGHUP && !runs(d.cmd.Process.Pid) {
+		// The loader is at work yet: no program can be ready for a signal.
+		return
+	}
 	d.say("%s gets %v", d.name, sig)
 	switch sig {
 	case syscall.SIGSTOP:
@@ -174,11 +184,34 @@
 	d.cmd.Process.Signal(sig)
 }
 
+// runs tells that a process has come so far as to handle or ignore any signal.
+func runs(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		name, mask, _ := strings.Cut(line, ":\t")
+		if (name == "SigIgn" || name == "SigCgt") && strings.Trim(mask, "0") != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // setDown keeps the process from starting again, or lets it.
 func (d *daemon) setDown(down bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.down = down
+	d.down = down || d.removed
+}
+
+// remove takes the process's machine away for good.
+func (d *daemon) remove() {
+	d.mu.Lock()
+	d.removed, d.down = true, true
+	d.mu.Unlock()
+	d.signal(syscall.SIGKILL)
 }
 
 // pid is the id of the life that runs now; 0 is none.
@@ -223,7 +256,16 @@
 	d.mu.Unlock()
 	d.signal(syscall.SIGCONT)
 	d.signal(syscall.SIGKILL)
-	<-d.over
+	if d.began() {
+		<-d.over
+	}
+}
+
+// began tells that the process was ever to run.
+func (d *daemon) began() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lives > 0
 }
 
 // logMarks are what no log may hold.
@@ -235,6 +277,9 @@
 	out := append([]string(nil), d.ownEnds...)
 	d.mu.Unlock()
 	text, err := os.ReadFile(d.logPath)
+	if os.IsNotExist(err) {
+		return out
+	}
 	if err != nil {
 		return append(out, err.Error())
 	}
--- a/lab/soak/report.go
+++ b/lab/soak/report.go
@@ -5,6 +5,8 @@
 	"bufio"
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -33,6 +35,7 @@
 	out := &Report{Seed: r.o.Seed, Findings: slices.Clone(r.findings)}
 	r.j.with(func() {
 		r.j.End = r.j.now()
+		r.nameMachines()
 		r.j.Judge()
 		for _, f := range r.j.Findings {
 			text := fmt.Sprintf("%s at %.3f s: %s (%d in all)", f.Rule, float64(f.At)/second, f.Text, r.j.Broken[f.Rule])
@@ -61,9 +64,23 @@
 		out.Findings = append(out.Findings, r.explained(d)...)
 	}
 	out.Findings = append(out.Findings, r.overdue...)
+	if len(out.Findings) > 0 && r.o.Dir != "" {
+		os.WriteFile(filepath.Join(r.o.Dir, "history.txt"), []byte(r.historyText()), 0o600)
+	}
 	return out
 }
 
+// nameMachines notes for each arrival the machine that the client had sent the request to.
+func (r *run) nameMachines() {
+	at := map[string]string{}
+	for _, t := range r.j.Tries {
+		at[t.ID] = t.Machine
+	}
+	for _, a := range r.j.Arrivals {
+		a.Machine = at[a.Try]
+	}
+}
+
 // explained are a process's faults, but for ends over a settings file that was in halves.
 func (r *run) explained(d *daemon) (out []string) {
 	r.mu.Lock()
@@ -106,3 +123,14 @@
 	}
 	return out
 }
+
+// historyText lists what operators did and read, for whoever looks into a finding.
+func (r *run) historyText() string {
+	var b strings.Builder
+	r.j.with(func() {
+		for _, op := range r.j.OperatorsHistory().Operations {
+			fmt.Fprintf(&b, "%+v\n", op)
+		}
+	})
+	return b.String()
+}
--- /dev/null
+++ b/lab/soak/resource_troubles.go
@@ -0,0 +1,130 @@
+// Troubles of scarce things and of clients that misbehave: descriptors that run
+// out, floods of connections, heads that never end, answers that nobody reads,
+// requests that are none.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"wallport/platform"
+)
+
+func resourceTroubles() []kindOf {
+	return []kindOf{
+		{"descriptors_out", 2, descriptorsOut},
+		{"client_flood", 2, clientFlood},
+		{"client_garbage", 2, clientGarbage},
+		{"client_unread", 2, clientUnread},
+	}
+}
+
+// descriptorsOut leaves a process no descriptors beyond those that it has.
+func descriptorsOut(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	d := r.daemons[drawn.IntN(len(r.daemons))]
+	pid := d.pid()
+	open, err := os.ReadDir(filepath.Join("/proc", fmt.Sprint(pid), "fd"))
+	var was unix.Rlimit
+	if pid == 0 || err != nil || unix.Prlimit(pid, unix.RLIMIT_NOFILE, nil, &was) != nil {
+		return
+	}
+	s := atMachine(d.machine)
+	s.unsettles = d.role == roleCore
+	r.during(s, func() {
+		r.say("%s has no descriptors beyond its %d", d.name, len(open))
+		unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(len(open)), Max: was.Max}, nil)
+		sleep(ctx, lasts)
+		if d.pid() == pid {
+			unix.Prlimit(pid, unix.RLIMIT_NOFILE, &was, nil)
+		}
+	})
+}
+
+// floodConnections is how many connections a flood opens.
+const floodConnections = 300
+
+// clientFlood opens many connections to a node, some with half a head, and keeps them.
+func clientFlood(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	addr := r.clients.to[machineName(anyMachine(drawn))]
+	var open []net.Conn
+	for range floodConnections {
+		conn, err := net.DialTimeout("tcp", addr, connectMost)
+		if err != nil {
+			break
+		}
+		open = append(open, conn)
+		if drawn.IntN(2) == 0 {
+			io.WriteString(conn, "GET /read/never HTTP/1.1\r\nHost: "+siteHost)
+		}
+	}
+	sleep(ctx, lasts)
+	for _, conn := range open {
+		conn.Close()
+	}
+}
+
+// garbage are requests that are none, or not allowed; none of them may run.
+func garbage(n int) []string {
+	id := fmt.Sprintf("bad-%d", n)
+	head := "POST /fix/" + id + " HTTP/1.1\r\nHost: " + siteHost + "\r\n"
+	one := platform.HeaderAttempt + ": " + id + "\r\n"
+	return []string{
+		head + "Content-Length: 3\r\n\r\nabc",
+		head + one + platform.HeaderAttempt + ": " + id + "x\r\nContent-Length: 3\r\n\r\nabc",
+		head + one + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		head + one + "Content-Length: -1\r\n\r\nabc",
+		head + one + "X: " + strings.Repeat("x", 70_000) + "\r\n\r\n",
+		head + one + "Content-Length: 99999999\r\n\r\nabc",
+		head + one + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc",
+		head + one + "Content-Length: 10\r\n\r\nabc",
+		"\x16\x03\x01\x02\x00",
+		"GET /nowhere HTTP/1.1\r\nHost: " + siteHost + "\r\n" + one + "\r\n",
+	}
+}
+
+// clientGarbage sends requests that are none to a node.
+func clientGarbage(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	addr := r.clients.to[machineName(anyMachine(drawn))]
+	for n, text := range garbage(drawn.IntN(1_000_000)) {
+		conn, err := net.DialTimeout("tcp", addr, connectMost)
+		if err != nil {
+			return
+		}
+		conn.SetDeadline(time.Now().Add(lasts / 4))
+		io.WriteString(conn, text)
+		if n%2 == 0 {
+			io.Copy(io.Discard, conn)
+		}
+		conn.Close()
+	}
+}
+
+// clientUnread sends requests to a node and reads no answer, until the trouble is over.
+func clientUnread(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
+	addr := r.clients.to[machineName(anyMachine(drawn))]
+	conn, err := net.DialTimeout("tcp", addr, connectMost)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	conn.(*net.TCPConn).SetReadBuffer(1)
+	conn.SetDeadline(time.Now().Add(lasts))
+	k := kinds[1]
+	for ctx.Err() == nil {
+		t := r.clients.newTry(k, "", 1, time.Now().Add(k.deadline))
+		r.clients.end(t, func() { t.GaveUp = true })
+		if _, err := conn.Write(request(t, k.deadline)); err != nil {
+			return
+		}
+		sleep(ctx, 20*time.Millisecond)
+	}
+}
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -30,8 +30,10 @@
 
 	mu sync.Mutex
 	// torn are the processes whose settings file is in halves; seeds are what each was told last.
-	torn  map[*daemon]bool
-	seeds map[*daemon][]int
+	torn map[*daemon]bool
+	// spare is a core that may take the place of another; removed is the one whose place it took.
+	spare, removed *daemon
+	seeds          map[*daemon][]int
 	// stops counts planned stops that took longer than their grace.
 	overdue []string
 	// findings are what is wrong beside the rules.
@@ -102,11 +104,27 @@
 		to[machineName(n)] = front
 		names = append(names, machineName(n))
 	}
+	if err := r.addSpare(); err != nil {
+		return err
+	}
 	r.clients = &clients{j: r.j, rate: r.o.Rate, to: to, names: names, kept: map[string][]*kept{}}
 	r.operators = newOperators(r.j, cores)
 	return nil
 }
 
+// addSpare makes the core of a spare machine, which does not run yet. Its machine is one that has a node
+// already: what counts is that its disk is empty and its address another one.
+func (r *run) addSpare() error {
+	behind := net.JoinHostPort(r.place.behindIP(spareMachine, roleCore), fmt.Sprint(r.place.first))
+	if err := r.network.Pass(coreName(spareMachine), r.place.at(spareMachine, portCoreMesh), behind); err != nil {
+		return err
+	}
+	r.spare = newDaemon(r.o, r.place, spareMachine, roleCore)
+	r.spare.say = r.say
+	r.daemons = append(r.daemons, r.spare)
+	return nil
+}
+
 // bringUpMost is how long everything may take to be there, and to be healed: only a hang lasts so long.
 const bringUpMost = 60 * time.Second
 
@@ -127,7 +145,9 @@
 		if err := r.writeSettings(d, []int{0, 1, 2}, true, false); err != nil {
 			return err
 		}
-		go d.run()
+		if d != r.spare {
+			go d.run()
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, bringUpMost)
 	defer cancel()
--- a/lab/soak/site.go
+++ b/lab/soak/site.go
@@ -39,6 +39,8 @@
 	machineCount = 6
 	coreCount    = 3
 	zoneCount    = 3
+	// spareMachine has a core that may take another's place.
+	spareMachine = coreCount
 	shardCount   = 4
 	perShard     = 3
 	deskBackends = 4
--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -30,7 +30,7 @@
 
 // troubleKinds are all kinds, in a fixed order.
 func troubleKinds() []kindOf {
-	return slices.Concat(processTroubles(), coreTroubles(), networkTroubles(), backendTroubles(), operatorTroubles())
+	return slices.Concat(processTroubles(), coreTroubles(), networkTroubles(), backendTroubles(), operatorTroubles(), resourceTroubles(), replaceTroubles())
 }
 
 // Times of the schedule.
