--- a/process/call.go
+++ b/process/call.go
@@ -36,6 +36,12 @@
 
 // postWithin feeds an input, unless there is no room for it until the context ends.
 func (p *Process) postWithin(ctx context.Context, in kernel.Input) error {
+	select {
+	case p.inbox <- in:
+		// Where there is room it is fed, whatever the context says.
+		return nil
+	default:
+	}
 	select {
 	case p.inbox <- in:
 		return nil
--- a/tools/knownred/knownred_test.go
+++ b/tools/knownred/knownred_test.go
@@ -60,6 +60,17 @@
 	}
 }
 
+func TestWhatATestPrintedThatNeverEndedIsShown(t *testing.T) {
+	var out strings.Builder
+	o := newOutcome()
+	must.NoError(t, o.read(bufio.NewReader(strings.NewReader(strings.Join([]string{
+		`{"Action":"output","Package":"wallport/a","Test":"TestHangs","Output":"panic: test timed out\n"}`,
+		`{"Action":"output","Package":"wallport/a","Test":"TestFine","Output":"of no interest\n"}`,
+		ended(passed, "wallport/a", "TestFine"), ended(failed, "wallport/a", ""),
+	}, "\n"))), &out))
+	must.Eq(t, "panic: test timed out\n", out.String())
+}
+
 func TestListIsChecked(t *testing.T) {
 	known, err := parseList(strings.NewReader("# why\n\n" + listedLine))
 	must.NoError(t, err)
--- a/tools/knownred/outcome.go
+++ b/tools/knownred/outcome.go
@@ -84,6 +84,7 @@
 	switch {
 	case e.Test == "" && e.Action == failed:
 		o.packages[e.Package] = true
+		printUnended(e.Package, printed, out)
 	case e.Test == "" || strings.Contains(e.Test, "/"):
 	default:
 		o.tests[key] = e.Action
@@ -94,6 +95,15 @@
 	}
 }
 
+// printUnended prints what tests of a failed package printed that have no end: one of them ended it, or hung.
+func printUnended(name string, printed map[string][]string, out io.Writer) {
+	for key, lines := range printed {
+		if strings.HasPrefix(key, name+".Test") {
+			io.WriteString(out, strings.Join(lines, ""))
+		}
+	}
+}
+
 // judge lists what is wrong in a run beside the known failures.
 func (o *outcome) judge(known []entry, exited bool) []string {
 	var wrong []string
