--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -100,7 +100,7 @@
 	if now := (times{headTime(m), idleTime(m), headMost(m)}); v.pass == nil || v.made != now {
 		v.made, v.pass = now, make(chan net.Conn)
 		srv := &http.Server{
-			Handler: &s.h, ReadHeaderTimeout: now.head, IdleTimeout: now.idle, WriteTimeout: WriteMost, MaxHeaderBytes: now.most,
+			Handler: &s.h, ReadHeaderTimeout: now.head, IdleTimeout: now.idle, WriteTimeout: s.c.WriteWithin, MaxHeaderBytes: now.most,
 			ConnState: s.changed, ErrorLog: s.errorLog(), DisableGeneralOptionsHandler: true,
 		}
 		v.servers = append(v.servers, srv)
--- /dev/null
+++ b/gateway/clients_test.go
@@ -0,0 +1,42 @@
+// The connections of clients over changes of the limits, and over requests that take long.
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"wallport/routingpb"
+)
+
+// Limits that come and go leave no more behind than there are different ones.
+func TestLimitsThatComeAgainNeedNoServerOfTheirOwn(t *testing.T) {
+	w := newWorld(t, nil)
+	for i := range int64(20) {
+		w.limits(&routingpb.Limits{IdleTimeoutUs: 10_000_000 + i%2})
+		c := w.dial()
+		c.send(get("a"))
+		c.answer("GET")
+	}
+	w.s.clients.mu.Lock()
+	defer w.s.clients.mu.Unlock()
+	must.Between(t, 1, len(w.s.clients.servers), 2)
+}
+
+// How long a client may take to take its answer counts from when there is one.
+func TestAnAnswerThatComesLateIsWritten(t *testing.T) {
+	const within = 100 * time.Millisecond
+	w := newWorld(t, func(_ *world, c *Config) { c.WriteWithin = within })
+	h := w.hold("/a")
+	c := w.dial()
+	sent := time.Now()
+	c.send(get("a"))
+	<-h.enter
+	for time.Since(sent) < 2*within {
+		time.Sleep(within / 10)
+	}
+	h.leave["/a"] <- true
+	_, body := c.answer("GET")
+	must.Eq(t, "/a", body)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,6 +4,7 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"net/http"
@@ -54,6 +55,8 @@
 	// GraceUs is the time that the platform gives a planned stop, AcceptUs how long new connections are still
 	// taken then, until nobody is sent here any more, in microseconds; 0 is AcceptsFor.
 	GraceUs, AcceptUs int64
+	// WriteWithin bounds how long a client may take to take its answer; 0 is WriteMost.
+	WriteWithin time.Duration
 }
 
 // Figures of the server.
@@ -96,6 +99,7 @@
 	if c.Refresh == nil {
 		c.Refresh = func() {}
 	}
+	c.WriteWithin = cmp.Or(c.WriteWithin, WriteMost)
 	if c.Sampled == nil {
 		c.Sampled = c.Log
 	}
