--- a/gateway/clients.go
+++ b/gateway/clients.go
@@ -19,10 +19,9 @@
 	mu  sync.Mutex
 	l   net.Listener
 	all map[net.Conn]http.ConnState
-	// servers are all that were begun, the last one for new connections; made is what it was made for.
+	// servers are all that were begun, passes the ways to them by what they were made for.
 	servers []*http.Server
-	made    times
-	pass    chan net.Conn
+	passes  map[times]chan net.Conn
 	shut    bool
 	over    chan struct{}
 }
@@ -56,7 +55,7 @@
 	if v.shut {
 		return l.Close()
 	}
-	v.l, v.all, v.over = l, map[net.Conn]http.ConnState{}, make(chan struct{})
+	v.l, v.all, v.passes, v.over = l, map[net.Conn]http.ConnState{}, map[times]chan net.Conn{}, make(chan struct{})
 	s.c.Log.Info("clients_open", zap.String("addr", l.Addr().String()))
 	go s.accept(l)
 	return nil
@@ -97,17 +96,25 @@
 	if v.shut {
 		return nil
 	}
-	if now := (times{headTime(m), idleTime(m), headMost(m)}); v.pass == nil || v.made != now {
-		v.made, v.pass = now, make(chan net.Conn)
-		srv := &http.Server{
-			Handler: &s.h, ReadHeaderTimeout: now.head, IdleTimeout: now.idle, WriteTimeout: s.c.WriteWithin, MaxHeaderBytes: now.most,
-			ConnState: s.changed, ErrorLog: s.errorLog(), DisableGeneralOptionsHandler: true,
-		}
-		v.servers = append(v.servers, srv)
-		go srv.Serve(&passed{at: v.l.Addr(), pass: v.pass, over: make(chan struct{})})
+	now := times{headTime(m), idleTime(m), headMost(m)}
+	pass := v.passes[now]
+	if pass == nil {
+		pass = s.serveWith(now)
 	}
 	v.all[c] = http.StateNew
-	return v.pass
+	return pass
+}
+
+// serveWith begins a server for some limits; the connections' lock is held. Limits that come again find it there.
+func (s *Server) serveWith(now times) chan net.Conn {
+	v, pass := &s.clients, make(chan net.Conn)
+	srv := &http.Server{
+		Handler: &s.h, ReadHeaderTimeout: now.head, IdleTimeout: now.idle, WriteTimeout: s.c.WriteWithin, MaxHeaderBytes: now.most,
+		ConnState: s.changed, ErrorLog: s.errorLog(), DisableGeneralOptionsHandler: true,
+	}
+	v.servers, v.passes[now] = append(v.servers, srv), pass
+	go srv.Serve(&passed{at: v.l.Addr(), pass: pass, over: make(chan struct{})})
+	return pass
 }
 
 // changed takes note of a connection's state. One that was given up just as its request had been read is not.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -69,6 +69,8 @@
 	// leftMost is how long a planned stop waits for asks whose answers nobody wants any more.
 	leftMost = time.Second
 	leftLook = 10 * time.Millisecond
+	// graceKept is the part of the grace that is kept for the end itself: a sixth.
+	graceKept = 6
 	// comeBackUs is when to come back to a node that has no table yet.
 	comeBackUs = 200_000
 	// Lenient is how many times the configured limits are borne before a request is refused for them.
@@ -178,15 +180,21 @@
 // Addr is where clients are served; empty until they are.
 func (s *Server) Addr() string { return s.clients.addr() }
 
+// stopEnd is when a planned stop ends what is under way yet: in the last sixth of the grace, and a second
+// before its end at the earliest. A backend that works until then excuses the cut.
+func stopEnd(began time.Time, grace time.Duration) time.Time {
+	return began.Add(max(time.Second, grace-min(time.Second, grace/graceKept)))
+}
+
 // Stop is the planned stop: not ready at once, new connections for a while yet, then what was read is
-// finished, a second before the grace ends at the latest.
+// finished, until stopEnd at the latest.
 func (s *Server) Stop() {
 	if s.drains.Swap(true) {
 		return
 	}
 	close(s.over)
 	began := time.Now()
-	end := began.Add(max(time.Second, time.Duration(s.c.GraceUs)*time.Microsecond-time.Second))
+	end := stopEnd(began, time.Duration(s.c.GraceUs)*time.Microsecond)
 	s.c.Log.Info("draining", zap.Int64("open", s.open.Load()))
 	if s.clients.addr() != "" {
 		time.Sleep(min(time.Duration(s.c.AcceptUs)*time.Microsecond, time.Until(end)))
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -80,12 +80,22 @@
 	}
 	s.read.Add(1)
 	o := h.handle(r, req)
+	h.extend(w, req.ReadUs)
 	if o.Status == 0 {
 		panic(http.ErrAbortHandler)
 	}
 	h.answer(w, r, &o)
 }
 
+// extend has the time in which a client may take its answer begin now, where the request has taken a
+// good part of it: net/http counts it from the request's head.
+func (h *handler) extend(w http.ResponseWriter, readUs int64) {
+	within := h.s.c.WriteWithin
+	if took := time.Duration(h.s.c.Now()-readUs) * time.Microsecond; took > within/2 {
+		http.NewResponseController(w).SetWriteDeadline(time.Now().Add(within))
+	}
+}
+
 // handle takes a request that was read whole to its outcome.
 func (h *handler) handle(r *http.Request, req forward.Request) forward.Outcome {
 	s := h.s
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -201,3 +202,14 @@
 	must.Eq(t, len(got), len(whole))
 	t.Logf("%d requests, none lost", len(got))
 }
+
+// A stop cuts nothing before the last sixth of the grace, in which a backend still at work excuses it.
+func TestStopEndsInTheLastSixthOfTheGrace(t *testing.T) {
+	began := time.Unix(100, 0)
+	for _, grace := range []time.Duration{2 * time.Second, 3 * time.Second, 6 * time.Second, 30 * time.Second} {
+		end := stopEnd(began, grace).Sub(began)
+		must.GreaterEq(t, grace-grace/6, end, must.Sprint(grace))
+		must.Less(t, grace, end, must.Sprint(grace))
+	}
+	must.Eq(t, time.Second, stopEnd(began, 0).Sub(began))
+}
--- a/process/disk.go
+++ b/process/disk.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -122,9 +123,20 @@
 	return f.Sync()
 }
 
+// closeWithin is how long the end of a process waits for its disk: what hangs was acknowledged to nobody.
+const closeWithin = time.Second
+
 func (d *disk) close() {
 	close(d.jobs)
-	d.done.Wait()
+	written := make(chan struct{})
+	go func() {
+		d.done.Wait()
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(closeWithin):
+	}
 	if d.lock != nil {
 		d.lock.Close()
 	}
