--- /dev/null
+++ b/lab/soak/answers.go
@@ -0,0 +1,99 @@
+// What stand-in backends answer, and how they spoil it.
+package soak
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"wallport/lab/rules"
+	"wallport/platform"
+)
+
+// answerEarly answers before the request's body is read, and reads on.
+func (b *backend) answerEarly(w http.ResponseWriter, r *http.Request, a *rules.Arrival, body []byte, seal string) {
+	c := http.NewResponseController(w)
+	c.EnableFullDuplex()
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	b.answer(w, http.StatusOK, body, seal, manner{})
+	c.Flush()
+	if sent, err := io.ReadAll(r.Body); err == nil {
+		b.j.with(func() { a.Body = sent })
+	}
+}
+
+// answer writes an answer, or what the manner makes of it.
+func (b *backend) answer(w http.ResponseWriter, status int, body []byte, seal string, m manner) {
+	if !m.sealless {
+		w.Header().Set(platform.HeaderSeal, seal)
+	}
+	if !m.reset && !m.garbled && !m.cut && !m.surplus {
+		w.WriteHeader(status)
+		w.Write(body)
+		return
+	}
+	head := w.Header().Clone()
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	switch {
+	case m.reset:
+		conn.(*net.TCPConn).SetLinger(0)
+	case m.garbled:
+		fmt.Fprintf(buffered, "HTP/9 what\r\n\x00\x01\r\n")
+	default:
+		fmt.Fprintf(buffered, "HTTP/1.1 %d OK\r\nContent-Length: %d\r\n", status, len(body))
+		head.Write(buffered)
+		buffered.WriteString("\r\n")
+		if m.cut {
+			body = body[:len(body)/2]
+		}
+		buffered.Write(body)
+	}
+	buffered.Flush()
+	if m.surplus {
+		surplus(conn, buffered, head)
+	}
+}
+
+// surplusWithin is how long a backend waits for the request in whose place it sends a surplus answer.
+const surplusWithin = 2 * time.Second
+
+// surplus sends one more answer of an earlier request where the next one's is due, and ends the connection.
+func surplus(conn net.Conn, buffered *bufio.ReadWriter, head http.Header) {
+	conn.SetDeadline(time.Now().Add(surplusWithin))
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, next.Body)
+	buffered.WriteString("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n")
+	head.Write(buffered)
+	buffered.WriteString("\r\nabc")
+	buffered.Flush()
+}
+
+// recordSize is the size of a record of a gathered answer.
+const recordSize = 16
+
+// answerTo is what a backend of a pool answers to a try: records in no order, and a remainder that is none.
+func answerTo(try, pool string) []byte {
+	h := fnv.New64a()
+	io.WriteString(h, try+" "+pool)
+	drawn := rand.New(rand.NewPCG(h.Sum64(), 1))
+	out := make([]byte, 0, 40*recordSize)
+	for range 4 + drawn.IntN(30) {
+		out = binary.BigEndian.AppendUint64(out, drawn.Uint64N(64)<<58|drawn.Uint64()>>8)
+		out = binary.BigEndian.AppendUint64(out, drawn.Uint64N(4))
+	}
+	return append(out, "rest"...)
+}
--- a/lab/soak/journal.go
+++ b/lab/soak/journal.go
@@ -14,6 +14,8 @@
 	mu    sync.Mutex
 	began time.Time
 	rules.Journal
+	// harsh are the troubles of each machine that are no planned work: only these excuse a request that is cut.
+	harsh rules.Touch
 }
 
 func newJournal() *journal {
@@ -50,6 +52,9 @@
 	j.with(func() {
 		for _, m := range s.machines {
 			add(j.Touch.Of(m), at, begins)
+			if !s.planned {
+				add(j.harsh.Of(m), at, begins)
+			}
 		}
 		if s.unsettles {
 			add(&j.Touch.Unsettled, at, begins)
--- a/lab/soak/process_troubles.go
+++ b/lab/soak/process_troubles.go
@@ -63,7 +63,21 @@
 // stopNode is a planned stop and the start after it.
 func stopNode(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
 	n := anyMachine(drawn)
+	pressed, release := context.WithCancel(ctx)
+	go r.press(pressed, n)
 	r.during(span{machines: []string{machineName(n)}, planned: true}, func() { r.stopOnce(r.node(n)) })
+	release()
+}
+
+// pressEvery is the time between two requests to a machine that is pressed.
+const pressEvery = 25 * time.Millisecond
+
+// press sends one machine requests that may run once, so that some are under way at any time.
+func (r *run) press(ctx context.Context, machine int) {
+	for ctx.Err() == nil {
+		r.clients.all.Go(func() { r.clients.tryAt(kinds[2], machineName(machine)) })
+		sleep(ctx, pressEvery)
+	}
 }
 
 // stopNodeTwice sends a second SIGTERM and a SIGHUP into a planned stop.
--- a/lab/soak/report.go
+++ b/lab/soak/report.go
@@ -105,7 +105,7 @@
 }
 
 // cuts lists requests that a node in order read from a connection in order and ended without an answer,
-// though the backend that it had passed them on to had answered.
+// though the backend that it had passed them on to had answered. A planned stop is no excuse.
 func (r *run) cuts() (out []string) {
 	ran := map[string]bool{}
 	for _, a := range r.j.Arrivals {
@@ -115,7 +115,7 @@
 	}
 	c := r.j.Bounds.ContactUs
 	for _, t := range r.j.Tries {
-		if !t.Cut || !ran[t.ID] || r.j.Touch.Of(t.Machine).Hit(t.Sent-c, t.Ended) {
+		if !t.Cut || !ran[t.ID] || r.j.harsh.Of(t.Machine).Hit(t.Sent-c, t.Ended) {
 			continue
 		}
 		out = append(out, fmt.Sprintf("CUT at %.3f s: %s ran and %s ended its connection without an answer", float64(t.Ended)/second, t.ID, t.Machine))
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -100,9 +100,14 @@
 	must.StrContains(t, strings.Join(r.Findings, "\n"), "CUT at 11.000 s")
 	r = judged(t, func(j *journal) {
 		cut(j)
-		j.Touch.Of("m").Moment(9 * second)
+		j.mark(span{machines: []string{"m"}}, true)
 	})
 	must.StrNotContains(t, strings.Join(r.Findings, "\n"), "CUT", must.Sprint("the node itself was in trouble"))
+	r = judged(t, func(j *journal) {
+		cut(j)
+		j.mark(span{machines: []string{"m"}, planned: true}, true)
+	})
+	must.StrContains(t, strings.Join(r.Findings, "\n"), "CUT", must.Sprint("a planned stop is no excuse"))
 }
 
 func TestFiguresAreRead(t *testing.T) {
