--- a/lab/soak/core_troubles.go
+++ b/lab/soak/core_troubles.go
@@ -30,7 +30,7 @@
 func anyCore(r *run, drawn *rand.Rand) *daemon { return r.daemonOf(roleCore, drawn.IntN(coreCount)) }
 
 func killCore(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
-	r.during(span{unsettles: true}, func() { kill(ctx, anyCore(r, drawn), lasts) })
+	r.during(span{unsettles: true}, func() { killFor(ctx, anyCore(r, drawn), lasts) })
 }
 
 func stopCore(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
@@ -42,7 +42,7 @@
 	r.during(span{unsettles: true}, func() {
 		var all sync.WaitGroup
 		for n := range coreCount {
-			all.Go(func() { kill(ctx, r.daemonOf(roleCore, n), lasts/4) })
+			all.Go(func() { killFor(ctx, r.daemonOf(roleCore, n), lasts/4) })
 		}
 		all.Wait()
 	})
--- /dev/null
+++ b/lab/soak/logs.go
@@ -0,0 +1,56 @@
+// What processes log, kept in files, and what their logs and ends tell of faults.
+package soak
+
+import (
+	"os"
+	"strings"
+	"sync"
+)
+
+// pipeSize is how many bytes of its log a process may be ahead of whoever reads it.
+const pipeSize = 4096
+
+// logFile keeps what a process logs. While it is held nothing is read.
+type logFile struct {
+	path string
+	held sync.RWMutex
+	file *os.File
+}
+
+func (l *logFile) Write(b []byte) (int, error) {
+	l.held.RLock()
+	defer l.held.RUnlock()
+	if l.file == nil {
+		f, err := os.OpenFile(l.path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return 0, err
+		}
+		l.file = f
+	}
+	return l.file.Write(b)
+}
+
+// logMarks are what no log may hold.
+var logMarks = []string{"event=invariant_violated", "panic:", "panic serving", "fatal error:", "DATA RACE", "event=replica_rolled_back", "event=disk_damaged"}
+
+// faults lists what the process's ends and logs tell of faults.
+func (d *daemon) faults() []string {
+	d.mu.Lock()
+	out := append([]string(nil), d.ownEnds...)
+	d.mu.Unlock()
+	text, err := os.ReadFile(d.logPath)
+	if os.IsNotExist(err) {
+		return out
+	}
+	if err != nil {
+		return append(out, err.Error())
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		for _, mark := range logMarks {
+			if strings.Contains(line, mark) {
+				out = append(out, d.name+": "+line)
+			}
+		}
+	}
+	return out
+}
--- a/lab/soak/process_troubles.go
+++ b/lab/soak/process_troubles.go
@@ -30,8 +30,8 @@
 // atMachine is the span of a trouble of one machine's node.
 func atMachine(n int) span { return span{machines: []string{machineName(n)}} }
 
-// kill kills a process and lets it start again after a while.
-func kill(ctx context.Context, d *daemon, lasts time.Duration) {
+// killFor kills a process and lets it start again after a while.
+func killFor(ctx context.Context, d *daemon, lasts time.Duration) {
 	d.setDown(true)
 	d.signal(syscall.SIGKILL)
 	sleep(ctx, lasts)
@@ -40,7 +40,7 @@
 
 func killNode(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
 	n := anyMachine(drawn)
-	r.during(atMachine(n), func() { kill(ctx, r.node(n), lasts/2) })
+	r.during(atMachine(n), func() { killFor(ctx, r.node(n), lasts/2) })
 }
 
 // freeze stops a process of a role, and thaws it.
@@ -104,7 +104,7 @@
 	r.during(s, func() {
 		var both sync.WaitGroup
 		for _, d := range r.ofMachine(n) {
-			both.Go(func() { kill(ctx, d, lasts) })
+			both.Go(func() { killFor(ctx, d, lasts) })
 		}
 		both.Wait()
 	})
@@ -120,7 +120,7 @@
 	r.during(s, func() {
 		var all sync.WaitGroup
 		for _, n := range chosen {
-			all.Go(func() { kill(ctx, r.node(n), lasts/4) })
+			all.Go(func() { killFor(ctx, r.node(n), lasts/4) })
 		}
 		all.Wait()
 	})
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -57,6 +57,7 @@
 	work.Go(func() { r.operate(load) })
 	r.trouble(ctx)
 	r.heal(ctx)
+	r.closing(ctx)
 	stopLoad()
 	work.Wait()
 	r.settled(ctx)
@@ -151,6 +152,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, bringUpMost)
 	defer cancel()
+	go r.troubleBootstrap(ctx)
 	if !r.operators.first(ctx) {
 		return fmt.Errorf("the first configuration was not taken")
 	}
@@ -210,35 +212,6 @@
 	f()
 }
 
-func (r *run) daemonOf(role string, machine int) *daemon {
-	for _, d := range r.daemons {
-		if d.role == role && d.machine == machine {
-			return d
-		}
-	}
-	panic("no such process")
-}
-
-func (r *run) node(machine int) *daemon { return r.daemonOf(roleNode, machine) }
-
-func (r *run) ofMachine(n int) (out []*daemon) {
-	for _, d := range r.daemons {
-		if d.machine == n {
-			out = append(out, d)
-		}
-	}
-	return out
-}
-
-// stopOnce stops a process as planned and notes one that outlives its grace.
-func (r *run) stopOnce(d *daemon) {
-	if d.stop() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.overdue = append(r.overdue, fmt.Sprintf("%s did not end within %d s of its SIGTERM", d.name, graceS))
-	}
-}
-
 // end ends all processes and stand-ins.
 func (r *run) end() {
 	r.network.End()
--- /dev/null
+++ b/lab/soak/signals.go
@@ -0,0 +1,128 @@
+// Signals to the product's processes, planned stops and removals.
+package soak
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// signal sends a signal to the life that runs now, if one does.
+func (d *daemon) signal(sig syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil {
+		return
+	}
+	if sig == syscall.SIGHUP && !runs(d.cmd.Process.Pid) {
+		// The loader is at work yet: no program can be ready for a signal.
+		return
+	}
+	d.say("%s gets %v", d.name, sig)
+	switch sig {
+	case syscall.SIGSTOP:
+		d.frozen, d.frozeAt = true, time.Now()
+	case syscall.SIGCONT:
+		d.frozen = false
+	}
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		d.told, d.killed = true, d.killed || sig == syscall.SIGKILL
+	}
+	d.cmd.Process.Signal(sig)
+}
+
+// runs tells that a process has come so far as to handle or ignore any signal.
+func runs(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return false
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		name, mask, _ := strings.Cut(line, ":\t")
+		if (name == "SigIgn" || name == "SigCgt") && strings.Trim(mask, "0") != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// kill kills the life that runs now.
+func (d *daemon) kill() { d.signal(syscall.SIGKILL) }
+
+// gone tells that the process's machine was removed.
+func (d *daemon) gone() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.removed
+}
+
+// setDown keeps the process from starting again, or lets it.
+func (d *daemon) setDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down || d.removed
+}
+
+// remove takes the process's machine away for good.
+func (d *daemon) remove() {
+	d.mu.Lock()
+	d.removed, d.down = true, true
+	d.mu.Unlock()
+	d.signal(syscall.SIGKILL)
+}
+
+// pid is the id of the life that runs now; 0 is none.
+func (d *daemon) pid() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cmd == nil {
+		return 0
+	}
+	return d.cmd.Process.Pid
+}
+
+// frozeSince tells whether the process was frozen at any time since a moment.
+func (d *daemon) frozeSince(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.frozen || d.frozeAt.After(at)
+}
+
+// stop has a process end as planned; it is killed when its grace is over, as the platform does. It is
+// told whether that was its own fault: one that is frozen meanwhile cannot end.
+func (d *daemon) stop() (overdue bool) {
+	pid := d.pid()
+	if pid == 0 {
+		return false
+	}
+	began := time.Now()
+	d.signal(syscall.SIGTERM)
+	for end := time.Now().Add(graceS * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if d.pid() != pid {
+			return false
+		}
+	}
+	d.signal(syscall.SIGKILL)
+	return !d.frozeSince(began)
+}
+
+// close ends the process for good.
+func (d *daemon) close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
+	d.signal(syscall.SIGCONT)
+	d.signal(syscall.SIGKILL)
+	if d.began() {
+		<-d.over
+	}
+}
+
+// began tells that the process was ever to run.
+func (d *daemon) began() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lives > 0
+}
