--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -76,19 +75,8 @@
 func (c *fleetCmd) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if c.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Bin = filepath.Dir(self)
-	}
-	if c.Dir == "" {
-		dir, err := os.MkdirTemp("", "wallport-fleet-")
-		if err != nil {
-			return err
-		}
-		c.Dir = dir
+	if err := folders(&c.Bin, &c.Dir, "wallport-fleet-"); err != nil {
+		return err
 	}
 	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
 		return err
--- a/cmd/lab/soak.go
+++ b/cmd/lab/soak.go
@@ -35,19 +35,8 @@
 func (c *soakCmd) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if c.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		c.Bin = filepath.Dir(self)
-	}
-	if c.Dir == "" {
-		dir, err := os.MkdirTemp("", "soak-")
-		if err != nil {
-			return err
-		}
-		c.Dir = dir
+	if err := folders(&c.Bin, &c.Dir, "soak-"); err != nil {
+		return err
 	}
 	slots := make(chan struct{}, max(1, c.Jobs))
 	var all sync.WaitGroup
