--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -61,6 +61,9 @@
 	stopLoad()
 	work.Wait()
 	r.settled(ctx)
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("interrupted: %w", ctx.Err())
+	}
 	return r.report(), nil
 }
 
