--- a/lab/fleet/configure.go
+++ b/lab/fleet/configure.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"wallport/wire"
 )
@@ -78,3 +79,18 @@
 	}
 	return nil
 }
+
+// poll tries until it works or the context ends; it waits on events, not on the clock's word.
+func poll(ctx context.Context, what string, try func() error) error {
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w (last: %v)", what, ctx.Err(), err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
