--- a/lab/soak/evacuations.go
+++ b/lab/soak/evacuations.go
@@ -22,7 +22,8 @@
 			})
 		}
 	}
-	if r := o.carry(ctx, http.MethodPost, evacuatePath+zone, "", "", note(&order.Taken)); r.status == 200 {
+	calls := context.WithoutCancel(ctx)
+	if r := o.carry(calls, http.MethodPost, evacuatePath+zone, "", "", note(&order.Taken)); r.status == 200 {
 		o.j.with(func() { order.Acked = o.j.now() })
 	}
 	select {
@@ -30,7 +31,7 @@
 	case <-time.After(lasts):
 	}
 	o.j.with(func() { order.Back = o.j.now() })
-	if r := o.carry(ctx, http.MethodDelete, evacuatePath+zone, "", "", note(&order.BackTaken)); r.status == 200 {
+	if r := o.carry(calls, http.MethodDelete, evacuatePath+zone, "", "", note(&order.BackTaken)); r.status == 200 {
 		o.j.with(func() { order.BackAcked = o.j.now() })
 	}
 }
--- a/lab/soak/operator_troubles.go
+++ b/lab/soak/operator_troubles.go
@@ -21,18 +21,22 @@
 func configRace(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
 	r.changes.Lock()
 	defer r.changes.Unlock()
-	r.operators.race(ctx, 2+drawn.IntN(3))
+	r.operators.race(context.WithoutCancel(ctx), 2+drawn.IntN(3))
 }
 
-// configStorm sends changes one right after another.
+// stormChanges is how many changes a storm has.
+const stormChanges = 8
+
+// configStorm sends changes one right after another. As everywhere here, an order that has been given is
+// carried on to its answer though the troubles are over: one that nobody sends any more gets none.
 func configStorm(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
-	for range 8 {
-		r.changeOnce(ctx, drawn.IntN(2) == 0, false)
+	for n := 0; n < stormChanges && ctx.Err() == nil; n++ {
+		r.changeOnce(context.WithoutCancel(ctx), drawn.IntN(2) == 0, false)
 	}
 }
 
 func configInvalid(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
-	r.changeOnce(ctx, false, true)
+	r.changeOnce(context.WithoutCancel(ctx), false, true)
 }
 
 // answersLost loses most answers on their way to the operators.
