--- a/lab/soak/healing.go
+++ b/lab/soak/healing.go
@@ -32,13 +32,12 @@
 	}
 }
 
-// settingsTorn notes that a process's file is in halves: it may end over that, if it starts meanwhile.
-func (r *run) settingsTorn(d *daemon, torn bool) {
+// noteTorn notes that a process's file is in halves: from then on the run excuses an end over that, since
+// a life that began meanwhile may end at any time after.
+func (r *run) noteTorn(d *daemon) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if torn {
-		r.torn[d] = true
-	}
+	r.torn[d] = true
 }
 
 // find notes what is wrong beside the rules.
@@ -106,7 +105,7 @@
 // coresNow are the machines whose cores are there.
 func (r *run) coresNow() (out []int) {
 	for _, d := range r.daemons {
-		if d.role == roleCore && d != r.removed && d != r.spare {
+		if d.role == roleCore && !d.gone() && d != r.spare {
 			out = append(out, d.machine)
 		}
 	}
--- a/lab/soak/process_troubles.go
+++ b/lab/soak/process_troubles.go
@@ -143,13 +143,12 @@
 // then finds it so and is to start again once it is whole.
 func settingsBroken(ctx context.Context, r *run, drawn *rand.Rand, lasts time.Duration) {
 	d := r.daemons[drawn.IntN(len(r.daemons))]
-	r.settingsTorn(d, true)
+	r.noteTorn(d)
 	r.settle(d, nil, true)
 	d.signal(syscall.SIGHUP)
 	sleep(ctx, lasts/2)
 	r.settle(d, nil, false)
 	d.signal(syscall.SIGHUP)
-	r.settingsTorn(d, false)
 }
 
 // hangupStorm sends many SIGHUPs to all processes.
--- a/lab/soak/replace_troubles.go
+++ b/lab/soak/replace_troubles.go
@@ -39,9 +39,6 @@
 		}
 		os.RemoveAll(r.place.dataDir(gone.machine))
 		r.say("%s is replaced by %s", gone.name, spare.name)
-		r.mu.Lock()
-		r.removed = gone
-		r.mu.Unlock()
 		r.operators.replace(r.place.at(gone.machine, portControl), r.place.at(spare.machine, portControl))
 		go spare.run()
 		sleep(ctx, lasts)
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -29,12 +29,13 @@
 	changes, zones sync.Mutex
 
 	mu sync.Mutex
-	// torn are the processes whose settings file is in halves; seeds are what each was told last.
+	// torn are the processes whose settings file was ever in halves.
 	torn map[*daemon]bool
-	// spare is a core that may take the place of another; removed is the one whose place it took.
-	spare, removed *daemon
-	seeds          map[*daemon][]int
-	// stops counts planned stops that took longer than their grace.
+	// spare is a core that may take the place of another; nil once it has.
+	spare *daemon
+	// seeds are what each process was told last.
+	seeds map[*daemon][]int
+	// overdue are the planned stops that took longer than their grace.
 	overdue []string
 	// findings are what is wrong beside the rules.
 	findings []string
@@ -185,7 +186,7 @@
 		all.Go(func() {
 			drawn := rand.New(rand.NewPCG(t.seed, 1))
 			r.say("begins %s for %v", t.kind, t.lasts.Round(time.Millisecond))
-			find(t.kind).do(ctx, r, drawn, t.lasts)
+			kindNamed(t.kind).do(ctx, r, drawn, t.lasts)
 			r.say("ends %s", t.kind)
 		})
 	}
--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -66,8 +66,8 @@
 	return out
 }
 
-// find is a kind by its name.
-func find(name string) kindOf {
+// kindNamed is a kind by its name.
+func kindNamed(name string) kindOf {
 	for _, k := range troubleKinds() {
 		if k.name == name {
 			return k
