Review, case 1: an acknowledged configuration is lost after a kill in the first start

Cause looked for: what a core that restarts during the first start of a fleet does to the bootstrap. Seen: the others form a group of a single voter after 3 s, edits are acknowledged on one disk, and the loss of that disk, within fault_tolerance, loses the first configuration.

Nothing of the project is changed.

--- /dev/null
+++ b/review/harness/main.go
@@ -0,0 +1,71 @@
+// Command harness runs the review's cases against the project's own processes, on loopback.
+//
+// Its arguments are the case's number, the program to run (target/wallport) and the file to write the record to. It
+// exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the
+// environment the case leaves out its disruption.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// Exit codes.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// errBroken is that a rule was broken; any other error of a case is that it could not run.
+var errBroken = errors.New("the rule is broken")
+
+// cases are the cases by their names. Each file of a case adds its own.
+var cases = map[string]func(f *fleet, trouble bool) error{}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	if len(args) != 3 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE PROGRAM RECORD")
+		return exitNotRun
+	}
+	program, err := filepath.Abs(args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	rec, err := newRecord(args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer os.RemoveAll(dir)
+	f, err := newFleet(rec, program, dir, 3)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer f.stopAll()
+	err = cases[args[0]](f, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err == nil:
+		rec.event("verdict: the rule held")
+		fmt.Println("held")
+		return exitHeld
+	case errors.Is(err, errBroken):
+		rec.event("verdict: %v", err)
+		fmt.Println(err)
+		return exitBroken
+	}
+	rec.event("verdict: could not run: %v", err)
+	fmt.Fprintln(os.Stderr, err)
+	return exitNotRun
+}
--- /dev/null
+++ b/review/harness/operator.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// operator calls the control addresses as PROTOCOL.md, "The operator", says.
+type operator struct {
+	f      *fleet
+	client *http.Client
+}
+
+func newOperator(f *fleet) *operator {
+	return &operator{f: f, client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// call makes one call of one machine. The status is 0 where no answer came within a second.
+func (o *operator) call(machine int, method, path string, match int, body []byte) (int, []byte) {
+	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+o.f.address(machine, offsetControl)+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	if match >= 0 {
+		req.Header.Set("If-Match", strconv.Itoa(match))
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, answer
+}
+
+// order sends an order to one machine after the other until one acknowledges it, refuses it clearly, or the time is
+// over. It returns the last status.
+func (o *operator) order(first int, method, path string, match int, body []byte, most time.Duration) int {
+	pause, status := 50*time.Millisecond, 0
+	for end, i := time.Now().Add(most), first; time.Now().Before(end); i++ {
+		machine := i % o.f.machines
+		status, _ = o.call(machine, method, path, match, body)
+		o.f.rec.event("operator: %s %s If-Match %d at machine %d: %d", method, path, match, machine, status)
+		if status == http.StatusOK || status == 400 || status == 409 || status == 412 || status == 413 || status == 422 {
+			return status
+		}
+		time.Sleep(pause)
+		pause = min(2*pause, time.Second)
+	}
+	return status
+}
+
+// revisionAt reads the configuration at one machine and returns its revision, 0 where none came.
+func (o *operator) revisionAt(machine int) (revision, status int) {
+	status, body := o.call(machine, http.MethodGet, "/-/config", -1, nil)
+	var config struct{ Revision int }
+	if status == http.StatusOK && json.Unmarshal(body, &config) == nil {
+		revision = config.Revision
+	}
+	return revision, status
+}
+
+// readBack asks all machines for the configuration, again and again, until one answers with a revision or the time is
+// over.
+func (o *operator) readBack(most time.Duration) (revision int) {
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
+		for machine := range o.f.machines {
+			revision, status := o.revisionAt(machine)
+			o.f.rec.event("operator: GET /-/config at machine %d: %d, revision %d", machine, status, revision)
+			if revision > 0 {
+				return revision
+			}
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/review/harness/record.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// record is the file in which a case writes down what was sent, answered and run.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func newRecord(path string) (*record, error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &record{file: file, start: time.Now()}, nil
+}
+
+// event writes one line with the seconds since the start.
+func (r *record) event(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// at waits for a moment, counted from the start.
+func (r *record) at(seconds float64) {
+	time.Sleep(time.Until(r.start.Add(time.Duration(seconds * float64(time.Second)))))
+}
+
+// since returns the seconds since the start.
+func (r *record) since() float64 { return time.Since(r.start).Seconds() }
