--- /dev/null
+++ b/review/harness/first_start_seed.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+func init() { cases["first-start-seed-killed"] = firstStartSeedKilled }
+
+// firstStartSeedKilled starts a fleet of three machines for the first time, within 0.3 s, and kills the core of the
+// first machine while it starts. It comes back half a second later with the settings of that moment, in which bootstrap
+// is false. The operator sends its first configuration until it is taken, and clients send requests.
+func firstStartSeedKilled(f *fleet, trouble bool) error {
+	if err := serveOneBackend(f); err != nil {
+		return err
+	}
+	if err := f.startMachine(0, true); err != nil {
+		return err
+	}
+	f.rec.at(0.2)
+	if trouble {
+		f.kill(0, roleCore)
+	}
+	if err := errors.Join(f.startMachine(1, true), f.startMachine(2, true)); err != nil {
+		return err
+	}
+	if trouble {
+		f.rec.at(0.7)
+		if err := f.start(0, roleCore, false); err != nil {
+			return err
+		}
+	}
+	o, c := newOperator(f), &client{f: f}
+	status, sent, served := 0, 0, 0
+	for end := time.Now().Add(45 * time.Second); time.Now().Before(end) && served < 10; {
+		if status != http.StatusOK {
+			status = o.order(0, http.MethodPut, "/-/config", 0, []byte(firstConfig), 4*time.Second)
+		}
+		for machine := range f.machines {
+			sent++
+			if c.once(machine, http.MethodGet, "file10.example", "/one/a", "", time.Second).status == http.StatusOK {
+				served++
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	if status != http.StatusOK || served == 0 {
+		return fmt.Errorf("%w: the last answer to the first configuration is %d, and %d of %d requests were served in %.0f s",
+			errBroken, status, served, sent, f.rec.since())
+	}
+	return nil
+}
+
+// serveOneBackend serves the platform's list with one sound backend.
+func serveOneBackend(f *fleet) error {
+	p, b := &platform{}, &backend{rec: f.rec, id: "i-one", ran: &sync.Map{}, work: func() time.Duration { return 5 * time.Millisecond }}
+	p.list(member{ID: b.id, Pool: "p-one", Address: f.backendAddress(1), Zone: f.zones[0], Revision: "v1", Capacity: 4, AdminState: "in_service"})
+	return errors.Join(p.serve(f.platformAddress()), serveHTTP(f.backendAddress(1), b))
+}
