Review: the harness stands in a folder lab, as code that is no part of the product

Cause: the surface's lists (TestWordsAreUnchanged, TestJSONTagsAreUnchanged) count every folder as the product's but lab, tools, design and gen, and the harness stood in review/harness: two tests failed.

Change: review/harness is review/lab; no line of code but the package's comment.

--- a/review/harness/main.go
+++ b/review/lab/main.go
@@ -1,4 +1,4 @@
-// Command harness runs the review's cases against the project's own processes, on loopback.
+// Command lab runs the review's cases against the project's own processes, on loopback.
 //
 // Its arguments are the case's number, the program to run (target/wallport) and the file to write the record to. It
 // exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run. With TROUBLE=0 in the
