--- a/review/lab/first_start_one.go
+++ b/review/lab/first_start_one.go
@@ -47,8 +47,8 @@
 	if status := o.order(0, http.MethodPut, "/-/config", 0, []byte(firstConfig), 20*time.Second); status != http.StatusOK {
 		return fmt.Errorf("the first configuration was not acknowledged: %d", status)
 	}
+	time.Sleep(time.Until(back.Add(syncTime + 500*time.Millisecond)))
 	if trouble {
-		time.Sleep(time.Until(back.Add(syncTime + 500*time.Millisecond)))
 		// Neither of the two was in trouble before. The one that has stored more is taken, as a day's "leader" would be.
 		victim := f.fullestDisk(0, 1)
 		f.kill(victim, roleCore)
