--- a/request/dispatch/slow_start.go
+++ b/request/dispatch/slow_start.go
@@ -13,6 +13,8 @@
 	slowStartFraction = 0.6
 	// tokenLifetime is how long an unused token is valid.
 	tokenLifetime = 150 * clock.Millisecond
+	// maxTokenPeriod bounds the time between two tokens, so that the time of a token can always be represented.
+	maxTokenPeriod = 365 * 24 * 60 * clock.Minute
 )
 
 // slowStart limits the requests that this node sends to a backend in slow start, so that all nodes together stay
@@ -24,14 +26,20 @@
 	nextToken atomic.Int64
 }
 
-// tokenPeriod returns the time between two tokens of one node.
+// tokenPeriod returns the time between two tokens of one node. It returns 0, which means that there is no limit, if the
+// rate allows more than one token in each microsecond.
 func tokenPeriod(perSecond float64, nodes int) clock.Micros {
-	return clock.Micros(float64(clock.Second) * float64(max(1, nodes)) / (perSecond * slowStartFraction))
+	period := float64(clock.Second) * float64(max(1, nodes)) / (perSecond * slowStartFraction)
+	// The bound comes before the conversion, whose result for a number out of range depends on the machine.
+	return clock.Micros(min(period, float64(maxTokenPeriod)))
 }
 
 // available reports whether a token is available. It skips expired tokens.
 func (s *slowStart) available(now clock.Micros, perSecond float64, nodes int, rnd *random.Source) bool {
 	period := tokenPeriod(perSecond, nodes)
+	if period == 0 {
+		return true
+	}
 	at := s.nextToken.Load()
 	if at == 0 || now > at+tokenLifetime {
 		// Keep the phase of the token period. At first use, draw it at random.
@@ -51,6 +59,9 @@
 // take takes the token and reports whether one was available.
 func (s *slowStart) take(now clock.Micros, perSecond float64, nodes int) bool {
 	period := tokenPeriod(perSecond, nodes)
+	if period == 0 {
+		return true
+	}
 	at := s.nextToken.Load()
 	return now >= at && s.nextToken.CompareAndSwap(at, max(at+period, now-tokenLifetime+period))
 }
