--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -4,6 +4,9 @@
 // edit, [Check] decides whether it may be put in force, and [Digest] identifies an edit that is sent again.
 // [Compile] compiles each revision once into an immutable [Table], which the request path reads concurrently.
 // A request is matched by its host and the longest prefix of its path.
+//
+// Compile accepts every table that may be in force, including those that earlier releases have stored: what a route
+// means is derived here and not where the table is checked.
 package routing
 
 import (
@@ -29,14 +32,16 @@
 // Route is a compiled route: the route from the table, with values derived from it.
 type Route struct {
 	*routingpb.Route
+	// Shards are the pools of FanoutPools, each once, in the order in which they are first named. A request that fans
+	// out is sent to one backend of each of them.
+	Shards []string
 	// weights has the weights of PoolWeights, and total is their sum.
 	weights []float64
 	total   float64
 }
 
-// FansOut reports whether a request is sent to one backend of each pool in FanoutPools and their responses are
-// merged.
-func (r *Route) FansOut() bool { return len(r.FanoutPools) > 0 }
+// FansOut reports whether a request is sent to one backend of each shard and their responses are merged.
+func (r *Route) FansOut() bool { return len(r.Shards) > 0 }
 
 // PoolAt returns the pool for a request of a route that does not fan out. point is a random number in
 // [0, 1); it selects among weighted pools.
@@ -70,7 +75,7 @@
 		table.Pools[pool.Name] = pool
 	}
 	for _, route := range source.Routes {
-		compiled := &Route{Route: route}
+		compiled := &Route{Route: route, Shards: distinct(route.FanoutPools)}
 		for _, weighted := range route.PoolWeights {
 			compiled.weights = append(compiled.weights, weighted.Weight)
 			compiled.total += weighted.Weight
@@ -84,6 +89,17 @@
 	return table
 }
 
+// distinct returns the names without repetitions, in the order in which they first occur.
+func distinct(names []string) []string {
+	var out []string
+	for _, name := range names {
+		if !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Match returns the route for a host and a path, or nil if there is none. A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/lab/rules/check.go
+++ b/lab/rules/check.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"slices"
 	"strings"
 
 	"wallport/api/routingpb"
@@ -60,7 +61,7 @@
 	case r == nil:
 		return nil
 	case len(r.FanoutPools) > 0:
-		return r.FanoutPools
+		return shardsOf(r)
 	case len(r.PoolWeights) > 0:
 		var out []string
 		for _, w := range r.PoolWeights {
@@ -73,6 +74,17 @@
 	return []string{r.Pool}
 }
 
+// shardsOf returns the set of pools to which a route fans out. A pool that the list names twice is one shard.
+func shardsOf(r *routingpb.Route) []string {
+	var out []string
+	for _, p := range r.FanoutPools {
+		if !slices.Contains(out, p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // allows reports whether a table may send a request for a host and a path to a pool.
 func allows(t *routingpb.RoutingTable, host, path, pool string) bool {
 	for _, p := range poolsOf(routeOf(t, host, path)) {
--- a/lab/rules/rules_test.go
+++ b/lab/rules/rules_test.go
@@ -93,6 +93,21 @@
 	}
 }
 
+// nameShardTwice changes all versions so that they name a shard of the route that fans out twice.
+func nameShardTwice(j *Journal) {
+	for _, version := range j.Versions {
+		version.Table.Routes[1].FanoutPools = []string{"s0", "s1", "s0"}
+	}
+}
+
+func TestShardNamedTwiceIsOneShard(t *testing.T) {
+	j := validJournal()
+	nameShardTwice(j)
+	j.ReadBack[0].Table = j.Versions[1].Table
+	j.Check()
+	must.Eq(t, nil, j.Findings)
+}
+
 func TestBrokenRulesAreFound(t *testing.T) {
 	last := func(j *Journal) *Attempt { return j.Attempts[2] }
 	for _, c := range []struct {
@@ -108,6 +123,10 @@
 		{Mixed, "a part twice", func(j *Journal) { last(j).Seals = []string{"s-b0", "s-b0"} }},
 		{Mixed, "a failure as a part", func(j *Journal) { j.Arrivals[3].Status = 500 }},
 		{Mixed, "shards of no version", func(j *Journal) { last(j).Missing = 1 }},
+		{Mixed, "a shard that is named twice counted as a missing one", func(j *Journal) {
+			nameShardTwice(j)
+			last(j).Missing = 1
+		}},
 		{Mixed, "too few parts", func(j *Journal) {
 			last(j).Seals, last(j).Missing, last(j).Answer = []string{"s-b1"}, 1, []byte("bbbbbbbbbbbbbbbb")
 		}},
--- a/lab/sim/day_drafts.go
+++ b/lab/sim/day_drafts.go
@@ -1,10 +1,11 @@
-// The changes that operators make: idle routes, pools and weights of routes, time-outs, the set of shards of an
-// index, and changes that must be rejected.
+// The changes that operators make: idle routes, pools and weights of routes, pools that a list names twice, time-outs,
+// the set of shards of an index, and changes that must be rejected.
 
 package sim
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
@@ -23,6 +24,8 @@
 		r := c.edited(table, table.Routes[rnd.IntN(len(table.Routes))])
 		r.TimeoutUs = r.TimeoutUs*9/10 + rnd.Int64N(r.TimeoutUs/5+1)
 		return draft{routes: []*routingpb.Route{r}}
+	case "twice":
+		return draft{routes: []*routingpb.Route{c.nameTwice(table)}}
 	case "invalid":
 		r := c.edited(table, table.Routes[rnd.IntN(len(table.Routes))])
 		switch rnd.IntN(3) {
@@ -69,6 +72,29 @@
 	return r
 }
 
+// nameTwice returns a random route of those with a list of pools, with one of its pools named again at a random place
+// of the list. What the route means does not change, or only the share of the pool.
+func (c *commands) nameTwice(base *routingpb.RoutingTable) *routingpb.Route {
+	var candidates []*routingpb.Route
+	for _, r := range base.Routes {
+		if len(r.FanoutPools)+len(r.PoolWeights) > 0 {
+			candidates = append(candidates, r)
+		}
+	}
+	if len(candidates) == 0 {
+		return c.reroute(base, true)
+	}
+	rnd := c.day.sim.rng
+	r := c.edited(base, candidates[rnd.IntN(len(candidates))])
+	if n := len(r.FanoutPools); n > 0 {
+		r.FanoutPools = slices.Insert(r.FanoutPools, rnd.IntN(n+1), r.FanoutPools[rnd.IntN(n)])
+		return r
+	}
+	again := proto.Clone(r.PoolWeights[rnd.IntN(len(r.PoolWeights))]).(*routingpb.PoolWeight)
+	r.PoolWeights = slices.Insert(r.PoolWeights, rnd.IntN(len(r.PoolWeights)+1), again)
+	return r
+}
+
 // idleDraft returns a change that adds or removes an idle route, or moves one to another pool.
 func (c *commands) idleDraft(base *routingpb.RoutingTable) draft {
 	var idle []*routingpb.Route
--- a/request/dispatch/gather_test.go
+++ b/request/dispatch/gather_test.go
@@ -155,3 +155,39 @@
 	m.Step(startTime+41_000, AttemptDone{N: 2, Result: shardResult("s2", "a")})
 	must.Eq(t, 0, outcomeOf(m.Step(startTime+42_000, AttemptDone{N: 3, Result: shardResult("s3", "a")})).Missing)
 }
+
+// TestGatherSendsToAPoolNamedTwiceOnce guards against the failure of review/5: fanout_pools that named a pool twice made
+// two shards of it, so that every response contained the pool's records twice and two seals of one service.
+func TestGatherSendsToAPoolNamedTwiceOnce(t *testing.T) {
+	f := newFixture(4, 3)
+	f.table.Routes[0].FanoutPools = []string{"p0", "p1", "p2", "p0", "p2", "p0"}
+	f.publishTable()
+	m := f.stateMachine("gather")
+	sent := sends(m.Step(startTime, Begin{}))
+	must.Len(t, 3, sent)
+	for i, s := range sent {
+		must.Eq(t, []string{"p0", "p1", "p2"}[i], s.Pool.Name)
+	}
+	m.Step(startTime+1000, AttemptDone{N: 0, Result: shardResult("s0", "b", "d")})
+	m.Step(startTime+1000, AttemptDone{N: 1, Result: shardResult("s1", "a", "d")})
+	o := outcomeOf(m.Step(startTime+2000, AttemptDone{N: 2, Result: shardResult("s2", "c")}))
+	must.Eq(t, 200, o.Status)
+	must.Eq(t, 0, o.Missing)
+	must.Eq(t, []string{"s0", "s1", "s2"}, o.Seals)
+	must.Eq(t, "d...............d...............c...............", string(o.Body))
+}
+
+// TestGatherCountsAPoolNamedTwiceOnce guards against the same failure in the numbers of a response: the missing shards
+// and the minimum coverage are counted over the set of pools.
+func TestGatherCountsAPoolNamedTwiceOnce(t *testing.T) {
+	f := newFixture(4, 2)
+	f.table.Routes[0].FanoutPools, f.table.Routes[0].MinCoverage = []string{"p0", "p0", "p0", "p1"}, 0.5
+	f.publishTable()
+	f.backendOf("p0-0").eject(startTime)
+	f.backendOf("p0-1").eject(startTime)
+	m := f.stateMachine("gather")
+	must.Len(t, 1, sends(m.Step(startTime, Begin{})), must.Sprint("one of two shards is enough, although the list names the other one three times"))
+	o := outcomeOf(m.Step(startTime+1000, AttemptDone{N: 0, Result: shardResult("s0", "b")}))
+	must.Eq(t, 200, o.Status)
+	must.Eq(t, 1, o.Missing)
+}
--- a/request/dispatch/state_machine.go
+++ b/request/dispatch/state_machine.go
@@ -43,7 +43,7 @@
 	// timerAt is the time that the last timer was set to, 0 before the first.
 	timerAt clock.Micros
 
-	// shards holds one element for each pool of a route that fans out, and a single element for other routes.
+	// shards holds one element for each shard of a route that fans out, and a single element for other routes.
 	shards []shardRequest
 	// attempts holds all attempts by number.
 	attempts []attempt
--- a/request/dispatch/view.go
+++ b/request/dispatch/view.go
@@ -96,7 +96,7 @@
 	}
 	switch {
 	case r.FansOut():
-		for _, name := range r.FanoutPools {
+		for _, name := range r.Shards {
 			add(name)
 		}
 	case len(r.PoolWeights) > 0:
@@ -115,7 +115,7 @@
 	if r == nil {
 		return false
 	}
-	if slices.Contains(r.FanoutPools, pool) {
+	if slices.Contains(r.Shards, pool) {
 		return true
 	}
 	for _, w := range r.PoolWeights {
