platform: a configuration is not refused for the size of a number

A coverage above 1 is served to the letter: no response is a success, and every request gets 503 unsent.

--- a/control/routing/check.go
+++ b/control/routing/check.go
@@ -72,7 +72,7 @@
 	c.failIf(path, route.MaxBackends < 0, "the number of backends is negative")
 	c.failIf(path, route.ResultLimit < 0, "the result limit is negative")
 	c.failIf(path, route.Priority < 0, "the priority is negative")
-	c.failIf(path, !(route.MinCoverage >= 0 && route.MinCoverage <= 1), "min_coverage must be between 0 and 1")
+	c.failIf(path, !isWeight(route.MinCoverage), "min_coverage is not a number of 0 or more")
 	c.checkTargets(path, route)
 }
 
--- a/request/dispatch/admission.go
+++ b/request/dispatch/admission.go
@@ -17,6 +17,7 @@
 	reasonAllEjected     = "all backends are ejected"
 	reasonNoBackend      = "no backend may be asked"
 	reasonTooFewPools    = "too few pools have a backend"
+	reasonCoverage       = "the route wants more than all of its parts"
 	reasonBudgetUsedUp   = "the budget of extra asks is used up"
 	reasonSlowStartUsed  = "a cold backend can bear no more"
 	reasonRejectedPrefix = "turned away: "
--- a/request/dispatch/gather.go
+++ b/request/dispatch/gather.go
@@ -51,6 +51,9 @@
 	if m.rejectsAt(m.lagPressure(now), drawn) {
 		return reasonNodeBehind, m.retryAfter(now)
 	}
+	if need > all {
+		return reasonCoverage, m.retryAfterDown(now)
+	}
 	left, overloaded := all, 0
 	exclude := func(shard *shardRequest, reason string) {
 		shard.missing = true
@@ -88,8 +91,12 @@
 // value returns the value of a partial response, in thousandths: the square of the share of shards that it contains.
 func value(shards, all int) int { return shards * shards * 1000 / (all * all) }
 
-// requiredShards returns the minimum number of shards in a successful response.
+// requiredShards returns the minimum number of shards in a successful response. It is larger than the number of shards
+// if the route asks for more than all of them, so that no response succeeds.
 func (m *StateMachine) requiredShards() int {
+	if m.route.MinCoverage > 1 {
+		return len(m.shards) + 1
+	}
 	return max(1, int(math.Ceil(m.route.MinCoverage*float64(len(m.shards))-1e-9)))
 }
 
--- a/request/dispatch/gather_test.go
+++ b/request/dispatch/gather_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -191,3 +192,18 @@
 	must.Eq(t, 200, o.Status)
 	must.Eq(t, 1, o.Missing)
 }
+
+// TestNoResponseCoversMoreThanAllShards guards against an answer of a route whose min_coverage is above 1, which is
+// acknowledged: no answer has that share of the parts in, so that none may be a success. The greatest coverage was also
+// converted to a number of shards beyond an int.
+func TestNoResponseCoversMoreThanAllShards(t *testing.T) {
+	for _, coverage := range []float64{1.01, 75, 1e9, math.MaxFloat64} {
+		f := newFixture(4, 2)
+		f.table.Routes[0].MinCoverage = coverage
+		f.publishTable()
+		acts := f.stateMachine("gather").Step(startTime, Begin{})
+		must.SliceEmpty(t, sends(acts), must.Sprint("no backend may run a request that cannot succeed"))
+		must.Eq(t, 503, outcomeOf(acts).Status)
+		must.Eq(t, reasonCoverage, outcomeOf(acts).Reason)
+	}
+}
