control/routing: shares follow weights of any size, and weight 0 gets nothing

What callers would see: all requests of a route at one of its pools, or a request at a pool of weight 0.

Cause: PoolAt multiplied the random number by the sum of the weights.

Compile derives the pools' shares in relation to the largest weight, without pools of weight 0, each pool once. The request path uses the shares only.

--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 
@@ -35,9 +36,14 @@
 	// Shards are the pools of FanoutPools, each once, in the order in which they are first named. A request that fans
 	// out is sent to one backend of each of them.
 	Shards []string
-	// weights has the weights of PoolWeights, and total is their sum.
-	weights []float64
-	total   float64
+	// Shares are the pools of PoolWeights that get requests.
+	Shares []Share
+}
+
+// Share is a pool with its share of a route's requests, above 0 and at most 1.
+type Share struct {
+	Pool  string
+	Share float64
 }
 
 // FansOut reports whether a request is sent to one backend of each shard and their responses are merged.
@@ -46,17 +52,17 @@
 // PoolAt returns the pool for a request of a route that does not fan out. point is a random number in
 // [0, 1); it selects among weighted pools.
 func (r *Route) PoolAt(point float64) string {
-	if len(r.PoolWeights) == 0 {
+	if len(r.Shares) == 0 {
 		return r.Pool
 	}
-	point *= r.total
-	for i, weight := range r.weights {
-		if point < weight {
-			return r.PoolWeights[i].Pool
+	for _, share := range r.Shares {
+		if point < share.Share {
+			return share.Pool
 		}
-		point -= weight
+		point -= share.Share
 	}
-	return r.PoolWeights[len(r.PoolWeights)-1].Pool
+	// Rounding can leave the sum of the shares below point.
+	return r.Shares[len(r.Shares)-1].Pool
 }
 
 // Compile compiles a revision that Check has accepted. It returns nil if source is nil.
@@ -75,11 +81,7 @@
 		table.Pools[pool.Name] = pool
 	}
 	for _, route := range source.Routes {
-		compiled := &Route{Route: route, Shards: distinct(route.FanoutPools)}
-		for _, weighted := range route.PoolWeights {
-			compiled.weights = append(compiled.weights, weighted.Weight)
-			compiled.total += weighted.Weight
-		}
+		compiled := &Route{Route: route, Shards: distinct(route.FanoutPools), Shares: shares(route.PoolWeights)}
 		host := strings.ToLower(route.Host)
 		table.hosts[host] = append(table.hosts[host], compiled)
 	}
@@ -100,6 +102,42 @@
 	return out
 }
 
+// shares returns the shares of the pools with a weight above 0, each pool once, in the order in which they are first
+// named.
+func shares(weights []*routingpb.PoolWeight) []Share {
+	largest := 0.0
+	for _, weighted := range weights {
+		largest = max(largest, finiteWeight(weighted.Weight))
+	}
+	var out []Share
+	total := 0.0
+	for _, weighted := range weights {
+		// In relation to the largest weight, the sum of the weights can be represented.
+		part := finiteWeight(weighted.Weight) / largest
+		if !(part > 0) {
+			continue
+		}
+		total += part
+		if i := slices.IndexFunc(out, func(s Share) bool { return s.Pool == weighted.Pool }); i >= 0 {
+			out[i].Share += part
+			continue
+		}
+		out = append(out, Share{weighted.Pool, part})
+	}
+	for i := range out {
+		out[i].Share /= total
+	}
+	return out
+}
+
+// finiteWeight returns a weight as the nearest finite number of 0 or more, and 0 for a weight that is not a number.
+func finiteWeight(weight float64) float64 {
+	if math.IsNaN(weight) {
+		return 0
+	}
+	return min(max(0, weight), math.MaxFloat64)
+}
+
 // Match returns the route for a host and a path, or nil if there is none. A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/request/dispatch/admission.go
+++ b/request/dispatch/admission.go
@@ -84,8 +84,7 @@
 }
 
 // selectPool draws one of the route's pools by weight and returns its index in the plan. If no backend of that pool
-// is available, it returns the first pool with a weight above 0 and an available backend, or else the pool that was
-// drawn.
+// is available, it returns the first pool with an available backend, or else the pool that was drawn.
 func (m *StateMachine) selectPool(now clock.Micros) int {
 	plan := m.plan
 	if len(plan.pools) == 1 {
@@ -96,7 +95,7 @@
 		return drawn
 	}
 	for i := range plan.pools {
-		if m.route.PoolWeights[i].Weight > 0 && m.hasAvailable(now, plan.pools[i], plan.latency[i]) {
+		if m.hasAvailable(now, plan.pools[i], plan.latency[i]) {
 			return i
 		}
 	}
--- a/request/dispatch/view.go
+++ b/request/dispatch/view.go
@@ -99,9 +99,9 @@
 		for _, name := range r.Shards {
 			add(name)
 		}
-	case len(r.PoolWeights) > 0:
-		for _, w := range r.PoolWeights {
-			add(w.Pool)
+	case len(r.Shares) > 0:
+		for _, share := range r.Shares {
+			add(share.Pool)
 		}
 	default:
 		add(r.Pool)
@@ -118,10 +118,10 @@
 	if slices.Contains(r.Shards, pool) {
 		return true
 	}
-	for _, w := range r.PoolWeights {
-		if w.Pool == pool && w.Weight > 0 {
+	for _, share := range r.Shares {
+		if share.Pool == pool {
 			return true
 		}
 	}
-	return !r.FansOut() && len(r.PoolWeights) == 0 && r.Pool == pool
+	return !r.FansOut() && len(r.Shares) == 0 && r.Pool == pool
 }
