request/dispatch: a route with max_retries 0 sends nothing

What callers would see: requests of a route whose max_retries is 0 ran on one backend each. Found by the least value of each number, not met by a user.

Cause: the request path used at least 1, because the table could not tell 0 from an absent field. max_backends is optional in the table now: absent means one backend, as before, and 0 means that every request gets 503 unsent. Stored tables hold no 0 and keep their meaning; other numbers are encoded as before.

--- a/control/routing/check.go
+++ b/control/routing/check.go
@@ -69,7 +69,7 @@
 	c.failIf(path, !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/"), "the prefix must begin and end with a slash")
 	c.failIf(path, route.TimeoutUs <= 0, "the timeout must be greater than 0")
 	c.failIf(path, route.TargetLatencyUs < 0, "the target latency is negative")
-	c.failIf(path, route.MaxBackends < 0, "the number of backends is negative")
+	c.failIf(path, route.GetMaxBackends() < 0, "the number of backends is negative")
 	c.failIf(path, route.ResultLimit < 0, "the result limit is negative")
 	c.failIf(path, route.Priority < 0, "the priority is negative")
 	c.failIf(path, !isWeight(route.MinCoverage), "min_coverage is not a number of 0 or more")
--- a/control/state/routing_test.go
+++ b/control/state/routing_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"wallport/api/routingpb"
 	"wallport/runtime/wire"
@@ -116,7 +117,7 @@
 		"coverage not a number":    func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.MinCoverage = math.NaN() },
 		"infinite coverage":        func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.MinCoverage = math.Inf(1) },
 		"coverage below 0":         func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.MinCoverage = -0.1 },
-		"negative max_backends":    func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.MaxBackends = -1 },
+		"negative max_backends":    func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.MaxBackends = proto.Int32(-1) },
 		"negative target latency":  func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.TargetLatencyUs = -1 },
 		"negative result limit":    func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.ResultLimit = -1 },
 		"negative priority":        func(_ *routingpb.RoutingTable, r *routingpb.Route) { r.Priority = -1 },
--- a/lab/rules/repeats.go
+++ b/lab/rules/repeats.go
@@ -3,7 +3,10 @@
 
 package rules
 
-import "wallport/runtime/clock"
+import (
+	"wallport/api/routingpb"
+	"wallport/runtime/clock"
+)
 
 // firstAcknowledged returns the time at which a command was first acknowledged, whether or not that acknowledgement
 // arrived.
@@ -58,6 +61,11 @@
 // routes allow.
 func furtherBackends(j *Journal) {
 	n, at, which := 0, int64(0), ""
+	// Usually every route allows a first backend, so that only attempts with a second one are examined.
+	least := int32(2)
+	if j.someRouteAllowsNone() {
+		least = 1
+	}
 	for _, attempt := range j.Attempts {
 		most := int32(0)
 		ran := map[string]map[*Backend]bool{}
@@ -74,13 +82,15 @@
 		for _, of := range ran {
 			over = max(over, int32(len(of)))
 		}
-		if over < 2 {
+		if over < least {
 			continue
 		}
-		j.tested(BudgetAttempt)
+		if over > 1 {
+			j.tested(BudgetAttempt)
+		}
 		for _, version := range j.Versions {
 			if r := routeOf(version.Table, attempt.Host, attempt.Path); r != nil && version.Sent <= attempt.Ended {
-				most = max(most, r.MaxBackends)
+				most = max(most, maxBackendsOf(r))
 			}
 		}
 		if over > most {
@@ -91,3 +101,24 @@
 		j.fail(Budget, at, "%d attempts, the last one %s, ran on more backends than their routes allow", n, which)
 	}
 }
+
+// someRouteAllowsNone reports whether a version has a route whose requests may be sent to no backend.
+func (j *Journal) someRouteAllowsNone() bool {
+	for _, version := range j.Versions {
+		for _, r := range version.Table.GetRoutes() {
+			if maxBackendsOf(r) == 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// maxBackendsOf returns the largest number of backends to which a route may send a request. A route that does not say
+// it may use one.
+func maxBackendsOf(r *routingpb.Route) int32 {
+	if r.MaxBackends == nil {
+		return 1
+	}
+	return *r.MaxBackends
+}
--- a/lab/rules/repeats_test.go
+++ b/lab/rules/repeats_test.go
@@ -4,9 +4,11 @@
 package rules
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"wallport/runtime/clock"
 )
@@ -47,6 +49,14 @@
 			ver.FirstAcked, ver.Acked = ver.Acked, Never
 			j.Versions = append(j.Versions, ver)
 		}},
+		{Budget, "attempts run although their route allows no backend", func(j *Journal) {
+			for _, version := range j.Versions {
+				version.Table.Routes[0].MaxBackends = proto.Int32(0)
+			}
+			for i := range maxOverRouteLimit + 1 {
+				j.addRequest(fmt.Sprint("none", i), 10*second, 0)
+			}
+		}},
 		{Budget, "attempts run on more backends than allowed", func(j *Journal) { addSecondBackendRuns(j, maxOverRouteLimit+1) }},
 		{Mixed, "a failure with a seal and another status", func(j *Journal) {
 			j.Attempts[0].Status, j.Arrivals[0].Status = 502, 500
--- a/lab/sim/day_configs.go
+++ b/lab/sim/day_configs.go
@@ -35,7 +35,7 @@
 		kind := &s.kinds[i]
 		r := &routingpb.Route{
 			Name: kind.name, Host: host, Prefix: prefixOf(kind.name), Repeatable: kind.repeatable, TimeoutUs: kind.deadlineUs, TargetLatencyUs: kind.targetUs,
-			Priority: kind.priority, MaxBackends: kind.backends, ResultLimit: kind.records, MinCoverage: kind.coverage, Source: []byte(kind.name),
+			Priority: kind.priority, MaxBackends: proto.Int32(kind.backends), ResultLimit: kind.records, MinCoverage: kind.coverage, Source: []byte(kind.name),
 		}
 		if p := s.pool(kind.pool); p.shards > 0 {
 			r.FanoutPools = p.poolNames()
@@ -76,7 +76,7 @@
 	c.nextIdle++
 	return &routingpb.Route{
 		Name: name, Host: host, Prefix: prefixOf(name), Repeatable: true, TimeoutUs: kind.deadlineUs, TargetLatencyUs: kind.targetUs,
-		Priority: 2, MaxBackends: 2, Pool: pools[c.day.sim.rng.IntN(len(pools))], Source: []byte(name),
+		Priority: 2, MaxBackends: proto.Int32(2), Pool: pools[c.day.sim.rng.IntN(len(pools))], Source: []byte(name),
 	}
 }
 
--- a/request/dispatch/admission.go
+++ b/request/dispatch/admission.go
@@ -17,6 +17,7 @@
 	reasonAllEjected     = "all backends are ejected"
 	reasonNoBackend      = "no backend may be asked"
 	reasonTooFewPools    = "too few pools have a backend"
+	reasonNoneAllowed    = "the route allows no backend to be asked"
 	reasonCoverage       = "the route wants more than all of its parts"
 	reasonBudgetUsedUp   = "the budget of extra asks is used up"
 	reasonSlowStartUsed  = "a cold backend can bear no more"
@@ -50,6 +51,10 @@
 // admit sends the request to a backend. If no backend is expected to respond in time, it rejects the request
 // immediately, so that the client has time to try another node.
 func (m *StateMachine) admit(now clock.Micros) {
+	if m.maxBackends() <= 0 {
+		m.reject(now, reasonNoneAllowed, m.retryAfterDown(now))
+		return
+	}
 	if m.route.FansOut() {
 		m.admitFanOut(now)
 		return
--- a/request/dispatch/simulation_test.go
+++ b/request/dispatch/simulation_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"math/rand/v2"
 
+	"google.golang.org/protobuf/proto"
+
 	"wallport/api/routingpb"
 	"wallport/control/routing"
 	"wallport/request/snapshot"
@@ -123,10 +125,10 @@
 	w.addPool("desk", s.poolBackends, 6, 24)
 	w.addPool("spare", s.poolBackends, 6, 24)
 	w.table.Routes = []*routingpb.Route{
-		{Name: "search", Host: "h", Prefix: "/search/", Repeatable: true, TimeoutUs: 400 * clock.Millisecond, TargetLatencyUs: 80 * clock.Millisecond, Priority: 1, MaxBackends: 2, FanoutPools: shards, ResultLimit: 20, MinCoverage: 0.75},
-		{Name: "quick", Host: "h", Prefix: "/quick/", Repeatable: true, TimeoutUs: 250 * clock.Millisecond, TargetLatencyUs: 40 * clock.Millisecond, Priority: 2, MaxBackends: 2, FanoutPools: shards, ResultLimit: 5, MinCoverage: 0.5},
-		{Name: "once", Host: "h", Prefix: "/once/", TimeoutUs: 1_500 * clock.Millisecond, TargetLatencyUs: 250 * clock.Millisecond, MaxBackends: int32(max(1, s.onceMaxBackends)), Pool: "desk"},
-		{Name: "read", Host: "h", Prefix: "/read/", Repeatable: true, TimeoutUs: 1_500 * clock.Millisecond, TargetLatencyUs: 250 * clock.Millisecond, Priority: 2, MaxBackends: 2, Pool: "desk"},
+		{Name: "search", Host: "h", Prefix: "/search/", Repeatable: true, TimeoutUs: 400 * clock.Millisecond, TargetLatencyUs: 80 * clock.Millisecond, Priority: 1, MaxBackends: proto.Int32(2), FanoutPools: shards, ResultLimit: 20, MinCoverage: 0.75},
+		{Name: "quick", Host: "h", Prefix: "/quick/", Repeatable: true, TimeoutUs: 250 * clock.Millisecond, TargetLatencyUs: 40 * clock.Millisecond, Priority: 2, MaxBackends: proto.Int32(2), FanoutPools: shards, ResultLimit: 5, MinCoverage: 0.5},
+		{Name: "once", Host: "h", Prefix: "/once/", TimeoutUs: 1_500 * clock.Millisecond, TargetLatencyUs: 250 * clock.Millisecond, MaxBackends: proto.Int32(int32(max(1, s.onceMaxBackends))), Pool: "desk"},
+		{Name: "read", Host: "h", Prefix: "/read/", Repeatable: true, TimeoutUs: 1_500 * clock.Millisecond, TargetLatencyUs: 250 * clock.Millisecond, Priority: 2, MaxBackends: proto.Int32(2), Pool: "desk"},
 	}
 	w.tables = append(w.tables, w.table)
 	for i := range s.nodes {
--- a/request/dispatch/state_machine.go
+++ b/request/dispatch/state_machine.go
@@ -201,8 +201,13 @@
 // atMostOnce reports whether the request must not run more than once.
 func (m *StateMachine) atMostOnce() bool { return !m.route.Repeatable && !m.route.FansOut() }
 
-// maxBackends returns how many backends of a pool the request may be sent to.
-func (m *StateMachine) maxBackends() int { return max(1, int(m.route.MaxBackends)) }
+// maxBackends returns how many backends of a pool the request may be sent to. A route that does not say so allows one.
+func (m *StateMachine) maxBackends() int {
+	if m.route.MaxBackends == nil {
+		return 1
+	}
+	return int(*m.route.MaxBackends)
+}
 
 // nodes returns the number of nodes by which budgets and rates are divided.
 func (m *StateMachine) nodes() int { return m.view.snapshot.Divisor }
--- a/request/dispatch/state_machine_test.go
+++ b/request/dispatch/state_machine_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"wallport/api/routingpb"
 	"wallport/control/routing"
@@ -39,11 +40,11 @@
 		return r
 	}
 	f.table.Routes = []*routingpb.Route{
-		one("gather", &routingpb.Route{Repeatable: true, FanoutPools: names, ResultLimit: 3, MinCoverage: 0.75, MaxBackends: 2, Priority: 2}),
-		one("once", &routingpb.Route{Pool: "p0", MaxBackends: 1}),
-		one("once2", &routingpb.Route{Pool: "p0", MaxBackends: 2}),
-		one("read", &routingpb.Route{Pool: "p0", Repeatable: true, MaxBackends: 2}),
-		one("split", &routingpb.Route{Repeatable: true, MaxBackends: 2, PoolWeights: []*routingpb.PoolWeight{{Pool: "p0", Weight: 0}, {Pool: "p1", Weight: 1}, {Pool: "p2", Weight: 1}}}),
+		one("gather", &routingpb.Route{Repeatable: true, FanoutPools: names, ResultLimit: 3, MinCoverage: 0.75, MaxBackends: proto.Int32(2), Priority: 2}),
+		one("once", &routingpb.Route{Pool: "p0", MaxBackends: proto.Int32(1)}),
+		one("once2", &routingpb.Route{Pool: "p0", MaxBackends: proto.Int32(2)}),
+		one("read", &routingpb.Route{Pool: "p0", Repeatable: true, MaxBackends: proto.Int32(2)}),
+		one("split", &routingpb.Route{Repeatable: true, MaxBackends: proto.Int32(2), PoolWeights: []*routingpb.PoolWeight{{Pool: "p0", Weight: 0}, {Pool: "p1", Weight: 1}, {Pool: "p2", Weight: 1}}}),
 	}
 	f.snap = &snapshot.Snapshot{At: startTime, Complete: true, Zone: "z0", Divisor: 1, LiveNodeCount: 1, Pools: map[string]*snapshot.Pool{}}
 	for _, p := range f.table.Pools {
@@ -246,3 +247,26 @@
 	b.recordFailure(now, failure{startedAt: now, weight: 1, timedOut: true}, 1)
 	b.ejectedUntil.Store(now + 10*second)
 }
+
+// TestRouteThatAllowsNoBackendSendsNothing guards against a request that runs on a backend although the route's
+// max_retries, the largest number of backends that it may be sent to, is 0.
+func TestRouteThatAllowsNoBackendSendsNothing(t *testing.T) {
+	for _, c := range []struct {
+		maxBackends *int32
+		sent        int
+	}{{nil, 1}, {proto.Int32(0), 0}, {proto.Int32(1), 1}} {
+		for i, route := range []string{"gather", "once", "once2", "read", "split"} {
+			f := newFixture(4, 2)
+			f.table.Routes[i].MaxBackends = c.maxBackends
+			f.publishTable()
+			acts := f.stateMachine(route).Step(startTime, Begin{})
+			if c.sent > 0 {
+				must.SliceNotEmpty(t, sends(acts))
+				continue
+			}
+			must.SliceEmpty(t, sends(acts), must.Sprint(route))
+			must.Eq(t, 503, outcomeOf(acts).Status)
+			must.Positive(t, outcomeOf(acts).RetryAfter)
+		}
+	}
+}
--- a/request/gateway/bench_test.go
+++ b/request/gateway/bench_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"wallport/api/routingpb"
 	"wallport/control/routing"
@@ -55,8 +56,8 @@
 		snap.Pools[name] = p
 	}
 	src.Routes = []*routingpb.Route{
-		{Name: "all", Host: "h.example", Prefix: "/all/", Repeatable: true, TimeoutUs: 5_000_000, TargetLatencyUs: 1_000_000, MaxBackends: 2, FanoutPools: names[:shards], ResultLimit: 20, MinCoverage: 0.5},
-		{Name: "one", Host: "h.example", Prefix: "/one/", TimeoutUs: 5_000_000, TargetLatencyUs: 1_000_000, MaxBackends: 1, Pool: names[0]},
+		{Name: "all", Host: "h.example", Prefix: "/all/", Repeatable: true, TimeoutUs: 5_000_000, TargetLatencyUs: 1_000_000, MaxBackends: proto.Int32(2), FanoutPools: names[:shards], ResultLimit: 20, MinCoverage: 0.5},
+		{Name: "one", Host: "h.example", Prefix: "/one/", TimeoutUs: 5_000_000, TargetLatencyUs: 1_000_000, MaxBackends: proto.Int32(1), Pool: names[0]},
 	}
 	snap.Routing = routing.Compile(src)
 	return snap
--- a/request/gateway/once_test.go
+++ b/request/gateway/once_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/proto"
 
 	"wallport/api/routingpb"
 	"wallport/control/routing"
@@ -30,8 +31,8 @@
 	config := &routingpb.RoutingTable{
 		Revision: 1,
 		Routes: []*routingpb.Route{
-			{Name: "long", Host: "h", Prefix: "/", TimeoutUs: longTimeout, MaxBackends: 3, Pool: "desk"},
-			{Name: "brief", Host: "h", Prefix: "/brief/", TimeoutUs: briefTimeout, MaxBackends: 3, Pool: "desk"},
+			{Name: "long", Host: "h", Prefix: "/", TimeoutUs: longTimeout, MaxBackends: proto.Int32(3), Pool: "desk"},
+			{Name: "brief", Host: "h", Prefix: "/brief/", TimeoutUs: briefTimeout, MaxBackends: proto.Int32(3), Pool: "desk"},
 		},
 		Pools:  []*routingpb.Pool{{Name: "desk", MaxConnections: 10}},
 		Limits: &routingpb.Limits{},
