platform: an empty list of shards is acknowledged and serves nothing

Operators got 400 for a route with "fanout_pools": [] and no other target, which PROTOCOL.md does not list as invalid; of empty lists only one of weights is (they add up to 0).

Cause: the table cannot tell an empty list from an absent one, and a route without a target is refused. The table has a field no_shards for it now; every request of such a route gets 503 unsent, since each success must name a part. A list that is empty beside a pool or weights is ignored, as before.

--- a/control/routing/check.go
+++ b/control/routing/check.go
@@ -79,7 +79,7 @@
 // checkTargets checks the pools of a route: one pool, weighted pools, or pools to fan out to.
 func (c *checker) checkTargets(path string, route *routingpb.Route) {
 	targets := 0
-	for _, set := range []bool{route.Pool != "", len(route.PoolWeights) > 0, len(route.FanoutPools) > 0} {
+	for _, set := range []bool{route.Pool != "", len(route.PoolWeights) > 0, len(route.FanoutPools) > 0 || route.NoShards} {
 		if set {
 			targets++
 		}
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -47,7 +47,7 @@
 }
 
 // FansOut reports whether a request is sent to one backend of each shard and their responses are merged.
-func (r *Route) FansOut() bool { return len(r.Shards) > 0 }
+func (r *Route) FansOut() bool { return len(r.Shards) > 0 || r.NoShards }
 
 // PoolAt returns the pool for a request of a route that does not fan out. point is a random number in
 // [0, 1); it selects among weighted pools.
