control/routing: numbers of a compiled table are bounded, whatever way it came

What callers would see: with limits near the greatest integer, clients' connections closed after 200 ms and every body too large.

Cause: only the platform's reader held the ranges, and every user of a number relied on it, though a table also comes from a core's disk or from another release. Leniency times such a limit overflowed.

Compile copies routes, pools and limits with all numbers in bounds, above the range that operators use. What operators read back is the source, unchanged.

--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"strings"
 
@@ -30,7 +29,7 @@
 	hosts map[string][]*Route
 }
 
-// Route is a compiled route: the route from the table, with values derived from it.
+// Route is a compiled route: the route from the table with its numbers in bounds, and values derived from it.
 type Route struct {
 	*routingpb.Route
 	// Shards are the pools of FanoutPools, each once, in the order in which they are first named. A request that fans
@@ -65,23 +64,20 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
-// Compile compiles a revision that Check has accepted. It returns nil if source is nil.
+// Compile compiles a revision, and keeps all numbers within bounds. It returns nil if source is nil.
 func Compile(source *routingpb.RoutingTable) *Table {
 	if source == nil {
 		return nil
 	}
 	table := &Table{
-		Revision: source.Revision, Source: source, Limits: source.Limits,
+		Revision: source.Revision, Source: source, Limits: boundedLimits(source.Limits),
 		Pools: map[string]*routingpb.Pool{}, hosts: map[string][]*Route{},
 	}
-	if table.Limits == nil {
-		table.Limits = &routingpb.Limits{}
-	}
 	for _, pool := range source.Pools {
-		table.Pools[pool.Name] = pool
+		table.Pools[pool.Name] = boundedPool(pool)
 	}
 	for _, route := range source.Routes {
-		compiled := &Route{Route: route, Shards: distinct(route.FanoutPools), Shares: shares(route.PoolWeights)}
+		compiled := &Route{Route: boundedRoute(route), Shards: distinct(route.FanoutPools), Shares: shares(route.PoolWeights)}
 		host := strings.ToLower(route.Host)
 		table.hosts[host] = append(table.hosts[host], compiled)
 	}
@@ -107,13 +103,13 @@
 func shares(weights []*routingpb.PoolWeight) []Share {
 	largest := 0.0
 	for _, weighted := range weights {
-		largest = max(largest, finiteWeight(weighted.Weight))
+		largest = max(largest, finiteNumber(weighted.Weight))
 	}
 	var out []Share
 	total := 0.0
 	for _, weighted := range weights {
 		// In relation to the largest weight, the sum of the weights can be represented.
-		part := finiteWeight(weighted.Weight) / largest
+		part := finiteNumber(weighted.Weight) / largest
 		if !(part > 0) {
 			continue
 		}
@@ -130,14 +126,6 @@
 	return out
 }
 
-// finiteWeight returns a weight as the nearest finite number of 0 or more, and 0 for a weight that is not a number.
-func finiteWeight(weight float64) float64 {
-	if math.IsNaN(weight) {
-		return 0
-	}
-	return min(max(0, weight), math.MaxFloat64)
-}
-
 // Match returns the route for a host and a path, or nil if there is none. A port in host is ignored.
 func (t *Table) Match(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/request/gateway/limits_test.go
+++ b/request/gateway/limits_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
 	"wallport/api/routingpb"
+	"wallport/control/routing"
 )
 
 func TestLimits(t *testing.T) {
@@ -128,3 +131,15 @@
 	must.Eq(t, "0.200", resp.Header.Get("Retry-After"))
 	must.Len(t, 1, w.requests())
 }
+
+// TestLimitsOfAnySizeAreServed guards against an overflow: a limit near the greatest integer, doubled for leniency, became
+// negative, so that connections were closed after 200 ms and every body was too large.
+func TestLimitsOfAnySizeAreServed(t *testing.T) {
+	for _, n := range []int64{math.MaxInt64, math.MaxInt64/2 + 1, math.MaxInt64 / 1000} {
+		l := routing.Compile(&routingpb.RoutingTable{Limits: &routingpb.Limits{MaxHeaderBytes: n, MaxBodyBytes: n, HeaderTimeoutUs: n, IdleTimeoutUs: n}}).Limits
+		must.Greater(t, time.Hour, idleTimeout(l))
+		must.Greater(t, time.Hour, headTimeout(l))
+		must.Eq(t, maxMaxHeaderBytes, maxHeaderBytes(l))
+		must.Greater(t, 1<<20, maxBodyBytes(l))
+	}
+}
