request/tokenbucket: amounts are bounded before they are converted

What callers would see, on amd64: all requests of an index rejected under a sheet whose capacity or ceiling is near the greatest integer, which the sheet's check accepts.

Cause: limits were converted to thousandths of tokens without a bound. The conversion of a number out of range gives the least integer on amd64, with which a limiter is never refilled.

Amount bounds first, for the limiters of a sheet and for the retry budget, whose parts come from the settings file; the gain of a refill has the same bound.

--- a/request/dispatch/retrybudget.go
+++ b/request/dispatch/retrybudget.go
@@ -43,7 +43,7 @@
 // limits returns the most that this node may save, and its fair share of what the fleet may save. In a large fleet
 // the fair share is less than one attempt.
 func (b *retryBudget) limits(now clock.Micros, nodes int) (burst, fairShare int64) {
-	return b.Limits(now, int64(burstFraction*b.config.Allowance*tokenbucket.One/float64(max(1, nodes))))
+	return b.Limits(now, tokenbucket.Amount(burstFraction*b.config.Allowance/float64(max(1, nodes))))
 }
 
 // replenish credits the budget for one request to the pool. If the fair share is less than one attempt and a whole
@@ -51,7 +51,7 @@
 // that the nodes of a very large fleet have saved would together exceed the allowance.
 func (b *retryBudget) replenish(now clock.Micros, nodes int, rnd *random.Source) {
 	burst, fairShare := b.limits(now, nodes)
-	earned := int64(earnedFraction * b.config.Ratio * tokenbucket.One)
+	earned := tokenbucket.Amount(earnedFraction * b.config.Ratio)
 	if fairShare < tokenbucket.One && b.Balance() >= tokenbucket.One && int64(rnd.IntN(tokenbucket.One)) >= fairShare {
 		b.Take(tokenbucket.One, tokenbucket.One, burst)
 	}
@@ -62,8 +62,8 @@
 func (b *retryBudget) withdraw(now clock.Micros, nodes int) bool {
 	burst, fairShare := b.limits(now, nodes)
 	if fairShare >= tokenbucket.One {
-		perSecond := refillFraction * b.config.Allowance * tokenbucket.One * float64(clock.Second) / float64(b.config.Window) / float64(max(1, nodes))
-		b.Refill(now, int64(perSecond), burst)
+		perSecond := refillFraction * b.config.Allowance * float64(clock.Second) / float64(b.config.Window) / float64(max(1, nodes))
+		b.Refill(now, tokenbucket.Amount(perSecond), burst)
 	}
 	return b.Take(tokenbucket.One, tokenbucket.One, burst)
 }
--- a/request/search/limits.go
+++ b/request/search/limits.go
@@ -37,8 +37,8 @@
 // is charged even if no credit is left, and the balance may go down to minus the capacity.
 func (l *limiter) allow(now clock.Micros, limit float64, meter *loadreport.Meter, nodes int, force bool) bool {
 	part := meter.LocalLimit(limit, nodes)
-	capacity := max(tokenbucket.One, int64(burstSeconds*tokenbucket.One*max(part, limit/float64(max(1, nodes)))))
-	l.Refill(now, int64(tokenbucket.One*part), capacity)
+	capacity := max(tokenbucket.One, tokenbucket.Amount(burstSeconds*max(part, limit/float64(max(1, nodes)))))
+	l.Refill(now, tokenbucket.Amount(part), capacity)
 	if force {
 		return l.Take(tokenbucket.One, tokenbucket.One-capacity, capacity)
 	}
--- a/request/tokenbucket/tokenbucket.go
+++ b/request/tokenbucket/tokenbucket.go
@@ -14,6 +14,15 @@
 // One is a whole token.
 const One = 1000
 
+// maxAmount bounds the amounts that Amount returns, so that the sum of two never overflows.
+const maxAmount = 1 << 53
+
+// Amount returns a number of tokens as an amount, in thousandths of tokens. A number out of range gives the nearest
+// amount: the conversion alone would give a result that depends on the machine.
+func Amount(tokens float64) int64 {
+	return int64(min(max(-maxAmount, tokens*One), maxAmount))
+}
+
 // Bucket is a token bucket. Its zero value is empty.
 type Bucket struct {
 	balance atomic.Int64
@@ -41,7 +50,7 @@
 func (b *Bucket) Refill(now clock.Micros, perSecond, capacity int64) {
 	for {
 		last := b.RefilledAt.Load()
-		gain := int64(float64(now-last) * float64(perSecond) / 1e6)
+		gain := int64(min(float64(now-last)*float64(perSecond)/1e6, maxAmount))
 		if gain < 1 {
 			return
 		}
--- a/request/tokenbucket/tokenbucket_test.go
+++ b/request/tokenbucket/tokenbucket_test.go
@@ -1,6 +1,7 @@
 package tokenbucket
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -75,3 +76,22 @@
 	must.Eq(t, 1000, taken.Load())
 	must.Eq(t, 0, b.Balance())
 }
+
+// TestAmountIsBounded guards against a limit of any size that becomes a negative amount: the conversion of a number out
+// of range gives the least integer on amd64 and the greatest on arm64.
+func TestAmountIsBounded(t *testing.T) {
+	for _, c := range []struct {
+		tokens float64
+		want   int64
+	}{
+		{0, 0}, {0.0005, 0}, {1.5, 1500}, {-2, -2000}, {1e12, 1e15}, {1e13, maxAmount}, {math.MaxInt64, maxAmount}, {math.MaxFloat64, maxAmount},
+		{math.Inf(1), maxAmount}, {-1e300, -maxAmount},
+	} {
+		must.Eq(t, c.want, Amount(c.tokens), must.Sprint(c.tokens))
+	}
+	var b Bucket
+	b.Refill(math.MaxInt64, maxAmount, maxAmount)
+	must.Eq(t, maxAmount, b.Balance())
+	b.Add(maxAmount, maxAmount)
+	must.Eq(t, maxAmount, b.Balance())
+}
