request/dispatch: a capacity of any size no longer ends nodes

Found by a test on the related paths, not met by a user.

Cause: queueTime divides by the slots in thousandths, and 2^61 times 1000 is 0 in 64 bits. Other large numbers overflow in products.

Slots and requests are bounded to a million where the request path takes them up, whichever way they came.

Evidence: TestSlotsOfAnyNumberAreServed panicked before in queueTime, called from endpointPressure.

--- a/request/dispatch/backend.go
+++ b/request/dispatch/backend.go
@@ -113,7 +113,7 @@
 	firstListed := b.listedAt.Load() == 0
 	b.listedAt.Store(max(1, snap.At))
 	if s.Slots > 0 && b.slots.Load() == 0 {
-		b.slots.Store(int64(s.Slots))
+		b.slots.Store(boundedConcurrency(s.Slots))
 	}
 	lastWarmUp := b.listedWarmUp
 	b.listedWarmUp = s.WarmUpRemaining
@@ -186,12 +186,12 @@
 	if !report.Known {
 		return
 	}
-	load := int64(report.Running+report.Queued) * unit
+	load := report.total()
 	b.meanLoad.Store(b.meanLoad.Load() + (load-b.meanLoad.Load())/8)
 	b.reportedLoad.Store(load)
 	b.reportedAt.Store(now)
-	if report.Slots > 0 {
-		b.slots.Store(int64(report.Slots))
+	if slots := report.slots(); slots > 0 {
+		b.slots.Store(slots)
 	}
 }
 
@@ -200,8 +200,8 @@
 func (b *backend) recordRejection(now clock.Micros, report LoadReport) {
 	load := 2 * unit * max(1, b.slots.Load())
 	if report.Known {
-		load = unit * int64(report.Running+report.Queued)
-		if report.Running+report.Queued >= report.Slots {
+		load = report.total()
+		if load >= unit*report.slots() {
 			b.rejectedLoad.Store(load)
 		}
 	}
--- a/request/dispatch/events.go
+++ b/request/dispatch/events.go
@@ -107,6 +107,20 @@
 	Known                  bool
 }
 
+// maxConcurrency bounds the numbers of requests and slots that a backend or the platform's list reports, so that the
+// products in which they occur do not overflow.
+const maxConcurrency = 1_000_000
+
+func boundedConcurrency(n int) int64 { return int64(min(max(0, n), maxConcurrency)) }
+
+// total returns the number of requests that the backend is handling, in thousandths of requests.
+func (r LoadReport) total() int64 {
+	return unit * (boundedConcurrency(r.Running) + boundedConcurrency(r.Queued))
+}
+
+// slots returns the number of slots.
+func (r LoadReport) slots() int64 { return boundedConcurrency(r.Slots) }
+
 // Result is the result of an attempt.
 type Result struct {
 	Class  Class
--- a/request/dispatch/retry.go
+++ b/request/dispatch/retry.go
@@ -142,7 +142,7 @@
 	case isSuccess(result):
 		load := attempt.load
 		if result.Load.Known {
-			load = max(load, int64(result.Load.Running+result.Load.Queued)*unit)
+			load = max(load, result.Load.total())
 		}
 		if b.recordSuccess(now, took, load, shard.latency) {
 			shard.pool.scheduleTrials(now, &m.random)
--- a/request/dispatch/state_machine_test.go
+++ b/request/dispatch/state_machine_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"testing"
 
@@ -270,3 +271,29 @@
 		}
 	}
 }
+
+// TestSlotsOfAnyNumberAreServed guards against a panic: in thousandths, some large numbers of slots are 0 modulo the
+// range of an integer, and the expected time in a backend's queue divided by them.
+func TestSlotsOfAnyNumberAreServed(t *testing.T) {
+	for _, slots := range []int{1 << 61, math.MaxInt, math.MaxInt/unit + 1, 1 << 31, -1} {
+		f := newFixture(4, 3)
+		for _, p := range f.snap.Pools {
+			for _, b := range p.Backends {
+				b.Slots = slots
+			}
+		}
+		f.publishTable()
+		for i := range int64(50) {
+			for _, route := range []string{"gather", "once", "read", "split"} {
+				now := startTime + i*clock.Millisecond
+				m := f.stateMachine(route)
+				for _, s := range sends(m.Step(now, Begin{})) {
+					result := shardResult(fmt.Sprint("s", s.N), "a")
+					result.Load = LoadReport{Known: true, Running: slots, Queued: slots, Slots: slots}
+					m.Step(now+clock.Millisecond, AttemptDone{N: s.N, Result: result})
+				}
+				must.True(t, m.Done())
+			}
+		}
+	}
+}
