request/dispatch: concurrent requests do not lose tokens of slow start

What callers would see: now and then 503 ("a cold backend can bear no more") although the rate of slow start has tokens left, on a node with several threads.

Cause: take compared and swapped once; of two requests at the same moment one got nothing. It tries again as long as a token is there.

--- a/request/dispatch/slow_start.go
+++ b/request/dispatch/slow_start.go
@@ -62,6 +62,13 @@
 	if period == 0 {
 		return true
 	}
-	at := s.nextToken.Load()
-	return now >= at && s.nextToken.CompareAndSwap(at, max(at+period, now-tokenLifetime+period))
+	for {
+		at := s.nextToken.Load()
+		if now < at {
+			return false
+		}
+		if s.nextToken.CompareAndSwap(at, max(at+period, now-tokenLifetime+period)) {
+			return true
+		}
+	}
 }
--- a/request/dispatch/slow_start_test.go
+++ b/request/dispatch/slow_start_test.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"math"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -78,3 +80,30 @@
 	must.Eq(t, 0, tokenPeriod(6e6, 3), must.Sprint("more than a token in each microsecond means that there is no limit"))
 	must.Eq(t, 250*clock.Millisecond, tokenPeriod(20, 3))
 }
+
+// TestTokensAreNotLostToEachOther guards against a request that is turned away although tokens are left: of two requests that
+// took a token at the same moment, one got none, however high the rate.
+func TestTokensAreNotLostToEachOther(t *testing.T) {
+	const ramp, takers, each = 1e6, 8, 2_000
+	now := 100 * clock.Second
+	var s slowStart
+	s.nextToken.Store(now - tokenLifetime)
+	var refused atomic.Int64
+	var all sync.WaitGroup
+	for range takers {
+		all.Go(func() {
+			for range each {
+				if !s.take(now, ramp, 1) {
+					refused.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	must.Zero(t, refused.Load(), must.Sprintf("takes, of %d, although %d tokens were left", takers*each, tokenLifetime/tokenPeriod(ramp, 1)))
+	taken := takers * each
+	for s.take(now, ramp, 1) {
+		taken++
+	}
+	must.Between(t, tokenLifetime/tokenPeriod(ramp, 1), clock.Micros(taken), tokenLifetime/tokenPeriod(ramp, 1)+1, must.Sprint("tokens in all"))
+}
