--- a/lab/draw/kinds.go
+++ b/lab/draw/kinds.go
@@ -67,7 +67,7 @@
 }
 
 var planned = []dayKind{
-	{name: "config_change", modes: []string{"route", "idle", "timeout", "weights", "invalid", "twice"}},
+	{name: "config_change", modes: []string{"route", "idle", "timeout", "weights", "invalid", "twice", "extreme"}},
 	{name: "config_race", line: func(d *drawing) string {
 		return fmt.Sprintf("count=%d gap=%.2fs x=%d", 1+d.n(3), d.f(0.6, 1.6), 2+d.n(3))
 	}},
--- a/lab/sim/day_configs.go
+++ b/lab/sim/day_configs.go
@@ -120,9 +120,10 @@
 	return c.revision
 }
 
-// draft is a change to a configuration: new or changed routes, and the names of routes to withdraw.
+// draft is a change to a configuration: new or changed routes and pools, and the names of routes to withdraw.
 type draft struct {
 	routes   []*routingpb.Route
+	pools    []*routingpb.Pool
 	withdraw []string
 	invalid  bool
 	// number is the revision, 0 for the next one. truncated drops the last byte of the encoded edit. complete
@@ -189,7 +190,7 @@
 	if c.day.sim.rng.IntN(2) == 0 || df.complete {
 		edit.Whole = withoutRevision(table)
 	} else {
-		edit.Upsert, edit.WithdrawRoutes = &routingpb.RoutingTable{Routes: df.routes}, df.withdraw
+		edit.Upsert, edit.WithdrawRoutes = &routingpb.RoutingTable{Routes: df.routes, Pools: df.pools}, df.withdraw
 	}
 	return edit, table
 }
@@ -204,6 +205,10 @@
 			t.Routes = append(t.Routes, r)
 		}
 	}
+	for _, p := range df.pools {
+		i := slices.IndexFunc(t.Pools, func(v *routingpb.Pool) bool { return v.Name == p.Name })
+		t.Pools[i] = p
+	}
 	t.Routes = slices.DeleteFunc(t.Routes, func(v *routingpb.Route) bool { return slices.Contains(df.withdraw, v.Name) })
 	return t
 }
--- a/lab/sim/day_drafts.go
+++ b/lab/sim/day_drafts.go
@@ -1,16 +1,18 @@
-// The changes that operators make: idle routes, pools and weights of routes, pools that a list names twice, time-outs,
-// the set of shards of an index, and changes that must be rejected.
+// The changes that operators make: idle routes, pools and weights of routes, pools that a list names twice, numbers at
+// their greatest and least value, time-outs, the set of shards of an index, and changes that must be rejected.
 
 package sim
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
 	"google.golang.org/protobuf/proto"
 
 	"wallport/api/routingpb"
+	"wallport/runtime/clock"
 )
 
 // draft returns a random change of the newest acknowledged version; how selects its kind.
@@ -26,6 +28,8 @@
 		return draft{routes: []*routingpb.Route{r}}
 	case "twice":
 		return draft{routes: []*routingpb.Route{c.nameTwice(table)}}
+	case "extreme":
+		return draft{routes: []*routingpb.Route{c.extremeRoute(table)}, pools: []*routingpb.Pool{c.extremePool(table)}}
 	case "invalid":
 		r := c.edited(table, table.Routes[rnd.IntN(len(table.Routes))])
 		switch rnd.IntN(3) {
@@ -95,6 +99,62 @@
 	return r
 }
 
+// extremeRoute returns a random served route with one of its numbers at its greatest or least value. Requests of the route can
+// still be served.
+func (c *commands) extremeRoute(base *routingpb.RoutingTable) *routingpb.Route {
+	rnd := c.day.sim.rng
+	r := c.edited(base, base.Routes[rnd.IntN(len(c.day.site.kinds))])
+	greatest := rnd.IntN(2) == 0
+	switch rnd.IntN(6) {
+	case 0:
+		r.TargetLatencyUs = pick(greatest, extremeTime, 1)
+	case 1:
+		r.TimeoutUs = extremeTime
+	case 2:
+		r.Priority = pick(greatest, int32(extremeCount), 0)
+	case 3:
+		r.MaxBackends = pick(greatest, proto.Int32(extremeCount), nil)
+	case 4:
+		r.ResultLimit = pick(greatest, int32(extremeCount), 0)
+	default:
+		r.MinCoverage = pick(greatest, 1.0, 0)
+	}
+	return r
+}
+
+// extremePool returns a random pool with one of its numbers at its greatest or least value. A rate that limits requests
+// is left as it is, since the site's rate is the one that the rules check.
+func (c *commands) extremePool(base *routingpb.RoutingTable) *routingpb.Pool {
+	rnd := c.day.sim.rng
+	p := proto.Clone(base.Pools[rnd.IntN(len(base.Pools))]).(*routingpb.Pool)
+	p.Source = fmt.Appendf(nil, "%s after %d, %d", p.Name, base.Revision, rnd.Int64N(1000))
+	greatest := rnd.IntN(2) == 0
+	switch rnd.IntN(3) {
+	case 0:
+		p.MaxConnections = pick(greatest, int64(extremeCount), 0)
+	case 1:
+		p.SlowStartUs = pick(greatest, extremeTime, 0)
+	default:
+		if p.RampPerS == 0 {
+			p.RampPerS = pick(greatest, math.MaxFloat64, 6e6)
+		}
+	}
+	return p
+}
+
+// The greatest time and the greatest count of a configuration.
+const (
+	extremeTime  = 1_000_000_000 * clock.Millisecond
+	extremeCount = 1_000_000_000
+)
+
+func pick[T any](first bool, a, b T) T {
+	if first {
+		return a
+	}
+	return b
+}
+
 // idleDraft returns a change that adds or removes an idle route, or moves one to another pool.
 func (c *commands) idleDraft(base *routingpb.RoutingTable) draft {
 	var idle []*routingpb.Route
