--- a/control/routing/check.go
+++ b/control/routing/check.go
@@ -45,7 +45,7 @@
 	c.pools[pool.Name] = true
 	c.failIf(path, pool.MaxConnections < 0, "max_connections is negative")
 	c.failIf(path, pool.SlowStartUs < 0, "slow start is negative")
-	c.failIf(path, !isWeight(pool.RampPerS), "ramp_per_s is not a number of 0 or more")
+	c.failIf(path, !isMeasure(pool.RampPerS), "ramp_per_s is not a number of 0 or more")
 }
 
 func (c *checker) checkRoutes(routes []*routingpb.Route) {
@@ -72,7 +72,7 @@
 	c.failIf(path, route.GetMaxBackends() < 0, "the number of backends is negative")
 	c.failIf(path, route.ResultLimit < 0, "the result limit is negative")
 	c.failIf(path, route.Priority < 0, "the priority is negative")
-	c.failIf(path, !isWeight(route.MinCoverage), "min_coverage is not a number of 0 or more")
+	c.failIf(path, !isMeasure(route.MinCoverage), "min_coverage is not a number of 0 or more")
 	c.checkTargets(path, route)
 }
 
@@ -97,7 +97,7 @@
 	for _, weighted := range route.PoolWeights {
 		c.requirePool(path, weighted.Pool)
 		total += weighted.Weight
-		invalid = invalid || !isWeight(weighted.Weight)
+		invalid = invalid || !isMeasure(weighted.Weight)
 	}
 	c.failIf(path, invalid, "a weight is not a number of 0 or more")
 	c.failIf(path, len(route.PoolWeights) > 0 && !invalid && total <= 0, "the weights add up to 0")
@@ -107,5 +107,5 @@
 	c.failIf(path, !c.pools[pool], "no such pool: "+pool)
 }
 
-// isWeight reports whether a number is finite and not negative.
-func isWeight(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
+// isMeasure reports whether a number can be a weight, a rate or a share: whether it is finite and not negative.
+func isMeasure(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
--- a/control/routing/routing.go
+++ b/control/routing/routing.go
@@ -39,10 +39,10 @@
 	Shares []Share
 }
 
-// Share is a pool with its share of a route's requests, above 0 and at most 1.
+// Share is a pool and the fraction of a route's requests that it gets, above 0 and at most 1.
 type Share struct {
-	Pool  string
-	Share float64
+	Pool     string
+	Fraction float64
 }
 
 // FansOut reports whether a request is sent to one backend of each shard and their responses are merged.
@@ -55,10 +55,10 @@
 		return r.Pool
 	}
 	for _, share := range r.Shares {
-		if point < share.Share {
+		if point < share.Fraction {
 			return share.Pool
 		}
-		point -= share.Share
+		point -= share.Fraction
 	}
 	// Rounding can leave the sum of the shares below point.
 	return r.Shares[len(r.Shares)-1].Pool
@@ -115,13 +115,13 @@
 		}
 		total += part
 		if i := slices.IndexFunc(out, func(s Share) bool { return s.Pool == weighted.Pool }); i >= 0 {
-			out[i].Share += part
+			out[i].Fraction += part
 			continue
 		}
 		out = append(out, Share{weighted.Pool, part})
 	}
 	for i := range out {
-		out[i].Share /= total
+		out[i].Fraction /= total
 	}
 	return out
 }
