--- a/lab/soak/config.go
+++ b/lab/soak/config.go
@@ -85,7 +85,7 @@
 	if patch {
 		read = platform.ReadPatch
 	}
-	edit, found := read([]byte(text), base)
+	edit, found, _ := read([]byte(text), base)
 	if len(found) > 0 {
 		return nil
 	}
