request/gateway: the stand-in backend of a test announces that it closes

Cause, in the test: its backend closed the connection after a complete success without a word. The node may keep such a connection; where the close reached it after its check, the next request, which may run once only, had been written to it, and 502 was right. All other cases of the test end the connection after an answer with which the node does not keep it; they are unchanged.

The case is replaced by two stricter ones, one in which the backend announces the close and the node must not reuse the connection, and one in which it keeps the connection: the first request reaches one backend once, and the next is served, as before.

--- a/request/gateway/once_test.go
+++ b/request/gateway/once_test.go
@@ -122,7 +122,12 @@
 		{"429 without Did-Not-Run", rawResponse("HTTP/1.1 429 Busy\r\n"+headerAndBody, true), long, 502},
 		{"408 without Did-Not-Run", rawResponse("HTTP/1.1 408 Late\r\n"+headerAndBody, true), long, 502},
 		{"a failure with a seal", rawResponse("HTTP/1.1 500 Oh\r\n"+headerAndBody, true), long, 500},
-		{"a success with Did-Not-Run", rawResponse("HTTP/1.1 200 OK\r\nDid-Not-Run: 1\r\n"+headerAndBody, true), long, 200},
+		// After a complete success the node may keep the connection, so that a backend that closes it has to say so.
+		{"a success with Did-Not-Run, and the connection closes", rawResponse("HTTP/1.1 200 OK\r\nDid-Not-Run: 1\r\nConnection: close\r\n"+headerAndBody, true), long, 200},
+		{"a success with Did-Not-Run, and the connection is kept", func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Did-Not-Run", "1")
+			io.WriteString(rw, "hi")
+		}, long, 200},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newAtMostOnceFixture(t)
@@ -138,7 +143,7 @@
 				must.Eq(t, c.status, resp.StatusCode)
 			}
 			must.Eq(t, 1, w.times("a"), must.Sprint("the request must reach a single backend once"))
-			// The connection must not be reused, and the next request must be served.
+			// A connection that closes, or may hold a late response, must not be reused, and the next request must be served.
 			w.setHandler(func(rw http.ResponseWriter, _ *http.Request) { io.WriteString(rw, "right") })
 			client.send(post(long, "b"))
 			resp, body := client.readResponse("POST")
