--- a/lab/soak/config.go
+++ b/lab/soak/config.go
@@ -38,6 +38,33 @@
 	return routeText("changing", "/changing/", "idempotent", fmt.Sprintf(`"pool":%q,"serial":%d`, pool, serial), 1500+int(revision%7)*100, 2)
 }
 
+// extremes are texts of completeText with the texts that take their places: numbers at or beyond the ends of their range
+// and pools that a list names again. Under each of them, all routes can still be served.
+var extremes = []struct{ usual, extreme string }{
+	{`"fanout_pools":["shard0"`, `"fanout_pools":["shard0","shard1","shard0"`},
+	{`"target_latency_ms":150`, `"target_latency_ms":0.001`},
+	{`"target_latency_ms":150`, `"target_latency_ms":1e300`},
+	{`"timeout_ms":800`, `"timeout_ms":1e20`},
+	{`"priority":1`, `"priority":4294967297`},
+	{`"max_retries":2`, `"max_retries":2.9`},
+	{`"result_limit":20`, `"result_limit":1e400`},
+	{`"min_coverage":0.5`, `"min_coverage":-1`},
+	{`"weight":3`, `"weight":1e308`},
+	{`"pool_weights":[`, `"pool_weights":[{"pool":"other","weight":0},`},
+	{`"max_connections":200`, `"max_connections":200.5`},
+	{`"slow_start_s":1.0`, `"slow_start_s":1e300`},
+	{`"ramp_per_s":0.0`, `"ramp_per_s":1000000000`},
+	{`"ramp_per_s":0.0`, `"ramp_per_s":1e400`},
+	{`"max_body_bytes":262144`, `"max_body_bytes":18446744073709551616`},
+	{`"header_timeout_ms":3000`, `"header_timeout_ms":1e300`},
+}
+
+// extremeText returns completeText with one of the extremes, which follow from the serial number in turn.
+func extremeText(revision, serial int64) string {
+	e := extremes[serial%int64(len(extremes))]
+	return strings.Replace(completeText(revision, serial), e.usual, e.extreme, 1)
+}
+
 // completeText returns the JSON of a complete configuration.
 func completeText(revision, serial int64) string {
 	var shards []string
--- a/lab/soak/config_test.go
+++ b/lab/soak/config_test.go
@@ -23,3 +23,13 @@
 	must.SliceNotEmpty(t, routing.Check(applied(nil, badText(5, 1), 0, false)))
 	must.Nil(t, applied(nil, "{", 0, false))
 }
+
+func TestExtremeConfigurationsAreValid(t *testing.T) {
+	for serial := range int64(len(extremes)) {
+		text := extremeText(5, serial)
+		must.NotEq(t, completeText(5, serial), text)
+		table := applied(nil, text, 0, false)
+		must.NotNil(t, table)
+		must.SliceEmpty(t, routing.Check(table), must.Sprint(extremes[serial]))
+	}
+}
--- a/lab/soak/healing.go
+++ b/lab/soak/healing.go
@@ -61,11 +61,16 @@
 	}
 }
 
-// changeOnce sends one change based on the newest version, without concurrent changes.
+// changeOnce sends one change based on the newest version, without concurrent changes. Every second complete
+// configuration has an extreme value.
 func (r *run) changeOnce(ctx context.Context, patch, invalid bool) {
 	r.changes.Lock()
 	defer r.changes.Unlock()
 	text := changeText(completeText)
+	r.changeCount++
+	if r.changeCount%2 == 0 {
+		text = extremeText
+	}
 	switch {
 	case invalid:
 		text, patch = badText, false
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -28,6 +28,8 @@
 	coreGate  coreFaultGate
 	// changes serialises the operators' configuration changes, zones the evacuations.
 	changes, zones sync.Mutex
+	// changeCount counts the single changes; changes guards it.
+	changeCount int
 
 	mu sync.Mutex
 	// torn holds the processes whose settings file was incomplete at some time of the run.
