--- a/control/config/config_test.go
+++ b/control/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -127,3 +128,36 @@
 		must.Eq(t, want, findingPaths(DuplicateNames([]byte(text))), must.Sprint(text))
 	}
 }
+
+// TestNumbersOfASheetAtTheirEnds guards against a number that is accepted as another, or whose finding has no place: each
+// number of a sheet is either in it as it was written, or a finding names its field.
+func TestNumbersOfASheetAtTheirEnds(t *testing.T) {
+	for _, field := range []struct{ path, text, accepted string }{
+		{"services[0].capacity", `"capacity":100`, "1 100 1000000 9223372036854775807"},
+		{"services[0].required_share", `"required_share":75`, "1 100"},
+		{"services[0].deadline_us", `"deadline_us":"500000"`, "1000000"},
+		{"services[0].max_deadline_us", `"max_deadline_us":1000000`, "1000000"},
+		{"services[0].hedge_us", `"hedge_us":40000`, "1000000"},
+		{"services[0].ramp_us", `"ramp_us":1000000`, "0 1 100 1000000"},
+		{"rows[1].ceiling", `"ceiling":50`, "0 1 100 1000000 9223372036854775807"},
+		{"bookings[0].slice", `"slice":60`, "1 100"},
+		{"bookings[0].starts_us", `"starts_us":100`, "0 1 100"},
+		{"bookings[0].ends_us", `"ends_us":200`, "1000000 9223372036854775807"},
+	} {
+		name := field.path[strings.IndexByte(field.path, '.')+1:]
+		for _, number := range []string{"0", "-1", "1", "100", "1000000", "1.5", "1e30", "-9223372036854775808", "9223372036854775807", "9223372036854775808"} {
+			s, found := Read([]byte(strings.Replace(validConfiguration, field.text, `"`+name+`":`+number, 1)))
+			found = append(found, Check(s)...)
+			if slices.Contains(strings.Fields(field.accepted), number) {
+				must.SliceEmpty(t, found, must.Sprint(field.path, number))
+				if number != "0" {
+					must.StrContains(t, string(JSON(s)), number)
+				}
+				continue
+			}
+			must.SliceNotEmpty(t, found, must.Sprint(field.path, number))
+			table := field.path[:strings.IndexByte(field.path, '.')]
+			must.StrHasPrefix(t, table, found[0].Path, must.Sprint(field.path, number))
+		}
+	}
+}
